--- /dev/null
+++ b/src/operators_door.cpp
@@ -0,0 +1,264 @@
+#include "operators_door.hpp"
+
+#include "declaration_text.hpp"
+#include "error_page.hpp"
+#include "json_text.hpp"
+#include "metrics_text.hpp"
+#include "peer_codec.hpp"
+#include "plan.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr std::size_t desk_capacity = 64;
+constexpr std::chrono::milliseconds peer_timeout{2000};
+constexpr std::size_t usual_timeline_limit = 1000;
+
+/// Codes of JSON-RPC errors: below the base, one for each kind.
+constexpr int error_code_base = -31000;
+
+[[noreturn]] void refuse(error const& what, Json::Value changes = {})
+{
+    Json::Value data = error_json(what, "");
+    if (!changes.isNull())
+        data["changes"] = std::move(changes);
+    throw rpc_failure(error_code_base - static_cast<int>(what.kind()),
+                      what.text(), std::move(data));
+}
+
+declaration parse_or_refuse(std::string const& text)
+{
+    auto parsed = parse_declaration(text, "declaration");
+    if (auto const* faults = std::get_if<std::vector<text_fault>>(&parsed))
+        refuse(error(error_kind::bad_request, faults->front().str()));
+    return std::get<declaration>(std::move(parsed));
+}
+
+/// The time one load takes at the store's full speed, from its declared rate
+/// and width.
+duration full_speed_load(store_declaration const& store)
+{
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+        static_cast<double>(store.loads_at_once) / store.loads_per_second));
+}
+
+plan plan_for(core_status const& status, declaration const& wanted)
+{
+    declaration const nothing;
+    declaration const& current =
+        status.declared ? *status.declared : nothing;
+    residency loaded;
+    for (auto const& [worker, adapters] : status.residents)
+        loaded[worker].insert(adapters.begin(), adapters.end());
+    return make_plan(current, status.configuration, wanted, loaded,
+                     full_speed_load(wanted.store));
+}
+
+/// A reader's place in the time lines of all VMs: {VM: last number}.
+Json::Value parse_cursor(std::string const& text)
+{
+    if (auto value = from_text(text); value && value->isObject())
+        return *value;
+    return Json::objectValue;
+}
+
+} // namespace
+
+operators_door::operators_door(operators_settings settings)
+    : settings_(std::move(settings))
+{
+}
+
+operators_door::~operators_door() = default;
+
+void operators_door::start(kernel& parts)
+{
+    decisions_ = &parts.find<decision_loop>("decisions");
+    client_ = std::make_unique<http_client>();
+    desk_ = std::make_unique<rpc_desk>(
+        std::map<std::string, rpc_method>{
+            {"status", [this](Json::Value const& in) { return status(in); }},
+            {"configuration",
+             [this](Json::Value const&) { return configuration(); }},
+            {"plan", [this](Json::Value const& in) { return plan(in); }},
+            {"confirm", [this](Json::Value const& in) { return confirm(in); }},
+            {"drain", [this](Json::Value const& in) { return drain(in); }},
+            {"timeline",
+             [this](Json::Value const& in) { return timeline(in); }}},
+        desk_capacity);
+    http_server_options options = settings_.server;
+    options.error_page = server_error_page;
+    server_ = std::make_unique<http_server>(
+        std::move(options),
+        [this](http_request request, std::shared_ptr<http_answer> out)
+        {
+            if (!has_key(request, settings_.key))
+                out->respond(key_refusal());
+            else if (request.method == "POST" && request.path == "/rpc")
+                desk_->take(std::move(request.body), std::move(out));
+            else
+                out->respond(error_page(
+                    error(error_kind::not_found, "no " + request.path), ""));
+        });
+}
+
+void operators_door::stop()
+{
+    server_.reset();
+    desk_.reset();
+    client_.reset();
+}
+
+std::string operators_door::address() const
+{
+    return settings_.server.address + ":" + std::to_string(server_->port());
+}
+
+std::vector<member_view> operators_door::members() const
+{
+    return decisions_->status()->members;
+}
+
+Json::Value operators_door::ask_peer(member_view const& member,
+                                     std::string const& method,
+                                     Json::Value const& parameters)
+{
+    rpc_client peer(*client_, "http://" + member.address + "/rpc",
+                    settings_.peers_key);
+    return peer.call(method, parameters,
+                     std::chrono::steady_clock::now() + peer_timeout);
+}
+
+Json::Value operators_door::status(Json::Value const& parameters)
+{
+    Json::Value result;
+    result["vms"].append(status_json(*decisions_->status()));
+    result["unreachable"] = Json::arrayValue;
+    if (!flag_or(parameters, "all", false))
+        return result;
+    for (member_view const& member : members())
+    {
+        if (member.vm == settings_.vm)
+            continue;
+        try
+        {
+            result["vms"].append(
+                ask_peer(member, "status", Json::objectValue));
+        }
+        catch (rpc_failure const&)
+        {
+            result["unreachable"].append(member.vm.str());
+        }
+    }
+    return result;
+}
+
+Json::Value operators_door::configuration() const
+{
+    auto const status = decisions_->status();
+    Json::Value result;
+    result["version"] = Json::UInt64(status->configuration.value());
+    result["declaration"] =
+        status->declared ? write_declaration(*status->declared) : "";
+    return result;
+}
+
+Json::Value operators_door::plan(Json::Value const& parameters) const
+{
+    declaration const wanted =
+        parse_or_refuse(text_or(parameters, "declaration", ""));
+    mulberry::plan const made = plan_for(*decisions_->status(), wanted);
+    Json::Value result;
+    result["plan"] = *from_text(plan_json(made));
+    result["text"] = describe(made);
+    result["declaration"] = write_declaration(wanted);
+    return result;
+}
+
+Json::Value operators_door::confirm(Json::Value const& parameters)
+{
+    std::string const text = text_or(parameters, "declaration", "");
+    std::string const digest = text_or(parameters, "digest", "");
+    declaration const wanted = parse_or_refuse(text);
+    if (digest_of(text) != digest || write_declaration(wanted) != text)
+        refuse(error(error_kind::bad_request,
+                     "the declaration is not the one that was planned"));
+    auto const status = decisions_->status();
+    mulberry::plan const made = plan_for(*status, wanted);
+    if (!made.feasible())
+        refuse(error(error_kind::plan_infeasible, made.obstacles.front()));
+    confirm_result const settled = decisions_->confirm(
+        config_version(number_or(parameters, "base", 0)), digest, text);
+    if (auto const* why = std::get_if<error>(&settled.result))
+    {
+        Json::Value changes;
+        if (settled.current)
+        {
+            mulberry::plan const since =
+                make_plan(*settled.current, status->configuration, wanted, {},
+                          duration::zero());
+            changes = (*from_text(plan_json(since)))["changes"];
+        }
+        refuse(*why, std::move(changes));
+    }
+    Json::Value result;
+    result["version"] = Json::UInt64(
+        std::get<config_version>(settled.result).value());
+    return result;
+}
+
+Json::Value operators_door::drain(Json::Value const& parameters)
+{
+    vm_id const wanted(text_or(parameters, "vm", ""));
+    for (member_view const& member : members())
+        if (member.vm == wanted)
+            return ask_peer(member, "drain", Json::objectValue);
+    refuse(error(error_kind::not_found, "no VM " + wanted.str()));
+}
+
+Json::Value operators_door::timeline(Json::Value const& parameters)
+{
+    Json::Value cursor = parse_cursor(text_or(parameters, "after", ""));
+    std::size_t const limit =
+        number_or(parameters, "limit", usual_timeline_limit);
+    std::vector<Json::Value> events;
+    for (member_view const& member : members())
+    {
+        Json::Value ask;
+        ask["after"] = cursor[member.vm.str()];
+        ask["limit"] = Json::UInt64(limit);
+        try
+        {
+            for (Json::Value const& event : ask_peer(member, "timeline", ask))
+                events.push_back(event);
+        }
+        catch (rpc_failure const&)
+        {
+            // A VM that cannot be asked now is read from the same place next
+            // time; its events are late, not lost.
+            continue;
+        }
+    }
+    std::sort(events.begin(), events.end(),
+              [](Json::Value const& one, Json::Value const& other)
+              { return one["stamp"].asString() < other["stamp"].asString(); });
+    if (events.size() > limit)
+        events.resize(limit);
+    Json::Value result;
+    result["events"] = Json::arrayValue;
+    for (Json::Value& event : events)
+    {
+        cursor[event["vm"].asString()] = event["number"];
+        result["events"].append(std::move(event));
+    }
+    result["cursor"] = to_text(cursor);
+    return result;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/operators_door.hpp
@@ -0,0 +1,60 @@
+/// The operators' door: JSON-RPC for mulberryctl.
+#ifndef MULBERRY_OPERATORS_DOOR_HPP
+#define MULBERRY_OPERATORS_DOOR_HPP
+
+#include "decision_loop.hpp"
+#include "http_client.hpp"
+#include "http_server.hpp"
+#include "kernel.hpp"
+#include "rpc_desk.hpp"
+
+#include <json/value.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace mulberry
+{
+
+struct operators_settings
+{
+    vm_id vm;
+    http_server_options server;
+    std::string key;
+    std::string peers_key;
+};
+
+class operators_door : public daemon_part
+{
+public:
+    explicit operators_door(operators_settings settings);
+    ~operators_door() override;
+
+    void start(kernel& parts) override;
+    void stop() override;
+    /// IP:PORT. Precondition: started.
+    std::string address() const;
+
+private:
+    /// Calls a method of a VM's peers' door; throws rpc_failure.
+    Json::Value ask_peer(member_view const& member, std::string const& method,
+                         Json::Value const& parameters);
+    std::vector<member_view> members() const;
+    Json::Value status(Json::Value const& parameters);
+    Json::Value configuration() const;
+    Json::Value plan(Json::Value const& parameters) const;
+    Json::Value confirm(Json::Value const& parameters);
+    Json::Value drain(Json::Value const& parameters);
+    Json::Value timeline(Json::Value const& parameters);
+
+    operators_settings settings_;
+    decision_loop* decisions_ = nullptr;
+    std::unique_ptr<http_client> client_;
+    std::unique_ptr<rpc_desk> desk_;
+    std::unique_ptr<http_server> server_;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/ownership_keeper.cpp
@@ -0,0 +1,454 @@
+#include "ownership_keeper.hpp"
+
+#include "lapsed_members.hpp"
+#include "membership.hpp"
+#include "vm_registration.hpp"
+#include "worker_assignment.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+bool answered(table_outcome outcome)
+{
+    return outcome == table_outcome::done || outcome == table_outcome::conflict;
+}
+
+} // namespace
+
+class ownership_keeper::implementation
+{
+public:
+    implementation(ownership_settings settings, safeguards const& checks,
+                   id_source& ids, ownership_rules const& rules)
+        : settings_(std::move(settings)), ids_(ids),
+          random_(settings_.vm.str(), settings_.seed),
+          members_(settings_.gone_after, rules),
+          registration_(settings_, rules, members_, random_, ids),
+          lapsed_(settings_, rules, members_, registration_, random_, ids),
+          workers_({settings_, rules, members_, registration_, random_, ids,
+                    events_},
+                   members_, checks)
+    {
+    }
+
+    void start(time_point now, action_list& actions)
+    {
+        next_scan_at_ = now;
+        registration_.start(now, actions);
+        started_ = true;
+    }
+
+    void set_workers(std::vector<worker_id> workers, time_point now,
+                     action_list& actions);
+    bool knows(operation_id operation) const;
+    void on_table(table_reply const& reply, time_point now,
+                  action_list& actions);
+    void on_vm_list(std::vector<listed_vm> const& vms, time_point now,
+                    action_list& actions);
+    void request_intent(record_intent const& intent, time_point now,
+                        action_list& actions);
+    void forget_intent(mulberry::forget_intent const& intent, time_point now,
+                       action_list& actions);
+    void released(worker_id const& worker, time_point now,
+                  action_list& actions);
+    void leave(time_point now, action_list& actions);
+    void close(time_point now, action_list& actions);
+    void tick(time_point now, action_list& actions);
+    std::vector<ownership_event> take_events();
+
+    vm_registration const& registration() const { return registration_; }
+    membership const& members() const { return members_; }
+    time_point table_heard_at() const { return table_heard_at_; }
+    vm_id owner_of(worker_id const& worker) const;
+    fencing_number fence_of(worker_id const& worker) const;
+
+private:
+    /// A scan of one prefix; one at a time.
+    struct scan
+    {
+        std::string prefix;
+        operation_id operation;
+        time_point asked_at{};
+        bool under_way = false;
+        /// When the question was asked that was last answered.
+        time_point read_at = time_point::min();
+    };
+
+    void start_scans(time_point now, action_list& actions);
+    void start_scan(scan& which, time_point now, action_list& actions);
+    bool is_scan(scan const& which, operation_id operation) const;
+    void on_scan(scan& which, table_reply const& reply, time_point now,
+                 action_list& actions);
+    void store_rows(std::vector<table_row> const& rows, action_list& actions);
+    void note_bad_row(table_row const& row, action_list& actions);
+    void on_registration(table_reply const& reply, time_point now,
+                         action_list& actions);
+    void review(time_point now, action_list& actions);
+
+    ownership_settings const settings_;
+    id_source& ids_;
+    ownership_random random_;
+    std::vector<ownership_event> events_;
+    membership members_;
+    vm_registration registration_;
+    lapsed_members lapsed_;
+    worker_assignment workers_;
+
+    bool started_ = false;
+    time_point table_heard_at_ = time_point::min();
+    time_point next_scan_at_ = never;
+    scan vm_scan_{vm_prefix, {}, {}};
+    scan worker_scan_{worker_prefix, {}, {}};
+    std::map<std::string, row_version> bad_rows_;
+};
+
+void ownership_keeper::implementation::set_workers(
+    std::vector<worker_id> workers, time_point now, action_list& actions)
+{
+    workers_.set_workers(std::move(workers));
+    registration_.set_ready(now);
+    review(now, actions);
+}
+
+bool ownership_keeper::implementation::is_scan(scan const& which,
+                                               operation_id operation) const
+{
+    return which.under_way && which.operation == operation;
+}
+
+bool ownership_keeper::implementation::knows(operation_id operation) const
+{
+    return registration_.knows(operation) || is_scan(vm_scan_, operation) ||
+           is_scan(worker_scan_, operation) || lapsed_.knows(operation) ||
+           workers_.knows(operation);
+}
+
+void ownership_keeper::implementation::on_table(table_reply const& reply,
+                                                time_point now,
+                                                action_list& actions)
+{
+    operation_id const operation = reply.operation;
+    if (registration_.knows(operation))
+        on_registration(reply, now, actions);
+    else if (is_scan(vm_scan_, operation))
+        on_scan(vm_scan_, reply, now, actions);
+    else if (is_scan(worker_scan_, operation))
+        on_scan(worker_scan_, reply, now, actions);
+    else if (lapsed_.knows(operation))
+        lapsed_.on_table(reply);
+    else
+        workers_.on_table(reply, now, actions);
+    review(now, actions);
+}
+
+void ownership_keeper::implementation::on_registration(table_reply const& reply,
+                                                       time_point now,
+                                                       action_list& actions)
+{
+    time_point const asked_at = registration_.asked_at();
+    registration_.on_table(reply, now, actions);
+    if (answered(reply.outcome))
+        table_heard_at_ = std::max(table_heard_at_, asked_at);
+}
+
+void ownership_keeper::implementation::start_scans(time_point now,
+                                                   action_list& actions)
+{
+    if (!started_ || registration_.closed() || now < next_scan_at_)
+        return;
+    if (vm_scan_.under_way || worker_scan_.under_way)
+        return;
+    next_scan_at_ = now + settings_.heartbeat;
+    start_scan(vm_scan_, now, actions);
+    start_scan(worker_scan_, now, actions);
+}
+
+void ownership_keeper::implementation::start_scan(scan& which, time_point now,
+                                                  action_list& actions)
+{
+    which.operation = ids_.next_operation();
+    which.asked_at = now;
+    which.under_way = true;
+    actions.push_back(scan_rows{which.operation, which.prefix,
+                                now + settings_.table_timeout});
+}
+
+void ownership_keeper::implementation::on_scan(scan& which,
+                                               table_reply const& reply,
+                                               time_point now,
+                                               action_list& actions)
+{
+    which.under_way = false;
+    if (reply.outcome != table_outcome::done)
+    {
+        next_scan_at_ = now + random_.around(settings_.heartbeat);
+        return;
+    }
+    which.read_at = which.asked_at;
+    table_heard_at_ = std::max(table_heard_at_, which.asked_at);
+    store_rows(reply.rows, actions);
+    workers_.set_read_at(std::min(vm_scan_.read_at, worker_scan_.read_at));
+    if (&which == &vm_scan_)
+        lapsed_.on_scan(now);
+}
+
+void ownership_keeper::implementation::store_rows(
+    std::vector<table_row> const& rows, action_list& actions)
+{
+    for (table_row const& row : rows)
+    {
+        if (row.version.none())
+            continue;
+        bool const readable = row.key.starts_with(vm_prefix)
+                                  ? members_.store(row)
+                                  : workers_.store(row);
+        if (!readable)
+            note_bad_row(row, actions);
+    }
+}
+
+void ownership_keeper::implementation::note_bad_row(table_row const& row,
+                                                    action_list& actions)
+{
+    if (std::exchange(bad_rows_[row.key], row.version) != row.version)
+        actions.push_back(note_event{"ownership", "bad-row", row.key});
+}
+
+void ownership_keeper::implementation::on_vm_list(
+    std::vector<listed_vm> const& vms, time_point now, action_list& actions)
+{
+    members_.on_list(vms, now);
+    review(now, actions);
+}
+
+void ownership_keeper::implementation::request_intent(
+    record_intent const& intent, time_point now, action_list& actions)
+{
+    worker_ownership& worker = workers_.of(intent.worker);
+    worker.request_intent(intent.order, intent.name, actions);
+    worker.tick(now, actions);
+}
+
+void ownership_keeper::implementation::forget_intent(
+    mulberry::forget_intent const& intent, time_point now, action_list& actions)
+{
+    worker_ownership& worker = workers_.of(intent.worker);
+    worker.forget_intent(intent.name, now);
+    worker.tick(now, actions);
+}
+
+void ownership_keeper::implementation::released(worker_id const& worker,
+                                                time_point now,
+                                                action_list& actions)
+{
+    worker_ownership& lost = workers_.of(worker);
+    lost.sign_off();
+    lost.tick(now, actions);
+}
+
+void ownership_keeper::implementation::leave(time_point now,
+                                             action_list& actions)
+{
+    if (registration_.leaving())
+        return;
+    actions.push_back(
+        note_event{"ownership", "vm-leaving", settings_.vm.str()});
+    registration_.leave(now);
+    review(now, actions);
+}
+
+void ownership_keeper::implementation::close(time_point now,
+                                             action_list& actions)
+{
+    registration_.close(now);
+    review(now, actions);
+}
+
+void ownership_keeper::implementation::tick(time_point now,
+                                            action_list& actions)
+{
+    review(now, actions);
+    start_scans(now, actions);
+}
+
+// Everything that follows from what is known now, in one place, so that it
+// does not matter which answer came first.
+void ownership_keeper::implementation::review(time_point now,
+                                              action_list& actions)
+{
+    if (!started_)
+        return;
+    registration_.examine_row(now, actions);
+    registration_.tick(now, actions);
+    workers_.review(now, actions);
+    lapsed_.tick(now, actions);
+}
+
+std::vector<ownership_event> ownership_keeper::implementation::take_events()
+{
+    bool const members_changed = members_.take_changed();
+    bool const owners_changed = workers_.take_changed();
+    if (members_changed || owners_changed)
+        events_.emplace_back(membership_changed{});
+    return std::exchange(events_, {});
+}
+
+vm_id ownership_keeper::implementation::owner_of(worker_id const& worker) const
+{
+    worker_ownership const* const known = workers_.find(worker);
+    if (known == nullptr || known->row() == nullptr ||
+        !members_.lives(known->row()->owner))
+        return {};
+    return known->row()->owner.vm;
+}
+
+fencing_number
+ownership_keeper::implementation::fence_of(worker_id const& worker) const
+{
+    worker_ownership const* const known = workers_.find(worker);
+    if (known == nullptr || known->row() == nullptr)
+        return {};
+    return known->row()->fence;
+}
+
+ownership_keeper::ownership_keeper(ownership_settings settings,
+                                   safeguards const& checks, id_source& ids,
+                                   ownership_rules const& rules)
+    : implementation_(std::make_unique<implementation>(std::move(settings),
+                                                       checks, ids, rules))
+{
+}
+
+ownership_keeper::~ownership_keeper() = default;
+
+void ownership_keeper::start(time_point now, action_list& actions)
+{
+    implementation_->start(now, actions);
+}
+
+void ownership_keeper::set_workers(std::vector<worker_id> workers,
+                                   time_point now, action_list& actions)
+{
+    implementation_->set_workers(std::move(workers), now, actions);
+}
+
+bool ownership_keeper::knows(operation_id operation) const
+{
+    return implementation_->knows(operation);
+}
+
+void ownership_keeper::on_table(table_reply const& reply, time_point now,
+                                action_list& actions)
+{
+    implementation_->on_table(reply, now, actions);
+}
+
+void ownership_keeper::on_vm_list(std::vector<listed_vm> const& vms,
+                                  time_point now, action_list& actions)
+{
+    implementation_->on_vm_list(vms, now, actions);
+}
+
+void ownership_keeper::request_intent(record_intent const& intent,
+                                      time_point now, action_list& actions)
+{
+    implementation_->request_intent(intent, now, actions);
+}
+
+void ownership_keeper::forget_intent(mulberry::forget_intent const& intent,
+                                     time_point now, action_list& actions)
+{
+    implementation_->forget_intent(intent, now, actions);
+}
+
+void ownership_keeper::released(worker_id const& worker, time_point now,
+                                action_list& actions)
+{
+    implementation_->released(worker, now, actions);
+}
+
+void ownership_keeper::leave(time_point now, action_list& actions)
+{
+    implementation_->leave(now, actions);
+}
+
+void ownership_keeper::close(time_point now, action_list& actions)
+{
+    implementation_->close(now, actions);
+}
+
+bool ownership_keeper::closed() const
+{
+    return implementation_->registration().closed();
+}
+
+void ownership_keeper::tick(time_point now, action_list& actions)
+{
+    implementation_->tick(now, actions);
+}
+
+std::vector<ownership_event> ownership_keeper::take_events()
+{
+    return implementation_->take_events();
+}
+
+incarnation ownership_keeper::life() const
+{
+    return implementation_->registration().life();
+}
+
+bool ownership_keeper::registered() const
+{
+    return implementation_->registration().registered();
+}
+
+bool ownership_keeper::leaving() const
+{
+    return implementation_->registration().leaving();
+}
+
+bool ownership_keeper::lease_holds(time_point now) const
+{
+    return implementation_->registration().lease_holds(now);
+}
+
+time_point ownership_keeper::table_heard_at() const
+{
+    return implementation_->table_heard_at();
+}
+
+std::vector<member_view> ownership_keeper::members() const
+{
+    std::vector<member_view> views;
+    for (auto const& [vm, view] : implementation_->members().members())
+        views.push_back(view);
+    return views;
+}
+
+member_view const* ownership_keeper::member(vm_id const& vm) const
+{
+    return implementation_->members().member(vm);
+}
+
+vm_id ownership_keeper::owner_of(worker_id const& worker) const
+{
+    return implementation_->owner_of(worker);
+}
+
+fencing_number ownership_keeper::fence_of(worker_id const& worker) const
+{
+    return implementation_->fence_of(worker);
+}
+
+bool ownership_keeper::life_is_over(vm_id const& vm, incarnation life) const
+{
+    return implementation_->members().is_over({vm, life});
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/peers_door.cpp
@@ -0,0 +1,222 @@
+#include "peers_door.hpp"
+
+#include "error_page.hpp"
+#include "json_text.hpp"
+#include "metrics_text.hpp"
+#include "peer_codec.hpp"
+#include "shell_clock.hpp"
+
+#include <algorithm>
+#include <mutex>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr std::string_view forward_path = "/forward/";
+constexpr std::size_t desk_capacity = 1024;
+constexpr std::size_t most_events_at_once = 10000;
+constexpr std::size_t most_unsent_bytes = 4UL * 1024 * 1024;
+
+/// A peer's open connection, as the asker of a forwarded request's answer.
+class peer_asker : public asker
+{
+public:
+    peer_asker(request_id id, std::shared_ptr<http_answer> out)
+        : id_(std::move(id)), out_(std::move(out))
+    {
+        http_headers headers;
+        headers.add("Content-Type", "text/event-stream");
+        out_->start_stream(200, std::move(headers));
+    }
+
+    void on_event(std::uint64_t, std::string const& payload) override
+    {
+        if (out_->unsent_bytes() > most_unsent_bytes)
+        {
+            out_->abort();
+            return;
+        }
+        quiet_ = false;
+        out_->write("data: " + payload + "\n\n");
+    }
+
+    void on_end() override
+    {
+        out_->write("data: [DONE]\n\n");
+        out_->finish();
+    }
+
+    void on_error(error const& what) override
+    {
+        out_->write("event: error\ndata: " + error_text(what, id_.str()) +
+                    "\n\n");
+        out_->finish();
+    }
+
+    void on_service_answer(service_answer const&, bool) override {}
+
+    void keep_alive() override
+    {
+        // While a request waits for its turn nothing is written; the entry VM
+        // tells that from a dead connection by these comments.
+        if (quiet_)
+            out_->write(": waiting\n\n");
+        quiet_ = true;
+    }
+
+private:
+    request_id id_;
+    std::shared_ptr<http_answer> out_;
+    /// Used on the decision thread only, as are all calls.
+    bool quiet_ = true;
+};
+
+} // namespace
+
+Json::Value timeline_event_json(timeline_event const& event, vm_id const& vm)
+{
+    Json::Value value;
+    value["vm"] = vm.str();
+    value["number"] = Json::UInt64(event.number);
+    value["stamp"] = event.stamp.str();
+    value["part"] = event.part;
+    value["kind"] = event.kind;
+    value["text"] = event.text;
+    return value;
+}
+
+peers_door::peers_door(peers_settings settings, answer_board& answers,
+                       causal_clock& clock, timeline& events)
+    : settings_(std::move(settings)), answers_(&answers), clock_(&clock),
+      timeline_(&events)
+{
+}
+
+peers_door::~peers_door() = default;
+
+void peers_door::start(kernel& parts)
+{
+    decisions_ = &parts.find<decision_loop>("decisions");
+    desk_ = std::make_unique<rpc_desk>(
+        std::map<std::string, rpc_method>{
+            {"tell", [this](Json::Value const& in) { return tell(in); }},
+            {"status", [this](Json::Value const&) { return status(); }},
+            {"timeline",
+             [this](Json::Value const& in) { return read_timeline(in); }},
+            {"drain", [this](Json::Value const&) { return drain(); }}},
+        desk_capacity);
+    http_server_options options = settings_.server;
+    options.error_page = server_error_page;
+    server_ = std::make_unique<http_server>(
+        std::move(options),
+        [this](http_request request, std::shared_ptr<http_answer> out)
+        { handle(std::move(request), std::move(out)); });
+}
+
+void peers_door::stop()
+{
+    server_.reset();
+    desk_.reset();
+}
+
+std::string peers_door::address() const
+{
+    return settings_.server.address + ":" + std::to_string(server_->port());
+}
+
+void peers_door::handle(http_request request, std::shared_ptr<http_answer> out)
+{
+    if (!has_key(request, settings_.key))
+    {
+        out->respond(key_refusal());
+        return;
+    }
+    if (auto const stamp = request.headers.find("X-Stamp"))
+        if (auto const heard = parse_causal_stamp(*stamp))
+            clock_->hear(*heard);
+    if (request.method == "POST" && request.path == "/rpc")
+        desk_->take(std::move(request.body), std::move(out));
+    else if (request.method == "POST" && request.path.starts_with(forward_path))
+        handle_forward(request, std::move(out));
+    else
+        out->respond(error_page(
+            error(error_kind::not_found,
+                  "no " + request.method + " " + request.path), ""));
+}
+
+void peers_door::handle_forward(http_request const& request,
+                                std::shared_ptr<http_answer> out)
+{
+    auto asked = parse_forwarded(request.body, shell_clock::now());
+    worker_id const worker(
+        percent_decode(request.path.substr(forward_path.size())));
+    if (!asked || worker.empty())
+    {
+        out->respond(error_page(error(error_kind::bad_request,
+                                      "not a forwarded request"), ""));
+        return;
+    }
+    request_id const id = asked->id;
+    if (!answers_->add(id, std::make_shared<peer_asker>(id, out)))
+    {
+        out->abort();
+        return;
+    }
+    if (!decisions_->offer(request_forwarded{worker, std::move(*asked)}))
+    {
+        if (auto const refused = answers_->take(id))
+            refused->on_error(error(error_kind::overloaded,
+                                    "the owner's queue of events is full"));
+        return;
+    }
+    out->on_closed(
+        [answers = answers_, decisions = decisions_, id]
+        {
+            if (answers->take(id))
+                decisions->post(asker_gone{id});
+        });
+}
+
+Json::Value peers_door::tell(Json::Value const& parameters)
+{
+    if (auto const heard =
+            parse_causal_stamp(text_or(parameters, "stamp", "")))
+        clock_->hear(*heard);
+    auto message = parse_peer_message(parameters["message"]);
+    if (!message)
+        throw rpc_failure(-32602, "not a peer message");
+    decisions_->post(peer_said{vm_id(text_or(parameters, "from", "")),
+                               std::move(*message)});
+    return true;
+}
+
+Json::Value peers_door::status() const
+{
+    return status_json(*decisions_->status());
+}
+
+Json::Value peers_door::read_timeline(Json::Value const& parameters) const
+{
+    std::size_t const limit = std::min<std::size_t>(
+        number_or(parameters, "limit", most_events_at_once),
+        most_events_at_once);
+    Json::Value events = Json::arrayValue;
+    for (timeline_event const& event :
+         timeline_->read(number_or(parameters, "after", 0), limit))
+        events.append(timeline_event_json(event, settings_.vm));
+    return events;
+}
+
+Json::Value peers_door::drain()
+{
+    decisions_->post(leave_asked{"an operator asked for it"});
+    Json::Value result;
+    result["vm"] = settings_.vm.str();
+    result["state"] = "leaving";
+    return result;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/peers_door.hpp
@@ -0,0 +1,64 @@
+/// The peers' door: forwarded requests and messages of other VMs.
+#ifndef MULBERRY_PEERS_DOOR_HPP
+#define MULBERRY_PEERS_DOOR_HPP
+
+#include "answer_board.hpp"
+#include "decision_loop.hpp"
+#include "http_server.hpp"
+#include "kernel.hpp"
+#include "rpc_desk.hpp"
+#include "timeline.hpp"
+
+#include <json/value.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace mulberry
+{
+
+struct peers_settings
+{
+    vm_id vm;
+    http_server_options server;
+    std::string key;
+};
+
+class peers_door : public daemon_part
+{
+public:
+    /// The references outlive this object.
+    peers_door(peers_settings settings, answer_board& answers,
+               causal_clock& clock, timeline& events);
+    ~peers_door() override;
+
+    void start(kernel& parts) override;
+    void stop() override;
+    /// IP:PORT. Precondition: started.
+    std::string address() const;
+
+private:
+    void handle(http_request request, std::shared_ptr<http_answer> out);
+    void handle_forward(http_request const& request,
+                        std::shared_ptr<http_answer> out);
+    Json::Value tell(Json::Value const& parameters);
+    Json::Value status() const;
+    Json::Value read_timeline(Json::Value const& parameters) const;
+    Json::Value drain();
+
+    peers_settings settings_;
+    answer_board* answers_;
+    causal_clock* clock_;
+    timeline* timeline_;
+    decision_loop* decisions_ = nullptr;
+    std::unique_ptr<rpc_desk> desk_;
+    std::unique_ptr<http_server> server_;
+};
+
+/// {"vm", "number", "stamp", "part", "kind", "text"}
+Json::Value timeline_event_json(timeline_event const& event, vm_id const& vm);
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/promise_book.cpp
@@ -0,0 +1,143 @@
+#include "promise_book.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+
+namespace mulberry
+{
+namespace
+{
+
+/// Questions whose answers still count; older ones are long past.
+constexpr std::size_t remembered_questions = 64;
+
+constexpr config_version any_version(std::numeric_limits<std::uint64_t>::max());
+
+} // namespace
+
+given_promises::given_promises(promise_rules const& rules, duration promise)
+    : rules_(rules), promise_(promise)
+{
+}
+
+void given_promises::start(time_point now)
+{
+    time_point const end =
+        rules_.former_promises_end(now, record_end(now) - now);
+    outage_until_ = end;
+    confirm_until_ = end;
+    // The former life may have helped a confirm of any version.
+    doubted_ = end > now ? any_version : config_version();
+}
+
+bool given_promises::promise_outage(facts const& own, config_version with,
+                                    time_point now)
+{
+    if (!rules_.may_promise_outage(state(own, with, now)))
+        return false;
+    outage_until_ = std::max(outage_until_, record_end(now));
+    return true;
+}
+
+bool given_promises::promise_confirm(facts const& own, config_version base,
+                                     time_point now)
+{
+    if (!rules_.may_promise_confirm(state(own, base, now)))
+        return false;
+    confirm_until_ = std::max(confirm_until_, record_end(now));
+    // Base 0 is a version too: the one before the first.
+    doubted_ = std::max(doubted_, std::max(base, config_version(1)));
+    return true;
+}
+
+void given_promises::read_answered(time_point asked_at)
+{
+    if (asked_at >= confirm_until_)
+        doubted_ = config_version();
+}
+
+giver_state given_promises::state(facts const& own, config_version with,
+                                  time_point now) const
+{
+    giver_state result;
+    result.table_heard = own.table_heard;
+    result.table_lost = own.table_lost;
+    result.outage_promise_running = now < outage_until_;
+    result.confirm_promise_running = now < confirm_until_;
+    result.version_certain =
+        !with.none() && with >= own.highest && with > doubted_;
+    return result;
+}
+
+time_point given_promises::record_end(time_point now) const
+{
+    // Two VMs' clocks run at slightly different rates: by this margin the
+    // record outlives the asker's belief even when no time was spent on the
+    // way.
+    return now + promise_ + promise_ / 16;
+}
+
+collected_promises::collected_promises(promise_rules const& rules)
+    : rules_(rules)
+{
+}
+
+void collected_promises::ask(std::uint64_t number, time_point now)
+{
+    asked_at_[number] = now;
+    if (asked_at_.size() > remembered_questions)
+        asked_at_.erase(asked_at_.begin());
+}
+
+void collected_promises::add_own(vm_id const& self, time_point until)
+{
+    time_point& known = until_[self];
+    known = std::max(known, until);
+}
+
+bool collected_promises::add(vm_id const& from, std::uint64_t number,
+                             duration holds_for, time_point now)
+{
+    auto const question = asked_at_.find(number);
+    if (question == asked_at_.end())
+        return false;
+    add_own(from, rules_.counts_from(question->second, now) + holds_for);
+    return true;
+}
+
+time_point collected_promises::until(vm_id const& member) const
+{
+    auto const found = until_.find(member);
+    return found == until_.end() ? time_point() : found->second;
+}
+
+void collected_promises::clear()
+{
+    asked_at_.clear();
+    until_.clear();
+}
+
+std::size_t collected_promises::running(std::vector<vm_id> const& members,
+                                        time_point now) const
+{
+    auto const holds = [&](vm_id const& member) { return now < until(member); };
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(), holds));
+}
+
+time_point
+collected_promises::majority_until(std::vector<vm_id> const& members) const
+{
+    std::vector<time_point> ends;
+    ends.reserve(members.size());
+    for (vm_id const& member : members)
+        ends.push_back(until(member));
+    std::sort(ends.begin(), ends.end(), std::greater<>());
+    for (std::size_t count = 1; count <= ends.size(); ++count)
+        if (rules_.is_majority(count, members.size()))
+            return ends[count - 1];
+    return time_point();
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/rpc_desk.cpp
@@ -0,0 +1,67 @@
+#include "rpc_desk.hpp"
+
+#include "error_page.hpp"
+
+#include <chrono>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr std::chrono::hours no_hurry{1};
+
+} // namespace
+
+rpc_desk::rpc_desk(std::map<std::string, rpc_method> methods,
+                   std::size_t capacity)
+    : server_(std::move(methods)), ring_(capacity), thread_([this] { run(); })
+{
+}
+
+rpc_desk::~rpc_desk()
+{
+    ring_.close();
+    thread_.join();
+}
+
+void rpc_desk::take(std::string body, std::shared_ptr<http_answer> out)
+{
+    if (!ring_.try_push({std::move(body), out}))
+        out->respond(error_page(
+            error(error_kind::overloaded, "too many requests wait here"), ""));
+}
+
+void rpc_desk::run()
+{
+    while (!ring_.closed())
+    {
+        auto next = ring_.pop(std::chrono::steady_clock::now() + no_hurry);
+        if (next)
+            next->out->respond(
+                json_response(200, server_.handle(next->body)));
+    }
+}
+
+bool has_key(http_request const& request, std::string const& key)
+{
+    std::string const wanted = "Bearer " + key;
+    std::string const given =
+        request.headers.find("Authorization").value_or("");
+    if (given.size() != wanted.size())
+        return false;
+    unsigned difference = 0;
+    for (std::size_t i = 0; i < wanted.size(); ++i)
+        difference |= static_cast<unsigned char>(wanted[i]) ^
+                      static_cast<unsigned char>(given[i]);
+    return difference == 0;
+}
+
+http_response key_refusal()
+{
+    return error_page(error(error_kind::unauthorized,
+                            "the key is missing or wrong"), "");
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/service_caller_implementation.hpp
@@ -0,0 +1,138 @@
+/// The inside of service_caller; its sources share one state.
+#ifndef MULBERRY_SERVICE_CALLER_IMPLEMENTATION_HPP
+#define MULBERRY_SERVICE_CALLER_IMPLEMENTATION_HPP
+
+#include "claim_book.hpp"
+#include "claim_row.hpp"
+#include "due_index.hpp"
+#include "service_call.hpp"
+#include "service_caller.hpp"
+#include "service_picker.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+namespace mulberry
+{
+
+/// What a caller is told to wait before it comes back.
+inline constexpr duration come_back_after = std::chrono::seconds(1);
+
+/// service_caller.cpp: from request to answer, and time.
+/// service_caller_tries.cpp: tries at workers.
+/// service_caller_claims.cpp: claims, and what is told of them.
+/// service_caller_replay.cpp: answers kept from an earlier run.
+/// Thread safety: as service_caller.
+class service_caller::implementation
+{
+public:
+    implementation(service_settings settings, safeguards const& checks,
+                   id_source& ids,
+                   std::function<bool(vm_id const&, incarnation)> life_is_over);
+
+    void configure(std::shared_ptr<declaration const> configuration);
+    void set_life(incarnation life) { life_ = life; }
+    void submit(service_request request, time_point now, action_list& actions);
+    void withdraw(request_id const& request, time_point now,
+                  action_list& actions);
+    bool knows(operation_id operation) const;
+    bool knows(attempt_id attempt) const;
+    void on_table(table_reply const& reply, time_point now,
+                  action_list& actions);
+    void on_object(object_reply const& reply, time_point now,
+                   action_list& actions);
+    void on_answer(service_attempt_answer const& event, time_point now,
+                   action_list& actions);
+    void on_failure(attempt_failure const& event, time_point now,
+                    action_list& actions);
+    void tick(time_point now, action_list& actions);
+    std::size_t in_progress() const;
+    service_counts counts() const;
+
+private:
+    /// Later than every attempt.
+    static constexpr attempt_id every_attempt{UINT64_MAX};
+
+    struct ended_attempt
+    {
+        request_id request;
+        service_worker_id worker;
+    };
+
+    service_declaration const* find_service(service_id const& service) const;
+    std::optional<error> refusal(service_request const& request,
+                                 bool repeatable, time_point now) const;
+    void open_claim(service_call const& call, time_point now,
+                    action_list& actions);
+
+    // Calls at workers.
+    void start_first_try(service_call& call, time_point now,
+                         action_list& actions);
+    void start_try(service_call& call, time_point now, action_list& actions);
+    bool plan_retry(service_call& call, time_point now);
+    void on_silence(service_call& call, time_point now, action_list& actions);
+    std::optional<ended_attempt> take_attempt(attempt_id attempt);
+    /// Those made before `silent_before` count against their workers.
+    void drop_attempts(service_call& call, attempt_id silent_before,
+                       time_point now, action_list& actions);
+    void on_once_failure(service_call& call, failure_stage stage,
+                         time_point now, action_list& actions);
+    void on_repeatable_failure(service_call& call, failure_stage stage,
+                               time_point now, action_list& actions);
+
+    // Claims.
+    void on_verdict(claim_verdict const& verdict, time_point now,
+                    action_list& actions);
+    void on_held(service_call& call, claim_verdict const& verdict,
+                 time_point now, action_list& actions);
+    void answer_claimed(service_call& call, claim_verdict const& verdict,
+                        time_point now, action_list& actions);
+    void record_unknown(service_call const& call, claim_verdict const& verdict,
+                        time_point now, action_list& actions);
+    void not_run(service_call& call, error what, time_point now,
+                 action_list& actions);
+    void outcome_unknown(service_call& call, std::string text, time_point now,
+                         action_list& actions);
+
+    // Answers kept from an earlier run.
+    void replay(service_call& call, kept_answer const& kept, time_point now,
+                action_list& actions);
+    void fetch_kept(service_call& call, time_point now, action_list& actions);
+    void on_fetched(service_call& call, object_reply const& reply,
+                    time_point now, action_list& actions);
+
+    void on_due(service_call& call, time_point now, action_list& actions);
+    void on_deadline(service_call& call, time_point now, action_list& actions);
+    void on_once_deadline(service_call& call, time_point now,
+                          action_list& actions);
+    void deliver(service_call& call, service_answer answer, bool replayed,
+                 action_list& actions);
+    void refuse(service_call& call, error what, action_list& actions);
+    void note(service_call const& call, char const* kind, std::string text,
+              action_list& actions) const;
+    /// Forgets the call if nothing is left to do; else sees to its next time.
+    void review(service_call& call);
+
+    service_settings settings_;
+    safeguards const& checks_;
+    id_source& ids_;
+    std::function<bool(vm_id const&, incarnation)> life_is_over_;
+    std::shared_ptr<declaration const> configuration_;
+    incarnation life_;
+    retry_budget budget_;
+    service_picker picker_;
+    claim_book claims_;
+    std::unordered_map<request_id, service_call> calls_;
+    std::unordered_map<attempt_id, request_id> attempts_;
+    std::unordered_map<operation_id, request_id> fetches_;
+    due_index<request_id> due_;
+    service_counts counts_;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/service_caller_tries.cpp
@@ -0,0 +1,206 @@
+#include "service_caller_implementation.hpp"
+
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr duration retry_base = std::chrono::milliseconds(25);
+constexpr duration retry_cap = std::chrono::milliseconds(500);
+
+/// Statuses by which a worker says that it is not able to serve just now.
+bool shows_trouble(int status)
+{
+    return status == 502 || status == 503 || status == 504;
+}
+
+} // namespace
+
+void service_caller::implementation::start_first_try(service_call& call,
+                                                     time_point now,
+                                                     action_list& actions)
+{
+    budget_.count_first_try();
+    start_try(call, now, actions);
+}
+
+void service_caller::implementation::start_try(service_call& call,
+                                               time_point now,
+                                               action_list& actions)
+{
+    call.next_try = never;
+    call.silence_due = never;
+    service_declaration const* const service =
+        find_service(call.request.service);
+    auto const worker = service == nullptr
+                            ? std::nullopt
+                            : picker_.pick(*service, call.tried, now);
+    if (!worker)
+    {
+        error const none(error_kind::back_end_unavailable,
+                         "the service has no workers",
+                         call.may_have_run ? ran::unknown : ran::no);
+        if (call.repeatable)
+            refuse(call, none, actions);
+        else
+            not_run(call, none, now, actions);
+        return;
+    }
+    attempt_id const attempt = ids_.next_attempt();
+    ++call.tries;
+    call.called = true;
+    call.tried.insert(*worker);
+    call.attempts.emplace(attempt, *worker);
+    attempts_.emplace(attempt, call.request.id);
+    picker_.started(call.request.service, *worker);
+    if (call.repeatable && call.tries < settings_.max_tries)
+        call.silence_due = now + settings_.silence;
+    actions.emplace_back(call_service{attempt, *worker, call.request});
+}
+
+bool service_caller::implementation::plan_retry(service_call& call,
+                                                time_point now)
+{
+    if (call.tries >= settings_.max_tries || !budget_.try_take())
+        return false;
+    call.next_try = now + budget_.backoff(call.tries, retry_base, retry_cap);
+    return true;
+}
+
+void service_caller::implementation::on_silence(service_call& call,
+                                                time_point now,
+                                                action_list& actions)
+{
+    call.silence_due = never;
+    call.may_have_run = true;
+    if (call.tries < settings_.max_tries && budget_.try_take())
+        start_try(call, now, actions);
+}
+
+std::optional<service_caller::implementation::ended_attempt>
+service_caller::implementation::take_attempt(attempt_id attempt)
+{
+    auto const found = attempts_.find(attempt);
+    if (found == attempts_.end())
+        return std::nullopt;
+    request_id const request = found->second;
+    attempts_.erase(found);
+    auto node = calls_.at(request).attempts.extract(attempt);
+    return ended_attempt{request, std::move(node.mapped())};
+}
+
+void service_caller::implementation::drop_attempts(service_call& call,
+                                                   attempt_id silent_before,
+                                                   time_point now,
+                                                   action_list& actions)
+{
+    service_id const& service = call.request.service;
+    for (auto const& [attempt, worker] : call.attempts)
+    {
+        attempts_.erase(attempt);
+        if (attempt < silent_before)
+            picker_.failed(service, worker, now);
+        else
+            picker_.dropped(service, worker);
+        actions.emplace_back(
+            cancel_attempt{attempt, worker_id(), call.request.id, false});
+    }
+    call.attempts.clear();
+    call.silence_due = never;
+}
+
+void service_caller::implementation::on_answer(
+    service_attempt_answer const& event, time_point now, action_list& actions)
+{
+    auto const ended = take_attempt(event.attempt);
+    if (!ended)
+        return;
+    service_call& call = calls_.at(ended->request);
+    if (shows_trouble(event.answer.status))
+        picker_.failed(call.request.service, ended->worker, now);
+    else
+        picker_.succeeded(call.request.service, ended->worker);
+    if (call.repeatable)
+        drop_attempts(call, event.attempt, now, actions);
+    bool const late = call.finished();
+    call.next_try = never;
+    if (!late)
+        deliver(call, event.answer, false, actions);
+    if (!call.repeatable)
+    {
+        claims_.end(ended->request, claim_stage::answered, event.answer, now,
+                    actions);
+        if (late)
+            note(call, "call-answered-late", "kept for the caller's next try",
+                 actions);
+    }
+    review(call);
+}
+
+void service_caller::implementation::on_failure(attempt_failure const& event,
+                                                time_point now,
+                                                action_list& actions)
+{
+    auto const ended = take_attempt(event.attempt);
+    if (!ended)
+        return;
+    service_call& call = calls_.at(ended->request);
+    picker_.failed(call.request.service, ended->worker, now);
+    if (call.repeatable)
+        on_repeatable_failure(call, event.stage, now, actions);
+    else
+        on_once_failure(call, event.stage, now, actions);
+    review(call);
+}
+
+void service_caller::implementation::on_once_failure(service_call& call,
+                                                     failure_stage stage,
+                                                     time_point now,
+                                                     action_list& actions)
+{
+    // A plain service has no refusals before it runs: its every response,
+    // whatever the status, means that the call ran.
+    bool const certain =
+        stage != failure_stage::refused && checks_.certainly_not_run(stage);
+    if (!certain)
+    {
+        outcome_unknown(call, "the connection was lost after the call was sent",
+                        now, actions);
+        return;
+    }
+    if (!call.finished() && now < call.request.deadline &&
+        plan_retry(call, now))
+        return;
+    not_run(call,
+            error(error_kind::back_end_unavailable,
+                  "no worker of the service could be reached", ran::no,
+                  come_back_after),
+            now, actions);
+}
+
+void service_caller::implementation::on_repeatable_failure(service_call& call,
+                                                           failure_stage stage,
+                                                           time_point now,
+                                                           action_list& actions)
+{
+    if (stage == failure_stage::sent || stage == failure_stage::answering)
+        call.may_have_run = true;
+    // Another try may be under way beside the silent one.
+    if (!call.attempts.empty() || plan_retry(call, now))
+        return;
+    ran const what = call.may_have_run ? ran::unknown : ran::no;
+    if (stage == failure_stage::answering)
+        refuse(call,
+               error(error_kind::answer_cut, "the service's answer broke off"),
+               actions);
+    else
+        refuse(call,
+               error(error_kind::back_end_unavailable,
+                     "no worker of the service answered", what,
+                     come_back_after),
+               actions);
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/service_picker.cpp
@@ -0,0 +1,118 @@
+#include "service_picker.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr duration first_avoidance = std::chrono::milliseconds(100);
+constexpr duration longest_avoidance = std::chrono::seconds(10);
+
+duration avoidance(int failures_in_a_row)
+{
+    duration span = first_avoidance;
+    for (int failure = 1; failure < failures_in_a_row; ++failure)
+        span = std::min(span * 2, longest_avoidance);
+    return span;
+}
+
+std::set<domain_id> domains_of(service_declaration const& service,
+                               std::set<service_worker_id> const& workers)
+{
+    std::set<domain_id> domains;
+    for (service_worker_declaration const& worker : service.workers)
+        if (workers.count(worker.id) != 0)
+            domains.insert(worker.domain);
+    return domains;
+}
+
+} // namespace
+
+std::optional<service_worker_id>
+service_picker::pick(service_declaration const& service,
+                     std::set<service_worker_id> const& tried, time_point now)
+{
+    if (service.workers.empty())
+        return std::nullopt;
+    std::set<domain_id> const failed_domains = domains_of(service, tried);
+    auto const rank = [&](service_worker_declaration const& worker)
+    {
+        worker_state const& state = workers_[{service.id, worker.id}];
+        return std::make_tuple(avoided(state, now), tried.count(worker.id),
+                               failed_domains.count(worker.domain),
+                               state.outstanding);
+    };
+    // Starting anywhere spreads the first calls of many VMs over equals.
+    std::size_t const count = service.workers.size();
+    std::size_t const start = random_() % count;
+    service_worker_declaration const* best = &service.workers[start];
+    for (std::size_t step = 1; step < count; ++step)
+    {
+        auto const& candidate = service.workers[(start + step) % count];
+        if (rank(candidate) < rank(*best))
+            best = &candidate;
+    }
+    return best->id;
+}
+
+void service_picker::started(service_id const& service,
+                             service_worker_id const& worker)
+{
+    ++workers_[{service, worker}].outstanding;
+}
+
+void service_picker::succeeded(service_id const& service,
+                               service_worker_id const& worker)
+{
+    dropped(service, worker);
+    if (worker_state* const state = find(service, worker))
+        state->failures_in_a_row = 0;
+}
+
+void service_picker::failed(service_id const& service,
+                            service_worker_id const& worker, time_point now)
+{
+    dropped(service, worker);
+    worker_state* const state = find(service, worker);
+    if (state == nullptr)
+        return;
+    ++state->failures_in_a_row;
+    state->avoid_until = now + avoidance(state->failures_in_a_row);
+}
+
+void service_picker::dropped(service_id const& service,
+                             service_worker_id const& worker)
+{
+    worker_state* const state = find(service, worker);
+    if (state != nullptr && state->outstanding > 0)
+        --state->outstanding;
+}
+
+void service_picker::configure(declaration const& configuration)
+{
+    std::set<worker_key> kept;
+    for (auto const& [id, service] : configuration.services)
+        for (service_worker_declaration const& worker : service.workers)
+            kept.insert({id, worker.id});
+    std::erase_if(workers_, [&](auto const& entry)
+                  { return kept.count(entry.first) == 0; });
+}
+
+service_picker::worker_state*
+service_picker::find(service_id const& service, service_worker_id const& worker)
+{
+    auto const found = workers_.find({service, worker});
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+bool service_picker::avoided(worker_state const& state, time_point now) const
+{
+    if (state.failures_in_a_row == 0)
+        return false;
+    return now < state.avoid_until || state.outstanding > 0;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,205 @@
+#include "settings.hpp"
+#include "json_reader.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using enum presence;
+
+constexpr std::uint64_t max_port = 65535;
+constexpr std::size_t max_key_bytes = 256;
+constexpr std::uint64_t kibibyte = 1024;
+constexpr std::uint64_t mebibyte = 1024 * kibibyte;
+
+// Callers may ask for up to ten minutes (X-Deadline-Ms).
+constexpr milliseconds longest_deadline{600'000};
+
+void read_door(json_document& document, Json::Value const& json,
+               std::string const& path, door_address& door)
+{
+    json_object object(document, json, path);
+    object.read_text("address", door.address, optional);
+    if (!valid_address(door.address))
+        object.add_fault("address", fmt::format("\"{}\" is not an IP address "
+                                                "in numbers",
+                                                door.address));
+    std::size_t port = 0;
+    object.read_count("port", port, {0, max_port}, required);
+    door.port = static_cast<std::uint16_t>(port);
+    object.refuse_unknown_keys();
+}
+
+void read_doors(json_document& document, json_object& root, settings& value)
+{
+    struct named_door
+    {
+        char const* key;
+        door_address* door;
+    };
+    std::array const doors{named_door{"callers", &value.callers},
+                           named_door{"peers", &value.peers},
+                           named_door{"operators", &value.operators}};
+    for (named_door const& entry : doors)
+        root.read_object(entry.key, required,
+                         [&](auto const& json, auto const& path)
+                         { read_door(document, json, path, *entry.door); });
+    for (std::size_t at = 1; at < doors.size(); ++at)
+        for (std::size_t other = 0; other < at; ++other)
+            if (*doors[at].door == *doors[other].door &&
+                doors[at].door->port != 0)
+                root.add_fault(doors[at].key,
+                               fmt::format("has the same address and port as "
+                                           "{}",
+                                           doors[other].key));
+}
+
+// The faults never repeat a key: they end up in logs and terminals.
+void read_key(json_object& root, char const* key, std::string& into)
+{
+    root.read_text(key, into, required);
+    bool const visible = std::all_of(
+        into.begin(), into.end(), [](char c) { return c > ' ' && c <= '~'; });
+    if (!visible || into.size() > max_key_bytes)
+        root.add_fault(key, fmt::format("must be 1 to {} visible ASCII "
+                                        "characters",
+                                        max_key_bytes));
+}
+
+void read_identity(json_object& root, settings& value)
+{
+    std::string vm;
+    std::string domain;
+    root.read_name("vm", vm, required);
+    root.read_name("domain", domain, required);
+    root.read_name("deployment", value.deployment, required);
+    value.vm = vm_id(vm);
+    value.domain = domain_id(domain);
+}
+
+void read_platform(json_object& root, settings& value)
+{
+    root.read_url("table_url", value.table_url, required);
+    root.read_url("objects_url", value.objects_url, required);
+    root.read_url("vms_url", value.vms_url, required);
+}
+
+void read_times(json_object& root, settings& value)
+{
+    auto const read = [&](char const* key, duration& into, milliseconds least,
+                          milliseconds most) {
+        root.read_milliseconds(key, into, {least, most}, optional);
+    };
+    read("lease_ms", value.lease, milliseconds(100), milliseconds(60'000));
+    read("heartbeat_ms", value.heartbeat, milliseconds(10),
+         milliseconds(20'000));
+    read("configuration_poll_ms", value.configuration_poll, milliseconds(10),
+         milliseconds(10'000));
+    read("configuration_bound_ms", value.configuration_bound, milliseconds(100),
+         milliseconds(30'000));
+    read("hint_interval_ms", value.hint_interval, milliseconds(10),
+         milliseconds(60'000));
+    read("load_report_interval_ms", value.load_report_interval,
+         milliseconds(10), milliseconds(60'000));
+    read("default_deadline_ms", value.default_deadline, milliseconds(1),
+         longest_deadline);
+    read("max_deadline_ms", value.max_deadline, milliseconds(1),
+         longest_deadline);
+    read("progress_timeout_ms", value.progress_timeout, milliseconds(10),
+         longest_deadline);
+}
+
+void read_sizes(json_object& root, settings& value)
+{
+    auto const read = [&](char const* key, std::size_t& into,
+                          std::uint64_t least, std::uint64_t most) {
+        root.read_count(key, into, {least, most}, optional);
+    };
+    read("max_body_bytes", value.max_body_bytes, kibibyte, 1024 * mebibyte);
+    read("max_header_bytes", value.max_header_bytes, kibibyte, mebibyte);
+    read("max_connections", value.max_connections, 1, 1'000'000);
+    read("ring_capacity", value.ring_capacity, 16, 1'048'576);
+    read("max_queue_per_worker", value.max_queue_per_worker, 1, 100'000);
+    read("caller_threads", value.caller_threads, 1, 256);
+    read("timeline_capacity", value.timeline_capacity, 16, 16'777'216);
+}
+
+void read_habits(json_object& root, settings& value)
+{
+    root.read_name("policy", value.policy, optional);
+    std::size_t seed = value.seed;
+    root.read_count("seed", seed, {0, UINT64_MAX}, optional);
+    value.seed = seed;
+    root.read_choice("log_level", value.log_level,
+                     {"trace", "debug", "info", "warning", "error", "fatal"},
+                     optional);
+    root.read_choice("log_format", value.log_format, {"text", "json"},
+                     optional);
+}
+
+std::int64_t ms(duration time)
+{
+    return std::chrono::floor<milliseconds>(time).count();
+}
+
+void check_relations(json_object& root, settings const& value)
+{
+    // Two heartbeats must fit in a lease: else one late answer loses it.
+    if (value.heartbeat * 2 >= value.lease)
+        root.add_fault("heartbeat_ms",
+                       fmt::format("{} must be less than half of lease_ms "
+                                   "({})",
+                                   ms(value.heartbeat), ms(value.lease)));
+    if (value.configuration_poll >= value.configuration_bound)
+        root.add_fault(
+            "configuration_poll_ms",
+            fmt::format("{} must be less than configuration_bound_ms ({})",
+                        ms(value.configuration_poll),
+                        ms(value.configuration_bound)));
+    if (value.default_deadline > value.max_deadline)
+        root.add_fault("default_deadline_ms",
+                       fmt::format("{} must not be more than max_deadline_ms "
+                                   "({})",
+                                   ms(value.default_deadline),
+                                   ms(value.max_deadline)));
+    // A silent stream has to be noticed while it can still be resumed.
+    if (value.progress_timeout >= value.max_deadline)
+        root.add_fault("progress_timeout_ms",
+                       fmt::format("{} must be less than max_deadline_ms ({})",
+                                   ms(value.progress_timeout),
+                                   ms(value.max_deadline)));
+}
+
+} // namespace
+
+std::variant<settings, std::vector<text_fault>>
+parse_settings(std::string_view text, std::string const& file)
+{
+    json_document document(text, file);
+    if (!document.well_formed())
+        return document.faults();
+    settings value;
+    json_object root(document, document.root(), "");
+    read_identity(root, value);
+    read_doors(document, root, value);
+    read_key(root, "peers_key", value.peers_key);
+    read_key(root, "operators_key", value.operators_key);
+    read_platform(root, value);
+    read_times(root, value);
+    read_sizes(root, value);
+    read_habits(root, value);
+    check_relations(root, value);
+    root.refuse_unknown_keys();
+    if (!document.sound())
+        return document.faults();
+    return value;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/sse_parser.cpp
@@ -0,0 +1,88 @@
+#include "sse_parser.hpp"
+
+#include <utility>
+
+namespace mulberry
+{
+
+sse_parser::sse_parser(std::size_t max_event_bytes)
+    : max_event_bytes_(max_event_bytes)
+{
+}
+
+std::vector<sse_event> sse_parser::feed(std::string_view bytes)
+{
+    std::vector<sse_event> events;
+    for (char const byte : bytes)
+    {
+        if (overflowed_)
+            break;
+        take_byte(byte, events);
+    }
+    return events;
+}
+
+void sse_parser::take_byte(char byte, std::vector<sse_event>& events)
+{
+    // The LF of a CRLF may come in the next piece: the line ended at the CR.
+    bool const ends_crlf = after_carriage_return_ && byte == '\n';
+    after_carriage_return_ = byte == '\r';
+    if (ends_crlf)
+        return;
+    if (byte == '\n' || byte == '\r')
+    {
+        take_line(events);
+        return;
+    }
+    line_ += byte;
+    // An engine that never ends an event would otherwise fill the memory of
+    // the process, at the cost of every other stream.
+    overflowed_ = ++event_bytes_ > max_event_bytes_;
+}
+
+void sse_parser::take_line(std::vector<sse_event>& events)
+{
+    std::string const line = std::exchange(line_, {});
+    if (line.empty())
+    {
+        dispatch(events);
+        return;
+    }
+    std::size_t const colon = line.find(':');
+    if (colon == 0)
+        return;
+    if (colon == std::string::npos)
+    {
+        take_field(line, {});
+        return;
+    }
+    std::string_view value = std::string_view(line).substr(colon + 1);
+    if (value.starts_with(' '))
+        value.remove_prefix(1);
+    take_field(std::string_view(line).substr(0, colon), value);
+}
+
+void sse_parser::take_field(std::string_view name, std::string_view value)
+{
+    if (name == "event")
+    {
+        event_.event = value;
+        return;
+    }
+    if (name != "data")
+        return;
+    if (has_data_)
+        event_.data += '\n';
+    event_.data += value;
+    has_data_ = true;
+}
+
+void sse_parser::dispatch(std::vector<sse_event>& events)
+{
+    event_bytes_ = 0;
+    sse_event event = std::exchange(event_, {});
+    if (std::exchange(has_data_, false))
+        events.push_back(std::move(event));
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/sse_parser.hpp
@@ -0,0 +1,56 @@
+/// An incremental parser of server-sent events (text/event-stream).
+#ifndef MULBERRY_SSE_PARSER_HPP
+#define MULBERRY_SSE_PARSER_HPP
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mulberry
+{
+
+/// One event. Fields other than `event` and `data` are not kept.
+struct sse_event
+{
+    /// Empty if the event has no name.
+    std::string event;
+    /// Lines are joined by a line feed.
+    std::string data;
+
+    friend bool operator==(sse_event const&, sse_event const&) = default;
+};
+
+/// Takes the bytes of one stream in pieces split anywhere. A line ends with
+/// LF, CRLF or CR. Not thread safe.
+class sse_parser
+{
+public:
+    /// `max_event_bytes` bounds what one unfinished event may hold.
+    explicit sse_parser(std::size_t max_event_bytes);
+
+    /// The events completed by these bytes, in order. After an overflow:
+    /// none, ever.
+    std::vector<sse_event> feed(std::string_view bytes);
+
+    /// An event was larger than the bound; the stream is of no more use.
+    bool overflowed() const { return overflowed_; }
+
+private:
+    void take_byte(char byte, std::vector<sse_event>& events);
+    void take_line(std::vector<sse_event>& events);
+    void take_field(std::string_view name, std::string_view value);
+    void dispatch(std::vector<sse_event>& events);
+
+    std::size_t max_event_bytes_;
+    std::size_t event_bytes_ = 0;
+    std::string line_;
+    sse_event event_;
+    bool has_data_ = false;
+    bool after_carriage_return_ = false;
+    bool overflowed_ = false;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/timeline.cpp
@@ -0,0 +1,95 @@
+#include "timeline.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+/// A VM whose wall clock is wildly ahead must not drag all others along.
+constexpr std::uint64_t most_ahead_ms = 60'000;
+
+template <class Number>
+bool parse_whole(std::string_view text, Number& value)
+{
+    auto const* end = text.data() + text.size();
+    auto const [stop, fault] = std::from_chars(text.data(), end, value);
+    return fault == std::errc{} && stop == end;
+}
+
+} // namespace
+
+std::string causal_stamp::str() const
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%014llu.%06u",
+                  static_cast<unsigned long long>(wall_ms), count);
+    return text;
+}
+
+std::optional<causal_stamp> parse_causal_stamp(std::string_view text)
+{
+    auto const dot = text.find('.');
+    causal_stamp stamp;
+    if (dot == std::string_view::npos ||
+        !parse_whole(text.substr(0, dot), stamp.wall_ms) ||
+        !parse_whole(text.substr(dot + 1), stamp.count))
+        return std::nullopt;
+    return stamp;
+}
+
+causal_clock::causal_clock(std::function<std::uint64_t()> wall_ms)
+    : wall_ms_(std::move(wall_ms))
+{
+}
+
+causal_stamp causal_clock::next()
+{
+    std::lock_guard const lock(mutex_);
+    std::uint64_t const wall = wall_ms_();
+    if (wall > last_.wall_ms)
+        last_ = causal_stamp{wall, 0};
+    else
+        ++last_.count;
+    return last_;
+}
+
+void causal_clock::hear(causal_stamp const& heard)
+{
+    std::lock_guard const lock(mutex_);
+    if (heard.wall_ms > wall_ms_() + most_ahead_ms)
+        return;
+    last_ = std::max(last_, heard);
+}
+
+timeline::timeline(causal_clock& clock, std::size_t capacity)
+    : clock_(&clock), capacity_(capacity)
+{
+}
+
+void timeline::add(std::string part, std::string kind, std::string text)
+{
+    std::lock_guard const lock(mutex_);
+    events_.push_back({++last_number_, clock_->next(), std::move(part),
+                       std::move(kind), std::move(text)});
+    if (events_.size() > capacity_)
+        events_.pop_front();
+}
+
+std::vector<timeline_event> timeline::read(std::uint64_t after,
+                                           std::size_t limit) const
+{
+    std::lock_guard const lock(mutex_);
+    auto const from = std::upper_bound(
+        events_.begin(), events_.end(), after,
+        [](std::uint64_t number, timeline_event const& event)
+        { return number < event.number; });
+    auto const rest = static_cast<std::size_t>(events_.end() - from);
+    return {from, from + static_cast<std::ptrdiff_t>(std::min(rest, limit))};
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/vm_core.cpp
@@ -0,0 +1,658 @@
+#include "vm_core.hpp"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr duration come_back_after = std::chrono::seconds(1);
+/// How long a VM that has left may try to write so before it ends anyway; its
+/// successors then treat it as suspect until the platform's list drops it.
+constexpr duration close_patience = std::chrono::seconds(10);
+
+void add(dispatch_counts& sum, dispatch_counts const& more)
+{
+    sum.finished += more.finished;
+    sum.failed += more.failed;
+    sum.stalled += more.stalled;
+    sum.stall_time += more.stall_time;
+    sum.busy_slot_time += more.busy_slot_time;
+    sum.open_slot_time += more.open_slot_time;
+    sum.loads += more.loads;
+    sum.failed_loads += more.failed_loads;
+    sum.evictions += more.evictions;
+    sum.resumes += more.resumes;
+}
+
+template <class Map, class Key>
+auto* value_or_null(Map& map, Key const& key)
+{
+    auto const place = map.find(key);
+    return place == map.end() ? nullptr : place->second.get();
+}
+
+} // namespace
+
+vm_core::vm_core(core_settings settings, safeguards const& checks)
+    : settings_(std::move(settings)), checks_(&checks),
+      policy_(make_policy(settings_.policy, settings_.seed)),
+      budget_(make_load_budget(settings_.load_budget)),
+      ownership_(settings_.ownership, checks, ids_),
+      configuration_(settings_.configuration, checks, ids_),
+      services_(settings_.services, checks, ids_,
+                [this](vm_id const& vm, incarnation life)
+                { return ownership_.life_is_over(vm, life); }),
+      entry_(settings_.entry, *policy_, view_, *this, checks, ids_)
+{
+}
+
+vm_core::~vm_core() = default;
+
+void vm_core::start(time_point now, action_list& actions)
+{
+    action_list raw;
+    ownership_.start(now, raw);
+    configuration_.start(now, raw);
+    settle(raw, now, actions);
+}
+
+void vm_core::handle(core_event const& event, time_point now,
+                     action_list& actions)
+{
+    action_list raw;
+    std::visit([&](auto const& one) { on(one, now, raw); }, event);
+    settle(raw, now, actions);
+}
+
+void vm_core::settle(action_list& raw, time_point now, action_list& actions)
+{
+    bool more = true;
+    while (more)
+    {
+        for (std::size_t next = 0; next < raw.size(); ++next)
+        {
+            // A copy: handling it may append to `raw`.
+            action one = std::move(raw[next]);
+            if (!keep_inside(one, now, raw))
+                actions.push_back(std::move(one));
+        }
+        raw.clear();
+        more = settle_ownership(now, raw);
+        more = settle_configuration(now, raw) || more;
+        more = more || !raw.empty();
+    }
+}
+
+bool vm_core::keep_inside(action const& one, time_point now, action_list& raw)
+{
+    return std::visit(
+        [&](auto const& what)
+        {
+            using kind = std::decay_t<decltype(what)>;
+            if constexpr (std::is_same_v<kind, record_intent>)
+            {
+                ownership_.request_intent(what, now, raw);
+                return true;
+            }
+            else if constexpr (std::is_same_v<kind, forget_intent>)
+            {
+                ownership_.forget_intent(what, now, raw);
+                return true;
+            }
+            else if constexpr (std::is_same_v<kind, deliver_event>)
+            {
+                if (!entry_.knows_try(what.request))
+                    return false;
+                entry_.on_local_event(what, now, raw);
+                return true;
+            }
+            else if constexpr (std::is_same_v<kind, deliver_end>)
+            {
+                if (!entry_.knows_try(what.request))
+                    return false;
+                entry_.on_local_end(what, now, raw);
+                return true;
+            }
+            else if constexpr (std::is_same_v<kind, deliver_error>)
+            {
+                if (!entry_.knows_try(what.request))
+                    return false;
+                entry_.on_local_error(what, now, raw);
+                return true;
+            }
+            else
+                return false;
+        },
+        one);
+}
+
+bool vm_core::settle_ownership(time_point now, action_list& actions)
+{
+    auto const events = ownership_.take_events();
+    for (ownership_event const& event : events)
+    {
+        if (auto const* gained = std::get_if<worker_gained>(&event))
+            gain(*gained, now, actions);
+        else if (auto const* lost = std::get_if<worker_lost>(&event))
+            lose(*lost, now, actions);
+        else if (auto const* clear = std::get_if<suspects_cleared>(&event))
+        {
+            if (auto* one = value_or_null(dispatchers_, clear->worker))
+                one->suspects_stopped(clear->stopped_at, now);
+        }
+        else if (auto const* intent = std::get_if<intent_settled>(&event))
+        {
+            if (auto* one = dispatcher_of(intent->order))
+                one->on_intent(intent->order, intent->recorded, now, actions);
+        }
+        else
+            refresh_owners(now);
+    }
+    return !events.empty();
+}
+
+bool vm_core::settle_configuration(time_point now, action_list& actions)
+{
+    auto const events = configuration_.take_events();
+    for (configuration_event const& event : events)
+    {
+        if (auto const* fresh = std::get_if<configuration_in_force>(&event))
+            apply(*fresh, now, actions);
+        else if (auto const* done = std::get_if<confirm_settled>(&event))
+            confirms_.push_back(*done);
+    }
+    return !events.empty();
+}
+
+void vm_core::apply(configuration_in_force const& event, time_point now,
+                    action_list& actions)
+{
+    declared_ = event.value;
+    policy_->configure(*declared_);
+    budget_->configure(declared_->store);
+    services_.configure(declared_);
+    std::vector<worker_id> workers;
+    for (auto const& [id, worker] : declared_->workers)
+        workers.push_back(id);
+    for (worker_view const* known : view_.all())
+        if (declared_->workers.count(known->id) == 0)
+            view_.remove(worker_id(known->id));
+    ownership_.set_workers(std::move(workers), now, actions);
+    refresh_owners(now);
+}
+
+void vm_core::gain(worker_gained const& event, time_point now,
+                   action_list& actions)
+{
+    auto const declared = declared_->workers.find(event.worker);
+    if (declared == declared_->workers.end())
+        return;
+    auto fresh = std::make_unique<worker_dispatcher>(
+        declared->second, event.grant, settings_.dispatch, *policy_, *budget_,
+        *checks_, ids_, now);
+    fresh->set_cluster(&view_);
+    fresh->tick(now, actions);
+    dispatchers_.insert_or_assign(event.worker, std::move(fresh));
+}
+
+void vm_core::lose(worker_lost const& event, time_point now,
+                   action_list& actions)
+{
+    auto const place = dispatchers_.find(event.worker);
+    if (place == dispatchers_.end())
+    {
+        ownership_.released(event.worker, now, actions);
+        return;
+    }
+    place->second->stop_admitting(now, actions);
+    retired_.push_back({event.worker, std::move(place->second)});
+    dispatchers_.erase(place);
+    refresh_owners(now);
+}
+
+void vm_core::refresh_owners(time_point now)
+{
+    std::vector<std::pair<vm_id, incarnation>> lives;
+    std::vector<member_view> const members = ownership_.members();
+    for (member_view const& member : members)
+        lives.emplace_back(member.vm, member.life);
+    configuration_.set_members(std::move(lives), ownership_.life(), now);
+    budget_->set_members(std::max<std::size_t>(members.size(), 1), now);
+    if (!declared_)
+        return;
+    for (auto const& [id, declared] : declared_->workers)
+    {
+        if (dispatchers_.count(id) != 0)
+            continue;
+        worker_view const* known = view_.find(id);
+        vm_id const owner = ownership_.owner_of(id);
+        if (known != nullptr && known->owner == owner)
+            continue;
+        worker_view fresh = known != nullptr ? *known : worker_view{};
+        fresh.id = id;
+        fresh.base_model = declared.base_model;
+        fresh.domain = declared.domain;
+        fresh.batch_slots = declared.batch_slots;
+        fresh.adapter_slots = declared.adapter_slots;
+        fresh.owner = owner;
+        fresh.usable = !owner.empty() && owner != settings_.ownership.vm;
+        fresh.as_of = now;
+        view_.put(std::move(fresh));
+    }
+}
+
+void vm_core::refresh_view(time_point now)
+{
+    for (auto const& [id, dispatcher] : dispatchers_)
+    {
+        worker_view fresh = dispatcher->view(now);
+        fresh.owner = settings_.ownership.vm;
+        fresh.usable = fresh.usable && serves_owned(now);
+        if (worker_view const* known = view_.find(id))
+            fresh.cached_prefixes = known->cached_prefixes;
+        view_.put(std::move(fresh));
+    }
+}
+
+void vm_core::hear_hint(vm_id const& from, ownership_hint const& hint,
+                        time_point now)
+{
+    budget_->hear(from, hint.loads, now);
+    if (!declared_)
+        return;
+    for (worker_view const& heard : hint.workers)
+    {
+        auto const declared = declared_->workers.find(heard.id);
+        if (declared == declared_->workers.end() ||
+            dispatchers_.count(heard.id) != 0)
+            continue;
+        // Hints cross with changes of owner; only the owner of the rows last
+        // read speaks for a worker, so a late hint cannot bring back a VM that
+        // has given it up.
+        if (ownership_.owner_of(heard.id) != from)
+            continue;
+        worker_view fresh = heard;
+        fresh.base_model = declared->second.base_model;
+        fresh.domain = declared->second.domain;
+        fresh.batch_slots = declared->second.batch_slots;
+        fresh.adapter_slots = declared->second.adapter_slots;
+        fresh.owner = from;
+        fresh.usable = heard.usable && hint.takes_work;
+        fresh.as_of = now;
+        if (worker_view const* known = view_.find(heard.id))
+            fresh.cached_prefixes = known->cached_prefixes;
+        view_.put(std::move(fresh));
+    }
+}
+
+void vm_core::send_hints(time_point now, action_list& actions)
+{
+    if (now < next_hint_ || !ownership_.registered())
+        return;
+    next_hint_ = now + settings_.hint_interval;
+    ownership_hint hint;
+    hint.life = ownership_.life();
+    hint.configuration = configuration_.version();
+    hint.takes_work = !leaving_since_ && takes_new_work(now);
+    hint.loads = budget_->counts();
+    for (auto const& [id, dispatcher] : dispatchers_)
+        if (worker_view const* own = view_.find(id))
+            hint.workers.push_back(*own);
+    for (member_view const& member : ownership_.members())
+        if (member.vm != settings_.ownership.vm)
+            actions.push_back(tell_peer{member.vm, hint});
+}
+
+bool vm_core::takes_new_work(time_point now) const
+{
+    admission_facts facts;
+    facts.leaving =
+        leaving_since_ && now >= *leaving_since_ + settings_.drain_grace;
+    facts.configuration_known = configuration_.known(now);
+    return checks_->takes_new_work(facts) && ownership_.registered();
+}
+
+bool vm_core::serves_owned(time_point now) const
+{
+    return ownership_.lease_holds(now) ||
+           configuration_.going_on_without_table(now);
+}
+
+void vm_core::on(model_request_arrived const& event, time_point now,
+                 action_list& actions)
+{
+    model_request request = event.request;
+    if (!takes_new_work(now))
+    {
+        error_kind const kind = leaving_since_
+                                    ? error_kind::draining
+                                    : error_kind::configuration_stale;
+        actions.push_back(deliver_error{
+            request.id, error(kind, std::string(answer_of(kind).meaning),
+                              ran::no, come_back_after)});
+        return;
+    }
+    adapter_declaration const* adapter =
+        declared_ ? declared_->find(request.adapter) : nullptr;
+    if (adapter == nullptr)
+    {
+        actions.push_back(deliver_error{
+            request.id,
+            error(error_kind::unknown_model,
+                  "no adapter " + request.adapter.str() +
+                      " in configuration version " +
+                      std::to_string(configuration_.version().value()))});
+        return;
+    }
+    request.base_model = adapter->base_model;
+    if (request.application.empty() && !adapter->applications.empty())
+        request.application = adapter->applications.front();
+    entry_.submit(std::move(request), now, actions);
+}
+
+void vm_core::on(service_request_arrived const& event, time_point now,
+                 action_list& actions)
+{
+    if (!takes_new_work(now))
+    {
+        error_kind const kind = leaving_since_
+                                    ? error_kind::draining
+                                    : error_kind::configuration_stale;
+        actions.push_back(deliver_error{
+            event.request.id, error(kind, std::string(answer_of(kind).meaning),
+                                    ran::no, come_back_after)});
+        return;
+    }
+    services_.submit(event.request, now, actions);
+}
+
+void vm_core::on(asker_gone const& event, time_point now, action_list& actions)
+{
+    entry_.withdraw(event.request, now, actions);
+    services_.withdraw(event.request, now, actions);
+    if (worker_dispatcher* one = dispatcher_of(event.request))
+        one->withdraw(event.request, now, actions);
+}
+
+void vm_core::on(request_forwarded const& event, time_point now,
+                 action_list& actions)
+{
+    if (!declared_ || declared_->find(event.request.adapter) == nullptr)
+    {
+        actions.push_back(deliver_error{
+            event.request.id,
+            error(error_kind::configuration_stale,
+                  "the owner does not know this adapter version yet", ran::no,
+                  come_back_after)});
+        return;
+    }
+    submit_locally(event.worker, event.request, now, actions);
+}
+
+void vm_core::submit_locally(worker_id const& worker, model_request request,
+                             time_point now, action_list& actions)
+{
+    auto* dispatcher = value_or_null(dispatchers_, worker);
+    if (dispatcher == nullptr || !serves_owned(now))
+    {
+        actions.push_back(deliver_error{
+            request.id,
+            error(error_kind::not_owner, "this VM does not own the worker",
+                  ran::no, come_back_after)});
+        return;
+    }
+    dispatcher->submit(std::move(request), now, actions);
+}
+
+void vm_core::withdraw_locally(worker_id const&, request_id const& request,
+                               time_point now, action_list& actions)
+{
+    if (worker_dispatcher* one = dispatcher_of(request))
+        one->withdraw(request, now, actions);
+}
+
+void vm_core::on(peer_said const& event, time_point now, action_list& actions)
+{
+    if (auto const* hint = std::get_if<ownership_hint>(&event.message))
+    {
+        hear_hint(event.from, *hint, now);
+        configuration_.on_peer(event.from,
+                               configuration_hint{hint->configuration}, now,
+                               actions);
+        return;
+    }
+    configuration_.on_peer(event.from, event.message, now, actions);
+}
+
+void vm_core::on(vms_listed const& event, time_point now, action_list& actions)
+{
+    ownership_.on_vm_list(event.vms, now, actions);
+    for (listed_vm const& one : event.vms)
+        if (one.vm == settings_.ownership.vm && one.leaving)
+            on(leave_asked{"the platform's list says so"}, now, actions);
+}
+
+void vm_core::on(confirm_asked const& event, time_point now,
+                 action_list& actions)
+{
+    configuration_.confirm(event.ticket, event.base, event.digest,
+                           event.canonical_text, now, actions);
+}
+
+void vm_core::on(leave_asked const& event, time_point now,
+                 action_list& actions)
+{
+    if (leaving_since_)
+        return;
+    leaving_since_ = now;
+    actions.push_back(note_event{"core", "leaving", event.why});
+    ownership_.leave(now, actions);
+    next_hint_ = now;
+    send_hints(now, actions);
+}
+
+void vm_core::on(clock_ticked const&, time_point now, action_list& actions)
+{
+    ownership_.tick(now, actions);
+    configuration_.table_heard(ownership_.table_heard_at());
+    configuration_.tick(now, actions);
+    std::size_t loads_wanted = 0;
+    for (auto const& [id, dispatcher] : dispatchers_)
+        loads_wanted += dispatcher->loads_wanted();
+    budget_->set_waiting(loads_wanted, now);
+    for (worker_dispatcher* one : all_dispatchers())
+        one->tick(now, actions);
+    refresh_view(now);
+    entry_.tick(now, actions);
+    services_.tick(now, actions);
+    release_retired(now, actions);
+    send_hints(now, actions);
+    close_when_idle(now, actions);
+}
+
+void vm_core::release_retired(time_point now, action_list& actions)
+{
+    auto const done = std::partition(
+        retired_.begin(), retired_.end(), [](retired_dispatcher const& one)
+        { return one.dispatcher->in_progress() != 0; });
+    std::vector<worker_id> released;
+    for (auto one = done; one != retired_.end(); ++one)
+    {
+        add(past_, one->dispatcher->counts(now));
+        released.push_back(one->worker);
+    }
+    retired_.erase(done, retired_.end());
+    for (worker_id const& worker : released)
+        ownership_.released(worker, now, actions);
+}
+
+void vm_core::close_when_idle(time_point now, action_list& actions)
+{
+    if (!leaving_since_ || now < *leaving_since_ + settings_.drain_grace ||
+        in_progress() != 0)
+        return;
+    if (close_by_ == never)
+        close_by_ = now + close_patience;
+    if (!ownership_.closed())
+        ownership_.close(now, actions);
+}
+
+bool vm_core::may_end(time_point now) const
+{
+    if (!leaving_since_ || !checks_->may_stop(in_progress()))
+        return false;
+    return ownership_.closed() || now >= close_by_;
+}
+
+std::size_t vm_core::in_progress() const
+{
+    std::size_t sum = entry_.in_progress() + services_.in_progress();
+    for (worker_dispatcher const* one : all_dispatchers())
+        sum += one->in_progress();
+    return sum;
+}
+
+void vm_core::on(attempt_chunk const& event, time_point now,
+                 action_list& actions)
+{
+    if (worker_dispatcher* one = dispatcher_of(event.attempt))
+        one->on_chunk(event, now, actions);
+    else if (entry_.knows(event.attempt))
+        entry_.on_chunk(event, now, actions);
+}
+
+void vm_core::on(attempt_end const& event, time_point now,
+                 action_list& actions)
+{
+    if (worker_dispatcher* one = dispatcher_of(event.attempt))
+        one->on_end(event, now, actions);
+    else if (entry_.knows(event.attempt))
+        entry_.on_end(event, now, actions);
+}
+
+void vm_core::on(attempt_failure const& event, time_point now,
+                 action_list& actions)
+{
+    if (worker_dispatcher* one = dispatcher_of(event.attempt))
+        one->on_failure(event, now, actions);
+    else if (entry_.knows(event.attempt))
+        entry_.on_failure(event, now, actions);
+    else if (services_.knows(event.attempt))
+        services_.on_failure(event, now, actions);
+}
+
+void vm_core::on(service_attempt_answer const& event, time_point now,
+                 action_list& actions)
+{
+    services_.on_answer(event, now, actions);
+}
+
+void vm_core::on(order_result const& event, time_point now,
+                 action_list& actions)
+{
+    if (worker_dispatcher* one = dispatcher_of(event.order))
+        one->on_order(event, now, actions);
+}
+
+void vm_core::on(engine_report const& event, time_point now,
+                 action_list& actions)
+{
+    if (auto* one = value_or_null(dispatchers_, event.worker))
+        one->on_report(event, now, actions);
+}
+
+void vm_core::on(table_reply const& event, time_point now,
+                 action_list& actions)
+{
+    if (ownership_.knows(event.operation))
+        ownership_.on_table(event, now, actions);
+    else if (configuration_.knows(event.operation))
+        configuration_.on_table(event, now, actions);
+    else if (services_.knows(event.operation))
+        services_.on_table(event, now, actions);
+    services_.set_life(ownership_.life());
+}
+
+void vm_core::on(object_reply const& event, time_point now,
+                 action_list& actions)
+{
+    if (configuration_.knows(event.operation))
+        configuration_.on_object(event, now, actions);
+    else if (services_.knows(event.operation))
+        services_.on_object(event, now, actions);
+}
+
+std::vector<confirm_result> vm_core::take_confirms()
+{
+    return std::exchange(confirms_, {});
+}
+
+core_status vm_core::status(time_point now) const
+{
+    core_status result;
+    result.vm = settings_.ownership.vm;
+    result.life = ownership_.life();
+    result.registered = ownership_.registered();
+    result.leaving = leaving_since_.has_value();
+    result.takes_new_work = takes_new_work(now);
+    result.lease_holds = ownership_.lease_holds(now);
+    result.going_on_without_table = configuration_.going_on_without_table(now);
+    result.configuration_known = configuration_.known(now);
+    result.configuration = configuration_.version();
+    result.declared = declared_;
+    result.members = ownership_.members();
+    result.in_progress = in_progress();
+    result.entry = entry_.counts();
+    result.services = services_.counts();
+    result.past = past_;
+    for (auto const& [id, dispatcher] : dispatchers_)
+        result.workers.push_back({dispatcher->view(now),
+                                  ownership_.fence_of(id),
+                                  dispatcher->counts(now)});
+    for (worker_view const* worker : view_.all())
+        for (resident_view const& resident : worker->residents)
+            result.residents[worker->id].push_back(resident.adapter);
+    return result;
+}
+
+std::vector<worker_id> vm_core::owned_workers() const
+{
+    std::vector<worker_id> owned;
+    for (auto const& [id, dispatcher] : dispatchers_)
+        owned.push_back(id);
+    return owned;
+}
+
+std::string vm_core::address_of(vm_id const& vm) const
+{
+    member_view const* member = ownership_.member(vm);
+    return member == nullptr ? std::string() : member->address;
+}
+
+template <class Id>
+worker_dispatcher* vm_core::dispatcher_of(Id const& id)
+{
+    for (auto const& [worker, dispatcher] : dispatchers_)
+        if (dispatcher->knows(id))
+            return dispatcher.get();
+    for (retired_dispatcher const& one : retired_)
+        if (one.dispatcher->knows(id))
+            return one.dispatcher.get();
+    return nullptr;
+}
+
+std::vector<worker_dispatcher*> vm_core::all_dispatchers() const
+{
+    std::vector<worker_dispatcher*> all;
+    for (auto const& [id, dispatcher] : dispatchers_)
+        all.push_back(dispatcher.get());
+    for (retired_dispatcher const& one : retired_)
+        all.push_back(one.dispatcher.get());
+    return all;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/vm_core.hpp
@@ -0,0 +1,191 @@
+/// The decision core of one entry VM: events with the time go in, actions come
+/// out. No I/O, clock, threads or global state; deterministic for one seed.
+#ifndef MULBERRY_VM_CORE_HPP
+#define MULBERRY_VM_CORE_HPP
+
+#include "action.hpp"
+#include "cluster_view.hpp"
+#include "configuration_keeper.hpp"
+#include "core_event.hpp"
+#include "load_budget.hpp"
+#include "model_entry.hpp"
+#include "ownership_keeper.hpp"
+#include "routing_policy.hpp"
+#include "safeguards.hpp"
+#include "service_caller.hpp"
+#include "worker_dispatcher.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+namespace mulberry
+{
+
+struct core_settings
+{
+    ownership_settings ownership;
+    configuration_settings configuration;
+    service_settings services;
+    entry_settings entry;
+    dispatcher_limits dispatch;
+    duration hint_interval = std::chrono::milliseconds(200);
+    /// How long a leaving VM still passes new requests on, while the balancer
+    /// learns of it; after that it refuses them.
+    duration drain_grace = std::chrono::seconds(2);
+    std::string policy = "mulberry";
+    std::string load_budget = "exchanged_counts";
+    std::uint64_t seed = 1;
+};
+
+/// How a confirm ended, for the operators' door.
+using confirm_result = confirm_settled;
+
+/// What the VM looks like from outside, at a moment. Value.
+struct core_status
+{
+    struct worker_status
+    {
+        worker_view view;
+        fencing_number fence;
+        dispatch_counts counts;
+    };
+    vm_id vm;
+    incarnation life;
+    bool registered = false;
+    bool leaving = false;
+    bool takes_new_work = false;
+    bool lease_holds = false;
+    bool going_on_without_table = false;
+    bool configuration_known = false;
+    config_version configuration;
+    std::shared_ptr<declaration const> declared;
+    std::vector<worker_status> workers;
+    std::vector<member_view> members;
+    /// What is loaded anywhere, as far as this VM knows.
+    std::map<worker_id, std::vector<adapter_ref>> residents;
+    std::size_t in_progress = 0;
+    entry_counts entry;
+    service_counts services;
+    /// Counts of workers that this VM no longer owns.
+    dispatch_counts past;
+};
+
+/// Thread safety: none; one thread feeds it.
+class vm_core : private local_owner
+{
+public:
+    /// `checks` outlives this object.
+    vm_core(core_settings settings, safeguards const& checks);
+    ~vm_core() override;
+    vm_core(vm_core const&) = delete;
+    vm_core& operator=(vm_core const&) = delete;
+
+    /// Registers the VM and reads the configuration.
+    void start(time_point now, action_list& actions);
+    /// Takes one event. Precondition: `now` never falls.
+    void handle(core_event const& event, time_point now, action_list& actions);
+
+    /// Confirms that ended since the last call.
+    std::vector<confirm_result> take_confirms();
+    /// Whether the VM has left and its process may end.
+    bool may_end(time_point now) const;
+    bool takes_new_work(time_point now) const;
+    core_status status(time_point now) const;
+    /// The configuration in force; null before the first.
+    std::shared_ptr<declaration const> declared() const { return declared_; }
+    std::vector<worker_id> owned_workers() const;
+    /// IP:PORT of a member's peers' door; empty if it is no member.
+    std::string address_of(vm_id const& vm) const;
+
+private:
+    struct retired_dispatcher
+    {
+        worker_id worker;
+        std::unique_ptr<worker_dispatcher> dispatcher;
+    };
+
+    void on(model_request_arrived const& event, time_point now,
+            action_list& actions);
+    void on(service_request_arrived const& event, time_point now,
+            action_list& actions);
+    void on(asker_gone const& event, time_point now, action_list& actions);
+    void on(request_forwarded const& event, time_point now,
+            action_list& actions);
+    void on(peer_said const& event, time_point now, action_list& actions);
+    void on(vms_listed const& event, time_point now, action_list& actions);
+    void on(confirm_asked const& event, time_point now, action_list& actions);
+    void on(leave_asked const& event, time_point now, action_list& actions);
+    void on(clock_ticked const& event, time_point now, action_list& actions);
+    void on(attempt_chunk const& event, time_point now, action_list& actions);
+    void on(attempt_end const& event, time_point now, action_list& actions);
+    void on(attempt_failure const& event, time_point now,
+            action_list& actions);
+    void on(service_attempt_answer const& event, time_point now,
+            action_list& actions);
+    void on(order_result const& event, time_point now, action_list& actions);
+    void on(engine_report const& event, time_point now, action_list& actions);
+    void on(table_reply const& event, time_point now, action_list& actions);
+    void on(object_reply const& event, time_point now, action_list& actions);
+
+    void submit_locally(worker_id const& worker, model_request request,
+                        time_point now, action_list& actions) override;
+    void withdraw_locally(worker_id const& worker, request_id const& request,
+                          time_point now, action_list& actions) override;
+
+    /// Passes on to `actions` what the shell has to do, feeds what concerns
+    /// the core's own parts back to them, and acts on what the keepers
+    /// reported, until nothing is left over.
+    void settle(action_list& raw, time_point now, action_list& actions);
+    /// Whether the action was for a part of the core itself.
+    bool keep_inside(action const& one, time_point now, action_list& raw);
+    bool settle_ownership(time_point now, action_list& actions);
+    bool settle_configuration(time_point now, action_list& actions);
+    void gain(worker_gained const& event, time_point now, action_list& actions);
+    void lose(worker_lost const& event, time_point now, action_list& actions);
+    void apply(configuration_in_force const& event, time_point now,
+               action_list& actions);
+    void hear_hint(vm_id const& from, ownership_hint const& hint,
+                   time_point now);
+    void send_hints(time_point now, action_list& actions);
+    void refresh_view(time_point now);
+    void refresh_owners(time_point now);
+    void release_retired(time_point now, action_list& actions);
+    void close_when_idle(time_point now, action_list& actions);
+    /// Whether this VM may admit work for the workers it owns.
+    bool serves_owned(time_point now) const;
+    std::size_t in_progress() const;
+    /// The dispatcher that knows an attempt, order or request; null if none.
+    template <class Id>
+    worker_dispatcher* dispatcher_of(Id const& id);
+    /// Every dispatcher, those of workers given up among them.
+    std::vector<worker_dispatcher*> all_dispatchers() const;
+
+    core_settings settings_;
+    safeguards const* checks_;
+    id_source ids_;
+    std::unique_ptr<routing_policy> policy_;
+    std::unique_ptr<load_budget> budget_;
+    cluster_view view_;
+    ownership_keeper ownership_;
+    configuration_keeper configuration_;
+    service_caller services_;
+    model_entry entry_;
+    std::shared_ptr<declaration const> declared_;
+    std::map<worker_id, std::unique_ptr<worker_dispatcher>> dispatchers_;
+    /// Dispatchers of workers given up, while requests of theirs go on.
+    std::vector<retired_dispatcher> retired_;
+    std::vector<confirm_result> confirms_;
+    dispatch_counts past_;
+    time_point next_hint_{};
+    std::optional<time_point> leaving_since_;
+    time_point close_by_ = never;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/vm_registration.cpp
@@ -0,0 +1,343 @@
+#include "vm_registration.hpp"
+
+namespace mulberry
+{
+namespace
+{
+
+void note(action_list& actions, std::string kind, std::string text)
+{
+    actions.push_back(
+        note_event{"ownership", std::move(kind), std::move(text)});
+}
+
+std::string life_text(incarnation life)
+{
+    return "life " + std::to_string(life.value());
+}
+
+} // namespace
+
+vm_registration::vm_registration(ownership_settings const& settings,
+                                 ownership_rules const& rules,
+                                 membership& members, ownership_random& random,
+                                 id_source& ids)
+    : settings_(settings), rules_(rules), members_(members), random_(random),
+      ids_(ids)
+{
+}
+
+void vm_registration::start(time_point now, action_list& actions)
+{
+    phase_ = phase::reading;
+    send(call_kind::read, now, actions);
+}
+
+void vm_registration::set_ready(time_point now)
+{
+    if (!ready_ && registered())
+        next_call_at_ = now;
+    ready_ = true;
+}
+
+void vm_registration::leave(time_point now)
+{
+    leaving_ = true;
+    next_call_at_ = now;
+}
+
+void vm_registration::close(time_point now)
+{
+    leaving_ = true;
+    if (closed() || phase_ == phase::closing)
+        return;
+    bool const has_row = !life_.none() && phase_ != phase::superseded;
+    phase_ = has_row ? phase::closing : phase::closed;
+    next_call_at_ = now;
+}
+
+void vm_registration::tick(time_point now, action_list& actions)
+{
+    if (busy() || now < next_call_at_)
+        return;
+    yield_to_others(actions);
+    if (phase_ == phase::closing && members_.row_of(settings_.vm) == nullptr)
+        phase_ = phase::closed;
+    switch (phase_)
+    {
+    case phase::reading:
+        return send(call_kind::read, now, actions);
+    case phase::registering:
+        return send(call_kind::enrol, now, actions);
+    case phase::registered:
+        return send(call_kind::renew, now, actions);
+    case phase::closing:
+        return send(call_kind::close, now, actions);
+    default:
+        return;
+    }
+}
+
+// Another process runs under this VM's name. It is the later one, so this one
+// gives up: two that both came back would expire each other for ever.
+void vm_registration::yield_to_others(action_list& actions)
+{
+    vm_row const* const row = members_.row_of(settings_.vm);
+    bool const others = row != nullptr && !process_life_.none() &&
+                        row->life > life_ && row->process_life != process_life_;
+    bool const writes = phase_ == phase::registered ||
+                        phase_ == phase::registering ||
+                        phase_ == phase::closing;
+    if (!others || !writes)
+        return;
+    bool const closing = phase_ == phase::closing;
+    phase_ = closing ? phase::closed : phase::superseded;
+    note(actions, "vm-superseded", life_text(life_));
+}
+
+bool vm_registration::knows(operation_id operation) const
+{
+    return call_ && call_->operation == operation;
+}
+
+void vm_registration::send(call_kind kind, time_point now, action_list& actions)
+{
+    call made{ids_.next_operation(), kind, now, {}};
+    std::string const key = vm_key(settings_.vm);
+    table_transaction transaction;
+    row_version base = members_.version_of(settings_.vm);
+    if (kind == call_kind::enrol && enrol_token_.empty())
+        enrol_asked_at_ = now;
+    if (kind != call_kind::read)
+    {
+        made.written = row_to_write(kind);
+        transaction.writes.push_back({key, to_text(made.written)});
+    }
+    if (kind == call_kind::enrol)
+        base = enrol_base_;
+    // A read compares with an absent row: either answer tells the row as it
+    // is now, which a lagging read does not.
+    if (kind == call_kind::read)
+        base = row_version();
+    if (rules_.writes_conditionally() || kind == call_kind::read)
+        transaction.conditions.push_back({key, base});
+    actions.push_back(
+        transact{made.operation, transaction, now + settings_.table_timeout});
+    call_ = made;
+}
+
+vm_row vm_registration::row_to_write(call_kind kind)
+{
+    if (kind == call_kind::enrol)
+        return row_to_enrol();
+    vm_row row = *members_.row_of(settings_.vm);
+    row.token = random_.next_token();
+    row.ready = ready_;
+    row.listed = row.listed || members_.listed(settings_.vm);
+    row.beat = ++beat_;
+    row.state = leaving_ ? member_state::leaving : member_state::live;
+    if (kind == call_kind::close)
+        row.state = member_state::closed;
+    return row;
+}
+
+// Failure: the answer to an enrolment is lost, or the write lands late.
+// Symptom: the VM registers twice and takes its own row for another's. Until
+// the outcome is known the very same write is repeated, so that it lands once
+// and the conflict of the next one shows the VM its own token.
+vm_row vm_registration::row_to_enrol()
+{
+    if (!enrol_token_.empty())
+        return enrol_row_;
+    enrol_token_ = random_.next_token();
+    enrol_base_ = members_.version_of(settings_.vm);
+    vm_row const* const old = members_.row_of(settings_.vm);
+    // Lives are counted by writes of the row, so that the version of a row
+    // that cannot be read is not below any of them.
+    std::uint64_t const last =
+        old != nullptr ? old->life.value() : enrol_base_.value();
+    incarnation const next(last + 1);
+    vm_row row;
+    row.token = enrol_token_;
+    row.life = next;
+    row.process_life = process_life_.none() ? next : process_life_;
+    if (old != nullptr)
+        row.ended_below = ended_below(*old, next);
+    else
+        row.ended_below = enrol_base_.none() ? next : incarnation();
+    row.address = settings_.address;
+    row.domain = settings_.domain;
+    row.state = leaving_ ? member_state::leaving : member_state::live;
+    row.ready = ready_;
+    row.listed = members_.listed(settings_.vm);
+    enrol_row_ = row;
+    return row;
+}
+
+// Precondition of start(): this process listens on settings_.address already.
+// So a process that registered the same address before has ended; what that
+// one had proved of those before it, still holds.
+incarnation vm_registration::ended_below(vm_row const& old,
+                                         incarnation next) const
+{
+    if (!process_life_.none())
+        return old.ended_below;
+    bool const old_ended =
+        old.address == settings_.address || old.state == member_state::closed;
+    bool const unbroken = old.ended_below == old.process_life;
+    return old_ended && unbroken ? next : old.ended_below;
+}
+
+void vm_registration::on_table(table_reply const& reply, time_point now,
+                               action_list& actions)
+{
+    call const done = *call_;
+    call_.reset();
+    if (reply.outcome == table_outcome::done)
+        store_written(done, reply);
+    if (reply.outcome == table_outcome::conflict)
+        store_read(reply);
+    switch (done.kind)
+    {
+    case call_kind::read:
+        return on_read(reply, now, actions);
+    case call_kind::enrol:
+        return on_enrolled(done, reply, now, actions);
+    case call_kind::renew:
+        return on_renewed(done, reply, now, actions);
+    case call_kind::close:
+        return on_closed(reply, now);
+    }
+}
+
+void vm_registration::store_written(call const& done, table_reply const& reply)
+{
+    if (done.kind == call_kind::read)
+        return;
+    for (table_row const& row : reply.rows)
+        if (row.key == vm_key(settings_.vm))
+            members_.store(settings_.vm, row.version, done.written);
+}
+
+void vm_registration::store_read(table_reply const& reply)
+{
+    for (table_row const& row : reply.rows)
+        if (row.key == vm_key(settings_.vm) && !row.version.none())
+            members_.store(row);
+}
+
+void vm_registration::on_read(table_reply const& reply, time_point now,
+                              action_list& actions)
+{
+    if (phase_ != phase::reading)
+        return;
+    if (reply.outcome == table_outcome::unreachable ||
+        reply.outcome == table_outcome::refused)
+        return retry_later(now);
+    phase_ = phase::registering;
+    send(call_kind::enrol, now, actions);
+}
+
+void vm_registration::on_enrolled(call const& done, table_reply const& reply,
+                                  time_point now, action_list& actions)
+{
+    if (phase_ != phase::registering)
+        return;
+    if (reply.outcome == table_outcome::unreachable ||
+        reply.outcome == table_outcome::refused)
+        return retry_later(now);
+    vm_row const* const row = members_.row_of(settings_.vm);
+    bool const ours = row != nullptr && row->token == done.written.token;
+    if (ours)
+        return become_registered(*row, enrol_asked_at_, now, actions);
+    // Another process registered first, or another VM's write came between:
+    // start from the row as it is.
+    enrol_token_.clear();
+    next_call_at_ = now;
+    tick(now, actions);
+}
+
+void vm_registration::become_registered(vm_row const& row, time_point asked_at,
+                                        time_point now, action_list& actions)
+{
+    phase_ = phase::registered;
+    enrol_token_.clear();
+    life_ = row.life;
+    process_life_ = row.process_life;
+    registered_at_ = now;
+    holds_until_ = asked_at + settings_.lease - settings_.lease_margin;
+    next_call_at_ = now + random_.around(settings_.heartbeat);
+    if (out_of_date(row))
+        next_call_at_ = now;
+    note(actions, "vm-registered", life_text(life_));
+}
+
+void vm_registration::on_renewed(call const& done, table_reply const& reply,
+                                 time_point now, action_list& actions)
+{
+    if (phase_ != phase::registered)
+        return;
+    switch (reply.outcome)
+    {
+    case table_outcome::done:
+        holds_until_ = done.asked_at + settings_.lease - settings_.lease_margin;
+        next_call_at_ = done.asked_at + settings_.heartbeat;
+        if (out_of_date(done.written))
+            next_call_at_ = now;
+        return;
+    case table_outcome::conflict:
+        // An earlier renewal of ours landed after it was given up: the lease
+        // goes on, and the next renewal rests on the row as it is.
+        next_call_at_ = now;
+        examine_row(now, actions);
+        return tick(now, actions);
+    default:
+        return retry_later(now);
+    }
+}
+
+void vm_registration::on_closed(table_reply const& reply, time_point now)
+{
+    if (reply.outcome == table_outcome::unreachable ||
+        reply.outcome == table_outcome::refused)
+        return retry_later(now);
+    vm_row const* const row = members_.row_of(settings_.vm);
+    next_call_at_ = now;
+    if (row == nullptr || row->state == member_state::closed)
+        phase_ = phase::closed;
+}
+
+void vm_registration::examine_row(time_point now, action_list& actions)
+{
+    vm_row const* const row = members_.row_of(settings_.vm);
+    bool const unreadable =
+        row == nullptr && !members_.version_of(settings_.vm).none();
+    if (phase_ != phase::registered || (row == nullptr && !unreadable))
+        return;
+    yield_to_others(actions);
+    if (phase_ != phase::registered)
+        return;
+    if (!unreadable && row->life == life_ && is_member(row->state))
+        return;
+    note(actions, "vm-expired", life_text(life_));
+    phase_ = leaving_ ? phase::expired : phase::registering;
+    next_call_at_ = now;
+}
+
+bool vm_registration::out_of_date(vm_row const& written) const
+{
+    return written.ready != ready_ ||
+           leaving_ != (written.state == member_state::leaving);
+}
+
+bool vm_registration::lease_holds(time_point now) const
+{
+    return registered() && rules_.holds(holds_until_, now);
+}
+
+void vm_registration::retry_later(time_point now)
+{
+    next_call_at_ = now + random_.around(settings_.heartbeat / 2);
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/vm_row.cpp
@@ -0,0 +1,103 @@
+#include "vm_row.hpp"
+
+#include "row_json.hpp"
+
+#include <array>
+#include <string_view>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr std::array<std::pair<member_state, std::string_view>, 4> state_names{{
+    {member_state::live, "live"},
+    {member_state::leaving, "leaving"},
+    {member_state::closed, "closed"},
+    {member_state::expired, "expired"},
+}};
+
+std::string name_of(member_state state)
+{
+    for (auto const& [value, name] : state_names)
+        if (value == state)
+            return std::string(name);
+    return {};
+}
+
+std::optional<member_state> state_named(std::string const& text)
+{
+    for (auto const& [value, name] : state_names)
+        if (name == text)
+            return value;
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string vm_key(vm_id const& vm)
+{
+    return vm_prefix + vm.str();
+}
+
+vm_id vm_of_key(std::string const& key)
+{
+    return vm_id(key.substr(std::string_view(vm_prefix).size()));
+}
+
+std::string to_text(vm_row const& row)
+{
+    Json::Value object(Json::objectValue);
+    object["token"] = row.token;
+    object["life"] = Json::UInt64(row.life.value());
+    object["process_life"] = Json::UInt64(row.process_life.value());
+    object["ended_below"] = Json::UInt64(row.ended_below.value());
+    object["address"] = row.address;
+    object["domain"] = row.domain.str();
+    object["state"] = name_of(row.state);
+    object["ready"] = row.ready;
+    object["listed"] = row.listed;
+    object["beat"] = Json::UInt64(row.beat);
+    return to_row_text(object);
+}
+
+std::optional<vm_row> parse_vm_row(std::string const& text)
+{
+    auto const object = parse_row_text(text);
+    if (!object)
+        return std::nullopt;
+    auto const token = text_member(*object, "token");
+    auto const life = number_member(*object, "life");
+    auto const process_life = number_member(*object, "process_life");
+    auto const ended_below = number_member(*object, "ended_below");
+    auto const address = text_member(*object, "address");
+    auto const domain = text_member(*object, "domain");
+    auto const state = text_member(*object, "state");
+    auto const ready = flag_member(*object, "ready");
+    auto const listed = flag_member(*object, "listed");
+    auto const beat = number_member(*object, "beat");
+    if (!token || !life || !process_life || !ended_below || !address ||
+        !domain || !state || !ready || !listed || !beat)
+        return std::nullopt;
+    auto const known_state = state_named(*state);
+    if (!known_state || *life == 0)
+        return std::nullopt;
+    return vm_row{*token,
+                  incarnation(*life),
+                  incarnation(*process_life),
+                  incarnation(*ended_below),
+                  *address,
+                  domain_id(*domain),
+                  *known_state,
+                  *ready,
+                  *listed,
+                  *beat};
+}
+
+bool is_member(member_state state)
+{
+    return state == member_state::live || state == member_state::leaving;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/worker_assignment.cpp
@@ -0,0 +1,244 @@
+#include "worker_assignment.hpp"
+
+#include "placement.hpp"
+#include "vm_row.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+/// The most workers taken in one transaction.
+constexpr std::size_t most_taken_at_once = 32;
+
+} // namespace
+
+worker_assignment::worker_assignment(ownership_context const& context,
+                                     membership& members,
+                                     safeguards const& checks)
+    : context_(context), members_(members), checks_(checks)
+{
+}
+
+void worker_assignment::set_workers(std::vector<worker_id> workers)
+{
+    std::sort(workers.begin(), workers.end());
+    declared_ = std::move(workers);
+    for (auto& [id, worker] : workers_)
+        worker.set_declared(false);
+    for (worker_id const& id : declared_)
+        of(id).set_declared(true);
+    assigned_to_.clear();
+}
+
+worker_ownership& worker_assignment::of(worker_id const& worker)
+{
+    return workers_.try_emplace(worker, worker, context_).first->second;
+}
+
+worker_ownership const* worker_assignment::find(worker_id const& worker) const
+{
+    auto const known = workers_.find(worker);
+    return known == workers_.end() ? nullptr : &known->second;
+}
+
+bool worker_assignment::store(table_row const& row)
+{
+    worker_ownership& worker = of(worker_of_key(row.key));
+    if (!context_.rules.replaces(worker.condition().version, row.version))
+        return true;
+    auto const parsed = parse_worker_row(row.value);
+    if (parsed)
+        changed_ |= worker.store(row.version, *parsed);
+    return parsed.has_value();
+}
+
+bool worker_assignment::take_changed()
+{
+    return std::exchange(changed_, false);
+}
+
+bool worker_assignment::knows(operation_id operation) const
+{
+    if (taking_ && taking_->operation == operation)
+        return true;
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [operation](auto const& each)
+                       { return each.second.knows(operation); });
+}
+
+void worker_assignment::on_table(table_reply const& reply, time_point now,
+                                 action_list& actions)
+{
+    if (taking_ && taking_->operation == reply.operation)
+        return on_taken(reply, now);
+    for (auto& [id, worker] : workers_)
+        if (worker.knows(reply.operation))
+            changed_ |= worker.on_table(reply, now, actions);
+}
+
+void worker_assignment::on_taken(table_reply const& reply, time_point now)
+{
+    taking const done = *std::exchange(taking_, std::nullopt);
+    if (reply.outcome != table_outcome::done)
+    {
+        for (auto const& [id, written] : done.written)
+            if (reply.outcome != table_outcome::conflict)
+                of(id).retry_later(now);
+        for (table_row const& row : reply.rows)
+            store_conflict(row);
+        return;
+    }
+    for (table_row const& row : reply.rows)
+    {
+        auto const written = done.written.find(worker_of_key(row.key));
+        if (row.key.starts_with(worker_prefix) && written != done.written.end())
+            changed_ |= of(written->first).store(row.version, written->second);
+    }
+}
+
+void worker_assignment::store_conflict(table_row const& row)
+{
+    if (row.version.none())
+        return;
+    if (row.key.starts_with(worker_prefix))
+        store(row);
+    else
+        members_.store(row);
+}
+
+void worker_assignment::review(time_point now, action_list& actions)
+{
+    refresh(now);
+    for (auto& [id, worker] : workers_)
+    {
+        worker.examine(now, actions);
+        review_handover(worker, now);
+        worker.tick(now, actions);
+    }
+    take_unowned(now, actions);
+}
+
+void worker_assignment::refresh(time_point now)
+{
+    std::vector<vm_id> const vms = members_.assignable();
+    if (vms == assigned_to_ && !vms.empty())
+        return;
+    assigned_to_ = vms;
+    auto const assignment = assign_workers(declared_, vms);
+    for (worker_id const& id : declared_)
+    {
+        auto const vm = assignment.find(id);
+        of(id).set_assignee(vm == assignment.end() ? vm_id() : vm->second, now);
+    }
+}
+
+void worker_assignment::review_handover(worker_ownership& worker,
+                                        time_point now)
+{
+    if (must_hand_over(worker))
+        return worker.hand_over(target_for(worker));
+    vm_id const& assignee = worker.assignee();
+    if (assignee.empty() || assignee == context_.settings.vm)
+        worker.keep();
+    if (worker.handing_over())
+        // Under way already: only to whom may still change.
+        return worker.hand_over(target_for(worker));
+    if (!may_rebalance(worker, now))
+        return;
+    worker.hand_over(target_for(worker));
+    next_handover_at_ = now + context_.settings.handover_interval;
+}
+
+bool worker_assignment::must_hand_over(worker_ownership const& worker) const
+{
+    if (!worker.declared())
+        return context_.registration.ready();
+    return context_.registration.leaving() && !worker.assignee().empty();
+}
+
+// A newcomer must stay for a lease before it is given anything, and workers
+// move one by one, each with its pins.
+bool worker_assignment::may_rebalance(worker_ownership const& worker,
+                                      time_point now) const
+{
+    return worker.held() && !worker.assignee().empty() &&
+           worker.assignee() != context_.settings.vm &&
+           worker.assignee_stable(now) && now >= next_handover_at_ &&
+           context_.registration.lease_holds(now);
+}
+
+vm_life worker_assignment::target_for(worker_ownership const& worker) const
+{
+    member_view const* const target = members_.member(worker.assignee());
+    if (!worker.declared() || target == nullptr)
+        return {};
+    return {target->vm, target->life};
+}
+
+bool worker_assignment::may_take(time_point now) const
+{
+    vm_registration const& own = context_.registration;
+    // Rows read before this life began may show too few members.
+    return own.lease_holds(now) && read_at_ >= own.registered_at() &&
+           !taking_ && !own.busy() &&
+           checks_.takes_new_work({own.leaving(), true});
+}
+
+bool worker_assignment::should_take(worker_ownership const& worker,
+                                    time_point now) const
+{
+    return worker.declared() && worker.unowned() && worker.may_write(now) &&
+           worker.assignee() == context_.settings.vm;
+}
+
+void worker_assignment::take_unowned(time_point now, action_list& actions)
+{
+    if (!may_take(now))
+        return;
+    std::vector<worker_ownership*> wanted;
+    for (worker_id const& id : declared_)
+    {
+        worker_ownership& worker = of(id);
+        if (wanted.size() < most_taken_at_once && should_take(worker, now))
+            wanted.push_back(&worker);
+    }
+    if (!wanted.empty())
+        take(wanted, now, actions);
+}
+
+// Failure: this VM was paused and expired after it had decided to take a
+// worker, or the owner's row was not what it seemed. Symptom: a VM that is no
+// member owns a worker, or one that lives loses it. The write rests on both
+// VMs' rows too, so it lands only while this one is a member and the other is
+// none.
+void worker_assignment::take(std::vector<worker_ownership*> const& workers,
+                             time_point now, action_list& actions)
+{
+    taking made{context_.ids.next_operation(), {}};
+    table_transaction transaction;
+    std::set<vm_id> vms{context_.settings.vm};
+    for (worker_ownership* const worker : workers)
+    {
+        worker_row const row = worker->row_to_take();
+        table_condition const condition = worker->condition();
+        transaction.conditions.push_back(condition);
+        transaction.writes.push_back({condition.key, to_text(row)});
+        made.written.emplace(worker->id(), row);
+        if (worker->row() != nullptr && !worker->row()->owner.vm.empty())
+            vms.insert(worker->row()->owner.vm);
+    }
+    for (vm_id const& vm : vms)
+        transaction.conditions.push_back({vm_key(vm), members_.version_of(vm)});
+    if (!context_.rules.writes_conditionally())
+        transaction.conditions.clear();
+    actions.push_back(transact{made.operation, std::move(transaction),
+                               now + context_.settings.table_timeout});
+    taking_ = std::move(made);
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/worker_assignment.hpp
@@ -0,0 +1,78 @@
+/// Which workers this VM should own, and the taking and handing over that
+/// follow from it.
+#ifndef MULBERRY_WORKER_ASSIGNMENT_HPP
+#define MULBERRY_WORKER_ASSIGNMENT_HPP
+
+#include "safeguards.hpp"
+#include "worker_ownership.hpp"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace mulberry
+{
+
+/// Thread safety: none. What the references lead to outlives this object.
+class worker_assignment
+{
+public:
+    worker_assignment(ownership_context const& context, membership& members,
+                      safeguards const& checks);
+
+    void set_workers(std::vector<worker_id> workers);
+    /// Takes a row that was read, if it is newer. False when it is no
+    /// worker's row.
+    bool store(table_row const& row);
+    /// The moment by which the rows known were all read.
+    void set_read_at(time_point asked_at) { read_at_ = asked_at; }
+    /// Everything that follows from the rows known now.
+    void review(time_point now, action_list& actions);
+
+    bool knows(operation_id operation) const;
+    void on_table(table_reply const& reply, time_point now,
+                  action_list& actions);
+    /// The worker, known from now on.
+    worker_ownership& of(worker_id const& worker);
+    /// Null when nothing is known of it.
+    worker_ownership const* find(worker_id const& worker) const;
+    /// Whether an owner changed since the last call.
+    bool take_changed();
+
+private:
+    struct taking
+    {
+        operation_id operation;
+        std::map<worker_id, worker_row> written;
+    };
+
+    void refresh(time_point now);
+    void review_handover(worker_ownership& worker, time_point now);
+    bool must_hand_over(worker_ownership const& worker) const;
+    bool may_rebalance(worker_ownership const& worker, time_point now) const;
+    vm_life target_for(worker_ownership const& worker) const;
+
+    bool may_take(time_point now) const;
+    bool should_take(worker_ownership const& worker, time_point now) const;
+    void take_unowned(time_point now, action_list& actions);
+    void take(std::vector<worker_ownership*> const& workers, time_point now,
+              action_list& actions);
+    void on_taken(table_reply const& reply, time_point now);
+    void store_conflict(table_row const& row);
+
+    ownership_context context_;
+    membership& members_;
+    safeguards const& checks_;
+    std::map<worker_id, worker_ownership> workers_;
+    std::vector<worker_id> declared_;
+    /// The VMs that the assignment was computed for.
+    std::vector<vm_id> assigned_to_;
+    std::optional<taking> taking_;
+    time_point read_at_ = time_point::min();
+    time_point next_handover_at_ = time_point::min();
+    bool changed_ = false;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/worker_row.cpp
@@ -0,0 +1,124 @@
+#include "worker_row.hpp"
+
+#include "row_json.hpp"
+
+#include <algorithm>
+#include <string_view>
+
+namespace mulberry
+{
+namespace
+{
+
+Json::Value suspects_json(std::vector<vm_life> const& suspects)
+{
+    Json::Value list(Json::arrayValue);
+    for (vm_life const& suspect : suspects)
+    {
+        Json::Value object(Json::objectValue);
+        object["vm"] = suspect.vm.str();
+        object["life"] = Json::UInt64(suspect.life.value());
+        list.append(object);
+    }
+    return list;
+}
+
+std::optional<std::vector<vm_life>> parse_suspects(Json::Value const& list)
+{
+    if (!list.isArray())
+        return std::nullopt;
+    std::vector<vm_life> suspects;
+    for (Json::Value const& object : list)
+    {
+        if (!object.isObject())
+            return std::nullopt;
+        auto const vm = text_member(object, "vm");
+        auto const life = number_member(object, "life");
+        if (!vm || !life)
+            return std::nullopt;
+        suspects.push_back({vm_id(*vm), incarnation(*life)});
+    }
+    return suspects;
+}
+
+std::optional<std::vector<engine_name>> parse_intents(Json::Value const& list)
+{
+    if (!list.isArray())
+        return std::nullopt;
+    std::vector<engine_name> intents;
+    for (Json::Value const& name : list)
+    {
+        if (!name.isString())
+            return std::nullopt;
+        intents.emplace_back(name.asString());
+    }
+    return intents;
+}
+
+} // namespace
+
+std::string worker_key(worker_id const& worker)
+{
+    return worker_prefix + worker.str();
+}
+
+worker_id worker_of_key(std::string const& key)
+{
+    return worker_id(key.substr(std::string_view(worker_prefix).size()));
+}
+
+std::string to_text(worker_row const& row)
+{
+    Json::Value object(Json::objectValue);
+    object["token"] = row.token;
+    object["owner"] = row.owner.vm.str();
+    object["life"] = Json::UInt64(row.owner.life.value());
+    object["fence"] = Json::UInt64(row.fence.value());
+    object["suspects"] = suspects_json(row.suspects);
+    Json::Value intents(Json::arrayValue);
+    for (engine_name const& name : row.intents)
+        intents.append(name.str());
+    object["intents"] = intents;
+    return to_row_text(object);
+}
+
+std::optional<worker_row> parse_worker_row(std::string const& text)
+{
+    auto const object = parse_row_text(text);
+    if (!object)
+        return std::nullopt;
+    auto const token = text_member(*object, "token");
+    auto const owner = text_member(*object, "owner");
+    auto const life = number_member(*object, "life");
+    auto const fence = number_member(*object, "fence");
+    auto const suspects = parse_suspects((*object)["suspects"]);
+    auto const intents = parse_intents((*object)["intents"]);
+    if (!token || !owner || !life || !fence || !suspects || !intents)
+        return std::nullopt;
+    return worker_row{*token,
+                      {vm_id(*owner), incarnation(*life)},
+                      fencing_number(*fence),
+                      *suspects,
+                      *intents};
+}
+
+void add_suspect(worker_row& row, vm_life const& suspect)
+{
+    if (std::find(row.suspects.begin(), row.suspects.end(), suspect) ==
+        row.suspects.end())
+        row.suspects.push_back(suspect);
+}
+
+void add_intent(worker_row& row, engine_name const& name)
+{
+    if (!has_intent(row, name))
+        row.intents.push_back(name);
+}
+
+bool has_intent(worker_row const& row, engine_name const& name)
+{
+    return std::find(row.intents.begin(), row.intents.end(), name) !=
+           row.intents.end();
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/worker_row.hpp
@@ -0,0 +1,54 @@
+/// A worker's row in the table: who owns it, and what its owner must know of
+/// those before it.
+#ifndef MULBERRY_WORKER_ROW_HPP
+#define MULBERRY_WORKER_ROW_HPP
+
+#include "ids.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberry
+{
+
+inline constexpr char const* worker_prefix = "worker/";
+
+/// One life of one VM. Value.
+struct vm_life
+{
+    vm_id vm;
+    incarnation life;
+    friend auto operator<=>(vm_life const&, vm_life const&) = default;
+};
+
+/// Value.
+struct worker_row
+{
+    /// Unique to each write.
+    std::string token;
+    /// Without a VM: nobody.
+    vm_life owner;
+    fencing_number fence;
+    /// Earlier owners that may still send to the worker.
+    std::vector<vm_life> suspects;
+    /// Unload orders that may still be sent.
+    std::vector<engine_name> intents;
+    friend bool operator==(worker_row const&, worker_row const&) = default;
+};
+
+std::string worker_key(worker_id const& worker);
+/// Precondition: the key has the prefix.
+worker_id worker_of_key(std::string const& key);
+
+std::string to_text(worker_row const& row);
+/// None when the text is no such row.
+std::optional<worker_row> parse_worker_row(std::string const& text);
+
+void add_suspect(worker_row& row, vm_life const& suspect);
+void add_intent(worker_row& row, engine_name const& name);
+bool has_intent(worker_row const& row, engine_name const& name);
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/standins/engine_streams.cpp
@@ -0,0 +1,303 @@
+#include "engine_streams.hpp"
+
+#include "json_text.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberry::standins
+{
+namespace
+{
+
+/// A resumable stream runs on for that long without a reader.
+constexpr std::chrono::seconds reader_grace{10};
+constexpr std::chrono::seconds over_kept{30};
+constexpr std::size_t over_limit = 20'000;
+/// Faults strike after that many events.
+constexpr std::size_t events_before_fault = 2;
+/// A cached prefix shortens the prefill that many times.
+constexpr int cached_prefill_gain = 4;
+
+steady_time now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+} // namespace
+
+engine_streams::engine_streams(engine_settings const& settings,
+                               engine_journal& journal, standin_loop& loop)
+    : settings_(settings), journal_(journal), loop_(loop),
+      prefixes_(settings.prefixes),
+      scheduler_(settings.batch, [this](job_id job) { return prefill(job); }),
+      token_timer_(loop, [this] { pump(); })
+{
+}
+
+bool engine_streams::start(completion_order order, answer_ptr const& reader)
+{
+    job_id const job{last_job_ + 1};
+    if (!scheduler_.admit(job, order.priority, order.text.tokens()))
+        return false;
+    ++last_job_;
+    journal_.enter(order.call.name);
+    jobs_[order.call.request] = job;
+    streams_.emplace(job, stream{std::move(order)});
+    attach(job, reader);
+    pump();
+    return true;
+}
+
+bool engine_streams::resume(std::string const& request, std::size_t offset,
+                            http_headers headers, answer_ptr const& reader)
+{
+    auto const found = find(request);
+    if (forgets_ || found == streams_.end())
+        return false;
+    stream& one = found->second;
+    journal_.record("resumed", one.order.call);
+    if (one.reader)
+        one.reader->abort();
+    one.order.headers = std::move(headers);
+    one.order.streamed = true;
+    one.order.fault = stream_fault::none;
+    one.from = offset;
+    attach(found->first, reader);
+    begin(one);
+    deliver(one, 0, one.made);
+    if (one.over)
+        std::exchange(one.reader, nullptr)->finish();
+    return true;
+}
+
+bool engine_streams::cancel(std::string const& request)
+{
+    auto const found = find(request);
+    if (found == streams_.end() || found->second.over)
+        return false;
+    end(found, "cancelled");
+    pump();
+    return true;
+}
+
+void engine_streams::cut_name(std::string const& name)
+{
+    for (auto next = streams_.begin(); next != streams_.end();)
+    {
+        auto const found = next++;
+        if (!found->second.over && found->second.order.call.name == name)
+            end(found, "cut");
+    }
+    pump();
+}
+
+void engine_streams::cut_all()
+{
+    while (!streams_.empty())
+    {
+        if (streams_.begin()->second.over)
+            erase(streams_.begin());
+        else
+            end(streams_.begin(), "cut");
+    }
+    over_.clear();
+    for (auto const& [id, reader] : std::exchange(silent_readers_, {}))
+        reader->abort();
+    prefixes_.clear();
+    pump();
+}
+
+void engine_streams::control(Json::Value const& order)
+{
+    if (order.isMember("token_ms"))
+        scheduler_.set_token_time(
+            from_milliseconds(order["token_ms"].asDouble()));
+    if (order.isMember("forget_streams"))
+        forgets_ = order["forget_streams"].asBool();
+    if (order.isMember("hold_tokens"))
+        scheduler_.hold(order["hold_tokens"].asBool(), now());
+    pump();
+}
+
+std::chrono::microseconds engine_streams::prefill(job_id job)
+{
+    bool const cached = prefixes_.use(streams_.at(job).order.prefix, now());
+    return cached ? settings_.prefill_time / cached_prefill_gain
+                  : settings_.prefill_time;
+}
+
+void engine_streams::pump()
+{
+    // A stream that ends before its time frees a slot for the next.
+    for (auto steps = scheduler_.advance(now()); !steps.empty();
+         steps = scheduler_.advance(now()))
+    {
+        for (batch_step const& step : steps)
+            take_step(step);
+    }
+    token_timer_.set(scheduler_.next_due());
+    forget_old();
+}
+
+void engine_streams::take_step(batch_step const& step)
+{
+    auto const found = streams_.find(step.job);
+    if (found == streams_.end())
+        return;
+    stream& one = found->second;
+    one.made = step.to;
+    if (step.from == step.to)
+    {
+        journal_.record("started", one.order.call);
+        begin(one);
+        return;
+    }
+    bool const whole = one.made == one.order.text.tokens();
+    if (one.order.fault != stream_fault::none && one.reader &&
+        one.made >= events_before_fault)
+        apply_fault(found, step.from);
+    else
+        deliver(one, step.from, step.to);
+    if (whole && streams_.contains(step.job))
+        finish(found);
+}
+
+void engine_streams::attach(job_id job, answer_ptr const& reader)
+{
+    stream& one = streams_.at(job);
+    one.reader = reader;
+    one.begun = false;
+    std::uint64_t const number = ++one.reader_number;
+    reader->on_closed(
+        [this, job, number]
+        { loop_.post([this, job, number] { reader_closed(job, number); }); });
+}
+
+void engine_streams::begin(stream& one)
+{
+    if (!one.order.streamed || !one.reader || one.begun)
+        return;
+    one.begun = true;
+    http_headers headers = one.order.headers;
+    headers.add("Content-Type", "text/event-stream");
+    one.reader->start_stream(200, std::move(headers));
+}
+
+void engine_streams::deliver(stream& one, std::size_t from, std::size_t to)
+{
+    if (!one.order.streamed || !one.reader)
+        return;
+    std::size_t const wanted = std::max(from, one.from);
+    if (wanted < to || to == one.order.text.tokens())
+        one.reader->write(one.order.text.events(wanted, to));
+}
+
+void engine_streams::apply_fault(stream_map::iterator found, std::size_t from)
+{
+    stream& one = found->second;
+    deliver(one, from, events_before_fault);
+    auto const fault = std::exchange(one.order.fault, stream_fault::none);
+    answer_ptr const reader = std::exchange(one.reader, nullptr);
+    if (fault == stream_fault::hang)
+    {
+        silent_readers_[{found->first, one.reader_number}] = reader;
+        return;
+    }
+    reader->abort();
+    lose_reader(found);
+}
+
+void engine_streams::finish(stream_map::iterator found)
+{
+    stream& one = found->second;
+    one.over = true;
+    over_.emplace_back(now(), found->first);
+    journal_.leave(one.order.call.name);
+    journal_.record("finished", one.order.call);
+    answer_ptr const reader = std::exchange(one.reader, nullptr);
+    if (!reader)
+        return;
+    if (one.order.streamed)
+        return reader->finish();
+    http_response response = json_response(200, one.order.text.body());
+    for (auto const& [name, value] : one.order.headers.fields())
+        response.headers.add(name, value);
+    reader->respond(std::move(response));
+}
+
+void engine_streams::reader_closed(job_id job, std::uint64_t reader_number)
+{
+    bool const was_silent = silent_readers_.erase({job, reader_number}) != 0;
+    auto const found = streams_.find(job);
+    if (found == streams_.end() || found->second.reader_number != reader_number)
+        return;
+    bool const was_read =
+        std::exchange(found->second.reader, nullptr) != nullptr;
+    if (!was_silent && !was_read)
+        return;
+    lose_reader(found);
+    pump();
+}
+
+void engine_streams::lose_reader(stream_map::iterator found)
+{
+    stream const& one = found->second;
+    if (one.over)
+        return;
+    if (!one.order.resumable)
+        return end(found, "cut");
+    loop_.after(reader_grace,
+                [this, job = found->first, number = one.reader_number]
+                { expire(job, number); });
+}
+
+void engine_streams::expire(job_id job, std::uint64_t reader_number)
+{
+    auto const found = streams_.find(job);
+    if (found == streams_.end() || found->second.over ||
+        found->second.reader_number != reader_number)
+        return;
+    end(found, "cut");
+    pump();
+}
+
+void engine_streams::end(stream_map::iterator found, std::string_view kind)
+{
+    stream& one = found->second;
+    scheduler_.remove(found->first);
+    journal_.leave(one.order.call.name);
+    journal_.record(kind, one.order.call);
+    if (one.reader)
+        one.reader->abort();
+    erase(found);
+}
+
+void engine_streams::erase(stream_map::iterator found)
+{
+    auto const job = jobs_.find(found->second.order.call.request);
+    if (job != jobs_.end() && job->second == found->first)
+        jobs_.erase(job);
+    streams_.erase(found);
+}
+
+void engine_streams::forget_old()
+{
+    while (!over_.empty() && (over_.front().first + over_kept < now() ||
+                              over_.size() > over_limit))
+    {
+        auto const found = streams_.find(over_.front().second);
+        if (found != streams_.end())
+            erase(found);
+        over_.pop_front();
+    }
+}
+
+engine_streams::stream_map::iterator
+engine_streams::find(std::string const& request)
+{
+    auto const job = jobs_.find(request);
+    return job == jobs_.end() ? streams_.end() : streams_.find(job->second);
+}
+
+} // namespace mulberry::standins
--- /dev/null
+++ b/standins/engine_streams.hpp
@@ -0,0 +1,128 @@
+/// The completions of one engine worker, from admission until they are
+/// forgotten.
+#ifndef MULBERRY_ENGINE_STREAMS_HPP
+#define MULBERRY_ENGINE_STREAMS_HPP
+
+#include "batch_scheduler.hpp"
+#include "completion_text.hpp"
+#include "engine_journal.hpp"
+#include "engine_settings.hpp"
+#include "http_server.hpp"
+#include "prefix_cache.hpp"
+#include "standin_loop.hpp"
+
+#include <json/json.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace mulberry::standins
+{
+
+/// What happens to a stream after its second event.
+enum class stream_fault
+{
+    none,
+    /// Its reader hears nothing more; the stream itself goes on.
+    hang,
+    /// Its reader is cut.
+    drop
+};
+
+struct completion_order
+{
+    engine_call call;
+    completion_text text;
+    /// Of the answer.
+    http_headers headers;
+    std::string prefix{};
+    int priority = 5;
+    bool streamed = false;
+    bool resumable = false;
+    stream_fault fault = stream_fault::none;
+};
+
+/// Only on the loop's thread.
+class engine_streams
+{
+public:
+    using answer_ptr = std::shared_ptr<http_answer>;
+
+    engine_streams(engine_settings const& settings, engine_journal& journal,
+                   standin_loop& loop);
+
+    /// False if the queue is full; nothing is answered then.
+    bool start(completion_order order, answer_ptr const& reader);
+    /// Takes a stream over from its earlier reader. False if it is unknown.
+    bool resume(std::string const& request, std::size_t offset,
+                http_headers headers, answer_ptr const& reader);
+    /// False if it is over or unknown.
+    bool cancel(std::string const& request);
+    /// Ends everything in flight under that name.
+    void cut_name(std::string const& name);
+    /// Forgets everything, as a restart does.
+    void cut_all();
+    void control(Json::Value const& order);
+
+    std::size_t running() const { return scheduler_.running(); }
+    std::size_t waiting() const { return scheduler_.waiting(); }
+    prefix_cache const& prefixes() const { return prefixes_; }
+
+private:
+    struct stream
+    {
+        completion_order order;
+        bool over = false;
+        /// The reader has the head of its response.
+        bool begun = false;
+        std::size_t made = 0;
+        /// The first offset that the reader wants.
+        std::size_t from = 0;
+        /// Rises with each reader, so that late news of an earlier one is
+        /// known for what it is.
+        std::uint64_t reader_number = 0;
+        answer_ptr reader{};
+    };
+    using stream_map = std::map<job_id, stream>;
+
+    std::chrono::microseconds prefill(job_id job);
+    void pump();
+    void take_step(batch_step const& step);
+    void attach(job_id job, answer_ptr const& reader);
+    static void begin(stream& one);
+    static void deliver(stream& one, std::size_t from, std::size_t to);
+    void apply_fault(stream_map::iterator found, std::size_t from);
+    void finish(stream_map::iterator found);
+    void reader_closed(job_id job, std::uint64_t reader_number);
+    /// Precondition: it has no reader.
+    void lose_reader(stream_map::iterator found);
+    void expire(job_id job, std::uint64_t reader_number);
+    void end(stream_map::iterator found, std::string_view kind);
+    void erase(stream_map::iterator found);
+    void forget_old();
+    stream_map::iterator find(std::string const& request);
+
+    engine_settings settings_;
+    engine_journal& journal_;
+    standin_loop& loop_;
+    prefix_cache prefixes_;
+    batch_scheduler scheduler_;
+    loop_timer token_timer_;
+    bool forgets_ = false;
+    std::uint64_t last_job_ = 0;
+    stream_map streams_;
+    /// The latest stream of each request id.
+    std::map<std::string, job_id> jobs_;
+    /// Streams that are over, kept for readers that come back.
+    std::deque<std::pair<steady_time, job_id>> over_;
+    /// Kept until their clients go, since dropping one closes its connection.
+    std::map<std::pair<job_id, std::uint64_t>, answer_ptr> silent_readers_;
+};
+
+} // namespace mulberry::standins
+
+#endif
--- /dev/null
+++ b/standins/event_log.hpp
@@ -0,0 +1,35 @@
+/// A numbered, bounded log of events kept as JSON text.
+#ifndef MULBERRY_EVENT_LOG_HPP
+#define MULBERRY_EVENT_LOG_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+
+namespace mulberry::standins
+{
+
+/// Not thread safe.
+class event_log
+{
+public:
+    static constexpr std::size_t page_limit = 10'000;
+
+    explicit event_log(std::size_t capacity = 1'000'000);
+    /// Takes the members of a JSON object without its braces; the oldest
+    /// event goes when the log is full. Returns the event's number, from 1.
+    std::uint64_t append(std::string_view members);
+    /// {"events": [...]}: up to page_limit events numbered above `after`.
+    std::string page(std::uint64_t after) const;
+
+private:
+    std::size_t capacity_;
+    std::uint64_t last_number_ = 0;
+    std::deque<std::string> events_;
+};
+
+} // namespace mulberry::standins
+
+#endif
--- /dev/null
+++ b/standins/relay_connection.hpp
@@ -0,0 +1,79 @@
+/// One TCP connection through a link: two sockets and the bytes between them.
+#ifndef MULBERRY_RELAY_CONNECTION_HPP
+#define MULBERRY_RELAY_CONNECTION_HPP
+
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace mulberry::standins
+{
+
+/// What a link does to all its connections.
+struct link_state
+{
+    bool blocked = false;
+    std::chrono::milliseconds delay{0};
+};
+
+/// Only on the loop's thread.
+class relay_connection : public std::enable_shared_from_this<relay_connection>
+{
+public:
+    relay_connection(asio::ip::tcp::socket near,
+                     std::shared_ptr<link_state const> state);
+    /// Connects onwards and begins to pass bytes.
+    void start(asio::ip::tcp::endpoint const& target);
+    /// Passes nothing more, though both ends keep their connections.
+    void silence();
+    void close();
+    bool is_open() const { return near_.is_open(); }
+    /// Goes on after the link's block has ended.
+    void unblock();
+
+private:
+    struct chunk
+    {
+        std::chrono::steady_clock::time_point due;
+        /// Empty for the end of the stream.
+        std::string bytes;
+    };
+    struct direction
+    {
+        asio::ip::tcp::socket& from;
+        asio::ip::tcp::socket& to;
+        asio::steady_timer timer;
+        std::array<char, 16384> buffer{};
+        std::deque<chunk> chunks{};
+        std::size_t queued = 0;
+        bool reading = false;
+        bool writing = false;
+        bool ended = false;
+    };
+
+    void read(direction& way);
+    void take(direction& way, std::error_code error, std::size_t size);
+    void pump(direction& way);
+    void write(direction& way);
+    void wrote(direction& way, std::error_code error);
+    void end(direction& way, std::error_code error);
+    void close_if_done();
+
+    std::shared_ptr<link_state const> state_;
+    asio::ip::tcp::socket near_;
+    asio::ip::tcp::socket far_;
+    direction outward_;
+    direction homeward_;
+    bool connected_ = false;
+    bool silent_ = false;
+};
+
+} // namespace mulberry::standins
+
+#endif
--- /dev/null
+++ b/tests/answer_relay_test.cpp
@@ -0,0 +1,49 @@
+#include "answer_relay.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <vector>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+using verdict = answer_relay::verdict;
+
+TEST_CASE("whatever order events arrive in, what passes has no gap and no "
+          "repetition",
+          "[answer_relay]")
+{
+    CHECK(rc::check(
+        "the passed offsets are 0, 1, 2...",
+        [](std::vector<std::uint8_t> const& arrivals)
+        {
+            safeguards const checks;
+            answer_relay relay(checks, 1s, time_point());
+            std::uint64_t expected = 0;
+            for (std::uint64_t const arrival : arrivals)
+            {
+                std::uint64_t const offset = arrival % 8;
+                verdict const what = relay.on_event(offset, time_point());
+                RC_ASSERT((what == verdict::pass) == (offset == expected));
+                RC_ASSERT((what == verdict::gap) == (offset > expected));
+                expected += what == verdict::pass;
+                RC_ASSERT(relay.next_offset() == expected);
+            }
+        }));
+}
+
+TEST_CASE("only events in their place put silence off", "[answer_relay]")
+{
+    safeguards const checks;
+    answer_relay relay(checks, 2s, time_point());
+    CHECK_FALSE(relay.begun());
+    CHECK(relay.silent_at() == time_point(2s));
+    CHECK(relay.on_event(0, time_point(1s)) == verdict::pass);
+    CHECK(relay.begun());
+    CHECK(relay.silent_at() == time_point(3s));
+    CHECK(relay.on_event(0, time_point(2s)) == verdict::repeated);
+    CHECK(relay.on_event(5, time_point(2s)) == verdict::gap);
+    CHECK(relay.silent_at() == time_point(3s));
+    relay.restarted(time_point(2s));
+    CHECK(relay.silent_at() == time_point(4s));
+}
--- /dev/null
+++ b/tests/cluster_view_test.cpp
@@ -0,0 +1,1 @@
+// Being written.
--- /dev/null
+++ b/tests/configuration_cluster.cpp
@@ -0,0 +1,494 @@
+#include "configuration_cluster.hpp"
+
+#include "configuration_row.hpp"
+#include "declaration_text.hpp"
+
+#include <algorithm>
+
+namespace mulberry::tests
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr duration tick_pace = 100ms;
+constexpr duration registration_pace = 500ms;
+/// From the deadline of a confirm to its answer, at the latest.
+constexpr duration settle_grace = 5s;
+
+std::string declaration_named(std::uint64_t ticket)
+{
+    declaration value;
+    value.deployment = "deployment-" + std::to_string(ticket);
+    return write_declaration(value);
+}
+
+} // namespace
+
+configuration_cluster::configuration_cluster(std::size_t vms,
+                                             std::uint64_t seed,
+                                             promise_rules const& rules,
+                                             safeguards const& checks,
+                                             configuration_settings settings)
+    : random_(seed), settings_(std::move(settings)), rules_(rules),
+      checks_(checks), vms_(vms)
+{
+    // Version 1 is there before the VMs start.
+    std::string const text = declaration_named(0);
+    std::string const digest = digest_of(text);
+    objects_[declaration_key(digest)] = text;
+    transact first;
+    first.transaction.writes = {
+        {configuration_key(),
+         write_configuration_row({row_version(), "first", config_version(1),
+                                  digest, declaration_key(digest)})}};
+    apply(first);
+    now_ += 1s;
+    for (std::size_t vm = 0; vm < vms; ++vm)
+    {
+        vms_[vm].id = vm_id("vm-" + std::to_string(vm));
+        at(now_ + within(0ms, 1s), [this, vm] { start_vm(vm); });
+    }
+}
+
+void configuration_cluster::at(time_point when, std::function<void()> run)
+{
+    events_.push({std::max(when, now_), ++order_, std::move(run)});
+}
+
+void configuration_cluster::run_until(time_point end)
+{
+    while (!events_.empty() && events_.top().at <= end)
+    {
+        event const next = events_.top();
+        events_.pop();
+        now_ = next.at;
+        next.run();
+    }
+    now_ = end;
+}
+
+bool configuration_cluster::chance(unsigned percent)
+{
+    return random_() % 100 < percent;
+}
+
+duration configuration_cluster::within(duration least, duration most)
+{
+    auto const range = static_cast<std::uint64_t>((most - least).count()) + 1;
+    return least + duration(static_cast<duration::rep>(random_() % range));
+}
+
+void configuration_cluster::violate(std::string const& what)
+{
+    if (std::find(violations_.begin(), violations_.end(), what) ==
+        violations_.end())
+        violations_.push_back(what);
+}
+
+std::size_t configuration_cluster::knowing()
+{
+    return static_cast<std::size_t>(
+        std::count_if(vms_.begin(), vms_.end(),
+                      [this](virtual_vm const& vm)
+                      { return vm.keeper && vm.keeper->known(now_); }));
+}
+
+std::size_t configuration_cluster::at_version(config_version version)
+{
+    return static_cast<std::size_t>(std::count_if(
+        vms_.begin(), vms_.end(),
+        [version](virtual_vm const& vm)
+        { return vm.keeper && vm.keeper->version() == version; }));
+}
+
+// What reaches a paused VM waits in its sockets; what reaches a dead one is
+// lost.
+void configuration_cluster::in_vm(std::size_t index, incarnation life,
+                                  act const& what)
+{
+    virtual_vm& vm = vms_[index];
+    if (vm.life != life)
+        return;
+    if (now_ < vm.paused_until)
+    {
+        at(vm.paused_until,
+           [this, index, life, what] { in_vm(index, life, what); });
+        return;
+    }
+    action_list actions;
+    what(vm, actions);
+    perform(index, actions);
+    for (configuration_event const& said : vm.keeper->take_events())
+        if (auto const* settled = std::get_if<confirm_settled>(&said))
+            settle(index, *settled);
+    observe(index);
+}
+
+void configuration_cluster::start_vm(std::size_t index)
+{
+    virtual_vm& vm = vms_[index];
+    incarnation const life(vm.life.value() + 1);
+    vm.life = life;
+    vm.registered = false;
+    configuration_settings settings = settings_;
+    settings.vm = vm.id;
+    settings.seed = random_();
+    vm.ids = std::make_unique<id_source>();
+    vm.keeper = std::make_unique<configuration_keeper>(settings, checks_,
+                                                       *vm.ids, rules_);
+    in_vm(index, life,
+          [this](virtual_vm& self, action_list& actions)
+          { self.keeper->start(now_, actions); });
+    tick_vm(index, life);
+    register_vm(index, life);
+}
+
+void configuration_cluster::tick_vm(std::size_t index, incarnation life)
+{
+    in_vm(index, life,
+          [this, index, life](virtual_vm& self, action_list& actions)
+          {
+              self.keeper->tick(now_, actions);
+              at(now_ + tick_pace,
+                 [this, index, life] { tick_vm(index, life); });
+          });
+}
+
+// Members are known by rows: a VM joins, and hears of others' new lives, only
+// while it reaches the table.
+void configuration_cluster::register_vm(std::size_t index, incarnation life)
+{
+    if (vms_[index].life != life)
+        return;
+    at(now_ + registration_pace,
+       [this, index, life] { register_vm(index, life); });
+    if (!reaches_table(index) || now_ < vms_[index].paused_until)
+        return;
+    vms_[index].registered = true;
+    std::vector<std::pair<vm_id, incarnation>> members;
+    for (virtual_vm const& vm : vms_)
+        members.emplace_back(
+            vm.id, vm.registered ? vm.life : incarnation(vm.life.value() - 1));
+    in_vm(index, life,
+          [&](virtual_vm& self, action_list&)
+          { self.keeper->set_members(members, life, now_); });
+}
+
+bool configuration_cluster::reaches_table(std::size_t vm) const
+{
+    return now_ >= vms_[vm].table_cut_until;
+}
+
+void configuration_cluster::add(fault const& planned)
+{
+    at(planned.at, [this, planned] { begin_fault(planned); });
+}
+
+void configuration_cluster::begin_fault(fault const& what)
+{
+    virtual_vm& vm = vms_[what.vm];
+    time_point const end = now_ + what.length;
+    switch (what.kind)
+    {
+    case fault_kind::confirm:
+        begin_confirm(what.vm);
+        break;
+    case fault_kind::cut_table:
+        vm.table_cut_until = std::max(vm.table_cut_until, end);
+        break;
+    case fault_kind::cut_table_of_all:
+        for (virtual_vm& each : vms_)
+            each.table_cut_until = std::max(each.table_cut_until, end);
+        break;
+    case fault_kind::pause:
+        vm.paused_until = std::max(vm.paused_until, end);
+        break;
+    case fault_kind::restart:
+        vm.paused_until = time_point();
+        start_vm(what.vm);
+        break;
+    case fault_kind::isolate:
+        vm.isolated_until = end;
+        break;
+    case fault_kind::slow_messages:
+        vm.slow_until = end;
+        break;
+    case fault_kind::lose_answers:
+        vm.losing_until = end;
+        break;
+    case fault_kind::late_writes:
+        vm.late_until = end;
+        break;
+    case fault_kind::spoil_objects:
+        objects_spoilt_until_ = end;
+        break;
+    }
+}
+
+void configuration_cluster::begin_confirm(std::size_t index)
+{
+    virtual_vm const& vm = vms_[index];
+    if (vm.keeper == nullptr || now_ < vm.paused_until)
+        return;
+    std::uint64_t const ticket = ++tickets_;
+    std::string const text = declaration_named(ticket);
+    std::string const digest = digest_of(text);
+    confirms_[ticket] = {digest, vm.life, index,
+                         now_ + settings_.confirm_timeout + settle_grace};
+    in_vm(index, vm.life,
+          [&](virtual_vm& self, action_list& actions)
+          {
+              self.keeper->confirm(ticket, self.keeper->version(), digest, text,
+                                   now_, actions);
+          });
+}
+
+void configuration_cluster::perform(std::size_t vm, action_list const& actions)
+{
+    for (action const& each : actions)
+    {
+        if (auto const* order = std::get_if<transact>(&each))
+            perform_transact(vm, *order);
+        else if (auto const* row = std::get_if<read_row>(&each))
+            perform_read(vm, *row);
+        else if (auto const* wanted = std::get_if<fetch_object>(&each))
+            perform_fetch(vm, *wanted);
+        else if (auto const* object = std::get_if<store_object>(&each))
+            perform_store(vm, *object);
+        else if (auto const* message = std::get_if<tell_peer>(&each))
+            perform_tell(vm, *message);
+    }
+}
+
+void configuration_cluster::answer(std::size_t vm, incarnation life,
+                                   table_reply reply, time_point when)
+{
+    at(when,
+       [this, vm, life, reply = std::move(reply)]
+       {
+           // A call has one reply: its answer, or its deadline.
+           bool const first =
+               answered_.emplace(vm, life, reply.operation).second;
+           if (!first)
+               return;
+           in_vm(vm, life,
+                 [this, reply](virtual_vm& self, action_list& actions)
+                 { self.keeper->on_table(reply, now_, actions); });
+       });
+}
+
+void configuration_cluster::answer(std::size_t vm, incarnation life,
+                                   object_reply reply, time_point when)
+{
+    at(when,
+       [this, vm, life, reply = std::move(reply)]
+       {
+           in_vm(vm, life,
+                 [this, reply](virtual_vm& self, action_list& actions)
+                 { self.keeper->on_object(reply, now_, actions); });
+       });
+}
+
+void configuration_cluster::perform_transact(std::size_t vm,
+                                             transact const& order)
+{
+    incarnation const life = vms_[vm].life;
+    bool const writes = !order.transaction.writes.empty();
+    counts_.reads += writes ? 0 : 1;
+    answer(vm, life, {order.operation, table_outcome::unreachable, {}},
+           order.deadline);
+    if (!reaches_table(vm) || chance(1))
+        return;
+    duration delay = within(1ms, 30ms);
+    if (writes && now_ < vms_[vm].late_until)
+        delay += within(0ms, 9s);
+    at(now_ + delay,
+       [this, vm, life, order, writes]
+       {
+           table_reply const reply = apply(order);
+           bool const loses = writes && now_ < vms_[vm].losing_until;
+           if (reaches_table(vm) && !loses)
+               answer(vm, life, reply, now_ + within(1ms, 30ms));
+       });
+}
+
+// Only a double that reads so gets here: it sees the past.
+void configuration_cluster::perform_read(std::size_t vm, read_row const& order)
+{
+    ++counts_.reads;
+    table_reply reply{order.operation, table_outcome::unreachable, {}};
+    if (reaches_table(vm))
+    {
+        time_point const seen = now_ - within(0ms, 5s);
+        reply.outcome = table_outcome::done;
+        for (auto const& [since, state] : rows_[order.key])
+            if (since <= seen || reply.rows.empty())
+                reply.rows = {{order.key, state.version, state.value}};
+    }
+    answer(vm, vms_[vm].life, reply, now_ + within(1ms, 60ms));
+}
+
+table_reply configuration_cluster::apply(transact const& order)
+{
+    table_reply reply{order.operation, table_outcome::done, {}};
+    for (table_condition const& condition : order.transaction.conditions)
+    {
+        auto const& states = rows_[condition.key];
+        row_state const state =
+            states.empty() ? row_state() : states.back().second;
+        if (!state.version.none())
+            reply.rows.push_back({condition.key, state.version, state.value});
+        if (state.version != condition.version)
+            reply.outcome = table_outcome::conflict;
+    }
+    if (reply.outcome == table_outcome::conflict)
+        return reply;
+    row_version const version(++last_row_version_);
+    for (table_write const& write : order.transaction.writes)
+    {
+        rows_[write.key].push_back({now_, {version, *write.value}});
+        if (write.key != configuration_key())
+            continue;
+        auto const row = find_configuration_row(
+            {{write.key, version, *write.value}}, write.key);
+        if (row->version.value() == history_.size() + 1)
+            history_.push_back(row->digest);
+        else if (row->version.value() != history_.size() ||
+                 row->digest != history_.back())
+            violate("the row went from version " +
+                    std::to_string(history_.size()) + " to " +
+                    std::to_string(row->version.value()));
+    }
+    return reply;
+}
+
+void configuration_cluster::perform_fetch(std::size_t vm,
+                                          fetch_object const& order)
+{
+    object_reply reply{order.operation, object_outcome::absent, {}};
+    auto const found = objects_.find(order.key);
+    if (found != objects_.end())
+        reply = {order.operation, object_outcome::done, found->second};
+    if (now_ < objects_spoilt_until_)
+        reply = chance(50)
+                    ? object_reply{order.operation, object_outcome::done, "{"}
+                    : object_reply{order.operation, object_outcome::absent, {}};
+    // Objects are slow at times, so that a later version's comes first.
+    duration const most = chance(20) ? duration(1s) : duration(30ms);
+    answer(vm, vms_[vm].life, reply, now_ + within(1ms, most));
+}
+
+void configuration_cluster::perform_store(std::size_t vm,
+                                          store_object const& order)
+{
+    objects_[order.key] = *order.bytes;
+    answer(vm, vms_[vm].life,
+           object_reply{order.operation, object_outcome::done, {}},
+           now_ + within(1ms, 30ms));
+}
+
+void configuration_cluster::perform_tell(std::size_t from,
+                                         tell_peer const& order)
+{
+    ++counts_.messages;
+    auto const is_target = [&](virtual_vm const& vm)
+    { return vm.id == order.to; };
+    auto const found = std::find_if(vms_.begin(), vms_.end(), is_target);
+    auto const to = static_cast<std::size_t>(found - vms_.begin());
+    bool const isolated =
+        now_ < vms_[from].isolated_until || now_ < found->isolated_until;
+    bool const hint = std::holds_alternative<configuration_hint>(order.message);
+    if (isolated || chance(3) || (hint && hints_lost_))
+        return;
+    std::size_t const copies = chance(5) ? 2 : 1;
+    for (std::size_t copy = 0; copy < copies; ++copy)
+    {
+        bool const slow = copy > 0 || now_ < vms_[from].slow_until;
+        duration const delay = within(1ms, slow ? 3s : 10ms);
+        at(now_ + delay,
+           [this, from, to, message = order.message]
+           {
+               in_vm(to, vms_[to].life,
+                     [this, from, message](virtual_vm& self,
+                                           action_list& actions) {
+                         self.keeper->on_peer(vms_[from].id, message, now_,
+                                              actions);
+                     });
+           });
+    }
+}
+
+void configuration_cluster::settle(std::size_t vm,
+                                   confirm_settled const& settled)
+{
+    answers_.push_back(settled);
+    asked_confirm& asked = confirms_.at(settled.ticket);
+    if (std::exchange(asked.settled, true))
+        violate("a confirm was answered twice");
+    if (auto const* version = std::get_if<config_version>(&settled.result))
+    {
+        ++counts_.told;
+        if (!told_.emplace(*version, now_).second)
+            violate("one version was told to two operators");
+        if (version->value() > history_.size() ||
+            history_[version->value() - 1] != asked.digest)
+            violate("a version was told that was not written");
+        return;
+    }
+    auto const& why = std::get<error>(settled.result);
+    asked.refused = why.request_ran() == ran::no;
+    ++(asked.refused ? counts_.refused : counts_.unknown);
+    bool const late = now_ > asked.overdue && now_ >= vms_[vm].paused_until;
+    if (late && vms_[vm].paused_until + settle_grace < now_)
+        violate("a confirm was answered late");
+}
+
+void configuration_cluster::observe(std::size_t index)
+{
+    virtual_vm& vm = vms_[index];
+    config_version const version = vm.keeper->version();
+    if (!version.none())
+    {
+        if (version < vm.highest)
+            violate("a VM went back to an older version");
+        vm.highest = std::max(vm.highest, version);
+    }
+    if (!vm.keeper->known(now_))
+        return;
+    bool const going_on = vm.keeper->going_on_without_table(now_);
+    if (going_on && !told_.empty() && version < told_.rbegin()->first)
+        violate("a VM goes on without the table with a replaced version");
+    for (auto const& [told, when] : told_)
+        if (version < told && when + settings_.bound < now_)
+            violate("a VM holds to a version that was replaced");
+}
+
+void configuration_cluster::judge_history()
+{
+    for (auto const& [ticket, asked] : confirms_)
+    {
+        bool const written = std::find(history_.begin(), history_.end(),
+                                       asked.digest) != history_.end();
+        if (asked.refused && written)
+            violate("a refused change took effect");
+        bool const alive = vms_[asked.vm].life == asked.life;
+        if (alive && !asked.settled && asked.overdue < now_ &&
+            vms_[asked.vm].paused_until + settle_grace < now_)
+            violate("a confirm was never answered");
+    }
+}
+
+void configuration_cluster::judge_recovery()
+{
+    for (std::size_t index = 0; index < vms_.size(); ++index)
+    {
+        if (vms_[index].keeper->version() != written())
+            violate("a VM has not learnt the newest version");
+        if (!vms_[index].keeper->known(now_))
+            violate("a VM does not know its version to hold");
+    }
+}
+
+} // namespace mulberry::tests
--- /dev/null
+++ b/tests/configuration_keeper_test.cpp
@@ -0,0 +1,590 @@
+#include "configuration_cluster.hpp"
+
+#include "promise_rules.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <array>
+#include <iostream>
+#include <optional>
+#include <random>
+
+using namespace mulberry;
+using namespace mulberry::tests;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto origin = time_point();
+/// Faults begin until then; all have ended a while after.
+constexpr duration faults_begin = 6s;
+constexpr duration faults_stop = 36s;
+constexpr duration longest_fault = 12s;
+constexpr duration recovery = 12s;
+
+/// One number a fault, so that a failing schedule shrinks by leaving out
+/// faults.
+fault decode(std::uint64_t code, std::size_t vms)
+{
+    using enum fault_kind;
+    static constexpr std::array kinds{
+        confirm,         confirm,       confirm,     confirm,
+        cut_table,       cut_table,     cut_table,   pause,
+        pause,           restart,       restart,     isolate,
+        lose_answers,    slow_messages, late_writes, spoil_objects,
+        cut_table_of_all};
+    auto const draw = [&](std::uint64_t range)
+    {
+        std::uint64_t const value = code % range;
+        code /= range;
+        return value;
+    };
+    fault result{};
+    result.kind = kinds[draw(kinds.size())];
+    result.vm = draw(vms);
+    result.at = origin + faults_begin +
+                draw((faults_stop - faults_begin) / 50ms) * duration(50ms);
+    result.length = (1 + draw(longest_fault / 200ms)) * duration(200ms);
+    return result;
+}
+
+struct schedule
+{
+    std::uint64_t seed = 0;
+    std::size_t vms = 1;
+    std::vector<fault> faults;
+};
+
+configuration_cluster run(schedule const& what, promise_rules const& rules,
+                          safeguards const& checks)
+{
+    configuration_cluster cluster(what.vms, what.seed, rules, checks);
+    for (fault const& planned : what.faults)
+        cluster.add(planned);
+    cluster.run_until(origin + faults_stop + longest_fault + recovery);
+    cluster.judge_history();
+    return cluster;
+}
+
+/// Random draws for schedules that are aimed at one kind of trouble.
+class drawing
+{
+public:
+    explicit drawing(std::uint64_t seed) : random_(seed) {}
+    std::uint64_t below(std::uint64_t range) { return random_() % range; }
+    time_point between(duration least, duration most)
+    {
+        return origin + least + below((most - least) / 1ms) * duration(1ms);
+    }
+    std::uint64_t next() { return random_(); }
+
+private:
+    std::mt19937_64 random_;
+};
+
+using schedule_source = schedule (*)(std::uint64_t number);
+
+/// Anything at any time.
+schedule any_trouble(std::uint64_t number)
+{
+    drawing draw(number);
+    schedule result{draw.next(), 1 + draw.below(6), {}};
+    for (std::uint64_t left = 4 + draw.below(20); left > 0; --left)
+        result.faults.push_back(decode(draw.next(), result.vms));
+    return result;
+}
+
+/// A majority loses the table. One of it finds it again, perhaps by a restart,
+/// while the last VM, which has it all the time, confirms.
+schedule one_changes_sides(std::uint64_t number)
+{
+    using enum fault_kind;
+    drawing draw(number);
+    schedule result{draw.next(), 3, {}};
+    time_point const cut = draw.between(6s, 7s);
+    time_point const back = cut + 4s + draw.below(3000) * duration(1ms);
+    result.faults = {{cut_table, 0, cut, 20s}, {cut_table, 1, cut, back - cut}};
+    if (draw.below(2) == 0)
+        result.faults.push_back({restart, 1, back, {}});
+    for (int tries = 0; tries < 4; ++tries)
+        result.faults.push_back(
+            {confirm, 2, back + draw.below(3000) * duration(1ms), {}});
+    return result;
+}
+
+/// All but the one that confirms lose the table about when it writes, and hear
+/// nothing of it.
+schedule cut_off_at_confirm(std::uint64_t number)
+{
+    using enum fault_kind;
+    drawing draw(number);
+    schedule result{draw.next(), 3 + draw.below(4), {}};
+    time_point const asked = draw.between(6s, 9s);
+    time_point const cut = asked + draw.below(300) * duration(1ms);
+    result.faults = {{confirm, 0, asked, {}}, {isolate, 0, asked + 50ms, 12s}};
+    for (std::size_t vm = 1; vm < result.vms; ++vm)
+        result.faults.push_back({cut_table, vm, cut, 12s});
+    return result;
+}
+
+/// A write lands long after its promises; the others lose the table before.
+schedule late_landing(std::uint64_t number)
+{
+    using enum fault_kind;
+    drawing draw(number);
+    schedule result{draw.next(), 3 + draw.below(4), {}};
+    time_point const asked = draw.between(6s, 9s);
+    time_point const cut = asked + 3s + draw.below(5000) * duration(1ms);
+    result.faults = {{late_writes, 0, asked, 9s},
+                     {confirm, 0, asked, {}},
+                     {isolate, 0, asked + 1s, 12s}};
+    for (std::size_t vm = 1; vm < result.vms; ++vm)
+        result.faults.push_back({cut_table, vm, cut, 12s});
+    return result;
+}
+
+/// A VM is paused while the answer to its read is on the way, and a change is
+/// confirmed meanwhile.
+schedule paused_reader(std::uint64_t number)
+{
+    using enum fault_kind;
+    drawing draw(number);
+    schedule result{draw.next(), 3 + draw.below(4), {}};
+    for (duration at : {6s, 15s, 24s})
+    {
+        time_point const paused = draw.between(at, at + 2s);
+        result.faults.push_back({pause, 0, paused, 6s});
+        result.faults.push_back({confirm, 1, paused + 500ms, {}});
+    }
+    return result;
+}
+
+constexpr std::uint64_t most_schedules = 1000;
+constexpr std::uint64_t aimed_schedules = 300;
+
+/// The number of the first schedule on which the checker names `violation`.
+std::optional<std::uint64_t> first_found(std::string const& violation,
+                                         schedule_source source,
+                                         promise_rules const& rules,
+                                         safeguards const& checks)
+{
+    for (std::uint64_t number = 1; number <= most_schedules; ++number)
+    {
+        auto const cluster = run(source(number), rules, checks);
+        auto const& found = cluster.violations();
+        if (std::find(found.begin(), found.end(), violation) != found.end())
+        {
+            std::cout << "schedule " << number << ": " << violation << '\n';
+            return number;
+        }
+    }
+    return std::nullopt;
+}
+
+std::string const old_held = "a VM holds to a version that was replaced";
+std::string const went_on =
+    "a VM goes on without the table with a replaced version";
+std::string const went_back = "a VM went back to an older version";
+std::string const refused_ran = "a refused change took effect";
+
+struct both_promises : promise_rules
+{
+    bool may_promise_outage(giver_state const& giver) const override
+    {
+        giver_state free = giver;
+        free.confirm_promise_running = false;
+        return promise_rules::may_promise_outage(free);
+    }
+    bool may_promise_confirm(giver_state const& giver) const override
+    {
+        giver_state free = giver;
+        free.outage_promise_running = false;
+        return promise_rules::may_promise_confirm(free);
+    }
+};
+
+struct no_doubt : promise_rules
+{
+    bool may_promise_outage(giver_state const& giver) const override
+    {
+        giver_state sure = giver;
+        sure.version_certain = true;
+        return promise_rules::may_promise_outage(sure);
+    }
+};
+
+struct one_is_enough : promise_rules
+{
+    bool is_majority(std::size_t promises, std::size_t) const override
+    {
+        return promises > 0;
+    }
+};
+
+struct forgotten_promises : promise_rules
+{
+    time_point former_promises_end(time_point started, duration) const override
+    {
+        return started;
+    }
+};
+
+struct counted_from_answer : promise_rules
+{
+    time_point counts_from(time_point, time_point answered) const override
+    {
+        return answered;
+    }
+};
+
+struct lagging_reads : promise_rules
+{
+    bool reads_may_lag() const override { return true; }
+};
+
+struct told_whenever : promise_rules
+{
+    bool promises_cover(time_point, time_point) const override { return true; }
+};
+
+struct unseen_is_void : promise_rules
+{
+    bool may_land_yet() const override { return false; }
+};
+
+struct any_replaces : safeguards
+{
+    bool replaces(config_version, config_version) const override
+    {
+        return true;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a confirmed configuration holds through any schedule",
+          "[configuration][proof]")
+{
+    // An operator is told of a version; `bound` later no VM takes work under an
+    // older one, and none ever goes back, whatever is cut, paused, restarted,
+    // lost, late or repeated; a refused change never takes effect. All heal
+    // and know the newest version soon after the faults end.
+    safeguards const checks;
+    std::size_t schedules = 0;
+    cluster_counts sum;
+    CHECK(rc::check(
+        [&]
+        {
+            schedule what;
+            what.seed = *rc::gen::arbitrary<std::uint64_t>();
+            what.vms = *rc::gen::inRange<std::size_t>(1, 7);
+            auto const codes = *rc::gen::container<std::vector<std::uint64_t>>(
+                rc::gen::inRange<std::uint64_t>(0, UINT64_MAX));
+            for (std::uint64_t const code : codes)
+                what.faults.push_back(decode(code, what.vms));
+            auto cluster = run(what, default_promise_rules(), checks);
+            cluster.judge_recovery();
+            ++schedules;
+            sum.told += cluster.counts().told;
+            sum.refused += cluster.counts().refused;
+            sum.unknown += cluster.counts().unknown;
+            for (auto const& text : cluster.violations())
+                RC_FAIL(text);
+        }));
+    std::cout << schedules << " schedules; confirms told " << sum.told
+              << ", refused " << sum.refused << ", unknown " << sum.unknown
+              << '\n';
+    CHECK(sum.told > 0);
+    CHECK(sum.refused > 0);
+    CHECK(sum.unknown > 0);
+}
+
+TEST_CASE("a confirmed configuration holds through aimed schedules",
+          "[configuration][proof]")
+{
+    // The same, where the trouble comes at the worst moment: VMs change sides
+    // between the halves of an outage, all lose the table as a confirm is
+    // written, or a write lands after its promises.
+    safeguards const checks;
+    for (schedule_source const source :
+         {one_changes_sides, cut_off_at_confirm, late_landing, paused_reader})
+    {
+        cluster_counts sum;
+        for (std::uint64_t number = 1; number <= aimed_schedules; ++number)
+        {
+            auto cluster = run(source(number), default_promise_rules(), checks);
+            cluster.judge_recovery();
+            for (auto const& text : cluster.violations())
+                FAIL_CHECK("schedule " << number << ": " << text);
+            sum.told += cluster.counts().told;
+            sum.refused += cluster.counts().refused;
+            sum.unknown += cluster.counts().unknown;
+        }
+        std::cout << "told " << sum.told << ", refused " << sum.refused
+                  << ", unknown " << sum.unknown << '\n';
+        CHECK(sum.told + sum.refused + sum.unknown > 0);
+    }
+}
+
+TEST_CASE("the checker names what each left-out rule breaks",
+          "[configuration][proof]")
+{
+    safeguards const checks;
+    SECTION("a VM gives both promises at once")
+    {
+        CHECK(first_found(went_on, one_changes_sides, both_promises(), checks));
+    }
+    SECTION("a VM vouches for a version whose confirm it helped")
+    {
+        CHECK(first_found(old_held, cut_off_at_confirm, no_doubt(), checks));
+    }
+    SECTION("one VM's own promise is taken for a majority")
+    {
+        CHECK(first_found(old_held, any_trouble, one_is_enough(), checks));
+    }
+    SECTION("a restarted VM forgets its promises")
+    {
+        CHECK(first_found(went_on, one_changes_sides, forgotten_promises(),
+                          checks));
+    }
+    SECTION("answers count from when they came")
+    {
+        CHECK(first_found(old_held, paused_reader, counted_from_answer(),
+                          checks));
+    }
+    SECTION("the row is read by reads that lag")
+    {
+        CHECK(first_found(went_back, any_trouble, lagging_reads(), checks));
+    }
+    SECTION("success is told whenever the write is seen")
+    {
+        CHECK(first_found(old_held, late_landing, told_whenever(), checks));
+    }
+    SECTION("a write that is not seen is taken for void")
+    {
+        CHECK(first_found(refused_ran, late_landing, unseen_is_void(), checks));
+    }
+    SECTION("any version replaces the one in force")
+    {
+        CHECK(first_found(went_back, any_trouble, default_promise_rules(),
+                          any_replaces()));
+    }
+}
+
+TEST_CASE("a VM that alone has lost the table stops at the bound",
+          "[configuration]")
+{
+    // One VM is cut from the table; the others read on and refuse to promise.
+    // It serves until the bound, then refuses, and serves again when it is
+    // back.
+    safeguards const checks;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed)
+    {
+        configuration_cluster cluster(2 + seed % 5, seed,
+                                      default_promise_rules(), checks);
+        time_point const cut = origin + 6s + seed * duration(25ms);
+        cluster.add({fault_kind::cut_table, 0, cut, 20s});
+        cluster.run_until(cut + 2900ms);
+        CHECK(cluster.keeper(0).known(cluster.now()));
+        for (duration after = 4s; after < 20s; after += 100ms)
+        {
+            cluster.run_until(cut + after);
+            CHECK_FALSE(cluster.keeper(0).known(cluster.now()));
+            CHECK(cluster.keeper(1).known(cluster.now()));
+        }
+        cluster.run_until(cut + 22s);
+        CHECK(cluster.keeper(0).known(cluster.now()));
+    }
+}
+
+TEST_CASE("a connected majority goes on through an outage of the table",
+          "[configuration]")
+{
+    // All lose the table for a minute. A minority is also cut from the others
+    // and stops; the majority serves without a gap.
+    safeguards const checks;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed)
+    {
+        std::size_t const vms = 1 + seed % 6;
+        std::size_t const apart = (vms - 1) / 2;
+        configuration_cluster cluster(vms, seed, default_promise_rules(),
+                                      checks);
+        time_point const cut = origin + 10s + seed * duration(50ms);
+        cluster.add({fault_kind::cut_table_of_all, 0, cut, 60s});
+        for (std::size_t vm = 0; vm < apart; ++vm)
+            cluster.add({fault_kind::isolate, vm, cut, 60s});
+        std::size_t most = vms;
+        std::size_t least = vms;
+        for (duration after = 0s; after < 60s; after += 50ms)
+        {
+            cluster.run_until(cut + after);
+            least = std::min(least, cluster.knowing());
+            if (after >= 4s)
+                most = std::min(most, cluster.knowing());
+        }
+        if (vms == 6)
+            std::cout << "6 VMs without the table: messages a second "
+                      << static_cast<double>(cluster.counts().messages) / 60
+                      << '\n';
+        CHECK(least == vms - apart);
+        CHECK(most == vms - apart);
+        cluster.run_until(cut + 66s);
+        CHECK(cluster.knowing() == vms);
+    }
+}
+
+TEST_CASE("a change is in force on all VMs within seconds", "[configuration]")
+{
+    struct size
+    {
+        std::size_t vms;
+        duration poll;
+        bool hints;
+        duration limit;
+    };
+    safeguards const checks;
+    for (size const& each :
+         {size{6, 1s, true, 1s}, size{6, 1s, false, 3s},
+          size{320, 4s, true, 11s}, size{320, 4s, false, 11s}})
+    {
+        configuration_settings settings;
+        settings.poll = each.poll;
+        settings.bound = 3 * each.poll + 1s;
+        configuration_cluster cluster(each.vms, 7, default_promise_rules(),
+                                      checks, settings);
+        if (!each.hints)
+            cluster.lose_hints();
+        cluster.run_until(origin + 10s);
+        cluster_counts const before = cluster.counts();
+        cluster.run_until(origin + 30s);
+        std::cout << each.vms << " VMs: reads a second "
+                  << static_cast<double>(cluster.counts().reads -
+                                         before.reads) /
+                         20
+                  << ", messages a second "
+                  << static_cast<double>(cluster.counts().messages -
+                                         before.messages) /
+                         20;
+        cluster.add({fault_kind::confirm, 0, cluster.now(), {}});
+        while (cluster.counts().told == 0 && cluster.now() < origin + 40s)
+            cluster.run_until(cluster.now() + 1ms);
+        time_point const told = cluster.now();
+        while (cluster.at_version(config_version(2)) < each.vms &&
+               cluster.now() < told + 20s)
+            cluster.run_until(cluster.now() + 1ms);
+        std::cout << "; asked to told " << (told - (origin + 30s)) / 1ms
+                  << " ms, told to in force on all "
+                  << (cluster.now() - told) / 1ms << " ms\n";
+        CHECK(cluster.now() - told <= each.limit);
+    }
+}
+
+TEST_CASE("of two operators that race one wins and the other is told why",
+          "[configuration]")
+{
+    // Both confirm on the same base, on two VMs, at the same moment. One is
+    // told the version; the other that its plan is outdated, with what won.
+    safeguards const checks;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    {
+        configuration_cluster cluster(3, seed, default_promise_rules(), checks);
+        cluster.add({fault_kind::confirm, 0, origin + 8s, {}});
+        cluster.add({fault_kind::confirm, 1, origin + 8s, {}});
+        cluster.run_until(origin + 16s);
+        cluster.judge_history();
+        CHECK(cluster.violations().empty());
+        CHECK(cluster.counts().told == 1);
+        REQUIRE(cluster.answers().size() == 2);
+        for (confirm_settled const& answer : cluster.answers())
+            if (auto const* why = std::get_if<error>(&answer.result))
+            {
+                CHECK(why->kind() == error_kind::plan_outdated);
+                CHECK(why->request_ran() == ran::no);
+                REQUIRE(answer.current);
+                CHECK(answer.current ==
+                      cluster.keeper(answer.ticket - 1).current());
+            }
+    }
+}
+
+TEST_CASE("a confirm without a majority is refused and says so",
+          "[configuration]")
+{
+    // Three of four VMs cannot be reached; the operator is told how many can,
+    // that nothing was changed, and when to come back.
+    safeguards const checks;
+    configuration_cluster cluster(4, 1, default_promise_rules(), checks);
+    cluster.add({fault_kind::isolate, 0, origin + 8s, 20s});
+    cluster.add({fault_kind::confirm, 0, origin + 9s, {}});
+    cluster.run_until(origin + 15s);
+    REQUIRE(cluster.answers().size() == 1);
+    auto const& why = std::get<error>(cluster.answers()[0].result);
+    CHECK(why.kind() == error_kind::platform_unavailable);
+    CHECK(why.request_ran() == ran::no);
+    CHECK(why.retry_after() == duration(3s));
+    CHECK(why.text().find("only 1 of 4 VMs") != std::string::npos);
+    CHECK(cluster.written() == config_version(1));
+}
+
+TEST_CASE("a confirm whose answer is lost is read back", "[configuration]")
+{
+    // The write takes effect, its answer never comes. The operator is told the
+    // version all the same, after a read under the run's token.
+    safeguards const checks;
+    configuration_cluster cluster(3, 1, default_promise_rules(), checks);
+    cluster.add({fault_kind::lose_answers, 0, origin + 8s, 20s});
+    cluster.add({fault_kind::confirm, 0, origin + 9s, {}});
+    cluster.run_until(origin + 13s);
+    REQUIRE(cluster.answers().size() == 1);
+    CHECK(std::get<config_version>(cluster.answers()[0].result) ==
+          config_version(2));
+}
+
+TEST_CASE("a version that cannot be loaded ends the one before at the bound",
+          "[configuration]")
+{
+    // The new version's object is corrupt or missing wherever it is read. The
+    // others keep the old one, take no new work under it past the bound, and
+    // go over to the new one when its object is well.
+    safeguards const checks;
+    configuration_cluster cluster(3, 1, default_promise_rules(), checks);
+    cluster.add({fault_kind::spoil_objects, 0, origin + 8s, 12s});
+    cluster.add({fault_kind::confirm, 0, origin + 9s, {}});
+    cluster.run_until(origin + 16s);
+    CHECK(cluster.counts().told == 1);
+    CHECK(cluster.at_version(config_version(1)) == 2);
+    CHECK(cluster.knowing() == 1);
+    cluster.run_until(origin + 24s);
+    cluster.judge_recovery();
+    CHECK(cluster.violations().empty());
+}
+
+TEST_CASE("a restarted VM promises nothing until its old promises ran out",
+          "[configuration]")
+{
+    // It reads the row and is asked at once to help a confirm. It declines
+    // while a promise of its former life, which it forgot, may still hold.
+    safeguards const checks;
+    id_source ids;
+    configuration_settings settings;
+    settings.vm = vm_id("vm-0");
+    configuration_keeper keeper(settings, checks, ids);
+    auto const promises_at = [&](time_point now)
+    {
+        action_list actions;
+        keeper.table_heard(now);
+        keeper.on_peer(vm_id("vm-1"), confirm_question{1, config_version(1)},
+                       now, actions);
+        auto const& told = std::get<tell_peer>(actions.back());
+        return std::get<confirm_answer>(told.message).promised;
+    };
+    action_list actions;
+    keeper.start(origin, actions);
+    CHECK_FALSE(promises_at(origin + 4s));
+    keeper.set_members({{settings.vm, incarnation(2)}}, incarnation(2), origin);
+    CHECK_FALSE(promises_at(origin + 1s));
+    CHECK_FALSE(promises_at(origin + 3s));
+    CHECK(promises_at(origin + 4s));
+}
--- /dev/null
+++ b/tests/ctl_door_test.cpp
@@ -0,0 +1,133 @@
+#include "ctl_door.hpp"
+
+#include "http_server.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto unknown = door_failure::kind::outcome_unknown;
+
+/// A VM's operators' door: counts calls, and may run one without an answer.
+class vm
+{
+public:
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(http_.port());
+    }
+
+    std::atomic<int> ran{0};
+    std::atomic<bool> loses_answers{false};
+    std::atomic<bool> refuses{false};
+
+private:
+    Json::Value run()
+    {
+        ++ran;
+        Json::Value data;
+        data["kind"] = "plan_outdated";
+        if (refuses)
+            throw rpc_failure(-31022, "plan again", data);
+        return "done";
+    }
+
+    void serve(http_request const& request,
+               std::shared_ptr<http_answer> const& answer)
+    {
+        if (request.headers.find("authorization") != "Bearer right")
+            return answer->respond(json_response(401, "{}"));
+        std::string const body = rpc_.handle(request.body);
+        if (loses_answers)
+            answer->abort();
+        else
+            answer->respond(json_response(200, body));
+    }
+
+    rpc_server rpc_{
+        {{"confirm", [this](Json::Value const&) { return run(); }}}};
+    http_server http_{{},
+                      [this](http_request const& request,
+                             std::shared_ptr<http_answer> const& answer)
+                      { serve(request, answer); }};
+};
+
+struct two_vms
+{
+    vm first;
+    vm second;
+    http_client client;
+
+    rpc_ctl_door door(std::string const& key = "right")
+    {
+        return {client, {first.address(), second.address()}, key, 20s};
+    }
+
+    door_failure failure(rpc_ctl_door door, resend lost)
+    {
+        try
+        {
+            door.call("confirm", Json::objectValue, lost);
+        }
+        catch (door_failure const& seen)
+        {
+            return seen;
+        }
+        throw std::logic_error("the call did not fail");
+    }
+};
+
+/// A port that nothing listens on: it was bound a moment ago.
+std::string closed_address()
+{
+    return vm().address();
+}
+
+} // namespace
+
+TEST_CASE("the next VM is tried when one cannot be reached", "[ctl_door]")
+{
+    two_vms vms;
+    rpc_ctl_door door(vms.client, {closed_address(), vms.second.address()},
+                      "right", 20s);
+    CHECK(door.call("confirm", Json::objectValue, resend::never) == "done");
+    CHECK(vms.failure({vms.client, {closed_address()}, "right", 20s},
+                      resend::allowed)
+              .reason() == door_failure::kind::unreachable);
+}
+
+// An operator's confirm runs at a VM, which dies before it answers. Sent to
+// the next VM as well, it would run twice.
+TEST_CASE("a call whose answer is lost goes to no other VM unless it may",
+          "[ctl_door]")
+{
+    two_vms vms;
+    vms.first.loses_answers = true;
+    CHECK(vms.failure(vms.door(), resend::never).reason() == unknown);
+    CHECK(vms.first.ran == 1);
+    CHECK(vms.second.ran == 0);
+    CHECK(vms.door().call("confirm", Json::objectValue, resend::allowed) ==
+          "done");
+    CHECK(vms.second.ran == 1);
+}
+
+TEST_CASE("a refusal is final and keeps its data", "[ctl_door]")
+{
+    two_vms vms;
+    vms.first.refuses = true;
+    door_failure const seen = vms.failure(vms.door(), resend::allowed);
+    CHECK(seen.reason() == door_failure::kind::refused);
+    CHECK(seen.data()["kind"] == "plan_outdated");
+    CHECK(vms.second.ran == 0);
+    door_failure const locked = vms.failure(vms.door("wrong"), resend::allowed);
+    CHECK(locked.reason() == door_failure::kind::refused);
+    CHECK(std::string(locked.what()).find("is the key right?") !=
+          std::string::npos);
+    CHECK(vms.second.ran == 0);
+}
