--- a/src/adapter_slots.cpp
+++ b/src/adapter_slots.cpp
@@ -97,6 +97,14 @@
     return now <= pin->second + limits_.max_deadline + limits_.settle_time;
 }
 
+bool adapter_slots::unsettled(time_point now) const
+{
+    return std::any_of(pins_.begin(), pins_.end(),
+                       [&](auto const& pin) {
+                           return pin.second != never && pinned(pin.first, now);
+                       });
+}
+
 void adapter_slots::remove(engine_name const& name, time_point now)
 {
     auto const found = adapters_.find(name);
--- a/src/adapter_slots.hpp
+++ b/src/adapter_slots.hpp
@@ -105,6 +105,8 @@
     bool routable(engine_name const& name) const;
     /// Whether a request that this owner cannot see may run under the name.
     bool pinned(engine_name const& name, time_point now) const;
+    /// Whether a request that this owner gave up may still run.
+    bool unsettled(time_point now) const;
     /// Whether the adapter may leave its slot; `queued` are those waiting to be
     /// sent under that name.
     bool may_evict(engine_name const& name, std::size_t queued,
--- a/src/cluster_view.cpp
+++ b/src/cluster_view.cpp
@@ -169,7 +169,11 @@
     }
 
     std::size_t size() const { return workers_.size(); }
-    std::size_t running() const { return running_; }
+    std::size_t in_progress(base_model_id const& model) const
+    {
+        auto const at = in_progress_.find(model);
+        return at == in_progress_.end() ? 0 : at->second;
+    }
     std::size_t stalled() const { return stalled_; }
 
     load_order const& holders(adapter_ref const& adapter) const
@@ -214,8 +218,9 @@
         at.load = at.view.load();
         if (!at.view.usable)
             return;
-        running_ += at.view.running;
-        stalled_ += at.view.stalled();
+        std::size_t const stalled = at.view.stalled();
+        in_progress_[at.view.base_model] += at.view.running + stalled;
+        stalled_ += stalled;
         by_model_[at.view.base_model].insert(&at);
         for (resident_view const& resident : at.view.residents)
             if (routable(resident))
@@ -226,8 +231,9 @@
     {
         if (!at.view.usable)
             return;
-        running_ -= at.view.running;
-        stalled_ -= at.view.stalled();
+        std::size_t const stalled = at.view.stalled();
+        in_progress_[at.view.base_model] -= at.view.running + stalled;
+        stalled_ -= stalled;
         erase_from(by_model_, at.view.base_model, at);
         for (resident_view const& resident : at.view.residents)
             if (routable(resident))
@@ -250,7 +256,7 @@
     std::unordered_map<base_model_id, load_order> by_model_;
     std::unordered_map<adapter_ref, load_order> by_adapter_;
     load_order none_;
-    std::size_t running_ = 0;
+    std::unordered_map<base_model_id, std::size_t> in_progress_;
     std::size_t stalled_ = 0;
 };
 
@@ -328,9 +334,9 @@
     return implementation_->holders(adapter).size();
 }
 
-std::size_t cluster_view::running() const
+std::size_t cluster_view::in_progress(base_model_id const& model) const
 {
-    return implementation_->running();
+    return implementation_->in_progress(model);
 }
 
 std::size_t cluster_view::stalled() const
--- a/src/cluster_view.hpp
+++ b/src/cluster_view.hpp
@@ -108,9 +108,10 @@
     fullest_holders_with_room(adapter_ref const& adapter,
                               std::size_t most) const;
     std::size_t holder_count(adapter_ref const& adapter) const;
-    /// Sums over all usable workers: requests running; requests that wait for
-    /// their adapter's load, which tells how long the weight store's queue is.
-    std::size_t running() const;
+    /// Requests running or waiting for a load on a base model's usable workers.
+    std::size_t in_progress(base_model_id const& model) const;
+    /// Requests that wait for their adapter's load on all usable workers: how
+    /// long the weight store's queue is.
     std::size_t stalled() const;
     /// Every worker, in the order of ids. Linear; for status and planning.
     std::vector<worker_view const*> all() const;
--- a/src/decision_loop.cpp
+++ b/src/decision_loop.cpp
@@ -168,7 +168,7 @@
     if (now >= next_report_)
     {
         next_report_ = now + settings_.load_report_interval;
-        ports_.engines->ask_load(core_->owned_workers());
+        ports_.engines->ask_load(core_->watched_workers());
     }
     if (now >= next_list_)
     {
--- a/src/dispatch_core.hpp
+++ b/src/dispatch_core.hpp
@@ -55,6 +55,10 @@
     void stop_admitting(time_point now, action_list& actions);
     std::size_t in_progress() const { return queue_.size() + streams_.size(); }
     std::size_t orders_in_progress() const { return loader_.orders(); }
+    bool unsettled(time_point now) const
+    {
+        return loader_.slots().unsettled(now);
+    }
     void tick(time_point now, action_list& actions);
     void set_cluster(cluster_view const* cluster) { cluster_ = cluster; }
     worker_view view(time_point now) const;
--- /dev/null
+++ b/src/fill_order.cpp
@@ -0,0 +1,81 @@
+#include "fill_order.hpp"
+
+#include "placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace mulberry
+{
+namespace
+{
+
+using seconds = std::chrono::duration<double>;
+
+/// Longer than an answer, so that single answers open and close nothing.
+constexpr double smoothing_seconds = 20;
+
+} // namespace
+
+void fill_order::configure(declaration const& configuration)
+{
+    std::vector<std::pair<std::uint64_t, worker_id>> order;
+    batch_slots_.clear();
+    places_.clear();
+    for (auto const& [id, worker] : configuration.workers)
+    {
+        order.emplace_back(stable_hash(id.str()), id);
+        double& slots = batch_slots_[worker.base_model];
+        slots = std::max(slots, static_cast<double>(worker.batch_slots));
+    }
+    std::sort(order.begin(), order.end());
+    std::unordered_map<base_model_id, std::size_t> placed;
+    for (auto const& [hash, id] : order)
+    {
+        auto const& model = configuration.workers.at(id).base_model;
+        places_.emplace(id, place{model, placed[model]++});
+    }
+}
+
+void fill_order::note(base_model_id const& model, std::size_t in_progress,
+                      time_point now)
+{
+    auto const slots = batch_slots_.find(model);
+    if (slots == batch_slots_.end() || slots->second <= 0)
+        return;
+    load& one = loads_[model];
+    double const elapsed = seconds(now - one.noted).count();
+    double const kept = std::exp(-elapsed / smoothing_seconds);
+    double const batches = static_cast<double>(in_progress) / slots->second;
+    one.batches = one.batches * kept + batches * (1 - kept);
+    one.noted = now;
+}
+
+double fill_order::batches(base_model_id const& model) const
+{
+    auto const at = loads_.find(model);
+    return at == loads_.end() ? 0 : at->second.batches;
+}
+
+double fill_order::all_batches() const
+{
+    double sum = 0;
+    for (auto const& [model, one] : loads_)
+        sum += one.batches;
+    return sum;
+}
+
+double fill_order::standing(worker_id const& worker, double share) const
+{
+    auto const at = places_.find(worker);
+    if (at == places_.end())
+        return 0;
+    double const open =
+        std::max(1.0, std::ceil(batches(at->second.model) / share));
+    return static_cast<double>(at->second.number) / open;
+}
+
+} // namespace mulberry
--- a/src/load_budget.cpp
+++ b/src/load_budget.cpp
@@ -16,15 +16,21 @@
     return std::chrono::duration_cast<duration>(seconds(value)) + duration(1);
 }
 
-/// A token bucket whose rate may change; it holds at most `depth` tokens.
+/// Permits are asked for at ticks and events, not at the moment they accrue.
+/// Without room for what accrues in between, a bucket that holds one permit
+/// loses it at each tick and the store runs at two thirds of its rate.
+constexpr double seconds_between_asks = 0.1;
+
+/// A token bucket whose rate may change; it holds one permit and what accrues
+/// until it is asked again, at most two.
 class token_bucket
 {
 public:
-    void set(double rate, double depth, time_point now)
+    void set(double rate, time_point now)
     {
         refill(now);
         rate_ = rate;
-        depth_ = depth;
+        depth_ = 1 + std::min(1.0, rate * seconds_between_asks);
         tokens_ = std::min(tokens_, depth_);
     }
 
@@ -130,7 +136,7 @@
 
     void share()
     {
-        bucket_.set(store_.loads_per_second / static_cast<double>(members_), 1,
+        bucket_.set(store_.loads_per_second / static_cast<double>(members_),
                     now_);
     }
 
@@ -266,7 +272,7 @@
         double const even =
             store_.loads_per_second / static_cast<double>(members_);
         auto const sharing = static_cast<double>(members_ - idle);
-        bucket_.set(even + even * static_cast<double>(idle) / sharing, 1, now_);
+        bucket_.set(even + even * static_cast<double>(idle) / sharing, now_);
     }
 
     store_declaration store_;
--- a/src/mulberry_policy.cpp
+++ b/src/mulberry_policy.cpp
@@ -27,13 +27,12 @@
 constexpr double worth_horizon_seconds = 60;
 /// As few workers are kept open, in a fixed order, as hold what runs when each
 /// is filled to this share: from the first at stall weight 0 to the second at
-/// 1. Using one beyond them, in seconds of waiting, and the slope among them.
+/// 1. What using one beyond them costs, in seconds of waiting, and the slope
+/// among them.
 constexpr double fullest_share = 0.95;
 constexpr double emptiest_share = 0.85;
 constexpr double opening_seconds = 6.0;
 constexpr double order_seconds = 0.3;
-/// Time over which the number of running requests is smoothed.
-constexpr double smoothing_seconds = 20;
 /// A worker all of whose residents are in use lets none go for a while.
 constexpr double pinned_seconds = 0.5;
 /// How much the store's queue ahead counts: a load also delays those that
@@ -106,7 +105,7 @@
     double const total = demand_.total(now);
     if (total <= 0)
         return 1;
-    return rate / total * batches_running_ / filled_by_one_adapter;
+    return rate / total * fill_order_.all_batches() / filled_by_one_adapter;
 }
 
 bool mulberry_policy::declared_ready(worker_id const& worker,
@@ -179,36 +178,22 @@
 
 double mulberry_policy::batch_cost(worker_view const& worker) const
 {
-    auto const at = fill_order_.find(worker.id);
-    if (at == fill_order_.end())
-        return 0;
-    double const filled =
+    double const share =
         fullest_share - (fullest_share - emptiest_share) * stall_weight_;
-    double const open = std::max(1.0, std::ceil(batches_running_ / filled));
-    auto const place = static_cast<double>(at->second);
+    double const standing = fill_order_.standing(worker.id, share);
     double const weight = 2 * (1 - stall_weight_);
-    if (place < open)
-        return weight * order_seconds * place / open;
+    if (standing < 1)
+        return weight * order_seconds * standing;
     return weight * opening_seconds;
 }
 
-void mulberry_policy::look_at(cluster_view const& view,
-                              adapter_ref const& adapter, time_point now)
-{
-    copies_[adapter] = view.holder_count(adapter);
-    double const elapsed = seconds(now - looked_at_).count();
-    double const kept = std::exp(-elapsed / smoothing_seconds);
-    double const batches =
-        static_cast<double>(view.running() + view.stalled()) / batch_slots_;
-    batches_running_ = batches_running_ * kept + batches * (1 - kept);
-    looked_at_ = now;
-}
-
 std::optional<worker_id>
 mulberry_policy::choose(model_request const& request, cluster_view const& view,
                         std::set<worker_id> const& excluded, time_point now)
 {
-    look_at(view, request.adapter, now);
+    copies_[request.adapter] = view.holder_count(request.adapter);
+    fill_order_.note(request.base_model, view.in_progress(request.base_model),
+                     now);
     worker_view const* best = nullptr;
     double best_cost = 0;
     auto const consider = [&](worker_view const* worker)
@@ -354,28 +339,13 @@
         { return demand_.rate(left, now) < demand_.rate(right, now); }));
 }
 
-void mulberry_policy::order_workers(declaration const& configuration)
-{
-    std::vector<std::pair<std::uint64_t, worker_id>> order;
-    for (auto const& [id, worker] : configuration.workers)
-    {
-        order.emplace_back(stable_hash(id.str()), id);
-        batch_slots_ =
-            static_cast<double>(std::max<std::size_t>(worker.batch_slots, 1));
-    }
-    std::sort(order.begin(), order.end());
-    fill_order_.clear();
-    for (auto const& [hash, id] : order)
-        fill_order_.emplace(id, fill_order_.size());
-}
-
 void mulberry_policy::configure(declaration const& configuration)
 {
     stall_weight_ = std::clamp(configuration.stall_weight, 0.0, 1.0);
     store_width_ = std::max<std::size_t>(configuration.store.loads_at_once, 1);
     load_seconds_ = static_cast<double>(store_width_) /
                     std::max(configuration.store.loads_per_second, 0.01);
-    order_workers(configuration);
+    fill_order_.configure(configuration);
     ring_ = worker_ring(configuration);
     demand_.keep_declared(configuration);
     std::erase_if(copies_, [&](auto const& entry)
--- a/src/mulberry_policy.hpp
+++ b/src/mulberry_policy.hpp
@@ -3,6 +3,7 @@
 #define MULBERRY_MULBERRY_POLICY_HPP
 
 #include "adapter_demand.hpp"
+#include "fill_order.hpp"
 #include "placement.hpp"
 #include "routing_policy.hpp"
 #include "worker_ring.hpp"
@@ -60,9 +61,6 @@
     double load_weight(cluster_view const& view) const;
     /// Seconds of waiting that using this worker's batch is worth avoiding.
     double batch_cost(worker_view const& worker) const;
-    void order_workers(declaration const& configuration);
-    void look_at(cluster_view const& view, adapter_ref const& adapter,
-                 time_point now);
     std::vector<adapter_ref> ready_ahead(worker_view const& worker) const;
     std::vector<adapter_ref> wanted_ahead(worker_view const& worker,
                                           cluster_view const& view,
@@ -71,16 +69,10 @@
     double stall_weight_ = 0.5;
     double load_seconds_ = 0.5;
     std::size_t store_width_ = 4;
-    double batch_slots_ = 8;
     worker_ring ring_;
     adapter_demand demand_;
     std::unordered_map<adapter_ref, std::size_t> copies_;
-    /// Requests running on all workers, over the batch slots of one; smoothed.
-    double batches_running_ = 0;
-    time_point looked_at_{};
-    /// Each worker's place in the order in which workers are filled, the same
-    /// on every VM.
-    std::unordered_map<worker_id, std::size_t> fill_order_;
+    fill_order fill_order_;
     std::unordered_map<worker_id, std::set<adapter_ref>> ready_;
     ready_placement ready_order_;
     /// For each worker the adapters that were lately asked for and call it
--- a/src/policy.cmake
+++ b/src/policy.cmake
@@ -2,7 +2,7 @@
 # the weight store's rate.
 mulberry_library(mulberry_policy
   SOURCES cluster_view.cpp routing_policy.cpp mulberry_policy.cpp
-          adapter_demand.cpp worker_ring.cpp baseline_policies.cpp
+          adapter_demand.cpp fill_order.cpp worker_ring.cpp baseline_policies.cpp
           load_budget.cpp
   LINK mulberry_config)
 mulberry_test(policy_test
--- a/src/service_caller_claims.cpp
+++ b/src/service_caller_claims.cpp
@@ -45,50 +45,72 @@
         review(call);
         return;
     }
-    // The failure: two VMs, or one whose answer was lost, call under one key,
-    // and a family is billed twice. A call is made only when the table has
-    // said that the row holds our own token: rows are replaced only under
-    // their version, so that one token holds it at a time.
-    //
-    // This process may have been paused between the table's answer and here,
-    // or may be before the call is sent. Nobody can have run the call in the
-    // meantime: the row keeps our token, a VM that takes us for dead may only
-    // record `unknown`, after which none calls, and `not_run`, the one state
-    // under which others claim anew, is written by us alone after we gave up.
-    // The deadline is checked with the time of waking, so that the caller is
-    // not served a call that it no longer waits for.
     if (checks_.may_call_once(state_of(verdict.found)))
+        call_once(call, now, actions);
+    else
+        on_claim_missing(call, verdict, now, actions);
+    review(call);
+}
+
+// The failure: two VMs, or one whose answer was lost, call under one key,
+// and a family is billed twice. A call is made only when the table has
+// said that the row holds our own token: rows are replaced only under
+// their version, so that one token holds it at a time.
+//
+// This process may have been paused between the table's answer and here,
+// or may be before the call is sent. Nobody can have run the call in the
+// meantime: the row keeps our token, a VM that takes us for dead may only
+// record `unknown`, after which none calls, and `not_run`, the one state
+// under which others claim anew, is written by us alone after we gave up.
+// The deadline is checked with the time of waking, so that the caller is
+// not served a call that it no longer waits for.
+void service_caller::implementation::call_once(service_call& call,
+                                               time_point now,
+                                               action_list& actions)
+{
+    if (now >= call.request.deadline)
     {
-        if (now >= call.request.deadline)
-        {
-            not_run(call,
-                    error(error_kind::deadline_passed,
-                          "the deadline passed before the call", ran::no),
-                    now, actions);
-        }
-        else
-        {
-            note(call, "call-claimed", "", actions);
-            start_first_try(call, now, actions);
-        }
+        not_run(call,
+                error(error_kind::deadline_passed,
+                      "the deadline passed before the call", ran::no),
+                now, actions);
+        return;
     }
-    else if (verdict.found == claim_verdict::what::exhausted)
+    note(call, "call-claimed", "", actions);
+    start_first_try(call, now, actions);
+}
+
+void service_caller::implementation::on_claim_missing(
+    service_call& call, claim_verdict const& verdict, time_point now,
+    action_list& actions)
+{
+    switch (verdict.found)
+    {
+    case claim_verdict::what::exhausted:
         not_run(call,
                 error(error_kind::platform_unavailable,
                       "the table service cannot be reached; the call was not "
                       "made",
                       ran::no, come_back_after),
                 now, actions);
-    else if (verdict.found == claim_verdict::what::closed)
+        return;
+    case claim_verdict::what::closed:
         not_run(call,
                 error(error_kind::platform_unavailable,
                       "another VM took this one for dead; the call was not "
                       "made",
                       ran::no, come_back_after),
                 now, actions);
-    else if (state_of(verdict.found) == claim_state::held)
+        return;
+    case claim_verdict::what::held:
+    case claim_verdict::what::unreadable:
         on_held(call, verdict, now, actions);
-    review(call);
+        return;
+    case claim_verdict::what::ours:
+    case claim_verdict::what::uncertain:
+        // Tried again, until certain or the deadline.
+        return;
+    }
 }
 
 void service_caller::implementation::on_held(service_call& call,
--- a/src/service_caller_implementation.hpp
+++ b/src/service_caller_implementation.hpp
@@ -88,6 +88,9 @@
     // Claims.
     void on_verdict(claim_verdict const& verdict, time_point now,
                     action_list& actions);
+    void call_once(service_call& call, time_point now, action_list& actions);
+    void on_claim_missing(service_call& call, claim_verdict const& verdict,
+                          time_point now, action_list& actions);
     void on_held(service_call& call, claim_verdict const& verdict,
                  time_point now, action_list& actions);
     void answer_claimed(service_call& call, claim_verdict const& verdict,
--- a/src/vm_core.cpp
+++ b/src/vm_core.cpp
@@ -1,6 +1,7 @@
 #include "vm_core.hpp"
 
 #include <algorithm>
+#include <set>
 #include <type_traits>
 #include <utility>
 
@@ -474,10 +475,16 @@
 
 void vm_core::release_retired(time_point now, action_list& actions)
 {
+    // Signed off too early, the successor would evict an adapter under a
+    // request that this VM gave up and the engine still runs.
+    auto const still_needed = [&](retired_dispatcher const& one)
+    {
+        return one.dispatcher->in_progress() != 0 ||
+               one.dispatcher->orders_in_progress() != 0 ||
+               one.dispatcher->unsettled(now);
+    };
     auto const done =
-        std::partition(retired_.begin(), retired_.end(),
-                       [](retired_dispatcher const& one)
-                       { return one.dispatcher->in_progress() != 0; });
+        std::partition(retired_.begin(), retired_.end(), still_needed);
     std::vector<worker_id> released;
     for (auto one = done; one != retired_.end(); ++one)
     {
@@ -561,6 +568,9 @@
 {
     if (auto* one = value_or_null(dispatchers_, event.worker))
         one->on_report(event, now, actions);
+    for (retired_dispatcher const& one : retired_)
+        if (one.worker == event.worker)
+            one.dispatcher->on_report(event, now, actions);
 }
 
 void vm_core::on(table_reply const& event, time_point now, action_list& actions)
@@ -616,12 +626,14 @@
     return result;
 }
 
-std::vector<worker_id> vm_core::owned_workers() const
+std::vector<worker_id> vm_core::watched_workers() const
 {
-    std::vector<worker_id> owned;
+    std::set<worker_id> watched;
     for (auto const& [id, dispatcher] : dispatchers_)
-        owned.push_back(id);
-    return owned;
+        watched.insert(id);
+    for (retired_dispatcher const& one : retired_)
+        watched.insert(one.worker);
+    return {watched.begin(), watched.end()};
 }
 
 std::string vm_core::address_of(vm_id const& vm) const
--- a/src/vm_core.hpp
+++ b/src/vm_core.hpp
@@ -20,7 +20,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_set>
 #include <vector>
 
 namespace mulberry
@@ -98,7 +97,9 @@
     core_status status(time_point now) const;
     /// The configuration in force; null before the first.
     std::shared_ptr<declaration const> declared() const { return declared_; }
-    std::vector<worker_id> owned_workers() const;
+    /// The workers whose load reports the core needs: those it owns, and
+    /// those it gave up while something of its own is left there.
+    std::vector<worker_id> watched_workers() const;
     /// IP:PORT of a member's peers' door; empty if it is no member.
     std::string address_of(vm_id const& vm) const;
 
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -85,6 +85,11 @@
     return core_->in_progress();
 }
 
+bool worker_dispatcher::unsettled(time_point now) const
+{
+    return core_->unsettled(now);
+}
+
 std::size_t worker_dispatcher::orders_in_progress() const
 {
     return core_->orders_in_progress();
--- a/src/worker_dispatcher.hpp
+++ b/src/worker_dispatcher.hpp
@@ -72,6 +72,10 @@
     /// Loads, unloads and intents without an answer. A load holds a permit of
     /// the budget: destroyed before this is 0, it would never give it back.
     std::size_t orders_in_progress() const;
+    /// Whether a request that was given up here may still run at the engine.
+    /// An owner that gave the worker up signs off only after that: its
+    /// successor takes the signature to mean that nothing of it is left.
+    bool unsettled(time_point now) const;
     /// Deadlines, silences, loads, evictions, loads ahead.
     void tick(time_point now, action_list& actions);
 
--- /dev/null
+++ b/tests/process_caller.hpp
@@ -0,0 +1,95 @@
+/// A caller's requests to the real processes, and what came back.
+#ifndef MULBERRY_PROCESS_CALLER_HPP
+#define MULBERRY_PROCESS_CALLER_HPP
+
+#include "http_client.hpp"
+
+#include <json/value.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace mulberry_test
+{
+
+/// A model request.
+struct model_call
+{
+    /// IP:PORT of the VM's door for callers.
+    std::string address;
+    std::string vm;
+    /// ADAPTER@VERSION
+    std::string adapter;
+    std::string prompt;
+    std::size_t tokens = 8;
+    bool streamed = false;
+    bool chat = false;
+    std::chrono::milliseconds deadline{20000};
+};
+
+/// A call of a plain service.
+struct service_call_made
+{
+    std::string address;
+    std::string vm;
+    std::string method = "POST";
+    /// Under /services/.
+    std::string path = "recordsvc/permits";
+    std::string key;
+    std::chrono::milliseconds deadline{10000};
+};
+
+/// What a caller has seen of one request.
+struct answer_seen
+{
+    int status = 0;
+    mulberry::http_headers headers;
+    std::string body;
+    /// The response ended properly.
+    bool ended = false;
+    /// The connection failed.
+    bool failed = false;
+    /// It failed before a byte was sent: no VM took the request.
+    bool not_sent = false;
+    bool over() const { return ended || failed; }
+};
+
+/// One request under way. Thread safe.
+class request_under_way : public mulberry::http_call_observer
+{
+public:
+    void on_status(int status, mulberry::http_headers const& headers) override;
+    void on_data(std::string_view data) override;
+    void on_end() override;
+    void on_failure(mulberry::call_stage stage,
+                    std::string const& text) override;
+
+    answer_seen seen() const;
+    /// Waits until the request is over. Throws when it never is.
+    answer_seen wait();
+    /// Waits until the body holds that text or the request is over.
+    bool wait_for(std::string const& text);
+
+private:
+    mutable std::mutex mutex_;
+    std::condition_variable changed_;
+    answer_seen seen_;
+};
+
+mulberry::http_call to_http(model_call const& call);
+mulberry::http_call to_http(service_call_made const& call);
+
+/// Sends JSON and reads JSON; throws when the status is not 200.
+Json::Value exchange(mulberry::http_client& client, std::string const& method,
+                     std::string const& url, Json::Value const& body = {});
+
+/// The JSON value of a body; null when it is none.
+Json::Value parsed(std::string const& body);
+
+} // namespace mulberry_test
+
+#endif
--- /dev/null
+++ b/tests/process_calls_test.cpp
@@ -0,0 +1,174 @@
+// Calls of plain services that may not be repeated, on the real processes:
+// one permit slip under one key runs at most once, and `ran: no` is true.
+#include "process_traffic.hpp"
+#include "process_wait.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+
+using namespace mulberry_test;
+
+namespace
+{
+
+std::size_t runs_under(scenario& run, std::string const& key)
+{
+    auto const events = run.world().service_history();
+    return static_cast<std::size_t>(
+        std::count_if(events.begin(), events.end(),
+                      [&](Json::Value const& event)
+                      { return event["key"].asString() == key; }));
+}
+
+Json::Value silent_services()
+{
+    Json::Value body = order("link", "services");
+    body["silent"] = true;
+    return body;
+}
+
+} // namespace
+
+TEST_CASE("a permit asked for through every VM at once runs once", "[calls]")
+{
+    // The caller's app sends the same key through all three VMs, since it saw
+    // no answer soon enough. The service is slow, so that the tries overlap.
+    scenario run;
+    run.world().control_service(order("slow_ms", 300));
+    for (int number = 0; number < 10; ++number)
+    {
+        std::vector<caller_book::under_way> tries;
+        std::string const key = fmt::format("permit-{}", number);
+        for (std::size_t const vm : {0, 1, 2})
+            tries.push_back(run.callers().send(run.once_call_to(vm, key)));
+        for (auto const& each : tries)
+            each->wait();
+        CHECK(runs_under(run, key) == 1);
+    }
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a retry through another VM is answered with the kept answer",
+          "[calls]")
+{
+    // The second VM reads the claim of the first, makes no call and hands out
+    // what was kept.
+    scenario run;
+    auto const first = run.callers().send(run.once_call_to(0, "slip"))->wait();
+    auto const again = run.callers().send(run.once_call_to(1, "slip"))->wait();
+    CHECK(first.status == 200);
+    CHECK(again.status == 200);
+    CHECK(again.body == first.body);
+    CHECK(again.headers.find("Idempotent-Replayed") == "true");
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a permit whose answer never comes is told as unknown, not repeated",
+          "[calls]")
+{
+    // The service runs the call and its answer is lost on the way. Whether it
+    // ran cannot be told, so nobody calls again, through no VM.
+    scenario run;
+    run.world().control_service(order("drop_after_run", 1));
+    auto const first = run.callers().send(run.once_call_to(0, "slip"))->wait();
+    CHECK(error_in(first).kind == "outcome_unknown");
+    CHECK(error_in(first).ran == "unknown");
+    auto const again = run.callers().send(run.once_call_to(1, "slip"))->wait();
+    CHECK(again.status != 200);
+    CHECK(error_in(again).ran != "no");
+    CHECK(runs_under(run, "slip") == 1);
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("all connections to a service going silent doubles nothing",
+          "[calls]")
+{
+    // The requests are written, then something between the two ends loses
+    // track of the connections: no byte comes back, ever, while new ones work.
+    // The callers are told that the outcome is unknown by their deadlines.
+    scenario run;
+    run.world().control_service(order("hold_run", true));
+    std::vector<caller_book::under_way> tries;
+    for (std::size_t const vm : {0, 1, 2})
+    {
+        auto call = run.once_call_to(vm, fmt::format("silent-{}", vm));
+        call.deadline = std::chrono::milliseconds(4000);
+        tries.push_back(run.callers().send(call));
+    }
+    REQUIRE(eventually(
+        [&]
+        {
+            return run.world().status(0)["in_progress"].asUInt64() +
+                       run.world().status(1)["in_progress"].asUInt64() +
+                       run.world().status(2)["in_progress"].asUInt64() >=
+                   3;
+        }));
+    run.world().control_link(silent_services());
+    run.world().control_service(order("hold_run", false));
+    for (auto const& each : tries)
+        CHECK(error_in(each->wait()).ran == "unknown");
+    for (std::size_t const vm : {0, 1, 2})
+    {
+        // New connections work; the keys are not called again.
+        std::string const key = fmt::format("silent-{}", vm);
+        run.callers().send(run.once_call_to((vm + 1) % 3, key))->wait();
+        auto const other = run.once_call_to(vm, key + "-new");
+        CHECK(run.callers().send(other)->wait().status == 200);
+    }
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a VM killed after its call leaves the key called once", "[calls]")
+{
+    // The holder dies between call and answer. The caller loses its connection
+    // and retries through another VM, which finds the claim and cannot tell
+    // whether the call ran: it says so and does not call.
+    scenario run;
+    run.world().control_service(order("hang_after_run", 1));
+    auto const lost = run.callers().send(run.once_call_to(1, "slip"));
+    REQUIRE(eventually([&] { return runs_under(run, "slip") == 1; }));
+    run.kill_vm(1);
+    CHECK(lost->wait().failed);
+    CHECK(eventually(
+        [&]
+        {
+            auto const seen =
+                run.callers().send(run.once_call_to(0, "slip"))->wait();
+            return error_in(seen).kind == "outcome_unknown";
+        }));
+    CHECK(runs_under(run, "slip") == 1);
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a VM frozen in the middle of a call leaves the key called once",
+          "[calls]")
+{
+    // The holder stands still past its lease with its call at the service.
+    // Retries through others meanwhile, and its own answer after it goes on,
+    // add no second run.
+    scenario run;
+    run.world().control_service(order("hold_run", true));
+    auto const held = run.callers().send(run.once_call_to(1, "slip"));
+    REQUIRE(eventually(
+        [&] { return run.world().status(1)["in_progress"].asUInt64() > 0; }));
+    run.world().vm(1).process->freeze();
+    run.world().control_service(order("hold_run", false));
+    for (int tries = 0; tries < 5; ++tries)
+        run.callers().send(run.once_call_to(0, "slip"))->wait();
+    run.world().vm(1).process->thaw();
+    held->wait();
+    CHECK(runs_under(run, "slip") <= 1);
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a permit without a key is refused and does not run", "[calls]")
+{
+    scenario run;
+    auto const seen = run.callers().send(run.once_call_to(0, ""))->wait();
+    CHECK(seen.status == 400);
+    CHECK(error_in(seen).kind == "key_required");
+    CHECK(run.world().service_history().empty());
+    CHECK(to_string(run.finish()).empty());
+}
--- /dev/null
+++ b/tests/process_record.cpp
@@ -0,0 +1,339 @@
+#include "process_record.hpp"
+
+#include "history.hpp"
+#include "sse_parser.hpp"
+#include "token_text.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <optional>
+#include <sstream>
+
+namespace mulberry_test
+{
+namespace
+{
+
+using namespace mulberry;
+
+constexpr std::size_t most_event_bytes = 1 << 20;
+
+std::vector<sse_event> events_in(std::string const& body)
+{
+    return sse_parser(most_event_bytes).feed(body);
+}
+
+bool is_stream(answer_seen const& seen)
+{
+    return seen.headers.find("Content-Type")
+        .value_or("")
+        .starts_with("text/event-stream");
+}
+
+std::optional<sse_event> last_event(answer_seen const& seen)
+{
+    auto const events = events_in(seen.body);
+    if (events.empty())
+        return std::nullopt;
+    return events.back();
+}
+
+std::string text_of_choice(Json::Value const& choice)
+{
+    if (choice["text"].isString())
+        return choice["text"].asString();
+    for (char const* holder : {"delta", "message"})
+        if (choice[holder].isObject())
+            return choice[holder]["content"].asString();
+    return "";
+}
+
+/// The error object of an answer; null when there is none.
+Json::Value error_object(answer_seen const& seen)
+{
+    if (!is_stream(seen))
+        return seen.ended && seen.status != 200 ? parsed(seen.body)["error"]
+                                                : Json::Value();
+    auto const last = last_event(seen);
+    if (!last || last->event != "error")
+        return {};
+    return parsed(last->data)["error"];
+}
+
+std::string request_of(answer_seen const& seen, std::string const& otherwise)
+{
+    if (auto const id = seen.headers.find("X-Request-Id"))
+        return *id;
+    std::string const told = error_object(seen)["request_id"].asString();
+    return told.empty() ? otherwise : told;
+}
+
+/// A try of a request is named REQUEST.N.
+std::string without_try(std::string const& name)
+{
+    auto const dot = name.rfind('.');
+    bool const numbered =
+        dot != std::string::npos && dot + 1 < name.size() &&
+        name.find_first_not_of("0123456789", dot + 1) == std::string::npos;
+    return numbered ? name.substr(0, dot) : name;
+}
+
+std::optional<error> list_error(Json::Value const& object)
+{
+    if (!object.isObject())
+        return std::nullopt;
+    auto const kind = error_kind_named(object["kind"].asString());
+    std::string const told = object["ran"].asString();
+    for (ran const value : {ran::no, ran::yes, ran::unknown})
+        if (kind && to_string(value) == told)
+            return error(*kind, object["message"].asString(), value);
+    return std::nullopt;
+}
+
+/// Folds what was recorded into the history that the core's proof uses too.
+class folder
+{
+public:
+    explicit folder(process_record const& run) : run_(run) {}
+
+    std::vector<finding> findings()
+    {
+        for (std::size_t index = 0; index < run_.model_calls.size(); ++index)
+            fold(run_.model_calls[index], fmt::format("model-{}", index));
+        for (std::size_t index = 0; index < run_.service_calls.size(); ++index)
+            fold(run_.service_calls[index], fmt::format("call-{}", index));
+        for (Json::Value const& event : run_.engine_events)
+            fold_engine(event);
+        for (Json::Value const& event : run_.service_events)
+            fold_service(event);
+        check_kept_answers();
+        check_versions();
+        for (violation const& each : history_.check())
+            found_.push_back({name_of(each.kind), each.text});
+        return std::move(found_);
+    }
+
+private:
+    static std::string name_of(violation_kind kind)
+    {
+        switch (kind)
+        {
+        case violation_kind::wrong_adapter:
+            return "wrong_adapter";
+        case violation_kind::evicted_in_flight:
+            return "evicted_in_flight";
+        case violation_kind::foreign_answer:
+            return "foreign_answer";
+        case violation_kind::answer_not_whole:
+            return "answer_not_whole";
+        case violation_kind::final_answers:
+            return "final_answers";
+        case violation_kind::untrue_ran:
+            return "untrue_ran";
+        case violation_kind::ran_twice:
+            return "ran_twice";
+        case violation_kind::work_while_leaving:
+            return "work_while_leaving";
+        }
+        return "unknown";
+    }
+
+    /// Two callers with one request would share its answer.
+    request_id take_id(answer_seen const& seen, std::string const& otherwise)
+    {
+        request_id id(request_of(seen, otherwise));
+        if (!known_.insert(id).second)
+            found_.push_back(
+                {"foreign_answer", id.str() + " was answered to two callers"});
+        return id;
+    }
+
+    template <class Call>
+    void fold_end(recorded<Call> const& one, request_id const& id)
+    {
+        Json::Value const object = error_object(one.seen);
+        if (auto const told = list_error(object))
+            history_.answered_error(id, *told);
+        else if (!object.isNull() || (one.seen.ended && one.seen.status != 200))
+            found_.push_back({"no_listed_error",
+                              id.str() + " was answered " + one.seen.body});
+        else if (answered_whole(one.seen))
+            history_.answered_whole(id);
+        else if (one.end == caller_end::went_away ||
+                 run_.killed.contains(one.call.vm))
+            history_.withdrawn(id);
+        if (!one.sent_while_leaving || !answered_whole(one.seen))
+            return;
+        history_.leaving(one.call.vm);
+        history_.accepted(one.call.vm, id);
+    }
+
+    void fold(recorded<model_call> const& one, std::string const& number)
+    {
+        request_id const id = take_id(one.seen, number);
+        auto const adapter = parse_adapter_ref(one.call.adapter);
+        history_.invoked(id, adapter.value_or(adapter_ref()));
+        if (one.seen.status == 200)
+            fold_pieces(one, id);
+        fold_end(one, id);
+    }
+
+    void fold_pieces(recorded<model_call> const& one, request_id const& id)
+    {
+        if (!is_stream(one.seen))
+        {
+            fold_whole(one, id);
+            return;
+        }
+        for (sse_event const& event : events_in(one.seen.body))
+        {
+            Json::Value const data = parsed(event.data);
+            if (!event.event.empty() || !data.isObject())
+                continue;
+            fold_piece(one, id, data["model"].asString(),
+                       data["offset"].asUInt64(),
+                       text_of_choice(data["choices"][0]));
+        }
+    }
+
+    void fold_whole(recorded<model_call> const& one, request_id const& id)
+    {
+        Json::Value const body = parsed(one.seen.body);
+        std::istringstream words(text_of_choice(body["choices"][0]));
+        std::string word;
+        for (std::uint64_t offset = 0; words >> word; ++offset)
+            fold_piece(one, id, body["model"].asString(), offset, word + " ");
+    }
+
+    /// The engines' text depends on adapter, prompt and place alone, so that
+    /// a text that does not fit is another request's or another adapter's.
+    void fold_piece(recorded<model_call> const& one, request_id const& id,
+                    std::string const& model, std::uint64_t offset,
+                    std::string const& text)
+    {
+        std::string const expected =
+            standins::token_text(one.call.adapter, one.call.prompt)
+                .token(offset);
+        answer_piece piece;
+        piece.written_for = text == expected ? id : request_id("text " + text);
+        piece.name = engine_name(model + "#0");
+        piece.offset = offset;
+        piece.last = offset + 1 == one.call.tokens;
+        history_.answer_event(id, piece);
+        // The history leaves out the adapter of what is another's anyway.
+        if (model != one.call.adapter)
+            found_.push_back(
+                {"wrong_adapter", id.str() + " named " + one.call.adapter +
+                                      " and was answered by " + model});
+    }
+
+    void fold(recorded<service_call_made> const& one, std::string const& number)
+    {
+        request_id const id = take_id(one.seen, number);
+        history_.service_invoked(id, !one.call.key.empty());
+        fold_end(one, id);
+        if (one.seen.status == 200 && one.seen.ended && !one.call.key.empty())
+            kept_[one.call.key].insert(one.seen.body);
+    }
+
+    void fold_engine(Json::Value const& event)
+    {
+        std::string const kind = event["kind"].asString();
+        engine_name const name(event["name"].asString());
+        request_id const id(without_try(event["request"].asString()));
+        if (kind == "unloaded")
+            history_.unloaded(name, event["in_flight"].asUInt64());
+        else if (kind == "started" && known_.contains(id))
+            history_.started_at_backend(id, name);
+    }
+
+    void fold_service(Json::Value const& event)
+    {
+        request_id const id(without_try(event["request"].asString()));
+        std::string const key = event["key"].asString();
+        ran_keys_.insert(key);
+        if (!known_.contains(id))
+        {
+            // Its caller lost the answer, and the name with it.
+            history_.service_invoked(id, !key.empty());
+            history_.withdrawn(id);
+        }
+        history_.service_ran(key.empty() ? id.str() : key, id);
+    }
+
+    void check_kept_answers()
+    {
+        for (auto const& [key, bodies] : kept_)
+        {
+            if (bodies.size() > 1)
+                found_.push_back({"ran_twice", key + " has two answers"});
+            if (!ran_keys_.contains(key))
+                found_.push_back({"untrue_ran", key + " never ran"});
+        }
+    }
+
+    void check_versions()
+    {
+        for (auto const& [vm, versions] : run_.versions)
+            if (!std::is_sorted(versions.begin(), versions.end()))
+                found_.push_back(
+                    {"configuration_went_back", vm + " took an older one"});
+    }
+
+    process_record const& run_;
+    history history_;
+    std::vector<finding> found_;
+    std::set<request_id> known_;
+    std::map<std::string, std::set<std::string>> kept_;
+    std::set<std::string> ran_keys_;
+};
+
+} // namespace
+
+std::vector<finding> findings(process_record const& run)
+{
+    return folder(run).findings();
+}
+
+std::string to_string(std::vector<finding> const& found)
+{
+    std::string text;
+    for (finding const& each : found)
+        text += each.check + ": " + each.text + "\n";
+    return text;
+}
+
+told_error error_in(answer_seen const& seen)
+{
+    Json::Value const object = error_object(seen);
+    if (!object.isObject())
+        return {};
+    return {object["kind"].asString(), object["ran"].asString()};
+}
+
+bool answered_whole(answer_seen const& seen)
+{
+    if (seen.status != 200 || !seen.ended)
+        return false;
+    if (!is_stream(seen))
+        return true;
+    auto const last = last_event(seen);
+    return last && last->data == "[DONE]";
+}
+
+std::string text_in(answer_seen const& seen)
+{
+    if (!is_stream(seen))
+        return text_of_choice(parsed(seen.body)["choices"][0]);
+    std::string text;
+    for (sse_event const& event : events_in(seen.body))
+    {
+        Json::Value const data = parsed(event.data);
+        if (data.isObject())
+            text += text_of_choice(data["choices"][0]);
+    }
+    return text;
+}
+
+} // namespace mulberry_test
--- /dev/null
+++ b/tests/process_table_test.cpp
@@ -0,0 +1,166 @@
+// What must always hold while the platform's table service is down, slow or
+// loses its answers: real processes under traffic.
+#include "process_traffic.hpp"
+#include "process_wait.hpp"
+
+#include <catch2/catch.hpp>
+#include <fmt/format.h>
+
+#include <chrono>
+
+using namespace mulberry_test;
+
+namespace
+{
+
+constexpr std::size_t some_answers = 60;
+constexpr int lease_ms = 1500;
+
+Json::Value table_down(bool down)
+{
+    Json::Value body = order("down", down);
+    body["door"] = "table";
+    return body;
+}
+
+bool goes_on_without_table(scenario& run, std::size_t vm)
+{
+    return run.world().status(vm)["going_on_without_table"].asBool();
+}
+
+/// Awaits that so many heartbeats' worth of time has passed in the outage.
+void pass(std::chrono::milliseconds span)
+{
+    auto const until = std::chrono::steady_clock::now() + span;
+    eventually([&] { return std::chrono::steady_clock::now() >= until; });
+}
+
+} // namespace
+
+TEST_CASE("loaded adapters are served through an outage of several leases",
+          "[table]")
+{
+    // Every VM loses the table. They promise each other not to help a confirm
+    // and go on with what is loaded; nothing is evicted; a call that may not
+    // be repeated is refused with `ran: no`, since no claim can be written.
+    scenario run;
+    run.start_traffic();
+    REQUIRE(run.more_answers(some_answers));
+    run.world().control_platform(table_down(true));
+    for (std::size_t const vm : {0, 1, 2})
+        CHECK(eventually([&] { return goes_on_without_table(run, vm); }));
+    pass(std::chrono::milliseconds(3 * lease_ms));
+    CHECK(run.more_answers(some_answers));
+    auto const once = run.callers().send(run.once_call_to(0, "in-the-outage"));
+    told_error const refused = error_in(once->wait());
+    CHECK(refused.kind == "platform_unavailable");
+    CHECK(refused.ran == "no");
+    run.world().control_platform(table_down(false));
+    CHECK(run.more_once_calls(5));
+    CHECK(run.more_answers(some_answers));
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a VM that alone has lost the table stops taking work", "[table]")
+{
+    // Its peers keep the table and give it no promise, so it cannot know
+    // whether its configuration still holds: it says so to new callers at the
+    // bound. The others take its workers over. When its link is back it serves
+    // again.
+    scenario run;
+    run.start_traffic();
+    REQUIRE(run.more_answers(some_answers));
+    Json::Value cut = order("link", "platform-2");
+    cut["block"] = true;
+    run.world().control_link(cut);
+    CHECK(eventually([&] { return !run.world().ready(1); }));
+    auto const seen =
+        run.callers().send(run.call_to(1, run.world().adapters().front()));
+    CHECK(error_in(seen->wait()).ran == "no");
+    run.aim_at({0, 2});
+    CHECK(eventually(
+        [&]
+        {
+            return run.world().status(0)["workers"].size() +
+                       run.world().status(2)["workers"].size() ==
+                   4;
+        }));
+    CHECK(run.more_answers(some_answers));
+    cut["block"] = false;
+    run.world().control_link(cut);
+    CHECK(eventually([&] { return run.world().ready(1); }));
+    run.aim_at({0, 1, 2});
+    CHECK(run.more_answers(some_answers));
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a VM killed in an outage of the table does no harm", "[table]")
+{
+    // Two failures together: its workers cannot be taken over before the table
+    // is back, requests for them fail with a true `ran`, all others go on.
+    scenario run;
+    run.start_traffic();
+    REQUIRE(run.more_answers(some_answers));
+    run.world().control_platform(table_down(true));
+    CHECK(eventually([&] { return goes_on_without_table(run, 0); }));
+    run.kill_vm(1);
+    run.aim_at({0, 2});
+    CHECK(run.more_answers(some_answers));
+    run.world().control_platform(table_down(false));
+    CHECK(eventually(
+        [&]
+        {
+            return run.world().status(0)["workers"].size() +
+                       run.world().status(2)["workers"].size() ==
+                   4;
+        }));
+    CHECK(run.more_answers(some_answers));
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a VM that starts in an outage of the table is not ready", "[table]")
+{
+    // It cannot know what was confirmed: it says that it is not ready and
+    // refuses work, and serves once the table is back.
+    scenario run;
+    run.kill_vm(2);
+    run.world().control_platform(table_down(true));
+    run.world().start_vm(2);
+    CHECK_FALSE(run.world().ready(2));
+    auto const seen =
+        run.callers().send(run.call_to(2, run.world().adapters().front()));
+    CHECK(error_in(seen->wait()).ran == "no");
+    run.world().control_platform(table_down(false));
+    CHECK(eventually([&] { return run.world().ready(2); }));
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("a slow table delays orders and breaks nothing", "[table]")
+{
+    // Every call of the table takes a third of a lease.
+    scenario run;
+    run.start_traffic();
+    REQUIRE(run.more_answers(some_answers));
+    run.world().control_platform(order("slow_ms", lease_ms / 3));
+    CHECK(run.more_answers(some_answers));
+    CHECK(run.more_once_calls(2));
+    run.world().control_platform(order("slow_ms", 0));
+    CHECK(run.more_once_calls(2));
+    CHECK(to_string(run.finish()).empty());
+}
+
+TEST_CASE("answers lost after the write took effect do no harm", "[table]")
+{
+    // Claims, takeovers and intents are written and their answers lost; the
+    // writers read back what became of them under their own token.
+    scenario run;
+    run.start_traffic();
+    REQUIRE(run.more_answers(some_answers));
+    for (int round = 0; round < 5; ++round)
+    {
+        run.world().control_platform(order("lose_answers", 6));
+        CHECK(run.more_once_calls(3));
+    }
+    CHECK(run.more_answers(some_answers));
+    CHECK(to_string(run.finish()).empty());
+}
--- /dev/null
+++ b/tests/process_traffic.cpp
@@ -0,0 +1,277 @@
+#include "process_traffic.hpp"
+
+#include "process_wait.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace mulberry_test
+{
+namespace
+{
+
+constexpr unsigned model_threads = 6;
+constexpr std::size_t most_tries = 6;
+constexpr std::chrono::milliseconds pause_after_error{50};
+constexpr std::chrono::milliseconds watch_interval{50};
+
+/// Few adapters are popular, most are hardly asked for.
+std::size_t skewed(std::mt19937& random, std::size_t count)
+{
+    std::uniform_real_distribution<double> even(0.0, 1.0);
+    double const place = even(random);
+    return std::min(count - 1, static_cast<std::size_t>(
+                                   place * place * static_cast<double>(count)));
+}
+
+} // namespace
+
+template <class Call>
+caller_book::under_way caller_book::send(Call const& call,
+                                         std::deque<kept<Call>>& list)
+{
+    auto request = std::make_shared<request_under_way>();
+    std::lock_guard const lock(mutex_);
+    recorded<Call> what{
+        call, {}, caller_end::waited, leaving_.contains(call.vm)};
+    list.push_back({what, request, client_.start(to_http(call), request)});
+    return request;
+}
+
+caller_book::under_way caller_book::send(model_call const& call)
+{
+    return send(call, model_calls_);
+}
+
+caller_book::under_way caller_book::send(service_call_made const& call)
+{
+    return send(call, service_calls_);
+}
+
+template <class Call>
+bool caller_book::close(std::deque<kept<Call>>& list, under_way const& request)
+{
+    auto const found = std::find_if(list.begin(), list.end(),
+                                    [&](kept<Call> const& each)
+                                    { return each.request == request; });
+    if (found == list.end())
+        return false;
+    found->what.end = caller_end::went_away;
+    client_.cancel(found->handle);
+    request->on_failure(mulberry::call_stage::sent, "the caller went away");
+    return true;
+}
+
+void caller_book::go_away(under_way const& request)
+{
+    std::lock_guard const lock(mutex_);
+    if (!close(model_calls_, request))
+        close(service_calls_, request);
+}
+
+void caller_book::note_leaving(std::string const& vm)
+{
+    std::lock_guard const lock(mutex_);
+    leaving_.insert(vm);
+}
+
+template <class Call>
+void caller_book::write(std::deque<kept<Call>>& list,
+                        std::vector<recorded<Call>>& out)
+{
+    for (kept<Call>& each : list)
+    {
+        each.what.seen = each.request->wait();
+        if (!each.what.seen.not_sent)
+            out.push_back(each.what);
+    }
+}
+
+void caller_book::write_to(process_record& record)
+{
+    write(model_calls_, record.model_calls);
+    write(service_calls_, record.service_calls);
+}
+
+scenario::scenario(deployment_options const& options) : world_(options)
+{
+    std::vector<std::size_t> all;
+    for (std::size_t index = 0; index < options.vms; ++index)
+        all.push_back(index);
+    aim_at(all);
+}
+
+scenario::~scenario()
+{
+    stop_traffic();
+}
+
+void scenario::aim_at(std::vector<std::size_t> const& vms)
+{
+    std::lock_guard const lock(mutex_);
+    targets_.clear();
+    for (std::size_t const index : vms)
+        targets_.push_back({world_.vm(index).name, world_.vm(index).callers});
+}
+
+std::vector<scenario::target> scenario::targets()
+{
+    std::lock_guard const lock(mutex_);
+    return targets_;
+}
+
+scenario::target scenario::pick(std::mt19937& random)
+{
+    auto const all = targets();
+    return all[random() % all.size()];
+}
+
+void scenario::start_traffic()
+{
+    for (unsigned seed = 1; seed <= model_threads; ++seed)
+        threads_.emplace_back([this, seed] { send_model_calls(seed); });
+    threads_.emplace_back([this] { send_once_calls(); });
+    threads_.emplace_back([this] { watch_versions(); });
+}
+
+void scenario::send_model_calls(unsigned seed)
+{
+    std::mt19937 random(seed);
+    auto const& adapters = world_.adapters();
+    for (std::size_t number = 1; !stop_; ++number)
+    {
+        target const to = pick(random);
+        model_call call;
+        call.vm = to.name;
+        call.address = to.callers;
+        call.adapter = adapters[skewed(random, adapters.size())];
+        call.prompt = fmt::format("note {} of caller {}", number, seed);
+        call.tokens = 4 + random() % 30;
+        call.streamed = random() % 2 == 0;
+        call.chat = random() % 4 == 0;
+        if (answered_whole(book_.send(call)->wait()))
+            ++answers_;
+        else
+            std::this_thread::sleep_for(pause_after_error);
+    }
+}
+
+void scenario::send_once_calls()
+{
+    std::mt19937 random(model_threads + 1);
+    for (std::size_t number = 1; !stop_; ++number)
+    {
+        service_call_made call;
+        call.key = fmt::format("permit-{}", number);
+        // A retry goes through whatever VM the balancer picks.
+        for (std::size_t tries = 0; tries < most_tries && !stop_; ++tries)
+        {
+            target const to = pick(random);
+            call.vm = to.name;
+            call.address = to.callers;
+            auto const seen = book_.send(call)->wait();
+            if (seen.status == 200 && seen.ended)
+            {
+                ++once_answers_;
+                break;
+            }
+            std::this_thread::sleep_for(pause_after_error);
+        }
+    }
+}
+
+void scenario::watch_versions()
+{
+    auto const all = targets();
+    mulberry::http_client client;
+    while (!stop_)
+    {
+        for (target const& one : all)
+        {
+            mulberry::http_call call;
+            call.url = "http://" + one.callers + "/metrics";
+            call.deadline =
+                std::chrono::steady_clock::now() + std::chrono::seconds(1);
+            auto const page = client.call_and_wait(std::move(call));
+            constexpr std::string_view name =
+                "\nmulberry_configuration_version ";
+            auto const place = page.body.find(name);
+            if (page.status == 200 && place != std::string::npos)
+                record_.versions[one.name + " " + one.callers].push_back(
+                    std::stoull(page.body.substr(place + name.size())));
+        }
+        std::this_thread::sleep_for(watch_interval);
+    }
+}
+
+bool scenario::more_answers(std::size_t count)
+{
+    std::size_t const wanted = answers_ + count;
+    return eventually([&] { return answers_ >= wanted; });
+}
+
+bool scenario::more_once_calls(std::size_t count)
+{
+    std::size_t const wanted = once_answers_ + count;
+    return eventually([&] { return once_answers_ >= wanted; });
+}
+
+void scenario::stop_traffic()
+{
+    stop_ = true;
+    for (std::thread& each : threads_)
+        each.join();
+    threads_.clear();
+}
+
+model_call scenario::call_to(std::size_t vm, std::string const& adapter)
+{
+    model_call call;
+    call.vm = world_.vm(vm).name;
+    call.address = world_.vm(vm).callers;
+    call.adapter = adapter;
+    call.prompt = "asked for alone";
+    return call;
+}
+
+service_call_made scenario::once_call_to(std::size_t vm, std::string const& key)
+{
+    service_call_made call;
+    call.vm = world_.vm(vm).name;
+    call.address = world_.vm(vm).callers;
+    call.key = key;
+    return call;
+}
+
+void scenario::kill_vm(std::size_t vm)
+{
+    record_.killed.insert(world_.vm(vm).name);
+    world_.kill_vm(vm);
+}
+
+bool scenario::await_refusal_of_new_work(std::size_t vm)
+{
+    bool const refused = eventually(
+        [&]
+        {
+            auto const seen =
+                book_.send(call_to(vm, world_.adapters().front()))->wait();
+            return seen.not_sent || error_in(seen).kind == "draining";
+        });
+    book_.note_leaving(world_.vm(vm).name);
+    return refused;
+}
+
+std::vector<finding> scenario::finish()
+{
+    stop_traffic();
+    book_.write_to(record_);
+    record_.engine_events = world_.engine_history();
+    record_.service_events = world_.service_history();
+    return findings(record_);
+}
+
+} // namespace mulberry_test
--- /dev/null
+++ b/tests/process_traffic.hpp
@@ -0,0 +1,114 @@
+/// Callers that keep a deployment busy, and the record of what they saw.
+#ifndef MULBERRY_PROCESS_TRAFFIC_HPP
+#define MULBERRY_PROCESS_TRAFFIC_HPP
+
+#include "process_caller.hpp"
+#include "process_deployment.hpp"
+#include "process_record.hpp"
+
+#include <atomic>
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace mulberry_test
+{
+
+/// Sends requests and keeps them. Thread safe.
+class caller_book
+{
+public:
+    using under_way = std::shared_ptr<request_under_way>;
+
+    under_way send(model_call const& call);
+    under_way send(service_call_made const& call);
+    /// The caller closes its connection.
+    void go_away(under_way const& request);
+    /// What is sent to the VM from now on must not be taken.
+    void note_leaving(std::string const& vm);
+    /// Waits until every request is over.
+    void write_to(process_record& record);
+
+private:
+    template <class Call>
+    struct kept
+    {
+        recorded<Call> what;
+        under_way request;
+        mulberry::call_handle handle;
+    };
+    template <class Call>
+    under_way send(Call const& call, std::deque<kept<Call>>& list);
+    template <class Call>
+    static void write(std::deque<kept<Call>>& list,
+                      std::vector<recorded<Call>>& out);
+    template <class Call>
+    bool close(std::deque<kept<Call>>& list, under_way const& request);
+
+    mulberry::http_client client_;
+    std::mutex mutex_;
+    std::set<std::string> leaving_;
+    std::deque<kept<model_call>> model_calls_;
+    std::deque<kept<service_call_made>> service_calls_;
+};
+
+/// One run: a deployment, callers that keep it busy, and the checker at the
+/// end. The test's own thread uses it.
+class scenario
+{
+public:
+    explicit scenario(deployment_options const& options = {});
+    ~scenario();
+
+    deployment& world() { return world_; }
+    caller_book& callers() { return book_; }
+
+    void start_traffic();
+    /// Where traffic goes from now on; all VMs at first.
+    void aim_at(std::vector<std::size_t> const& vms);
+    /// Waits until so many more answers came whole; whether they did.
+    bool more_answers(std::size_t count);
+    /// The same of calls that may not be repeated.
+    bool more_once_calls(std::size_t count);
+    void stop_traffic();
+
+    model_call call_to(std::size_t vm, std::string const& adapter);
+    service_call_made once_call_to(std::size_t vm, std::string const& key);
+    void kill_vm(std::size_t vm);
+    /// Notes that the VM takes nothing new once it has said so.
+    bool await_refusal_of_new_work(std::size_t vm);
+    /// Stops the traffic, gathers all histories and checks them.
+    std::vector<finding> finish();
+
+private:
+    struct target
+    {
+        std::string name;
+        std::string callers;
+    };
+    void send_model_calls(unsigned seed);
+    void send_once_calls();
+    void watch_versions();
+    target pick(std::mt19937& random);
+    std::vector<target> targets();
+
+    deployment world_;
+    caller_book book_;
+    process_record record_;
+    std::mutex mutex_;
+    std::vector<target> targets_;
+    std::atomic<bool> stop_ = false;
+    std::atomic<std::size_t> answers_ = 0;
+    std::atomic<std::size_t> once_answers_ = 0;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace mulberry_test
+
+#endif
