Tell the truth after a lost try; sign off once for all that is left

Cause: found by the whole-core proof (generated schedules over three cores). A try that was lost after it was sent, followed by one that certainly did not run, was told "ran: no". An adapter that was to make room for a request stayed reserved after that request had gone, and was sent nothing: requests for it waited out their deadlines. A worker lost, regained and lost again was signed off while its other dispatcher still had requests. The stall share went above 1, since requests that callers left were not counted.

Ruled out for the first: an entry VM that never tries again after a lost try (an answer changes nothing at an engine, and the caller would have to).

Change: the entry remembers that a try may have run; the reservation ends with who it was for; one signature for all dispatchers of a worker; withdrawn requests are counted.

--- a/bench/layer_bench.cpp
+++ b/bench/layer_bench.cpp
@@ -8,6 +8,7 @@
 
 #include <fmt/format.h>
 
+#include <chrono>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -143,9 +144,14 @@
     std::vector<process_usage> before;
     for (int const process : processes)
         before.push_back(usage_of(process));
+    auto const began = std::chrono::steady_clock::now();
     auto const results = run_traffic(plan);
+    // Answers and later tries still come after the last arrival, so rates are
+    // taken over all of the time that it took.
+    auto const took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - began);
     write_usage(processes, before, results, plan.tokens);
-    write_summary(std::cout, results, plan.length);
+    write_summary(std::cout, results, took);
     if (values.count("log") != 0)
     {
         std::ofstream file(values["log"].as<std::string>());
--- a/bench/policy_trial.cpp
+++ b/bench/policy_trial.cpp
@@ -147,7 +147,8 @@
 {
     plot_panel panel;
     panel.title = trace + ": load stalls against batch efficiency";
-    panel.x_label = "stall seconds a request (mean)";
+    panel.x_label = "stall seconds a request (mean, logarithmic)";
+    panel.log_x = true;
     panel.y_label = "batch efficiency";
     for (trial_result const& one : results)
         panel.series.push_back(
--- a/bench/probe.cpp
+++ b/bench/probe.cpp
@@ -73,9 +73,10 @@
     clock::time_point const now = clock::now();
     if (result_.first_event.count() == 0)
         result_.first_event = duration_cast<microseconds>(now - sent_);
-    result_.longest_silence =
-        std::max(result_.longest_silence,
-                 duration_cast<microseconds>(now - last_bytes_));
+    else
+        result_.longest_silence =
+            std::max(result_.longest_silence,
+                     duration_cast<microseconds>(now - last_bytes_));
     last_bytes_ = now;
 }
 
--- a/bench/probe.hpp
+++ b/bench/probe.hpp
@@ -61,6 +61,7 @@
     std::chrono::system_clock::time_point sent_at;
     std::chrono::microseconds first_event{0};
     std::chrono::microseconds whole{0};
+    /// After the first event.
     std::chrono::microseconds longest_silence{0};
     probe_verdict verdict = probe_verdict::lost;
     int status = 0;
--- a/bench/svg_plot.hpp
+++ b/bench/svg_plot.hpp
@@ -17,15 +17,15 @@
     bool joined = false;
 };
 
-/// Axes from 0 to the largest value.
+/// Axes from 0 to the largest value, unless said otherwise.
 struct plot_panel
 {
     std::string title;
     std::string x_label;
     std::string y_label;
     std::vector<plot_series> series;
-    /// Starts the y axis here instead of at 0.
-    double least_y = 0;
+    /// Logarithmic x axis over the values given, which are above 0.
+    bool log_x = false;
 };
 
 /// The panels beneath one another. Series keep one colour by label.
--- a/bench/trial_run.cpp
+++ b/bench/trial_run.cpp
@@ -311,6 +311,7 @@
             }
             bucket_stalls[bucket].push_back(record.stalled ? 1 : 0);
             stalls.push_back(seconds(record.stall).count());
+            result_.stall_share += record.stalled ? 1 : 0;
             if (!record.answered)
             {
                 ++result_.failed;
@@ -321,7 +322,6 @@
             bucket_answers[bucket].push_back(answers.back());
             duration const alone = service_time(asked.tokens, false);
             waits.push_back(std::max(0.0, seconds(whole - alone).count()));
-            result_.stall_share += record.stalled ? 1 : 0;
         }
         for (double const stall : stalls)
             result_.stall_seconds += stall;
@@ -343,7 +343,8 @@
             for (double const one : bucket_stalls[i])
                 sum += one;
             result_.stall_share_by_bucket.push_back(
-                sum / std::max<std::size_t>(bucket_stalls[i].size(), 1));
+                sum / static_cast<double>(
+                          std::max<std::size_t>(bucket_stalls[i].size(), 1)));
         }
     }
 
--- a/src/adapter_loader.cpp
+++ b/src/adapter_loader.cpp
@@ -165,7 +165,13 @@
         std::vector<waiting_request> const eligible =
             situation.queue.select(wanted);
         if (eligible.empty())
+        {
+            // Whoever an adapter was to make room for has gone or found room
+            // elsewhere. Left yielding, the adapter would stay loaded and be
+            // sent nothing, and requests for it would wait out their deadlines.
+            yielding_.reset();
             return;
+        }
         auto const next =
             policy_->next(with_residents(situation), eligible, now);
         if (!next)
@@ -210,7 +216,7 @@
                       { return contains(ahead, slots_.find(name)->adapter); });
         auto const victim = choose_victim(adapter, situation, names);
         if (victim && budget_->next_permit(now) <= now)
-            evict(*victim, now, actions);
+            evict(*victim, std::nullopt, now, actions);
         return;
     }
 }
@@ -223,7 +229,7 @@
     order_id const id = ids_->next_order();
     engine_name const name = slots_.begin_load(adapter, id, now);
     time_point const deadline = now + limits_.order_timeout;
-    orders_.emplace(id, order{name, deadline});
+    orders_.emplace(id, order{name, deadline, {}});
     ++meter_->totals.loads;
     actions.push_back(
         load_adapter{id, worker_, adapter, name, fence_, deadline});
@@ -235,6 +241,8 @@
 adapter_loader::evictable(load_situation const& situation) const
 {
     std::vector<engine_name> names;
+    if (!may_evict_)
+        return names;
     for (auto const& [name, item] : slots_.all())
     {
         std::size_t const queued = queued_under(name, item, situation.queue);
@@ -277,7 +285,8 @@
                                action_list& actions)
 {
     time_point const now = situation.now;
-    if (now < evict_not_before_ || budget_->next_permit(now) > now)
+    if (!may_evict_ || now < evict_not_before_ ||
+        budget_->next_permit(now) > now)
         return;
     std::vector<engine_name> const names = evictable(situation);
     if (names.empty())
@@ -289,8 +298,10 @@
                                                 *yielding_) != names.end();
     auto const victim =
         yielded ? yielding_ : choose_victim(incoming, situation, names);
-    if (victim)
-        evict(*victim, now, actions);
+    if (!victim)
+        return;
+    auto const busy_for = yielded ? std::optional(incoming) : std::nullopt;
+    evict(*victim, busy_for, now, actions);
 }
 
 void adapter_loader::choose_yielding(adapter_ref const& incoming,
@@ -311,7 +322,8 @@
     yielding_ = choose_victim(incoming, situation, names);
 }
 
-void adapter_loader::evict(engine_name const& name, time_point now,
+void adapter_loader::evict(engine_name const& name,
+                           std::optional<adapter_ref> busy_for, time_point now,
                            action_list& actions)
 {
     if (yielding_ == name)
@@ -322,7 +334,8 @@
     // the order can only meet a name that nobody uses.
     order_id const id = ids_->next_order();
     slots_.enter(name, slot_state::recording, id, now);
-    orders_.emplace(id, order{name, never});
+    orders_.emplace(
+        id, order{name, now + limits_.intent_timeout, std::move(busy_for)});
     actions.push_back(record_intent{id, worker_, name});
     note(actions, "adapter-evicting", name);
 }
@@ -334,24 +347,58 @@
     auto const found = orders_.find(order);
     if (found == orders_.end())
         return;
-    engine_name const name = found->second.name;
+    auto const eviction = found->second;
     orders_.erase(found);
-    loaded_adapter const& item = *slots_.find(name);
     if (!recorded)
     {
         evict_not_before_ = now + limits_.load_backoff;
-        slots_.restore(name, now);
-        return;
+        slots_.restore(eviction.name, now);
     }
-    bool const wanted_again =
-        slots_.routable(name) && queue.waiting_for(item.adapter) > 0;
-    if (stopped_ || wanted_again)
+    else if (stopped_ || wanted_again(eviction, queue))
+        keep(eviction.name, now, actions);
+    else
+        send_unload(eviction.name, now, actions);
+}
+
+bool adapter_loader::wanted_again(order const& eviction,
+                                  request_queue const& queue) const
+{
+    loaded_adapter const& item = *slots_.find(eviction.name);
+    if (!slots_.routable(eviction.name) || queue.waiting_for(item.adapter) == 0)
+        return false;
+    // A busy adapter is always wanted again. Kept for that, it would never make
+    // room for the one that has waited for its slot.
+    return !eviction.makes_room_for ||
+           queue.waiting_for(*eviction.makes_room_for) == 0;
+}
+
+void adapter_loader::keep(engine_name const& name, time_point now,
+                          action_list& actions)
+{
+    slots_.restore(name, now);
+    actions.push_back(forget_intent{worker_, name});
+}
+
+void adapter_loader::give_up_late_intents(time_point now, action_list& actions)
+{
+    // Failure: the table is lost with an intent on its way. Symptom: for the
+    // whole outage the adapter is loaded and its requests wait out their
+    // deadlines. The intent is given up and the adapter used again. Its write
+    // may land later all the same: then the row keeps a successor from the
+    // name until the write that forgets it, and no unload follows, since an
+    // order is sent only for an intent that is still known here.
+    std::vector<order_id> late;
+    for (auto const& [id, each] : orders_)
+        if (each.deadline <= now &&
+            slots_.find(each.name)->state == slot_state::recording)
+            late.push_back(id);
+    for (order_id const id : late)
     {
-        slots_.restore(name, now);
-        actions.push_back(forget_intent{worker_, name});
-        return;
+        engine_name const name = orders_.extract(id).mapped().name;
+        evict_not_before_ = now + limits_.load_backoff;
+        keep(name, now, actions);
+        note(actions, "eviction-given-up", name);
     }
-    send_unload(name, now, actions);
 }
 
 void adapter_loader::send_unload(engine_name const& name, time_point now,
@@ -360,7 +407,7 @@
     order_id const id = ids_->next_order();
     time_point const deadline = now + limits_.order_timeout;
     slots_.enter(name, slot_state::unloading, id, now);
-    orders_.emplace(id, order{name, deadline});
+    orders_.emplace(id, order{name, deadline, {}});
     actions.push_back(unload_adapter{id, worker_, name, fence_, deadline});
 }
 
@@ -453,10 +500,12 @@
 
 loader_news adapter_loader::tick(time_point now, action_list& actions)
 {
+    give_up_late_intents(now, actions);
     loader_news all;
     std::vector<order_id> unanswered;
     for (auto const& [id, each] : orders_)
-        if (each.deadline != never && each.deadline + limits_.settle_time < now)
+        if (slots_.find(each.name)->state != slot_state::recording &&
+            each.deadline + limits_.settle_time < now)
             unanswered.push_back(id);
     for (order_id const id : unanswered)
     {
--- a/src/adapter_loader.hpp
+++ b/src/adapter_loader.hpp
@@ -75,10 +75,12 @@
                    time_point now, action_list& actions);
     void on_report(engine_report const& report, time_point now,
                    action_list& actions);
-    /// Orders that were never answered.
+    /// Orders and intents that were never answered.
     loader_news tick(time_point now, action_list& actions);
     /// Starts what loads and unloads are due.
     void plan(load_situation const& situation, action_list& actions);
+    /// Whether evictions may begin; at first they may.
+    void set_may_evict(bool may) { may_evict_ = may; }
     /// No order is given from now on.
     void stop() { stopped_ = true; }
 
@@ -87,6 +89,8 @@
     {
         engine_name name;
         time_point deadline;
+        /// Of an eviction of a busy adapter: who it makes room for.
+        std::optional<adapter_ref> makes_room_for;
     };
 
     bool needs_load(adapter_ref const& adapter, time_point now) const;
@@ -101,7 +105,11 @@
     choose_victim(adapter_ref const& incoming, load_situation const& situation,
                   std::vector<engine_name> const& names) const;
     std::vector<engine_name> evictable(load_situation const& situation) const;
-    void evict(engine_name const& name, time_point now, action_list& actions);
+    void evict(engine_name const& name, std::optional<adapter_ref> busy_for,
+               time_point now, action_list& actions);
+    bool wanted_again(order const& eviction, request_queue const& queue) const;
+    void keep(engine_name const& name, time_point now, action_list& actions);
+    void give_up_late_intents(time_point now, action_list& actions);
     void send_unload(engine_name const& name, time_point now,
                      action_list& actions);
     void make_room(adapter_ref const& incoming, load_situation const& situation,
@@ -133,6 +141,7 @@
     /// A busy adapter that is sent no more requests, to make room for one that
     /// waited too long.
     std::optional<engine_name> yielding_;
+    bool may_evict_ = true;
     bool stopped_ = false;
 };
 
--- a/src/adapter_slots.cpp
+++ b/src/adapter_slots.cpp
@@ -80,6 +80,10 @@
     slot_state const state =
         routable(name) ? slot_state::ready : slot_state::unusable;
     enter(name, state, {}, now);
+    // An intent that stands in the row still is recorded at once. Were the
+    // reasons to evict and to keep the adapter both to last, one call would
+    // record and give up the same intent for ever.
+    adapters_.at(name).kept_until = now + limits_.load_backoff;
 }
 
 bool adapter_slots::routable(engine_name const& name) const
@@ -161,9 +165,9 @@
     bool const ours_to_evict =
         item->state == slot_state::ready ||
         (item->state == slot_state::unusable && open_intents_.contains(name));
-    if (!ours_to_evict)
+    if (!ours_to_evict || now < item->kept_until)
         return false;
-    return checks_->may_evict({requests(name) + queued, pinned(name, now)});
+    return checks_->may_evict({requests(name), queued, pinned(name, now)});
 }
 
 slot_changes adapter_slots::on_report(engine_report const& report,
--- a/src/adapter_slots.hpp
+++ b/src/adapter_slots.hpp
@@ -48,6 +48,8 @@
     /// of it.
     time_point since{};
     time_point last_used{};
+    /// Not evicted again before then: an eviction of it was given up.
+    time_point kept_until = time_point::min();
     /// Reports show it gone, only the name is still barred.
     bool slot_free = false;
 };
@@ -90,7 +92,8 @@
     /// Precondition for the following: the name is in all().
     void enter(engine_name const& name, slot_state state, order_id order,
                time_point now);
-    /// It stays loaded after all: ready, or unusable if it was so before.
+    /// It stays loaded after all: ready, or unusable if it was so before. It is
+    /// not evicted for a while.
     void restore(engine_name const& name, time_point now);
     /// The name is certainly not loaded at `now`.
     void remove(engine_name const& name, time_point now);
--- a/src/answer_counter.hpp
+++ b/src/answer_counter.hpp
@@ -9,7 +9,7 @@
 namespace mulberry
 {
 
-/// Told once of each request that ends with an answer. Thread safety: none;
+/// Told once of each request that ends. Thread safety: none;
 /// called by the decision core.
 class answer_counter
 {
@@ -19,6 +19,9 @@
     virtual void count_whole(model_request const& request, duration took) = 0;
     virtual void count_failed(model_request const& request,
                               error_kind kind) = 0;
+    /// The caller went away, that long after the request arrived.
+    virtual void count_withdrawn(model_request const& request,
+                                 duration waited) = 0;
 };
 
 } // namespace mulberry
--- a/src/core.cmake
+++ b/src/core.cmake
@@ -7,6 +7,14 @@
   SOURCES core_world.cpp core_network.cpp core_traffic.cpp core_engine.cpp
           core_promises.cpp fake_table.cpp history.cpp core_proof_test.cpp
   LINK mulberry_core)
-# A fixed seed: the properties reach the same verdict in each run.
+# Fixed seeds: the properties reach the same verdict in each run. More of the
+# schedules run beside the rest of the program.
 set_tests_properties(core_test PROPERTIES
-  ENVIRONMENT "RC_PARAMS=seed=1 max_success=1000")
+  ENVIRONMENT "RC_PARAMS=seed=1 max_success=600")
+if(BUILD_TESTING)
+  foreach(seed IN ITEMS 2 3 4 5)
+    add_test(NAME core_proof_seed_${seed} COMMAND core_test [proof])
+    set_tests_properties(core_proof_seed_${seed} PROPERTIES
+      ENVIRONMENT "RC_PARAMS=seed=${seed} max_success=600")
+  endforeach()
+endif()
--- a/src/ctl_text.cpp
+++ b/src/ctl_text.cpp
@@ -123,6 +123,13 @@
                              : "-";
 }
 
+/// Requests or, of batch_efficiency, seconds of batch slots.
+std::string amount(Json::Value const& target, char const* name)
+{
+    bool const is_time = field(target, "measure") == "batch_efficiency";
+    return field(target, name) + (is_time ? " s" : "");
+}
+
 /// "answered_within 20000 ms, at least 95.00%".
 std::string aim_text(Json::Value const& target)
 {
@@ -152,8 +159,9 @@
                            "left", "forecast", "at risk"}};
     for (Json::Value const& target : member(targets, "targets"))
         rows.push_back({field(target, "application"), aim_text(target),
-                        field(target, "counted"), percentage(target, "reached"),
-                        field(target, "left"), percentage(target, "forecast"),
+                        amount(target, "counted"),
+                        percentage(target, "reached"), amount(target, "left"),
+                        percentage(target, "forecast"),
                         field(target, "at_risk") == "true" ? "AT RISK" : "no"});
     if (rows.size() == 1)
         return fmt::format("Quarter {}: no targets are declared\n",
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -72,6 +72,7 @@
     core.dispatch.progress_timeout = value.progress_timeout;
     core.hint_interval = value.hint_interval;
     core.policy = value.policy;
+    core.load_budget = value.load_budget;
     core.seed = value.seed;
     return core;
 }
--- a/src/dispatch_core.cpp
+++ b/src/dispatch_core.cpp
@@ -204,9 +204,15 @@
 {
     account(now);
     if (auto item = queue_.take(id))
+    {
+        ++meter_.totals.withdrawn;
         left_queue(*item, now);
+    }
     else if (auto over = streams_.cancel(id, actions))
+    {
+        ++meter_.totals.withdrawn;
         left_engine(*over, now);
+    }
     proceed(now, actions);
 }
 
--- a/src/dispatch_core.hpp
+++ b/src/dispatch_core.hpp
@@ -53,6 +53,7 @@
                    action_list& actions);
     void suspects_stopped(time_point stopped_at);
     void stop_admitting(time_point now, action_list& actions);
+    void set_may_evict(bool may) { loader_.set_may_evict(may); }
     std::size_t in_progress() const { return queue_.size() + streams_.size(); }
     std::size_t orders_in_progress() const { return loader_.orders(); }
     bool unsettled(time_point now) const
--- a/src/dispatch_meter.hpp
+++ b/src/dispatch_meter.hpp
@@ -19,6 +19,8 @@
 {
     std::uint64_t finished = 0;
     std::uint64_t failed = 0;
+    /// Given up by the caller while waiting or sent.
+    std::uint64_t withdrawn = 0;
     /// Requests whose adapter was not ready when they arrived (or was lost
     /// while they waited), and the sum of the time each of them waited until
     /// its adapter was ready, it was answered otherwise or it was withdrawn,
--- a/src/dispatcher_limits.hpp
+++ b/src/dispatcher_limits.hpp
@@ -18,6 +18,9 @@
     duration max_deadline = std::chrono::seconds(600);
     duration progress_timeout = std::chrono::seconds(2);
     duration order_timeout = std::chrono::seconds(30);
+    /// How long an adapter that is to be evicted is kept from its requests
+    /// while its intent is on its way to the table.
+    duration intent_timeout = std::chrono::seconds(2);
     /// The longest that the network can hold back bytes of a process that has
     /// ended, or of a connection that was closed, before an engine's report
     /// can be believed to show all of them.
--- a/src/json_text.cpp
+++ b/src/json_text.cpp
@@ -5,6 +5,8 @@
 
 #include <exception>
 #include <memory>
+#include <sstream>
+#include <utility>
 
 namespace mulberry
 {
@@ -13,37 +15,46 @@
 
 constexpr int deepest_nesting = 64;
 
-Json::CharReaderBuilder const& strict_reader()
+std::unique_ptr<Json::CharReader> make_strict_reader()
 {
-    static Json::CharReaderBuilder const builder = []
-    {
-        Json::CharReaderBuilder strict;
-        Json::CharReaderBuilder::strictMode(&strict.settings_);
-        strict.settings_["stackLimit"] = deepest_nesting;
-        strict.settings_["failIfExtra"] = true;
-        // Strict mode asks for an object or array at the top.
-        return strict;
-    }();
-    return builder;
+    Json::CharReaderBuilder strict;
+    // Strict mode asks for an object or array at the top.
+    Json::CharReaderBuilder::strictMode(&strict.settings_);
+    strict.settings_["stackLimit"] = deepest_nesting;
+    strict.settings_["failIfExtra"] = true;
+    return std::unique_ptr<Json::CharReader>(strict.newCharReader());
 }
 
-Json::StreamWriterBuilder const& compact_writer()
+std::unique_ptr<Json::StreamWriter> make_compact_writer()
 {
-    static Json::StreamWriterBuilder const builder = []
-    {
-        Json::StreamWriterBuilder compact;
-        compact["indentation"] = "";
-        compact["emitUTF8"] = true;
-        return compact;
-    }();
-    return builder;
+    Json::StreamWriterBuilder compact;
+    compact["indentation"] = "";
+    compact["emitUTF8"] = true;
+    return std::unique_ptr<Json::StreamWriter>(compact.newStreamWriter());
+}
+
+// Making a reader or writer looks up each of its settings by name, which costs
+// more than reading one token's event. They keep nothing from one text to the
+// next, so each thread uses one of its own again.
+Json::CharReader& strict_reader()
+{
+    thread_local auto const reader = make_strict_reader();
+    return *reader;
+}
+
+Json::StreamWriter& compact_writer()
+{
+    thread_local auto const writer = make_compact_writer();
+    return *writer;
 }
 
 } // namespace
 
 std::string to_text(Json::Value const& value)
 {
-    return Json::writeString(compact_writer(), value);
+    std::ostringstream text;
+    compact_writer().write(value, &text);
+    return std::move(text).str();
 }
 
 std::optional<Json::Value> from_text(std::string_view text)
@@ -52,12 +63,10 @@
     // that is one more way of not being JSON.
     try
     {
-        std::unique_ptr<Json::CharReader> const reader(
-            strict_reader().newCharReader());
         Json::Value value;
         std::string faults;
-        if (!reader->parse(text.data(), text.data() + text.size(), &value,
-                           &faults))
+        if (!strict_reader().parse(text.data(), text.data() + text.size(),
+                                   &value, &faults))
             return std::nullopt;
         return value;
     }
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -40,6 +40,8 @@
 {
     switch (level)
     {
+    case log_level::trace:
+        return "trace";
     case log_level::debug:
         return "debug";
     case log_level::info:
@@ -48,14 +50,17 @@
         return "warning";
     case log_level::error:
         return "error";
+    case log_level::fatal:
+        return "fatal";
     }
     return "error";
 }
 
 std::optional<log_level> level_named(std::string_view name)
 {
-    for (log_level const level : {log_level::debug, log_level::info,
-                                  log_level::warning, log_level::error})
+    for (log_level const level :
+         {log_level::trace, log_level::debug, log_level::info,
+          log_level::warning, log_level::error, log_level::fatal})
         if (level_name(level) == name)
             return level;
     return std::nullopt;
--- a/src/log.hpp
+++ b/src/log.hpp
@@ -10,10 +10,12 @@
 
 enum class log_level
 {
+    trace,
     debug,
     info,
     warning,
-    error
+    error,
+    fatal
 };
 
 enum class log_format
@@ -26,8 +28,8 @@
 
 /// Sets the sink up, once, before any other thread logs. Records go to the
 /// standard error stream through a thread of the sink's own.
-/// Throws std::invalid_argument for a level that is not debug, info, warning
-/// or error, or a format that is not text or json.
+/// Throws std::invalid_argument for a level that is none of the above, or a
+/// format that is not text or json.
 void start_logging(std::string_view vm, std::string_view level,
                    std::string_view format);
 
--- a/src/metrics_text.cpp
+++ b/src/metrics_text.cpp
@@ -22,6 +22,7 @@
     {
         sum.finished += worker.counts.finished;
         sum.failed += worker.counts.failed;
+        sum.withdrawn += worker.counts.withdrawn;
         sum.stalled += worker.counts.stalled;
         sum.stall_time += worker.counts.stall_time;
         sum.busy_slot_time += worker.counts.busy_slot_time;
@@ -158,9 +159,10 @@
 {
     dispatch_counts const sum = total_of(status);
     measures result;
-    auto const answered = static_cast<double>(sum.finished + sum.failed);
-    if (answered > 0)
-        result.stall_share = static_cast<double>(sum.stalled) / answered;
+    auto const ended =
+        static_cast<double>(sum.finished + sum.failed + sum.withdrawn);
+    if (ended > 0)
+        result.stall_share = static_cast<double>(sum.stalled) / ended;
     result.stall_seconds = seconds(sum.stall_time);
     if (sum.open_slot_time > duration::zero())
         result.batch_efficiency =
--- a/src/model_entry.hpp
+++ b/src/model_entry.hpp
@@ -139,6 +139,8 @@
         int retries = 0;
         int misroutes = 0;
         int resumes = 0;
+        /// An earlier try was sent and lost; it may run yet.
+        bool may_have_run = false;
         std::set<worker_id> excluded;
         /// When to route (path none) or to resume (path engine) next.
         time_point next_try_at{};
--- a/src/mulberry_policy.cpp
+++ b/src/mulberry_policy.cpp
@@ -48,9 +48,8 @@
 /// itself: permits are shared by all workers, one worker gets few in a row.
 constexpr double own_pressure = 2.0;
 /// Copies are needed until one adapter takes this share of a batch on each;
-/// what one needed and one spare copy of several is worth, to a sole one.
+/// what a copy beyond those is worth, to a needed one.
 constexpr double filled_by_one_adapter = 0.6;
-constexpr double needed_copy_share = 1.0;
 constexpr double spare_copy_share = 0.02;
 
 /// A waiting request gains one step of priority in this time, so that nothing
@@ -94,16 +93,15 @@
     if (known != copies_.end() && known->second > 1)
     {
         auto const copies = static_cast<double>(known->second);
-        bool const needed = copies_needed(adapter, worth, now) > copies - 1;
-        worth *= (needed ? needed_copy_share : spare_copy_share) / copies;
+        bool const spare = copies_needed(worth, now) <= copies - 1;
+        worth *= (spare ? spare_copy_share : 1) / copies;
     }
     if (declared_ready(worker.id, adapter))
         worth += std::numeric_limits<float>::max();
     return worth;
 }
 
-double mulberry_policy::copies_needed(adapter_ref const&, double rate,
-                                      time_point now) const
+double mulberry_policy::copies_needed(double rate, time_point now) const
 {
     double const total = demand_.total(now);
     if (total <= 0)
--- a/src/mulberry_policy.hpp
+++ b/src/mulberry_policy.hpp
@@ -44,9 +44,8 @@
     /// there are more copies of it, next to nothing beyond those it needs.
     double worth(worker_view const& worker, adapter_ref const& adapter,
                  time_point now) const;
-    /// Copies for which the adapter's share of what runs is a full batch.
-    double copies_needed(adapter_ref const& adapter, double rate,
-                         time_point now) const;
+    /// Copies over which an adapter of that rate spreads what runs of it.
+    double copies_needed(double rate, time_point now) const;
     bool declared_ready(worker_id const& worker,
                         adapter_ref const& adapter) const;
     /// The least worth among the residents that may go; 0 when a slot is free,
--- a/src/quarter_book.cpp
+++ b/src/quarter_book.cpp
@@ -28,6 +28,7 @@
 
     void count_answer(application_id const& application,
                       std::optional<duration> took);
+    void count_withdrawn(application_id const& application, duration waited);
     void count_stalls(application_id const& application, std::uint64_t count);
     void add_slot_time(application_id const& application, duration busy,
                        duration open);
@@ -164,6 +165,18 @@
     }
 }
 
+void quarter_book::implementation::count_withdrawn(
+    application_id const& application, duration waited)
+{
+    if (!counts_for(application))
+        return;
+    quarter_counts& counts = current().counts(application);
+    ++counts.requests;
+    for (duration const bound : bounds_.at(application))
+        if (waited > bound)
+            ++counts.bounds[bound].counted;
+}
+
 void quarter_book::implementation::count_stalls(
     application_id const& application, std::uint64_t count)
 {
@@ -429,6 +442,12 @@
     implementation_->count_answer(application, took);
 }
 
+void quarter_book::count_withdrawn(application_id const& application,
+                                   duration waited)
+{
+    implementation_->count_withdrawn(application, waited);
+}
+
 void quarter_book::count_stalls(application_id const& application,
                                 std::uint64_t count)
 {
--- a/src/quarter_book.hpp
+++ b/src/quarter_book.hpp
@@ -96,6 +96,10 @@
     /// failed through no fault of the caller (nothing for `took`).
     void count_answer(application_id const& application,
                       std::optional<duration> took);
+    /// The caller went away after that long. It counts as a request, since it
+    /// may have stalled, and as a miss of each bound that was past already;
+    /// what would have become of the others nobody knows.
+    void count_withdrawn(application_id const& application, duration waited);
     void count_stalls(application_id const& application, std::uint64_t count);
     void add_slot_time(application_id const& application, duration busy,
                        duration open);
--- a/src/safeguards.hpp
+++ b/src/safeguards.hpp
@@ -19,8 +19,11 @@
 /// What is known of a loaded adapter when it might be evicted.
 struct eviction_facts
 {
-    /// Requests of this VM under that engine name, waiting to be sent or sent.
-    std::size_t in_flight = 0;
+    /// Requests that this VM sent under that engine name and that have not
+    /// ended.
+    std::size_t sent = 0;
+    /// Requests that wait here to be sent under it.
+    std::size_t waiting = 0;
     /// Whether an earlier owner may still have, or may yet send, a request
     /// under that name.
     bool suspected = false;
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -134,6 +134,8 @@
 void read_habits(json_object& root, settings& value)
 {
     root.read_name("policy", value.policy, optional);
+    root.read_choice("load_budget", value.load_budget,
+                     {"exchanged_counts", "even_split"}, optional);
     std::size_t seed = value.seed;
     root.read_count("seed", seed, {0, UINT64_MAX}, optional);
     value.seed = seed;
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -64,6 +64,9 @@
     std::size_t caller_threads = 2;
 
     std::string policy = "mulberry";
+    /// "exchanged_counts" or "even_split": how the weight store's rate is
+    /// shared between the VMs.
+    std::string load_budget = "exchanged_counts";
     std::uint64_t seed = 1;
     std::string log_level = "info";
     /// "text" or "json".
--- a/src/vm_core.cpp
+++ b/src/vm_core.cpp
@@ -29,6 +29,7 @@
 {
     sum.finished += more.finished;
     sum.failed += more.failed;
+    sum.withdrawn += more.withdrawn;
     sum.stalled += more.stalled;
     sum.stall_time += more.stall_time;
     sum.busy_slot_time += more.busy_slot_time;
@@ -221,7 +222,7 @@
     auto const place = dispatchers_.find(event.worker);
     if (place == dispatchers_.end())
     {
-        ownership_.released(event.worker, now, actions);
+        release_if_nothing_left(event.worker, now, actions);
         return;
     }
     place->second->stop_admitting(now, actions);
@@ -232,8 +233,8 @@
 
 void vm_core::refresh_owners(time_point now)
 {
-    budget_->set_members(
-        std::max<std::size_t>(ownership_.members().size(), 1), now);
+    budget_->set_members(std::max<std::size_t>(ownership_.members().size(), 1),
+                         now);
     if (!declared_)
         return;
     for (auto const& [id, declared] : declared_->workers)
@@ -499,6 +500,11 @@
         quarter_.count_answer(request.application, std::nullopt);
 }
 
+void vm_core::count_withdrawn(model_request const& request, duration waited)
+{
+    quarter_.count_withdrawn(request.application, waited);
+}
+
 void vm_core::keep_quarter(time_point now, action_list& actions)
 {
     if (now >= next_usage_)
@@ -573,13 +579,24 @@
     }
     retired_.erase(done, retired_.end());
     for (worker_id const& worker : released)
+        release_if_nothing_left(worker, now, actions);
+}
+
+void vm_core::release_if_nothing_left(worker_id const& worker, time_point now,
+                                      action_list& actions)
+{
+    // A worker lost, regained and lost again may have two dispatchers with
+    // requests under way; the signature speaks for both.
+    auto const its = [&](retired_dispatcher const& one)
+    { return one.worker == worker; };
+    if (std::none_of(retired_.begin(), retired_.end(), its))
         ownership_.released(worker, now, actions);
 }
 
 void vm_core::close_when_idle(time_point now, action_list& actions)
 {
     if (!leaving_since_ || now < *leaving_since_ + settings_.drain_grace ||
-        in_progress() != 0)
+        !checks_->may_stop(in_progress()))
         return;
     if (close_by_ == never)
     {
--- a/src/vm_core.hpp
+++ b/src/vm_core.hpp
@@ -147,6 +147,8 @@
                           time_point now, action_list& actions) override;
     void count_whole(model_request const& request, duration took) override;
     void count_failed(model_request const& request, error_kind kind) override;
+    void count_withdrawn(model_request const& request,
+                         duration waited) override;
 
     /// Passes on to `actions` what the shell has to do, feeds what concerns
     /// the core's own parts back to them, and acts on what the keepers
@@ -167,6 +169,8 @@
     void refresh_view(time_point now);
     void refresh_owners(time_point now);
     void release_retired(time_point now, action_list& actions);
+    void release_if_nothing_left(worker_id const& worker, time_point now,
+                                 action_list& actions);
     void close_when_idle(time_point now, action_list& actions);
     void keep_quarter(time_point now, action_list& actions);
     void count_usage(worker_dispatcher& dispatcher, time_point now);
--- a/src/worker_dispatcher.cpp
+++ b/src/worker_dispatcher.cpp
@@ -80,6 +80,11 @@
     core_->stop_admitting(now, actions);
 }
 
+void worker_dispatcher::set_may_evict(bool may)
+{
+    core_->set_may_evict(may);
+}
+
 std::size_t worker_dispatcher::in_progress() const
 {
     return core_->in_progress();
--- a/src/worker_dispatcher.hpp
+++ b/src/worker_dispatcher.hpp
@@ -79,6 +79,10 @@
     /// Deadlines, silences, loads, evictions, loads ahead.
     void tick(time_point now, action_list& actions);
 
+    /// Whether evictions may begin. While the table is out of reach they may
+    /// not: their intents could not be recorded, and until they are, requests
+    /// for an adapter that is to go wait although it is loaded.
+    void set_may_evict(bool may);
     /// `cluster` is used for loads ahead; may be null.
     void set_cluster(cluster_view const* cluster);
     /// Its owner and cached prefixes are left empty.
--- a/tests/process_caller.cpp
+++ b/tests/process_caller.cpp
@@ -58,6 +58,7 @@
 {
     std::lock_guard const lock(mutex_);
     seen_.ended = true;
+    seen_.over_at = std::chrono::steady_clock::now();
     changed_.notify_all();
 }
 
@@ -67,6 +68,7 @@
     std::lock_guard const lock(mutex_);
     seen_.not_sent = stage == mulberry::call_stage::not_sent;
     seen_.failed = true;
+    seen_.over_at = std::chrono::steady_clock::now();
     changed_.notify_all();
 }
 
--- a/tests/process_caller.hpp
+++ b/tests/process_caller.hpp
@@ -55,6 +55,7 @@
     bool failed = false;
     /// It failed before a byte was sent: no VM took the request.
     bool not_sent = false;
+    std::chrono::steady_clock::time_point over_at;
     bool over() const { return ended || failed; }
 };
 
--- a/tests/process_deployment.hpp
+++ b/tests/process_deployment.hpp
@@ -65,7 +65,7 @@
 {
 public:
     explicit deployment(deployment_options const& options = {});
-    /// Prints the logs when the test that it served has failed.
+    /// Prints the VMs' logs if MULBERRY_SHOW_LOGS is set.
     ~deployment();
 
     entry_vm& vm(std::size_t index) { return vms_.at(index); }
--- a/tests/process_traffic.hpp
+++ b/tests/process_traffic.hpp
@@ -7,6 +7,7 @@
 #include "process_record.hpp"
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <memory>
@@ -34,6 +35,8 @@
     void note_leaving(std::string const& vm);
     /// Waits until every request is over.
     void write_to(process_record& record);
+    /// Counts the model requests that are over by what they were told.
+    std::string told();
 
 private:
     template <class Call>
@@ -42,6 +45,7 @@
         recorded<Call> what;
         under_way request;
         mulberry::call_handle handle;
+        std::chrono::steady_clock::time_point gives_up_at;
     };
     template <class Call>
     under_way send(Call const& call, std::deque<kept<Call>>& list);
@@ -81,8 +85,13 @@
     model_call call_to(std::size_t vm, std::string const& adapter);
     service_call_made once_call_to(std::size_t vm, std::string const& key);
     void kill_vm(std::size_t vm);
+    void freeze_vm(std::size_t vm);
+    /// Waits until the VM owns workers, so that its failure touches them.
+    bool becomes_owner(std::size_t vm);
     /// Notes that the VM takes nothing new once it has said so.
     bool await_refusal_of_new_work(std::size_t vm);
+    /// How often the callers were told what, for whoever reads a failure.
+    std::string told();
     /// Stops the traffic, gathers all histories and checks them.
     std::vector<finding> finish();
 
--- a/tests/quarter_book_test.cpp
+++ b/tests/quarter_book_test.cpp
@@ -337,6 +337,20 @@
           std::vector<application_id>{notes});
 }
 
+TEST_CASE("a caller who gave up counts against the bounds that were past",
+          "[quarter]")
+{
+    quarter_world world(1, 1, book_mutant::none);
+    world.answer(0, 8);
+    world.book(0).count_withdrawn(notes, notes_bound - 1ms);
+    world.book(0).count_withdrawn(notes, notes_bound + 1ms);
+    world.run(12s);
+    auto const standing = only(world.book(0).standings(world.now()));
+    CHECK(standing.counted == 9);
+    CHECK(*standing.reached == Approx(8.0 / 9));
+    CHECK(world.stored() == 10);
+}
+
 TEST_CASE("stalls and efficiency have their own budgets", "[quarter]")
 {
     id_source ids;
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -66,13 +66,18 @@
     plain=${listening#http://}
 }
 
-# fill VM DOMAIN FILE: the file with its @TOKENS@ filled in.
+# fill VM DOMAIN FILE: the file with its @TOKENS@ filled in. The whole-size
+# declarations name engines and services by addresses of their own, which the
+# stand-ins take the place of.
 fill()
 {
     sed -e "s/@VM@/$1/; s/@DOMAIN@/$2/; s/@ADDRESS@/127.0.0.1/" \
         -e "s/@[A-Z]*_PORT@/0/; s/@PLATFORM@/$platform/" \
         -e "s/@PEERS_KEY@/peers-$$/; s/@OPERATORS_KEY@/operators-$$/" \
-        -e "s/@ENGINE@/$engine/; s/@SERVICE@/$plain/" "$3"
+        -e "s/@ENGINE@/$engine/; s/@SERVICE@/$plain/" \
+        -e "s#http://10[.0-9]*{n}:8000#http://$engine/{id}#" \
+        -e "s#\(\"id\": \"\([^\"]*\)\".*\)http://10[.0-9]*:8100#\1http://$plain/\2#" \
+        "$3"
 }
 
 # start_vm N: entry-N, its id in vm_pids[N], its doors in callers[N] and
