Split the core's file by job; one sum of counts; format all

Change: what concerns other VMs and what is counted have files of their own; dispatch_counts adds itself up.

--- a/src/core.cmake
+++ b/src/core.cmake
@@ -1,6 +1,7 @@
 # The decision core of one entry VM.
 mulberry_library(mulberry_core
-  SOURCES model_entry.cpp vm_core.cpp
+  SOURCES model_entry.cpp vm_core.cpp vm_core_cluster.cpp
+          vm_core_counts.cpp
   LINK mulberry_policy mulberry_dispatch mulberry_ownership
        mulberry_configuration mulberry_services mulberry_quarter)
 # Fixed seeds: the properties reach the same verdict in each run. More of the
--- a/src/dispatch_meter.cpp
+++ b/src/dispatch_meter.cpp
@@ -14,6 +14,22 @@
 
 } // namespace
 
+dispatch_counts& dispatch_counts::operator+=(dispatch_counts const& more)
+{
+    finished += more.finished;
+    failed += more.failed;
+    withdrawn += more.withdrawn;
+    stalled += more.stalled;
+    stall_time += more.stall_time;
+    busy_slot_time += more.busy_slot_time;
+    open_slot_time += more.open_slot_time;
+    loads += more.loads;
+    failed_loads += more.failed_loads;
+    evictions += more.evictions;
+    resumes += more.resumes;
+    return *this;
+}
+
 dispatch_meter::dispatch_meter(std::size_t batch_slots, time_point now)
     : batch_slots_(std::max<std::size_t>(batch_slots, 1)), accounted_to_(now)
 {
--- a/src/dispatch_meter.hpp
+++ b/src/dispatch_meter.hpp
@@ -36,6 +36,8 @@
     std::uint64_t failed_loads = 0;
     std::uint64_t evictions = 0;
     std::uint64_t resumes = 0;
+
+    dispatch_counts& operator+=(dispatch_counts const& more);
 };
 
 /// Thread safety: none.
--- a/src/metrics_text.cpp
+++ b/src/metrics_text.cpp
@@ -19,19 +19,7 @@
 {
     dispatch_counts sum = status.past;
     for (core_status::worker_status const& worker : status.workers)
-    {
-        sum.finished += worker.counts.finished;
-        sum.failed += worker.counts.failed;
-        sum.withdrawn += worker.counts.withdrawn;
-        sum.stalled += worker.counts.stalled;
-        sum.stall_time += worker.counts.stall_time;
-        sum.busy_slot_time += worker.counts.busy_slot_time;
-        sum.open_slot_time += worker.counts.open_slot_time;
-        sum.loads += worker.counts.loads;
-        sum.failed_loads += worker.counts.failed_loads;
-        sum.evictions += worker.counts.evictions;
-        sum.resumes += worker.counts.resumes;
-    }
+        sum += worker.counts;
     return sum;
 }
 
--- a/src/vm_core.cpp
+++ b/src/vm_core.cpp
@@ -16,8 +16,6 @@
 constexpr duration close_patience = std::chrono::seconds(10);
 /// Of that, how long for what it counted.
 constexpr duration flush_patience = std::chrono::seconds(5);
-constexpr duration voters_interval = std::chrono::milliseconds(100);
-constexpr duration usage_interval = std::chrono::seconds(1);
 
 quarter_settings with_vm(quarter_settings settings, vm_id const& vm)
 {
@@ -25,21 +23,6 @@
     return settings;
 }
 
-void add(dispatch_counts& sum, dispatch_counts const& more)
-{
-    sum.finished += more.finished;
-    sum.failed += more.failed;
-    sum.withdrawn += more.withdrawn;
-    sum.stalled += more.stalled;
-    sum.stall_time += more.stall_time;
-    sum.busy_slot_time += more.busy_slot_time;
-    sum.open_slot_time += more.open_slot_time;
-    sum.loads += more.loads;
-    sum.failed_loads += more.failed_loads;
-    sum.evictions += more.evictions;
-    sum.resumes += more.resumes;
-}
-
 template <class Map, class Key>
 auto* value_or_null(Map& map, Key const& key)
 {
@@ -231,112 +214,6 @@
     refresh_owners(now);
 }
 
-void vm_core::refresh_owners(time_point now)
-{
-    budget_->set_members(std::max<std::size_t>(ownership_.members().size(), 1),
-                         now);
-    if (!declared_)
-        return;
-    for (auto const& [id, declared] : declared_->workers)
-    {
-        if (dispatchers_.count(id) != 0)
-            continue;
-        worker_view const* known = view_.find(id);
-        vm_id const owner = ownership_.owner_of(id);
-        if (known != nullptr && known->owner == owner)
-            continue;
-        worker_view fresh = known != nullptr ? *known : worker_view{};
-        fresh.id = id;
-        fresh.base_model = declared.base_model;
-        fresh.domain = declared.domain;
-        fresh.batch_slots = declared.batch_slots;
-        fresh.adapter_slots = declared.adapter_slots;
-        fresh.owner = owner;
-        fresh.usable = !owner.empty() && owner != settings_.ownership.vm;
-        fresh.as_of = now;
-        view_.put(std::move(fresh));
-    }
-}
-
-void vm_core::refresh_voters(time_point now)
-{
-    if (now < next_voters_)
-        return;
-    next_voters_ = now + voters_interval;
-    // VMs that lost the table lapse and are no members any more, while a
-    // majority of them rightly goes on without it. Counted by members alone,
-    // the few that still see the table would be a majority of their own and
-    // confirm a configuration that the others do not learn of.
-    auto voters = ownership_.possibly_alive();
-    if (voters == voters_)
-        return;
-    configuration_.set_members(voters, ownership_.life(), now);
-    voters_ = std::move(voters);
-}
-
-void vm_core::refresh_view(time_point now)
-{
-    for (auto const& [id, dispatcher] : dispatchers_)
-    {
-        worker_view fresh = dispatcher->view(now);
-        fresh.owner = settings_.ownership.vm;
-        fresh.usable = fresh.usable && serves_owned(now);
-        fresh.evicts = ownership_.lease_holds(now);
-        if (worker_view const* known = view_.find(id))
-            fresh.cached_prefixes = known->cached_prefixes;
-        view_.put(std::move(fresh));
-    }
-}
-
-void vm_core::hear_hint(vm_id const& from, ownership_hint const& hint,
-                        time_point now)
-{
-    budget_->hear(from, hint.loads, now);
-    if (!declared_)
-        return;
-    for (worker_view const& heard : hint.workers)
-    {
-        auto const declared = declared_->workers.find(heard.id);
-        if (declared == declared_->workers.end() ||
-            dispatchers_.count(heard.id) != 0)
-            continue;
-        // Hints cross with changes of owner; only the owner of the rows last
-        // read speaks for a worker, so a late hint cannot bring back a VM that
-        // has given it up.
-        if (ownership_.owner_of(heard.id) != from)
-            continue;
-        worker_view fresh = heard;
-        fresh.base_model = declared->second.base_model;
-        fresh.domain = declared->second.domain;
-        fresh.batch_slots = declared->second.batch_slots;
-        fresh.adapter_slots = declared->second.adapter_slots;
-        fresh.owner = from;
-        fresh.usable = heard.usable && hint.takes_work;
-        fresh.as_of = now;
-        if (worker_view const* known = view_.find(heard.id))
-            fresh.cached_prefixes = known->cached_prefixes;
-        view_.put(std::move(fresh));
-    }
-}
-
-void vm_core::send_hints(time_point now, action_list& actions)
-{
-    if (now < next_hint_ || !ownership_.registered())
-        return;
-    next_hint_ = now + settings_.hint_interval;
-    ownership_hint hint;
-    hint.life = ownership_.life();
-    hint.configuration = configuration_.version();
-    hint.takes_work = !leaving_since_ && takes_new_work(now);
-    hint.loads = budget_->counts();
-    for (auto const& [id, dispatcher] : dispatchers_)
-        if (worker_view const* own = view_.find(id))
-            hint.workers.push_back(*own);
-    for (member_view const& member : ownership_.members())
-        if (member.vm != settings_.ownership.vm)
-            actions.push_back(tell_peer{member.vm, hint});
-}
-
 bool vm_core::takes_new_work(time_point now) const
 {
     admission_facts facts;
@@ -346,6 +223,14 @@
     return checks_->takes_new_work(facts) && ownership_.registered();
 }
 
+error vm_core::refusal() const
+{
+    error_kind const kind =
+        leaving_since_ ? error_kind::draining : error_kind::configuration_stale;
+    return {kind, std::string(answer_of(kind).meaning), ran::no,
+            come_back_after};
+}
+
 bool vm_core::serves_owned(time_point now) const
 {
     return ownership_.lease_holds(now) ||
@@ -363,13 +248,8 @@
         request.application = adapter->applications.front();
     if (!takes_new_work(now))
     {
-        error_kind const kind = leaving_since_
-                                    ? error_kind::draining
-                                    : error_kind::configuration_stale;
-        count_failed(request, kind);
-        actions.push_back(deliver_error{
-            request.id, error(kind, std::string(answer_of(kind).meaning),
-                              ran::no, come_back_after)});
+        count_failed(request, refusal().kind());
+        actions.push_back(deliver_error{request.id, refusal()});
         return;
     }
     if (adapter == nullptr)
@@ -391,12 +271,7 @@
 {
     if (!takes_new_work(now))
     {
-        error_kind const kind = leaving_since_
-                                    ? error_kind::draining
-                                    : error_kind::configuration_stale;
-        actions.push_back(deliver_error{
-            event.request.id, error(kind, std::string(answer_of(kind).meaning),
-                                    ran::no, come_back_after)});
+        actions.push_back(deliver_error{event.request.id, refusal()});
         return;
     }
     services_.submit(event.request, now, actions);
@@ -485,59 +360,6 @@
     send_hints(now, actions);
 }
 
-void vm_core::on(quarter_began const& event, time_point now, action_list&)
-{
-    quarter_.set_quarter(event.name, event.ends, now);
-}
-
-void vm_core::count_whole(model_request const& request, duration took)
-{
-    quarter_.count_answer(request.application, took);
-}
-
-void vm_core::count_failed(model_request const& request, error_kind kind)
-{
-    if (!is_callers_fault(kind))
-        quarter_.count_answer(request.application, std::nullopt);
-}
-
-void vm_core::count_withdrawn(model_request const& request, duration waited)
-{
-    quarter_.count_withdrawn(request.application, waited);
-}
-
-void vm_core::keep_quarter(time_point now, action_list& actions)
-{
-    if (now >= next_usage_)
-    {
-        next_usage_ = now + usage_interval;
-        for (worker_dispatcher* one : all_dispatchers())
-            count_usage(*one, now);
-        quarter_.set_folds(folds_rows());
-    }
-    quarter_.tick(now, actions);
-}
-
-void vm_core::count_usage(worker_dispatcher& dispatcher, time_point now)
-{
-    for (auto const& [application, used] : dispatcher.take_usage(now))
-    {
-        quarter_.count_stalls(application, used.stalled);
-        quarter_.add_slot_time(application, used.busy_slot_time,
-                               used.open_slot_time);
-    }
-}
-
-bool vm_core::folds_rows() const
-{
-    if (!ownership_.registered())
-        return false;
-    auto const members = ownership_.members();
-    return std::none_of(members.begin(), members.end(),
-                        [this](member_view const& member)
-                        { return member.vm < settings_.ownership.vm; });
-}
-
 void vm_core::on(clock_ticked const&, time_point now, action_list& actions)
 {
     ownership_.tick(now, actions);
@@ -580,7 +402,7 @@
     std::vector<worker_id> released;
     for (auto one = done; one != retired_.end(); ++one)
     {
-        add(past_, one->dispatcher->counts(now));
+        past_ += one->dispatcher->counts(now);
         count_usage(*one->dispatcher, now);
         released.push_back(one->worker);
     }
@@ -714,53 +536,6 @@
     return std::exchange(confirms_, {});
 }
 
-core_status vm_core::status(time_point now) const
-{
-    core_status result;
-    result.vm = settings_.ownership.vm;
-    result.life = ownership_.life();
-    result.registered = ownership_.registered();
-    result.leaving = leaving_since_.has_value();
-    result.takes_new_work = takes_new_work(now);
-    result.lease_holds = ownership_.lease_holds(now);
-    result.going_on_without_table = configuration_.going_on_without_table(now);
-    result.configuration_known = configuration_.known(now);
-    result.configuration = configuration_.version();
-    result.declared = declared_;
-    result.members = ownership_.members();
-    result.in_progress = in_progress();
-    result.entry = entry_.counts();
-    result.first_event = entry_.first_event();
-    result.whole_answer = entry_.whole_answer();
-    result.services = services_.counts();
-    result.past = past_;
-    result.quarter = quarter_.quarter();
-    result.standings = quarter_.standings(now);
-    for (auto const& [id, dispatcher] : dispatchers_)
-        result.workers.push_back({dispatcher->view(now),
-                                  ownership_.fence_of(id),
-                                  dispatcher->counts(now)});
-    for (worker_view const* worker : view_.all())
-        for (resident_view const& resident : worker->residents)
-            result.residents[worker->id].push_back(resident.adapter);
-    return result;
-}
-
-std::vector<worker_id> vm_core::watched_workers() const
-{
-    std::set<worker_id> watched;
-    for (auto const& [id, dispatcher] : dispatchers_)
-        watched.insert(id);
-    for (retired_dispatcher const& one : retired_)
-        watched.insert(one.worker);
-    return {watched.begin(), watched.end()};
-}
-
-std::string vm_core::address_of(vm_id const& vm) const
-{
-    return ownership_.address_of(vm);
-}
-
 template <class Id>
 worker_dispatcher* vm_core::dispatcher_of(Id const& id)
 {
--- a/src/vm_core.hpp
+++ b/src/vm_core.hpp
@@ -176,6 +176,8 @@
     void count_usage(worker_dispatcher& dispatcher, time_point now);
     /// Whether this VM is the one that folds the rows of lives that are over.
     bool folds_rows() const;
+    /// What new work is answered while takes_new_work() is false.
+    error refusal() const;
     /// Whether this VM may admit work for the workers it owns.
     bool serves_owned(time_point now) const;
     std::size_t in_progress() const;
--- /dev/null
+++ b/src/vm_core_cluster.cpp
@@ -0,0 +1,138 @@
+// What a VM's core knows of the other VMs and their workers, and tells them.
+#include "vm_core.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr duration voters_interval = std::chrono::milliseconds(100);
+
+} // namespace
+
+void vm_core::refresh_owners(time_point now)
+{
+    budget_->set_members(std::max<std::size_t>(ownership_.members().size(), 1),
+                         now);
+    if (!declared_)
+        return;
+    for (auto const& [id, declared] : declared_->workers)
+    {
+        if (dispatchers_.count(id) != 0)
+            continue;
+        worker_view const* known = view_.find(id);
+        vm_id const owner = ownership_.owner_of(id);
+        if (known != nullptr && known->owner == owner)
+            continue;
+        worker_view fresh = known != nullptr ? *known : worker_view{};
+        fresh.id = id;
+        fresh.base_model = declared.base_model;
+        fresh.domain = declared.domain;
+        fresh.batch_slots = declared.batch_slots;
+        fresh.adapter_slots = declared.adapter_slots;
+        fresh.owner = owner;
+        fresh.usable = !owner.empty() && owner != settings_.ownership.vm;
+        fresh.as_of = now;
+        view_.put(std::move(fresh));
+    }
+}
+
+void vm_core::refresh_voters(time_point now)
+{
+    if (now < next_voters_)
+        return;
+    next_voters_ = now + voters_interval;
+    // VMs that lost the table lapse and are no members any more, while a
+    // majority of them rightly goes on without it. Counted by members alone,
+    // the few that still see the table would be a majority of their own and
+    // confirm a configuration that the others do not learn of.
+    auto voters = ownership_.possibly_alive();
+    if (voters == voters_)
+        return;
+    configuration_.set_members(voters, ownership_.life(), now);
+    voters_ = std::move(voters);
+}
+
+void vm_core::refresh_view(time_point now)
+{
+    for (auto const& [id, dispatcher] : dispatchers_)
+    {
+        worker_view fresh = dispatcher->view(now);
+        fresh.owner = settings_.ownership.vm;
+        fresh.usable = fresh.usable && serves_owned(now);
+        fresh.evicts = ownership_.lease_holds(now);
+        if (worker_view const* known = view_.find(id))
+            fresh.cached_prefixes = known->cached_prefixes;
+        view_.put(std::move(fresh));
+    }
+}
+
+void vm_core::hear_hint(vm_id const& from, ownership_hint const& hint,
+                        time_point now)
+{
+    budget_->hear(from, hint.loads, now);
+    if (!declared_)
+        return;
+    for (worker_view const& heard : hint.workers)
+    {
+        auto const declared = declared_->workers.find(heard.id);
+        if (declared == declared_->workers.end() ||
+            dispatchers_.count(heard.id) != 0)
+            continue;
+        // Hints cross with changes of owner; only the owner of the rows last
+        // read speaks for a worker, so a late hint cannot bring back a VM that
+        // has given it up.
+        if (ownership_.owner_of(heard.id) != from)
+            continue;
+        worker_view fresh = heard;
+        fresh.base_model = declared->second.base_model;
+        fresh.domain = declared->second.domain;
+        fresh.batch_slots = declared->second.batch_slots;
+        fresh.adapter_slots = declared->second.adapter_slots;
+        fresh.owner = from;
+        fresh.usable = heard.usable && hint.takes_work;
+        fresh.as_of = now;
+        if (worker_view const* known = view_.find(heard.id))
+            fresh.cached_prefixes = known->cached_prefixes;
+        view_.put(std::move(fresh));
+    }
+}
+
+void vm_core::send_hints(time_point now, action_list& actions)
+{
+    if (now < next_hint_ || !ownership_.registered())
+        return;
+    next_hint_ = now + settings_.hint_interval;
+    ownership_hint hint;
+    hint.life = ownership_.life();
+    hint.configuration = configuration_.version();
+    hint.takes_work = !leaving_since_ && takes_new_work(now);
+    hint.loads = budget_->counts();
+    for (auto const& [id, dispatcher] : dispatchers_)
+        if (worker_view const* own = view_.find(id))
+            hint.workers.push_back(*own);
+    for (member_view const& member : ownership_.members())
+        if (member.vm != settings_.ownership.vm)
+            actions.push_back(tell_peer{member.vm, hint});
+}
+
+std::vector<worker_id> vm_core::watched_workers() const
+{
+    std::set<worker_id> watched;
+    for (auto const& [id, dispatcher] : dispatchers_)
+        watched.insert(id);
+    for (retired_dispatcher const& one : retired_)
+        watched.insert(one.worker);
+    return {watched.begin(), watched.end()};
+}
+
+std::string vm_core::address_of(vm_id const& vm) const
+{
+    return ownership_.address_of(vm);
+}
+
+} // namespace mulberry
--- a/tests/completion_request_test.cpp
+++ b/tests/completion_request_test.cpp
@@ -70,8 +70,7 @@
           error_kind::unknown_model);
     CHECK(fault_of(R"({"model":"a@0","prompt":"p"})") ==
           error_kind::unknown_model);
-    CHECK(fault_of(R"({"model":"a@1","prompt":7})") ==
-          error_kind::bad_request);
+    CHECK(fault_of(R"({"model":"a@1","prompt":7})") == error_kind::bad_request);
     CHECK(fault_of(R"({"model":"a@1","prompt":"p","max_tokens":0})") ==
           error_kind::bad_request);
     CHECK(fault_of(R"({"model":"a@1","prompt":"p","stream":"yes"})") ==
@@ -89,10 +88,9 @@
 
 TEST_CASE("chat needs messages with a role and a text", "[completion_request]")
 {
-    auto const good =
-        parse(post(R"({"model":"a@1","messages":[{"role":"user",
+    auto const good = parse(post(R"({"model":"a@1","messages":[{"role":"user",
                        "content":"sum up"}]})"),
-              model_endpoint::chat);
+                            model_endpoint::chat);
     CHECK(std::holds_alternative<model_request>(good));
     auto const bad = parse(post(R"({"model":"a@1","messages":["sum up"]})"),
                            model_endpoint::chat);
@@ -106,8 +104,8 @@
                          *parse_adapter_ref("a@2"), request_id("vm-1")) ==
           R"({"id":"vm-1","model":"a@2","offset":0})");
     CHECK(caller_payload(R"({"text":"a@2#17 vm-1.3"})",
-                         *parse_adapter_ref("a@2"), request_id("vm-1")) ==
-          R"({"text":"a@2#17 vm-1.3"})");
+                         *parse_adapter_ref("a@2"),
+                         request_id("vm-1")) == R"({"text":"a@2#17 vm-1.3"})");
 }
 
 TEST_CASE("an error page says when to come back only where that helps",
--- a/tests/kernel_test.cpp
+++ b/tests/kernel_test.cpp
@@ -45,8 +45,8 @@
         std::logic_error);
     parts.start();
     parts.stop();
-    CHECK(told == std::vector<std::string>{"start one", "start two",
-                                           "stop two", "stop one"});
+    CHECK(told == std::vector<std::string>{"start one", "start two", "stop two",
+                                           "stop one"});
 }
 
 TEST_CASE("when a part cannot start, those started are stopped", "[kernel]")
--- a/tests/peer_codec_test.cpp
+++ b/tests/peer_codec_test.cpp
@@ -56,8 +56,7 @@
     CHECK(back.workers[0].residents == worker.residents);
 }
 
-TEST_CASE("promises and questions keep their numbers and spans",
-          "[peer_codec]")
+TEST_CASE("promises and questions keep their numbers and spans", "[peer_codec]")
 {
     auto const outage = there_and_back(
         outage_answer{7, incarnation(2), true, 1500ms, config_version(4)});
