--- /dev/null
+++ b/src/asking.cpp
@@ -0,0 +1,34 @@
+#include "asking.hpp"
+
+#include <utility>
+
+namespace mulberry
+{
+
+bool ask(event_sink& sink, answer_board& answers, request_id const& id,
+         std::shared_ptr<asker> who, std::shared_ptr<http_answer> const& out,
+         core_event event)
+{
+    // On the board before the event is offered: the core may answer before
+    // this function returns, and would find nobody.
+    if (!answers.add(id, std::move(who)))
+        return false;
+    if (!sink.offer(std::move(event)))
+    {
+        if (auto const refused = answers.take(id))
+            refused->on_error(error(error_kind::overloaded,
+                                    "this VM's queue of events is full"));
+        return true;
+    }
+    // Whoever takes the asker off the board answers it, or tells that it went:
+    // the answer and the closing connection cannot both win.
+    out->on_closed(
+        [&sink, &answers, id]
+        {
+            if (answers.take(id))
+                sink.post(asker_gone{id});
+        });
+    return true;
+}
+
+} // namespace mulberry
--- a/src/callers_door.cpp
+++ b/src/callers_door.cpp
@@ -1,5 +1,6 @@
 #include "callers_door.hpp"
 
+#include "asking.hpp"
 #include "completion_answer.hpp"
 #include "error_page.hpp"
 #include "json_text.hpp"
@@ -150,7 +151,8 @@
         who = std::make_shared<whole_answer>(asked.id, asked.adapter, endpoint,
                                              out);
     request_id const id = asked.id;
-    ask(id, std::move(who), out, model_request_arrived{std::move(asked)});
+    ask(*decisions_, *answers_, id, std::move(who), out,
+        model_request_arrived{std::move(asked)});
 }
 
 void callers_door::handle_service(http_request const& request,
@@ -190,28 +192,8 @@
     asked.arrived = shell_clock::now();
     asked.deadline = std::get<time_point>(deadline);
     request_id const id = asked.id;
-    ask(id, std::make_shared<service_asker>(id, out), out,
-        service_request_arrived{std::move(asked)});
-}
-
-void callers_door::ask(request_id const& id, std::shared_ptr<asker> who,
-                       std::shared_ptr<http_answer> const& out,
-                       core_event event)
-{
-    answers_->add(id, std::move(who));
-    if (!decisions_->offer(std::move(event)))
-    {
-        if (auto const refused = answers_->take(id))
-            refused->on_error(error(error_kind::overloaded,
-                                    "this VM's queue of events is full"));
-        return;
-    }
-    out->on_closed(
-        [answers = answers_, decisions = decisions_, id]
-        {
-            if (answers->take(id))
-                decisions->post(asker_gone{id});
-        });
+    ask(*decisions_, *answers_, id, std::make_shared<service_asker>(id, out),
+        out, service_request_arrived{std::move(asked)});
 }
 
 request_id callers_door::next_id()
--- a/src/callers_door.hpp
+++ b/src/callers_door.hpp
@@ -44,10 +44,6 @@
                            std::shared_ptr<http_answer> out);
     void handle_service(http_request const& request,
                         std::shared_ptr<http_answer> out);
-    /// Puts the asker on the board and hands the event to the core; answers at
-    /// once if its ring is full.
-    void ask(request_id const& id, std::shared_ptr<asker> who,
-             std::shared_ptr<http_answer> const& out, core_event event);
     request_id next_id();
     http_response models() const;
 
--- a/src/peers_door.cpp
+++ b/src/peers_door.cpp
@@ -1,5 +1,6 @@
 #include "peers_door.hpp"
 
+#include "asking.hpp"
 #include "error_page.hpp"
 #include "json_text.hpp"
 #include "metrics_text.hpp"
@@ -161,24 +162,9 @@
         return;
     }
     request_id const id = asked->id;
-    if (!answers_->add(id, std::make_shared<peer_asker>(id, out)))
-    {
+    if (!ask(*decisions_, *answers_, id, std::make_shared<peer_asker>(id, out),
+             out, request_forwarded{worker, std::move(*asked)}))
         out->abort();
-        return;
-    }
-    if (!decisions_->offer(request_forwarded{worker, std::move(*asked)}))
-    {
-        if (auto const refused = answers_->take(id))
-            refused->on_error(error(error_kind::overloaded,
-                                    "the owner's queue of events is full"));
-        return;
-    }
-    out->on_closed(
-        [answers = answers_, decisions = decisions_, id]
-        {
-            if (answers->take(id))
-                decisions->post(asker_gone{id});
-        });
 }
 
 Json::Value peers_door::tell(Json::Value const& parameters)
--- a/src/shell.cmake
+++ b/src/shell.cmake
@@ -1,6 +1,6 @@
 # The daemon: the decision core's shell.
 mulberry_library(mulberry_shell
-  SOURCES log.cpp timeline.cpp kernel.cpp answer_board.cpp json_text.cpp
+  SOURCES log.cpp timeline.cpp kernel.cpp answer_board.cpp asking.cpp json_text.cpp
           peer_codec.cpp stream_observer.cpp response_observer.cpp
           http_engine_port.cpp http_platform_port.cpp http_service_port.cpp
           http_peer_port.cpp error_page.cpp completion_request.cpp
