--- a/src/cluster_view.hpp
+++ b/src/cluster_view.hpp
@@ -57,8 +57,7 @@
     std::size_t running = 0;
     std::size_t queued = 0;
     std::vector<resident_view> residents;
-    /// Prefix keys believed cached, from late and gapped cache events and from
-    /// what was sent there since.
+    /// Prefix keys believed cached, from what was sent there.
     std::set<std::uint64_t> cached_prefixes;
     time_point as_of{};
 
