--- /dev/null
+++ b/src/backend_entry.hpp
@@ -0,0 +1,43 @@
+/// A worker as the registry lists it.
+#ifndef MULBERRY_BACKEND_ENTRY_HPP
+#define MULBERRY_BACKEND_ENTRY_HPP
+
+#include "ids.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace mulberry
+{
+
+/// One model that a worker holds, with the adapters beside it. Value.
+struct held_model
+{
+    base_model_id model;
+    std::map<adapter_id, adapter_version> adapters;
+    friend bool operator==(held_model const&, held_model const&) = default;
+};
+
+/// One life of one worker process: each start has a new id. Immutable value.
+struct backend_entry
+{
+    worker_id id;
+    service_id service;
+    std::string address;
+    std::uint16_t port = 0;
+    domain_id domain;
+    std::size_t slots = 1;
+    /// Takes no new work and is about to leave.
+    bool draining = false;
+    /// As of its last heartbeat: a hint, since loads send none.
+    std::vector<held_model> models;
+    friend bool operator==(backend_entry const&,
+                           backend_entry const&) = default;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/backend_pool.cpp
@@ -0,0 +1,516 @@
+#include "backend_pool.hpp"
+
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <asio/write.hpp>
+
+#include <http_parser.h>
+#include <netinet/tcp.h>
+
+#include <array>
+#include <charconv>
+#include <deque>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace mulberry
+{
+namespace
+{
+
+using asio::ip::tcp;
+using clock = std::chrono::steady_clock;
+
+constexpr std::size_t read_buffer_bytes = 8UL * 1024;
+/// Workers close idle connections after their own timeout; without a
+/// Keep-Alive field it is not known, and this is kept short.
+constexpr std::chrono::milliseconds longest_idle{4000};
+/// A worker's timeout counts from its last byte, which left it earlier than it
+/// arrived here.
+constexpr std::chrono::milliseconds keep_alive_margin{500};
+/// Bytes that are not acknowledged for so long end the connection: a worker
+/// behind a partition answers nothing, not even with a reset. Several round
+/// trips with retransmissions fit in.
+constexpr unsigned unacknowledged_ms = 2000;
+constexpr int first_final_status = 200;
+
+class connection;
+
+/// What connections need of their pool.
+class connection_home
+{
+public:
+    virtual ~connection_home() = default;
+    virtual void keep(std::shared_ptr<connection> idle) = 0;
+    virtual void forget(connection const* gone) = 0;
+};
+
+/// One TCP connection to a worker, serving one exchange at a time.
+class connection final : public std::enable_shared_from_this<connection>
+{
+public:
+    connection(asio::io_context& io, backend_address to, connection_home* home)
+        : socket_(io), timer_(io), address_(std::move(to)), home_(home)
+    {
+        http_parser_settings_init(&callbacks_);
+        callbacks_.on_header_field = &connection::on_header_field;
+        callbacks_.on_header_value = &connection::on_header_value;
+        callbacks_.on_headers_complete = &connection::on_headers_complete;
+        callbacks_.on_body = &connection::on_body;
+        callbacks_.on_message_complete = &connection::on_message_complete;
+        parser_.data = this;
+    }
+
+    backend_address const& address() const { return address_; }
+    clock::time_point idle_since() const { return idle_since_; }
+    bool usable_at(clock::time_point now) const { return now < usable_until_; }
+    std::uint64_t exchange_number() const { return exchange_number_; }
+
+    void open(std::string request, std::chrono::milliseconds timeout,
+              std::shared_ptr<exchange_observer> observer)
+    {
+        begin(std::move(request), std::move(observer));
+        asio::error_code failure;
+        auto const ip = asio::ip::make_address(address_.ip, failure);
+        if (failure)
+            return fail_later("not an address: " + address_.ip);
+        timer_.expires_after(timeout);
+        timer_.async_wait(
+            [self = shared_from_this()](asio::error_code const& cancelled)
+            {
+                if (!cancelled && !self->connected_)
+                    self->fail(call_stage::not_sent, "connect timed out");
+            });
+        socket_.async_connect({ip, address_.port},
+                              [self = shared_from_this()](
+                                  asio::error_code const& refused)
+                              { self->on_connected(refused); });
+    }
+
+    /// Precondition: kept and idle.
+    void reuse(std::string request, std::shared_ptr<exchange_observer> observer)
+    {
+        begin(std::move(request), std::move(observer));
+        send();
+    }
+
+    void cancel(std::uint64_t exchange)
+    {
+        if (exchange == exchange_number_ && observer_)
+        {
+            observer_.reset();
+            close();
+        }
+    }
+
+    void close()
+    {
+        connected_ = false;
+        idle_ = false;
+        asio::error_code ignored;
+        timer_.cancel();
+        socket_.close(ignored);
+        if (home_ != nullptr)
+            home_->forget(this);
+    }
+
+    void orphan() { home_ = nullptr; }
+
+private:
+    void begin(std::string request, std::shared_ptr<exchange_observer> observer)
+    {
+        request_ = std::move(request);
+        observer_ = std::move(observer);
+        ++exchange_number_;
+        idle_ = false;
+        sent_ = false;
+        written_ = false;
+        reset_parser();
+    }
+
+    void reset_parser()
+    {
+        http_parser_init(&parser_, HTTP_RESPONSE);
+        headers_ = {};
+        field_.clear();
+        value_.clear();
+        complete_ = false;
+        head_seen_ = false;
+    }
+
+    void on_connected(asio::error_code const& refused)
+    {
+        if (!observer_)
+            return;
+        if (refused)
+            return fail(call_stage::not_sent, "connect: " + refused.message());
+        connected_ = true;
+        timer_.cancel();
+        asio::error_code ignored;
+        socket_.set_option(tcp::no_delay(true), ignored);
+        setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                   &unacknowledged_ms, sizeof unacknowledged_ms);
+        send();
+        read();
+    }
+
+    void send()
+    {
+        sent_ = true;
+        asio::async_write(
+            socket_, asio::buffer(request_),
+            [self = shared_from_this(), exchange = exchange_number_](
+                asio::error_code const& failure, std::size_t)
+            {
+                if (exchange != self->exchange_number_)
+                    return;
+                if (!failure)
+                    self->written_ = true;
+                // What the worker answered before it closed is read first.
+            });
+    }
+
+    void read()
+    {
+        socket_.async_read_some(
+            asio::buffer(buffer_),
+            [self = shared_from_this()](asio::error_code const& failure,
+                                        std::size_t size)
+            { self->on_read(failure, size); });
+    }
+
+    void on_read(asio::error_code const& failure, std::size_t size)
+    {
+        if (!connected_)
+            return;
+        if (idle_)
+            // Closed, or bytes that belong to no request: a late or second
+            // answer. Handed to the next request, they would be another's.
+            return close();
+        if (failure)
+            return on_closed(failure);
+        feed(buffer_.data(), size);
+        if (connected_)
+            read();
+    }
+
+    void on_closed(asio::error_code const& failure)
+    {
+        if (failure == asio::error::eof && head_seen_)
+        {
+            http_parser_execute(&parser_, &callbacks_, nullptr, 0);
+            if (!connected_)
+                return;
+            if (complete_)
+                return finish(false);
+        }
+        fail(head_seen_ ? call_stage::answering : call_stage::sent,
+             "connection: " + failure.message());
+    }
+
+    void feed(char const* bytes, std::size_t size)
+    {
+        std::uint64_t const exchange = exchange_number_;
+        std::size_t const used =
+            http_parser_execute(&parser_, &callbacks_, bytes, size);
+        // An observer may have cancelled within a callback.
+        if (!connected_ || exchange != exchange_number_ || !observer_)
+            return;
+        if (complete_)
+            return finish_framed(used < size);
+        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used < size)
+            fail(head_seen_ ? call_stage::answering : call_stage::sent,
+                 "not an HTTP answer");
+    }
+
+    /// `dirty`: bytes follow the answer that belong to no request.
+    void finish_framed(bool dirty)
+    {
+        bool const keep = !dirty && written_ && keep_alive_;
+        auto const observer = std::exchange(observer_, nullptr);
+        if (keep)
+        {
+            idle_ = true;
+            idle_since_ = clock::now();
+            usable_until_ = idle_since_ + idle_limit_;
+            request_.clear();
+            if (home_ != nullptr)
+                home_->keep(shared_from_this());
+        }
+        else
+            close();
+        observer->on_end(true);
+    }
+
+    void finish(bool framed)
+    {
+        auto const observer = std::exchange(observer_, nullptr);
+        close();
+        if (observer)
+            observer->on_end(framed);
+    }
+
+    void fail(call_stage stage, std::string const& reason)
+    {
+        auto const observer = std::exchange(observer_, nullptr);
+        close();
+        if (observer)
+            observer->on_failure(stage, reason);
+    }
+
+    void fail_later(std::string reason)
+    {
+        asio::post(socket_.get_executor(),
+                   [self = shared_from_this(), reason = std::move(reason)]
+                   { self->fail(call_stage::not_sent, reason); });
+    }
+
+    static connection& of(http_parser* parser)
+    {
+        return *static_cast<connection*>(parser->data);
+    }
+
+    static int on_header_field(http_parser* parser, char const* at,
+                               std::size_t size)
+    {
+        connection& self = of(parser);
+        if (!self.value_.empty())
+            self.store_header();
+        self.field_.append(at, size);
+        return 0;
+    }
+
+    static int on_header_value(http_parser* parser, char const* at,
+                               std::size_t size)
+    {
+        of(parser).value_.append(at, size);
+        return 0;
+    }
+
+    void store_header()
+    {
+        headers_.add(std::exchange(field_, {}), std::exchange(value_, {}));
+    }
+
+    static int on_headers_complete(http_parser* parser)
+    {
+        connection& self = of(parser);
+        if (!self.field_.empty())
+            self.store_header();
+        // An interim answer; the final one follows.
+        if (parser->status_code < first_final_status)
+            return 0;
+        self.head_seen_ = true;
+        self.keep_alive_ = http_should_keep_alive(parser) != 0;
+        self.idle_limit_ = self.idle_limit();
+        if (self.observer_)
+        {
+            auto const observer = self.observer_;
+            observer->on_head(parser->status_code, std::move(self.headers_));
+        }
+        self.headers_ = {};
+        return 0;
+    }
+
+    /// Keep-Alive: timeout=SECONDS
+    std::chrono::milliseconds idle_limit() const
+    {
+        auto const field = headers_.find("Keep-Alive");
+        if (!field)
+            return longest_idle;
+        constexpr std::string_view key = "timeout=";
+        auto const at = field->find(key);
+        if (at == std::string::npos)
+            return longest_idle;
+        int seconds = 0;
+        std::from_chars(field->data() + at + key.size(),
+                        field->data() + field->size(), seconds);
+        return std::min<std::chrono::milliseconds>(
+            longest_idle, std::chrono::seconds(seconds) - keep_alive_margin);
+    }
+
+    static int on_body(http_parser* parser, char const* at, std::size_t size)
+    {
+        connection& self = of(parser);
+        if (self.observer_ && self.head_seen_)
+        {
+            auto const observer = self.observer_;
+            observer->on_body({at, size});
+        }
+        return 0;
+    }
+
+    static int on_message_complete(http_parser* parser)
+    {
+        connection& self = of(parser);
+        if (!self.head_seen_)
+        {
+            self.headers_ = {};
+            return 0;
+        }
+        self.complete_ = true;
+        http_parser_pause(parser, 1);
+        return 0;
+    }
+
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    backend_address address_;
+    connection_home* home_;
+    std::array<char, read_buffer_bytes> buffer_{};
+    http_parser parser_{};
+    http_parser_settings callbacks_{};
+    std::string request_;
+    std::shared_ptr<exchange_observer> observer_;
+    std::uint64_t exchange_number_ = 0;
+    http_headers headers_;
+    std::string field_;
+    std::string value_;
+    bool connected_ = false;
+    bool idle_ = false;
+    bool sent_ = false;
+    bool written_ = false;
+    bool head_seen_ = false;
+    bool complete_ = false;
+    bool keep_alive_ = false;
+    std::chrono::milliseconds idle_limit_{0};
+    clock::time_point idle_since_;
+    clock::time_point usable_until_;
+};
+
+class running_exchange final : public backend_exchange
+{
+public:
+    running_exchange(std::shared_ptr<connection> const& on)
+        : connection_(on), number_(on->exchange_number())
+    {
+    }
+    void cancel() override
+    {
+        if (auto const open = connection_.lock())
+            open->cancel(number_);
+    }
+
+private:
+    std::weak_ptr<connection> connection_;
+    std::uint64_t number_;
+};
+
+} // namespace
+
+class backend_pool::implementation final : public connection_home
+{
+public:
+    explicit implementation(asio::io_context& io) : io_(io) {}
+    ~implementation() override
+    {
+        auto const open = std::exchange(open_, {});
+        for (auto const& [key, each] : open)
+        {
+            each->orphan();
+            each->close();
+        }
+    }
+    implementation(implementation const&) = delete;
+    implementation& operator=(implementation const&) = delete;
+
+    std::shared_ptr<backend_exchange>
+    start(backend_address const& to, std::string bytes,
+          exchange_options const& options,
+          std::shared_ptr<exchange_observer> observer)
+    {
+        if (auto const kept = take_idle(to, options.max_idle))
+        {
+            kept->reuse(std::move(bytes), std::move(observer));
+            return std::make_shared<running_exchange>(kept);
+        }
+        auto const made = std::make_shared<connection>(io_, to, this);
+        open_.emplace(made.get(), made);
+        ++opened_;
+        made->open(std::move(bytes), options.connect_timeout,
+                   std::move(observer));
+        return std::make_shared<running_exchange>(made);
+    }
+
+    void sweep()
+    {
+        auto const now = clock::now();
+        std::vector<std::shared_ptr<connection>> stale;
+        for (auto const& [address, list] : idle_)
+            for (auto const& each : list)
+                if (!each->usable_at(now))
+                    stale.push_back(each);
+        for (auto const& each : stale)
+            each->close();
+    }
+
+    std::uint64_t opened() const { return opened_; }
+
+    void keep(std::shared_ptr<connection> idle) override
+    {
+        idle_[idle->address()].push_back(std::move(idle));
+    }
+
+    void forget(connection const* gone) override
+    {
+        auto const list = idle_.find(gone->address());
+        if (list != idle_.end())
+            std::erase_if(list->second, [gone](auto const& each)
+                          { return each.get() == gone; });
+        if (list != idle_.end() && list->second.empty())
+            idle_.erase(list);
+        open_.erase(gone);
+    }
+
+private:
+    /// The one used last: the others grow old and are closed, so that no more
+    /// are kept than are needed.
+    std::shared_ptr<connection> take_idle(backend_address const& to,
+                                          std::chrono::milliseconds max_idle)
+    {
+        auto const list = idle_.find(to);
+        if (list == idle_.end() || list->second.empty())
+            return nullptr;
+        auto const now = clock::now();
+        auto const newest = list->second.back();
+        if (!newest->usable_at(now) || now - newest->idle_since() > max_idle)
+            return nullptr;
+        list->second.pop_back();
+        return newest;
+    }
+
+    asio::io_context& io_;
+    std::map<backend_address, std::vector<std::shared_ptr<connection>>> idle_;
+    std::map<connection const*, std::shared_ptr<connection>> open_;
+    std::uint64_t opened_ = 0;
+};
+
+backend_pool::backend_pool(asio::io_context& io)
+    : implementation_(std::make_unique<implementation>(io))
+{
+}
+
+backend_pool::~backend_pool() = default;
+
+std::shared_ptr<backend_exchange>
+backend_pool::start(backend_address const& to, std::string bytes,
+                    exchange_options const& options,
+                    std::shared_ptr<exchange_observer> observer)
+{
+    return implementation_->start(to, std::move(bytes), options,
+                                  std::move(observer));
+}
+
+void backend_pool::sweep()
+{
+    implementation_->sweep();
+}
+
+std::uint64_t backend_pool::connections_opened() const
+{
+    return implementation_->opened();
+}
+
+} // namespace mulberry
--- a/src/due_index.hpp
+++ b/src/due_index.hpp
@@ -47,6 +47,14 @@
         return key;
     }
 
+    /// The earliest time, if any.
+    std::optional<time_point> next() const
+    {
+        if (order_.empty())
+            return std::nullopt;
+        return order_.begin()->first;
+    }
+
 private:
     std::unordered_map<Key, time_point> times_;
     std::set<std::pair<time_point, Key>> order_;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -92,6 +92,7 @@
     ~implementation();
 
     std::uint16_t port() const { return port_; }
+    void close_after_answers() { table_->drain(); }
     void stop_accepting();
 
 private:
@@ -111,7 +112,8 @@
     void close_connections();
 
     http_server_options const options_;
-    asio::io_context io_;
+    std::unique_ptr<asio::io_context> own_io_;
+    asio::io_context& io_;
     asio::executor_work_guard<asio::io_context::executor_type> work_;
     asio::strand<asio::io_context::executor_type> accept_strand_;
     tcp::acceptor acceptor_;
@@ -125,7 +127,11 @@
 
 http_server::implementation::implementation(http_server_options options,
                                             http_handler handler)
-    : options_(std::move(options)), work_(io_.get_executor()),
+    : options_(std::move(options)),
+      own_io_(options_.shared_io == nullptr
+                  ? std::make_unique<asio::io_context>()
+                  : nullptr),
+      io_(own_io_ ? *own_io_ : *options_.shared_io), work_(io_.get_executor()),
       accept_strand_(io_.get_executor()), acceptor_(accept_strand_),
       accept_timer_(accept_strand_),
       table_(std::make_shared<connection_table>(std::move(handler),
@@ -134,6 +140,8 @@
 {
     listen();
     accept_next();
+    if (!own_io_)
+        return;
     for (std::size_t i = 0; i < std::max<std::size_t>(options_.threads, 1); ++i)
         threads_.emplace_back([this] { io_.run(); });
 }
@@ -141,11 +149,17 @@
 http_server::implementation::~implementation()
 {
     stop_accepting();
+    // With a shared io_context nothing runs any more: there is nothing to wait
+    // for.
     auto const deadline = std::chrono::steady_clock::now() + farewell;
-    table_->wait_until_sent(deadline);
+    if (own_io_)
+        table_->wait_until_sent(deadline);
     close_connections();
-    table_->wait_until_empty(deadline);
-    io_.stop();
+    if (own_io_)
+    {
+        table_->wait_until_empty(deadline);
+        io_.stop();
+    }
     for (std::thread& thread : threads_)
         thread.join();
     // The answers let go of their connections, which end with the io_context.
@@ -381,6 +395,11 @@
     return implementation_->port();
 }
 
+void http_server::close_after_answers()
+{
+    implementation_->close_after_answers();
+}
+
 void http_server::stop_accepting()
 {
     implementation_->stop_accepting();
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -11,6 +11,11 @@
 #include <memory>
 #include <string>
 
+namespace asio
+{
+class io_context;
+}
+
 namespace mulberry
 {
 
@@ -53,6 +58,11 @@
     /// 0 lets the kernel pick.
     std::uint16_t port = 0;
     std::size_t threads = 1;
+    /// Serves on this io_context, which the owner runs on one thread, instead
+    /// of threads of its own: an answer made on that thread then goes out
+    /// without a change of threads. It outlives the server, which is destroyed
+    /// when nothing runs it any more.
+    asio::io_context* shared_io = nullptr;
     std::size_t max_body_bytes = 4UL * 1024 * 1024;
     std::size_t max_header_bytes = 32UL * 1024;
     std::size_t max_connections = 4096;
@@ -83,6 +93,9 @@
 
     /// The port bound.
     std::uint16_t port() const;
+    /// From now on every answer closes its connection; new ones are accepted
+    /// still.
+    void close_after_answers();
     /// Stops accepting connections; open ones go on, each until its next
     /// answer, which says `Connection: close`.
     void stop_accepting();
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -11,6 +11,7 @@
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_channel_logger.hpp>
 #include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/manipulators/add_value.hpp>
 #include <boost/smart_ptr/make_shared.hpp>
 #include <json/value.h>
 #include <json/writer.h>
@@ -79,6 +80,9 @@
     auto const part = bl::extract<std::string>("Channel", record);
     out << time_text(record) << " " << level_name(*level) << " [" << *part
         << "] " << *bl::extract<std::string>("Message", record);
+    auto const fields = bl::extract<std::string>("Fields", record);
+    if (fields && !fields->empty())
+        out << " {" << *fields << "}";
 }
 
 void write_json(std::string const& vm, bl::record_view const& record,
@@ -93,7 +97,14 @@
     line["text"] = *bl::extract<std::string>("Message", record);
     Json::StreamWriterBuilder builder;
     builder["indentation"] = "";
-    out << Json::writeString(builder, line);
+    std::string text = Json::writeString(builder, line);
+    auto const fields = bl::extract<std::string>("Fields", record);
+    if (fields && !fields->empty())
+    {
+        text.pop_back();
+        text += "," + *fields + "}";
+    }
+    out << text;
 }
 
 } // namespace
@@ -108,7 +119,7 @@
         throw std::invalid_argument("no log format " + std::string(format));
     auto stream = boost::make_shared<backend>();
     stream->add_stream(
-        boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+        boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     stream->auto_flush(true);
     running_sink = boost::make_shared<sink>(stream);
     if (format == "json")
@@ -146,4 +157,14 @@
         << std::string(text);
 }
 
+void log_event(log_level level, std::string_view part, std::string_view event,
+               std::string const& fields)
+{
+    if (!running_sink)
+        return;
+    thread_local logger source;
+    BOOST_LOG_CHANNEL_SEV(source, std::string(part), level)
+        << bl::add_value("Fields", fields) << std::string(event);
+}
+
 } // namespace mulberry
--- a/src/log.hpp
+++ b/src/log.hpp
@@ -39,6 +39,11 @@
 /// Thread safe. `part` is the fixed prefix.
 void log(log_level level, std::string_view part, std::string_view text);
 
+/// Writes one structured record: `fields` are the members of a JSON object
+/// without its braces. As log() otherwise.
+void log_event(log_level level, std::string_view part, std::string_view event,
+               std::string const& fields);
+
 } // namespace mulberry
 
 #endif
--- a/src/mulberryd.cpp
+++ b/src/mulberryd.cpp
@@ -1,14 +1,21 @@
 /// mulberryd: the serving layer's daemon, one on each entry VM.
 #include "daemon.hpp"
+#include "metadata_store.hpp"
+#include "relay_daemon.hpp"
 #include "settings.hpp"
+#include "wire_codec.hpp"
 
 #include <boost/program_options.hpp>
 
+#include <cstdlib>
 #include <exception>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <sstream>
 #include <string>
+#include <variant>
+#include <vector>
 
 namespace
 {
@@ -29,22 +36,77 @@
     return text.str();
 }
 
-int run(std::string const& path, bool check_only)
+/// The settings, or nothing after their faults were printed.
+template <class Settings>
+std::optional<Settings>
+checked(std::variant<Settings, std::vector<mulberry::text_fault>> parsed)
 {
-    auto const parsed = mulberry::parse_settings(read_file(path), path);
     if (auto const* faults =
             std::get_if<std::vector<mulberry::text_fault>>(&parsed))
     {
         for (mulberry::text_fault const& fault : *faults)
             std::cerr << fault.str() << "\n";
-        return exit_bad_settings;
+        return std::nullopt;
     }
+    return std::get<Settings>(std::move(parsed));
+}
+
+std::optional<mulberry::relay_settings> read_relay(std::string const& path)
+{
+    return checked(mulberry::parse_relay_settings(read_file(path), path));
+}
+
+int run_relay(std::string const& path)
+{
+    auto const value = read_relay(path);
+    if (!value)
+        return exit_bad_settings;
+    mulberry::platform::wire_codec const codec;
+    mulberry::platform::metadata_store store(value->store_url);
+    return mulberry::run_relay(*value, codec, store,
+                               [&path]() -> std::optional<
+                                             mulberry::relay_settings>
+                               {
+                                   try
+                                   {
+                                       return read_relay(path);
+                                   }
+                                   catch (std::runtime_error const& unreadable)
+                                   {
+                                       std::cerr << unreadable.what() << "\n";
+                                       return std::nullopt;
+                                   }
+                               });
+}
+
+int run(std::string const& path, bool relay, bool check_only)
+{
     if (check_only)
     {
-        std::cout << path << ": the settings are good\n";
-        return 0;
+        bool const good =
+            relay ? read_relay(path).has_value()
+                  : checked(mulberry::parse_settings(read_file(path), path))
+                        .has_value();
+        if (good)
+            std::cout << path << ": the settings are good\n";
+        return good ? 0 : exit_bad_settings;
     }
-    return mulberry::run_daemon(std::get<mulberry::settings>(parsed));
+    if (relay)
+        return run_relay(path);
+    auto const value = checked(mulberry::parse_settings(read_file(path), path));
+    return value ? mulberry::run_daemon(*value) : exit_bad_settings;
+}
+
+/// Empty when neither option names a file.
+std::string settings_path(po::variables_map const& given)
+{
+    if (given.count("settings") != 0)
+        return given["settings"].as<std::string>();
+    if (given.count("settings-variable") == 0)
+        return "";
+    char const* const path =
+        std::getenv(given["settings-variable"].as<std::string>().c_str());
+    return path == nullptr ? "" : path;
 }
 
 } // namespace
@@ -52,13 +114,18 @@
 int main(int argc, char** argv)
 {
     po::options_description options(
-        "mulberryd --settings FILE\n\n"
-        "Serves callers, peers and operators on one entry VM until SIGTERM.\n"
+        "mulberryd [--relay] --settings FILE\n\n"
+        "Serves callers on one entry VM until SIGTERM. With --relay it passes\n"
+        "requests on by the routes of a platform's operator and takes part in\n"
+        "nothing else.\n"
         "Exit status: 0 left cleanly, 1 ended by a second signal, 2 bad\n"
         "usage, 3 cannot start, 4 faults in the settings.\n\nOptions");
     options.add_options()("help,h", "this text")(
         "settings,s", po::value<std::string>(),
         "the settings, JSON with comments (docs/SETTINGS.md)")(
+        "settings-variable", po::value<std::string>(),
+        "the environment variable that holds the path of the settings")(
+        "relay", "relay on a platform (docs/PLATFORM.md)")(
         "check", "read the settings, say what is wrong, and end");
     try
     {
@@ -70,13 +137,13 @@
             std::cout << options;
             return 0;
         }
-        if (given.count("settings") == 0)
+        std::string const path = settings_path(given);
+        if (path.empty())
         {
             std::cerr << "mulberryd: --settings FILE is needed (--help)\n";
             return exit_bad_usage;
         }
-        return run(given["settings"].as<std::string>(),
-                   given.count("check") != 0);
+        return run(path, given.count("relay") != 0, given.count("check") != 0);
     }
     catch (po::error const& fault)
     {
--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -55,6 +55,10 @@
                         action_list& actions);
     void forget_intent(mulberry::forget_intent const& intent, time_point now,
                        action_list& actions);
+    void set_domains(std::map<worker_id, domain_id> domains)
+    {
+        workers_.set_domains(std::move(domains));
+    }
     void released(worker_id const& worker, time_point now,
                   action_list& actions);
     void leave(time_point now, action_list& actions);
@@ -338,6 +342,11 @@
     implementation_->set_workers(std::move(workers), now, actions);
 }
 
+void ownership_keeper::set_domains(std::map<worker_id, domain_id> domains)
+{
+    implementation_->set_domains(std::move(domains));
+}
+
 bool ownership_keeper::knows(operation_id operation) const
 {
     return implementation_->knows(operation);
--- a/src/ownership_keeper.hpp
+++ b/src/ownership_keeper.hpp
@@ -20,6 +20,7 @@
 #include "time_point.hpp"
 #include "worker_dispatcher.hpp"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -133,6 +134,8 @@
     /// declared is given up.
     void set_workers(std::vector<worker_id> workers, time_point now,
                      action_list& actions);
+    /// The failure domains of workers; see worker_assignment.
+    void set_domains(std::map<worker_id, domain_id> domains);
     /// Whether that operation is this keeper's.
     bool knows(operation_id operation) const;
     void on_table(table_reply const& reply, time_point now,
--- /dev/null
+++ b/src/ownership_runner.cpp
@@ -0,0 +1,296 @@
+#include "ownership_runner.hpp"
+
+#include "boot_clock.hpp"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+/// How often the keeper is given the time; its own deadlines are hundreds of
+/// milliseconds apart.
+constexpr std::chrono::milliseconds tick_interval{100};
+
+table_outcome outcome_of(store_outcome outcome)
+{
+    switch (outcome)
+    {
+    case store_outcome::done:
+        return table_outcome::done;
+    case store_outcome::conflict:
+        return table_outcome::conflict;
+    case store_outcome::refused:
+        return table_outcome::refused;
+    case store_outcome::history_lost:
+    case store_outcome::unreachable:
+        break;
+    }
+    return table_outcome::unreachable;
+}
+
+table_row to_table_row(stored_row const& row)
+{
+    return {row.key, row.deleted ? row_version() : row.version, row.value};
+}
+
+} // namespace
+
+ownership_runner::ownership_runner(asio::io_context& io, row_store& store,
+                                   ownership_run_options options,
+                                   event_log& log, ownership_listener listener)
+    : io_(io), store_(store), options_(std::move(options)), log_(log),
+      listener_(std::move(listener)), keeper_(options_.keeper, checks_, ids_),
+      timer_(io)
+{
+}
+
+void ownership_runner::start()
+{
+    action_list actions;
+    keeper_.start(boot_clock::now(), actions);
+    after_change(actions);
+    tick();
+}
+
+void ownership_runner::set_workers(std::vector<backend_entry> const& workers)
+{
+    std::set<worker_id> listed;
+    std::map<worker_id, domain_id> domains;
+    for (backend_entry const& each : workers)
+    {
+        listed.insert(each.id);
+        domains.emplace(each.id, each.domain);
+    }
+    if (listed == declared_)
+        return;
+    declared_ = listed;
+    action_list actions;
+    keeper_.set_domains(std::move(domains));
+    keeper_.set_workers({listed.begin(), listed.end()}, boot_clock::now(),
+                        actions);
+    after_change(actions);
+}
+
+bool ownership_runner::may_order(worker_id const& worker) const
+{
+    time_point const now = boot_clock::now();
+    auto const grant = grants_.find(worker);
+    return grant != grants_.end() && now >= grant->second.orders_from &&
+           keeper_.lease_holds(now);
+}
+
+void ownership_runner::tick()
+{
+    action_list actions;
+    keeper_.tick(boot_clock::now(), actions);
+    after_change(actions);
+    timer_.expires_after(tick_interval);
+    timer_.async_wait(
+        [this](asio::error_code const& cancelled)
+        {
+            if (!cancelled)
+                tick();
+        });
+}
+
+void ownership_runner::after_change(action_list const& actions)
+{
+    for (worker_id const& worker : declared_)
+        if (vm_id const owner = keeper_.owner_of(worker); !owner.empty())
+            if (grants_.count(worker) == 0 &&
+                owner != options_.keeper.vm)
+                last_owner_[worker] = owner;
+    take_events();
+    carry_out(actions);
+}
+
+/// Failure: two VMs order one worker in turn within a short time, the one that
+/// just lost it and the one that just got it; a late order of the first is
+/// carried out among those of the second. The first gave its last order before
+/// its row changed, so the second waits for the gap from then on. A worker that
+/// nobody else owned before needs no gap.
+time_point ownership_runner::orders_from(worker_id const& worker,
+                                         fencing_number fence,
+                                         time_point now) const
+{
+    constexpr fencing_number first_owner(1);
+    if (fence == first_owner)
+        return now;
+    auto const before = last_owner_.find(worker);
+    if (before != last_owner_.end() && before->second == options_.keeper.vm)
+        return now;
+    return now + options_.order_gap;
+}
+
+void ownership_runner::take_events()
+{
+    time_point const now = boot_clock::now();
+    bool changed = false;
+    action_list actions;
+    for (ownership_event const& event : keeper_.take_events())
+    {
+        if (auto const* gained = std::get_if<worker_gained>(&event))
+        {
+            order_grant const grant{
+                gained->grant.fence,
+                orders_from(gained->worker, gained->grant.fence, now)};
+            grants_[gained->worker] = grant;
+            last_owner_[gained->worker] = options_.keeper.vm;
+            changed = true;
+            log_.notable("worker owned",
+                         log_fields()
+                             .add("worker", gained->worker.str())
+                             .add("fence", grant.fence.value())
+                             .add("orders_in_ms", grant.orders_from - now),
+                         now);
+        }
+        else if (auto const* lost = std::get_if<worker_lost>(&event))
+        {
+            grants_.erase(lost->worker);
+            keeper_.released(lost->worker, now, actions);
+            changed = true;
+            log_.notable("worker given up",
+                         log_fields().add("worker", lost->worker.str()), now);
+        }
+    }
+    bool const holds = keeper_.lease_holds(now);
+    if (holds != held_lease_)
+    {
+        held_lease_ = holds;
+        changed = true;
+        log_.notable(holds ? "lease held" : "lease lapsed",
+                     log_fields().add("workers",
+                                      std::uint64_t{grants_.size()}),
+                     now);
+    }
+    if (changed)
+        listener_.on_grants(holds ? grants_
+                                  : std::map<worker_id, order_grant>());
+    std::size_t const members = keeper_.members().size();
+    if (members != members_)
+    {
+        members_ = members;
+        log_.notable("members changed",
+                     log_fields().add("members", std::uint64_t{members}), now);
+        listener_.on_members(members);
+    }
+    carry_out(actions);
+}
+
+void ownership_runner::carry_out(action_list const& actions)
+{
+    for (action const& each : actions)
+    {
+        if (auto const* write = std::get_if<transact>(&each))
+            run(*write);
+        else if (auto const* read = std::get_if<read_row>(&each))
+            run(*read);
+        else if (auto const* scan = std::get_if<scan_rows>(&each))
+            run(*scan);
+        else if (auto const* told = std::get_if<note_event>(&each))
+            log_.notable(told->kind, log_fields().add("about", told->text),
+                         boot_clock::now());
+    }
+}
+
+void ownership_runner::run(transact const& what)
+{
+    store_.transact(
+        what.transaction, what.deadline - boot_clock::now(),
+        [this, what](store_reply const& reply)
+        { asio::post(io_, [this, what, reply] { written(what, reply); }); });
+}
+
+/// The store answers a write with the version that all its rows have now, and
+/// a conflict with those rows of the conditions that exist.
+void ownership_runner::written(transact const& what, store_reply const& reply)
+{
+    table_reply made{what.operation, outcome_of(reply.outcome), {}};
+    if (reply.outcome == store_outcome::done)
+        for (table_write const& write : what.transaction.writes)
+            made.rows.push_back({write.key,
+                                 write.value ? reply.newest : row_version(),
+                                 write.value.value_or("")});
+    if (reply.outcome == store_outcome::conflict)
+        for (table_condition const& condition : what.transaction.conditions)
+        {
+            auto const row =
+                std::find_if(reply.rows.begin(), reply.rows.end(),
+                             [&condition](stored_row const& each)
+                             { return each.key == condition.key; });
+            made.rows.push_back(row == reply.rows.end()
+                                    ? table_row{condition.key, {}, {}}
+                                    : to_table_row(*row));
+        }
+    deliver(made);
+}
+
+void ownership_runner::run(read_row const& what)
+{
+    store_.read(row_set::own, what.key, "", what.deadline - boot_clock::now(),
+                [this, operation = what.operation,
+                 key = what.key](store_reply reply)
+                {
+                    std::erase_if(reply.rows, [&key](stored_row const& row)
+                                  { return row.key != key; });
+                    asio::post(io_, [this, operation, reply = std::move(reply)]
+                               { answered(operation, reply); });
+                });
+}
+
+void ownership_runner::run(scan_rows const& what)
+{
+    scan_page(what.operation, what.prefix, "", what.deadline, {});
+}
+
+void ownership_runner::scan_page(operation_id operation, std::string prefix,
+                                 std::string after, time_point deadline,
+                                 std::vector<table_row> rows)
+{
+    store_.read(
+        row_set::own, prefix, after, deadline - boot_clock::now(),
+        [this, operation, prefix, deadline,
+         rows = std::move(rows)](store_reply reply) mutable
+        {
+            asio::post(
+                io_,
+                [this, operation, prefix, deadline, rows = std::move(rows),
+                 reply = std::move(reply)]() mutable
+                {
+                    for (stored_row const& row : reply.rows)
+                        rows.push_back(to_table_row(row));
+                    if (reply.outcome == store_outcome::done &&
+                        reply.truncated && !rows.empty())
+                    {
+                        std::string const last = rows.back().key;
+                        return scan_page(operation, prefix, last, deadline,
+                                         std::move(rows));
+                    }
+                    deliver({operation, outcome_of(reply.outcome),
+                             std::move(rows)});
+                });
+        });
+}
+
+void ownership_runner::answered(operation_id operation,
+                                store_reply const& reply)
+{
+    table_reply made{operation, outcome_of(reply.outcome), {}};
+    for (stored_row const& row : reply.rows)
+        made.rows.push_back(to_table_row(row));
+    deliver(made);
+}
+
+void ownership_runner::deliver(table_reply const& reply)
+{
+    action_list actions;
+    keeper_.on_table(reply, boot_clock::now(), actions);
+    after_change(actions);
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/ownership_runner.hpp
@@ -0,0 +1,91 @@
+/// Runs membership and ownership against the metadata store.
+#ifndef MULBERRY_OWNERSHIP_RUNNER_HPP
+#define MULBERRY_OWNERSHIP_RUNNER_HPP
+
+#include "backend_entry.hpp"
+#include "event_log.hpp"
+#include "ownership_keeper.hpp"
+#include "row_store.hpp"
+#include "service_scheduler.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace mulberry
+{
+
+struct ownership_run_options
+{
+    ownership_settings keeper;
+    /// The least time between orders of two owners to one worker: an engine
+    /// that does not check fencing tokens carries out whatever arrives, so the
+    /// owners keep apart in time.
+    duration order_gap = std::chrono::milliseconds(3000);
+};
+
+/// Told about what changed. Called on the runner's thread.
+struct ownership_listener
+{
+    std::function<void(std::map<worker_id, order_grant>)> on_grants;
+    std::function<void(std::size_t vms)> on_members;
+};
+
+/// Thread safety: none; used on the thread that runs the io_context.
+class ownership_runner
+{
+public:
+    /// The references outlive this object.
+    ownership_runner(asio::io_context& io, row_store& store,
+                     ownership_run_options options, event_log& log,
+                     ownership_listener listener);
+
+    void start();
+    /// The workers that take orders, as listed.
+    void set_workers(std::vector<backend_entry> const& workers);
+    /// Whether this VM may give the worker orders at this moment.
+    bool may_order(worker_id const& worker) const;
+    bool registered() const { return keeper_.registered(); }
+
+private:
+    void tick();
+    void carry_out(action_list const& actions);
+    void run(transact const& what);
+    void run(read_row const& what);
+    void run(scan_rows const& what);
+    void scan_page(operation_id operation, std::string prefix,
+                   std::string after, time_point deadline,
+                   std::vector<table_row> rows);
+    void written(transact const& what, store_reply const& reply);
+    void answered(operation_id operation, store_reply const& reply);
+    void deliver(table_reply const& reply);
+    void after_change(action_list const& actions);
+    void take_events();
+    time_point orders_from(worker_id const& worker, fencing_number fence,
+                           time_point now) const;
+
+    asio::io_context& io_;
+    row_store& store_;
+    ownership_run_options options_;
+    event_log& log_;
+    ownership_listener listener_;
+    safeguards checks_;
+    id_source ids_;
+    ownership_keeper keeper_;
+    asio::steady_timer timer_;
+    std::set<worker_id> declared_;
+    /// The last VM that a worker's row named.
+    std::map<worker_id, vm_id> last_owner_;
+    std::map<worker_id, order_grant> grants_;
+    std::size_t members_ = 0;
+    bool held_lease_ = false;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/relay.cmake
@@ -0,0 +1,13 @@
+# The relay's decisions: routes, waiting, placing, turning away, orders,
+# health, repeats. No I/O.
+mulberry_library(mulberry_scheduling
+  SOURCES retry_allowance.cpp route_table.cpp service_scheduler.cpp
+          worker_adapters.cpp worker_health.cpp
+  LINK mulberry_policy)
+# The relay: callers' requests in, workers' answers out.
+mulberry_library(mulberry_relay
+  SOURCES backend_pool.cpp event_log.cpp event_splitter.cpp
+          ownership_runner.cpp registry_watch.cpp relay.cpp relay_daemon.cpp
+          relay_exchange.cpp relay_settings.cpp
+  LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
+target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
--- /dev/null
+++ b/src/relay.hpp
@@ -0,0 +1,158 @@
+/// The data path of one VM: callers' requests in, workers' answers out.
+#ifndef MULBERRY_RELAY_HPP
+#define MULBERRY_RELAY_HPP
+
+#include "due_index.hpp"
+#include "event_log.hpp"
+#include "latency_meter.hpp"
+#include "relay_exchange.hpp"
+#include "retry_allowance.hpp"
+#include "route_table.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mulberry
+{
+
+struct relay_options
+{
+    vm_id vm;
+    domain_id domain;
+    retry_limits retries;
+    /// How long an older version of an adapter may be used.
+    duration release_grace = std::chrono::milliseconds(2000);
+    /// Orders are sent only while this holds, asked right before each.
+    std::function<bool(worker_id const&)> may_order;
+    std::uint64_t seed = 1;
+};
+
+/// Counts since the start; only rise. Value.
+struct relay_counts
+{
+    std::uint64_t requests = 0;
+    std::uint64_t served = 0;
+    std::uint64_t worker_failed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t caller_gone = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t orders = 0;
+    std::uint64_t orders_unknown = 0;
+    std::uint64_t orders_conflict = 0;
+    std::uint64_t reports = 0;
+    friend bool operator==(relay_counts const&, relay_counts const&) = default;
+};
+
+/// Thread safety: none; every member on the thread that runs the io_context.
+class relay final : public exchange_host
+{
+public:
+    /// The references outlive this object.
+    relay(asio::io_context& io, relay_codec const& codec, relay_options options,
+          event_log& log);
+    ~relay() override;
+    relay(relay const&) = delete;
+    relay& operator=(relay const&) = delete;
+
+    /// Takes a caller's request.
+    void handle(http_request received, std::shared_ptr<http_answer> answer);
+
+    /// A newer configuration. An older one, or the same, is ignored.
+    void set_config(std::shared_ptr<routing_config const> config);
+    void set_backends(std::vector<backend_entry> entries);
+    void on_release(adapter_release const& release);
+    void set_grants(std::map<worker_id, order_grant> grants);
+    void set_members(std::size_t vms);
+
+    bool has_config() const { return routes_ != nullptr; }
+    config_version version() const;
+    std::size_t in_progress() const { return exchanges_.size(); }
+    relay_counts const& counts() const { return counts_; }
+    /// Prometheus text.
+    std::string metrics() const;
+
+    time_point now() const override;
+    relay_codec const& codec() const override { return codec_; }
+    backend_pool& pool() override { return pool_; }
+    void wait_for_worker(relay_exchange& exchange,
+                         std::set<worker_id> const& excluded) override;
+    void stop_waiting(relay_exchange& exchange) override;
+    void first_byte(relay_exchange& exchange) override;
+    void send_ended(relay_exchange& exchange, send_outcome outcome) override;
+    duration patience(relay_exchange const& exchange) const override;
+    bool take_retry(relay_exchange const& exchange) override;
+    void wake_at(relay_exchange& exchange, time_point when) override;
+    void note(relay_exchange const& exchange, std::string_view event,
+              std::string_view reason) override;
+    void finished(relay_exchange& exchange, relay_outcome outcome) override;
+
+private:
+    class order_reply;
+    class report_reply;
+    struct service_state
+    {
+        service_scheduler scheduler;
+        retry_allowance retries;
+        bool engine = false;
+
+        service_state(scheduler_settings settings, service_config const& config,
+                      retry_limits const& limits)
+            : scheduler(std::move(settings), config), retries(limits),
+              engine(config.engine.has_value())
+        {
+        }
+    };
+
+    void refuse_at_once(relay_request const& request, http_answer& answer,
+                        error const& problem);
+    service_state* find(service_id const& service);
+    void add_service(service_config const& config);
+    void share_backends();
+    void run_soon();
+    void run();
+    void run_service(service_state& service);
+    void carry_out(service_state& service, placement_action const& action);
+    void send_order(service_state& service, give_order const& order);
+    void send_report(service_state& service, ask_report const& question);
+    void on_order(service_id const& service, worker_order const& order,
+                  order_outcome outcome);
+    void on_report(service_id const& service, worker_id const& worker,
+                   std::optional<worker_report> const& report);
+    void arm_timer();
+
+    asio::io_context& io_;
+    relay_codec const& codec_;
+    relay_options options_;
+    event_log& log_;
+    backend_pool pool_;
+    asio::steady_timer timer_;
+    time_point timer_at_ = never;
+    std::unique_ptr<route_table> routes_;
+    std::shared_ptr<routing_config const> config_;
+    std::map<service_id, service_state> services_;
+    std::vector<backend_entry> backends_;
+    std::map<worker_id, order_grant> grants_;
+    std::map<model_target, adapter_version> releases_;
+    std::size_t members_ = 1;
+    std::unordered_map<ticket_id, std::shared_ptr<relay_exchange>> exchanges_;
+    due_index<ticket_id> due_;
+    std::uint64_t last_ticket_ = 0;
+    bool run_posted_ = false;
+    time_point sweep_at_{};
+    std::mt19937_64 random_;
+    relay_counts counts_;
+    latency_meter first_byte_;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/relay_codec.hpp
@@ -0,0 +1,67 @@
+/// What the relay needs translated between its own types and the wire. The
+/// implementation decides nothing.
+#ifndef MULBERRY_RELAY_CODEC_HPP
+#define MULBERRY_RELAY_CODEC_HPP
+
+#include "backend_entry.hpp"
+#include "error_kind.hpp"
+#include "relay_request.hpp"
+#include "routing_config.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mulberry
+{
+
+/// A declared version of an adapter.
+struct adapter_release
+{
+    model_target target;
+    adapter_version version;
+    friend bool operator==(adapter_release const&,
+                           adapter_release const&) = default;
+};
+
+/// Stateless. Thread safety: const calls from any thread.
+class relay_codec
+{
+public:
+    virtual ~relay_codec() = default;
+
+    virtual relay_request decode_request(http_request received) const = 0;
+    /// The head and body to send to a worker.
+    virtual std::string encode_request(relay_request const& request,
+                                       send_terms const& terms) const = 0;
+    virtual worker_reply decode_reply(int status, http_headers const& headers,
+                                      relay_request const& request) const = 0;
+    /// The fields of a worker's answer that go to the caller.
+    virtual http_headers
+    answer_headers(http_headers const& received) const = 0;
+    /// The layer's own answer to a request that it gives up.
+    virtual http_response error_response(relay_request const& request,
+                                         error const& problem) const = 0;
+
+    virtual std::string encode_order(worker_order const& order) const = 0;
+    virtual order_outcome decode_order_reply(int status) const = 0;
+    virtual std::string encode_report_request() const = 0;
+    virtual std::optional<worker_report>
+    decode_report(std::string const& body) const = 0;
+
+    /// Nothing, with `fault` filled in, when the text is malformed.
+    virtual std::optional<routing_config>
+    decode_config(std::string const& text, std::string& fault) const = 0;
+    virtual std::optional<backend_entry>
+    decode_backend(std::string const& id, std::string const& text,
+                   std::string& fault) const = 0;
+    virtual std::optional<adapter_release>
+    decode_release(std::string const& text, std::string& fault) const = 0;
+
+    /// Whether a request asks if this VM takes new connections.
+    virtual bool is_ready_question(http_request const& request) const = 0;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/relay_daemon.cpp
@@ -0,0 +1,350 @@
+#include "relay_daemon.hpp"
+
+#include "boot_clock.hpp"
+#include "http_server.hpp"
+#include "kernel.hpp"
+#include "log.hpp"
+#include "ownership_runner.hpp"
+#include "registry_watch.hpp"
+#include "relay.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <random>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// The balancer asks once a second and drops a VM after two misses: until then
+/// it sends new connections, which must be accepted.
+constexpr milliseconds balancer_notice{2500};
+constexpr milliseconds stop_review{50};
+/// Kept back from the stop bound, so that the process ends by itself.
+constexpr milliseconds stop_margin{700};
+/// The lease in multiples of the gap between two owners' orders: the holder
+/// stops a gap before others may take over, and rides out an outage of the
+/// store of nearly two gaps before that.
+constexpr int lease_gaps = 3;
+constexpr milliseconds lease_slack{200};
+constexpr milliseconds heartbeat{1500};
+constexpr milliseconds table_timeout{1000};
+constexpr milliseconds handover_interval{300};
+/// Callers keep connections as long as the operator's limits say; nothing is
+/// gained by closing sooner.
+constexpr std::chrono::seconds idle_timeout{60};
+
+std::uint64_t random_seed()
+{
+    std::random_device source;
+    return (std::uint64_t{source()} << 32) ^ source();
+}
+
+ownership_run_options ownership_options(relay_settings const& value,
+                                        std::uint64_t seed)
+{
+    ownership_run_options options;
+    options.keeper.vm = value.vm;
+    options.keeper.domain = value.domain;
+    options.keeper.address = value.callers.address + ":" +
+                             std::to_string(value.callers.port);
+    options.keeper.lease = value.order_gap * lease_gaps;
+    options.keeper.lease_margin = value.order_gap + lease_slack;
+    options.keeper.heartbeat = heartbeat;
+    options.keeper.table_timeout = table_timeout;
+    options.keeper.handover_interval = handover_interval;
+    options.keeper.seed = seed;
+    options.order_gap = value.order_gap + lease_slack;
+    return options;
+}
+
+registry_watch_options watch_options(relay_settings const& value)
+{
+    registry_watch_options options;
+    options.declaration_wait = value.configuration_bound * 7 / 10;
+    options.answer_time = value.configuration_bound * 3 / 10;
+    options.worker_interval = value.drain_bound * 3 / 10;
+    return options;
+}
+
+/// Workers of engines take orders; plain services do not.
+std::vector<backend_entry> engines_among(std::vector<backend_entry> entries,
+                                         routing_config const& config)
+{
+    std::erase_if(entries,
+                  [&config](backend_entry const& each)
+                  {
+                      auto const service = config.services.find(each.service);
+                      return service == config.services.end() ||
+                             !service->second.engine;
+                  });
+    return entries;
+}
+
+/// The parts share one thread and its io_context: each answer that a worker
+/// gives then costs one change of state and no change of threads.
+class relay_process
+{
+public:
+    relay_process(relay_settings const& value, relay_codec const& codec,
+                  row_store& store, settings_reader const& read_again);
+
+    int run();
+
+private:
+    http_server_options server_options(door_address const& at) const;
+    void answer_readiness(http_request const& request, http_answer& answer);
+    void answer_metrics(http_request const& request, http_answer& answer);
+    void await_signal();
+    void on_signal(int number);
+    void reload();
+    void begin_stop();
+    void review_stop();
+    bool ready() const;
+    void share_workers();
+
+    relay_settings const settings_;
+    relay_codec const& codec_;
+    settings_reader const& read_again_;
+    std::uint64_t const seed_;
+    asio::io_context io_{1};
+    asio::signal_set signals_;
+    asio::steady_timer stop_timer_;
+    event_log log_;
+    relay relay_;
+    ownership_runner ownership_;
+    registry_watch registry_;
+    std::vector<backend_entry> backends_;
+    std::shared_ptr<routing_config const> config_;
+    std::optional<http_server> callers_;
+    std::optional<http_server> readiness_;
+    std::optional<http_server> metrics_;
+    bool stopping_ = false;
+    bool was_ready_ = false;
+    time_point stop_accepting_at_ = never;
+    time_point exit_at_ = never;
+};
+
+relay_options options_of(relay_settings const& value, std::uint64_t seed,
+                         std::function<bool(worker_id const&)> may_order)
+{
+    relay_options options;
+    options.vm = value.vm;
+    options.domain = value.domain;
+    options.retries = value.retries;
+    // Half of the bound: the rest is for hearing of the version, and for a
+    // request that begins just before the end.
+    options.release_grace = value.release_bound / 2;
+    options.may_order = std::move(may_order);
+    options.seed = seed;
+    return options;
+}
+
+relay_process::relay_process(relay_settings const& value,
+                             relay_codec const& codec, row_store& store,
+                             settings_reader const& read_again)
+    : settings_(value), codec_(codec), read_again_(read_again),
+      seed_(random_seed()), signals_(io_, SIGTERM, SIGINT, SIGHUP),
+      stop_timer_(io_),
+      log_("relay", value.log_lines_per_second,
+           [](log_level level, std::string_view part, std::string_view event,
+              std::string const& fields)
+           { log_event(level, part, event, fields); }),
+      relay_(io_, codec,
+             options_of(value, seed_, [this](worker_id const& worker)
+                        { return ownership_.may_order(worker); }),
+             log_),
+      ownership_(io_, store, ownership_options(value, seed_), log_,
+                 {[this](std::map<worker_id, order_grant> grants)
+                  { relay_.set_grants(std::move(grants)); },
+                  [this](std::size_t vms) { relay_.set_members(vms); }}),
+      registry_(io_, store, codec, watch_options(value), log_,
+                {[this](std::shared_ptr<routing_config const> config)
+                 {
+                     config_ = config;
+                     relay_.set_config(std::move(config));
+                     share_workers();
+                 },
+                 [this](adapter_release const& release)
+                 { relay_.on_release(release); },
+                 [this](std::vector<backend_entry> entries)
+                 {
+                     backends_ = std::move(entries);
+                     relay_.set_backends(backends_);
+                     share_workers();
+                 }})
+{
+}
+
+void relay_process::share_workers()
+{
+    if (config_ && registry_.complete())
+        ownership_.set_workers(engines_among(backends_, *config_));
+}
+
+http_server_options relay_process::server_options(door_address const& at) const
+{
+    http_server_options options;
+    options.address = at.address;
+    options.port = at.port;
+    options.max_connections = settings_.max_connections;
+    options.read_timeout = idle_timeout;
+    options.shared_io = const_cast<asio::io_context*>(&io_);
+    return options;
+}
+
+bool relay_process::ready() const
+{
+    return !stopping_ && relay_.has_config() && registry_.complete();
+}
+
+void relay_process::answer_readiness(http_request const& request,
+                                     http_answer& answer)
+{
+    if (!codec_.is_ready_question(request))
+        return answer.respond({404, {}, {}});
+    bool const now_ready = ready();
+    if (now_ready != was_ready_)
+        log_.notable(now_ready ? "ready" : "not ready", log_fields(),
+                     boot_clock::now());
+    was_ready_ = now_ready;
+    answer.respond({now_ready ? 200 : 503, {}, {}});
+}
+
+void relay_process::answer_metrics(http_request const& request,
+                                   http_answer& answer)
+{
+    if (request.path != "/metrics")
+        return answer.respond({404, {}, {}});
+    http_response response;
+    response.headers.add("Content-Type", "text/plain; version=0.0.4");
+    response.body = relay_.metrics();
+    answer.respond(std::move(response));
+}
+
+void relay_process::await_signal()
+{
+    signals_.async_wait(
+        [this](asio::error_code const& cancelled, int number)
+        {
+            if (cancelled)
+                return;
+            on_signal(number);
+            await_signal();
+        });
+}
+
+void relay_process::on_signal(int number)
+{
+    if (number == SIGHUP)
+        return reload();
+    if (!stopping_)
+        begin_stop();
+}
+
+/// What a running process can take over from changed settings: nothing yet
+/// but the knowledge that they are sound; the rest holds from its next start.
+void relay_process::reload()
+{
+    auto const read = read_again_();
+    log_.notable("reload",
+                 log_fields().add("outcome", !read              ? "faulty"
+                                             : *read == settings_ ? "unchanged"
+                                                                  : "changed"),
+                 boot_clock::now());
+}
+
+/// Failure: the balancer goes on sending connections for up to two seconds
+/// after the VM says that it is leaving; a VM that closes its listener at once
+/// refuses them, and the callers lose a second each. So it serves on until
+/// then, closes each connection after its answer, and ends when nothing is in
+/// progress.
+void relay_process::begin_stop()
+{
+    time_point const now = boot_clock::now();
+    stopping_ = true;
+    stop_accepting_at_ = now + std::min<duration>(balancer_notice,
+                                                  settings_.stop_bound / 2);
+    exit_at_ = now + std::max<duration>(settings_.stop_bound - stop_margin,
+                                        settings_.stop_bound / 2);
+    callers_->close_after_answers();
+    log_.notable("stopping",
+                 log_fields().add("in_progress",
+                                  std::uint64_t{relay_.in_progress()}),
+                 now);
+    review_stop();
+}
+
+void relay_process::review_stop()
+{
+    time_point const now = boot_clock::now();
+    if (now >= stop_accepting_at_)
+    {
+        callers_->stop_accepting();
+        if (relay_.in_progress() == 0 || now >= exit_at_)
+        {
+            log_.notable("stopped",
+                         log_fields().add("in_progress",
+                                          std::uint64_t{relay_.in_progress()}),
+                         now);
+            return io_.stop();
+        }
+    }
+    stop_timer_.expires_after(stop_review);
+    stop_timer_.async_wait(
+        [this](asio::error_code const& cancelled)
+        {
+            if (!cancelled)
+                review_stop();
+        });
+}
+
+int relay_process::run()
+{
+    await_signal();
+    readiness_.emplace(
+        server_options(settings_.readiness),
+        [this](http_request request, std::shared_ptr<http_answer> answer)
+        { answer_readiness(request, *answer); });
+    callers_.emplace(
+        server_options(settings_.callers),
+        [this](http_request request, std::shared_ptr<http_answer> answer)
+        { relay_.handle(std::move(request), std::move(answer)); });
+    if (settings_.metrics.port != 0)
+        metrics_.emplace(
+            server_options(settings_.metrics),
+            [this](http_request request, std::shared_ptr<http_answer> answer)
+            { answer_metrics(request, *answer); });
+    log_.notable("started",
+                 log_fields()
+                     .add("vm", settings_.vm.str())
+                     .add("domain", settings_.domain.str()),
+                 boot_clock::now());
+    registry_.start();
+    ownership_.start();
+    io_.run();
+    return 0;
+}
+
+} // namespace
+
+int run_relay(relay_settings const& value, relay_codec const& codec,
+              row_store& store, settings_reader const& read_again)
+{
+    start_logging(value.vm.str(), value.log_level, value.log_format);
+    relay_process process(value, codec, store, read_again);
+    int const status = process.run();
+    // Its answers are posted to the process's io_context.
+    store.close();
+    stop_logging();
+    return status;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/relay_exchange.cpp
@@ -0,0 +1,413 @@
+#include "relay_exchange.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int first_failure_status = 300;
+constexpr int first_server_error = 500;
+/// A request that workers reject one after the other is not sent to more: the
+/// view of the workers is out of date, and the caller may do better elsewhere.
+constexpr int most_sends = 4;
+/// A plain answer larger than that is not kept in memory; the largest that
+/// the services give are some kilobytes.
+constexpr std::size_t most_buffered = 8UL * 1024 * 1024;
+/// A stream that pauses for so long goes on at another worker, where that is
+/// allowed: callers give up after two seconds without an event.
+constexpr milliseconds longest_pause{900};
+/// The answer to a request that was not run and may do better elsewhere.
+constexpr milliseconds soon{60};
+/// Callers that read nothing hold their streams' bytes here; one that lags by
+/// so much is cut off.
+constexpr std::size_t most_unsent = 1UL * 1024 * 1024;
+
+} // namespace
+
+/// Hears of one send, and nothing once another follows.
+class relay_exchange::attempt final : public exchange_observer
+{
+public:
+    attempt(std::shared_ptr<relay_exchange> of, std::uint64_t number)
+        : of_(std::move(of)), number_(number)
+    {
+    }
+    void on_head(int status, http_headers headers) override
+    {
+        if (current())
+            of_->on_head(status, std::move(headers));
+    }
+    void on_body(std::string_view bytes) override
+    {
+        if (current())
+            of_->on_body(bytes);
+    }
+    void on_end(bool framed) override
+    {
+        if (current())
+            of_->on_end(framed);
+    }
+    void on_failure(call_stage at, std::string const& reason) override
+    {
+        if (current())
+            of_->on_failure(at, reason);
+    }
+
+private:
+    bool current() const { return of_->attempt_number_ == number_; }
+
+    std::shared_ptr<relay_exchange> of_;
+    std::uint64_t number_;
+};
+
+relay_exchange::relay_exchange(exchange_host& host, exchange_terms terms,
+                               relay_request request,
+                               std::shared_ptr<http_answer> answer)
+    : host_(host), terms_(std::move(terms)), request_(std::move(request)),
+      answer_(std::move(answer))
+{
+}
+
+void relay_exchange::start()
+{
+    schedule_wake();
+    host_.wait_for_worker(*this, excluded_);
+}
+
+void relay_exchange::schedule_wake()
+{
+    time_point when = terms_.give_up_at;
+    if (stage_ == stage::sent && repeatable() &&
+        runs_ <= terms_.matched->max_attempts)
+        when = std::min(when, sent_at_ + host_.patience(*this));
+    if (stage_ == stage::streaming && repeatable())
+        when = std::min(when, last_byte_at_ + longest_pause);
+    host_.wake_at(*this, when);
+}
+
+bool relay_exchange::repeatable() const
+{
+    route const& matched = *terms_.matched;
+    return matched.repeats == repeat_rule::idempotent ||
+           (matched.repeats == repeat_rule::stream && matched.resumable);
+}
+
+void relay_exchange::on_placed(backend_entry const& worker,
+                               std::string_view reason)
+{
+    worker_ = worker;
+    stage_ = stage::sent;
+    sent_at_ = host_.now();
+    reply_ = {};
+    headers_ = {};
+    body_.clear();
+    ++sends_;
+    ++runs_;
+    send_terms terms;
+    terms.worker = worker.id;
+    terms.time_left = std::max<duration>(terms_.give_up_at - sent_at_,
+                                         milliseconds(1));
+    if (terms_.engine)
+        terms.priority = terms_.matched->priority;
+    terms.resume_after = request_.last_event;
+    if (stream_begun_ && events_.last_id())
+        terms.resume_after = events_.last_id();
+    exchange_options options;
+    // A connection that is opened within the domain takes a millisecond; one
+    // that is still not open after this long will not be.
+    options.connect_timeout = std::chrono::milliseconds(300);
+    // A kept connection may have been dropped without a word. What may run
+    // once only is sent over one that was in use a moment ago.
+    options.max_idle = repeatable() ? milliseconds(3000) : milliseconds(1000);
+    ++attempt_number_;
+    running_ = host_.pool().start(
+        {worker.address, worker.port},
+        host_.codec().encode_request(request_, terms), options,
+        std::make_shared<attempt>(shared_from_this(), attempt_number_));
+    if (sends_ > 1)
+        host_.note(*this, "sent again", reason);
+    schedule_wake();
+}
+
+void relay_exchange::on_refused(error_kind kind, duration retry_after,
+                                std::string_view reason)
+{
+    if (stream_begun_)
+    {
+        host_.note(*this, "stream cut", reason);
+        answer_->abort();
+        return end(relay_outcome::failed);
+    }
+    // A request that may have run before is never said not to have run.
+    if (runs_ > 0)
+        return give_error(error(error_kind::outcome_unknown,
+                                "no worker is left to try again"),
+                          relay_outcome::failed, reason);
+    give_error(error(kind, std::string(reason), ran::no, retry_after),
+               relay_outcome::refused, reason);
+}
+
+void relay_exchange::on_due()
+{
+    if (stage_ == stage::over)
+        return;
+    time_point const now = host_.now();
+    if (now < terms_.give_up_at)
+    {
+        bool const silent =
+            (stage_ == stage::sent && repeatable() &&
+             now >= sent_at_ + host_.patience(*this)) ||
+            (stage_ == stage::streaming && now >= last_byte_at_ + longest_pause);
+        if (silent && may_repeat())
+        {
+            end_send(send_outcome::silent);
+            return resubmit("the worker is silent");
+        }
+        // Not silent, or not to be repeated: on until the deadline.
+        return host_.wake_at(*this, stage_ == stage::streaming && !silent
+                                        ? last_byte_at_ + longest_pause
+                                        : terms_.give_up_at);
+    }
+    if (stage_ == stage::waiting)
+    {
+        host_.stop_waiting(*this);
+        if (runs_ == 0 && !stream_begun_)
+            return give_error(error(error_kind::overloaded,
+                                    "no worker was free in time", ran::no,
+                                    soon),
+                              relay_outcome::refused, "deadline while waiting");
+    }
+    else
+        end_send(send_outcome::silent);
+    if (stream_begun_)
+    {
+        host_.note(*this, "stream cut", "deadline");
+        answer_->abort();
+        return end(relay_outcome::failed);
+    }
+    give_error(error(error_kind::deadline_passed, "the worker gave no answer"),
+               relay_outcome::failed, "deadline");
+}
+
+void relay_exchange::on_caller_gone()
+{
+    if (stage_ == stage::over)
+        return;
+    if (stage_ == stage::waiting)
+        host_.stop_waiting(*this);
+    else
+        end_send(send_outcome::abandoned);
+    end(relay_outcome::caller_gone);
+}
+
+void relay_exchange::on_head(int status, http_headers headers)
+{
+    reply_ = host_.codec().decode_reply(status, headers, request_);
+    if (reply_.foreign)
+    {
+        // The answer to some other request came late on this connection. What
+        // became of ours cannot be told.
+        running_->cancel();
+        return recover(send_outcome::broken, "an answer to another request");
+    }
+    last_byte_at_ = host_.now();
+    headers_ = host_.codec().answer_headers(headers);
+    stage_ = stage::buffering;
+    if (!reply_.not_run)
+        host_.first_byte(*this);
+    if (status < first_failure_status && reply_.event_stream)
+    {
+        if (!answer_acceptable())
+        {
+            running_->cancel();
+            return recover(send_outcome::broken, "the answer has no proof");
+        }
+        return begin_stream();
+    }
+    host_.wake_at(*this, terms_.give_up_at);
+}
+
+bool relay_exchange::answer_acceptable() const
+{
+    return reply_.status >= first_failure_status ||
+           (reply_.sealed && !reply_.encoded);
+}
+
+void relay_exchange::begin_stream()
+{
+    stage_ = stage::streaming;
+    if (!stream_begun_)
+        answer_->start_stream(reply_.status, headers_);
+    stream_begun_ = true;
+    events_.drop_rest();
+    schedule_wake();
+}
+
+void relay_exchange::on_body(std::string_view bytes)
+{
+    if (stage_ == stage::streaming)
+        return pass_on(bytes);
+    if (body_.size() + bytes.size() > most_buffered)
+    {
+        running_->cancel();
+        return recover(send_outcome::broken, "the answer is too large");
+    }
+    body_ += bytes;
+}
+
+void relay_exchange::pass_on(std::string_view bytes)
+{
+    last_byte_at_ = host_.now();
+    if (!repeatable())
+        answer_->write(std::string(bytes));
+    else if (std::string whole = events_.feed(bytes); !whole.empty())
+        answer_->write(std::move(whole));
+    if (answer_->unsent_bytes() > most_unsent)
+    {
+        host_.note(*this, "stream cut", "the caller does not read");
+        end_send(send_outcome::abandoned);
+        answer_->abort();
+        end(relay_outcome::caller_gone);
+    }
+}
+
+void relay_exchange::on_end(bool framed)
+{
+    if (stage_ == stage::streaming)
+        return finish_stream(framed);
+    if (reply_.not_run)
+        return finish_rejected();
+    finish_answer();
+}
+
+void relay_exchange::finish_stream(bool framed)
+{
+    (void)framed;
+    end_send(send_outcome::served);
+    if (events_.rest_bytes() > 0)
+    {
+        host_.note(*this, "stream cut", "it ended within an event");
+        answer_->abort();
+        return end(relay_outcome::failed);
+    }
+    answer_->finish();
+    end(relay_outcome::served);
+}
+
+/// The worker states that it did not run the request, so it may go to another.
+void relay_exchange::finish_rejected()
+{
+    --runs_;
+    bool const lacks = reply_.status == 421 && !reply_.other_worker;
+    send_outcome const outcome =
+        reply_.other_worker ? send_outcome::unreachable
+        : lacks             ? send_outcome::not_held
+                            : send_outcome::full;
+    excluded_.insert(worker_.id);
+    end_send(outcome);
+    if (sends_ < most_sends && host_.take_retry(*this))
+        return resubmit("rejected by the worker");
+    stage_ = stage::waiting;
+    on_refused(error_kind::overloaded, soon, "workers rejected it");
+}
+
+void relay_exchange::finish_answer()
+{
+    if (!answer_acceptable())
+        return recover(send_outcome::broken, "the answer has no proof");
+    bool const failed = reply_.status >= first_server_error;
+    if (failed && may_repeat())
+    {
+        end_send(send_outcome::failed);
+        return resubmit("the worker failed");
+    }
+    end_send(failed ? send_outcome::failed : send_outcome::served);
+    if (stream_begun_)
+    {
+        // A stream that was to go on got a plain answer instead.
+        answer_->abort();
+        return end(relay_outcome::failed);
+    }
+    if (failed)
+        host_.note(*this, "worker failed", "its own answer is passed on");
+    answer_->respond({reply_.status, std::move(headers_), std::move(body_)});
+    end(failed ? relay_outcome::worker_failed : relay_outcome::served);
+}
+
+void relay_exchange::on_failure(call_stage at, std::string const& reason)
+{
+    if (at == call_stage::not_sent)
+    {
+        // Nothing reached the worker: no run, and no arrival either.
+        --runs_;
+        --sends_;
+        excluded_.insert(worker_.id);
+        end_send(send_outcome::unreachable);
+        return resubmit(reason);
+    }
+    recover(send_outcome::broken, reason);
+}
+
+bool relay_exchange::may_repeat()
+{
+    return repeatable() && runs_ < terms_.matched->max_attempts &&
+           sends_ < most_sends && host_.take_retry(*this);
+}
+
+void relay_exchange::recover(send_outcome outcome, std::string_view reason)
+{
+    end_send(outcome);
+    if (may_repeat())
+        return resubmit(reason);
+    if (stream_begun_)
+    {
+        host_.note(*this, "stream cut", reason);
+        answer_->abort();
+        return end(relay_outcome::failed);
+    }
+    give_error(error(error_kind::outcome_unknown, std::string(reason)),
+               relay_outcome::failed, reason);
+}
+
+void relay_exchange::end_send(send_outcome outcome)
+{
+    ++attempt_number_;
+    if (running_)
+        running_->cancel();
+    running_.reset();
+    host_.send_ended(*this, outcome);
+}
+
+void relay_exchange::resubmit(std::string_view reason)
+{
+    host_.note(*this, "tries again", reason);
+    excluded_.insert(worker_.id);
+    stage_ = stage::waiting;
+    schedule_wake();
+    host_.wait_for_worker(*this, excluded_);
+}
+
+void relay_exchange::give_error(error problem, relay_outcome outcome,
+                                std::string_view reason)
+{
+    host_.note(*this,
+               outcome == relay_outcome::refused ? "rejected" : "failed",
+               reason);
+    answer_->respond(host_.codec().error_response(request_, problem));
+    end(outcome);
+}
+
+void relay_exchange::end(relay_outcome outcome)
+{
+    stage_ = stage::over;
+    ++attempt_number_;
+    host_.wake_at(*this, never);
+    host_.finished(*this, outcome);
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/relay_request.hpp
@@ -0,0 +1,130 @@
+/// A caller's request on its way through, and what a worker said of it, after
+/// the adapter decoded them.
+#ifndef MULBERRY_RELAY_REQUEST_HPP
+#define MULBERRY_RELAY_REQUEST_HPP
+
+#include "http_message.hpp"
+#include "ids.hpp"
+#include "time_point.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberry
+{
+
+/// The model that a request names.
+struct model_target
+{
+    base_model_id model;
+    /// Empty for the base model itself.
+    adapter_id adapter;
+    friend auto operator<=>(model_target const&, model_target const&) = default;
+};
+
+/// What the relay decides on; everything else passes through unchanged.
+struct relay_request
+{
+    /// Of this try of the caller; a caller's own retry has another.
+    request_id id;
+    std::string host;
+    std::string method;
+    /// Path and query as received.
+    std::string target;
+    std::string path;
+    /// Without the fields of one connection and those that only the layer may
+    /// set.
+    http_headers headers;
+    std::string body;
+    /// How much longer the caller waits, as of its arrival.
+    std::optional<duration> time_left;
+    std::optional<model_target> model;
+    /// Where the caller resumes a stream.
+    std::optional<std::uint64_t> last_event;
+};
+
+/// What the layer adds when it sends a request to a worker.
+struct send_terms
+{
+    worker_id worker;
+    duration time_left{};
+    /// 0 is the most urgent; absent for a plain service.
+    std::optional<int> priority;
+    /// The stream goes on after this event.
+    std::optional<std::uint64_t> resume_after;
+};
+
+/// What the head of a worker's answer says.
+struct worker_reply
+{
+    int status = 0;
+    /// It names the request that was sent.
+    bool correlated = false;
+    /// It names some other request: the bytes are not the answer.
+    bool foreign = false;
+    /// The worker states that the request did not run and never will there.
+    bool not_run = false;
+    /// The worker that answered is not the one that was meant.
+    bool other_worker = false;
+    /// It carries the worker's proof that it made the answer.
+    bool sealed = false;
+    bool event_stream = false;
+    /// The body was encoded on the way and is not the worker's.
+    bool encoded = false;
+};
+
+/// An order about an adapter or a model of a worker.
+enum class order_kind
+{
+    load,
+    unload
+};
+
+struct worker_order
+{
+    order_kind kind = order_kind::load;
+    base_model_id model;
+    /// Empty for the model itself.
+    adapter_id adapter;
+    worker_id worker;
+    /// The count of orders that the worker must have accepted before it.
+    std::uint64_t expected_sequence = 0;
+    vm_id holder;
+    fencing_number fence;
+    friend bool operator==(worker_order const&, worker_order const&) = default;
+};
+
+enum class order_outcome
+{
+    /// Accepted, being carried out.
+    accepted,
+    /// Already as ordered.
+    holds,
+    /// Another order is under way, or the sequence differs.
+    conflict,
+    /// A higher fencing token was seen.
+    fenced,
+    /// Malformed or impossible.
+    refused,
+    /// Another worker has the address.
+    other_worker,
+    /// No answer: it may be carried out at any later time.
+    unknown
+};
+
+/// What a worker reports of itself. Some hundred milliseconds old.
+struct worker_report
+{
+    std::uint64_t sequence = 0;
+    bool busy = false;
+    std::map<base_model_id, std::map<adapter_id, adapter_version>> models;
+    /// Adapters on their way to the worker.
+    std::vector<model_target> coming;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/relay_settings.cpp
@@ -0,0 +1,105 @@
+#include "relay_settings.hpp"
+
+#include "json_reader.hpp"
+
+#include <fmt/format.h>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using enum presence;
+
+constexpr std::uint64_t max_port = 65535;
+constexpr milliseconds longest_bound{60'000};
+
+/// IP:PORT, as one text.
+void read_address(json_object& root, char const* key, door_address& into,
+                  presence need)
+{
+    std::string text;
+    root.read_text(key, text, need);
+    if (text.empty())
+        return;
+    auto const colon = text.rfind(':');
+    std::string const port =
+        colon == std::string::npos ? "" : text.substr(colon + 1);
+    into.address = text.substr(0, colon);
+    bool const digits = !port.empty() && port.size() <= 5 &&
+                        port.find_first_not_of("0123456789") ==
+                            std::string::npos;
+    if (!valid_address(into.address) || !digits || std::stoul(port) > max_port)
+        return root.add_fault(
+            key, fmt::format("\"{}\" is not IP:PORT in numbers", text));
+    into.port = static_cast<std::uint16_t>(std::stoul(port));
+}
+
+void read_bounds(json_object& root, relay_settings& value)
+{
+    auto const read = [&](char const* key, duration& into)
+    {
+        root.read_milliseconds(key, into, {milliseconds(1), longest_bound},
+                               optional);
+    };
+    read("order_gap_ms", value.order_gap);
+    read("release_bound_ms", value.release_bound);
+    read("drain_bound_ms", value.drain_bound);
+    read("configuration_bound_ms", value.configuration_bound);
+    double stop_seconds =
+        std::chrono::duration<double>(value.stop_bound).count();
+    root.read_number("stop_bound_s", stop_seconds, {0.5, 600.0}, optional);
+    value.stop_bound = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(stop_seconds));
+}
+
+void read_retries(json_object& root, relay_settings& value)
+{
+    root.read_number("retry_ratio", value.retries.ratio, {0.0, 1.0}, optional);
+    root.read_number("retry_slack", value.retries.slack, {0.0, 1e6}, optional);
+    double window =
+        std::chrono::duration<double>(value.retries.window).count();
+    root.read_number("retry_window_s", window, {0.1, 600.0}, optional);
+    value.retries.window = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(window));
+}
+
+} // namespace
+
+std::variant<relay_settings, std::vector<text_fault>>
+parse_relay_settings(std::string_view text, std::string const& file)
+{
+    json_document document(text, file);
+    if (!document.well_formed())
+        return document.faults();
+    relay_settings value;
+    json_object root(document, document.root(), "");
+    std::string vm;
+    std::string domain;
+    root.read_name("vm", vm, required);
+    root.read_name("domain", domain, required);
+    value.vm = vm_id(vm);
+    value.domain = domain_id(domain);
+    read_address(root, "callers", value.callers, required);
+    read_address(root, "readiness", value.readiness, required);
+    read_address(root, "metrics", value.metrics, optional);
+    root.read_url("store_url", value.store_url, required);
+    read_bounds(root, value);
+    read_retries(root, value);
+    root.read_count("max_connections", value.max_connections, {1, 1'000'000},
+                    optional);
+    root.read_choice("log_level", value.log_level,
+                     {"trace", "debug", "info", "warning", "error", "fatal"},
+                     optional);
+    root.read_choice("log_format", value.log_format, {"text", "json"},
+                     optional);
+    root.read_number("log_lines_per_second", value.log_lines_per_second,
+                     {1.0, 1e5}, optional);
+    root.refuse_unknown_keys();
+    if (!document.sound())
+        return document.faults();
+    return value;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/relay_settings.hpp
@@ -0,0 +1,57 @@
+/// The settings of a VM that relays on a platform.
+#ifndef MULBERRY_RELAY_SETTINGS_HPP
+#define MULBERRY_RELAY_SETTINGS_HPP
+
+#include "retry_allowance.hpp"
+#include "settings.hpp"
+
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace mulberry
+{
+
+/// Immutable once loaded. Spans of time stand here as settings only; the
+/// running program stores the deadlines made from them.
+struct relay_settings
+{
+    vm_id vm;
+    domain_id domain;
+    door_address callers;
+    /// Where the balancer asks whether this VM takes connections.
+    door_address readiness;
+    /// Without a port, no metrics are served.
+    door_address metrics;
+    std::string store_url;
+
+    /// The least time between orders of two VMs to one worker.
+    duration order_gap = std::chrono::milliseconds(3000);
+    /// How soon a new version of an adapter is in force.
+    duration release_bound = std::chrono::milliseconds(5000);
+    /// How soon a worker that leaves gets no more requests.
+    duration drain_bound = std::chrono::milliseconds(2000);
+    /// How soon a configuration is in force.
+    duration configuration_bound = std::chrono::milliseconds(2000);
+    /// From the signal to stop until the process is killed.
+    duration stop_bound = std::chrono::seconds(8);
+    retry_limits retries;
+
+    std::size_t max_connections = 4096;
+    std::string log_level = "info";
+    std::string log_format = "json";
+    /// Log lines a second, of routine and of notable ones each.
+    double log_lines_per_second = 40;
+
+    friend bool operator==(relay_settings const&,
+                           relay_settings const&) = default;
+};
+
+/// Reads settings from JSON with comments; lists every fault.
+std::variant<relay_settings, std::vector<text_fault>>
+parse_relay_settings(std::string_view text, std::string const& file);
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/service_scheduler.hpp
@@ -0,0 +1,254 @@
+/// How the requests of one service wait, are placed and are turned away on one
+/// VM.
+#ifndef MULBERRY_SERVICE_SCHEDULER_HPP
+#define MULBERRY_SERVICE_SCHEDULER_HPP
+
+#include "adapter_demand.hpp"
+#include "backend_entry.hpp"
+#include "error_kind.hpp"
+#include "relay_request.hpp"
+#include "routing_config.hpp"
+#include "worker_adapters.hpp"
+#include "worker_health.hpp"
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace mulberry
+{
+
+/// A request as the scheduler knows it; unique within a process.
+using ticket_id = number_id<struct ticket_tag>;
+
+/// A request that waits for a worker.
+struct work_item
+{
+    ticket_id ticket;
+    std::optional<model_target> target;
+    /// 0 is the most urgent.
+    int priority = 0;
+    time_point arrived_at{};
+    /// When the caller stops waiting, or the route's timeout ends.
+    time_point give_up_at = never;
+    /// Workers that are not to be used: tried before.
+    std::set<worker_id> excluded;
+};
+
+/// Send the request to the worker now.
+struct place_request
+{
+    ticket_id ticket;
+    worker_id worker;
+    backend_entry entry;
+    /// What decided it, for the log.
+    std::string_view reason;
+};
+
+/// Answer the request that it was not run.
+struct refuse_request
+{
+    ticket_id ticket;
+    error_kind kind = error_kind::overloaded;
+    duration retry_after{};
+    std::string_view reason;
+};
+
+/// Send the order now.
+struct give_order
+{
+    worker_order order;
+    backend_entry entry;
+};
+
+/// Ask the worker what it holds.
+struct ask_report
+{
+    worker_id worker;
+    backend_entry entry;
+};
+
+using placement_action =
+    std::variant<place_request, refuse_request, give_order, ask_report>;
+
+/// This VM is the one that gives a worker orders.
+struct order_grant
+{
+    fencing_number fence;
+    time_point orders_from{};
+    friend bool operator==(order_grant const&, order_grant const&) = default;
+};
+
+struct scheduler_settings
+{
+    vm_id vm;
+    domain_id domain;
+    /// Requests that may wait here at a time.
+    std::size_t max_waiting = 512;
+    /// How long an older copy may be used after a newer version was heard of.
+    duration release_grace = std::chrono::milliseconds(2000);
+    std::uint64_t seed = 1;
+};
+
+/// Why a scheduler decided so, summed up for metrics. Value.
+struct scheduler_counts
+{
+    std::uint64_t placed_resident = 0;
+    std::uint64_t placed_after_load = 0;
+    std::uint64_t placed_elsewhere = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t cold_loads = 0;
+    std::uint64_t warm_loads = 0;
+    std::uint64_t evictions = 0;
+    std::size_t waiting = 0;
+    std::size_t sent = 0;
+    friend bool operator==(scheduler_counts const&,
+                           scheduler_counts const&) = default;
+};
+
+/// Events go in with the time, actions come out; no I/O, no clock. Thread
+/// safety: none.
+class service_scheduler
+{
+public:
+    service_scheduler(scheduler_settings settings, service_config config);
+    ~service_scheduler();
+    service_scheduler(service_scheduler const&) = delete;
+    service_scheduler& operator=(service_scheduler const&) = delete;
+
+    void configure(service_config config);
+    /// Every worker of the service that may be used now. One that is missing
+    /// is gone.
+    void set_backends(std::vector<backend_entry> const& entries,
+                      time_point now);
+    /// The workers that this VM gives orders to.
+    void set_grants(std::map<worker_id, order_grant> const& grants,
+                    time_point now);
+    void set_members(std::size_t vms) { vms_ = std::max<std::size_t>(vms, 1); }
+    void on_release(model_target const& target, adapter_version version,
+                    time_point now);
+
+    void submit(work_item item, time_point now);
+    /// The caller is gone or has been answered. Precondition: not sent.
+    void withdraw(ticket_id ticket);
+    /// The worker began to answer.
+    void first_byte(ticket_id ticket, time_point now);
+    /// A request that was sent is over at its worker.
+    void ended(ticket_id ticket, send_outcome outcome, time_point now);
+
+    void on_order(worker_id const& worker, order_outcome outcome,
+                  time_point now);
+    void on_report(worker_id const& worker,
+                   std::optional<worker_report> const& report, time_point now);
+
+    /// Decides whatever can be decided now.
+    std::vector<placement_action> run(time_point now);
+    /// When run() may have something to do, if nothing happens before.
+    time_point next_due() const;
+
+    scheduler_counts counts() const;
+    bool has_backends() const { return !workers_.empty(); }
+    /// How long a worker may leave a request without a first byte.
+    duration patience(worker_id const& worker) const;
+
+private:
+    struct worker_state
+    {
+        backend_entry entry;
+        worker_health health;
+        worker_adapters adapters;
+        /// This VM gives it orders.
+        bool owned = false;
+
+        worker_state(backend_entry listed, worker_adapters_settings settings)
+            : entry(std::move(listed)), adapters(settings)
+        {
+        }
+    };
+    struct waiting_item
+    {
+        work_item item;
+        /// The worker whose load of the adapter it waits for.
+        worker_id loads_at;
+    };
+    struct sent_item
+    {
+        worker_id worker;
+        time_point sent_at{};
+        std::optional<model_target> target;
+        bool counted_use = false;
+        bool begun = false;
+    };
+    struct queue_key
+    {
+        int priority = 0;
+        std::uint64_t number = 0;
+        friend auto operator<=>(queue_key const&, queue_key const&) = default;
+    };
+    struct release
+    {
+        adapter_version version;
+        time_point heard_at{};
+    };
+    enum class verdict
+    {
+        placed,
+        waits,
+        hopeless
+    };
+
+    worker_state* find(worker_id const& worker);
+    std::size_t limit_of(worker_state const& worker) const;
+    bool usable(worker_state const& worker, work_item const& item,
+                time_point now) const;
+    bool sick(worker_state const& worker) const;
+    double load_of(worker_state const& worker) const;
+    bool holds(worker_state const& worker, model_target const& target,
+               time_point now) const;
+    adapter_version newest_of(model_target const& target) const;
+    bool past_grace(model_target const& target, time_point now) const;
+    worker_state* best_holder(waiting_item const& waiting, time_point now);
+    worker_state* place_to_load(model_target const& target,
+                                work_item const& item, time_point now);
+    verdict decide(waiting_item& waiting, time_point now);
+    verdict decide_load(waiting_item& waiting, time_point now);
+    void spread_load(worker_state const& busy, work_item const& item,
+                     time_point now);
+    void place(waiting_item& waiting, worker_state& on, time_point now);
+    void refuse(waiting_item const& waiting, error_kind kind,
+                duration retry_after, std::string_view reason);
+    void leave_wait(waiting_item& waiting);
+    duration expected_wait(std::size_t ahead) const;
+    bool too_late(waiting_item const& waiting, std::size_t ahead,
+                  time_point now) const;
+    void run_queue(time_point now);
+    void run_workers(time_point now);
+    void want_model(worker_state& worker, time_point now);
+    adapter_ref demand_key(model_target const& target) const;
+
+    scheduler_settings settings_;
+    service_config config_;
+    std::map<worker_id, std::unique_ptr<worker_state>> workers_;
+    std::map<queue_key, waiting_item> queue_;
+    std::map<ticket_id, queue_key> waiting_;
+    std::map<ticket_id, sent_item> sent_;
+    std::map<model_target, release> releases_;
+    adapter_demand demand_;
+    std::vector<placement_action> actions_;
+    std::vector<time_point> weight_loads_;
+    std::uint64_t last_number_ = 0;
+    std::size_t vms_ = 1;
+    duration mean_service_ = std::chrono::milliseconds(500);
+    scheduler_counts counts_;
+};
+
+} // namespace mulberry
+
+#endif
--- a/src/shell.cmake
+++ b/src/shell.cmake
@@ -8,7 +8,7 @@
           peers_door.cpp operators_door.cpp decision_loop.cpp daemon.cpp
   LINK mulberry_core mulberry_net Boost::log)
 add_executable(mulberryd ${CMAKE_SOURCE_DIR}/src/mulberryd.cpp)
-target_link_libraries(mulberryd PRIVATE mulberry_shell Boost::program_options)
+target_link_libraries(mulberryd PRIVATE mulberry_platform Boost::program_options)
 mulberry_test(shell_test
   SOURCES completion_request_test.cpp kernel_test.cpp peer_codec_test.cpp
           stream_observer_test.cpp timeline_test.cpp
--- /dev/null
+++ b/src/worker_adapters.cpp
@@ -0,0 +1,486 @@
+#include "worker_adapters.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+/// How many adapters a worker is assumed to keep copies of beside those that
+/// are loaded, in multiples of its slots. Only the first guess of a load's
+/// length rests on it.
+constexpr std::size_t copies_per_slot = 4;
+/// After an order that the worker calls impossible, before it is tried again.
+constexpr std::chrono::milliseconds refused_retry{1000};
+
+} // namespace
+
+worker_adapters::worker_adapters(worker_adapters_settings settings)
+    : settings_(settings)
+{
+}
+
+void worker_adapters::grant(vm_id holder, fencing_number fence,
+                            time_point orders_from)
+{
+    if (holder_ && fence_ == fence)
+        return;
+    holder_ = std::move(holder);
+    fence_ = fence;
+    orders_from_ = orders_from;
+    // Another VM may have given orders since this one last did.
+    sequence_.reset();
+    report_asked_ = false;
+    report_from_ = orders_from;
+}
+
+void worker_adapters::revoke()
+{
+    holder_.reset();
+    sequence_.reset();
+    order_.reset();
+    in_flight_ = false;
+    wanted_model_.reset();
+    std::erase_if(adapters_, [](auto const& each)
+                  { return each.second.stage != adapter_stage::resident; });
+}
+
+bool worker_adapters::wants_report(time_point now) const
+{
+    return holder_ && !sequence_ && !report_asked_ && now >= report_from_;
+}
+
+void worker_adapters::on_report(std::optional<worker_report> const& report,
+                                time_point now)
+{
+    report_asked_ = false;
+    if (sequence_)
+        return;
+    if (!report)
+    {
+        report_from_ = now + settings_.resync_delay;
+        return;
+    }
+    sequence_ = report->sequence;
+    models_.clear();
+    std::map<model_target, entry> known = std::exchange(adapters_, {});
+    auto const adopt = [&](model_target const& target, adapter_stage stage)
+    {
+        entry& made = adapters_[target];
+        if (auto const before = known.find(target); before != known.end())
+            made = before->second;
+        made.stage = stage;
+        made.check_at = stage == adapter_stage::loading ? now : never;
+        made.due = stage == adapter_stage::loading ? now : never;
+    };
+    for (auto const& [model, adapters] : report->models)
+    {
+        models_[model] = true;
+        for (auto const& [adapter, version] : adapters)
+        {
+            adopt({model, adapter}, adapter_stage::resident);
+            adapters_[{model, adapter}].version = version;
+        }
+    }
+    for (model_target const& target : report->coming)
+        adopt(target, adapter_stage::loading);
+    // Requests still wait for what is neither there nor coming.
+    for (auto const& [target, before] : known)
+        if (adapters_.count(target) == 0 &&
+            (before.waits > 0 || before.uses > 0))
+        {
+            adopt(target, adapter_stage::wanted);
+            adapters_[target].due = now + settings_.cold_load;
+        }
+}
+
+bool worker_adapters::has_model(base_model_id const& model) const
+{
+    auto const held = models_.find(model);
+    return held != models_.end() && held->second;
+}
+
+std::vector<base_model_id> worker_adapters::models() const
+{
+    std::vector<base_model_id> held;
+    for (auto const& [model, present] : models_)
+        if (present)
+            held.push_back(model);
+    return held;
+}
+
+std::optional<adapter_stage>
+worker_adapters::stage(model_target const& target) const
+{
+    auto const known = adapters_.find(target);
+    if (known == adapters_.end())
+        return std::nullopt;
+    return known->second.stage;
+}
+
+adapter_version worker_adapters::version(model_target const& target) const
+{
+    auto const known = adapters_.find(target);
+    return known == adapters_.end() ? adapter_version()
+                                    : known->second.version;
+}
+
+time_point worker_adapters::due(model_target const& target) const
+{
+    auto const known = adapters_.find(target);
+    if (known == adapters_.end() ||
+        known->second.stage == adapter_stage::resident)
+        return never;
+    return known->second.due;
+}
+
+bool worker_adapters::can_take(model_target const& target) const
+{
+    if (!sequence_ || !has_model(target.model))
+        return false;
+    if (auto const known = adapters_.find(target); known != adapters_.end())
+        return !stale(known->second) || known->second.uses == 0;
+    std::size_t fixed = 0;
+    for (auto const& [each, state] : adapters_)
+        fixed += state.stage != adapter_stage::resident || state.uses > 0 ||
+                 state.waits > 0;
+    return fixed < settings_.adapter_slots;
+}
+
+void worker_adapters::want(model_target const& target, time_point now)
+{
+    auto const [known, added] = adapters_.try_emplace(target);
+    if (!added)
+        return;
+    known->second.wanted_at = now;
+    known->second.due = now + (was_here_lately(target) ? settings_.warm_load
+                                                       : settings_.cold_load);
+}
+
+void worker_adapters::begin_use(model_target const& target, time_point)
+{
+    if (auto const known = adapters_.find(target); known != adapters_.end())
+        ++known->second.uses;
+}
+
+void worker_adapters::end_use(model_target const& target)
+{
+    auto const known = adapters_.find(target);
+    if (known != adapters_.end() && known->second.uses > 0)
+        --known->second.uses;
+}
+
+void worker_adapters::begin_wait(model_target const& target)
+{
+    if (auto const known = adapters_.find(target); known != adapters_.end())
+        ++known->second.waits;
+}
+
+void worker_adapters::end_wait(model_target const& target)
+{
+    auto const known = adapters_.find(target);
+    if (known == adapters_.end() || known->second.waits == 0)
+        return;
+    --known->second.waits;
+    // Nobody waits for it any more, and it was not ordered: its slot is free.
+    if (known->second.waits == 0 &&
+        known->second.stage == adapter_stage::wanted &&
+        known->second.uses == 0 && !(order_ && order_->adapter == target.adapter))
+        adapters_.erase(known);
+}
+
+void worker_adapters::missing(model_target const& target)
+{
+    auto const known = adapters_.find(target);
+    if (known == adapters_.end() ||
+        known->second.stage != adapter_stage::resident)
+        return;
+    // What is believed of the worker is wrong: look before the next order.
+    sequence_.reset();
+    report_asked_ = false;
+    adapters_.erase(known);
+}
+
+void worker_adapters::outdate(model_target const& target,
+                              adapter_version newest)
+{
+    auto const known = adapters_.find(target);
+    if (known != adapters_.end() && newest > known->second.newest)
+        known->second.newest = newest;
+}
+
+bool worker_adapters::outdated(model_target const& target) const
+{
+    auto const known = adapters_.find(target);
+    return known != adapters_.end() && stale(known->second) &&
+           known->second.stage == adapter_stage::resident;
+}
+
+std::size_t worker_adapters::occupied() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(adapters_.begin(), adapters_.end(), [](auto const& each)
+                      { return each.second.stage != adapter_stage::wanted; }));
+}
+
+std::size_t worker_adapters::coming() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(adapters_.begin(), adapters_.end(), [](auto const& each)
+                      { return each.second.stage == adapter_stage::loading; }));
+}
+
+worker_order worker_adapters::make(order_kind kind, model_target target) const
+{
+    return {kind,     target.model, target.adapter, worker_,
+            *sequence_, *holder_,     fence_};
+}
+
+std::optional<worker_order>
+worker_adapters::next_order(worker_id const& worker, score const& keep,
+                            time_point now)
+{
+    if (!sequence_ || !holder_ || now < retry_at_)
+        return std::nullopt;
+    worker_ = worker;
+    if (in_flight_)
+        return std::nullopt;
+    if (order_)
+    {
+        in_flight_ = true;
+        return order_;
+    }
+    auto next = poll_order(now);
+    if (!next)
+        next = model_order(now);
+    if (!next)
+        next = load_order(now);
+    if (!next)
+        next = evict_order(keep);
+    order_ = next;
+    in_flight_ = next.has_value();
+    repeated_ = false;
+    return next;
+}
+
+/// The same load again asks whether it is done: a worker that has the adapter
+/// says so at once, one that is fetching it goes on, and neither counts it as
+/// another order.
+std::optional<worker_order> worker_adapters::poll_order(time_point now)
+{
+    if (loading_model_ && now >= model_check_at_)
+        return make(order_kind::load, {*loading_model_, {}});
+    for (auto const& [target, state] : adapters_)
+        if (state.stage == adapter_stage::loading && now >= state.check_at)
+            return make(order_kind::load, target);
+    return std::nullopt;
+}
+
+std::optional<worker_order> worker_adapters::model_order(time_point)
+{
+    if (!wanted_model_ || loading_model_ || !models_.empty())
+        return std::nullopt;
+    return make(order_kind::load, {*wanted_model_, {}});
+}
+
+std::optional<worker_order> worker_adapters::load_order(time_point)
+{
+    if (occupied() >= settings_.adapter_slots ||
+        coming() >= settings_.max_coming)
+        return std::nullopt;
+    std::pair<model_target const, entry> const* first = nullptr;
+    for (auto const& each : adapters_)
+        if (each.second.stage == adapter_stage::wanted &&
+            has_model(each.first.model) &&
+            (first == nullptr || each.second.wanted_at < first->second.wanted_at))
+            first = &each;
+    if (first == nullptr)
+        return std::nullopt;
+    return make(order_kind::load, first->first);
+}
+
+/// An idle adapter makes way: outdated copies first, then the one with the
+/// least demand. Only what no request uses is unloaded, so that an unload is
+/// carried out at once and never under a request.
+std::optional<worker_order> worker_adapters::evict_order(score const& keep)
+{
+    bool const full = occupied() >= settings_.adapter_slots &&
+                      occupied() < adapters_.size();
+    std::pair<model_target const, entry> const* victim = nullptr;
+    double least = std::numeric_limits<double>::max();
+    for (auto const& each : adapters_)
+    {
+        entry const& state = each.second;
+        if (state.stage != adapter_stage::resident || state.uses > 0)
+            continue;
+        if (stale(state))
+            return make(order_kind::unload, each.first);
+        if (!full || state.waits > 0)
+            continue;
+        double const worth = keep(each.first);
+        if (worth >= least)
+            continue;
+        least = worth;
+        victim = &each;
+    }
+    if (victim == nullptr)
+        return std::nullopt;
+    return make(order_kind::unload, victim->first);
+}
+
+void worker_adapters::on_outcome(order_outcome outcome, time_point now)
+{
+    if (!order_ || !in_flight_)
+        return;
+    in_flight_ = false;
+    worker_order const order = *order_;
+    switch (outcome)
+    {
+    case order_outcome::accepted:
+        order_.reset();
+        return accepted(order, now);
+    case order_outcome::holds:
+        order_.reset();
+        return held(order);
+    case order_outcome::unknown:
+        // Sent again as it was, until the worker says something.
+        repeated_ = true;
+        retry_at_ = now + settings_.poll_interval;
+        return;
+    case order_outcome::conflict:
+        order_.reset();
+        // An order repeated under a number that the worker is past was carried
+        // out the first time.
+        if (repeated_ && order.expected_sequence == *sequence_)
+            return order.kind == order_kind::load ? accepted(order, now)
+                                                  : held(order);
+        return lose_track(now);
+    case order_outcome::fenced:
+    case order_outcome::other_worker:
+        order_.reset();
+        return lose_track(now);
+    case order_outcome::refused:
+        order_.reset();
+        retry_at_ = now + refused_retry;
+        // An adapter that does not exist: nobody should wait for it.
+        if (!order.adapter.empty())
+            adapters_.erase({order.model, order.adapter});
+        return;
+    }
+}
+
+void worker_adapters::accepted(worker_order const& order, time_point now)
+{
+    model_target const target{order.model, order.adapter};
+    if (order.kind == order_kind::unload)
+        return held(order);
+    if (order.adapter.empty())
+    {
+        if (!loading_model_)
+            ++*sequence_;
+        loading_model_ = order.model;
+        wanted_model_.reset();
+        model_check_at_ = now + settings_.cold_load / 2;
+        return;
+    }
+    entry& state = adapters_[target];
+    if (state.stage == adapter_stage::loading)
+    {
+        state.check_at = now + settings_.poll_interval;
+        return;
+    }
+    ++*sequence_;
+    bool const warm = was_here_lately(target);
+    ++(warm ? warm_loads_ : cold_loads_);
+    remember(target);
+    state.stage = adapter_stage::loading;
+    state.ordered = state.newest;
+    state.due = now + (warm ? settings_.warm_load : settings_.cold_load);
+    state.check_at = state.due;
+}
+
+void worker_adapters::held(worker_order const& order)
+{
+    model_target const target{order.model, order.adapter};
+    if (order.adapter.empty())
+    {
+        models_[order.model] = true;
+        loading_model_.reset();
+        wanted_model_.reset();
+        model_check_at_ = never;
+        return;
+    }
+    if (order.kind == order_kind::unload)
+    {
+        ++*sequence_;
+        ++evictions_;
+        auto const known = adapters_.find(target);
+        if (known == adapters_.end())
+            return;
+        if (known->second.waits == 0)
+        {
+            adapters_.erase(known);
+            return;
+        }
+        // Wanted again meanwhile, or an outdated copy that made way.
+        known->second.stage = adapter_stage::wanted;
+        known->second.version = {};
+        return;
+    }
+    entry& state = adapters_[target];
+    if (state.stage == adapter_stage::wanted && repeated_)
+        ++*sequence_;
+    state.stage = adapter_stage::resident;
+    state.check_at = never;
+    state.due = never;
+    // A load fetches the newest version.
+    state.version = std::max(state.version, state.ordered);
+}
+
+/// What the worker holds is not known any more. No order goes out until a
+/// report that is younger than the last order says it.
+void worker_adapters::lose_track(time_point now)
+{
+    sequence_.reset();
+    report_asked_ = false;
+    report_from_ = now + settings_.resync_delay;
+    loading_model_.reset();
+    model_check_at_ = never;
+}
+
+bool worker_adapters::was_here_lately(model_target const& target) const
+{
+    return std::find(recent_.begin(), recent_.end(), target) != recent_.end();
+}
+
+void worker_adapters::remember(model_target const& target)
+{
+    recent_.remove(target);
+    recent_.push_back(target);
+    if (recent_.size() > copies_per_slot * settings_.adapter_slots)
+        recent_.pop_front();
+}
+
+time_point worker_adapters::next_due() const
+{
+    if (!holder_)
+        return never;
+    time_point next = never;
+    if (!sequence_)
+        return report_asked_ ? never : report_from_;
+    if (in_flight_)
+        return never;
+    if (order_)
+        return retry_at_;
+    if (loading_model_)
+        next = model_check_at_;
+    for (auto const& [target, state] : adapters_)
+        if (state.stage == adapter_stage::loading)
+            next = std::min(next, state.check_at);
+    return next == never ? never : std::max(next, retry_at_);
+}
+
+} // namespace mulberry
--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -35,6 +35,12 @@
     assigned_to_.clear();
 }
 
+void worker_assignment::set_domains(std::map<worker_id, domain_id> domains)
+{
+    domains_ = std::move(domains);
+    assigned_to_.clear();
+}
+
 worker_ownership& worker_assignment::of(worker_id const& worker)
 {
     return workers_.try_emplace(worker, worker, context_).first->second;
@@ -129,7 +135,7 @@
     if (vms == assigned_to_ && !vms.empty())
         return;
     assigned_to_ = vms;
-    auto const assignment = assign_workers(declared_, vms);
+    auto const assignment = assign(vms);
     for (worker_id const& id : declared_)
     {
         auto const vm = assignment.find(id);
@@ -137,6 +143,28 @@
     }
 }
 
+std::map<worker_id, vm_id>
+worker_assignment::assign(std::vector<vm_id> const& vms) const
+{
+    std::map<domain_id, std::vector<vm_id>> vms_of;
+    for (vm_id const& vm : vms)
+        if (member_view const* const member = members_.member(vm))
+            vms_of[member->domain].push_back(vm);
+    std::map<domain_id, std::vector<worker_id>> workers_of;
+    for (worker_id const& worker : declared_)
+    {
+        auto const domain = domains_.find(worker);
+        bool const served = domain != domains_.end() &&
+                            vms_of.count(domain->second) > 0;
+        workers_of[served ? domain->second : domain_id()].push_back(worker);
+    }
+    std::map<worker_id, vm_id> assignment;
+    for (auto const& [domain, workers] : workers_of)
+        assignment.merge(assign_workers(
+            workers, domain.empty() ? vms : vms_of.at(domain)));
+    return assignment;
+}
+
 void worker_assignment::review_handover(worker_ownership& worker,
                                         time_point now)
 {
--- a/src/worker_assignment.hpp
+++ b/src/worker_assignment.hpp
@@ -21,6 +21,9 @@
                       safeguards const& checks);
 
     void set_workers(std::vector<worker_id> workers);
+    /// The failure domains of workers. One whose domain has a VM is given to a
+    /// VM there, so that what its owner sends it stays within the domain.
+    void set_domains(std::map<worker_id, domain_id> domains);
     /// Takes a row that was read, if it is newer. False when it is no
     /// worker's row.
     bool store(table_row const& row);
@@ -47,6 +50,7 @@
     };
 
     void refresh(time_point now);
+    std::map<worker_id, vm_id> assign(std::vector<vm_id> const& vms) const;
     void review_handover(worker_ownership& worker, time_point now);
     bool must_hand_over(worker_ownership const& worker) const;
     bool may_rebalance(worker_ownership const& worker, time_point now) const;
@@ -65,6 +69,7 @@
     safeguards const& checks_;
     std::map<worker_id, worker_ownership> workers_;
     std::vector<worker_id> declared_;
+    std::map<worker_id, domain_id> domains_;
     /// The VMs that the assignment was computed for.
     std::vector<vm_id> assigned_to_;
     std::optional<taking> taking_;
--- /dev/null
+++ b/src/worker_health.cpp
@@ -0,0 +1,114 @@
+#include "worker_health.hpp"
+
+#include <algorithm>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// The weight of the newest answer: about the last twenty count.
+constexpr double newest_weight = 0.05;
+/// A worker that cannot be reached is tried again after this, then after twice
+/// as long, up to the longest: a restart takes one to some seconds.
+constexpr milliseconds first_avoid{250};
+constexpr milliseconds longest_avoid{2000};
+constexpr milliseconds probe_interval{500};
+/// A worker with a full queue has room again after a few requests' time.
+constexpr milliseconds full_pause{60};
+/// Silence is judged by multiples of the usual time to a first byte, so that a
+/// service that is slow as a whole is not taken for dead.
+constexpr int silence_multiple = 6;
+constexpr milliseconds least_patience{350};
+constexpr milliseconds most_patience{2000};
+
+} // namespace
+
+void worker_health::sent(time_point now)
+{
+    pending_.emplace(now, 0);
+    ++pending_total_;
+}
+
+void worker_health::first_byte(time_point sent_at, time_point now)
+{
+    if (auto const found = pending_.find(sent_at); found != pending_.end())
+        pending_.erase(found);
+    last_byte_ = now;
+    failures_in_a_row_ = 0;
+    avoid_until_ = {};
+    auto const took = std::min<duration>(now - sent_at, most_patience);
+    mean_first_byte_ += duration(static_cast<duration::rep>(
+        newest_weight * double((took - mean_first_byte_).count())));
+}
+
+void worker_health::ended(send_outcome outcome, time_point sent_at,
+                          time_point now)
+{
+    if (auto const found = pending_.find(sent_at); found != pending_.end())
+        pending_.erase(found);
+    pending_total_ -= pending_total_ > 0;
+    bool failed = false;
+    switch (outcome)
+    {
+    case send_outcome::served:
+        break;
+    case send_outcome::full:
+        full_until_ = now + full_pause;
+        return;
+    case send_outcome::not_held:
+    case send_outcome::abandoned:
+        return;
+    case send_outcome::unreachable:
+    case send_outcome::silent:
+        ++failures_in_a_row_;
+        avoid(std::min<duration>(first_avoid * (1 << std::min(
+                                                    failures_in_a_row_, 4)),
+                                 longest_avoid),
+              now);
+        return;
+    case send_outcome::failed:
+    case send_outcome::broken:
+        failed = true;
+        break;
+    }
+    failure_share_ += newest_weight * (double(failed) - failure_share_);
+}
+
+void worker_health::avoid(duration span, time_point now)
+{
+    avoid_until_ = now + span;
+    next_probe_ = std::min(avoid_until_, now + probe_interval);
+}
+
+bool worker_health::avoided(time_point now) const
+{
+    return now < avoid_until_ || now >= silent_at();
+}
+
+bool worker_health::may_probe(time_point now) const
+{
+    return now >= next_probe_ && pending_.empty();
+}
+
+void worker_health::probed(time_point now)
+{
+    next_probe_ = now + probe_interval;
+}
+
+duration worker_health::patience() const
+{
+    return std::clamp<duration>(mean_first_byte_ * silence_multiple,
+                                least_patience, most_patience);
+}
+
+time_point worker_health::silent_at() const
+{
+    if (pending_.empty())
+        return never;
+    return std::max(pending_.begin()->first, last_byte_) + patience();
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/worker_health.hpp
@@ -0,0 +1,80 @@
+/// How well one worker answers, judged by its answers alone.
+#ifndef MULBERRY_WORKER_HEALTH_HPP
+#define MULBERRY_WORKER_HEALTH_HPP
+
+#include "time_point.hpp"
+
+#include <cstddef>
+#include <map>
+
+namespace mulberry
+{
+
+/// What a worker made of one request.
+enum class send_outcome
+{
+    served,
+    /// An answer that says failure, and that the request ran.
+    failed,
+    /// It refused for want of room.
+    full,
+    /// It does not hold the model or adapter, or not the version.
+    not_held,
+    /// It could not be reached: nothing was sent.
+    unreachable,
+    /// The connection broke, or the bytes were no answer.
+    broken,
+    /// No answer in time.
+    silent,
+    /// This VM gave the request up; says nothing of the worker.
+    abandoned
+};
+
+/// Loads it answers: a worker that fails, hangs or cannot be reached while its
+/// status check is good. It has the fewest requests in progress and so would
+/// draw them all. One failure proves little, and a service whose every worker
+/// fails has no better one: the share of failures is compared with the
+/// others'. Thread safety: none.
+class worker_health
+{
+public:
+    void sent(time_point now);
+    void first_byte(time_point sent_at, time_point now);
+    void ended(send_outcome outcome, time_point sent_at, time_point now);
+
+    std::size_t outstanding() const { return pending_total_; }
+    /// Cannot be reached, or left everything unanswered for too long.
+    bool avoided(time_point now) const;
+    /// May be tried with one request although it is avoided.
+    bool may_probe(time_point now) const;
+    void probed(time_point now);
+    /// Share of failures among the last answers, 0 to 1.
+    double failure_share() const { return failure_share_; }
+    /// Until then it has no room, by its own word.
+    bool full(time_point now) const { return now < full_until_; }
+    /// Mean time to the first byte.
+    duration mean_first_byte() const { return mean_first_byte_; }
+    /// How long a request may stay without a first byte before the worker
+    /// counts as silent.
+    duration patience() const;
+    /// The moment at which it will count as silent if nothing comes; never
+    /// when nothing is outstanding.
+    time_point silent_at() const;
+
+private:
+    void avoid(duration span, time_point now);
+
+    std::multimap<time_point, int> pending_;
+    std::size_t pending_total_ = 0;
+    time_point last_byte_{};
+    time_point avoid_until_{};
+    time_point full_until_{};
+    time_point next_probe_{};
+    int failures_in_a_row_ = 0;
+    double failure_share_ = 0;
+    duration mean_first_byte_ = std::chrono::milliseconds(50);
+};
+
+} // namespace mulberry
+
+#endif
