Close idle connections when stopping; free a slot when its unload is done

Ruled out: the deadline of requests taken before the signal; they ended in time. Change: once the balancer has noticed, idle connections are closed and the process ends when nothing is in progress. An unload that the worker answers with 'being carried out' keeps its slot until it is done.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -93,6 +93,7 @@
 
     std::uint16_t port() const { return port_; }
     void close_after_answers() { table_->drain(); }
+    void close_idle();
     void stop_accepting();
 
 private:
@@ -110,6 +111,7 @@
     take(restinio::request_handle_t const& received);
     void refuse(restinio::request_handle_t const& received, int status);
     void close_connections();
+    void close(restinio::impl::connection_handle_t const& connection);
 
     http_server_options const options_;
     std::unique_ptr<asio::io_context> own_io_;
@@ -367,19 +369,28 @@
 void http_server::implementation::close_connections()
 {
     table_->close();
-    // RESTinio closes a connection that is handed the answer to a request it
-    // does not know; it has no other call for that.
+    for (auto const& connection : table_->open_connections())
+        close(connection);
+}
+
+/// RESTinio closes a connection that is handed the answer to a request it does
+/// not know; it has no other call for that.
+void http_server::implementation::close(
+    restinio::impl::connection_handle_t const& connection)
+{
     constexpr auto unknown = std::numeric_limits<restinio::request_id_t>::max();
     restinio::response_output_flags_t const flags{
         restinio::response_parts_attr_t::final_parts,
         restinio::response_connection_attr_t::connection_close};
-    for (restinio::impl::connection_handle_t const connection :
-         table_->open_connections())
-    {
-        connection->write_response_parts(
-            unknown, flags,
-            restinio::write_group_t{restinio::writable_items_container_t{}});
-    }
+    connection->write_response_parts(
+        unknown, flags,
+        restinio::write_group_t{restinio::writable_items_container_t{}});
+}
+
+void http_server::implementation::close_idle()
+{
+    for (auto const& connection : table_->idle_connections())
+        close(connection);
 }
 
 http_server::http_server(http_server_options options, http_handler handler)
@@ -400,6 +411,11 @@
     implementation_->close_after_answers();
 }
 
+void http_server::close_idle()
+{
+    implementation_->close_idle();
+}
+
 void http_server::stop_accepting()
 {
     implementation_->stop_accepting();
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -96,6 +96,8 @@
     /// From now on every answer closes its connection; new ones are accepted
     /// still.
     void close_after_answers();
+    /// Closes the connections on which no request is being answered.
+    void close_idle();
     /// Stops accepting connections; open ones go on, each until its next
     /// answer, which says `Connection: close`.
     void stop_accepting();
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -171,6 +171,21 @@
     return connections;
 }
 
+std::vector<std::shared_ptr<server_connection>>
+connection_table::idle_connections() const
+{
+    std::lock_guard const lock(mutex_);
+    std::vector<std::shared_ptr<server_connection>> connections;
+    for (auto const& [number, entry] : entries_)
+    {
+        if (entry.busy || entry.state->arriving || entry.state->unanswered > 0)
+            continue;
+        if (auto connection = entry.connection.lock())
+            connections.push_back(std::move(connection));
+    }
+    return connections;
+}
+
 void connection_table::take(connection_number number, pending_request pending)
 {
     {
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -288,6 +288,7 @@
     if (now >= stop_accepting_at_)
     {
         callers_->stop_accepting();
+        callers_->close_idle();
         if (relay_.in_progress() == 0 || now >= exit_at_)
         {
             log_.notable("stopped",
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -274,8 +274,14 @@
     if (loading_model_ && now >= model_check_at_)
         return make(order_kind::load, {*loading_model_, {}});
     for (auto const& [target, state] : adapters_)
-        if (state.stage == adapter_stage::loading && now >= state.check_at)
+    {
+        if (now < state.check_at)
+            continue;
+        if (state.stage == adapter_stage::loading)
             return make(order_kind::load, target);
+        if (state.stage == adapter_stage::unloading)
+            return make(order_kind::unload, target);
+    }
     return std::nullopt;
 }
 
@@ -355,8 +361,7 @@
         // An order repeated under a number that the worker is past was carried
         // out the first time.
         if (repeated_ && order.expected_sequence == *sequence_)
-            return order.kind == order_kind::load ? accepted(order, now)
-                                                  : held(order);
+            return accepted(order, now);
         return lose_track(now);
     case order_outcome::fenced:
     case order_outcome::other_worker:
@@ -376,7 +381,17 @@
 {
     model_target const target{order.model, order.adapter};
     if (order.kind == order_kind::unload)
-        return held(order);
+    {
+        // A request that this VM does not know of uses the adapter. Its slot
+        // is not free before that request is over: one more load would be one
+        // too many.
+        entry& state = adapters_[target];
+        if (std::exchange(state.stage, adapter_stage::unloading) !=
+            adapter_stage::unloading)
+            ++*sequence_;
+        state.check_at = now + settings_.poll_interval;
+        return;
+    }
     if (order.adapter.empty())
     {
         if (!loading_model_)
@@ -415,11 +430,13 @@
     }
     if (order.kind == order_kind::unload)
     {
-        ++*sequence_;
         ++evictions_;
         auto const known = adapters_.find(target);
         if (known == adapters_.end())
             return;
+        if (known->second.stage != adapter_stage::unloading)
+            ++*sequence_;
+        known->second.check_at = never;
         if (known->second.waits == 0)
         {
             adapters_.erase(known);
@@ -478,7 +495,8 @@
     if (loading_model_)
         next = model_check_at_;
     for (auto const& [target, state] : adapters_)
-        if (state.stage == adapter_stage::loading)
+        if (state.stage == adapter_stage::loading ||
+            state.stage == adapter_stage::unloading)
             next = std::min(next, state.check_at);
     return next == never ? never : std::max(next, retry_at_);
 }
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -44,7 +44,9 @@
     /// Wanted, not ordered yet.
     wanted,
     loading,
-    resident
+    resident,
+    /// Ordered away; its slot is free once the requests that use it are over.
+    unloading
 };
 
 /// Orders go out one at a time, each under the number of orders that the
