Give an adapter one home: ask the VM that orders its worker

Cause: each VM loaded what its callers asked for on its own three workers, so every adapter was fetched once a VM; fetches are the largest price and their width bounds the worst seconds. Ruled out: forwarding requests through the owner (a hop and twice the bytes for each event); sharing by the workers' listed adapters (lag of two seconds, and a rejection costs a repeated send). Change: rendezvous home over all workers, in the own failure domain for what is asked for often; the entry VM asks the owner, which counts the grant as room taken; an order without an answer is sent again after 80 ms under its sequence number instead of 400 ms; one conflict no longer stops a worker's orders.

--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -171,15 +171,31 @@
     if (changed)
         listener_.on_grants(holds ? grants_
                                   : std::map<worker_id, order_grant>());
-    std::size_t const members = keeper_.members().size();
+    tell_members(now);
+    carry_out(actions);
+}
+
+void ownership_runner::tell_members(time_point now)
+{
+    std::vector<member_view> members = keeper_.members();
     if (members != members_)
     {
         members_ = members;
-        log_.notable("members changed",
-                     log_fields().add("members", std::uint64_t{members}), now);
-        listener_.on_members(members);
+        log_.notable(
+            "members changed",
+            log_fields().add("members", std::uint64_t{members.size()}), now);
+        listener_.on_members(std::move(members));
+    }
+    std::map<worker_id, vm_id> others;
+    for (worker_id const& worker : declared_)
+        if (vm_id const owner = keeper_.owner_of(worker);
+            owner != options_.keeper.vm && keeper_.member(owner) != nullptr)
+            others.emplace(worker, owner);
+    if (others != others_)
+    {
+        others_ = others;
+        listener_.on_owners(std::move(others));
     }
-    carry_out(actions);
 }
 
 void ownership_runner::carry_out(action_list const& actions)
--- a/src/ownership_runner.hpp
+++ b/src/ownership_runner.hpp
@@ -33,7 +33,9 @@
 struct ownership_listener
 {
     std::function<void(std::map<worker_id, order_grant>)> on_grants;
-    std::function<void(std::size_t vms)> on_members;
+    std::function<void(std::vector<member_view>)> on_members;
+    /// Of the workers that other VMs own.
+    std::function<void(std::map<worker_id, vm_id>)> on_owners;
 };
 
 /// Thread safety: none; used on the thread that runs the io_context.
@@ -66,6 +68,7 @@
     void deliver(table_reply const& reply);
     void after_change(action_list const& actions);
     void take_events();
+    void tell_members(time_point now);
     time_point orders_from(worker_id const& worker, fencing_number fence,
                            time_point now) const;
 
@@ -82,7 +85,8 @@
     /// The last VM that a worker's row named.
     std::map<worker_id, vm_id> last_owner_;
     std::map<worker_id, order_grant> grants_;
-    std::size_t members_ = 0;
+    std::vector<member_view> members_;
+    std::map<worker_id, vm_id> others_;
     bool held_lease_ = false;
 };
 
--- /dev/null
+++ b/src/peer_ask.hpp
@@ -0,0 +1,75 @@
+/// What VMs say to each other: an entry VM asks the VM that gives a worker its
+/// orders to have an adapter there, and tells it when requests are over.
+///
+///   POST /peer   {"service", "worker", "model", "adapter", "priority",
+///                 "left_ms", "done": [[GRANT, NOT_HELD], ...]}
+///   200          {"granted": true, "grant": N, "load": 0.5}
+///   409          {"granted": false, "load": 1.0}
+///
+/// The answer comes when the adapter is there and the worker has room. A call
+/// without a worker only tells what is over.
+#ifndef MULBERRY_PEER_ASK_HPP
+#define MULBERRY_PEER_ASK_HPP
+
+#include "ids.hpp"
+#include "relay_request.hpp"
+#include "time_point.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberry
+{
+
+inline constexpr char const* peer_path = "/peer";
+
+/// May I send a request for this adapter to this worker? Value.
+struct peer_ask
+{
+    service_id service;
+    worker_id worker;
+    model_target target;
+    int priority = 0;
+    /// How long the request may still wait; its receiver makes a deadline.
+    duration time_left{};
+    friend bool operator==(peer_ask const&, peer_ask const&) = default;
+};
+
+/// A request that was sent under a grant is over. Value.
+struct peer_done
+{
+    std::uint64_t grant = 0;
+    /// The worker did not hold the adapter after all.
+    bool not_held = false;
+    friend bool operator==(peer_done const&, peer_done const&) = default;
+};
+
+struct peer_call
+{
+    std::optional<peer_ask> ask;
+    std::vector<peer_done> done;
+    friend bool operator==(peer_call const&, peer_call const&) = default;
+};
+
+struct peer_reply
+{
+    bool granted = false;
+    std::uint64_t grant = 0;
+    /// The share of the worker's batch that is taken.
+    double load = 0;
+    friend bool operator==(peer_reply const&, peer_reply const&) = default;
+};
+
+/// A whole HTTP request.
+std::string encode_peer_call(peer_call const& message,
+                             std::string const& host);
+/// Nothing when the text is no such message.
+std::optional<peer_call> decode_peer_call(std::string const& body);
+std::string encode_peer_reply(peer_reply const& reply);
+std::optional<peer_reply> decode_peer_reply(std::string const& body);
+
+} // namespace mulberry
+
+#endif
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -7,7 +7,7 @@
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp event_log.cpp event_splitter.cpp
-          ownership_runner.cpp registry_watch.cpp relay.cpp relay_daemon.cpp
+          ownership_runner.cpp peer_ask.cpp registry_watch.cpp relay.cpp relay_daemon.cpp
           relay_exchange.cpp relay_settings.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -21,8 +21,18 @@
 constexpr std::chrono::seconds no_deadline{3600};
 /// While a VM does not know its configuration, others may.
 constexpr milliseconds not_ready_retry{200};
-constexpr milliseconds order_timeout{400};
+/// A worker answers an order within some ten milliseconds. One that leaves it
+/// unanswered is asked again at once: the same order under the same number
+/// takes effect once.
+constexpr milliseconds order_timeout{80};
 constexpr milliseconds report_timeout{400};
+/// Grants that are over are told with the next question to their VM, or after
+/// this: until then the worker's room counts as taken.
+constexpr milliseconds tell_done_delay{30};
+constexpr milliseconds tell_done_timeout{500};
+constexpr milliseconds peer_connect_timeout{250};
+/// A grant whose end was never told is over so long after its deadline.
+constexpr milliseconds grant_slack{500};
 
 std::string_view outcome_name(relay_outcome outcome)
 {
@@ -172,6 +182,63 @@
     bool done_ = false;
 };
 
+/// Hears another VM's answer to a question, or that there is none in time.
+class relay::ask_reply final
+    : public exchange_observer,
+      public std::enable_shared_from_this<relay::ask_reply>
+{
+public:
+    ask_reply(relay& of, service_id service, ask_owner ask)
+        : of_(of), service_(std::move(service)), ask_(std::move(ask)),
+          timer_(of.io_)
+    {
+    }
+    void watch(std::shared_ptr<backend_exchange> running, duration patience)
+    {
+        running_ = std::move(running);
+        timer_.expires_after(patience);
+        timer_.async_wait(
+            [self = shared_from_this()](asio::error_code const& cancelled)
+            {
+                if (cancelled || self->done_)
+                    return;
+                self->running_->cancel();
+                self->tell(ask_outcome::silent, {});
+            });
+    }
+    void on_head(int, http_headers) override {}
+    void on_body(std::string_view bytes) override { body_ += bytes; }
+    void on_end(bool) override
+    {
+        auto const reply = decode_peer_reply(body_);
+        if (!reply)
+            return tell(ask_outcome::unreachable, {});
+        tell(reply->granted ? ask_outcome::granted : ask_outcome::refused,
+             *reply);
+    }
+    void on_failure(call_stage, std::string const&) override
+    {
+        tell(ask_outcome::unreachable, {});
+    }
+
+private:
+    void tell(ask_outcome outcome, peer_reply const& reply)
+    {
+        if (std::exchange(done_, true))
+            return;
+        timer_.cancel();
+        of_.on_ask(service_, ask_, outcome, reply);
+    }
+
+    relay& of_;
+    service_id service_;
+    ask_owner ask_;
+    asio::steady_timer timer_;
+    std::shared_ptr<backend_exchange> running_;
+    std::string body_;
+    bool done_ = false;
+};
+
 relay::relay(asio::io_context& io, relay_codec const& codec,
              relay_options options, event_log& log)
     : io_(io), codec_(codec), options_(std::move(options)), log_(log),
@@ -261,8 +328,9 @@
         by_service[entry.service].push_back(entry);
     for (auto& [name, service] : services_)
     {
-        service.scheduler.set_backends(by_service[name], now());
-        service.scheduler.set_grants(grants_, now());
+        service.scheduler.set_backends(by_service[name]);
+        service.scheduler.set_grants(grants_);
+        service.scheduler.set_owners(owners_);
     }
     run_soon();
 }
@@ -288,15 +356,104 @@
 {
     grants_ = std::move(grants);
     for (auto& [name, service] : services_)
-        service.scheduler.set_grants(grants_, now());
+        service.scheduler.set_grants(grants_);
     run_soon();
 }
 
-void relay::set_members(std::size_t vms)
+void relay::set_members(std::vector<member_view> members)
 {
-    members_ = vms;
+    members_ = std::max<std::size_t>(members.size(), 1);
     for (auto& [name, service] : services_)
-        service.scheduler.set_members(vms);
+        service.scheduler.set_members(members_);
+    std::map<vm_id, peer_link> links;
+    for (member_view const& member : members)
+    {
+        auto const colon = member.address.rfind(':');
+        if (member.vm == options_.vm || colon == std::string::npos)
+            continue;
+        peer_link& link = links[member.vm];
+        link.address = {member.address.substr(0, colon),
+                        static_cast<std::uint16_t>(std::strtoul(
+                            member.address.c_str() + colon + 1, nullptr, 10))};
+        if (auto const known = peers_.find(member.vm); known != peers_.end())
+            link.done = std::move(known->second.done);
+    }
+    peers_ = std::move(links);
+}
+
+void relay::set_owners(std::map<worker_id, vm_id> owners)
+{
+    owners_ = std::move(owners);
+    for (auto& [name, service] : services_)
+        service.scheduler.set_owners(owners_);
+    run_soon();
+}
+
+void relay::handle_peer(http_request const& received,
+                        std::shared_ptr<http_answer> answer)
+{
+    auto const message = received.path == peer_path
+                             ? decode_peer_call(received.body)
+                             : std::nullopt;
+    if (!message)
+        return answer->respond({400, {}, {}});
+    for (peer_done const& done : message->done)
+        forget_peer_request(ticket_id(done.grant),
+                            done.not_held ? send_outcome::not_held
+                                          : send_outcome::served);
+    if (!message->ask)
+        return answer->respond(json_response(200, "{}"));
+    peer_ask const& ask = *message->ask;
+    service_state* const service = find(ask.service);
+    if (service == nullptr || !service->engine)
+        return answer->respond(json_response(409, encode_peer_reply({})));
+    time_point const at = now();
+    work_item item;
+    item.ticket = ticket_id(++last_ticket_);
+    item.target = ask.target;
+    item.priority = ask.priority;
+    item.arrived_at = at;
+    item.give_up_at = at + ask.time_left;
+    item.asked_for = ask.worker;
+    ticket_id const ticket = item.ticket;
+    due_.set(ticket, item.give_up_at + grant_slack);
+    peer_requests_[ticket] = {ask.service, answer};
+    service->scheduler.submit(std::move(item), at);
+    answer->on_closed([this, ticket]
+                      { forget_peer_request(ticket, send_outcome::abandoned); });
+    run_soon();
+}
+
+/// Withdraws a request that waits, ends one that was granted.
+void relay::forget_peer_request(ticket_id ticket, send_outcome outcome)
+{
+    auto const found = peer_requests_.find(ticket);
+    if (found == peer_requests_.end())
+        return;
+    if (service_state* const service = find(found->second.service))
+    {
+        service->scheduler.withdraw(ticket);
+        service->scheduler.ended(ticket, outcome, now());
+    }
+    due_.erase(ticket);
+    peer_requests_.erase(found);
+    run_soon();
+}
+
+void relay::answer_peer(ticket_id ticket, bool granted, double load)
+{
+    auto const found = peer_requests_.find(ticket);
+    if (found == peer_requests_.end())
+        return;
+    auto const answer = std::exchange(found->second.answer, nullptr);
+    if (answer)
+        answer->respond(json_response(
+            granted ? 200 : 409,
+            encode_peer_reply({granted, ticket.value(), load})));
+    if (granted)
+        return;
+    due_.erase(ticket);
+    peer_requests_.erase(found);
 }
 
 void relay::refuse_at_once(relay_request const& request, http_answer& answer,
@@ -378,6 +535,12 @@
 
 void relay::stop_waiting(relay_exchange& exchange)
 {
+    if (auto const ask = asks_.find(exchange.terms().ticket);
+        ask != asks_.end())
+    {
+        ask->second->cancel();
+        asks_.erase(ask);
+    }
     find(exchange.terms().service)->scheduler.withdraw(exchange.terms().ticket);
 }
 
@@ -393,6 +556,12 @@
 {
     find(exchange.terms().service)
         ->scheduler.ended(exchange.terms().ticket, outcome, now());
+    if (auto const grant = held_grants_.find(exchange.terms().ticket);
+        grant != held_grants_.end())
+    {
+        give_back(grant->second, outcome == send_outcome::not_held);
+        held_grants_.erase(grant);
+    }
     run_soon();
 }
 
@@ -479,12 +648,18 @@
 {
     time_point const at = now();
     while (auto const ticket = due_.pop(at))
+    {
         if (auto const found = exchanges_.find(*ticket);
             found != exchanges_.end())
         {
             auto const exchange = found->second;
             exchange->on_due();
         }
+        else
+            forget_peer_request(*ticket, send_outcome::abandoned);
+    }
+    if (at >= tell_done_at_)
+        tell_done();
     for (auto& [name, service] : services_)
         run_service(service);
     if (at >= sweep_at_)
@@ -516,7 +691,7 @@
     {
         auto const found = exchanges_.find(refused->ticket);
         if (found == exchanges_.end())
-            return;
+            return answer_peer(refused->ticket, false, 1);
         auto const exchange = found->second;
         // Spread, so that those turned away do not come back in one wave.
         duration const spread(static_cast<duration::rep>(
@@ -526,11 +701,108 @@
                                     refused->retry_after + spread,
                                     refused->reason);
     }
+    if (auto const* ask = std::get_if<ask_owner>(&action))
+        return send_ask(service, *ask);
+    if (auto const* granted = std::get_if<grant_ask>(&action))
+        return answer_peer(granted->ticket, true, granted->load);
     if (auto const* order = std::get_if<give_order>(&action))
         return send_order(service, *order);
     send_report(service, std::get<ask_report>(action));
 }
 
+void relay::send_ask(service_state& service, ask_owner const& ask)
+{
+    auto const found = exchanges_.find(ask.ticket);
+    auto const peer = peers_.find(ask.owner);
+    if (found == exchanges_.end())
+        return service.scheduler.withdraw(ask.ticket);
+    service_id const name = found->second->terms().service;
+    if (peer == peers_.end())
+    {
+        asio::post(io_, [this, name, ask]
+                   { on_ask(name, ask, ask_outcome::unreachable, {}); });
+        return;
+    }
+    peer_call message;
+    message.ask = peer_ask{name, ask.worker, ask.target, ask.priority,
+                           ask.give_up_at - now()};
+    message.done = std::exchange(peer->second.done, {});
+    auto const reply = std::make_shared<ask_reply>(*this, name, ask);
+    exchange_options options;
+    options.connect_timeout = peer_connect_timeout;
+    options.max_idle = milliseconds(3000);
+    auto const running =
+        pool_.start(peer->second.address,
+                    encode_peer_call(message, peer->second.address.ip), options,
+                    reply);
+    asks_[ask.ticket] = running;
+    reply->watch(running, service.scheduler.owner_patience(ask.owner));
+}
+
+void relay::on_ask(service_id const& service, ask_owner const& ask,
+                   ask_outcome outcome, peer_reply const& reply)
+{
+    asks_.erase(ask.ticket);
+    bool const wanted = exchanges_.count(ask.ticket) > 0;
+    if (outcome == ask_outcome::granted)
+    {
+        if (!wanted)
+            return give_back({ask.owner, reply.grant}, false);
+        held_grants_[ask.ticket] = {ask.owner, reply.grant};
+    }
+    else if (outcome != ask_outcome::refused)
+        log_.notable("owner does not answer",
+                     log_fields()
+                         .add("vm", ask.owner.str())
+                         .add("worker", ask.worker.str())
+                         .add("reason", outcome == ask_outcome::silent
+                                            ? "silent"
+                                            : "unreachable"),
+                     now());
+    find(service)->scheduler.on_owner(ask.ticket, outcome, reply.load, now());
+    run_soon();
+}
+
+void relay::give_back(held_grant const& grant, bool not_held)
+{
+    auto const peer = peers_.find(grant.owner);
+    if (peer == peers_.end())
+        return;
+    peer->second.done.push_back({grant.number, not_held});
+    tell_done_at_ = std::min(tell_done_at_, now() + tell_done_delay);
+}
+
+void relay::tell_done()
+{
+    /// Nothing follows from the answer: a grant that is not given back expires.
+    class ignored final : public exchange_observer
+    {
+    public:
+        void on_head(int, http_headers) override {}
+        void on_body(std::string_view) override {}
+        void on_end(bool) override {}
+        void on_failure(call_stage, std::string const&) override {}
+    };
+    tell_done_at_ = never;
+    for (auto& [vm, peer] : peers_)
+    {
+        if (peer.done.empty())
+            continue;
+        peer_call message;
+        message.done = std::exchange(peer.done, {});
+        exchange_options options;
+        options.connect_timeout = peer_connect_timeout;
+        options.max_idle = milliseconds(3000);
+        auto const running = pool_.start(
+            peer.address, encode_peer_call(message, peer.address.ip), options,
+            std::make_shared<ignored>());
+        auto const timer = std::make_shared<asio::steady_timer>(io_);
+        timer->expires_after(tell_done_timeout);
+        timer->async_wait([timer, running](asio::error_code const&)
+                          { running->cancel(); });
+    }
+}
+
 void relay::send_order(service_state&, give_order const& order)
 {
     service_id const service = order.entry.service;
@@ -603,7 +875,7 @@
 
 void relay::arm_timer()
 {
-    time_point next = now() + sweep_interval;
+    time_point next = std::min(now() + sweep_interval, tell_done_at_);
     if (auto const due = due_.next())
         next = std::min(next, *due);
     for (auto const& [name, service] : services_)
@@ -663,6 +935,8 @@
         add("placed_resident_total", label, counts.placed_resident);
         add("placed_after_load_total", label, counts.placed_after_load);
         add("placed_elsewhere_total", label, counts.placed_elsewhere);
+        add("placed_granted_total", label, counts.placed_granted);
+        add("granted_total", label, counts.granted);
         add("refused_total", label, counts.refused);
         add("cold_loads_total", label, counts.cold_loads);
         add("warm_loads_total", label, counts.warm_loads);
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -5,6 +5,8 @@
 #include "due_index.hpp"
 #include "event_log.hpp"
 #include "latency_meter.hpp"
+#include "ownership_keeper.hpp"
+#include "peer_ask.hpp"
 #include "relay_exchange.hpp"
 #include "retry_allowance.hpp"
 #include "route_table.hpp"
@@ -71,7 +73,12 @@
     void set_backends(std::vector<backend_entry> entries);
     void on_release(adapter_release const& release);
     void set_grants(std::map<worker_id, order_grant> grants);
-    void set_members(std::size_t vms);
+    /// The VMs there are, this one among them.
+    void set_members(std::vector<member_view> members);
+    void set_owners(std::map<worker_id, vm_id> owners);
+    /// Takes a call of another VM; see peer_ask.hpp.
+    void handle_peer(http_request const& received,
+                     std::shared_ptr<http_answer> answer);
 
     bool has_config() const { return routes_ != nullptr; }
     config_version version() const;
@@ -98,6 +105,26 @@
 private:
     class order_reply;
     class report_reply;
+    class ask_reply;
+    /// A request of another VM that waits for a grant or was given one.
+    struct peer_request
+    {
+        service_id service;
+        /// Until it is answered.
+        std::shared_ptr<http_answer> answer;
+    };
+    /// What other VMs are owed: which of their grants are over.
+    struct peer_link
+    {
+        backend_address address;
+        std::vector<peer_done> done;
+    };
+    /// A grant that one of this VM's requests was sent under.
+    struct held_grant
+    {
+        vm_id owner;
+        std::uint64_t number = 0;
+    };
     struct service_state
     {
         service_scheduler scheduler;
@@ -123,6 +150,13 @@
     void carry_out(service_state& service, placement_action const& action);
     void send_order(service_state& service, give_order const& order);
     void send_report(service_state& service, ask_report const& question);
+    void send_ask(service_state& service, ask_owner const& ask);
+    void on_ask(service_id const& service, ask_owner const& ask,
+                ask_outcome outcome, peer_reply const& reply);
+    void give_back(held_grant const& grant, bool not_held);
+    void tell_done();
+    void answer_peer(ticket_id ticket, bool granted, double load);
+    void forget_peer_request(ticket_id ticket, send_outcome outcome);
     void on_order(service_id const& service, worker_order const& order,
                   order_outcome outcome);
     void on_report(service_id const& service, worker_id const& worker,
@@ -143,6 +177,12 @@
     std::map<worker_id, order_grant> grants_;
     std::map<model_target, adapter_version> releases_;
     std::size_t members_ = 1;
+    std::map<worker_id, vm_id> owners_;
+    std::map<vm_id, peer_link> peers_;
+    std::unordered_map<ticket_id, peer_request> peer_requests_;
+    std::unordered_map<ticket_id, held_grant> held_grants_;
+    std::unordered_map<ticket_id, std::shared_ptr<backend_exchange>> asks_;
+    time_point tell_done_at_ = never;
     std::unordered_map<ticket_id, std::shared_ptr<relay_exchange>> exchanges_;
     due_index<ticket_id> due_;
     std::uint64_t last_ticket_ = 0;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -53,8 +53,8 @@
     ownership_run_options options;
     options.keeper.vm = value.vm;
     options.keeper.domain = value.domain;
-    options.keeper.address = value.callers.address + ":" +
-                             std::to_string(value.callers.port);
+    options.keeper.address =
+        value.peers.address + ":" + std::to_string(value.peers.port);
     options.keeper.lease = value.order_gap * lease_gaps;
     options.keeper.lease_margin = value.order_gap + lease_slack;
     options.keeper.heartbeat = heartbeat;
@@ -126,6 +126,7 @@
     std::optional<http_server> callers_;
     std::optional<http_server> readiness_;
     std::optional<http_server> metrics_;
+    std::optional<http_server> peers_;
     bool stopping_ = false;
     bool was_ready_ = false;
     time_point stop_accepting_at_ = never;
@@ -164,7 +165,10 @@
       ownership_(io_, store, ownership_options(value, seed_), log_,
                  {[this](std::map<worker_id, order_grant> grants)
                   { relay_.set_grants(std::move(grants)); },
-                  [this](std::size_t vms) { relay_.set_members(vms); }}),
+                  [this](std::vector<member_view> members)
+                  { relay_.set_members(std::move(members)); },
+                  [this](std::map<worker_id, vm_id> owners)
+                  { relay_.set_owners(std::move(owners)); }}),
       registry_(io_, store, codec, watch_options(value), log_,
                 {[this](std::shared_ptr<routing_config const> config)
                  {
@@ -318,6 +322,10 @@
         server_options(settings_.callers),
         [this](http_request request, std::shared_ptr<http_answer> answer)
         { relay_.handle(std::move(request), std::move(answer)); });
+    peers_.emplace(
+        server_options(settings_.peers),
+        [this](http_request const& request, std::shared_ptr<http_answer> answer)
+        { relay_.handle_peer(request, std::move(answer)); });
     if (settings_.metrics.port != 0)
         metrics_.emplace(
             server_options(settings_.metrics),
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -22,6 +22,8 @@
     door_address callers;
     /// Where the balancer asks whether this VM takes connections.
     door_address readiness;
+    /// Where other VMs ask for room at workers that this one orders.
+    door_address peers;
     /// Without a port, no metrics are served.
     door_address metrics;
     std::string store_url;
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 namespace mulberry
 {
@@ -36,6 +37,19 @@
 /// of the time that it has left: the rest is for the answer itself, and for
 /// the caller to come back elsewhere.
 constexpr double wait_share = 0.5;
+/// An adapter that callers of this VM ask for so often has a home in the VM's
+/// own failure domain; a rarer one has one home for all domains. A copy more
+/// costs a fetch from the weight store and later ones; a request that crosses
+/// domains costs its few kilobytes there. At a rate of one in three seconds
+/// the bytes outweigh the fetch within some ten seconds.
+constexpr double local_home_rate = 0.3;
+/// A load that another VM told is believed for so long.
+constexpr milliseconds told_load_age{500};
+/// An owner answers once the adapter is loaded, which takes some times longer
+/// than alone while many are fetched.
+constexpr milliseconds owner_answers{1200};
+/// After so many owners said no, a request is served by whatever is here.
+constexpr std::size_t most_refusals = 2;
 /// Where a request cannot be served here at all, another VM may: the caller is
 /// told to come back at once, spread over this span.
 constexpr milliseconds elsewhere_retry{50};
@@ -69,8 +83,7 @@
     return known == workers_.end() ? nullptr : known->second.get();
 }
 
-void service_scheduler::set_backends(std::vector<backend_entry> const& entries,
-                                     time_point now)
+void service_scheduler::set_backends(std::vector<backend_entry> const& entries)
 {
     std::set<worker_id> listed;
     for (backend_entry const& entry : entries)
@@ -91,11 +104,10 @@
     for (auto& [key, waiting] : queue_)
         if (!waiting.loads_at.empty() && find(waiting.loads_at) == nullptr)
             waiting.loads_at = {};
-    (void)now;
 }
 
 void service_scheduler::set_grants(
-    std::map<worker_id, order_grant> const& grants, time_point)
+    std::map<worker_id, order_grant> const& grants)
 {
     for (auto& [id, worker] : workers_)
     {
@@ -152,6 +164,7 @@
 
 void service_scheduler::withdraw(ticket_id ticket)
 {
+    asked_.erase(ticket);
     auto const known = waiting_.find(ticket);
     if (known == waiting_.end())
         return;
@@ -164,7 +177,7 @@
 void service_scheduler::first_byte(ticket_id ticket, time_point now)
 {
     auto const sent = sent_.find(ticket);
-    if (sent == sent_.end() || sent->second.begun)
+    if (sent == sent_.end() || sent->second.begun || sent->second.by_peer)
         return;
     sent->second.begun = true;
     if (worker_state* const worker = find(sent->second.worker))
@@ -185,7 +198,10 @@
     worker_state* const worker = find(sent.worker);
     if (worker == nullptr)
         return;
-    worker->health.ended(outcome, sent.sent_at, now);
+    if (sent.by_peer)
+        worker->granted -= worker->granted > 0;
+    else
+        worker->health.ended(outcome, sent.sent_at, now);
     if (sent.counted_use)
         worker->adapters.end_use(*sent.target);
     if (outcome == send_outcome::not_held && sent.target && worker->owned)
@@ -222,9 +238,16 @@
     return std::max<std::size_t>(1, slots / foreign_share);
 }
 
-double service_scheduler::load_of(worker_state const& worker) const
+std::size_t service_scheduler::taken(worker_state const& worker) const
 {
-    return double(worker.health.outstanding()) / double(worker.entry.slots);
+    return worker.health.outstanding() + worker.granted;
+}
+
+double service_scheduler::load_of(worker_state const& worker,
+                                  time_point now) const
+{
+    double const known = double(taken(worker)) / double(worker.entry.slots);
+    return now < worker.told_until ? std::max(known, worker.told_load) : known;
 }
 
 bool service_scheduler::usable(worker_state const& worker,
@@ -232,7 +255,7 @@
 {
     if (worker.entry.draining || item.excluded.count(worker.entry.id) > 0 ||
         worker.health.full(now) ||
-        worker.health.outstanding() >= limit_of(worker))
+        taken(worker) >= limit_of(worker))
         return false;
     return !worker.health.avoided(now) || worker.health.may_probe(now);
 }
@@ -300,7 +323,7 @@
             continue;
         if (item.target && !holds(*worker, *item.target, now))
             continue;
-        double score = load_of(*worker);
+        double score = load_of(*worker, now);
         if (worker->entry.domain != settings_.domain)
             score += other_domain_penalty;
         if (config_.engine && !worker->owned)
@@ -317,23 +340,51 @@
     return best;
 }
 
-/// The home of the adapter by rendezvous hashing over this VM's workers, so
-/// that it comes back to where copies of it are kept; the next one when the
-/// home is crowded or cannot be reached.
+bool service_scheduler::may_load_at(worker_state const& worker,
+                                    waiting_item const& waiting,
+                                    time_point now) const
+{
+    worker_id const& id = worker.entry.id;
+    if (worker.entry.draining || waiting.item.excluded.count(id) > 0 ||
+        waiting.said_no.count(id) > 0 || worker.health.avoided(now) ||
+        sick(worker))
+        return false;
+    if (worker.owned)
+        return worker.adapters.may_order(now) &&
+               worker.adapters.can_take(*waiting.item.target);
+    auto const owner = owners_.find(id);
+    if (owner == owners_.end())
+        return false;
+    auto const peer = peers_.find(owner->second);
+    return peer == peers_.end() || !peer->second.avoided(now);
+}
+
+bool service_scheduler::popular(model_target const& target,
+                                time_point now) const
+{
+    return demand_.rate(demand_key(target), now) >= local_home_rate;
+}
+
+/// The home of the adapter by rendezvous hashing, the same on every VM that
+/// sees the same workers, so that the adapter is fetched once and comes back
+/// to where copies of it are kept; the next one when the home is crowded or
+/// cannot be reached.
 service_scheduler::worker_state*
-service_scheduler::place_to_load(model_target const& target,
-                                 work_item const& item, time_point now)
+service_scheduler::home_of(waiting_item const& waiting, bool own_only,
+                           time_point now)
 {
+    model_target const& target = *waiting.item.target;
+    bool const local = popular(target, now);
     worker_state* best = nullptr;
-    std::pair<bool, std::uint64_t> highest{false, 0};
+    std::tuple<bool, bool, std::uint64_t> highest{};
     for (auto& [id, worker] : workers_)
     {
-        if (!worker->owned || !worker->adapters.can_take(target) ||
-            worker->entry.draining || item.excluded.count(id) > 0 ||
-            worker->health.avoided(now) || sick(*worker))
+        if ((own_only && !worker->owned) ||
+            !may_load_at(*worker, waiting, now))
             continue;
-        std::pair<bool, std::uint64_t> const rank{
-            load_of(*worker) < crowded_share,
+        std::tuple<bool, bool, std::uint64_t> const rank{
+            load_of(*worker, now) < crowded_share,
+            local && worker->entry.domain == settings_.domain,
             stable_hash(target.adapter.str() + "@" + id.str())};
         if (best != nullptr && rank <= highest)
             continue;
@@ -348,12 +399,21 @@
 {
     work_item const& item = waiting.item;
     bool const loaded = !waiting.loads_at.empty();
-    sent_item sent{on.entry.id, now, item.target, false, false};
+    sent_item sent{on.entry.id, now, item.target, false, false, false};
     if (item.target && !item.target->adapter.empty() && on.owned)
     {
         on.adapters.begin_use(*item.target, now);
         sent.counted_use = true;
     }
+    if (item.asked_for)
+    {
+        sent.by_peer = true;
+        ++on.granted;
+        ++counts_.granted;
+        actions_.push_back(grant_ask{item.ticket, load_of(on, now)});
+        sent_.emplace(item.ticket, std::move(sent));
+        return;
+    }
     if (on.health.avoided(now))
         on.health.probed(now);
     on.health.sent(now);
@@ -361,7 +421,7 @@
                 : counts_.placed_elsewhere);
     actions_.push_back(place_request{
         item.ticket, on.entry.id, on.entry,
-        on.owned ? loaded ? "loaded" : "resident" : "shared"});
+        on.owned ? loaded ? "loaded" : "resident" : "listed"});
     sent_.emplace(item.ticket, std::move(sent));
 }
 
@@ -373,15 +433,17 @@
         refuse_request{waiting.item.ticket, kind, retry_after, reason});
 }
 
-service_scheduler::verdict service_scheduler::decide(waiting_item& waiting,
-                                                     time_point now)
+service_scheduler::verdict
+service_scheduler::decide(waiting_item& waiting, queue_key const& key,
+                          time_point now)
 {
+    if (waiting.item.asked_for)
+        return decide_asked(waiting, now);
+    if (waiting.item.target && !waiting.item.target->adapter.empty())
+        return decide_adapter(waiting, key, now);
     if (worker_state* const holder = best_holder(waiting, now))
     {
-        if (config_.engine)
-            spread_load(*holder, waiting.item, now);
         place(waiting, *holder, now);
-        leave_wait(waiting);
         return verdict::placed;
     }
     bool const all_tried = std::all_of(
@@ -391,10 +453,44 @@
             return each.second->entry.draining ||
                    waiting.item.excluded.count(each.first) > 0;
         });
-    if (all_tried)
+    return all_tried ? verdict::hopeless : verdict::waits;
+}
+
+/// Another VM's request for one worker of this one's.
+service_scheduler::verdict
+service_scheduler::decide_asked(waiting_item& waiting, time_point now)
+{
+    worker_state* const worker = find(*waiting.item.asked_for);
+    if (worker == nullptr || !worker->owned || worker->entry.draining ||
+        worker->health.avoided(now))
         return verdict::hopeless;
-    if (waiting.item.target && !waiting.item.target->adapter.empty())
-        return decide_load(waiting, now);
+    model_target const& target = *waiting.item.target;
+    if (holds(*worker, target, now))
+    {
+        if (!usable(*worker, waiting.item, now))
+            return verdict::waits;
+        spread_load(*worker, waiting, now);
+        place(waiting, *worker, now);
+        leave_wait(waiting);
+        return verdict::placed;
+    }
+    if (!waiting.loads_at.empty() && worker->adapters.stage(target))
+        return verdict::waits;
+    leave_wait(waiting);
+    if (!worker->adapters.may_order(now))
+        return verdict::hopeless;
+    return worker->adapters.can_take(target) ? wait_at(waiting, *worker, now)
+           : worker->adapters.synced()       ? verdict::waits
+                                             : verdict::hopeless;
+}
+
+service_scheduler::verdict
+service_scheduler::wait_at(waiting_item& waiting, worker_state& worker,
+                           time_point now)
+{
+    worker.adapters.want(*waiting.item.target, now);
+    worker.adapters.begin_wait(*waiting.item.target);
+    waiting.loads_at = worker.entry.id;
     return verdict::waits;
 }
 
@@ -402,63 +498,153 @@
 /// copy in use. A second copy is loaded beside the crowded or outdated one
 /// while that still serves, so that nobody waits for it.
 void service_scheduler::spread_load(worker_state const& busy,
-                                    work_item const& item, time_point now)
+                                    waiting_item const& waiting, time_point now)
 {
-    if (!item.target || item.target->adapter.empty() || !busy.owned)
-        return;
-    bool const outdated = busy.adapters.outdated(*item.target);
-    if (load_of(busy) < crowded_share && !outdated)
+    model_target const& target = *waiting.item.target;
+    bool const outdated = busy.adapters.outdated(target);
+    if (load_of(busy, now) < crowded_share && !outdated)
         return;
     for (auto const& [id, worker] : workers_)
         if (worker.get() != &busy && worker->owned &&
-            worker->adapters.stage(*item.target) &&
-            !worker->adapters.outdated(*item.target))
+            worker->adapters.stage(target) && !worker->adapters.outdated(target))
             return;
-    worker_state* const other = place_to_load(*item.target, item, now);
+    worker_state* const other = home_of(waiting, true, now);
     if (other == nullptr || other == &busy ||
-        (!outdated && load_of(*other) > roomy_share))
+        (!outdated && load_of(*other, now) > roomy_share))
         return;
-    other->adapters.want(*item.target, now);
+    other->adapters.want(target, now);
+}
+
+/// A worker of this VM that has the adapter and room.
+service_scheduler::worker_state*
+service_scheduler::own_holder(waiting_item const& waiting, time_point now)
+{
+    worker_state* best = nullptr;
+    for (auto& [id, worker] : workers_)
+    {
+        if (!worker->owned || !usable(*worker, waiting.item, now) ||
+            sick(*worker) || !holds(*worker, *waiting.item.target, now))
+            continue;
+        bool const fresher =
+            best != nullptr && best->adapters.outdated(*waiting.item.target) &&
+            !worker->adapters.outdated(*waiting.item.target);
+        if (best == nullptr || fresher ||
+            load_of(*worker, now) < load_of(*best, now))
+            best = worker.get();
+    }
+    return best;
 }
 
 service_scheduler::verdict
-service_scheduler::decide_load(waiting_item& waiting, time_point now)
+service_scheduler::decide_adapter(waiting_item& waiting, queue_key const& key,
+                                  time_point now)
 {
     model_target const& target = *waiting.item.target;
+    if (worker_state* const holder = own_holder(waiting, now))
+    {
+        spread_load(*holder, waiting, now);
+        place(waiting, *holder, now);
+        leave_wait(waiting);
+        return verdict::placed;
+    }
     if (!waiting.loads_at.empty())
     {
         worker_state const* const loading = find(waiting.loads_at);
-        if (loading != nullptr && !loading->entry.draining &&
-            !loading->health.avoided(now) && loading->adapters.stage(target))
+        if (loading != nullptr && loading->adapters.stage(target) &&
+            !loading->entry.draining && !loading->health.avoided(now))
             return verdict::waits;
         leave_wait(waiting);
     }
-    for (auto& [id, worker] : workers_)
-        if (worker->owned && worker->adapters.stage(target) &&
-            worker->adapters.stage(target) != adapter_stage::resident &&
-            !worker->health.avoided(now) && !worker->entry.draining &&
-            waiting.item.excluded.count(id) == 0)
-        {
-            waiting.loads_at = id;
-            worker->adapters.begin_wait(target);
-            return verdict::waits;
-        }
-    worker_state* const home = place_to_load(target, waiting.item, now);
+    bool const tired = waiting.said_no.size() >= most_refusals;
+    worker_state* const home = home_of(waiting, tired, now);
+    if (home != nullptr && home->owned)
+        return wait_at(waiting, *home, now);
     if (home != nullptr)
     {
-        home->adapters.want(target, now);
-        waiting.loads_at = home->entry.id;
-        home->adapters.begin_wait(target);
-        return verdict::waits;
+        ask(waiting, key, *home, now);
+        return verdict::asked;
     }
-    bool const may_load_later = std::any_of(
+    // Nobody can be asked and nothing loaded: whoever lists the adapter.
+    if (worker_state* const holder = best_holder(waiting, now))
+    {
+        place(waiting, *holder, now);
+        return verdict::placed;
+    }
+    bool const own_may_later = std::any_of(
         workers_.begin(), workers_.end(),
-        [now](auto const& each)
+        [&](auto const& each)
         {
             return each.second->owned && !each.second->entry.draining &&
-                   !each.second->health.avoided(now);
+                   each.second->adapters.may_order(now) &&
+                   !each.second->health.avoided(now) &&
+                   waiting.item.excluded.count(each.first) == 0;
         });
-    return may_load_later ? verdict::waits : verdict::hopeless;
+    return own_may_later ? verdict::waits : verdict::hopeless;
+}
+
+void service_scheduler::ask(waiting_item& waiting, queue_key const& key,
+                            worker_state& worker, time_point now)
+{
+    work_item const& item = waiting.item;
+    vm_id const owner = owners_.at(worker.entry.id);
+    peers_[owner].sent(now);
+    actions_.push_back(ask_owner{item.ticket, owner, worker.entry.id,
+                                 *item.target, item.priority,
+                                 item.give_up_at});
+    asked_.insert_or_assign(item.ticket, asked_item{waiting, key, owner,
+                                                    worker.entry.id, now});
+}
+
+void service_scheduler::set_owners(std::map<worker_id, vm_id> owners)
+{
+    owners_ = std::move(owners);
+}
+
+duration service_scheduler::owner_patience(vm_id const& owner) const
+{
+    auto const peer = peers_.find(owner);
+    return peer == peers_.end()
+               ? owner_answers
+               : std::max<duration>(owner_answers, peer->second.patience());
+}
+
+void service_scheduler::on_owner(ticket_id ticket, ask_outcome outcome,
+                                 double load, time_point now)
+{
+    auto const found = asked_.find(ticket);
+    if (found == asked_.end())
+        return;
+    asked_item asked = std::move(found->second);
+    asked_.erase(found);
+    worker_health& peer = peers_[asked.owner];
+    bool const answered =
+        outcome == ask_outcome::granted || outcome == ask_outcome::refused;
+    if (answered)
+        peer.first_byte(asked.asked_at, now);
+    peer.ended(answered ? send_outcome::served
+               : outcome == ask_outcome::silent ? send_outcome::silent
+                                                : send_outcome::unreachable,
+               asked.asked_at, now);
+    worker_state* const worker = find(asked.worker);
+    if (worker != nullptr && answered)
+    {
+        worker->told_load = load;
+        worker->told_until = now + told_load_age;
+    }
+    work_item const& item = asked.waiting.item;
+    if (outcome == ask_outcome::granted && worker != nullptr)
+    {
+        worker->health.sent(now);
+        ++counts_.placed_granted;
+        actions_.push_back(place_request{item.ticket, asked.worker,
+                                         worker->entry, "granted"});
+        sent_.emplace(item.ticket, sent_item{asked.worker, now, item.target,
+                                             false, false, false});
+        return;
+    }
+    asked.waiting.said_no.insert(asked.worker);
+    waiting_.emplace(item.ticket, asked.key);
+    queue_.emplace(asked.key, std::move(asked.waiting));
 }
 
 /// Little's law over what this VM's workers run at a time.
@@ -500,8 +686,8 @@
                                  !waiting.loads_at.empty() &&
                                  stuck.count(*item.target) > 0;
         verdict const decided =
-            known_stuck ? verdict::waits : decide(waiting, now);
-        if (decided == verdict::placed)
+            known_stuck ? verdict::waits : decide(waiting, key, now);
+        if (decided == verdict::placed || decided == verdict::asked)
         {
             done.push_back(key);
             continue;
@@ -612,6 +798,7 @@
     scheduler_counts counts = counts_;
     counts.waiting = queue_.size();
     counts.sent = sent_.size();
+    counts.asked = asked_.size();
     for (auto const& [id, worker] : workers_)
     {
         counts.cold_loads += worker->adapters.cold_loads();
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -40,6 +40,8 @@
     time_point give_up_at = never;
     /// Workers that are not to be used: tried before.
     std::set<worker_id> excluded;
+    /// Another VM asks for room at that worker; the request itself is there.
+    std::optional<worker_id> asked_for = std::nullopt;
 };
 
 /// Send the request to the worker now.
@@ -52,6 +54,24 @@
     std::string_view reason;
 };
 
+/// Ask the VM that gives the worker its orders to have the adapter there.
+struct ask_owner
+{
+    ticket_id ticket;
+    vm_id owner;
+    worker_id worker;
+    model_target target;
+    int priority = 0;
+    time_point give_up_at = never;
+};
+
+/// Tell the VM that asked that it may send the request now.
+struct grant_ask
+{
+    ticket_id ticket;
+    double load = 0;
+};
+
 /// Answer the request that it was not run.
 struct refuse_request
 {
@@ -76,7 +96,18 @@
 };
 
 using placement_action =
-    std::variant<place_request, refuse_request, give_order, ask_report>;
+    std::variant<place_request, ask_owner, grant_ask, refuse_request,
+                 give_order, ask_report>;
+
+/// What became of a question to another VM.
+enum class ask_outcome
+{
+    granted,
+    /// The worker has no room, or this VM is not its owner.
+    refused,
+    unreachable,
+    silent
+};
 
 /// This VM is the one that gives a worker orders.
 struct order_grant
@@ -103,12 +134,15 @@
     std::uint64_t placed_resident = 0;
     std::uint64_t placed_after_load = 0;
     std::uint64_t placed_elsewhere = 0;
+    std::uint64_t placed_granted = 0;
+    std::uint64_t granted = 0;
     std::uint64_t refused = 0;
     std::uint64_t cold_loads = 0;
     std::uint64_t warm_loads = 0;
     std::uint64_t evictions = 0;
     std::size_t waiting = 0;
     std::size_t sent = 0;
+    std::size_t asked = 0;
     friend bool operator==(scheduler_counts const&,
                            scheduler_counts const&) = default;
 };
@@ -126,17 +160,22 @@
     void configure(service_config config);
     /// Every worker of the service that may be used now. One that is missing
     /// is gone.
-    void set_backends(std::vector<backend_entry> const& entries,
-                      time_point now);
+    void set_backends(std::vector<backend_entry> const& entries);
     /// The workers that this VM gives orders to.
-    void set_grants(std::map<worker_id, order_grant> const& grants,
-                    time_point now);
+    void set_grants(std::map<worker_id, order_grant> const& grants);
+    /// The other VMs that give orders to workers.
+    void set_owners(std::map<worker_id, vm_id> owners);
+    /// Another VM answered a question, or did not.
+    void on_owner(ticket_id ticket, ask_outcome outcome, double load,
+                  time_point now);
+    /// How long another VM may leave a question unanswered.
+    duration owner_patience(vm_id const& owner) const;
     void set_members(std::size_t vms) { vms_ = std::max<std::size_t>(vms, 1); }
     void on_release(model_target const& target, adapter_version version,
                     time_point now);
 
     void submit(work_item item, time_point now);
-    /// The caller is gone or has been answered. Precondition: not sent.
+    /// The caller is gone or has been answered. Does nothing once sent.
     void withdraw(ticket_id ticket);
     /// The worker began to answer.
     void first_byte(ticket_id ticket, time_point now);
@@ -159,6 +198,12 @@
     duration patience(worker_id const& worker) const;
 
 private:
+    struct queue_key
+    {
+        int priority = 0;
+        std::uint64_t number = 0;
+        friend auto operator<=>(queue_key const&, queue_key const&) = default;
+    };
     struct worker_state
     {
         backend_entry entry;
@@ -166,6 +211,11 @@
         worker_adapters adapters;
         /// This VM gives it orders.
         bool owned = false;
+        /// Requests of other VMs that were granted and are not over.
+        std::size_t granted = 0;
+        /// The load that its owner told, and until when it counts.
+        double told_load = 0;
+        time_point told_until{};
 
         worker_state(backend_entry listed, worker_adapters_settings settings)
             : entry(std::move(listed)), adapters(settings)
@@ -177,6 +227,16 @@
         work_item item;
         /// The worker whose load of the adapter it waits for.
         worker_id loads_at;
+        /// Workers whose owner said no.
+        std::set<worker_id> said_no;
+    };
+    struct asked_item
+    {
+        waiting_item waiting;
+        queue_key key;
+        vm_id owner;
+        worker_id worker;
+        time_point asked_at{};
     };
     struct sent_item
     {
@@ -185,12 +245,8 @@
         std::optional<model_target> target;
         bool counted_use = false;
         bool begun = false;
-    };
-    struct queue_key
-    {
-        int priority = 0;
-        std::uint64_t number = 0;
-        friend auto operator<=>(queue_key const&, queue_key const&) = default;
+        /// Sent by another VM.
+        bool by_peer = false;
     };
     struct release
     {
@@ -201,6 +257,8 @@
     {
         placed,
         waits,
+        /// Another VM was asked.
+        asked,
         hopeless
     };
 
@@ -209,17 +267,29 @@
     bool usable(worker_state const& worker, work_item const& item,
                 time_point now) const;
     bool sick(worker_state const& worker) const;
-    double load_of(worker_state const& worker) const;
+    double load_of(worker_state const& worker, time_point now) const;
+    std::size_t taken(worker_state const& worker) const;
     bool holds(worker_state const& worker, model_target const& target,
                time_point now) const;
     adapter_version newest_of(model_target const& target) const;
     bool past_grace(model_target const& target, time_point now) const;
     worker_state* best_holder(waiting_item const& waiting, time_point now);
-    worker_state* place_to_load(model_target const& target,
-                                work_item const& item, time_point now);
-    verdict decide(waiting_item& waiting, time_point now);
-    verdict decide_load(waiting_item& waiting, time_point now);
-    void spread_load(worker_state const& busy, work_item const& item,
+    bool may_load_at(worker_state const& worker, waiting_item const& waiting,
+                     time_point now) const;
+    worker_state* home_of(waiting_item const& waiting, bool own_only,
+                          time_point now);
+    bool popular(model_target const& target, time_point now) const;
+    worker_state* own_holder(waiting_item const& waiting, time_point now);
+    verdict decide_asked(waiting_item& waiting, time_point now);
+    verdict wait_at(waiting_item& waiting, worker_state& worker,
+                    time_point now);
+    void ask(waiting_item& waiting, queue_key const& key, worker_state& worker,
+             time_point now);
+    verdict decide(waiting_item& waiting, queue_key const& key,
+                   time_point now);
+    verdict decide_adapter(waiting_item& waiting, queue_key const& key,
+                           time_point now);
+    void spread_load(worker_state const& busy, waiting_item const& waiting,
                      time_point now);
     void place(waiting_item& waiting, worker_state& on, time_point now);
     void refuse(waiting_item const& waiting, error_kind kind,
@@ -239,6 +309,9 @@
     std::map<queue_key, waiting_item> queue_;
     std::map<ticket_id, queue_key> waiting_;
     std::map<ticket_id, sent_item> sent_;
+    std::map<ticket_id, asked_item> asked_;
+    std::map<worker_id, vm_id> owners_;
+    std::map<vm_id, worker_health> peers_;
     std::map<model_target, release> releases_;
     adapter_demand demand_;
     std::vector<placement_action> actions_;
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t copies_per_slot = 4;
 /// After an order that the worker calls impossible, before it is tried again.
 constexpr std::chrono::milliseconds refused_retry{1000};
+/// An adapter that the worker would not unload is left alone for so long.
+constexpr std::chrono::milliseconds busy_pause{150};
+/// Orders in a row that conflict before what is believed counts as wrong.
+constexpr int most_conflicts = 2;
 
 } // namespace
 
@@ -259,7 +263,7 @@
     if (!next)
         next = load_order(now);
     if (!next)
-        next = evict_order(keep);
+        next = evict_order(keep, now);
     order_ = next;
     in_flight_ = next.has_value();
     repeated_ = false;
@@ -311,7 +315,7 @@
 /// An idle adapter makes way: outdated copies first, then the one with the
 /// least demand. Only what no request uses is unloaded, so that an unload is
 /// carried out at once and never under a request.
-std::optional<worker_order> worker_adapters::evict_order(score const& keep)
+std::optional<worker_order> worker_adapters::evict_order(score const& keep, time_point now)
 {
     bool const full = occupied() >= settings_.adapter_slots &&
                       occupied() < adapters_.size();
@@ -320,7 +324,8 @@
     for (auto const& each : adapters_)
     {
         entry const& state = each.second;
-        if (state.stage != adapter_stage::resident || state.uses > 0)
+        if (state.stage != adapter_stage::resident || state.uses > 0 ||
+            now < state.busy_until)
             continue;
         if (stale(state))
             return make(order_kind::unload, each.first);
@@ -347,9 +352,11 @@
     {
     case order_outcome::accepted:
         order_.reset();
+        conflicts_ = 0;
         return accepted(order, now);
     case order_outcome::holds:
         order_.reset();
+        conflicts_ = 0;
         return held(order);
     case order_outcome::unknown:
         // Sent again as it was, until the worker says something.
@@ -362,7 +369,7 @@
         // out the first time.
         if (repeated_ && order.expected_sequence == *sequence_)
             return accepted(order, now);
-        return lose_track(now);
+        return conflicted(order, now);
     case order_outcome::fenced:
     case order_outcome::other_worker:
         order_.reset();
@@ -457,10 +464,23 @@
     state.version = std::max(state.version, state.ordered);
 }
 
+/// One conflict may be a passing state of the worker; the sequence is wrong
+/// when the next order conflicts as well.
+void worker_adapters::conflicted(worker_order const& order, time_point now)
+{
+    if (++conflicts_ >= most_conflicts)
+        return lose_track(now);
+    retry_at_ = now + settings_.conflict_pause;
+    auto const known = adapters_.find({order.model, order.adapter});
+    if (order.kind == order_kind::unload && known != adapters_.end())
+        known->second.busy_until = now + busy_pause;
+}
+
 /// What the worker holds is not known any more. No order goes out until a
 /// report that is younger than the last order says it.
 void worker_adapters::lose_track(time_point now)
 {
+    conflicts_ = 0;
     sequence_.reset();
     report_asked_ = false;
     report_from_ = now + settings_.resync_delay;
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -31,12 +31,12 @@
     duration warm_load = std::chrono::milliseconds(25);
     /// Time between two questions whether a load is done.
     duration poll_interval = std::chrono::milliseconds(25);
-    /// An order without an answer for so long counts as unknown. A worker
-    /// answers within a few milliseconds.
-    duration order_timeout = std::chrono::milliseconds(400);
-    /// After a refused order, before the next: the worker's report lags by
-    /// some hundred milliseconds.
+    /// Once it is not known what the worker holds, before its report is
+    /// believed: the report lags by up to some hundred milliseconds.
     duration resync_delay = std::chrono::milliseconds(400);
+    /// After an order that conflicts, before the next. A request that ended
+    /// here may run at the worker for a moment yet, and keeps its adapter.
+    duration conflict_pause = std::chrono::milliseconds(15);
 };
 
 enum class adapter_stage
@@ -136,6 +136,8 @@
         time_point wanted_at{};
         time_point check_at = never;
         time_point due = never;
+        /// The worker would not unload it; it is left alone until then.
+        time_point busy_until{};
     };
 
     bool stale(entry const& which) const
@@ -147,10 +149,12 @@
     std::optional<worker_order> poll_order(time_point now);
     std::optional<worker_order> model_order(time_point now);
     std::optional<worker_order> load_order(time_point now);
-    std::optional<worker_order> evict_order(score const& keep);
+    std::optional<worker_order> evict_order(score const& keep,
+                                            time_point now);
     worker_order make(order_kind kind, model_target target) const;
     void accepted(worker_order const& order, time_point now);
     void held(worker_order const& order);
+    void conflicted(worker_order const& order, time_point now);
     void lose_track(time_point now);
     bool was_here_lately(model_target const& target) const;
     void remember(model_target const& target);
@@ -173,6 +177,8 @@
     /// The order was sent and may yet be answered.
     bool in_flight_ = false;
     bool repeated_ = false;
+    /// Orders in a row that conflicted.
+    int conflicts_ = 0;
     time_point retry_at_{};
     worker_id worker_;
     std::size_t evictions_ = 0;
