Tell a slow load from an owner that is gone

Change: the owner begins its answer at once; a VM that failed is tried with one question first; the last owner before a restart needs no gap; rows are read when the VM has registered, not a heartbeat later.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -94,6 +94,7 @@
     std::uint16_t port() const { return port_; }
     void close_after_answers() { table_->drain(); }
     void close_idle();
+    bool has_unsent() const { return table_->has_unsent(); }
     void stop_accepting();
 
 private:
@@ -411,6 +412,11 @@
     implementation_->close_after_answers();
 }
 
+bool http_server::has_unsent() const
+{
+    return implementation_->has_unsent();
+}
+
 void http_server::close_idle()
 {
     implementation_->close_idle();
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -98,6 +98,8 @@
     void close_after_answers();
     /// Closes the connections on which no request is being answered.
     void close_idle();
+    /// Whether a socket has yet to take bytes of an answer.
+    bool has_unsent() const;
     /// Stops accepting connections; open ones go on, each until its next
     /// answer, which says `Connection: close`.
     void stop_accepting();
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -256,6 +256,12 @@
     changed_.notify_all();
 }
 
+bool connection_table::has_unsent() const
+{
+    std::lock_guard const lock(mutex_);
+    return unsent_bytes_ > 0;
+}
+
 void connection_table::wait_until_sent(
     std::chrono::steady_clock::time_point deadline) const
 {
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -90,6 +90,8 @@
 
     void add_unsent(std::size_t bytes);
     void remove_unsent(std::size_t bytes);
+    /// Whether bytes were handed over that no socket has taken.
+    bool has_unsent() const;
     /// Waits until every byte handed over was taken by a socket.
     void wait_until_sent(std::chrono::steady_clock::time_point deadline) const;
     void wait_until_empty(std::chrono::steady_clock::time_point deadline) const;
--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -156,7 +156,12 @@
                                                        action_list& actions)
 {
     time_point const asked_at = registration_.asked_at();
+    bool const was_registered = registration_.registered();
     registration_.on_table(reply, now, actions);
+    // Nothing is taken before rows were read in this life: read them now, not
+    // a heartbeat later, for which its workers would have no owner.
+    if (registration_.registered() && !was_registered)
+        next_scan_at_ = now;
     if (answered(reply.outcome))
         table_heard_at_ = std::max(table_heard_at_, asked_at);
 }
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -100,31 +100,48 @@
 
 void ownership_runner::after_change(action_list const& actions)
 {
-    for (worker_id const& worker : declared_)
-        if (vm_id const owner = keeper_.owner_of(worker); !owner.empty())
-            if (grants_.count(worker) == 0 &&
-                owner != options_.keeper.vm)
-                last_owner_[worker] = owner;
+    observe_owners();
     take_events();
     carry_out(actions);
 }
 
+void ownership_runner::observe_owners()
+{
+    for (worker_id const& worker : declared_)
+    {
+        fencing_number const fence = keeper_.fence_of(worker);
+        if (!fence.none())
+            seen_owners_[worker].insert_or_assign(fence,
+                                                  keeper_.owner_of(worker));
+    }
+    std::erase_if(seen_owners_, [this](auto const& each)
+                  { return declared_.count(each.first) == 0; });
+}
+
 /// Failure: two VMs order one worker in turn within a short time, the one that
 /// just lost it and the one that just got it; a late order of the first is
 /// carried out among those of the second. The first gave its last order before
-/// its row changed, so the second waits for the gap from then on. A worker that
-/// nobody else owned before needs no gap.
+/// its row changed, so the second waits for the gap from then on. No gap is
+/// needed where this VM itself was the last owner, before a restart, or where
+/// there was none.
 time_point ownership_runner::orders_from(worker_id const& worker,
                                          fencing_number fence,
                                          time_point now) const
 {
-    constexpr fencing_number first_owner(1);
-    if (fence == first_owner)
-        return now;
-    auto const before = last_owner_.find(worker);
-    if (before != last_owner_.end() && before->second == options_.keeper.vm)
-        return now;
-    return now + options_.order_gap;
+    auto const seen = seen_owners_.find(worker);
+    for (std::uint64_t before = fence.value() - 1; before > 0; --before)
+    {
+        if (seen == seen_owners_.end())
+            return now + options_.order_gap;
+        auto const owner = seen->second.find(fencing_number(before));
+        if (owner == seen->second.end())
+            return now + options_.order_gap;
+        if (owner->second == options_.keeper.vm)
+            return now;
+        if (!owner->second.empty())
+            return now + options_.order_gap;
+    }
+    return now;
 }
 
 void ownership_runner::take_events()
@@ -140,7 +157,6 @@
                 gained->grant.fence,
                 orders_from(gained->worker, gained->grant.fence, now)};
             grants_[gained->worker] = grant;
-            last_owner_[gained->worker] = options_.keeper.vm;
             changed = true;
             log_.notable("worker owned",
                          log_fields()
--- a/src/ownership_runner.hpp
+++ b/src/ownership_runner.hpp
@@ -69,6 +69,7 @@
     void after_change(action_list const& actions);
     void take_events();
     void tell_members(time_point now);
+    void observe_owners();
     time_point orders_from(worker_id const& worker, fencing_number fence,
                            time_point now) const;
 
@@ -82,8 +83,9 @@
     ownership_keeper keeper_;
     asio::steady_timer timer_;
     std::set<worker_id> declared_;
-    /// The last VM that a worker's row named.
-    std::map<worker_id, vm_id> last_owner_;
+    /// The owners that a worker's row named, by fencing number; empty for
+    /// nobody.
+    std::map<worker_id, std::map<fencing_number, vm_id>> seen_owners_;
     std::map<worker_id, order_grant> grants_;
     std::vector<member_view> members_;
     std::map<worker_id, vm_id> others_;
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -4,10 +4,10 @@
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
 ///                 "left_ms", "done": [[GRANT, NOT_HELD], ...]}
 ///   200          {"granted": true, "grant": N, "load": 0.5}
-///   409          {"granted": false, "load": 1.0}
 ///
-/// The answer comes when the adapter is there and the worker has room. A call
-/// without a worker only tells what is over.
+/// The head of the answer comes at once, the rest when the adapter is there
+/// and the worker has room, or when that is not to be. A call without a worker
+/// only tells what is over.
 #ifndef MULBERRY_PEER_ASK_HPP
 #define MULBERRY_PEER_ASK_HPP
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -193,20 +193,18 @@
           timer_(of.io_)
     {
     }
-    void watch(std::shared_ptr<backend_exchange> running, duration patience)
+    void watch(std::shared_ptr<backend_exchange> running)
     {
         running_ = std::move(running);
-        timer_.expires_after(patience);
-        timer_.async_wait(
-            [self = shared_from_this()](asio::error_code const& cancelled)
-            {
-                if (cancelled || self->done_)
-                    return;
-                self->running_->cancel();
-                self->tell(ask_outcome::silent, {});
-            });
+        wait();
+    }
+    void on_head(int status, http_headers) override
+    {
+        if (status == 200)
+            of_.find(service_)->scheduler.on_owner_heard(ask_.ticket,
+                                                         of_.now());
+        wait();
     }
-    void on_head(int, http_headers) override {}
     void on_body(std::string_view bytes) override { body_ += bytes; }
     void on_end(bool) override
     {
@@ -222,6 +220,25 @@
     }
 
 private:
+    /// The end moves on while the owner answers other questions.
+    void wait()
+    {
+        time_point const at = of_.now();
+        time_point const ends =
+            of_.find(service_)->scheduler.ask_ends_at(ask_.ticket);
+        if (ends <= at)
+        {
+            running_->cancel();
+            return tell(ask_outcome::silent, {});
+        }
+        timer_.expires_after(ends - at);
+        timer_.async_wait(
+            [self = shared_from_this()](asio::error_code const& cancelled)
+            {
+                if (!cancelled && !self->done_)
+                    self->wait();
+            });
+    }
     void tell(ask_outcome outcome, peer_reply const& reply)
     {
         if (std::exchange(done_, true))
@@ -406,7 +423,10 @@
     peer_ask const& ask = *message->ask;
     service_state* const service = find(ask.service);
     if (service == nullptr || !service->engine)
-        return answer->respond(json_response(409, encode_peer_reply({})));
+        return answer->respond(json_response(200, encode_peer_reply({})));
+    // The answer begins at once and ends with the decision: the VM that asked
+    // can tell a slow load from an owner that is gone.
+    answer->start_stream(200, {});
     time_point const at = now();
     work_item item;
     item.ticket = ticket_id(++last_ticket_);
@@ -447,9 +467,10 @@
         return;
     auto const answer = std::exchange(found->second.answer, nullptr);
     if (answer)
-        answer->respond(json_response(
-            granted ? 200 : 409,
-            encode_peer_reply({granted, ticket.value(), load})));
+    {
+        answer->write(encode_peer_reply({granted, ticket.value(), load}));
+        answer->finish();
+    }
     if (granted)
         return;
     due_.erase(ticket);
@@ -736,7 +757,7 @@
                     encode_peer_call(message, peer->second.address.ip), options,
                     reply);
     asks_[ask.ticket] = running;
-    reply->watch(running, service.scheduler.owner_patience(ask.owner));
+    reply->watch(running);
 }
 
 void relay::on_ask(service_id const& service, ask_owner const& ask,
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -129,6 +129,7 @@
     std::optional<http_server> peers_;
     bool stopping_ = false;
     bool was_ready_ = false;
+    bool was_idle_ = false;
     time_point stop_accepting_at_ = never;
     time_point exit_at_ = never;
 };
@@ -293,7 +294,10 @@
     {
         callers_->stop_accepting();
         callers_->close_idle();
-        if (relay_.in_progress() == 0 || now >= exit_at_)
+        bool const idle = relay_.in_progress() == 0 && !callers_->has_unsent();
+        // The last answers are handed to the connections in a later turn of
+        // the loop than the one that ends their requests: idle twice in a row.
+        if ((idle && was_idle_) || now >= exit_at_)
         {
             log_.notable("stopped",
                          log_fields().add("in_progress",
@@ -301,6 +305,7 @@
                          now);
             return io_.stop();
         }
+        was_idle_ = idle;
     }
     stop_timer_.expires_after(stop_review);
     stop_timer_.async_wait(
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -45,9 +45,9 @@
 constexpr double local_home_rate = 0.3;
 /// A load that another VM told is believed for so long.
 constexpr milliseconds told_load_age{500};
-/// An owner answers once the adapter is loaded, which takes some times longer
-/// than alone while many are fetched.
-constexpr milliseconds owner_answers{1200};
+/// An owner that has begun to answer does so in the end once the adapter is
+/// loaded, which takes several times longer than usual while many are fetched.
+constexpr milliseconds owner_answers{2000};
 /// After so many owners said no, a request is served by whatever is here.
 constexpr std::size_t most_refusals = 2;
 /// Where a request cannot be served here at all, another VM may: the caller is
@@ -356,7 +356,8 @@
     if (owner == owners_.end())
         return false;
     auto const peer = peers_.find(owner->second);
-    return peer == peers_.end() || !peer->second.avoided(now);
+    return peer == peers_.end() || !peer->second.avoided(now) ||
+           peer->second.may_probe(now);
 }
 
 bool service_scheduler::popular(model_target const& target,
@@ -587,7 +588,10 @@
 {
     work_item const& item = waiting.item;
     vm_id const owner = owners_.at(worker.entry.id);
-    peers_[owner].sent(now);
+    worker_health& peer = peers_[owner];
+    if (peer.avoided(now))
+        peer.probed(now);
+    peer.sent(now);
     actions_.push_back(ask_owner{item.ticket, owner, worker.entry.id,
                                  *item.target, item.priority,
                                  item.give_up_at});
@@ -600,12 +604,28 @@
     owners_ = std::move(owners);
 }
 
-duration service_scheduler::owner_patience(vm_id const& owner) const
+/// Failure: an owner that is gone leaves all questions unanswered, and each
+/// would wait for as long as a slow load may take; asked of another owner too
+/// early, the adapter is fetched twice. An owner begins its answer at once, so
+/// that silence and a slow load look different.
+time_point service_scheduler::ask_ends_at(ticket_id ticket) const
 {
-    auto const peer = peers_.find(owner);
-    return peer == peers_.end()
-               ? owner_answers
-               : std::max<duration>(owner_answers, peer->second.patience());
+    auto const asked = asked_.find(ticket);
+    if (asked == asked_.end())
+        return time_point::min();
+    duration const limit = asked->second.heard
+                               ? owner_answers
+                               : peers_.at(asked->second.owner).patience();
+    return asked->second.asked_at + limit;
+}
+
+void service_scheduler::on_owner_heard(ticket_id ticket, time_point now)
+{
+    auto const asked = asked_.find(ticket);
+    if (asked == asked_.end())
+        return;
+    asked->second.heard = true;
+    peers_[asked->second.owner].first_byte(asked->second.asked_at, now);
 }
 
 void service_scheduler::on_owner(ticket_id ticket, ask_outcome outcome,
@@ -619,8 +639,6 @@
     worker_health& peer = peers_[asked.owner];
     bool const answered =
         outcome == ask_outcome::granted || outcome == ask_outcome::refused;
-    if (answered)
-        peer.first_byte(asked.asked_at, now);
     peer.ended(answered ? send_outcome::served
                : outcome == ask_outcome::silent ? send_outcome::silent
                                                 : send_outcome::unreachable,
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -168,8 +168,10 @@
     /// Another VM answered a question, or did not.
     void on_owner(ticket_id ticket, ask_outcome outcome, double load,
                   time_point now);
-    /// How long another VM may leave a question unanswered.
-    duration owner_patience(vm_id const& owner) const;
+    /// Another VM began to answer a question.
+    void on_owner_heard(ticket_id ticket, time_point now);
+    /// When a question to another VM is to be given up, as of now.
+    time_point ask_ends_at(ticket_id ticket) const;
     void set_members(std::size_t vms) { vms_ = std::max<std::size_t>(vms, 1); }
     void on_release(model_target const& target, adapter_version version,
                     time_point now);
@@ -237,6 +239,8 @@
         vm_id owner;
         worker_id worker;
         time_point asked_at{};
+        /// Its owner has begun to answer.
+        bool heard = false;
     };
     struct sent_item
     {
--- a/src/worker_health.cpp
+++ b/src/worker_health.cpp
@@ -38,7 +38,6 @@
         pending_.erase(found);
     last_byte_ = now;
     failures_in_a_row_ = 0;
-    avoid_until_ = {};
     auto const took = std::min<duration>(now - sent_at, most_patience);
     mean_first_byte_ += duration(static_cast<duration::rep>(
         newest_weight * double((took - mean_first_byte_).count())));
@@ -79,13 +78,15 @@
 
 void worker_health::avoid(duration span, time_point now)
 {
-    avoid_until_ = now + span;
-    next_probe_ = std::min(avoid_until_, now + probe_interval);
+    next_probe_ = now + span;
 }
 
+/// Failure: a worker that cannot be reached is given everything again when its
+/// pause is over, and all of that waits for it once more. So one request goes
+/// first, and the rest follow once it was answered.
 bool worker_health::avoided(time_point now) const
 {
-    return now < avoid_until_ || now >= silent_at();
+    return failures_in_a_row_ > 0 || now >= silent_at();
 }
 
 bool worker_health::may_probe(time_point now) const
--- a/src/worker_health.hpp
+++ b/src/worker_health.hpp
@@ -43,7 +43,8 @@
     void ended(send_outcome outcome, time_point sent_at, time_point now);
 
     std::size_t outstanding() const { return pending_total_; }
-    /// Cannot be reached, or left everything unanswered for too long.
+    /// Could not be reached, or left everything unanswered for too long, and
+    /// has answered nothing since.
     bool avoided(time_point now) const;
     /// May be tried with one request although it is avoided.
     bool may_probe(time_point now) const;
@@ -57,6 +58,8 @@
     /// How long a request may stay without a first byte before the worker
     /// counts as silent.
     duration patience() const;
+    /// When it last began to answer.
+    time_point answered_at() const { return last_byte_; }
     /// The moment at which it will count as silent if nothing comes; never
     /// when nothing is outstanding.
     time_point silent_at() const;
@@ -67,7 +70,6 @@
     std::multimap<time_point, int> pending_;
     std::size_t pending_total_ = 0;
     time_point last_byte_{};
-    time_point avoid_until_{};
     time_point full_until_{};
     time_point next_probe_{};
     int failures_in_a_row_ = 0;
