--- a/src/http_caller_socket.hpp
+++ b/src/http_caller_socket.hpp
@@ -5,6 +5,7 @@
 
 #include <restinio/asio_include.hpp>
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -24,6 +25,8 @@
     std::size_t unanswered = 0;
     /// The server itself ends the connection.
     bool ending = false;
+    /// Bytes of answers that the socket has not taken yet. From any thread.
+    std::atomic<std::size_t> unsent_bytes{0};
     /// The bytes to send to a caller whose request did not arrive in time.
     std::function<std::string()> too_slow;
     /// The caller closed its sending half while it waits for its only answer.
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -178,7 +178,8 @@
     std::vector<std::shared_ptr<server_connection>> connections;
     for (auto const& [number, entry] : entries_)
     {
-        if (entry.busy || entry.state->arriving || entry.state->unanswered > 0)
+        if (entry.busy || entry.state->arriving ||
+            entry.state->unsent_bytes > 0)
             continue;
         if (auto connection = entry.connection.lock())
             connections.push_back(std::move(connection));
@@ -423,12 +424,15 @@
             : response_connection_attr_t::connection_keepalive};
     restinio::write_group_t group = group_of(std::move(bytes), std::move(body));
     *unsent_bytes_ += size;
+    state_->unsent_bytes += size;
     table_->add_unsent(size);
     // Called in any case: a group that is dropped calls it when destroyed.
     group.after_write_notificator(
-        [unsent = unsent_bytes_, table = table_, size](auto const&)
+        [unsent = unsent_bytes_, state = state_, table = table_,
+         size](auto const&)
         {
             *unsent -= size;
+            state->unsent_bytes -= size;
             table->remove_unsent(size);
         });
     // Posted, never run within this call, from whichever thread it comes: a
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -72,7 +72,8 @@
     void remove(connection_number number);
     std::size_t size() const;
     std::vector<std::shared_ptr<server_connection>> open_connections() const;
-    /// Those that answer no request and have read no part of one.
+    /// Those that answer no request, have read no part of one, and whose last
+    /// answer has gone out whole.
     std::vector<std::shared_ptr<server_connection>> idle_connections() const;
 
     /// Handles a request, or holds it until the one before it on the same
--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -91,8 +91,12 @@
 
 std::string encode_peer_reply(peer_reply const& reply)
 {
-    return fmt::format(R"({{"granted":{},"grant":{},"load":{:.3f}}})",
-                       reply.granted, reply.grant, reply.load);
+    Json::Value json;
+    json["granted"] = reply.granted;
+    json["grant"] = Json::UInt64(reply.grant);
+    json["worker"] = reply.worker.str();
+    json["load"] = reply.load;
+    return to_text(json);
 }
 
 std::optional<peer_reply> decode_peer_reply(std::string const& body)
@@ -102,6 +106,7 @@
         !(*json)["load"].isNumeric())
         return std::nullopt;
     return peer_reply{(*json)["granted"].asBool(), number_or(*json, "grant", 0),
+                      worker_id(text_or(*json, "worker", "")),
                       (*json)["load"].asDouble()};
 }
 
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -3,7 +3,7 @@
 ///
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
 ///                 "left_ms", "done": [[GRANT, NOT_HELD], ...]}
-///   200          {"granted": true, "grant": N, "load": 0.5}
+///   200          {"granted": true, "grant": N, "worker": ID, "load": 0.5}
 ///
 /// The head of the answer comes at once, the rest when the adapter is there
 /// and the worker has room, or when that is not to be. A call without a worker
@@ -57,6 +57,8 @@
 {
     bool granted = false;
     std::uint64_t grant = 0;
+    /// The worker to send to; it need not be the one that was asked for.
+    worker_id worker;
     /// The share of the worker's batch that is taken.
     double load = 0;
     friend bool operator==(peer_reply const&, peer_reply const&) = default;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -460,7 +460,8 @@
     run_soon();
 }
 
-void relay::answer_peer(ticket_id ticket, bool granted, double load)
+void relay::answer_peer(ticket_id ticket, bool granted,
+                        worker_id const& worker, double load)
 {
     auto const found = peer_requests_.find(ticket);
     if (found == peer_requests_.end())
@@ -468,7 +469,7 @@
     auto const answer = std::exchange(found->second.answer, nullptr);
     if (answer)
     {
-        answer->write(encode_peer_reply({granted, ticket.value(), load}));
+        answer->write(encode_peer_reply({granted, ticket.value(), worker, load}));
         answer->finish();
     }
     if (granted)
@@ -619,6 +620,10 @@
                      .add("status", exchange.status())
                      .add("reason", reason)
                      .add("sends", exchange.sends())
+                     .add("waited_ms", exchange.waited())
+                     .add("adapter", exchange.request().model
+                                         ? exchange.request().model->adapter.str()
+                                         : "")
                      .add("age_ms", at - exchange.terms().arrived_at)
                      .add("left_ms", exchange.terms().give_up_at - at)
                      .add("config", exchange.terms().config->version.value()),
@@ -712,7 +717,7 @@
     {
         auto const found = exchanges_.find(refused->ticket);
         if (found == exchanges_.end())
-            return answer_peer(refused->ticket, false, 1);
+            return answer_peer(refused->ticket, false, {}, 1);
         auto const exchange = found->second;
         // Spread, so that those turned away do not come back in one wave.
         duration const spread(static_cast<duration::rep>(
@@ -725,7 +730,8 @@
     if (auto const* ask = std::get_if<ask_owner>(&action))
         return send_ask(service, *ask);
     if (auto const* granted = std::get_if<grant_ask>(&action))
-        return answer_peer(granted->ticket, true, granted->load);
+        return answer_peer(granted->ticket, true, granted->worker,
+                           granted->load);
     if (auto const* order = std::get_if<give_order>(&action))
         return send_order(service, *order);
     send_report(service, std::get<ask_report>(action));
@@ -780,7 +786,8 @@
                                             ? "silent"
                                             : "unreachable"),
                      now());
-    find(service)->scheduler.on_owner(ask.ticket, outcome, reply.load, now());
+    find(service)->scheduler.on_owner(ask.ticket, outcome, reply.worker,
+                                       reply.load, now());
     run_soon();
 }
 
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -155,7 +155,8 @@
                 ask_outcome outcome, peer_reply const& reply);
     void give_back(held_grant const& grant, bool not_held);
     void tell_done();
-    void answer_peer(ticket_id ticket, bool granted, double load);
+    void answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
+                     double load);
     void forget_peer_request(ticket_id ticket, send_outcome outcome);
     void on_order(service_id const& service, worker_order const& order,
                   order_outcome outcome);
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -103,6 +103,7 @@
     worker_ = worker;
     stage_ = stage::sent;
     sent_at_ = host_.now();
+    placed_reason_ = reason;
     reply_ = {};
     headers_ = {};
     body_.clear();
@@ -219,7 +220,12 @@
     headers_ = host_.codec().answer_headers(headers);
     stage_ = stage::buffering;
     if (!reply_.not_run)
+    {
         host_.first_byte(*this);
+        if (last_byte_at_ - terms_.arrived_at >
+            terms_.matched->latency_objective / 2)
+            host_.note(*this, "slow", placed_reason_);
+    }
     if (status < first_failure_status && reply_.event_stream)
     {
         if (!answer_acceptable())
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -92,6 +92,8 @@
     worker_id const& worker() const { return worker_.id; }
     int sends() const { return sends_; }
     int status() const { return reply_.status; }
+    /// How long it waited before it was last sent.
+    duration waited() const { return sent_at_ - terms_.arrived_at; }
 
 private:
     class attempt;
@@ -141,6 +143,7 @@
     /// Sends that may have run.
     int runs_ = 0;
     time_point sent_at_{};
+    std::string placed_reason_;
     time_point last_byte_at_{};
     worker_reply reply_;
     http_headers headers_;
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -29,10 +29,14 @@
 constexpr double sick_margin = 0.2;
 /// The share of a batch that a VM may fill at a worker that another VM fills.
 constexpr std::size_t foreign_share = 4;
-/// A second copy of an adapter is loaded from that share of a full batch on,
-/// at a worker that is emptier than the other share.
+/// A worker is crowded when it has so many times as many requests as the
+/// average one, and more than a few: prompts are read one after the other, so
+/// that a first token waits for all of those before it long before the batch
+/// is full. Then other homes are used and second copies loaded.
+constexpr double crowded_multiple = 1.5;
+constexpr double few_requests = 4;
+/// Whatever the average, a batch that is so full is crowded.
 constexpr double crowded_share = 0.75;
-constexpr double roomy_share = 0.5;
 /// A request is turned away when the expected wait takes more than that share
 /// of the time that it has left: the rest is for the answer itself, and for
 /// the caller to come back elsewhere.
@@ -283,6 +287,31 @@
            now >= known->second.heard_at + settings_.release_grace;
 }
 
+double service_scheduler::average_taken(time_point now) const
+{
+    double sum = 0;
+    double known = 0;
+    for (auto const& [id, worker] : workers_)
+    {
+        if (worker->entry.draining ||
+            (!worker->owned && now >= worker->told_until))
+            continue;
+        sum += load_of(*worker, now) * double(worker->entry.slots);
+        known += 1;
+    }
+    return known == 0 ? 0 : sum / known;
+}
+
+bool service_scheduler::crowded(worker_state const& worker,
+                                time_point now) const
+{
+    double const load = load_of(worker, now);
+    double const requests = load * double(worker.entry.slots);
+    return load >= crowded_share ||
+           (requests > few_requests &&
+            requests > crowded_multiple * average_taken(now) + 1);
+}
+
 /// Failure: a version is declared while a copy of the one before is in use; a
 /// request that begins on the old copy after the bound gets an answer of the
 /// wrong version. An old copy is used for the grace only, and only while the
@@ -384,7 +413,7 @@
             !may_load_at(*worker, waiting, now))
             continue;
         std::tuple<bool, bool, std::uint64_t> const rank{
-            load_of(*worker, now) < crowded_share,
+            !crowded(*worker, now),
             local && worker->entry.domain == settings_.domain,
             stable_hash(target.adapter.str() + "@" + id.str())};
         if (best != nullptr && rank <= highest)
@@ -411,7 +440,8 @@
         sent.by_peer = true;
         ++on.granted;
         ++counts_.granted;
-        actions_.push_back(grant_ask{item.ticket, load_of(on, now)});
+        actions_.push_back(
+            grant_ask{item.ticket, on.entry.id, load_of(on, now)});
         sent_.emplace(item.ticket, std::move(sent));
         return;
     }
@@ -466,15 +496,15 @@
         worker->health.avoided(now))
         return verdict::hopeless;
     model_target const& target = *waiting.item.target;
-    if (holds(*worker, target, now))
+    if (worker_state* const holder = own_holder(waiting, now))
     {
-        if (!usable(*worker, waiting.item, now))
-            return verdict::waits;
-        spread_load(*worker, waiting, now);
-        place(waiting, *worker, now);
+        spread_load(*holder, waiting, now);
+        place(waiting, *holder, now);
         leave_wait(waiting);
         return verdict::placed;
     }
+    if (holds(*worker, target, now))
+        return verdict::waits;
     if (!waiting.loads_at.empty() && worker->adapters.stage(target))
         return verdict::waits;
     leave_wait(waiting);
@@ -503,7 +533,7 @@
 {
     model_target const& target = *waiting.item.target;
     bool const outdated = busy.adapters.outdated(target);
-    if (load_of(busy, now) < crowded_share && !outdated)
+    if (!crowded(busy, now) && !outdated)
         return;
     for (auto const& [id, worker] : workers_)
         if (worker.get() != &busy && worker->owned &&
@@ -511,7 +541,7 @@
             return;
     worker_state* const other = home_of(waiting, true, now);
     if (other == nullptr || other == &busy ||
-        (!outdated && load_of(*other, now) > roomy_share))
+        (!outdated && crowded(*other, now)))
         return;
     other->adapters.want(target, now);
 }
@@ -629,7 +659,8 @@
 }
 
 void service_scheduler::on_owner(ticket_id ticket, ask_outcome outcome,
-                                 double load, time_point now)
+                                 worker_id const& granted, double load,
+                                 time_point now)
 {
     auto const found = asked_.find(ticket);
     if (found == asked_.end())
@@ -643,7 +674,8 @@
                : outcome == ask_outcome::silent ? send_outcome::silent
                                                 : send_outcome::unreachable,
                asked.asked_at, now);
-    worker_state* const worker = find(asked.worker);
+    worker_state* const worker =
+        find(granted.empty() ? asked.worker : granted);
     if (worker != nullptr && answered)
     {
         worker->told_load = load;
@@ -654,9 +686,9 @@
     {
         worker->health.sent(now);
         ++counts_.placed_granted;
-        actions_.push_back(place_request{item.ticket, asked.worker,
+        actions_.push_back(place_request{item.ticket, worker->entry.id,
                                          worker->entry, "granted"});
-        sent_.emplace(item.ticket, sent_item{asked.worker, now, item.target,
+        sent_.emplace(item.ticket, sent_item{worker->entry.id, now, item.target,
                                              false, false, false});
         return;
     }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -65,10 +65,12 @@
     time_point give_up_at = never;
 };
 
-/// Tell the VM that asked that it may send the request now.
+/// Tell the VM that asked that it may send the request now, to the worker that
+/// it asked for or to another of this VM's.
 struct grant_ask
 {
     ticket_id ticket;
+    worker_id worker;
     double load = 0;
 };
 
@@ -166,8 +168,8 @@
     /// The other VMs that give orders to workers.
     void set_owners(std::map<worker_id, vm_id> owners);
     /// Another VM answered a question, or did not.
-    void on_owner(ticket_id ticket, ask_outcome outcome, double load,
-                  time_point now);
+    void on_owner(ticket_id ticket, ask_outcome outcome,
+                  worker_id const& granted, double load, time_point now);
     /// Another VM began to answer a question.
     void on_owner_heard(ticket_id ticket, time_point now);
     /// When a question to another VM is to be given up, as of now.
@@ -282,6 +284,8 @@
                      time_point now) const;
     worker_state* home_of(waiting_item const& waiting, bool own_only,
                           time_point now);
+    double average_taken(time_point now) const;
+    bool crowded(worker_state const& worker, time_point now) const;
     bool popular(model_target const& target, time_point now) const;
     worker_state* own_holder(waiting_item const& waiting, time_point now);
     verdict decide_asked(waiting_item& waiting, time_point now);
