Keep rare adapters at home and whole services out of the sick ward

Change: sick is judged against the average worker; only adapters asked for often leave a crowded home.

--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -24,9 +24,11 @@
 /// Twice a whole batch: a worker that fails is used when there is no other.
 constexpr double sick_penalty = 2.0;
 /// A worker fails too much when it does so for so much more of its answers
-/// than the best worker of the service: a fault of the service as a whole is
-/// no reason to prefer any worker.
+/// than the average worker of the service, and for so many times as many. A
+/// fault of the service as a whole is no reason to leave any worker: adapters
+/// would be fetched anew elsewhere, for nothing.
 constexpr double sick_margin = 0.2;
+constexpr double sick_multiple = 2;
 /// The share of a batch that a VM may fill at a worker that another VM fills.
 constexpr std::size_t foreign_share = 4;
 /// A worker is crowded when it has so many times as many requests as the
@@ -35,7 +37,9 @@
 /// is full. Then other homes are used and second copies loaded.
 constexpr double crowded_multiple = 1.5;
 constexpr double few_requests = 4;
-/// Whatever the average, a batch that is so full is crowded.
+/// Whatever the average, a batch that is so full is crowded. This alone counts
+/// for an adapter that is seldom asked for: it adds little to the crowd, and a
+/// second home costs a fetch.
 constexpr double crowded_share = 0.75;
 /// A request is turned away when the expected wait takes more than that share
 /// of the time that it has left: the rest is for the answer itself, and for
@@ -266,10 +270,14 @@
 
 bool service_scheduler::sick(worker_state const& worker) const
 {
-    double best = 1;
+    double const share = worker.health.failure_share();
+    if (share <= sick_margin)
+        return false;
+    double sum = 0;
     for (auto const& [id, each] : workers_)
-        best = std::min(best, each->health.failure_share());
-    return worker.health.failure_share() > best + sick_margin;
+        sum += each->health.failure_share();
+    double const average = sum / double(workers_.size());
+    return share > average + sick_margin && share > sick_multiple * average;
 }
 
 adapter_version service_scheduler::newest_of(model_target const& target) const
@@ -302,13 +310,13 @@
     return known == 0 ? 0 : sum / known;
 }
 
-bool service_scheduler::crowded(worker_state const& worker,
+bool service_scheduler::crowded(worker_state const& worker, bool popular,
                                 time_point now) const
 {
     double const load = load_of(worker, now);
     double const requests = load * double(worker.entry.slots);
     return load >= crowded_share ||
-           (requests > few_requests &&
+           (popular && requests > few_requests &&
             requests > crowded_multiple * average_taken(now) + 1);
 }
 
@@ -413,7 +421,7 @@
             !may_load_at(*worker, waiting, now))
             continue;
         std::tuple<bool, bool, std::uint64_t> const rank{
-            !crowded(*worker, now),
+            !crowded(*worker, local, now),
             local && worker->entry.domain == settings_.domain,
             stable_hash(target.adapter.str() + "@" + id.str())};
         if (best != nullptr && rank <= highest)
@@ -533,7 +541,8 @@
 {
     model_target const& target = *waiting.item.target;
     bool const outdated = busy.adapters.outdated(target);
-    if (!crowded(busy, now) && !outdated)
+    bool const hot = popular(target, now);
+    if (!crowded(busy, hot, now) && !outdated)
         return;
     for (auto const& [id, worker] : workers_)
         if (worker.get() != &busy && worker->owned &&
@@ -541,7 +550,7 @@
             return;
     worker_state* const other = home_of(waiting, true, now);
     if (other == nullptr || other == &busy ||
-        (!outdated && crowded(*other, now)))
+        (!outdated && crowded(*other, hot, now)))
         return;
     other->adapters.want(target, now);
 }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -285,7 +285,8 @@
     worker_state* home_of(waiting_item const& waiting, bool own_only,
                           time_point now);
     double average_taken(time_point now) const;
-    bool crowded(worker_state const& worker, time_point now) const;
+    bool crowded(worker_state const& worker, bool popular,
+                 time_point now) const;
     bool popular(model_target const& target, time_point now) const;
     worker_state* own_holder(waiting_item const& waiting, time_point now);
     verdict decide_asked(waiting_item& waiting, time_point now);
