--- a/src/ownership_keeper.hpp
+++ b/src/ownership_keeper.hpp
@@ -112,6 +112,10 @@
     /// without a stall.
     duration handover_interval = std::chrono::milliseconds(500);
     duration table_timeout = std::chrono::milliseconds(1000);
+    /// How long a VM that registered waits for others before it takes workers
+    /// that it did not own before. VMs that start together register within a
+    /// moment; the first would take all and hand most of them over later.
+    duration settle = std::chrono::milliseconds(0);
     std::uint64_t seed = 1;
 };
 
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -216,6 +216,7 @@
 
 void ownership_runner::carry_out(action_list const& actions)
 {
+    std::vector<scan_rows> scans;
     for (action const& each : actions)
     {
         if (auto const* write = std::get_if<transact>(&each))
@@ -223,11 +224,13 @@
         else if (auto const* read = std::get_if<read_row>(&each))
             run(*read);
         else if (auto const* scan = std::get_if<scan_rows>(&each))
-            run(*scan);
+            scans.push_back(*scan);
         else if (auto const* told = std::get_if<note_event>(&each))
             log_.notable(told->kind, log_fields().add("about", told->text),
                          boot_clock::now());
     }
+    if (!scans.empty())
+        run(std::move(scans));
 }
 
 void ownership_runner::run(transact const& what)
@@ -275,40 +278,54 @@
                 });
 }
 
-void ownership_runner::run(scan_rows const& what)
+/// Scans that are asked for together are answered by one read of the whole
+/// set, since the store counts calls.
+void ownership_runner::run(std::vector<scan_rows> scans)
 {
-    scan_page(what.operation, what.prefix, "", what.deadline, {});
+    scan_page(std::move(scans), "", {});
 }
 
-void ownership_runner::scan_page(operation_id operation, std::string prefix,
-                                 std::string after, time_point deadline,
-                                 std::vector<table_row> rows)
+void ownership_runner::scan_page(std::vector<scan_rows> scans,
+                                 std::string after, std::vector<table_row> rows)
 {
+    std::string const prefix = scans.size() == 1 ? scans.front().prefix : "";
+    duration const limit = scans.front().deadline - boot_clock::now();
     store_.read(
-        row_set::own, prefix, after, deadline - boot_clock::now(),
-        [this, operation, prefix, deadline,
-         rows = std::move(rows)](store_reply reply) mutable
+        row_set::own, prefix, after, limit,
+        [this, scans = std::move(scans),
+         rows = std::move(rows)](store_reply const& reply)
         {
-            asio::post(
-                io_,
-                [this, operation, prefix, deadline, rows = std::move(rows),
-                 reply = std::move(reply)]() mutable
-                {
-                    for (stored_row const& row : reply.rows)
-                        rows.push_back(to_table_row(row));
-                    if (reply.outcome == store_outcome::done &&
-                        reply.truncated && !rows.empty())
-                    {
-                        std::string const last = rows.back().key;
-                        return scan_page(operation, prefix, last, deadline,
-                                         std::move(rows));
-                    }
-                    deliver({operation, outcome_of(reply.outcome),
-                             std::move(rows)});
-                });
+            asio::post(io_,
+                       [this, scans, rows, reply]() mutable
+                       {
+                           for (stored_row const& row : reply.rows)
+                               rows.push_back(to_table_row(row));
+                           bool const more =
+                               reply.outcome == store_outcome::done &&
+                               reply.truncated && !rows.empty();
+                           if (!more)
+                               return scanned(scans, reply.outcome, rows);
+                           std::string last = rows.back().key;
+                           scan_page(std::move(scans), std::move(last),
+                                     std::move(rows));
+                       });
         });
 }
 
+void ownership_runner::scanned(std::vector<scan_rows> const& scans,
+                               store_outcome outcome,
+                               std::vector<table_row> const& rows)
+{
+    for (scan_rows const& scan : scans)
+    {
+        table_reply reply{scan.operation, outcome_of(outcome), {}};
+        for (table_row const& row : rows)
+            if (row.key.starts_with(scan.prefix))
+                reply.rows.push_back(row);
+        deliver(reply);
+    }
+}
+
 void ownership_runner::answered(operation_id operation,
                                 store_reply const& reply)
 {
--- a/src/ownership_runner.hpp
+++ b/src/ownership_runner.hpp
@@ -59,10 +59,11 @@
     void carry_out(action_list const& actions);
     void run(transact const& what);
     void run(read_row const& what);
-    void run(scan_rows const& what);
-    void scan_page(operation_id operation, std::string prefix,
-                   std::string after, time_point deadline,
+    void run(std::vector<scan_rows> scans);
+    void scan_page(std::vector<scan_rows> scans, std::string after,
                    std::vector<table_row> rows);
+    void scanned(std::vector<scan_rows> const& scans, store_outcome outcome,
+                 std::vector<table_row> const& rows);
     void written(transact const& what, store_reply const& reply);
     void answered(operation_id operation, store_reply const& reply);
     void deliver(table_reply const& reply);
--- a/src/registry_watch.hpp
+++ b/src/registry_watch.hpp
@@ -32,14 +32,16 @@
 {
     /// How long a question about declarations waits at the store. A change is
     /// answered at once; the bound is there to notice a connection that went
-    /// silent, within the time that a configuration has to come into force.
-    duration declaration_wait = std::chrono::milliseconds(1400);
+    /// silent. It is about the time that a configuration has to come into
+    /// force: each question costs the store a call.
+    duration declaration_wait = std::chrono::milliseconds(2000);
     /// How long a question may take beyond its wait.
     duration answer_time = std::chrono::milliseconds(600);
     /// How often the workers are asked for. They heartbeat all the time, so a
     /// question that waits for a change would return at once, a call for each
-    /// heartbeat; the bound on draining workers allows a fraction of that.
-    duration worker_interval = std::chrono::milliseconds(600);
+    /// heartbeat. Half of the bound on draining workers leaves the other half
+    /// for a question that fails and the one after it.
+    duration worker_interval = std::chrono::milliseconds(1000);
     /// A worker's entry can lapse while the store is away. After the store's
     /// return it has this long to be written again.
     duration lapse_grace = std::chrono::milliseconds(2000);
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -34,9 +34,11 @@
 /// store of nearly two gaps before that.
 constexpr int lease_gaps = 3;
 constexpr milliseconds lease_slack{200};
-constexpr milliseconds heartbeat{1500};
+/// Four renewals fit into what a holder may count on.
+constexpr milliseconds heartbeat{2000};
 constexpr milliseconds table_timeout{1000};
-constexpr milliseconds handover_interval{300};
+/// VMs that start together register within some hundred milliseconds.
+constexpr milliseconds settle{1000};
 /// Callers keep connections as long as the operator's limits say; nothing is
 /// gained by closing sooner.
 constexpr std::chrono::seconds idle_timeout{60};
@@ -59,7 +61,9 @@
     options.keeper.lease_margin = value.order_gap + lease_slack;
     options.keeper.heartbeat = heartbeat;
     options.keeper.table_timeout = table_timeout;
-    options.keeper.handover_interval = handover_interval;
+    options.keeper.settle = settle;
+    // A worker that changes hands takes no orders for the gap: one at a time.
+    options.keeper.handover_interval = value.order_gap + lease_slack;
     options.keeper.seed = seed;
     options.order_gap = value.order_gap + lease_slack;
     return options;
@@ -68,9 +72,9 @@
 registry_watch_options watch_options(relay_settings const& value)
 {
     registry_watch_options options;
-    options.declaration_wait = value.configuration_bound * 7 / 10;
+    options.declaration_wait = value.configuration_bound;
     options.answer_time = value.configuration_bound * 3 / 10;
-    options.worker_interval = value.drain_bound * 3 / 10;
+    options.worker_interval = value.drain_bound / 2;
     return options;
 }
 
--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -221,8 +221,13 @@
 bool worker_assignment::should_take(worker_ownership const& worker,
                                     time_point now) const
 {
+    bool const settled =
+        read_at_ >= context_.registration.registered_at() +
+                        context_.settings.settle;
+    bool const was_ours = worker.row() != nullptr &&
+                          worker.row()->owner.vm == context_.settings.vm;
     return worker.declared() && worker.unowned() && worker.may_write(now) &&
-           worker.assignee() == context_.settings.vm;
+           worker.assignee() == context_.settings.vm && (settled || was_ours);
 }
 
 void worker_assignment::take_unowned(time_point now, action_list& actions)
