Wait for a busy home; ride out nine seconds without the store

Change: a busy home is waited for 0.25 s; the second gap after a lease that lapsed is left out; the lease is five gaps long, of which a holder uses 11.8 s.

--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -122,8 +122,9 @@
 /// just lost it and the one that just got it; a late order of the first is
 /// carried out among those of the second. The first gave its last order before
 /// its row changed, so the second waits for the gap from then on. No gap is
-/// needed where this VM itself was the last owner, before a restart, or where
-/// there was none.
+/// needed where this VM itself was the last owner, before a restart, where
+/// there was none, or where the last owner's lease lapsed: it stopped giving
+/// orders a gap before that.
 time_point ownership_runner::orders_from(worker_id const& worker,
                                          fencing_number fence,
                                          time_point now) const
@@ -139,7 +140,9 @@
         if (owner->second == options_.keeper.vm)
             return now;
         if (!owner->second.empty())
-            return now + options_.order_gap;
+            return keeper_.member(owner->second) == nullptr
+                       ? now
+                       : now + options_.order_gap;
     }
     return now;
 }
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -32,7 +32,7 @@
 /// The lease in multiples of the gap between two owners' orders: the holder
 /// stops a gap before others may take over, and rides out an outage of the
 /// store of nearly two gaps before that.
-constexpr int lease_gaps = 3;
+constexpr int lease_gaps = 5;
 constexpr milliseconds lease_slack{200};
 /// Four renewals fit into what a holder may count on.
 constexpr milliseconds heartbeat{2000};
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -58,6 +58,10 @@
 constexpr milliseconds owner_answers{2000};
 /// After so many owners said no, a request is served by whatever is here.
 constexpr std::size_t most_refusals = 2;
+/// A home whose slots are all in use is waited for so long before another is
+/// taken: a slot is free again after the rest of a request, while a fetch
+/// elsewhere takes about as long and keeps others from theirs.
+constexpr milliseconds busy_home_wait{250};
 /// Where a request cannot be served here at all, another VM may: the caller is
 /// told to come back at once, spread over this span.
 constexpr milliseconds elsewhere_retry{50};
@@ -388,7 +392,9 @@
         return false;
     if (worker.owned)
         return worker.adapters.may_order(now) &&
-               worker.adapters.can_take(*waiting.item.target);
+               worker.adapters.has_model(waiting.item.target->model) &&
+               (worker.adapters.can_take(*waiting.item.target) ||
+                now < waiting.item.arrived_at + busy_home_wait);
     auto const owner = owners_.find(id);
     if (owner == owners_.end())
         return false;
@@ -518,15 +524,16 @@
     leave_wait(waiting);
     if (!worker->adapters.may_order(now))
         return verdict::hopeless;
-    return worker->adapters.can_take(target) ? wait_at(waiting, *worker, now)
-           : worker->adapters.synced()       ? verdict::waits
-                                             : verdict::hopeless;
+    return worker->adapters.synced() ? wait_at(waiting, *worker, now)
+                                     : verdict::hopeless;
 }
 
 service_scheduler::verdict
 service_scheduler::wait_at(waiting_item& waiting, worker_state& worker,
                            time_point now)
 {
+    if (!worker.adapters.can_take(*waiting.item.target))
+        return verdict::waits;
     worker.adapters.want(*waiting.item.target, now);
     worker.adapters.begin_wait(*waiting.item.target);
     waiting.loads_at = worker.entry.id;
@@ -550,6 +557,7 @@
             return;
     worker_state* const other = home_of(waiting, true, now);
     if (other == nullptr || other == &busy ||
+        !other->adapters.can_take(target) ||
         (!outdated && crowded(*other, hot, now)))
         return;
     other->adapters.want(target, now);
