Try workers again that were left alone for failures; remember who ordered last

A VM whose owner's life had ended forgot who that was, and could have ordered without the gap. Change: the share fades while nothing is sent; waiting requests leave such a worker; the last owner is the one that the row names.

--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -70,6 +70,7 @@
     membership const& members() const { return members_; }
     time_point table_heard_at() const { return table_heard_at_; }
     vm_id owner_of(worker_id const& worker) const;
+    vm_id named_owner_of(worker_id const& worker) const;
     fencing_number fence_of(worker_id const& worker) const;
 
 private:
@@ -308,6 +309,15 @@
     return std::exchange(events_, {});
 }
 
+vm_id ownership_keeper::implementation::named_owner_of(
+    worker_id const& worker) const
+{
+    worker_ownership const* const known = workers_.find(worker);
+    return known == nullptr || known->row() == nullptr
+               ? vm_id()
+               : known->row()->owner.vm;
+}
+
 vm_id ownership_keeper::implementation::owner_of(worker_id const& worker) const
 {
     worker_ownership const* const known = workers_.find(worker);
@@ -450,6 +460,11 @@
     return implementation_->members().member(vm);
 }
 
+vm_id ownership_keeper::named_owner_of(worker_id const& worker) const
+{
+    return implementation_->named_owner_of(worker);
+}
+
 vm_id ownership_keeper::owner_of(worker_id const& worker) const
 {
     return implementation_->owner_of(worker);
--- a/src/ownership_keeper.hpp
+++ b/src/ownership_keeper.hpp
@@ -191,6 +191,9 @@
     /// The VM that owns a worker by the rows last read; empty if none.
     vm_id owner_of(worker_id const& worker) const;
     fencing_number fence_of(worker_id const& worker) const;
+    /// The VM that a worker's row names, whether or not that life goes on;
+    /// empty for nobody, or where the row is not known.
+    vm_id named_owner_of(worker_id const& worker) const;
     /// Whether a VM's life is over for certain: closed, expired with its VM
     /// gone from the list, or followed by a later life at the same address.
     bool life_is_over(vm_id const& vm, incarnation life) const;
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -111,8 +111,8 @@
     {
         fencing_number const fence = keeper_.fence_of(worker);
         if (!fence.none())
-            seen_owners_[worker].insert_or_assign(fence,
-                                                  keeper_.owner_of(worker));
+            seen_owners_[worker].try_emplace(fence,
+                                             keeper_.named_owner_of(worker));
     }
     std::erase_if(seen_owners_, [this](auto const& each)
                   { return declared_.count(each.first) == 0; });
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -272,14 +272,14 @@
     return !worker.health.avoided(now) || worker.health.may_probe(now);
 }
 
-bool service_scheduler::sick(worker_state const& worker) const
+bool service_scheduler::sick(worker_state const& worker, time_point now) const
 {
-    double const share = worker.health.failure_share();
+    double const share = worker.health.failure_share(now);
     if (share <= sick_margin)
         return false;
     double sum = 0;
     for (auto const& [id, each] : workers_)
-        sum += each->health.failure_share();
+        sum += each->health.failure_share(now);
     double const average = sum / double(workers_.size());
     return share > average + sick_margin && share > sick_multiple * average;
 }
@@ -369,7 +369,7 @@
             score += other_domain_penalty;
         if (config_.engine && !worker->owned)
             score += other_owner_penalty;
-        if (worker->health.avoided(now) || sick(*worker))
+        if (worker->health.avoided(now) || sick(*worker, now))
             score += sick_penalty;
         if (item.target && worker->adapters.outdated(*item.target))
             score += sick_penalty;
@@ -388,7 +388,7 @@
     worker_id const& id = worker.entry.id;
     if (worker.entry.draining || waiting.item.excluded.count(id) > 0 ||
         waiting.said_no.count(id) > 0 || worker.health.avoided(now) ||
-        sick(worker))
+        sick(worker, now))
         return false;
     if (worker.owned)
         return worker.adapters.may_order(now) &&
@@ -507,7 +507,7 @@
 {
     worker_state* const worker = find(*waiting.item.asked_for);
     if (worker == nullptr || !worker->owned || worker->entry.draining ||
-        worker->health.avoided(now))
+        worker->health.avoided(now) || sick(*worker, now))
         return verdict::hopeless;
     model_target const& target = *waiting.item.target;
     if (worker_state* const holder = own_holder(waiting, now))
@@ -571,7 +571,7 @@
     for (auto& [id, worker] : workers_)
     {
         if (!worker->owned || !usable(*worker, waiting.item, now) ||
-            sick(*worker) || !holds(*worker, *waiting.item.target, now))
+            sick(*worker, now) || !holds(*worker, *waiting.item.target, now))
             continue;
         bool const fresher =
             best != nullptr && best->adapters.outdated(*waiting.item.target) &&
@@ -599,7 +599,8 @@
     {
         worker_state const* const loading = find(waiting.loads_at);
         if (loading != nullptr && loading->adapters.stage(target) &&
-            !loading->entry.draining && !loading->health.avoided(now))
+            !loading->entry.draining && !loading->health.avoided(now) &&
+            !sick(*loading, now))
             return verdict::waits;
         leave_wait(waiting);
     }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -272,7 +272,7 @@
     std::size_t limit_of(worker_state const& worker) const;
     bool usable(worker_state const& worker, work_item const& item,
                 time_point now) const;
-    bool sick(worker_state const& worker) const;
+    bool sick(worker_state const& worker, time_point now) const;
     double load_of(worker_state const& worker, time_point now) const;
     std::size_t taken(worker_state const& worker) const;
     bool holds(worker_state const& worker, model_target const& target,
--- a/src/worker_health.cpp
+++ b/src/worker_health.cpp
@@ -1,6 +1,7 @@
 #include "worker_health.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace mulberry
 {
@@ -16,6 +17,9 @@
 constexpr milliseconds first_avoid{250};
 constexpr milliseconds longest_avoid{2000};
 constexpr milliseconds probe_interval{500};
+/// Without answers a share of failures falls to a third in this time: a worker
+/// left alone at 0.4 is tried again after some two seconds.
+constexpr std::chrono::seconds fading_time{3};
 /// A worker with a full queue has room again after a few requests' time.
 constexpr milliseconds full_pause{60};
 /// Silence is judged by multiples of the usual time to a first byte, so that a
@@ -73,7 +77,15 @@
         failed = true;
         break;
     }
+    failure_share_ = failure_share(now);
     failure_share_ += newest_weight * (double(failed) - failure_share_);
+    judged_at_ = now;
+}
+
+double worker_health::failure_share(time_point now) const
+{
+    std::chrono::duration<double> const idle = now - judged_at_;
+    return failure_share_ * std::exp(-idle / fading_time);
 }
 
 void worker_health::avoid(duration span, time_point now)
--- a/src/worker_health.hpp
+++ b/src/worker_health.hpp
@@ -49,8 +49,10 @@
     /// May be tried with one request although it is avoided.
     bool may_probe(time_point now) const;
     void probed(time_point now);
-    /// Share of failures among the last answers, 0 to 1.
-    double failure_share() const { return failure_share_; }
+    /// Share of failures among the last answers, 0 to 1. It fades while
+    /// nothing is sent: a worker that is left alone for its failures would
+    /// otherwise never be tried again.
+    double failure_share(time_point now) const;
     /// Until then it has no room, by its own word.
     bool full(time_point now) const { return now < full_until_; }
     /// Mean time to the first byte.
@@ -74,6 +76,7 @@
     time_point next_probe_{};
     int failures_in_a_row_ = 0;
     double failure_share_ = 0;
+    time_point judged_at_{};
     duration mean_first_byte_ = std::chrono::milliseconds(50);
 };
 
