Test how work waits, is placed and turned away; load second copies elsewhere

Cause: the tests of the new versions and of hot adapters failed: the second copy was wanted at the crowded worker itself, and an older copy was preferred when its worker came later in the list. Change: the crowded worker is left out when a second home is chosen; the newest version goes before the emptier worker.

--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -4,6 +4,10 @@
   SOURCES retry_allowance.cpp route_table.cpp service_scheduler.cpp
           worker_adapters.cpp worker_health.cpp
   LINK mulberry_policy)
+mulberry_test(scheduling_test
+  SOURCES retry_allowance_test.cpp route_table_test.cpp scheduler_world.cpp
+          service_scheduler_test.cpp worker_health_test.cpp
+  LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp event_log.cpp event_splitter.cpp
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -415,7 +415,7 @@
 /// cannot be reached.
 service_scheduler::worker_state*
 service_scheduler::home_of(waiting_item const& waiting, bool own_only,
-                           time_point now)
+                           worker_state const* except, time_point now)
 {
     model_target const& target = *waiting.item.target;
     bool const local = popular(target, now);
@@ -423,7 +423,7 @@
     std::tuple<bool, bool, std::uint64_t> highest{};
     for (auto& [id, worker] : workers_)
     {
-        if ((own_only && !worker->owned) ||
+        if (worker.get() == except || (own_only && !worker->owned) ||
             !may_load_at(*worker, waiting, now))
             continue;
         std::tuple<bool, bool, std::uint64_t> const rank{
@@ -555,30 +555,32 @@
         if (worker.get() != &busy && worker->owned &&
             worker->adapters.stage(target) && !worker->adapters.outdated(target))
             return;
-    worker_state* const other = home_of(waiting, true, now);
-    if (other == nullptr || other == &busy ||
-        !other->adapters.can_take(target) ||
+    worker_state* const other = home_of(waiting, true, &busy, now);
+    if (other == nullptr || !other->adapters.can_take(target) ||
         (!outdated && crowded(*other, hot, now)))
         return;
     other->adapters.want(target, now);
 }
 
-/// A worker of this VM that has the adapter and room.
+/// A worker of this VM that has the adapter and room: one with the newest
+/// version first, then the emptiest.
 service_scheduler::worker_state*
 service_scheduler::own_holder(waiting_item const& waiting, time_point now)
 {
+    model_target const& target = *waiting.item.target;
     worker_state* best = nullptr;
+    std::pair<bool, double> least;
     for (auto& [id, worker] : workers_)
     {
         if (!worker->owned || !usable(*worker, waiting.item, now) ||
-            sick(*worker, now) || !holds(*worker, *waiting.item.target, now))
+            sick(*worker, now) || !holds(*worker, target, now))
             continue;
-        bool const fresher =
-            best != nullptr && best->adapters.outdated(*waiting.item.target) &&
-            !worker->adapters.outdated(*waiting.item.target);
-        if (best == nullptr || fresher ||
-            load_of(*worker, now) < load_of(*best, now))
-            best = worker.get();
+        std::pair<bool, double> const cost{worker->adapters.outdated(target),
+                                           load_of(*worker, now)};
+        if (best != nullptr && cost >= least)
+            continue;
+        best = worker.get();
+        least = cost;
     }
     return best;
 }
@@ -605,7 +607,7 @@
         leave_wait(waiting);
     }
     bool const tired = waiting.said_no.size() >= most_refusals;
-    worker_state* const home = home_of(waiting, tired, now);
+    worker_state* const home = home_of(waiting, tired, nullptr, now);
     if (home != nullptr && home->owned)
         return wait_at(waiting, *home, now);
     if (home != nullptr)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -283,7 +283,7 @@
     bool may_load_at(worker_state const& worker, waiting_item const& waiting,
                      time_point now) const;
     worker_state* home_of(waiting_item const& waiting, bool own_only,
-                          time_point now);
+                          worker_state const* except, time_point now);
     double average_taken(time_point now) const;
     bool crowded(worker_state const& worker, bool popular,
                  time_point now) const;
--- /dev/null
+++ b/tests/retry_allowance_test.cpp
@@ -0,0 +1,59 @@
+#include "retry_allowance.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{std::chrono::hours(1)};
+
+} // namespace
+
+// Every request fails at its worker while callers repeat. Six VMs that cannot
+// see each other each spend their part; together they must stay under the
+// limit in any window.
+TEST_CASE("the sum over all VMs keeps the limit without messages",
+          "[retry_allowance]")
+{
+    retry_limits const limits{0.2, 52, 10s};
+    std::vector<retry_allowance> vms(6, retry_allowance(limits));
+    int requests = 0;
+    int repeats = 0;
+    for (int ms = 0; ms < 10'000; ms += 10)
+        for (std::size_t vm = 0; vm < vms.size(); ++vm)
+        {
+            time_point const now = start + std::chrono::milliseconds(ms);
+            // Callers are spread unevenly.
+            if (ms % (vm == 0 ? 10 : 40) != 0)
+                continue;
+            vms[vm].count_request(now);
+            ++requests;
+            repeats += vms[vm].try_take(6, now);
+            repeats += vms[vm].try_take(6, now);
+        }
+    CHECK(repeats <= 0.2 * requests + 52);
+    CHECK(repeats > 0.1 * requests);
+}
+
+TEST_CASE("old requests stop counting after the window", "[retry_allowance]")
+{
+    retry_allowance allowance({0.5, 0, 10s});
+    for (int number = 0; number < 20; ++number)
+        allowance.count_request(start);
+    CHECK(allowance.left(1, start) == Approx(8));
+    CHECK(allowance.left(1, start + 11s) == Approx(0));
+    CHECK_FALSE(allowance.try_take(1, start + 11s));
+}
+
+TEST_CASE("a VM that just started may spend its part of the slack",
+          "[retry_allowance]")
+{
+    retry_allowance allowance({0.2, 52, 10s});
+    int taken = 0;
+    while (allowance.try_take(6, start))
+        ++taken;
+    CHECK(taken == 6);
+}
--- /dev/null
+++ b/tests/scheduler_world.cpp
@@ -0,0 +1,229 @@
+#include "scheduler_world.hpp"
+
+#include <algorithm>
+
+namespace mulberry::test
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds load_time{250};
+constexpr milliseconds run_time{120};
+constexpr milliseconds step{5};
+constexpr std::size_t most_coming = 4;
+/// When an order without an answer counts as unknown.
+constexpr milliseconds unanswered_after{80};
+char const* const model = "base";
+
+service_config engine_config(std::size_t adapter_slots, std::size_t batch_slots)
+{
+    service_config config;
+    config.name = service_id("llm");
+    engine_limits engine;
+    engine.batch_slots = batch_slots;
+    engine.adapter_slots = adapter_slots;
+    engine.weight_loads_per_second = 9;
+    engine.models.push_back({base_model_id(model), 3000, load_time});
+    config.engine = engine;
+    return config;
+}
+
+scheduler_settings settings_of()
+{
+    scheduler_settings settings;
+    settings.vm = vm_id("vm-1");
+    settings.domain = domain_id("a");
+    return settings;
+}
+
+} // namespace
+
+order_outcome scripted_worker::take(worker_order const& order, time_point now)
+{
+    order_outcome const outcome = carry_out(order, now);
+    return loses_answers_ ? order_outcome::unknown : outcome;
+}
+
+order_outcome scripted_worker::carry_out(worker_order const& order,
+                                         time_point now)
+{
+    std::string const adapter = order.adapter.str();
+    for (auto coming = coming_.begin(); coming != coming_.end();)
+        if (coming->second <= now)
+        {
+            resident_.insert(coming->first);
+            coming = coming_.erase(coming);
+        }
+        else
+            ++coming;
+    std::erase_if(leaving_,
+                  [&](auto const& each)
+                  {
+                      if (each.second > now)
+                          return false;
+                      resident_.erase(each.first);
+                      return true;
+                  });
+    // As the engines do: a load under way is confirmed whatever its number.
+    if (order.kind == order_kind::load && coming_.count(adapter) > 0)
+        return order_outcome::accepted;
+    if (order.expected_sequence != sequence_)
+        return order_outcome::conflict;
+    if (order.kind == order_kind::load)
+    {
+        if (resident_.count(adapter) > 0)
+            return order_outcome::holds;
+        if (coming_.size() >= most_coming)
+            return order_outcome::conflict;
+        ++sequence_;
+        ++loads_[adapter];
+        coming_.emplace(adapter, now + load_time);
+        most_held_ = std::max(most_held_, held());
+        return order_outcome::accepted;
+    }
+    if (used_.erase(adapter) > 0)
+    {
+        ++sequence_;
+        leaving_[adapter] = now + run_time;
+        return order_outcome::accepted;
+    }
+    if (leaving_.count(adapter) > 0)
+        return order_outcome::accepted;
+    if (resident_.erase(adapter) > 0)
+        ++sequence_;
+    return order_outcome::holds;
+}
+
+worker_report scripted_worker::report() const
+{
+    worker_report report;
+    report.sequence = sequence_;
+    auto& held = report.models[base_model_id(model)];
+    for (std::string const& adapter : resident_)
+        held.emplace(adapter_id(adapter), adapter_version(1));
+    for (auto const& [adapter, done] : coming_)
+        report.coming.push_back({base_model_id(model), adapter_id(adapter)});
+    return report;
+}
+
+scheduler_world::scheduler_world(std::size_t count, std::size_t adapter_slots,
+                                 std::size_t batch_slots)
+    : config(engine_config(adapter_slots, batch_slots)),
+      scheduler(settings_of(), config), batch_slots_(batch_slots)
+{
+    for (std::size_t number = 0; number < count; ++number)
+        workers[name(number)];
+    list_all();
+    own_all();
+    run(milliseconds(20));
+}
+
+worker_id scheduler_world::name(std::size_t number)
+{
+    return worker_id("w" + std::to_string(number));
+}
+
+backend_entry scheduler_world::entry(std::size_t number) const
+{
+    backend_entry made;
+    made.id = name(number);
+    made.service = config.name;
+    made.address = "10.0.0.1";
+    made.port = static_cast<std::uint16_t>(1000 + number);
+    made.domain = domain_id("a");
+    made.slots = batch_slots_;
+    made.draining = draining.count(made.id) > 0;
+    made.models.push_back({base_model_id(model), {}});
+    return made;
+}
+
+void scheduler_world::list_all()
+{
+    std::vector<backend_entry> entries;
+    for (std::size_t number = 0; number < workers.size(); ++number)
+        entries.push_back(entry(number));
+    scheduler.set_backends(entries);
+}
+
+void scheduler_world::own_all()
+{
+    for (auto const& [id, worker] : workers)
+        grants[id] = {fencing_number(1), now};
+    scheduler.set_grants(grants);
+}
+
+ticket_id scheduler_world::ask(std::string const& adapter, int priority,
+                               duration time_left)
+{
+    work_item item;
+    item.ticket = ticket_id(++last_ticket_);
+    item.target = model_target{base_model_id(model), adapter_id(adapter)};
+    item.priority = priority;
+    item.arrived_at = now;
+    item.give_up_at = now + time_left;
+    ticket_id const ticket = item.ticket;
+    scheduler.submit(std::move(item), now);
+    return ticket;
+}
+
+void scheduler_world::end(ticket_id ticket, send_outcome outcome)
+{
+    scheduler.ended(ticket, outcome, now);
+}
+
+void scheduler_world::run(duration span)
+{
+    time_point const until = now + span;
+    for (;;)
+    {
+        std::vector<std::pair<time_point, worker_order>> due;
+        std::erase_if(unanswered_,
+                      [&](auto const& each)
+                      {
+                          if (each.first > now)
+                              return false;
+                          due.push_back(each);
+                          return true;
+                      });
+        for (auto const& [at, order] : due)
+            scheduler.on_order(order.worker, order_outcome::unknown, now);
+        // A worker's answers may let the next order follow at once.
+        for (int again = 0; again < 4; ++again)
+            for (placement_action const& action : scheduler.run(now))
+                carry_out(action);
+        if (now >= until)
+            return;
+        now = std::min<time_point>(now + step, until);
+    }
+}
+
+void scheduler_world::carry_out(placement_action const& action)
+{
+    if (auto const* placed = std::get_if<place_request>(&action))
+    {
+        placed_.emplace(placed->ticket, placed->worker);
+        times_.emplace(placed->ticket, now);
+        order_.push_back(placed->ticket);
+        scheduler.first_byte(placed->ticket, now);
+    }
+    else if (auto const* refused = std::get_if<refuse_request>(&action))
+        refused_.emplace(refused->ticket, *refused);
+    else if (auto const* ask = std::get_if<ask_owner>(&action))
+        asks_.push_back(*ask);
+    else if (auto const* report = std::get_if<ask_report>(&action))
+        scheduler.on_report(report->worker, workers.at(report->worker).report(),
+                            now);
+    else if (auto const* order = std::get_if<give_order>(&action))
+    {
+        order_outcome const outcome =
+            workers.at(order->order.worker).take(order->order, now);
+        if (outcome == order_outcome::unknown)
+            unanswered_.emplace_back(now + unanswered_after, order->order);
+        else
+            scheduler.on_order(order->order.worker, outcome, now);
+    }
+}
+
+} // namespace mulberry::test
--- /dev/null
+++ b/tests/scheduler_world.hpp
@@ -0,0 +1,105 @@
+/// A service scheduler with workers that answer its orders, in virtual time.
+#ifndef MULBERRY_TESTS_SCHEDULER_WORLD_HPP
+#define MULBERRY_TESTS_SCHEDULER_WORLD_HPP
+
+#include "service_scheduler.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace mulberry::test
+{
+
+/// An engine's worker as orders see it. A load is done when its time is over
+/// and the load is asked about again.
+class scripted_worker
+{
+public:
+    order_outcome take(worker_order const& order, time_point now);
+    void lose_answers(bool lost) { loses_answers_ = lost; }
+    worker_report report() const;
+    std::size_t held() const { return resident_.size() + coming_.size(); }
+    std::size_t most_held() const { return most_held_; }
+    std::uint64_t sequence() const { return sequence_; }
+    /// A request that the scheduler does not know of uses the adapter: an
+    /// unload waits for its end.
+    void use(std::string const& adapter) { used_.insert(adapter); }
+    bool holds(std::string const& adapter) const
+    {
+        return resident_.count(adapter) > 0;
+    }
+    std::size_t loads_of(std::string const& adapter) const
+    {
+        auto const found = loads_.find(adapter);
+        return found == loads_.end() ? 0 : found->second;
+    }
+
+private:
+    order_outcome carry_out(worker_order const& order, time_point now);
+
+    std::uint64_t sequence_ = 0;
+    std::set<std::string> resident_;
+    std::map<std::string, time_point> coming_;
+    std::set<std::string> used_;
+    std::map<std::string, time_point> leaving_;
+    std::map<std::string, std::size_t> loads_;
+    std::size_t most_held_ = 0;
+    bool loses_answers_ = false;
+};
+
+/// Thread safety: none.
+class scheduler_world
+{
+public:
+    explicit scheduler_world(std::size_t workers, std::size_t adapter_slots = 4,
+                             std::size_t batch_slots = 8);
+
+    /// A request for an adapter; empty: for the model itself.
+    ticket_id ask(std::string const& adapter, int priority = 0,
+                  duration time_left = std::chrono::seconds(5));
+    /// Runs the scheduler and answers orders and reports until `span` is over.
+    void run(duration span);
+    void end(ticket_id ticket, send_outcome outcome = send_outcome::served);
+
+    bool placed(ticket_id ticket) const { return placed_.count(ticket) > 0; }
+    bool refused(ticket_id ticket) const { return refused_.count(ticket) > 0; }
+    worker_id worker_of(ticket_id ticket) const { return placed_.at(ticket); }
+    refuse_request const& refusal(ticket_id ticket) const
+    {
+        return refused_.at(ticket);
+    }
+    std::vector<ticket_id> const& order_of_placing() const { return order_; }
+    std::vector<ask_owner> const& asks() const { return asks_; }
+    time_point placed_at(ticket_id ticket) const { return times_.at(ticket); }
+
+    static worker_id name(std::size_t number);
+    backend_entry entry(std::size_t number) const;
+    void list_all();
+    void own_all();
+
+    time_point now{std::chrono::hours(1)};
+    service_config config;
+    std::map<worker_id, scripted_worker> workers;
+    std::set<worker_id> draining;
+    std::map<worker_id, order_grant> grants;
+    service_scheduler scheduler;
+
+private:
+    void carry_out(placement_action const& action);
+
+    std::size_t batch_slots_;
+    std::uint64_t last_ticket_ = 0;
+    std::map<ticket_id, worker_id> placed_;
+    std::map<ticket_id, time_point> times_;
+    std::map<ticket_id, refuse_request> refused_;
+    std::vector<ticket_id> order_;
+    std::vector<ask_owner> asks_;
+    std::vector<std::pair<time_point, worker_order>> unanswered_;
+};
+
+} // namespace mulberry::test
+
+#endif
--- /dev/null
+++ b/tests/service_scheduler_test.cpp
@@ -0,0 +1,456 @@
+#include "scheduler_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace mulberry::test;
+using namespace std::chrono_literals;
+
+TEST_CASE("a request waits for the load of its adapter and is then placed",
+          "[scheduler]")
+{
+    scheduler_world world(2);
+    ticket_id const first = world.ask("a1");
+    ticket_id const second = world.ask("a1");
+    world.run(200ms);
+    CHECK_FALSE(world.placed(first));
+    world.run(100ms);
+    CHECK(world.placed(first));
+    CHECK(world.placed(second));
+    // One load serves both.
+    CHECK(world.workers.at(world.worker_of(first)).loads_of("a1") == 1);
+}
+
+TEST_CASE("an adapter that is there is used at once", "[scheduler]")
+{
+    scheduler_world world(2);
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    world.end(first);
+    ticket_id const second = world.ask("a1");
+    world.run(0ms);
+    CHECK(world.placed(second));
+    CHECK(world.worker_of(second) == world.worker_of(first));
+}
+
+// Callers ask for far more adapters than a worker has slots. Each is loaded as
+// another makes way; a load that is ordered before an unload took effect would
+// be one too many, and the worker would crash under all its requests.
+TEST_CASE("a worker never holds more adapters than it has slots",
+          "[scheduler]")
+{
+    scheduler_world world(1, 3);
+    std::vector<ticket_id> tickets;
+    for (int number = 0; number < 12; ++number)
+    {
+        tickets.push_back(world.ask("a" + std::to_string(number), 0, 20s));
+        world.run(300ms);
+        if (world.placed(tickets.back()))
+            world.end(tickets.back());
+    }
+    CHECK(world.workers.at(scheduler_world::name(0)).most_held() <= 3);
+    for (ticket_id const ticket : tickets)
+        CHECK(world.placed(ticket));
+}
+
+// An order's answer is lost and the order is carried out all the same, or much
+// later. It is given again under the same sequence number until the worker
+// answers, so that it takes effect once and the adapter is loaded once.
+TEST_CASE("an order without an answer is given again and takes effect once",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    scripted_worker& worker = world.workers.at(scheduler_world::name(0));
+    worker.lose_answers(true);
+    ticket_id const ticket = world.ask("a1");
+    world.run(200ms);
+    worker.lose_answers(false);
+    world.run(300ms);
+    CHECK(world.placed(ticket));
+    CHECK(worker.loads_of("a1") == 1);
+    CHECK(worker.sequence() == 1);
+}
+
+// A worker will not unload an adapter at once, since a request that this VM
+// does not know of uses it. Its slot counts as taken until the unload is done.
+TEST_CASE("a slot is free only when its unload is done", "[scheduler]")
+{
+    scheduler_world world(1, 1);
+    scripted_worker& worker = world.workers.at(scheduler_world::name(0));
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    world.end(first);
+    worker.use("a1");
+    ticket_id const second = world.ask("a2");
+    world.run(600ms);
+    CHECK(world.placed(second));
+    CHECK(worker.most_held() == 1);
+}
+
+TEST_CASE("the more urgent request is placed first", "[scheduler]")
+{
+    scheduler_world world(1, 4, 1);
+    ticket_id const running = world.ask("a1");
+    world.run(300ms);
+    ticket_id const late = world.ask("a1", 2);
+    ticket_id const urgent = world.ask("a1", 0);
+    world.run(10ms);
+    CHECK_FALSE(world.placed(urgent));
+    world.end(running);
+    world.run(10ms);
+    CHECK(world.placed(urgent));
+    CHECK_FALSE(world.placed(late));
+}
+
+// Load: a burst brings far more requests than the batch holds. Those that can
+// still be served in time wait; the others are turned away at once, with a
+// time to come back, instead of waiting out their deadlines.
+TEST_CASE("a request that cannot be served in time is refused at once",
+          "[scheduler]")
+{
+    scheduler_world world(1, 4, 2);
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    CHECK(world.placed(first));
+    std::vector<ticket_id> burst;
+    for (int number = 0; number < 60; ++number)
+        burst.push_back(world.ask("a1", 0, 2s));
+    world.run(5ms);
+    int refused = 0;
+    for (ticket_id const ticket : burst)
+        refused += world.refused(ticket);
+    CHECK(refused > 40);
+    CHECK(refused < 60);
+    // The first to come waits, the last is told to go.
+    CHECK_FALSE(world.refused(burst[1]));
+    REQUIRE(world.refused(burst.back()));
+    CHECK(world.refusal(burst.back()).kind == error_kind::overloaded);
+    CHECK(world.refusal(burst.back()).retry_after >= 100ms);
+}
+
+TEST_CASE("nothing is refused while there is room", "[scheduler]")
+{
+    scheduler_world world(2, 4, 8);
+    std::vector<ticket_id> tickets;
+    for (int number = 0; number < 8; ++number)
+        tickets.push_back(world.ask("a" + std::to_string(number % 4)));
+    world.run(600ms);
+    for (ticket_id const ticket : tickets)
+        CHECK(world.placed(ticket));
+}
+
+// A worker fails most of its requests for some seconds; its adapter is served
+// elsewhere. Its share of failures fades while it is left alone: without that
+// it would never be tried again, and requests that wait for an adapter there
+// would wait for ever.
+TEST_CASE("a worker that was left alone for failures is used again",
+          "[scheduler]")
+{
+    scheduler_world world(4);
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    worker_id const home = world.worker_of(first);
+    world.end(first, send_outcome::failed);
+    for (int number = 0; number < 40; ++number)
+    {
+        ticket_id const ticket = world.ask("a1");
+        world.run(300ms);
+        if (!world.placed(ticket))
+            continue;
+        bool const at_home = world.worker_of(ticket) == home;
+        world.end(ticket,
+                  at_home ? send_outcome::failed : send_outcome::served);
+        if (!at_home)
+            break;
+    }
+    ticket_id const during = world.ask("a1");
+    world.run(300ms);
+    REQUIRE(world.placed(during));
+    CHECK(world.worker_of(during) != home);
+    world.end(during);
+    world.run(10s);
+    // A base request goes to whichever worker is emptiest, the home included.
+    std::set<worker_id> used;
+    for (int number = 0; number < 8; ++number)
+    {
+        ticket_id const ticket = world.ask("");
+        world.run(5ms);
+        REQUIRE(world.placed(ticket));
+        used.insert(world.worker_of(ticket));
+    }
+    CHECK(used.count(home) == 1);
+}
+
+// All workers of a service fail nearly half of their requests. None is better
+// than another: leaving some for chance differences would fetch their adapters
+// anew elsewhere and saturate the weight store, long after the fault is over.
+TEST_CASE("a service that fails as a whole keeps its homes", "[scheduler]")
+{
+    scheduler_world world(4);
+    std::map<std::string, worker_id> homes;
+    for (int number = 0; number < 8; ++number)
+    {
+        std::string const adapter = "a" + std::to_string(number);
+        ticket_id const ticket = world.ask(adapter);
+        world.run(300ms);
+        homes[adapter] = world.worker_of(ticket);
+        world.end(ticket);
+    }
+    unsigned draw = 7;
+    for (int round = 0; round < 400; ++round)
+    {
+        draw = draw * 1664525U + 1013904223U;
+        std::string const adapter = "a" + std::to_string(round % 8);
+        ticket_id const ticket = world.ask(adapter);
+        world.run(10ms);
+        REQUIRE(world.placed(ticket));
+        bool const fails = (draw >> 16) % 100 < 45;
+        CHECK(world.worker_of(ticket) == homes[adapter]);
+        world.end(ticket, fails ? send_outcome::failed : send_outcome::served);
+    }
+}
+
+// An adapter is asked for by a large share of all callers. Its home reads
+// prompts one after the other while others idle, so a second copy is loaded
+// and the requests are shared.
+TEST_CASE("a hot adapter spreads to a second worker", "[scheduler]")
+{
+    scheduler_world world(3, 4, 32);
+    std::vector<ticket_id> tickets;
+    for (int round = 0; round < 60; ++round)
+    {
+        tickets.push_back(world.ask("hot", 0, 20s));
+        world.run(30ms);
+    }
+    std::set<worker_id> used;
+    for (ticket_id const ticket : tickets)
+        if (world.placed(ticket))
+            used.insert(world.worker_of(ticket));
+    CHECK(used.size() >= 2);
+}
+
+TEST_CASE("a rare adapter stays at its home beside a hot one", "[scheduler]")
+{
+    scheduler_world world(3, 4, 32);
+    ticket_id const hot = world.ask("hot");
+    world.run(300ms);
+    worker_id const crowd = world.worker_of(hot);
+    // A rare adapter with the same home.
+    std::string rare;
+    for (int number = 0; rare.empty() && number < 50; ++number)
+    {
+        std::string const name = "r" + std::to_string(number);
+        ticket_id const ticket = world.ask(name);
+        world.run(300ms);
+        if (world.worker_of(ticket) == crowd)
+            rare = name;
+        world.end(ticket);
+    }
+    REQUIRE_FALSE(rare.empty());
+    for (int number = 0; number < 10; ++number)
+        world.ask("hot", 0, 60s);
+    world.run(5ms);
+    ticket_id const again = world.ask(rare);
+    world.run(5ms);
+    REQUIRE(world.placed(again));
+    CHECK(world.worker_of(again) == crowd);
+}
+
+// A new version is declared while a copy of the old one is in use. Requests go
+// on at the old copy while the new one is loaded elsewhere; once it is there,
+// or the grace is over, none begins on the old one.
+TEST_CASE("a new version is loaded beside the old one without a dip",
+          "[scheduler]")
+{
+    scheduler_world world(2);
+    model_target const target{base_model_id("base"), adapter_id("a1")};
+    ticket_id const old = world.ask("a1");
+    world.run(300ms);
+    worker_id const old_home = world.worker_of(old);
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    ticket_id const during = world.ask("a1");
+    world.run(5ms);
+    REQUIRE(world.placed(during));
+    CHECK(world.worker_of(during) == old_home);
+    world.run(300ms);
+    ticket_id const after = world.ask("a1");
+    world.run(5ms);
+    REQUIRE(world.placed(after));
+    CHECK(world.worker_of(after) != old_home);
+}
+
+TEST_CASE("no request begins on an old version after the grace",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    model_target const target{base_model_id("base"), adapter_id("a1")};
+    ticket_id const old = world.ask("a1", 0, 60s);
+    world.run(300ms);
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    world.run(3s);
+    ticket_id const late = world.ask("a1", 0, 10s);
+    world.run(100ms);
+    CHECK_FALSE(world.placed(late));
+    // The old copy makes way as soon as nothing uses it.
+    world.end(old);
+    world.run(400ms);
+    CHECK(world.placed(late));
+    CHECK(world.workers.at(scheduler_world::name(0)).loads_of("a1") == 2);
+}
+
+TEST_CASE("a worker that drains or is gone gets nothing more", "[scheduler]")
+{
+    scheduler_world world(2);
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    worker_id const home = world.worker_of(first);
+    world.draining.insert(home);
+    world.list_all();
+    ticket_id const second = world.ask("a1");
+    world.run(400ms);
+    REQUIRE(world.placed(second));
+    CHECK(world.worker_of(second) != home);
+}
+
+// Requests wait for a load at a worker when the worker vanishes: they go to
+// another instead of waiting for an order that nobody carries out.
+TEST_CASE("requests leave a worker that vanishes during their load",
+          "[scheduler]")
+{
+    scheduler_world world(2);
+    ticket_id const ticket = world.ask("a1");
+    world.run(50ms);
+    worker_id loading;
+    for (auto const& [id, worker] : world.workers)
+        if (worker.held() > 0)
+            loading = id;
+    REQUIRE_FALSE(loading.empty());
+    std::vector<backend_entry> left;
+    for (std::size_t number = 0; number < 2; ++number)
+        if (scheduler_world::name(number) != loading)
+            left.push_back(world.entry(number));
+    world.scheduler.set_backends(left);
+    world.run(400ms);
+    REQUIRE(world.placed(ticket));
+    CHECK(world.worker_of(ticket) != loading);
+}
+
+// The grant was lost between the decision and now: no order goes out without
+// it, and what is resident is used as listed.
+TEST_CASE("without a grant no order is given", "[scheduler]")
+{
+    scheduler_world world(1);
+    world.scheduler.set_grants({});
+    ticket_id const ticket = world.ask("a1");
+    world.run(300ms);
+    CHECK(world.workers.at(scheduler_world::name(0)).sequence() == 0);
+    REQUIRE(world.refused(ticket));
+    CHECK(world.refusal(ticket).retry_after <= 100ms);
+}
+
+TEST_CASE("orders wait until the grant allows them", "[scheduler]")
+{
+    scheduler_world world(1);
+    world.grants[scheduler_world::name(0)] = {fencing_number(2), world.now + 3s};
+    world.scheduler.set_grants(world.grants);
+    ticket_id const early = world.ask("a1");
+    world.run(1s);
+    CHECK_FALSE(world.placed(early));
+    CHECK(world.workers.at(scheduler_world::name(0)).sequence() == 0);
+    world.run(2500ms);
+    ticket_id const ticket = world.ask("a1");
+    world.run(600ms);
+    CHECK(world.placed(ticket));
+}
+
+namespace
+{
+
+/// A world whose one worker is another VM's.
+struct foreign_world : scheduler_world
+{
+    foreign_world() : scheduler_world(1)
+    {
+        scheduler.set_grants({});
+        scheduler.set_owners({{scheduler_world::name(0), vm_id("vm-2")}});
+    }
+};
+
+} // namespace
+
+TEST_CASE("the owner of the home is asked, and its grant places the request",
+          "[scheduler]")
+{
+    foreign_world world;
+    ticket_id const ticket = world.ask("a1");
+    world.run(5ms);
+    REQUIRE(world.asks().size() == 1);
+    CHECK(world.asks().front().owner == vm_id("vm-2"));
+    CHECK_FALSE(world.placed(ticket));
+    world.scheduler.on_owner(ticket, ask_outcome::granted,
+                             scheduler_world::name(0), 0.1, world.now);
+    world.run(0ms);
+    CHECK(world.placed(ticket));
+}
+
+// The owner of a worker is frozen: it takes questions and answers none. A slow
+// load looks the same, except that an owner begins its answer at once.
+TEST_CASE("an owner that begins to answer is given longer", "[scheduler]")
+{
+    foreign_world world;
+    ticket_id const silent = world.ask("a1");
+    ticket_id const heard = world.ask("a2");
+    world.run(5ms);
+    world.scheduler.on_owner_heard(heard, world.now);
+    CHECK(world.scheduler.ask_ends_at(silent) <
+          world.scheduler.ask_ends_at(heard));
+    CHECK(world.scheduler.ask_ends_at(heard) >= world.now + 1s);
+}
+
+// A peer is gone. One question finds that out; until it answers one, the rest
+// do not wait for it, each for the whole of its patience.
+TEST_CASE("a peer that did not answer is asked one question at a time",
+          "[scheduler]")
+{
+    foreign_world world;
+    ticket_id const first = world.ask("a1");
+    world.run(5ms);
+    world.scheduler.on_owner(first, ask_outcome::silent, {}, 0, world.now);
+    world.run(3s);
+    std::size_t const before = world.asks().size();
+    for (int number = 0; number < 10; ++number)
+        world.ask("b" + std::to_string(number));
+    world.run(5ms);
+    CHECK(world.asks().size() == before + 1);
+}
+
+TEST_CASE("another VM's request is granted when its adapter is there",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    work_item item;
+    item.ticket = ticket_id(900);
+    item.target = model_target{base_model_id("base"), adapter_id("a1")};
+    item.arrived_at = world.now;
+    item.give_up_at = world.now + 5s;
+    item.asked_for = scheduler_world::name(0);
+    world.scheduler.submit(item, world.now);
+    world.run(300ms);
+    CHECK(world.scheduler.counts().granted == 1);
+    // Its room counts as taken until it is over.
+    CHECK(world.scheduler.counts().sent == 1);
+    world.scheduler.ended(item.ticket, send_outcome::served, world.now);
+    CHECK(world.scheduler.counts().sent == 0);
+}
+
+TEST_CASE("a withdrawn request frees what it waited for", "[scheduler]")
+{
+    scheduler_world world(1, 1);
+    ticket_id const first = world.ask("a1");
+    world.run(20ms);
+    world.scheduler.withdraw(first);
+    ticket_id const second = world.ask("a2");
+    world.run(700ms);
+    CHECK_FALSE(world.placed(first));
+    CHECK(world.placed(second));
+}
--- /dev/null
+++ b/tests/worker_health_test.cpp
@@ -0,0 +1,86 @@
+#include "worker_health.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{std::chrono::hours(1)};
+
+void answer(worker_health& health, time_point at, send_outcome outcome)
+{
+    health.sent(at);
+    health.first_byte(at, at + 30ms);
+    health.ended(outcome, at, at + 40ms);
+}
+
+} // namespace
+
+TEST_CASE("a worker that leaves everything unanswered is avoided",
+          "[worker_health]")
+{
+    worker_health health;
+    health.sent(start);
+    CHECK_FALSE(health.avoided(start + 100ms));
+    CHECK(health.avoided(start + 3s));
+}
+
+TEST_CASE("a worker that answers others is slow, not silent",
+          "[worker_health]")
+{
+    worker_health health;
+    health.sent(start);
+    for (int ms = 100; ms < 3000; ms += 100)
+        answer(health, start + std::chrono::milliseconds(ms),
+               send_outcome::served);
+    CHECK_FALSE(health.avoided(start + 3s));
+}
+
+TEST_CASE("a worker that cannot be reached is tried with one request first",
+          "[worker_health]")
+{
+    worker_health health;
+    health.sent(start);
+    health.ended(send_outcome::unreachable, start, start + 1ms);
+    CHECK(health.avoided(start + 1ms));
+    CHECK_FALSE(health.may_probe(start + 2ms));
+    CHECK(health.may_probe(start + 2s));
+    health.probed(start + 2s);
+    health.sent(start + 2s);
+    CHECK_FALSE(health.may_probe(start + 2s));
+    health.first_byte(start + 2s, start + 2030ms);
+    CHECK_FALSE(health.avoided(start + 2030ms));
+}
+
+TEST_CASE("one failure is not a sick worker", "[worker_health]")
+{
+    worker_health health;
+    answer(health, start, send_outcome::failed);
+    CHECK(health.failure_share(start) < 0.1);
+}
+
+TEST_CASE("failures fade while a worker is left alone", "[worker_health]")
+{
+    worker_health health;
+    for (int number = 0; number < 60; ++number)
+        answer(health, start, send_outcome::failed);
+    CHECK(health.failure_share(start + 40ms) > 0.9);
+    CHECK(health.failure_share(start + 10s) < 0.05);
+}
+
+TEST_CASE("what this VM gave up says nothing of the worker",
+          "[worker_health]")
+{
+    worker_health health;
+    for (int number = 0; number < 20; ++number)
+    {
+        health.sent(start);
+        health.ended(send_outcome::abandoned, start, start + 1ms);
+    }
+    CHECK_FALSE(health.avoided(start + 2ms));
+    CHECK(health.failure_share(start) == 0);
+    CHECK(health.outstanding() == 0);
+}
