--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -786,8 +786,13 @@
                                             ? "silent"
                                             : "unreachable"),
                      now());
-    find(service)->scheduler.on_owner(ask.ticket, outcome, reply.worker,
-                                       reply.load, now());
+    bool const used = find(service)->scheduler.on_owner(
+        ask.ticket, outcome, reply.worker, reply.load, now());
+    if (!used && outcome == ask_outcome::granted)
+    {
+        give_back({ask.owner, reply.grant}, false);
+        held_grants_.erase(ask.ticket);
+    }
     run_soon();
 }
 
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iostream>
 #include <random>
 
 namespace mulberry
@@ -30,15 +31,18 @@
 /// Kept back from the stop bound, so that the process ends by itself.
 constexpr milliseconds stop_margin{700};
 /// The lease in multiples of the gap between two owners' orders: the holder
-/// stops a gap before others may take over, and rides out an outage of the
-/// store of nearly two gaps before that.
+/// stops a gap before others may take over, and rides out three gaps without
+/// the store before that, which is longer than most cuts.
 constexpr int lease_gaps = 5;
-constexpr milliseconds lease_slack{200};
-/// Four renewals fit into what a holder may count on.
-constexpr milliseconds heartbeat{2000};
-constexpr milliseconds table_timeout{1000};
-/// VMs that start together register within some hundred milliseconds.
-constexpr milliseconds settle{1000};
+/// The share of the gap by which it is kept longer than asked: an order is on
+/// its way for some time.
+constexpr int gap_slack = 15;
+/// Five renewals fit into what a holder may count on; each costs the store two
+/// calls.
+constexpr double heartbeats_per_gap = 1.5;
+/// A call of the store that takes longer is as good as lost, and VMs that
+/// start together have registered within the same time: of the gap.
+constexpr int gap_shares = 3;
 /// Callers keep connections as long as the operator's limits say; nothing is
 /// gained by closing sooner.
 constexpr std::chrono::seconds idle_timeout{60};
@@ -49,23 +53,30 @@
     return (std::uint64_t{source()} << 32) ^ source();
 }
 
+std::string bound_text(door_address const& at, http_server const& server)
+{
+    return at.address + ":" + std::to_string(server.port());
+}
+
 ownership_run_options ownership_options(relay_settings const& value,
+                                        std::string const& peers_address,
                                         std::uint64_t seed)
 {
     ownership_run_options options;
     options.keeper.vm = value.vm;
     options.keeper.domain = value.domain;
-    options.keeper.address =
-        value.peers.address + ":" + std::to_string(value.peers.port);
+    options.keeper.address = peers_address;
     options.keeper.lease = value.order_gap * lease_gaps;
-    options.keeper.lease_margin = value.order_gap + lease_slack;
-    options.keeper.heartbeat = heartbeat;
-    options.keeper.table_timeout = table_timeout;
-    options.keeper.settle = settle;
+    duration const gap = value.order_gap + value.order_gap / gap_slack;
+    options.keeper.lease_margin = gap;
+    options.keeper.heartbeat = std::chrono::duration_cast<duration>(
+        value.order_gap / heartbeats_per_gap);
+    options.keeper.table_timeout = value.order_gap / gap_shares;
+    options.keeper.settle = value.order_gap / gap_shares;
     // A worker that changes hands takes no orders for the gap: one at a time.
-    options.keeper.handover_interval = value.order_gap + lease_slack;
+    options.keeper.handover_interval = gap;
     options.keeper.seed = seed;
-    options.order_gap = value.order_gap + lease_slack;
+    options.order_gap = gap;
     return options;
 }
 
@@ -113,9 +124,12 @@
     void review_stop();
     bool ready() const;
     void share_workers();
+    void start_ownership();
+    void tell_addresses() const;
 
     relay_settings const settings_;
     relay_codec const& codec_;
+    row_store& store_;
     settings_reader const& read_again_;
     std::uint64_t const seed_;
     asio::io_context io_{1};
@@ -123,8 +137,8 @@
     asio::steady_timer stop_timer_;
     event_log log_;
     relay relay_;
-    ownership_runner ownership_;
     registry_watch registry_;
+    std::optional<ownership_runner> ownership_;
     std::vector<backend_entry> backends_;
     std::shared_ptr<routing_config const> config_;
     std::optional<http_server> callers_;
@@ -156,7 +170,7 @@
 relay_process::relay_process(relay_settings const& value,
                              relay_codec const& codec, row_store& store,
                              settings_reader const& read_again)
-    : settings_(value), codec_(codec), read_again_(read_again),
+    : settings_(value), codec_(codec), store_(store), read_again_(read_again),
       seed_(random_seed()), signals_(io_, SIGTERM, SIGINT, SIGHUP),
       stop_timer_(io_),
       log_("relay", value.log_lines_per_second,
@@ -165,15 +179,8 @@
            { log_event(level, part, event, fields); }),
       relay_(io_, codec,
              options_of(value, seed_, [this](worker_id const& worker)
-                        { return ownership_.may_order(worker); }),
+                        { return ownership_ && ownership_->may_order(worker); }),
              log_),
-      ownership_(io_, store, ownership_options(value, seed_), log_,
-                 {[this](std::map<worker_id, order_grant> grants)
-                  { relay_.set_grants(std::move(grants)); },
-                  [this](std::vector<member_view> members)
-                  { relay_.set_members(std::move(members)); },
-                  [this](std::map<worker_id, vm_id> owners)
-                  { relay_.set_owners(std::move(owners)); }}),
       registry_(io_, store, codec, watch_options(value), log_,
                 {[this](std::shared_ptr<routing_config const> config)
                  {
@@ -195,7 +202,7 @@
 void relay_process::share_workers()
 {
     if (config_ && registry_.complete())
-        ownership_.set_workers(engines_among(backends_, *config_));
+        ownership_->set_workers(engines_among(backends_, *config_));
 }
 
 http_server_options relay_process::server_options(door_address const& at) const
@@ -320,6 +327,36 @@
         });
 }
 
+/// Other VMs are told the peers' address with the port that was bound.
+void relay_process::start_ownership()
+{
+    ownership_.emplace(
+        io_, store_,
+        ownership_options(settings_, bound_text(settings_.peers, *peers_),
+                          seed_),
+        log_,
+        ownership_listener{[this](std::map<worker_id, order_grant> grants)
+                           { relay_.set_grants(std::move(grants)); },
+                           [this](std::vector<member_view> members)
+                           { relay_.set_members(std::move(members)); },
+                           [this](std::map<worker_id, vm_id> owners)
+                           { relay_.set_owners(std::move(owners)); }});
+    ownership_->start();
+}
+
+/// One line for whoever started the process, with the ports that were bound.
+void relay_process::tell_addresses() const
+{
+    std::string line = "listening callers " +
+                       bound_text(settings_.callers, *callers_) +
+                       " readiness " +
+                       bound_text(settings_.readiness, *readiness_) +
+                       " peers " + bound_text(settings_.peers, *peers_);
+    if (metrics_)
+        line += " metrics " + bound_text(settings_.metrics, *metrics_);
+    std::cout << line << std::endl;
+}
+
 int relay_process::run()
 {
     await_signal();
@@ -335,18 +372,19 @@
         server_options(settings_.peers),
         [this](http_request const& request, std::shared_ptr<http_answer> answer)
         { relay_.handle_peer(request, std::move(answer)); });
-    if (settings_.metrics.port != 0)
+    if (settings_.serves_metrics)
         metrics_.emplace(
             server_options(settings_.metrics),
             [this](http_request request, std::shared_ptr<http_answer> answer)
             { answer_metrics(request, *answer); });
+    tell_addresses();
     log_.notable("started",
                  log_fields()
                      .add("vm", settings_.vm.str())
                      .add("domain", settings_.domain.str()),
                  boot_clock::now());
+    start_ownership();
     registry_.start();
-    ownership_.start();
     io_.run();
     return 0;
 }
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -84,6 +84,7 @@
     read_address(root, "callers", value.callers, required);
     read_address(root, "readiness", value.readiness, required);
     read_address(root, "peers", value.peers, required);
+    value.serves_metrics = root.has("metrics");
     read_address(root, "metrics", value.metrics, optional);
     root.read_url("store_url", value.store_url, required);
     read_bounds(root, value);
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -13,7 +13,7 @@
 namespace mulberry
 {
 
-/// Immutable once loaded. Spans of time stand here as settings only; the
+/// A port of 0 lets the kernel pick. Immutable once loaded. Spans of time stand here as settings only; the
 /// running program stores the deadlines made from them.
 struct relay_settings
 {
@@ -24,8 +24,9 @@
     door_address readiness;
     /// Where other VMs ask for room at workers that this one orders.
     door_address peers;
-    /// Without a port, no metrics are served.
+    /// Where metrics are served, if they are.
     door_address metrics;
+    bool serves_metrics = false;
     std::string store_url;
 
     /// The least time between orders of two VMs to one worker.
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -678,22 +678,22 @@
     peers_[asked->second.owner].first_byte(asked->second.asked_at, now);
 }
 
-void service_scheduler::on_owner(ticket_id ticket, ask_outcome outcome,
+bool service_scheduler::on_owner(ticket_id ticket, ask_outcome outcome,
                                  worker_id const& granted, double load,
                                  time_point now)
 {
     auto const found = asked_.find(ticket);
     if (found == asked_.end())
-        return;
+        return false;
     asked_item asked = std::move(found->second);
     asked_.erase(found);
-    worker_health& peer = peers_[asked.owner];
     bool const answered =
         outcome == ask_outcome::granted || outcome == ask_outcome::refused;
-    peer.ended(answered ? send_outcome::served
-               : outcome == ask_outcome::silent ? send_outcome::silent
-                                                : send_outcome::unreachable,
-               asked.asked_at, now);
+    peers_[asked.owner].ended(
+        answered                         ? send_outcome::served
+        : outcome == ask_outcome::silent ? send_outcome::silent
+                                         : send_outcome::unreachable,
+        asked.asked_at, now);
     worker_state* const worker =
         find(granted.empty() ? asked.worker : granted);
     if (worker != nullptr && answered)
@@ -702,7 +702,11 @@
         worker->told_until = now + told_load_age;
     }
     work_item const& item = asked.waiting.item;
-    if (outcome == ask_outcome::granted && worker != nullptr)
+    // Failure: the owner hears later than this VM that a worker leaves, and
+    // its grant sends a request there after the bound.
+    bool const usable_grant = outcome == ask_outcome::granted &&
+                              worker != nullptr && !worker->entry.draining;
+    if (usable_grant)
     {
         worker->health.sent(now);
         ++counts_.placed_granted;
@@ -710,11 +714,12 @@
                                          worker->entry, "granted"});
         sent_.emplace(item.ticket, sent_item{worker->entry.id, now, item.target,
                                              false, false, false});
-        return;
+        return true;
     }
     asked.waiting.said_no.insert(asked.worker);
     waiting_.emplace(item.ticket, asked.key);
     queue_.emplace(asked.key, std::move(asked.waiting));
+    return false;
 }
 
 /// Little's law over what this VM's workers run at a time.
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -167,8 +167,9 @@
     void set_grants(std::map<worker_id, order_grant> const& grants);
     /// The other VMs that give orders to workers.
     void set_owners(std::map<worker_id, vm_id> owners);
-    /// Another VM answered a question, or did not.
-    void on_owner(ticket_id ticket, ask_outcome outcome,
+    /// Another VM answered a question, or did not. Whether its grant is used;
+    /// one that is not is to be given back.
+    bool on_owner(ticket_id ticket, ask_outcome outcome,
                   worker_id const& granted, double load, time_point now);
     /// Another VM began to answer a question.
     void on_owner_heard(ticket_id ticket, time_point now);
--- a/tests/process_child.cpp
+++ b/tests/process_child.cpp
@@ -125,6 +125,11 @@
     send(SIGTERM);
 }
 
+void child_process::hang_up() const
+{
+    send(SIGHUP);
+}
+
 void child_process::freeze() const
 {
     send(SIGSTOP);
--- a/tests/process_child.hpp
+++ b/tests/process_child.hpp
@@ -34,6 +34,7 @@
     int wait_for_end();
     bool running();
     void terminate() const;
+    void hang_up() const;
     void freeze() const;
     void thaw() const;
     void kill();
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -393,6 +393,25 @@
     CHECK(world.placed(ticket));
 }
 
+// The owner of a worker has not heard yet that it drains and grants a request.
+// This VM has heard: it does not send the request there, gives the grant back
+// and uses another worker.
+TEST_CASE("a grant for a worker that drains is not used", "[scheduler]")
+{
+    foreign_world world;
+    ticket_id const ticket = world.ask("a1");
+    world.run(5ms);
+    REQUIRE(world.asks().size() == 1);
+    world.draining.insert(scheduler_world::name(0));
+    world.list_all();
+    CHECK_FALSE(world.scheduler.on_owner(ticket, ask_outcome::granted,
+                                         scheduler_world::name(0), 0.1,
+                                         world.now));
+    world.run(5ms);
+    CHECK_FALSE(world.placed(ticket));
+    CHECK(world.refused(ticket));
+}
+
 // The owner of a worker is frozen: it takes questions and answers none. A slow
 // load looks the same, except that an owner begins its answer at once.
 TEST_CASE("an owner that begins to answer is given longer", "[scheduler]")
