--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -92,8 +92,12 @@
     worker_id const& worker() const { return worker_.id; }
     int sends() const { return sends_; }
     int status() const { return reply_.status; }
-    /// How long it waited before it was last sent.
-    duration waited() const { return sent_at_ - terms_.arrived_at; }
+    /// How long it waited before it was last sent; 0 if it never was.
+    duration waited() const
+    {
+        return sent_at_ == time_point() ? duration(0)
+                                    : sent_at_ - terms_.arrived_at;
+    }
 
 private:
     class attempt;
