Use what is loaded without a lease and while orders are out of step

Change: a lapsed holder keeps its workers without orders until somebody has them; what was reported once is used; an adapter is left alone for 10 ms after its last request. Format of all files.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -83,10 +83,10 @@
                 if (!cancelled && !self->connected_)
                     self->fail(call_stage::not_sent, "connect timed out");
             });
-        socket_.async_connect({ip, address_.port},
-                              [self = shared_from_this()](
-                                  asio::error_code const& refused)
-                              { self->on_connected(refused); });
+        socket_.async_connect(
+            {ip, address_.port},
+            [self = shared_from_this()](asio::error_code const& refused)
+            { self->on_connected(refused); });
     }
 
     /// Precondition: kept and idle.
--- a/src/event_log.hpp
+++ b/src/event_log.hpp
@@ -43,9 +43,9 @@
 {
 public:
     /// `write` takes the line; it must not block.
-    using writer = std::function<void(log_level, std::string_view part,
-                                      std::string_view event,
-                                      std::string const& fields)>;
+    using writer =
+        std::function<void(log_level, std::string_view part,
+                           std::string_view event, std::string const& fields)>;
 
     /// At most `lines_per_second` lines of each of the two classes.
     event_log(std::string part, double lines_per_second, writer write);
--- a/src/mulberryd.cpp
+++ b/src/mulberryd.cpp
@@ -63,20 +63,20 @@
         return exit_bad_settings;
     mulberry::platform::wire_codec const codec;
     mulberry::platform::metadata_store store(value->store_url);
-    return mulberry::run_relay(*value, codec, store,
-                               [&path]() -> std::optional<
-                                             mulberry::relay_settings>
-                               {
-                                   try
-                                   {
-                                       return read_relay(path);
-                                   }
-                                   catch (std::runtime_error const& unreadable)
-                                   {
-                                       std::cerr << unreadable.what() << "\n";
-                                       return std::nullopt;
-                                   }
-                               });
+    return mulberry::run_relay(
+        *value, codec, store,
+        [&path]() -> std::optional<mulberry::relay_settings>
+        {
+            try
+            {
+                return read_relay(path);
+            }
+            catch (std::runtime_error const& unreadable)
+            {
+                std::cerr << unreadable.what() << "\n";
+                return std::nullopt;
+            }
+        });
 }
 
 int run(std::string const& path, bool relay, bool check_only)
--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -313,9 +313,8 @@
     worker_id const& worker) const
 {
     worker_ownership const* const known = workers_.find(worker);
-    return known == nullptr || known->row() == nullptr
-               ? vm_id()
-               : known->row()->owner.vm;
+    return known == nullptr || known->row() == nullptr ? vm_id()
+                                                       : known->row()->owner.vm;
 }
 
 vm_id ownership_keeper::implementation::owner_of(worker_id const& worker) const
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -183,26 +183,36 @@
         held_lease_ = holds;
         changed = true;
         log_.notable(holds ? "lease held" : "lease lapsed",
-                     log_fields().add("workers",
-                                      std::uint64_t{grants_.size()}),
+                     log_fields().add("workers", std::uint64_t{grants_.size()}),
                      now);
     }
     if (changed)
-        listener_.on_grants(holds ? grants_
-                                  : std::map<worker_id, order_grant>());
+        tell_grants(holds);
     tell_members(now);
     carry_out(actions);
 }
 
+/// Failure: a VM that is cut from the store loses its lease, and its workers'
+/// adapters stand idle until another VM takes over, though requests need no
+/// orders. So it keeps the workers that nobody else has, without orders.
+void ownership_runner::tell_grants(bool lease_holds)
+{
+    std::map<worker_id, order_grant> grants = grants_;
+    if (!lease_holds)
+        for (auto& [worker, grant] : grants)
+            grant.orders_from = never;
+    listener_.on_grants(std::move(grants));
+}
+
 void ownership_runner::tell_members(time_point now)
 {
     std::vector<member_view> members = keeper_.members();
     if (members != members_)
     {
         members_ = members;
-        log_.notable(
-            "members changed",
-            log_fields().add("members", std::uint64_t{members.size()}), now);
+        log_.notable("members changed",
+                     log_fields().add("members", std::uint64_t{members.size()}),
+                     now);
         listener_.on_members(std::move(members));
     }
     std::map<worker_id, vm_id> others;
@@ -257,10 +267,10 @@
     if (reply.outcome == store_outcome::conflict)
         for (table_condition const& condition : what.transaction.conditions)
         {
-            auto const row =
-                std::find_if(reply.rows.begin(), reply.rows.end(),
-                             [&condition](stored_row const& each)
-                             { return each.key == condition.key; });
+            auto const row = std::find_if(reply.rows.begin(), reply.rows.end(),
+                                          [&condition](stored_row const& each) {
+                                              return each.key == condition.key;
+                                          });
             made.rows.push_back(row == reply.rows.end()
                                     ? table_row{condition.key, {}, {}}
                                     : to_table_row(*row));
@@ -270,15 +280,15 @@
 
 void ownership_runner::run(read_row const& what)
 {
-    store_.read(row_set::own, what.key, "", what.deadline - boot_clock::now(),
-                [this, operation = what.operation,
-                 key = what.key](store_reply reply)
-                {
-                    std::erase_if(reply.rows, [&key](stored_row const& row)
-                                  { return row.key != key; });
-                    asio::post(io_, [this, operation, reply = std::move(reply)]
-                               { answered(operation, reply); });
-                });
+    store_.read(
+        row_set::own, what.key, "", what.deadline - boot_clock::now(),
+        [this, operation = what.operation, key = what.key](store_reply reply)
+        {
+            std::erase_if(reply.rows, [&key](stored_row const& row)
+                          { return row.key != key; });
+            asio::post(io_, [this, operation, reply = std::move(reply)]
+                       { answered(operation, reply); });
+        });
 }
 
 /// Scans that are asked for together are answered by one read of the whole
@@ -293,26 +303,26 @@
 {
     std::string const prefix = scans.size() == 1 ? scans.front().prefix : "";
     duration const limit = scans.front().deadline - boot_clock::now();
-    store_.read(
-        row_set::own, prefix, after, limit,
-        [this, scans = std::move(scans),
-         rows = std::move(rows)](store_reply const& reply)
-        {
-            asio::post(io_,
-                       [this, scans, rows, reply]() mutable
-                       {
-                           for (stored_row const& row : reply.rows)
-                               rows.push_back(to_table_row(row));
-                           bool const more =
-                               reply.outcome == store_outcome::done &&
-                               reply.truncated && !rows.empty();
-                           if (!more)
-                               return scanned(scans, reply.outcome, rows);
-                           std::string last = rows.back().key;
-                           scan_page(std::move(scans), std::move(last),
-                                     std::move(rows));
-                       });
-        });
+    store_.read(row_set::own, prefix, after, limit,
+                [this, scans = std::move(scans),
+                 rows = std::move(rows)](store_reply const& reply)
+                {
+                    asio::post(io_,
+                               [this, scans, rows, reply]() mutable
+                               {
+                                   for (stored_row const& row : reply.rows)
+                                       rows.push_back(to_table_row(row));
+                                   bool const more =
+                                       reply.outcome == store_outcome::done &&
+                                       reply.truncated && !rows.empty();
+                                   if (!more)
+                                       return scanned(scans, reply.outcome,
+                                                      rows);
+                                   std::string last = rows.back().key;
+                                   scan_page(std::move(scans), std::move(last),
+                                             std::move(rows));
+                               });
+                });
 }
 
 void ownership_runner::scanned(std::vector<scan_rows> const& scans,
--- a/src/ownership_runner.hpp
+++ b/src/ownership_runner.hpp
@@ -69,6 +69,7 @@
     void deliver(table_reply const& reply);
     void after_change(action_list const& actions);
     void take_events();
+    void tell_grants(bool lease_holds);
     void tell_members(time_point now);
     void observe_owners();
     time_point orders_from(worker_id const& worker, fencing_number fence,
--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -45,8 +45,7 @@
 
 } // namespace
 
-std::string encode_peer_call(peer_call const& message,
-                             std::string const& host)
+std::string encode_peer_call(peer_call const& message, std::string const& host)
 {
     Json::Value json(Json::objectValue);
     if (message.ask)
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -65,8 +65,7 @@
 };
 
 /// A whole HTTP request.
-std::string encode_peer_call(peer_call const& message,
-                             std::string const& host);
+std::string encode_peer_call(peer_call const& message, std::string const& host);
 /// Nothing when the text is no such message.
 std::optional<peer_call> decode_peer_call(std::string const& body);
 std::string encode_peer_reply(peer_reply const& reply);
--- a/src/registry_watch.cpp
+++ b/src/registry_watch.cpp
@@ -55,8 +55,7 @@
     store_.read(which.set, "", after, read_time_limit,
                 [this, &which](store_reply reply)
                 {
-                    asio::post(io_,
-                               [this, &which, reply = std::move(reply)]
+                    asio::post(io_, [this, &which, reply = std::move(reply)]
                                { on_page(which, reply); });
                 });
 }
@@ -69,8 +68,7 @@
     store_.watch(which.set, which.version, wait, wait + options_.answer_time,
                  [this, &which](store_reply reply)
                  {
-                     asio::post(io_,
-                                [this, &which, reply = std::move(reply)]
+                     asio::post(io_, [this, &which, reply = std::move(reply)]
                                 { on_changes(which, reply); });
                  });
 }
@@ -247,8 +245,7 @@
         if (present.count(key) == 0)
             missing.push_back(key);
     for (std::string const& key : missing)
-        take_worker(
-            {row_kind::worker, key, workers_.first_page, {}, true});
+        take_worker({row_kind::worker, key, workers_.first_page, {}, true});
 }
 
 void registry_watch::publish_workers()
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -102,10 +102,7 @@
     }
     void on_head(int status, http_headers) override { status_ = status; }
     void on_body(std::string_view) override {}
-    void on_end(bool) override
-    {
-        tell(of_.codec_.decode_order_reply(status_));
-    }
+    void on_end(bool) override { tell(of_.codec_.decode_order_reply(status_)); }
     void on_failure(call_stage, std::string const&) override
     {
         tell(order_outcome::unknown);
@@ -330,8 +327,8 @@
                          now());
     }
     for (backend_entry const& entry : backends_)
-        if (std::none_of(entries.begin(), entries.end(), [&](auto const& each)
-                         { return each.id == entry.id; }))
+        if (std::none_of(entries.begin(), entries.end(),
+                         [&](auto const& each) { return each.id == entry.id; }))
             log_.notable("worker gone",
                          log_fields().add("worker", entry.id.str()), now());
     backends_ = std::move(entries);
@@ -415,9 +412,9 @@
     if (!message)
         return answer->respond({400, {}, {}});
     for (peer_done const& done : message->done)
-        forget_peer_request(ticket_id(done.grant),
-                            done.not_held ? send_outcome::not_held
-                                          : send_outcome::served);
+        forget_peer_request(ticket_id(done.grant), done.not_held
+                                                       ? send_outcome::not_held
+                                                       : send_outcome::served);
     if (!message->ask)
         return answer->respond(json_response(200, "{}"));
     peer_ask const& ask = *message->ask;
@@ -439,8 +436,9 @@
     due_.set(ticket, item.give_up_at + grant_slack);
     peer_requests_[ticket] = {ask.service, answer};
     service->scheduler.submit(std::move(item), at);
-    answer->on_closed([this, ticket]
-                      { forget_peer_request(ticket, send_outcome::abandoned); });
+    answer->on_closed(
+        [this, ticket]
+        { forget_peer_request(ticket, send_outcome::abandoned); });
     run_soon();
 }
 
@@ -460,8 +458,8 @@
     run_soon();
 }
 
-void relay::answer_peer(ticket_id ticket, bool granted,
-                        worker_id const& worker, double load)
+void relay::answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
+                        double load)
 {
     auto const found = peer_requests_.find(ticket);
     if (found == peer_requests_.end())
@@ -469,7 +467,8 @@
     auto const answer = std::exchange(found->second.answer, nullptr);
     if (answer)
     {
-        answer->write(encode_peer_reply({granted, ticket.value(), worker, load}));
+        answer->write(
+            encode_peer_reply({granted, ticket.value(), worker, load}));
         answer->finish();
     }
     if (granted)
@@ -516,8 +515,8 @@
     terms.arrived_at = now();
     terms.give_up_at =
         terms.arrived_at +
-        std::min<duration>(matched->timeout, request.time_left.value_or(
-                                                 no_deadline));
+        std::min<duration>(matched->timeout,
+                           request.time_left.value_or(no_deadline));
     service_state* const service = find(terms.service);
     if (service == nullptr)
         return refuse_at_once(request, *answer,
@@ -612,22 +611,23 @@
                  std::string_view reason)
 {
     time_point const at = now();
-    log_.notable(event,
-                 log_fields()
-                     .add("request", exchange.request().id.str())
-                     .add("route", exchange.terms().matched->name)
-                     .add("worker", exchange.worker().str())
-                     .add("status", exchange.status())
-                     .add("reason", reason)
-                     .add("sends", exchange.sends())
-                     .add("waited_ms", exchange.waited())
-                     .add("adapter", exchange.request().model
-                                         ? exchange.request().model->adapter.str()
-                                         : "")
-                     .add("age_ms", at - exchange.terms().arrived_at)
-                     .add("left_ms", exchange.terms().give_up_at - at)
-                     .add("config", exchange.terms().config->version.value()),
-                 at);
+    log_.notable(
+        event,
+        log_fields()
+            .add("request", exchange.request().id.str())
+            .add("route", exchange.terms().matched->name)
+            .add("worker", exchange.worker().str())
+            .add("status", exchange.status())
+            .add("reason", reason)
+            .add("sends", exchange.sends())
+            .add("waited_ms", exchange.waited())
+            .add("adapter", exchange.request().model
+                                ? exchange.request().model->adapter.str()
+                                : "")
+            .add("age_ms", at - exchange.terms().arrived_at)
+            .add("left_ms", exchange.terms().give_up_at - at)
+            .add("config", exchange.terms().config->version.value()),
+        at);
 }
 
 void relay::finished(relay_exchange& exchange, relay_outcome outcome)
@@ -723,9 +723,8 @@
         duration const spread(static_cast<duration::rep>(
             std::uniform_real_distribution<double>(0, 0.5)(random_) *
             double(refused->retry_after.count())));
-        return exchange->on_refused(refused->kind,
-                                    refused->retry_after + spread,
-                                    refused->reason);
+        return exchange->on_refused(
+            refused->kind, refused->retry_after + spread, refused->reason);
     }
     if (auto const* ask = std::get_if<ask_owner>(&action))
         return send_ask(service, *ask);
@@ -758,10 +757,9 @@
     exchange_options options;
     options.connect_timeout = peer_connect_timeout;
     options.max_idle = milliseconds(3000);
-    auto const running =
-        pool_.start(peer->second.address,
-                    encode_peer_call(message, peer->second.address.ip), options,
-                    reply);
+    auto const running = pool_.start(
+        peer->second.address,
+        encode_peer_call(message, peer->second.address.ip), options, reply);
     asks_[ask.ticket] = running;
     reply->watch(running);
 }
@@ -871,8 +869,8 @@
 {
     counts_.orders_unknown += outcome == order_outcome::unknown;
     counts_.orders_conflict += outcome == order_outcome::conflict;
-    bool const notable = outcome != order_outcome::accepted &&
-                         outcome != order_outcome::holds;
+    bool const notable =
+        outcome != order_outcome::accepted && outcome != order_outcome::holds;
     auto const fields = [&]
     {
         return log_fields()
@@ -931,13 +929,11 @@
 std::string relay::metrics() const
 {
     std::string text;
-    auto const add = [&text](std::string_view name, std::string_view labels,
-                             auto value)
+    auto const add =
+        [&text](std::string_view name, std::string_view labels, auto value)
     { text += fmt::format("mulberry_{}{} {}\n", name, labels, value); };
     auto const outcome = [&](std::string_view label, std::uint64_t value)
-    {
-        add("requests_total", fmt::format("{{outcome=\"{}\"}}", label), value);
-    };
+    { add("requests_total", fmt::format("{{outcome=\"{}\"}}", label), value); };
     outcome("served", counts_.served);
     outcome("worker_failed", counts_.worker_failed);
     outcome("rejected", counts_.refused);
--- a/src/relay_codec.hpp
+++ b/src/relay_codec.hpp
@@ -37,8 +37,7 @@
     virtual worker_reply decode_reply(int status, http_headers const& headers,
                                       relay_request const& request) const = 0;
     /// The fields of a worker's answer that go to the caller.
-    virtual http_headers
-    answer_headers(http_headers const& received) const = 0;
+    virtual http_headers answer_headers(http_headers const& received) const = 0;
     /// The layer's own answer to a request that it gives up.
     virtual http_response error_response(relay_request const& request,
                                          error const& problem) const = 0;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -178,8 +178,10 @@
               std::string const& fields)
            { log_event(level, part, event, fields); }),
       relay_(io_, codec,
-             options_of(value, seed_, [this](worker_id const& worker)
-                        { return ownership_ && ownership_->may_order(worker); }),
+             options_of(value, seed_,
+                        [this](worker_id const& worker) {
+                            return ownership_ && ownership_->may_order(worker);
+                        }),
              log_),
       registry_(io_, store, codec, watch_options(value), log_,
                 {[this](std::shared_ptr<routing_config const> config)
@@ -271,7 +273,7 @@
 {
     auto const read = read_again_();
     log_.notable("reload",
-                 log_fields().add("outcome", !read              ? "faulty"
+                 log_fields().add("outcome", !read                ? "faulty"
                                              : *read == settings_ ? "unchanged"
                                                                   : "changed"),
                  boot_clock::now());
@@ -286,15 +288,15 @@
 {
     time_point const now = boot_clock::now();
     stopping_ = true;
-    stop_accepting_at_ = now + std::min<duration>(balancer_notice,
-                                                  settings_.stop_bound / 2);
+    stop_accepting_at_ =
+        now + std::min<duration>(balancer_notice, settings_.stop_bound / 2);
     exit_at_ = now + std::max<duration>(settings_.stop_bound - stop_margin,
                                         settings_.stop_bound / 2);
     callers_->close_after_answers();
-    log_.notable("stopping",
-                 log_fields().add("in_progress",
-                                  std::uint64_t{relay_.in_progress()}),
-                 now);
+    log_.notable(
+        "stopping",
+        log_fields().add("in_progress", std::uint64_t{relay_.in_progress()}),
+        now);
     review_stop();
 }
 
@@ -347,11 +349,10 @@
 /// One line for whoever started the process, with the ports that were bound.
 void relay_process::tell_addresses() const
 {
-    std::string line = "listening callers " +
-                       bound_text(settings_.callers, *callers_) +
-                       " readiness " +
-                       bound_text(settings_.readiness, *readiness_) +
-                       " peers " + bound_text(settings_.peers, *peers_);
+    std::string line =
+        "listening callers " + bound_text(settings_.callers, *callers_) +
+        " readiness " + bound_text(settings_.readiness, *readiness_) +
+        " peers " + bound_text(settings_.peers, *peers_);
     if (metrics_)
         line += " metrics " + bound_text(settings_.metrics, *metrics_);
     std::cout << line << std::endl;
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -111,8 +111,8 @@
     ++runs_;
     send_terms terms;
     terms.worker = worker.id;
-    terms.time_left = std::max<duration>(terms_.give_up_at - sent_at_,
-                                         milliseconds(1));
+    terms.time_left =
+        std::max<duration>(terms_.give_up_at - sent_at_, milliseconds(1));
     if (terms_.engine)
         terms.priority = terms_.matched->priority;
     terms.resume_after = request_.last_event;
@@ -160,10 +160,10 @@
     time_point const now = host_.now();
     if (now < terms_.give_up_at)
     {
-        bool const silent =
-            (stage_ == stage::sent && repeatable() &&
-             now >= sent_at_ + host_.patience(*this)) ||
-            (stage_ == stage::streaming && now >= last_byte_at_ + longest_pause);
+        bool const silent = (stage_ == stage::sent && repeatable() &&
+                             now >= sent_at_ + host_.patience(*this)) ||
+                            (stage_ == stage::streaming &&
+                             now >= last_byte_at_ + longest_pause);
         if (silent && may_repeat())
         {
             end_send(send_outcome::silent);
@@ -310,10 +310,9 @@
 {
     --runs_;
     bool const lacks = reply_.status == 421 && !reply_.other_worker;
-    send_outcome const outcome =
-        reply_.other_worker ? send_outcome::unreachable
-        : lacks             ? send_outcome::not_held
-                            : send_outcome::full;
+    send_outcome const outcome = reply_.other_worker ? send_outcome::unreachable
+                                 : lacks             ? send_outcome::not_held
+                                                     : send_outcome::full;
     excluded_.insert(worker_.id);
     end_send(outcome);
     if (sends_ < most_sends && host_.take_retry(*this))
@@ -401,8 +400,7 @@
 void relay_exchange::give_error(error problem, relay_outcome outcome,
                                 std::string_view reason)
 {
-    host_.note(*this,
-               outcome == relay_outcome::refused ? "rejected" : "failed",
+    host_.note(*this, outcome == relay_outcome::refused ? "rejected" : "failed",
                reason);
     answer_->respond(host_.codec().error_response(request_, problem));
     end(outcome);
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -96,7 +96,7 @@
     duration waited() const
     {
         return sent_at_ == time_point() ? duration(0)
-                                    : sent_at_ - terms_.arrived_at;
+                                        : sent_at_ - terms_.arrived_at;
     }
 
 private:
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -27,9 +27,9 @@
     std::string const port =
         colon == std::string::npos ? "" : text.substr(colon + 1);
     into.address = text.substr(0, colon);
-    bool const digits = !port.empty() && port.size() <= 5 &&
-                        port.find_first_not_of("0123456789") ==
-                            std::string::npos;
+    bool const digits =
+        !port.empty() && port.size() <= 5 &&
+        port.find_first_not_of("0123456789") == std::string::npos;
     if (!valid_address(into.address) || !digits || std::stoul(port) > max_port)
         return root.add_fault(
             key, fmt::format("\"{}\" is not IP:PORT in numbers", text));
@@ -58,8 +58,7 @@
 {
     root.read_number("retry_ratio", value.retries.ratio, {0.0, 1.0}, optional);
     root.read_number("retry_slack", value.retries.slack, {0.0, 1e6}, optional);
-    double window =
-        std::chrono::duration<double>(value.retries.window).count();
+    double window = std::chrono::duration<double>(value.retries.window).count();
     root.read_number("retry_window_s", window, {0.1, 600.0}, optional);
     value.retries.window = std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(window));
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -13,8 +13,9 @@
 namespace mulberry
 {
 
-/// A port of 0 lets the kernel pick. Immutable once loaded. Spans of time stand here as settings only; the
-/// running program stores the deadlines made from them.
+/// A port of 0 lets the kernel pick. Immutable once loaded. Spans of time stand
+/// here as settings only; the running program stores the deadlines made from
+/// them.
 struct relay_settings
 {
     vm_id vm;
--- a/src/routing_config.hpp
+++ b/src/routing_config.hpp
@@ -74,7 +74,8 @@
     std::size_t adapter_slots = 0;
     double weight_loads_per_second = 1;
     std::vector<base_model> models;
-    friend bool operator==(engine_limits const&, engine_limits const&) = default;
+    friend bool operator==(engine_limits const&,
+                           engine_limits const&) = default;
 };
 
 struct service_config
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -107,7 +107,8 @@
             continue;
         }
         worker_adapters_settings shelf;
-        shelf.adapter_slots = config_.engine ? config_.engine->adapter_slots : 0;
+        shelf.adapter_slots =
+            config_.engine ? config_.engine->adapter_slots : 0;
         workers_.emplace(entry.id,
                          std::make_unique<worker_state>(entry, shelf));
     }
@@ -206,7 +207,8 @@
     sent_.erase(found);
     if (outcome == send_outcome::served)
         mean_service_ += duration(static_cast<duration::rep>(
-            newest_weight * double((now - sent.sent_at - mean_service_).count())));
+            newest_weight *
+            double((now - sent.sent_at - mean_service_).count())));
     worker_state* const worker = find(sent.worker);
     if (worker == nullptr)
         return;
@@ -215,7 +217,7 @@
     else
         worker->health.ended(outcome, sent.sent_at, now);
     if (sent.counted_use)
-        worker->adapters.end_use(*sent.target);
+        worker->adapters.end_use(*sent.target, now);
     if (outcome == send_outcome::not_held && sent.target && worker->owned)
         worker->adapters.missing(*sent.target);
     if (outcome == send_outcome::not_held && sent.target && !worker->owned)
@@ -266,8 +268,7 @@
                                work_item const& item, time_point now) const
 {
     if (worker.entry.draining || item.excluded.count(worker.entry.id) > 0 ||
-        worker.health.full(now) ||
-        taken(worker) >= limit_of(worker))
+        worker.health.full(now) || taken(worker) >= limit_of(worker))
         return false;
     return !worker.health.avoided(now) || worker.health.may_probe(now);
 }
@@ -287,8 +288,7 @@
 adapter_version service_scheduler::newest_of(model_target const& target) const
 {
     auto const known = releases_.find(target);
-    return known == releases_.end() ? adapter_version()
-                                    : known->second.version;
+    return known == releases_.end() ? adapter_version() : known->second.version;
 }
 
 bool service_scheduler::past_grace(model_target const& target,
@@ -331,7 +331,7 @@
 bool service_scheduler::holds(worker_state const& worker,
                               model_target const& target, time_point now) const
 {
-    if (worker.owned && worker.adapters.synced())
+    if (worker.owned && worker.adapters.known())
     {
         if (target.adapter.empty())
             return worker.adapters.has_model(target.model);
@@ -346,8 +346,7 @@
         if (target.adapter.empty())
             return true;
         auto const copy = held.adapters.find(target.adapter);
-        return copy != held.adapters.end() &&
-               copy->second >= newest_of(target);
+        return copy != held.adapters.end() && copy->second >= newest_of(target);
     }
     return false;
 }
@@ -464,9 +463,9 @@
     on.health.sent(now);
     ++(on.owned ? loaded ? counts_.placed_after_load : counts_.placed_resident
                 : counts_.placed_elsewhere);
-    actions_.push_back(place_request{
-        item.ticket, on.entry.id, on.entry,
-        on.owned ? loaded ? "loaded" : "resident" : "listed"});
+    actions_.push_back(
+        place_request{item.ticket, on.entry.id, on.entry,
+                      on.owned ? loaded ? "loaded" : "resident" : "listed"});
     sent_.emplace(item.ticket, std::move(sent));
 }
 
@@ -478,9 +477,9 @@
         refuse_request{waiting.item.ticket, kind, retry_after, reason});
 }
 
-service_scheduler::verdict
-service_scheduler::decide(waiting_item& waiting, queue_key const& key,
-                          time_point now)
+service_scheduler::verdict service_scheduler::decide(waiting_item& waiting,
+                                                     queue_key const& key,
+                                                     time_point now)
 {
     if (waiting.item.asked_for)
         return decide_asked(waiting, now);
@@ -491,13 +490,13 @@
         place(waiting, *holder, now);
         return verdict::placed;
     }
-    bool const all_tried = std::all_of(
-        workers_.begin(), workers_.end(),
-        [&waiting](auto const& each)
-        {
-            return each.second->entry.draining ||
-                   waiting.item.excluded.count(each.first) > 0;
-        });
+    bool const all_tried =
+        std::all_of(workers_.begin(), workers_.end(),
+                    [&waiting](auto const& each)
+                    {
+                        return each.second->entry.draining ||
+                               waiting.item.excluded.count(each.first) > 0;
+                    });
     return all_tried ? verdict::hopeless : verdict::waits;
 }
 
@@ -528,9 +527,9 @@
                                      : verdict::hopeless;
 }
 
-service_scheduler::verdict
-service_scheduler::wait_at(waiting_item& waiting, worker_state& worker,
-                           time_point now)
+service_scheduler::verdict service_scheduler::wait_at(waiting_item& waiting,
+                                                      worker_state& worker,
+                                                      time_point now)
 {
     if (!worker.adapters.can_take(*waiting.item.target))
         return verdict::waits;
@@ -553,7 +552,8 @@
         return;
     for (auto const& [id, worker] : workers_)
         if (worker.get() != &busy && worker->owned &&
-            worker->adapters.stage(target) && !worker->adapters.outdated(target))
+            worker->adapters.stage(target) &&
+            !worker->adapters.outdated(target))
             return;
     worker_state* const other = home_of(waiting, true, &busy, now);
     if (other == nullptr || !other->adapters.can_take(target) ||
@@ -621,15 +621,16 @@
         place(waiting, *holder, now);
         return verdict::placed;
     }
-    bool const own_may_later = std::any_of(
-        workers_.begin(), workers_.end(),
-        [&](auto const& each)
-        {
-            return each.second->owned && !each.second->entry.draining &&
-                   each.second->adapters.may_order(now) &&
-                   !each.second->health.avoided(now) &&
-                   waiting.item.excluded.count(each.first) == 0;
-        });
+    bool const own_may_later =
+        std::any_of(workers_.begin(), workers_.end(),
+                    [&](auto const& each)
+                    {
+                        return each.second->owned &&
+                               !each.second->entry.draining &&
+                               each.second->adapters.may_order(now) &&
+                               !each.second->health.avoided(now) &&
+                               waiting.item.excluded.count(each.first) == 0;
+                    });
     return own_may_later ? verdict::waits : verdict::hopeless;
 }
 
@@ -643,10 +644,9 @@
         peer.probed(now);
     peer.sent(now);
     actions_.push_back(ask_owner{item.ticket, owner, worker.entry.id,
-                                 *item.target, item.priority,
-                                 item.give_up_at});
-    asked_.insert_or_assign(item.ticket, asked_item{waiting, key, owner,
-                                                    worker.entry.id, now});
+                                 *item.target, item.priority, item.give_up_at});
+    asked_.insert_or_assign(
+        item.ticket, asked_item{waiting, key, owner, worker.entry.id, now});
 }
 
 void service_scheduler::set_owners(std::map<worker_id, vm_id> owners)
@@ -689,13 +689,12 @@
     asked_.erase(found);
     bool const answered =
         outcome == ask_outcome::granted || outcome == ask_outcome::refused;
-    peers_[asked.owner].ended(
-        answered                         ? send_outcome::served
-        : outcome == ask_outcome::silent ? send_outcome::silent
-                                         : send_outcome::unreachable,
-        asked.asked_at, now);
-    worker_state* const worker =
-        find(granted.empty() ? asked.worker : granted);
+    peers_[asked.owner].ended(answered ? send_outcome::served
+                              : outcome == ask_outcome::silent
+                                  ? send_outcome::silent
+                                  : send_outcome::unreachable,
+                              asked.asked_at, now);
+    worker_state* const worker = find(granted.empty() ? asked.worker : granted);
     if (worker != nullptr && answered)
     {
         worker->told_load = load;
@@ -731,8 +730,8 @@
             room += limit_of(*worker);
     if (room == 0)
         return longest_retry;
-    return duration(static_cast<duration::rep>(
-        double(mean_service_.count()) * double(ahead) / double(room)));
+    return duration(static_cast<duration::rep>(double(mean_service_.count()) *
+                                               double(ahead) / double(room)));
 }
 
 bool service_scheduler::too_late(waiting_item const& waiting, std::size_t ahead,
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -97,9 +97,8 @@
     backend_entry entry;
 };
 
-using placement_action =
-    std::variant<place_request, ask_owner, grant_ask, refuse_request,
-                 give_order, ask_report>;
+using placement_action = std::variant<place_request, ask_owner, grant_ask,
+                                      refuse_request, give_order, ask_report>;
 
 /// What became of a question to another VM.
 enum class ask_outcome
@@ -295,8 +294,7 @@
                     time_point now);
     void ask(waiting_item& waiting, queue_key const& key, worker_state& worker,
              time_point now);
-    verdict decide(waiting_item& waiting, queue_key const& key,
-                   time_point now);
+    verdict decide(waiting_item& waiting, queue_key const& key, time_point now);
     verdict decide_adapter(waiting_item& waiting, queue_key const& key,
                            time_point now);
     void spread_load(worker_state const& busy, waiting_item const& waiting,
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -15,6 +15,10 @@
 constexpr std::size_t copies_per_slot = 4;
 /// After an order that the worker calls impossible, before it is tried again.
 constexpr std::chrono::milliseconds refused_retry{1000};
+/// A request ends at its worker some milliseconds after this VM saw its end,
+/// and later where this VM gave it up: until then an unload is refused, and the
+/// refusal costs more than the wait.
+constexpr std::chrono::milliseconds end_of_use{10};
 /// An adapter that the worker would not unload is left alone for so long.
 constexpr std::chrono::milliseconds busy_pause{150};
 /// Orders in a row that conflict before what is believed counts as wrong.
@@ -31,7 +35,11 @@
                             time_point orders_from)
 {
     if (holder_ && fence_ == fence)
+    {
+        orders_from_ = orders_from;
         return;
+    }
+    known_ = false;
     holder_ = std::move(holder);
     fence_ = fence;
     orders_from_ = orders_from;
@@ -44,6 +52,7 @@
 void worker_adapters::revoke()
 {
     holder_.reset();
+    known_ = false;
     sequence_.reset();
     order_.reset();
     in_flight_ = false;
@@ -69,6 +78,7 @@
         return;
     }
     sequence_ = report->sequence;
+    known_ = true;
     models_.clear();
     std::map<model_target, entry> known = std::exchange(adapters_, {});
     auto const adopt = [&](model_target const& target, adapter_stage stage)
@@ -128,8 +138,7 @@
 adapter_version worker_adapters::version(model_target const& target) const
 {
     auto const known = adapters_.find(target);
-    return known == adapters_.end() ? adapter_version()
-                                    : known->second.version;
+    return known == adapters_.end() ? adapter_version() : known->second.version;
 }
 
 time_point worker_adapters::due(model_target const& target) const
@@ -170,11 +179,14 @@
         ++known->second.uses;
 }
 
-void worker_adapters::end_use(model_target const& target)
+void worker_adapters::end_use(model_target const& target, time_point now)
 {
     auto const known = adapters_.find(target);
-    if (known != adapters_.end() && known->second.uses > 0)
-        --known->second.uses;
+    if (known == adapters_.end() || known->second.uses == 0)
+        return;
+    if (--known->second.uses == 0)
+        known->second.busy_until =
+            std::max(known->second.busy_until, now + end_of_use);
 }
 
 void worker_adapters::begin_wait(model_target const& target)
@@ -192,7 +204,8 @@
     // Nobody waits for it any more, and it was not ordered: its slot is free.
     if (known->second.waits == 0 &&
         known->second.stage == adapter_stage::wanted &&
-        known->second.uses == 0 && !(order_ && order_->adapter == target.adapter))
+        known->second.uses == 0 &&
+        !(order_ && order_->adapter == target.adapter))
         adapters_.erase(known);
 }
 
@@ -226,26 +239,28 @@
 std::size_t worker_adapters::occupied() const
 {
     return static_cast<std::size_t>(
-        std::count_if(adapters_.begin(), adapters_.end(), [](auto const& each)
+        std::count_if(adapters_.begin(), adapters_.end(),
+                      [](auto const& each)
                       { return each.second.stage != adapter_stage::wanted; }));
 }
 
 std::size_t worker_adapters::coming() const
 {
     return static_cast<std::size_t>(
-        std::count_if(adapters_.begin(), adapters_.end(), [](auto const& each)
+        std::count_if(adapters_.begin(), adapters_.end(),
+                      [](auto const& each)
                       { return each.second.stage == adapter_stage::loading; }));
 }
 
 worker_order worker_adapters::make(order_kind kind, model_target target) const
 {
-    return {kind,     target.model, target.adapter, worker_,
+    return {kind,       target.model, target.adapter, worker_,
             *sequence_, *holder_,     fence_};
 }
 
-std::optional<worker_order>
-worker_adapters::next_order(worker_id const& worker, score const& keep,
-                            time_point now)
+std::optional<worker_order> worker_adapters::next_order(worker_id const& worker,
+                                                        score const& keep,
+                                                        time_point now)
 {
     if (!sequence_ || !holder_ || now < retry_at_)
         return std::nullopt;
@@ -305,7 +320,8 @@
     for (auto const& each : adapters_)
         if (each.second.stage == adapter_stage::wanted &&
             has_model(each.first.model) &&
-            (first == nullptr || each.second.wanted_at < first->second.wanted_at))
+            (first == nullptr ||
+             each.second.wanted_at < first->second.wanted_at))
             first = &each;
     if (first == nullptr)
         return std::nullopt;
@@ -315,10 +331,11 @@
 /// An idle adapter makes way: outdated copies first, then the one with the
 /// least demand. Only what no request uses is unloaded, so that an unload is
 /// carried out at once and never under a request.
-std::optional<worker_order> worker_adapters::evict_order(score const& keep, time_point now)
+std::optional<worker_order> worker_adapters::evict_order(score const& keep,
+                                                         time_point now)
 {
-    bool const full = occupied() >= settings_.adapter_slots &&
-                      occupied() < adapters_.size();
+    bool const full =
+        occupied() >= settings_.adapter_slots && occupied() < adapters_.size();
     std::pair<model_target const, entry> const* victim = nullptr;
     double least = std::numeric_limits<double>::max();
     for (auto const& each : adapters_)
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -64,7 +64,8 @@
 
     explicit worker_adapters(worker_adapters_settings settings);
 
-    /// Orders may be given from that moment on, under that token.
+    /// Orders may be given from that moment on, under that token; `never`
+    /// while the holder's lease has lapsed and nobody else has the worker.
     void grant(vm_id holder, fencing_number fence, time_point orders_from);
     /// No more orders; what is resident may still be used.
     void revoke();
@@ -79,6 +80,9 @@
     void report_asked() { report_asked_ = true; }
     void on_report(std::optional<worker_report> const& report, time_point now);
     bool synced() const { return sequence_.has_value(); }
+    /// What the worker holds was reported once under this grant. It may be
+    /// used, also while orders have to wait for another report.
+    bool known() const { return known_; }
 
     bool has_model(base_model_id const& model) const;
     /// Wants a model's weights. Precondition: the worker holds no model.
@@ -96,7 +100,7 @@
     void want(model_target const& target, time_point now);
     /// Requests in progress under the adapter.
     void begin_use(model_target const& target, time_point now);
-    void end_use(model_target const& target);
+    void end_use(model_target const& target, time_point now);
     /// Requests that wait here for the adapter; it is not evicted meanwhile.
     void begin_wait(model_target const& target);
     void end_wait(model_target const& target);
@@ -136,7 +140,8 @@
         time_point wanted_at{};
         time_point check_at = never;
         time_point due = never;
-        /// The worker would not unload it; it is left alone until then.
+        /// It is not unloaded before: the worker may still be at the end of a
+        /// request, or would not unload it.
         time_point busy_until{};
     };
 
@@ -149,8 +154,7 @@
     std::optional<worker_order> poll_order(time_point now);
     std::optional<worker_order> model_order(time_point now);
     std::optional<worker_order> load_order(time_point now);
-    std::optional<worker_order> evict_order(score const& keep,
-                                            time_point now);
+    std::optional<worker_order> evict_order(score const& keep, time_point now);
     worker_order make(order_kind kind, model_target target) const;
     void accepted(worker_order const& order, time_point now);
     void held(worker_order const& order);
@@ -166,6 +170,7 @@
     std::optional<std::uint64_t> sequence_;
     time_point report_from_{};
     bool report_asked_ = false;
+    bool known_ = false;
     std::map<base_model_id, bool> models_;
     std::optional<base_model_id> wanted_model_;
     std::optional<base_model_id> loading_model_;
--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -154,14 +154,14 @@
     for (worker_id const& worker : declared_)
     {
         auto const domain = domains_.find(worker);
-        bool const served = domain != domains_.end() &&
-                            vms_of.count(domain->second) > 0;
+        bool const served =
+            domain != domains_.end() && vms_of.count(domain->second) > 0;
         workers_of[served ? domain->second : domain_id()].push_back(worker);
     }
     std::map<worker_id, vm_id> assignment;
     for (auto const& [domain, workers] : workers_of)
-        assignment.merge(assign_workers(
-            workers, domain.empty() ? vms : vms_of.at(domain)));
+        assignment.merge(
+            assign_workers(workers, domain.empty() ? vms : vms_of.at(domain)));
     return assignment;
 }
 
@@ -221,9 +221,8 @@
 bool worker_assignment::should_take(worker_ownership const& worker,
                                     time_point now) const
 {
-    bool const settled =
-        read_at_ >= context_.registration.registered_at() +
-                        context_.settings.settle;
+    bool const settled = read_at_ >= context_.registration.registered_at() +
+                                         context_.settings.settle;
     bool const was_ours = worker.row() != nullptr &&
                           worker.row()->owner.vm == context_.settings.vm;
     return worker.declared() && worker.unowned() && worker.may_write(now) &&
--- a/src/worker_health.cpp
+++ b/src/worker_health.cpp
@@ -67,8 +67,8 @@
     case send_outcome::unreachable:
     case send_outcome::silent:
         ++failures_in_a_row_;
-        avoid(std::min<duration>(first_avoid * (1 << std::min(
-                                                    failures_in_a_row_, 4)),
+        avoid(std::min<duration>(first_avoid *
+                                     (1 << std::min(failures_in_a_row_, 4)),
                                  longest_avoid),
               now);
         return;
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -36,8 +36,7 @@
 // Callers ask for far more adapters than a worker has slots. Each is loaded as
 // another makes way; a load that is ordered before an unload took effect would
 // be one too many, and the worker would crash under all its requests.
-TEST_CASE("a worker never holds more adapters than it has slots",
-          "[scheduler]")
+TEST_CASE("a worker never holds more adapters than it has slots", "[scheduler]")
 {
     scheduler_world world(1, 3);
     std::vector<ticket_id> tickets;
@@ -279,8 +278,7 @@
     CHECK(world.worker_of(after) != old_home);
 }
 
-TEST_CASE("no request begins on an old version after the grace",
-          "[scheduler]")
+TEST_CASE("no request begins on an old version after the grace", "[scheduler]")
 {
     scheduler_world world(1);
     model_target const target{base_model_id("base"), adapter_id("a1")};
@@ -348,10 +346,38 @@
     CHECK(world.refusal(ticket).retry_after <= 100ms);
 }
 
+// The VM is cut from the store and its lease lapses; nobody else has the
+// worker yet. What the worker holds is used, and nothing is loaded.
+TEST_CASE("without a lease what is loaded is used and nothing ordered",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    ticket_id const before = world.ask("a1");
+    world.run(300ms);
+    world.end(before);
+    world.run(50ms);
+    std::uint64_t const sequence =
+        world.workers.at(scheduler_world::name(0)).sequence();
+    world.grants[scheduler_world::name(0)] = {fencing_number(1), never};
+    world.scheduler.set_grants(world.grants);
+    ticket_id const there = world.ask("a1");
+    ticket_id const absent = world.ask("a2");
+    world.run(300ms);
+    CHECK(world.placed(there));
+    CHECK(world.refused(absent));
+    CHECK(world.workers.at(scheduler_world::name(0)).sequence() == sequence);
+    world.grants[scheduler_world::name(0)] = {fencing_number(1), world.now};
+    world.scheduler.set_grants(world.grants);
+    ticket_id const again = world.ask("a2");
+    world.run(300ms);
+    CHECK(world.placed(again));
+}
+
 TEST_CASE("orders wait until the grant allows them", "[scheduler]")
 {
     scheduler_world world(1);
-    world.grants[scheduler_world::name(0)] = {fencing_number(2), world.now + 3s};
+    world.grants[scheduler_world::name(0)] = {fencing_number(2),
+                                              world.now + 3s};
     world.scheduler.set_grants(world.grants);
     ticket_id const early = world.ask("a1");
     world.run(1s);
--- a/tests/worker_health_test.cpp
+++ b/tests/worker_health_test.cpp
@@ -28,8 +28,7 @@
     CHECK(health.avoided(start + 3s));
 }
 
-TEST_CASE("a worker that answers others is slow, not silent",
-          "[worker_health]")
+TEST_CASE("a worker that answers others is slow, not silent", "[worker_health]")
 {
     worker_health health;
     health.sent(start);
@@ -71,8 +70,7 @@
     CHECK(health.failure_share(start + 10s) < 0.05);
 }
 
-TEST_CASE("what this VM gave up says nothing of the worker",
-          "[worker_health]")
+TEST_CASE("what this VM gave up says nothing of the worker", "[worker_health]")
 {
     worker_health health;
     for (int number = 0; number < 20; ++number)
