Explain a failed request from its id and the logs

Cause: whoever is on call has only logs, and had to read several by hand. Change: mulberryctl explain REQUEST FILE... orders the lines of several VMs and prints those of the request with what its VM believed of the worker, the configuration, its lease and its store.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -474,7 +474,7 @@
         if (list == idle_.end() || list->second.empty())
             return nullptr;
         auto const now = clock::now();
-        auto const newest = list->second.back();
+        auto newest = list->second.back();
         if (!newest->usable_at(now) || now - newest->idle_since() > max_idle)
             return nullptr;
         list->second.pop_back();
--- a/src/ctl_commands.hpp
+++ b/src/ctl_commands.hpp
@@ -39,12 +39,17 @@
 ctl_exit run_check(ctl_options const& options, std::ostream& out,
                    std::ostream& err);
 
+/// `explain`: the story of one request out of log files. Needs no door. Throws
+/// file_failure.
+ctl_exit run_explain(ctl_options const& options, std::ostream& out,
+                     std::ostream& err);
+
 /// `confirm`: sends the plan once; when the answer is lost, reads the
 /// configuration back until it tells whether the plan is in force. Throws
 /// door_failure, file_failure.
 ctl_exit run_confirm(ctl_options const& options, ctl_context const& context);
 
-/// Runs any command but `check` and reports its failures. Precondition: the
+/// Runs any command but the offline ones and reports its failures. Precondition: the
 /// options come from parse_ctl_options.
 ctl_exit run_command(ctl_options const& options, ctl_context const& context);
 
--- /dev/null
+++ b/src/ctl_explain.cpp
@@ -0,0 +1,34 @@
+// The command `explain`.
+#include "ctl_commands.hpp"
+#include "log_story.hpp"
+
+#include <iterator>
+#include <ostream>
+
+namespace mulberry
+{
+
+ctl_exit run_explain(ctl_options const& options, std::ostream& out,
+                     std::ostream& err)
+{
+    std::string const& request = options.arguments.front();
+    std::vector<log_line> lines;
+    for (auto file = std::next(options.arguments.begin());
+         file != options.arguments.end(); ++file)
+    {
+        std::vector<log_line> read = read_log(read_file(*file));
+        lines.insert(lines.end(), std::make_move_iterator(read.begin()),
+                     std::make_move_iterator(read.end()));
+    }
+    std::vector<log_line> const story = story_of(request, std::move(lines));
+    for (log_line const& line : story)
+        out << to_text(line) << "\n";
+    if (!story.empty())
+        return ctl_exit::ok;
+    err << "no line names request " << request
+        << ": it was served without event, went to another VM, or its lines "
+           "were left out (lines_left_out)\n";
+    return ctl_exit::refused;
+}
+
+} // namespace mulberry
--- a/src/ctl_options.cpp
+++ b/src/ctl_options.cpp
@@ -39,6 +39,15 @@
         "fault\nwith its line. Needs no VM and changes nothing.\n\n"
         "Example:\n"
         "  mulberryctl check declaration.jsonc vm.jsonc\n"},
+    command_form{
+        "explain", "REQUEST FILE...", 2, any_number, true,
+        "tell from logs why a request ended as it did",
+        "Reads the structured logs of one or more VMs and prints the lines "
+        "that name the\nrequest, in order, each with what its VM then believed "
+        "of the worker, the\nconfiguration, its lease and its store. Exit "
+        "status 1 when no line names it.\n\n"
+        "Example:\n"
+        "  mulberryctl explain 9c41d07be2a35f68 vm-1.log vm-2.log\n"},
     command_form{
         "plan", "FILE", 1, 1, false,
         "show what confirming a declaration would change",
--- /dev/null
+++ b/src/log_story.cpp
@@ -0,0 +1,127 @@
+#include "log_story.hpp"
+
+#include "json_text.hpp"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+
+namespace mulberry
+{
+namespace
+{
+
+/// Members that every line has, or that the story shows by themselves.
+constexpr std::array<std::string_view, 8> common_members{
+    "time", "level", "vm", "part", "text", "request", "worker", "service"};
+
+/// Events that change what a VM believes; those of one group replace each
+/// other.
+std::string belief_group(log_line const& line)
+{
+    static std::map<std::string, std::string, std::less<>> const groups{
+        {"configuration taken", "configuration"},
+        {"store lost", "store"},
+        {"store regained", "store"},
+        {"lease held", "lease"},
+        {"lease lapsed", "lease"},
+        {"members changed", "members"},
+        {"started", "process"},
+        {"stopping", "process"},
+        {"worker listed", "worker"},
+        {"worker drains", "worker"},
+        {"worker gone", "worker"},
+        {"worker owned", "owner"},
+        {"worker given up", "owner"}};
+    auto const group = groups.find(line.event);
+    if (group == groups.end())
+        return "";
+    return group->second + (line.worker.empty() ? "" : " " + line.worker);
+}
+
+std::string value_text(Json::Value const& value)
+{
+    return value.isString() ? value.asString() : to_text(value);
+}
+
+log_line parse_line(Json::Value const& json)
+{
+    log_line line;
+    line.time = text_or(json, "time", "");
+    line.vm = text_or(json, "vm", "");
+    line.event = text_or(json, "text", "");
+    line.request = text_or(json, "request", "");
+    line.worker = text_or(json, "worker", "");
+    for (std::string const& name : json.getMemberNames())
+        if (std::find(common_members.begin(), common_members.end(), name) ==
+            common_members.end())
+            line.details.push_back(name + "=" + value_text(json[name]));
+    return line;
+}
+
+} // namespace
+
+std::vector<log_line> read_log(std::string_view text)
+{
+    std::vector<log_line> lines;
+    while (!text.empty())
+    {
+        std::size_t const end = std::min(text.find('\n'), text.size());
+        std::string_view const one = text.substr(0, end);
+        text.remove_prefix(std::min(end + 1, text.size()));
+        if (!one.starts_with('{'))
+            continue;
+        auto const json = from_text(one);
+        if (json && json->isObject() && json->isMember("text"))
+            lines.push_back(parse_line(*json));
+    }
+    return lines;
+}
+
+std::vector<log_line> story_of(std::string const& request,
+                               std::vector<log_line> lines)
+{
+    std::stable_sort(lines.begin(), lines.end(),
+                     [](log_line const& a, log_line const& b)
+                     { return a.time < b.time; });
+    std::map<std::string, std::map<std::string, log_line>> beliefs;
+    std::set<std::pair<std::string, std::string>> told;
+    std::vector<log_line> story;
+    for (log_line const& line : lines)
+    {
+        if (std::string const group = belief_group(line); !group.empty())
+        {
+            beliefs[line.vm][group] = line;
+            told.erase({line.vm, group});
+        }
+        if (line.request != request)
+            continue;
+        std::vector<log_line> before;
+        for (auto const& [group, belief] : beliefs[line.vm])
+        {
+            bool const concerns =
+                belief.worker.empty() || belief.worker == line.worker;
+            if (concerns && told.insert({line.vm, group}).second)
+                before.push_back(belief);
+        }
+        std::stable_sort(before.begin(), before.end(),
+                         [](log_line const& a, log_line const& b)
+                         { return a.time < b.time; });
+        story.insert(story.end(), before.begin(), before.end());
+        story.push_back(line);
+    }
+    return story;
+}
+
+std::string to_text(log_line const& line)
+{
+    std::string text = line.time + " " + line.vm + " " + line.event;
+    if (!line.worker.empty())
+        text += " worker=" + line.worker;
+    for (std::string const& detail : line.details)
+        text += " " + detail;
+    return text;
+}
+
+} // namespace mulberry
--- a/src/mulberryctl.cpp
+++ b/src/mulberryctl.cpp
@@ -42,6 +42,8 @@
             std::cout << ctl_help(options.command);
             return ctl_exit::ok;
         }
+        if (options.command == "explain")
+            return run_explain(options, std::cout, std::cerr);
         return works_offline(options.command)
                    ? run_check(options, std::cout, std::cerr)
                    : run_online(options);
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -778,7 +778,7 @@
     else if (outcome != ask_outcome::refused)
         log_.notable("owner does not answer",
                      log_fields()
-                         .add("vm", ask.owner.str())
+                         .add("owner", ask.owner.str())
                          .add("worker", ask.worker.str())
                          .add("reason", outcome == ask_outcome::silent
                                             ? "silent"
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -379,10 +379,7 @@
             [this](http_request request, std::shared_ptr<http_answer> answer)
             { answer_metrics(request, *answer); });
     tell_addresses();
-    log_.notable("started",
-                 log_fields()
-                     .add("vm", settings_.vm.str())
-                     .add("domain", settings_.domain.str()),
+    log_.notable("started", log_fields().add("domain", settings_.domain.str()),
                  boot_clock::now());
     start_ownership();
     registry_.start();
--- a/src/shell.cmake
+++ b/src/shell.cmake
@@ -1,12 +1,16 @@
 # The daemon: the decision core's shell.
+mulberry_library(mulberry_text
+  SOURCES json_text.cpp
+  LINK jsoncpp)
+target_include_directories(mulberry_text SYSTEM PUBLIC /usr/include/jsoncpp)
 mulberry_library(mulberry_shell
-  SOURCES log.cpp timeline.cpp kernel.cpp answer_board.cpp asking.cpp json_text.cpp
+  SOURCES log.cpp timeline.cpp kernel.cpp answer_board.cpp asking.cpp
           peer_codec.cpp stream_observer.cpp response_observer.cpp
           http_engine_port.cpp http_platform_port.cpp http_service_port.cpp
           http_peer_port.cpp error_page.cpp completion_request.cpp
           completion_answer.cpp metrics_text.cpp rpc_desk.cpp callers_door.cpp
           peers_door.cpp operators_door.cpp decision_loop.cpp daemon.cpp
-  LINK mulberry_core mulberry_net Boost::log)
+  LINK mulberry_core mulberry_net mulberry_text Boost::log)
 add_executable(mulberryd ${CMAKE_SOURCE_DIR}/src/mulberryd.cpp)
 target_link_libraries(mulberryd PRIVATE mulberry_platform Boost::program_options)
 mulberry_test(shell_test
--- /dev/null
+++ b/tests/log_story_test.cpp
@@ -0,0 +1,68 @@
+#include "log_story.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+
+namespace
+{
+
+char const* const first_vm = R"(listening callers 127.0.0.1:1
+{"level":"warning","text":"configuration taken","time":"2026-01-01T00:00:01","vm":"vm-1","version":7}
+{"level":"warning","text":"worker listed","time":"2026-01-01T00:00:02","vm":"vm-1","worker":"w1"}
+{"level":"warning","text":"worker listed","time":"2026-01-01T00:00:02","vm":"vm-1","worker":"w2"}
+not a line of ours
+{"level":"warning","text":"tries again","time":"2026-01-01T00:00:05","vm":"vm-1","request":"r1","worker":"w1","reason":"connection reset"}
+{"level":"warning","text":"failed","time":"2026-01-01T00:00:06","vm":"vm-1","request":"r1","worker":"w1","reason":"deadline"}
+)";
+char const* const second_vm =
+    R"({"text":"store lost","time":"2026-01-01T00:00:03","vm":"vm-2"}
+{"text":"rejected","time":"2026-01-01T00:00:04","vm":"vm-2","request":"r2","reason":"no worker"}
+)";
+
+std::vector<log_line> all_lines()
+{
+    std::vector<log_line> lines = read_log(first_vm);
+    for (log_line& line : read_log(second_vm))
+        lines.push_back(std::move(line));
+    return lines;
+}
+
+std::vector<std::string> events(std::vector<log_line> const& story)
+{
+    std::vector<std::string> names;
+    for (log_line const& line : story)
+        names.push_back(line.event);
+    return names;
+}
+
+} // namespace
+
+TEST_CASE("a story holds the request's lines and what was believed then",
+          "[log_story]")
+{
+    auto const story = story_of("r1", all_lines());
+    CHECK(events(story) == std::vector<std::string>{"configuration taken",
+                                                    "worker listed",
+                                                    "tries again", "failed"});
+    // The other worker does not concern it.
+    CHECK(story[1].worker == "w1");
+}
+
+TEST_CASE("another VM's beliefs are not this one's", "[log_story]")
+{
+    CHECK(events(story_of("r2", all_lines())) ==
+          std::vector<std::string>{"store lost", "rejected"});
+}
+
+TEST_CASE("a request that no line names has no story", "[log_story]")
+{
+    CHECK(story_of("r3", all_lines()).empty());
+}
+
+TEST_CASE("lines are told with their details", "[log_story]")
+{
+    auto const story = story_of("r2", all_lines());
+    CHECK(to_text(story.back()) ==
+          "2026-01-01T00:00:04 vm-2 rejected reason=no worker");
+}
