--- a/src/ctl_commands.hpp
+++ b/src/ctl_commands.hpp
@@ -49,8 +49,8 @@
 /// door_failure, file_failure.
 ctl_exit run_confirm(ctl_options const& options, ctl_context const& context);
 
-/// Runs any command but the offline ones and reports its failures. Precondition: the
-/// options come from parse_ctl_options.
+/// Runs any command but the offline ones and reports its failures.
+/// Precondition: the options come from parse_ctl_options.
 ctl_exit run_command(ctl_options const& options, ctl_context const& context);
 
 } // namespace mulberry
