Fetch less: wait longer for a busy home, count one's own callers alone

An owner saw the requests of all VMs and took adapters for popular with its own callers, who then got a home of their own. Change: a busy home is waited for 0.7 s instead of 0.25 s; popularity counts this VM's callers alone. The test of the second fails with all demand counted.

--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -59,9 +59,9 @@
 /// After so many owners said no, a request is served by whatever is here.
 constexpr std::size_t most_refusals = 2;
 /// A home whose slots are all in use is waited for so long before another is
-/// taken: a slot is free again after the rest of a request, while a fetch
-/// elsewhere takes about as long and keeps others from theirs.
-constexpr milliseconds busy_home_wait{250};
+/// taken: a slot is free again after the rest of a request, which takes about
+/// half a second, while a fetch elsewhere keeps others from theirs.
+constexpr milliseconds busy_home_wait{700};
 /// Where a request cannot be served here at all, another VM may: the caller is
 /// told to come back at once, spread over this span.
 constexpr milliseconds elsewhere_retry{50};
@@ -160,7 +160,11 @@
 void service_scheduler::submit(work_item item, time_point now)
 {
     if (item.target && !item.target->adapter.empty() && item.excluded.empty())
+    {
         demand_.observe(demand_key(*item.target), now);
+        if (!item.asked_for)
+            own_demand_.observe(demand_key(*item.target), now);
+    }
     queue_key const key{item.priority, ++last_number_};
     waiting_.emplace(item.ticket, key);
     queue_.emplace(key, waiting_item{std::move(item), {}});
@@ -404,6 +408,11 @@
 
 bool service_scheduler::popular(model_target const& target,
                                 time_point now) const
+{
+    return own_demand_.rate(demand_key(target), now) >= local_home_rate;
+}
+
+bool service_scheduler::hot(model_target const& target, time_point now) const
 {
     return demand_.rate(demand_key(target), now) >= local_home_rate;
 }
@@ -547,8 +556,8 @@
 {
     model_target const& target = *waiting.item.target;
     bool const outdated = busy.adapters.outdated(target);
-    bool const hot = popular(target, now);
-    if (!crowded(busy, hot, now) && !outdated)
+    bool const often = hot(target, now);
+    if (!crowded(busy, often, now) && !outdated)
         return;
     for (auto const& [id, worker] : workers_)
         if (worker.get() != &busy && worker->owned &&
@@ -557,7 +566,7 @@
             return;
     worker_state* const other = home_of(waiting, true, &busy, now);
     if (other == nullptr || !other->adapters.can_take(target) ||
-        (!outdated && crowded(*other, hot, now)))
+        (!outdated && crowded(*other, often, now)))
         return;
     other->adapters.want(target, now);
 }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -287,7 +287,10 @@
     double average_taken(time_point now) const;
     bool crowded(worker_state const& worker, bool popular,
                  time_point now) const;
+    /// Asked for often by this VM's callers.
     bool popular(model_target const& target, time_point now) const;
+    /// Asked for often by all that come to this VM's workers.
+    bool hot(model_target const& target, time_point now) const;
     worker_state* own_holder(waiting_item const& waiting, time_point now);
     verdict decide_asked(waiting_item& waiting, time_point now);
     verdict wait_at(waiting_item& waiting, worker_state& worker,
@@ -321,7 +324,10 @@
     std::map<worker_id, vm_id> owners_;
     std::map<vm_id, worker_health> peers_;
     std::map<model_target, release> releases_;
+    /// Of this VM's callers and of the VMs that ask it.
     adapter_demand demand_;
+    /// Of this VM's callers alone.
+    adapter_demand own_demand_;
     std::vector<placement_action> actions_;
     std::vector<time_point> weight_loads_;
     std::uint64_t last_number_ = 0;
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -488,6 +488,46 @@
     CHECK(world.scheduler.counts().sent == 0);
 }
 
+// Many VMs ask the owner of an adapter's home, so the owner sees all of its
+// requests. Its own callers ask seldom: they are sent to that home, and no copy
+// is fetched for the owner's failure domain.
+TEST_CASE("what others ask for does not make an adapter popular here",
+          "[scheduler]")
+{
+    scheduler_world world(2);
+    // The home is in another failure domain than this VM.
+    std::vector<backend_entry> entries{world.entry(0), world.entry(1)};
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    worker_id const home = world.worker_of(first);
+    world.end(first);
+    for (backend_entry& entry : entries)
+        entry.domain = domain_id(entry.id == home ? "b" : "a");
+    world.scheduler.set_backends(entries);
+    for (std::uint64_t number = 1; number <= 30; ++number)
+    {
+        work_item item;
+        item.ticket = ticket_id(1000 + number);
+        item.target = model_target{base_model_id("base"), adapter_id("a1")};
+        item.arrived_at = world.now;
+        item.give_up_at = world.now + 5s;
+        item.asked_for = home;
+        world.scheduler.submit(item, world.now);
+        world.run(20ms);
+        world.scheduler.ended(item.ticket, send_outcome::served, world.now);
+    }
+    // The home forgets the adapter; it is loaded there again, not elsewhere.
+    world.scheduler.set_grants({});
+    world.grants[home] = {fencing_number(2), world.now};
+    world.workers[home] = scripted_worker();
+    world.scheduler.set_grants(world.grants);
+    world.run(50ms);
+    ticket_id const again = world.ask("a1");
+    world.run(400ms);
+    REQUIRE(world.placed(again));
+    CHECK(world.worker_of(again) == home);
+}
+
 TEST_CASE("a withdrawn request frees what it waited for", "[scheduler]")
 {
     scheduler_world world(1, 1);
