--- a/src/boot_clock.hpp
+++ b/src/boot_clock.hpp
@@ -24,6 +24,12 @@
             std::chrono::seconds(read.tv_sec) +
             std::chrono::nanoseconds(read.tv_nsec)));
     }
+
+    /// The same moment for timers, which run on the steady clock.
+    static std::chrono::steady_clock::time_point to_steady(time_point moment)
+    {
+        return std::chrono::steady_clock::now() + (moment - now());
+    }
 };
 
 } // namespace mulberry
--- a/src/claim_row.cpp
+++ b/src/claim_row.cpp
@@ -1,12 +1,12 @@
 #include "claim_row.hpp"
 
+#include "base64.hpp"
 #include "declaration_text.hpp"
 
 #include <array>
 #include <initializer_list>
 #include <json/json.h>
 #include <memory>
-#include <openssl/evp.h>
 
 namespace mulberry
 {
@@ -47,37 +47,6 @@
     return encoded;
 }
 
-std::string base64(std::string const& bytes)
-{
-    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    int const size =
-        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
-                        reinterpret_cast<unsigned char const*>(bytes.data()),
-                        static_cast<int>(bytes.size()));
-    text.resize(static_cast<std::size_t>(size));
-    return text;
-}
-
-std::optional<std::string> from_base64(std::string const& text)
-{
-    if (text.size() % 4 != 0)
-        return std::nullopt;
-    std::string bytes(text.size() / 4 * 3, '\0');
-    int const size =
-        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
-                        reinterpret_cast<unsigned char const*>(text.data()),
-                        static_cast<int>(text.size()));
-    if (size < 0)
-        return std::nullopt;
-    // EVP_DecodeBlock counts the padding as bytes.
-    std::size_t padding = 0;
-    while (padding < 2 && padding < text.size() &&
-           text[text.size() - 1 - padding] == '=')
-        ++padding;
-    bytes.resize(static_cast<std::size_t>(size) - padding);
-    return bytes;
-}
-
 std::optional<claim_stage> stage_named(std::string const& name)
 {
     for (std::size_t at = 0; at < stage_names.size(); ++at)
@@ -90,9 +59,9 @@
 {
     Json::Value json(Json::objectValue);
     json["status"] = answer.status;
-    json["content_type"] = base64(answer.content_type);
+    json["content_type"] = to_base64(answer.content_type);
     if (answer.object.empty())
-        json["body"] = base64(answer.body);
+        json["body"] = to_base64(answer.body);
     else
         json["object"] = answer.object;
     return json;
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -10,8 +10,9 @@
   LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
-  SOURCES backend_pool.cpp event_log.cpp event_splitter.cpp
+  SOURCES backend_pool.cpp collected_exchange.cpp event_log.cpp event_splitter.cpp
           ownership_runner.cpp peer_ask.cpp registry_watch.cpp relay.cpp relay_daemon.cpp
-          relay_exchange.cpp relay_settings.cpp
+          relay_exchange.cpp relay_metrics.cpp relay_orders.cpp
+          relay_peers.cpp relay_settings.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -103,9 +103,6 @@
     void finished(relay_exchange& exchange, relay_outcome outcome) override;
 
 private:
-    class order_reply;
-    class report_reply;
-    class ask_reply;
     /// A request of another VM that waits for a grant or was given one.
     struct peer_request
     {
@@ -148,8 +145,8 @@
     void run();
     void run_service(service_state& service);
     void carry_out(service_state& service, placement_action const& action);
-    void send_order(service_state& service, give_order const& order);
-    void send_report(service_state& service, ask_report const& question);
+    void send_order(give_order const& order);
+    void send_report(ask_report const& question);
     void send_ask(service_state& service, ask_owner const& ask);
     void on_ask(service_id const& service, ask_owner const& ask,
                 ask_outcome outcome, peer_reply const& reply);
--- /dev/null
+++ b/src/relay_metrics.cpp
@@ -0,0 +1,57 @@
+// The relay's metrics in the Prometheus text form.
+#include "relay.hpp"
+
+#include <fmt/format.h>
+
+namespace mulberry
+{
+
+std::string relay::metrics() const
+{
+    std::string text;
+    auto const add =
+        [&text](std::string_view name, std::string_view labels, auto value)
+    { text += fmt::format("mulberry_{}{} {}\n", name, labels, value); };
+    auto const outcome = [&](std::string_view label, std::uint64_t value)
+    { add("requests_total", fmt::format("{{outcome=\"{}\"}}", label), value); };
+    outcome("served", counts_.served);
+    outcome("worker_failed", counts_.worker_failed);
+    outcome("rejected", counts_.refused);
+    outcome("failed", counts_.failed);
+    outcome("caller_gone", counts_.caller_gone);
+    add("retries_total", "", counts_.retries);
+    add("orders_total", "", counts_.orders);
+    add("orders_unknown_total", "", counts_.orders_unknown);
+    add("orders_conflict_total", "", counts_.orders_conflict);
+    add("worker_reports_total", "", counts_.reports);
+    add("connections_opened_total", "", pool_.connections_opened());
+    add("log_lines_left_out_total", "", log_.left_out());
+    add("config_version", "", version().value());
+    add("members", "", members_);
+    add("requests_in_progress", "", exchanges_.size());
+    latency_summary const first = first_byte_.summary();
+    add("first_byte_seconds", "{quantile=\"0.5\"}", first.median);
+    add("first_byte_seconds", "{quantile=\"0.95\"}", first.p95);
+    add("first_byte_seconds", "{quantile=\"0.99\"}", first.p99);
+    add("first_byte_seconds_count", "", first.count);
+    add("first_byte_seconds_sum", "", first.sum);
+    for (auto const& [name, service] : services_)
+    {
+        scheduler_counts const counts = service.scheduler.counts();
+        std::string const label = fmt::format("{{service=\"{}\"}}", name.str());
+        add("waiting", label, counts.waiting);
+        add("sent", label, counts.sent);
+        add("placed_resident_total", label, counts.placed_resident);
+        add("placed_after_load_total", label, counts.placed_after_load);
+        add("placed_elsewhere_total", label, counts.placed_elsewhere);
+        add("placed_granted_total", label, counts.placed_granted);
+        add("granted_total", label, counts.granted);
+        add("refused_total", label, counts.refused);
+        add("cold_loads_total", label, counts.cold_loads);
+        add("warm_loads_total", label, counts.warm_loads);
+        add("evictions_total", label, counts.evictions);
+    }
+    return text;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/relay_orders.cpp
@@ -0,0 +1,133 @@
+// Orders and questions to workers.
+#include "collected_exchange.hpp"
+#include "relay.hpp"
+
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int status_ok = 200;
+/// A worker answers an order within some ten milliseconds. One that leaves it
+/// unanswered is asked again at once: the same order under the same number
+/// takes effect once.
+constexpr milliseconds order_timeout{80};
+constexpr milliseconds report_timeout{400};
+
+std::string_view outcome_name(order_outcome outcome)
+{
+    switch (outcome)
+    {
+    case order_outcome::accepted:
+        return "accepted";
+    case order_outcome::holds:
+        return "holds";
+    case order_outcome::conflict:
+        return "conflict";
+    case order_outcome::fenced:
+        return "fenced";
+    case order_outcome::refused:
+        return "refused";
+    case order_outcome::other_worker:
+        return "other worker";
+    case order_outcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+collected_call call_to(backend_entry const& worker, std::string bytes,
+                       milliseconds timeout)
+{
+    collected_call call;
+    call.to = {worker.address, worker.port};
+    call.bytes = std::move(bytes);
+    call.options.connect_timeout = timeout;
+    call.ends_at = [ends = std::chrono::steady_clock::now() + timeout]
+    { return ends; };
+    return call;
+}
+
+} // namespace
+
+void relay::send_order(give_order const& order)
+{
+    service_id const service = order.entry.service;
+    if (options_.may_order && !options_.may_order(order.order.worker))
+    {
+        // The lease lapsed between the decision and now.
+        asio::post(io_, [this, service, order = order.order]
+                   { on_order(service, order, order_outcome::unknown); });
+        return;
+    }
+    ++counts_.orders;
+    collected_call call =
+        call_to(order.entry, codec_.encode_order(order.order), order_timeout);
+    call.on_end =
+        [this, service, order = order.order](collected_answer const& answer)
+    { on_order(service, order, codec_.decode_order_reply(answer.status)); };
+    start_collected(io_, pool_, std::move(call));
+}
+
+void relay::send_report(ask_report const& question)
+{
+    ++counts_.reports;
+    collected_call call =
+        call_to(question.entry, codec_.encode_report_request(), report_timeout);
+    call.on_end = [this, service = question.entry.service,
+                   worker = question.worker](collected_answer const& answer)
+    {
+        on_report(service, worker,
+                  answer.status == status_ok ? codec_.decode_report(answer.body)
+                                             : std::nullopt);
+    };
+    start_collected(io_, pool_, std::move(call));
+}
+
+void relay::on_order(service_id const& service, worker_order const& order,
+                     order_outcome outcome)
+{
+    counts_.orders_unknown += outcome == order_outcome::unknown;
+    counts_.orders_conflict += outcome == order_outcome::conflict;
+    bool const notable =
+        outcome != order_outcome::accepted && outcome != order_outcome::holds;
+    auto const fields = [&]
+    {
+        return log_fields()
+            .add("worker", order.worker.str())
+            .add("order", order.kind == order_kind::load ? "load" : "unload")
+            .add("model", order.model.str())
+            .add("adapter", order.adapter.str())
+            .add("sequence", order.expected_sequence)
+            .add("fence", order.fence.value())
+            .add("outcome", outcome_name(outcome));
+    };
+    if (notable)
+        log_.notable("order answered", fields(), now());
+    if (service_state* const known = find(service))
+        known->scheduler.on_order(order.worker, outcome, now());
+    run_soon();
+}
+
+void relay::on_report(service_id const& service, worker_id const& worker,
+                      std::optional<worker_report> const& report)
+{
+    log_.notable(
+        "worker report",
+        log_fields()
+            .add("worker", worker.str())
+            .add("outcome", report ? "read" : "none")
+            .add("sequence", report ? report->sequence : std::uint64_t{0}),
+        now());
+    if (service_state* const known = find(service))
+        known->scheduler.on_report(worker, report, now());
+    run_soon();
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/relay_peers.cpp
@@ -0,0 +1,243 @@
+// What a relay and the other VMs say to each other.
+#include "boot_clock.hpp"
+#include "collected_exchange.hpp"
+#include "relay.hpp"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+/// Grants that are over are told with the next question to their VM, or after
+/// this: until then the worker's room counts as taken.
+constexpr milliseconds tell_done_delay{30};
+constexpr milliseconds tell_done_timeout{500};
+constexpr milliseconds peer_connect_timeout{250};
+constexpr milliseconds peer_idle{3000};
+/// A grant whose end was never told is over so long after its deadline.
+constexpr milliseconds grant_slack{500};
+
+collected_call call_to(backend_address const& to, peer_call const& message)
+{
+    collected_call call;
+    call.to = to;
+    call.bytes = encode_peer_call(message, to.ip);
+    call.options.connect_timeout = peer_connect_timeout;
+    call.options.max_idle = peer_idle;
+    return call;
+}
+
+} // namespace
+
+void relay::set_members(std::vector<member_view> members)
+{
+    members_ = std::max<std::size_t>(members.size(), 1);
+    for (auto& [name, service] : services_)
+        service.scheduler.set_members(members_);
+    std::map<vm_id, peer_link> links;
+    for (member_view const& member : members)
+    {
+        auto const colon = member.address.rfind(':');
+        if (member.vm == options_.vm || colon == std::string::npos)
+            continue;
+        peer_link& link = links[member.vm];
+        link.address = {member.address.substr(0, colon),
+                        static_cast<std::uint16_t>(std::strtoul(
+                            member.address.c_str() + colon + 1, nullptr, 10))};
+        if (auto const known = peers_.find(member.vm); known != peers_.end())
+            link.done = std::move(known->second.done);
+    }
+    peers_ = std::move(links);
+}
+
+void relay::set_owners(std::map<worker_id, vm_id> owners)
+{
+    owners_ = std::move(owners);
+    for (auto& [name, service] : services_)
+        service.scheduler.set_owners(owners_);
+    run_soon();
+}
+
+void relay::handle_peer(http_request const& received,
+                        std::shared_ptr<http_answer> answer)
+{
+    auto const message = received.path == peer_path
+                             ? decode_peer_call(received.body)
+                             : std::nullopt;
+    if (!message)
+        return answer->respond({status_bad_request, {}, {}});
+    for (peer_done const& done : message->done)
+        forget_peer_request(ticket_id(done.grant), done.not_held
+                                                       ? send_outcome::not_held
+                                                       : send_outcome::served);
+    if (!message->ask)
+        return answer->respond(json_response(status_ok, "{}"));
+    peer_ask const& ask = *message->ask;
+    service_state* const service = find(ask.service);
+    if (service == nullptr || !service->engine)
+        return answer->respond(json_response(status_ok, encode_peer_reply({})));
+    // The answer begins at once and ends with the decision: the VM that asked
+    // can tell a slow load from an owner that is gone.
+    answer->start_stream(status_ok, {});
+    time_point const at = now();
+    work_item item;
+    item.ticket = ticket_id(++last_ticket_);
+    item.target = ask.target;
+    item.priority = ask.priority;
+    item.arrived_at = at;
+    item.give_up_at = at + ask.time_left;
+    item.asked_for = ask.worker;
+    ticket_id const ticket = item.ticket;
+    due_.set(ticket, item.give_up_at + grant_slack);
+    peer_requests_[ticket] = {ask.service, answer};
+    service->scheduler.submit(std::move(item), at);
+    answer->on_closed(
+        [this, ticket]
+        { forget_peer_request(ticket, send_outcome::abandoned); });
+    run_soon();
+}
+
+/// Withdraws a request that waits, ends one that was granted.
+void relay::forget_peer_request(ticket_id ticket, send_outcome outcome)
+{
+    auto const found = peer_requests_.find(ticket);
+    if (found == peer_requests_.end())
+        return;
+    if (service_state* const service = find(found->second.service))
+    {
+        service->scheduler.withdraw(ticket);
+        service->scheduler.ended(ticket, outcome, now());
+    }
+    due_.erase(ticket);
+    peer_requests_.erase(found);
+    run_soon();
+}
+
+void relay::answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
+                        double load)
+{
+    auto const found = peer_requests_.find(ticket);
+    if (found == peer_requests_.end())
+        return;
+    auto const answer = std::exchange(found->second.answer, nullptr);
+    if (answer)
+    {
+        answer->write(
+            encode_peer_reply({granted, ticket.value(), worker, load}));
+        answer->finish();
+    }
+    if (granted)
+        return;
+    due_.erase(ticket);
+    peer_requests_.erase(found);
+}
+
+/// May be called within a decision, so nothing is told before it is over.
+void relay::send_ask(service_state& service, ask_owner const& ask)
+{
+    auto const found = exchanges_.find(ask.ticket);
+    auto const peer = peers_.find(ask.owner);
+    if (found == exchanges_.end())
+        return service.scheduler.withdraw(ask.ticket);
+    service_id const name = found->second->terms().service;
+    if (peer == peers_.end())
+    {
+        asio::post(io_, [this, name, ask]
+                   { on_ask(name, ask, ask_outcome::unreachable, {}); });
+        return;
+    }
+    peer_call message;
+    message.ask = peer_ask{name, ask.worker, ask.target, ask.priority,
+                           ask.give_up_at - now()};
+    message.done = std::exchange(peer->second.done, {});
+    collected_call call = call_to(peer->second.address, message);
+    call.ends_at = [this, name, ticket = ask.ticket] {
+        return boot_clock::to_steady(find(name)->scheduler.ask_ends_at(ticket));
+    };
+    call.on_head = [this, name, ticket = ask.ticket](int status)
+    {
+        if (status == status_ok)
+            find(name)->scheduler.on_owner_heard(ticket, now());
+    };
+    call.on_end = [this, name, ask](collected_answer const& answer)
+    {
+        auto const reply = answer.status == status_ok
+                               ? decode_peer_reply(answer.body)
+                               : std::nullopt;
+        ask_outcome const outcome = answer.timed_out ? ask_outcome::silent
+                                    : !reply         ? ask_outcome::unreachable
+                                    : reply->granted ? ask_outcome::granted
+                                                     : ask_outcome::refused;
+        on_ask(name, ask, outcome, reply.value_or(peer_reply()));
+    };
+    asks_[ask.ticket] = start_collected(io_, pool_, std::move(call));
+}
+
+void relay::on_ask(service_id const& service, ask_owner const& ask,
+                   ask_outcome outcome, peer_reply const& reply)
+{
+    asks_.erase(ask.ticket);
+    bool const wanted = exchanges_.count(ask.ticket) > 0;
+    if (outcome == ask_outcome::granted)
+    {
+        if (!wanted)
+            return give_back({ask.owner, reply.grant}, false);
+        held_grants_[ask.ticket] = {ask.owner, reply.grant};
+    }
+    else if (outcome != ask_outcome::refused)
+        log_.notable("owner does not answer",
+                     log_fields()
+                         .add("owner", ask.owner.str())
+                         .add("worker", ask.worker.str())
+                         .add("reason", outcome == ask_outcome::silent
+                                            ? "silent"
+                                            : "unreachable"),
+                     now());
+    bool const used = find(service)->scheduler.on_owner(
+        ask.ticket, outcome, reply.worker, reply.load, now());
+    if (!used && outcome == ask_outcome::granted)
+    {
+        give_back({ask.owner, reply.grant}, false);
+        held_grants_.erase(ask.ticket);
+    }
+    run_soon();
+}
+
+void relay::give_back(held_grant const& grant, bool not_held)
+{
+    auto const peer = peers_.find(grant.owner);
+    if (peer == peers_.end())
+        return;
+    peer->second.done.push_back({grant.number, not_held});
+    tell_done_at_ = std::min(tell_done_at_, now() + tell_done_delay);
+}
+
+void relay::tell_done()
+{
+    tell_done_at_ = never;
+    for (auto& [vm, peer] : peers_)
+    {
+        if (peer.done.empty())
+            continue;
+        peer_call message;
+        message.done = std::exchange(peer.done, {});
+        collected_call call = call_to(peer.address, message);
+        call.ends_at = [ends = std::chrono::steady_clock::now() +
+                               tell_done_timeout] { return ends; };
+        // Nothing follows from it: a grant that is not given back expires.
+        call.on_end = [](collected_answer const&) {};
+        start_collected(io_, pool_, std::move(call));
+    }
+}
+
+} // namespace mulberry
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -671,7 +671,7 @@
 {
     auto const asked = asked_.find(ticket);
     if (asked == asked_.end())
-        return time_point::min();
+        return time_point();
     duration const limit = asked->second.heard
                                ? owner_answers
                                : peers_.at(asked->second.owner).patience();
