Split the scheduler: events and queue, and where requests are placed

Cause: one file of 900 lines with two jobs. Change: service_placing.cpp; each constant stands beside what uses it. Nothing else changed; 39 cases of scheduling_test passed.

--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -1,7 +1,8 @@
 # The relay's decisions: routes, waiting, placing, turning away, orders,
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
-  SOURCES retry_allowance.cpp route_table.cpp service_scheduler.cpp
+  SOURCES retry_allowance.cpp route_table.cpp service_placing.cpp
+          service_scheduler.cpp
           worker_adapters.cpp worker_health.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
