--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -17,3 +17,7 @@
           relay_peers.cpp relay_settings.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
+mulberry_test(relay_test
+  SOURCES backend_pool_test.cpp event_log_test.cpp event_splitter_test.cpp
+          peer_ask_test.cpp relay_settings_test.cpp
+  LINK mulberry_relay)
--- /dev/null
+++ b/tests/backend_pool_test.cpp
@@ -0,0 +1,295 @@
+#include "backend_pool.hpp"
+#include "collected_exchange.hpp"
+#include "raw_socket.hpp"
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <future>
+#include <optional>
+#include <thread>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// What an observer was told. Read once it is over.
+struct told
+{
+    int status = 0;
+    std::string body;
+    bool ended = false;
+    bool framed = false;
+    std::optional<call_stage> failed;
+    std::promise<void> over;
+
+    void wait() { over.get_future().get(); }
+};
+
+class recorder final : public exchange_observer
+{
+public:
+    explicit recorder(told& into) : into_(into) {}
+    void on_head(int status, http_headers) override { into_.status = status; }
+    void on_body(std::string_view bytes) override { into_.body += bytes; }
+    void on_end(bool framed) override
+    {
+        into_.ended = true;
+        into_.framed = framed;
+        into_.over.set_value();
+    }
+    void on_failure(call_stage at, std::string const&) override
+    {
+        into_.failed = at;
+        into_.over.set_value();
+    }
+
+private:
+    told& into_;
+};
+
+/// A pool on a loop of its own, and a worker whose every byte the test writes.
+class pool_world
+{
+public:
+    pool_world() : work_(io.get_executor()), runner_([this] { io.run(); }) {}
+    ~pool_world()
+    {
+        work_.reset();
+        io.stop();
+        runner_.join();
+    }
+    pool_world(pool_world const&) = delete;
+    pool_world& operator=(pool_world const&) = delete;
+
+    /// Runs something on the loop and waits for it.
+    void on_loop(std::function<void()> const& what)
+    {
+        std::promise<void> done;
+        asio::post(io,
+                   [&]
+                   {
+                       what();
+                       done.set_value();
+                   });
+        done.get_future().get();
+    }
+
+    std::shared_ptr<backend_exchange> send(told& into)
+    {
+        exchange_options options;
+        options.connect_timeout = 10s;
+        options.max_idle = 20s;
+        std::shared_ptr<backend_exchange> running;
+        on_loop(
+            [&]
+            {
+                running = pool.start({"127.0.0.1", port_},
+                                     "GET / HTTP/1.1\r\nHost: w\r\n\r\n",
+                                     options, std::make_shared<recorder>(into));
+            });
+        return running;
+    }
+    /// The connection of the first request, once it has arrived.
+    raw_socket accept()
+    {
+        raw_socket worker = listener.accepted();
+        worker.read_until(end_of_headers);
+        return worker;
+    }
+    std::uint64_t opened()
+    {
+        std::uint64_t count = 0;
+        on_loop([&] { count = pool.connections_opened(); });
+        return count;
+    }
+
+    asio::io_context io;
+    backend_pool pool{io};
+    raw_socket listener = raw_socket::listening();
+
+private:
+    std::uint16_t const port_ = listener.port();
+    asio::executor_work_guard<asio::io_context::executor_type> work_;
+    std::thread runner_;
+};
+
+char const* const good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("a connection is used again after a whole answer", "[backend_pool]")
+{
+    pool_world world;
+    told first;
+    world.send(first);
+    raw_socket worker = world.accept();
+    worker.send(good);
+    first.wait();
+    CHECK(first.status == 200);
+    CHECK(first.body == "ok");
+    CHECK(first.framed);
+    told second;
+    world.send(second);
+    worker.read_until(end_of_headers);
+    worker.send(good);
+    second.wait();
+    CHECK(second.ended);
+    CHECK(world.opened() == 1);
+}
+
+// A worker sends a second answer after the first. Handed to the next request
+// on the connection it would be another's answer; the connection is closed.
+TEST_CASE("bytes that belong to no request close their connection",
+          "[backend_pool]")
+{
+    pool_world world;
+    told first;
+    world.send(first);
+    raw_socket worker = world.accept();
+    worker.send(std::string(good) + good);
+    first.wait();
+    CHECK(first.body == "ok");
+    CHECK(worker.read_some().empty());
+    told second;
+    world.send(second);
+    CHECK(world.opened() == 2);
+}
+
+// The same, but the second answer comes while the connection is idle.
+TEST_CASE("a late answer on an idle connection closes it", "[backend_pool]")
+{
+    pool_world world;
+    told first;
+    world.send(first);
+    raw_socket worker = world.accept();
+    worker.send(good);
+    first.wait();
+    worker.send(good);
+    CHECK(worker.read_some().empty());
+    told second;
+    world.send(second);
+    CHECK(world.opened() == 2);
+}
+
+// The worker drops a kept connection after it was sent a request. The request
+// may have run: it is reported as sent and is not sent again.
+TEST_CASE("a request on a connection that breaks is not repeated",
+          "[backend_pool]")
+{
+    pool_world world;
+    told first;
+    world.send(first);
+    raw_socket worker = world.accept();
+    worker.send(good);
+    first.wait();
+    told second;
+    world.send(second);
+    worker.read_until(end_of_headers);
+    worker.close();
+    second.wait();
+    CHECK(second.failed == call_stage::sent);
+    CHECK(world.opened() == 1);
+}
+
+TEST_CASE("a worker that cannot be reached was sent nothing", "[backend_pool]")
+{
+    pool_world world;
+    world.listener.close();
+    told only;
+    world.send(only);
+    only.wait();
+    CHECK(only.failed == call_stage::not_sent);
+}
+
+TEST_CASE("an answer that is cut is told as begun", "[backend_pool]")
+{
+    pool_world world;
+    told only;
+    world.send(only);
+    raw_socket worker = world.accept();
+    worker.send("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf");
+    worker.close();
+    only.wait();
+    CHECK(only.failed == call_stage::answering);
+    CHECK_FALSE(only.ended);
+}
+
+TEST_CASE("an answer without a length ends with its connection",
+          "[backend_pool]")
+{
+    pool_world world;
+    told only;
+    world.send(only);
+    raw_socket worker = world.accept();
+    worker.send("HTTP/1.1 200 OK\r\n\r\nwhole");
+    worker.close();
+    only.wait();
+    CHECK(only.ended);
+    CHECK_FALSE(only.framed);
+    CHECK(only.body == "whole");
+}
+
+TEST_CASE("an interim answer is passed over", "[backend_pool]")
+{
+    pool_world world;
+    told only;
+    world.send(only);
+    raw_socket worker = world.accept();
+    worker.send(std::string("HTTP/1.1 102 Processing\r\n\r\n") + good);
+    only.wait();
+    CHECK(only.status == 200);
+    CHECK(only.body == "ok");
+}
+
+TEST_CASE("bytes that are no answer are told", "[backend_pool]")
+{
+    pool_world world;
+    told only;
+    world.send(only);
+    raw_socket worker = world.accept();
+    worker.send("what is this\r\n\r\n");
+    only.wait();
+    CHECK(only.failed == call_stage::sent);
+}
+
+TEST_CASE("a cancelled exchange tells nothing more", "[backend_pool]")
+{
+    pool_world world;
+    told only;
+    auto const running = world.send(only);
+    raw_socket worker = world.accept();
+    world.on_loop([&] { running->cancel(); });
+    CHECK(worker.read_some().empty());
+    world.on_loop([&] { CHECK_FALSE(only.ended); });
+    world.on_loop([&] { CHECK_FALSE(only.failed); });
+}
+
+// A worker takes a question and never answers. It is given up when its time is
+// over, and told so once.
+TEST_CASE("a collected call ends at its time", "[backend_pool]")
+{
+    pool_world world;
+    std::promise<collected_answer> promise;
+    world.on_loop(
+        [&]
+        {
+            collected_call call;
+            call.to = {"127.0.0.1", world.listener.port()};
+            call.bytes = "GET / HTTP/1.1\r\nHost: w\r\n\r\n";
+            call.ends_at = [ends = std::chrono::steady_clock::now() + 30ms]
+            { return ends; };
+            call.on_end = [&promise](collected_answer answer)
+            { promise.set_value(std::move(answer)); };
+            start_collected(world.io, world.pool, std::move(call));
+        });
+    collected_answer const answer = promise.get_future().get();
+    CHECK(answer.timed_out);
+    CHECK(answer.status == 0);
+}
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -475,3 +475,35 @@
     CHECK_FALSE(request.parameter("other"));
     CHECK(percent_decode(percent_encode("a b/\xff@1#2")) == "a b/\xff@1#2");
 }
+
+// A process that stops closes the connections that nobody uses. An answer that
+// is still on its way to a slow reader arrives whole; a request that is being
+// answered is answered.
+TEST_CASE("closing idle connections cuts no answer", "[http_server]")
+{
+    held_answers held;
+    http_server server({}, held.handler());
+    raw_socket idle = raw_socket::connected(server.port());
+    raw_socket slow = raw_socket::connected(server.port());
+    raw_socket busy = raw_socket::connected(server.port());
+    char const* const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    idle.send(request);
+    held.wait_for(0)->respond({200, {}, "short"});
+    CHECK(idle.read_until("short").ends_with("short"));
+    slow.send(request);
+    std::string const body(8UL * 1024 * 1024, 'x');
+    held.wait_for(1)->respond({200, {}, body});
+    busy.send(request);
+    auto const answer = held.wait_for(2);
+
+    server.close_idle();
+    CHECK(idle.read_some().empty());
+    std::string all = slow.read_until(end_of_headers);
+    std::size_t const head = all.find(end_of_headers) + 4;
+    for (std::string piece = " "; all.size() < head + body.size(); all += piece)
+        if (piece = slow.read_some(); piece.empty())
+            break;
+    CHECK(all.size() == head + body.size());
+    answer->respond({200, {}, "late"});
+    CHECK(busy.read_until("late").ends_with("late"));
+}
--- /dev/null
+++ b/tests/peer_ask_test.cpp
@@ -0,0 +1,47 @@
+#include "peer_ask.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string body_of(std::string const& call)
+{
+    return call.substr(call.find("\r\n\r\n") + 4);
+}
+
+} // namespace
+
+TEST_CASE("a call comes back as it was", "[peer_ask]")
+{
+    peer_call call;
+    call.ask = peer_ask{service_id("llm"),
+                        worker_id("w1"),
+                        {base_model_id("base"), adapter_id("a1")},
+                        2,
+                        1500ms};
+    call.done = {{7, false}, {8, true}};
+    CHECK(decode_peer_call(body_of(encode_peer_call(call, "vm"))) == call);
+    call.ask.reset();
+    CHECK(decode_peer_call(body_of(encode_peer_call(call, "vm"))) == call);
+    CHECK(decode_peer_call(body_of(encode_peer_call({}, "vm"))) == peer_call());
+}
+
+TEST_CASE("a reply comes back as it was", "[peer_ask]")
+{
+    peer_reply const reply{true, 41, worker_id("w2"), 0.5};
+    CHECK(decode_peer_reply(encode_peer_reply(reply)) == reply);
+}
+
+TEST_CASE("what is no call is told", "[peer_ask]")
+{
+    for (char const* text :
+         {"", "[]", "{\"worker\":\"w\"}", "{\"done\":1}", "{\"done\":[1]}",
+          "{\"done\":[[1]]}", "{\"done\":[[-1,0]]}", "nonsense"})
+        CHECK_FALSE(decode_peer_call(text));
+    for (char const* text : {"", "{}", "{\"granted\":1}", "{\"granted\":true}"})
+        CHECK_FALSE(decode_peer_reply(text));
+}
--- /dev/null
+++ b/tests/relay_settings_test.cpp
@@ -0,0 +1,53 @@
+#include "relay_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <fmt/format.h>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string with(std::string const& more)
+{
+    return R"({ // one VM
+        "vm": "vm-1", "domain": "a", "callers": "10.0.0.1:80",
+        "readiness": "10.0.0.1:81", "peers": "10.0.0.1:82",
+        "store_url": "http://10.0.0.9:80")" +
+           more + "}";
+}
+
+std::size_t faults_of(std::string const& text)
+{
+    auto const parsed = parse_relay_settings(text, "file");
+    auto const* faults = std::get_if<std::vector<text_fault>>(&parsed);
+    return faults == nullptr ? 0 : faults->size();
+}
+
+} // namespace
+
+TEST_CASE("settings are read with their defaults", "[relay_settings]")
+{
+    auto const parsed = parse_relay_settings(
+        with(R"(, "order_gap_ms": 2000, "stop_bound_s": 4.5)"), "file");
+    auto const& value = std::get<relay_settings>(parsed);
+    CHECK(value.vm == vm_id("vm-1"));
+    CHECK(value.callers.address == "10.0.0.1");
+    CHECK(value.callers.port == 80);
+    CHECK(value.order_gap == 2000ms);
+    CHECK(value.stop_bound == 4500ms);
+    CHECK(value.drain_bound == 2000ms);
+    CHECK_FALSE(value.serves_metrics);
+}
+
+TEST_CASE("every fault is told", "[relay_settings]")
+{
+    CHECK(faults_of("{") > 0);
+    CHECK(faults_of("{}") == 6);
+    CHECK(faults_of(with(R"(, "colour": 1)")) == 1);
+    CHECK(faults_of(with(R"(, "metrics": "here")")) == 1);
+    CHECK(faults_of(with(R"(, "metrics": "10.0.0.1:99999")")) == 1);
+    CHECK(faults_of(with(R"(, "retry_ratio": 2, "drain_bound_ms": 0)")) == 2);
+}
