Name two fields in words of our own; log the orders that took effect

Cause: a field bore a name of the wire, a status of the wire was compared outside the adapter, and an order that was accepted wrote no line. Change: worker_limit, worker_reply::lacks_model; on_outcome tells whether what is believed changed, and such orders are routine lines; unused parameters went.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -73,7 +73,6 @@
     settings.vm = options_.vm;
     settings.domain = options_.domain;
     settings.release_grace = options_.release_grace;
-    settings.seed = options_.seed;
     auto const made =
         services_.try_emplace(config.name, settings, config, options_.retries)
             .first;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -114,7 +114,7 @@
     int run();
 
 private:
-    http_server_options server_options(door_address const& at) const;
+    http_server_options server_options(door_address const& at);
     void answer_readiness(http_request const& request, http_answer& answer);
     void answer_metrics(http_request const& request, http_answer& answer);
     void await_signal();
@@ -207,14 +207,14 @@
         ownership_->set_workers(engines_among(backends_, *config_));
 }
 
-http_server_options relay_process::server_options(door_address const& at) const
+http_server_options relay_process::server_options(door_address const& at)
 {
     http_server_options options;
     options.address = at.address;
     options.port = at.port;
     options.max_connections = settings_.max_connections;
     options.read_timeout = idle_timeout;
-    options.shared_io = const_cast<asio::io_context*>(&io_);
+    options.shared_io = &io_;
     return options;
 }
 
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -47,10 +47,10 @@
         if (current())
             of_->on_body(bytes);
     }
-    void on_end(bool framed) override
+    void on_end(bool) override
     {
         if (current())
-            of_->on_end(framed);
+            of_->on_end();
     }
     void on_failure(call_stage at, std::string const& reason) override
     {
@@ -83,7 +83,7 @@
 {
     time_point when = terms_.give_up_at;
     if (stage_ == stage::sent && repeatable() &&
-        runs_ <= terms_.matched->max_attempts)
+        runs_ <= terms_.matched->worker_limit)
         when = std::min(when, sent_at_ + host_.patience(*this));
     if (stage_ == stage::streaming && repeatable())
         when = std::min(when, last_byte_at_ + longest_pause);
@@ -282,18 +282,17 @@
     }
 }
 
-void relay_exchange::on_end(bool framed)
+void relay_exchange::on_end()
 {
     if (stage_ == stage::streaming)
-        return finish_stream(framed);
+        return finish_stream();
     if (reply_.not_run)
         return finish_rejected();
     finish_answer();
 }
 
-void relay_exchange::finish_stream(bool framed)
+void relay_exchange::finish_stream()
 {
-    (void)framed;
     end_send(send_outcome::served);
     if (events_.rest_bytes() > 0)
     {
@@ -309,10 +308,9 @@
 void relay_exchange::finish_rejected()
 {
     --runs_;
-    bool const lacks = reply_.status == 421 && !reply_.other_worker;
     send_outcome const outcome = reply_.other_worker ? send_outcome::unreachable
-                                 : lacks             ? send_outcome::not_held
-                                                     : send_outcome::full;
+                                 : reply_.lacks_model ? send_outcome::not_held
+                                                      : send_outcome::full;
     excluded_.insert(worker_.id);
     end_send(outcome);
     if (sends_ < most_sends && host_.take_retry(*this))
@@ -360,7 +358,7 @@
 
 bool relay_exchange::may_repeat()
 {
-    return repeatable() && runs_ < terms_.matched->max_attempts &&
+    return repeatable() && runs_ < terms_.matched->worker_limit &&
            sends_ < most_sends && host_.take_retry(*this);
 }
 
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -113,14 +113,14 @@
 
     void on_head(int status, http_headers headers);
     void on_body(std::string_view bytes);
-    void on_end(bool framed);
+    void on_end();
     void on_failure(call_stage at, std::string const& reason);
 
     bool repeatable() const;
     bool may_repeat();
     void begin_stream();
     void pass_on(std::string_view bytes);
-    void finish_stream(bool framed);
+    void finish_stream();
     void finish_rejected();
     void finish_answer();
     void end_send(send_outcome outcome);
--- a/src/relay_orders.cpp
+++ b/src/relay_orders.cpp
@@ -108,10 +108,13 @@
             .add("fence", order.fence.value())
             .add("outcome", outcome_name(outcome));
     };
+    service_state* const known = find(service);
+    bool const changed = known != nullptr && known->scheduler.on_order(
+                                                 order.worker, outcome, now());
     if (notable)
         log_.notable("order answered", fields(), now());
-    if (service_state* const known = find(service))
-        known->scheduler.on_order(order.worker, outcome, now());
+    else if (changed)
+        log_.routine("order answered", fields(), now());
     run_soon();
 }
 
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -69,6 +69,8 @@
     bool not_run = false;
     /// The worker that answered is not the one that was meant.
     bool other_worker = false;
+    /// It does not hold the model, the adapter or its version.
+    bool lacks_model = false;
     /// It carries the worker's proof that it made the answer.
     bool sealed = false;
     bool event_stream = false;
--- a/src/routing_config.hpp
+++ b/src/routing_config.hpp
@@ -54,7 +54,7 @@
     /// 0 is the most urgent.
     int priority = 0;
     /// The most workers that one request may run on.
-    int max_attempts = 1;
+    int worker_limit = 1;
     friend bool operator==(route const&, route const&) = default;
 };
 
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -262,7 +262,7 @@
     sent_item sent{on.entry.id, now, item.target, false, false, false};
     if (item.target && !item.target->adapter.empty() && on.owned)
     {
-        on.adapters.begin_use(*item.target, now);
+        on.adapters.begin_use(*item.target);
         sent.counted_use = true;
     }
     if (item.asked_for)
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -184,11 +184,11 @@
             held.adapters.erase(sent.target->adapter);
 }
 
-void service_scheduler::on_order(worker_id const& worker, order_outcome outcome,
+bool service_scheduler::on_order(worker_id const& worker, order_outcome outcome,
                                  time_point now)
 {
-    if (worker_state* const known = find(worker))
-        known->adapters.on_outcome(outcome, now);
+    worker_state* const known = find(worker);
+    return known != nullptr && known->adapters.on_outcome(outcome, now);
 }
 
 void service_scheduler::on_report(worker_id const& worker,
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -126,7 +126,6 @@
     std::size_t max_waiting = 512;
     /// How long an older copy may be used after a newer version was heard of.
     duration release_grace = std::chrono::milliseconds(2000);
-    std::uint64_t seed = 1;
 };
 
 /// Why a scheduler decided so, summed up for metrics. Value.
@@ -186,7 +185,8 @@
     /// A request that was sent is over at its worker.
     void ended(ticket_id ticket, send_outcome outcome, time_point now);
 
-    void on_order(worker_id const& worker, order_outcome outcome,
+    /// Whether what is believed of the worker changed.
+    bool on_order(worker_id const& worker, order_outcome outcome,
                   time_point now);
     void on_report(worker_id const& worker,
                    std::optional<worker_report> const& report, time_point now);
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -173,7 +173,7 @@
                                                        : settings_.cold_load);
 }
 
-void worker_adapters::begin_use(model_target const& target, time_point)
+void worker_adapters::begin_use(model_target const& target)
 {
     if (auto const known = adapters_.find(target); known != adapters_.end())
         ++known->second.uses;
@@ -274,9 +274,9 @@
     }
     auto next = poll_order(now);
     if (!next)
-        next = model_order(now);
+        next = model_order();
     if (!next)
-        next = load_order(now);
+        next = load_order();
     if (!next)
         next = evict_order(keep, now);
     order_ = next;
@@ -304,14 +304,14 @@
     return std::nullopt;
 }
 
-std::optional<worker_order> worker_adapters::model_order(time_point)
+std::optional<worker_order> worker_adapters::model_order() const
 {
     if (!wanted_model_ || loading_model_ || !models_.empty())
         return std::nullopt;
     return make(order_kind::load, {*wanted_model_, {}});
 }
 
-std::optional<worker_order> worker_adapters::load_order(time_point)
+std::optional<worker_order> worker_adapters::load_order() const
 {
     if (occupied() >= settings_.adapter_slots ||
         coming() >= settings_.max_coming)
@@ -359,77 +359,63 @@
     return make(order_kind::unload, victim->first);
 }
 
-void worker_adapters::on_outcome(order_outcome outcome, time_point now)
+bool worker_adapters::on_outcome(order_outcome outcome, time_point now)
 {
     if (!order_ || !in_flight_)
-        return;
+        return false;
     in_flight_ = false;
     worker_order const order = *order_;
+    if (outcome == order_outcome::unknown)
+    {
+        // Sent again as it was, until the worker says something.
+        repeated_ = true;
+        retry_at_ = now + settings_.poll_interval;
+        return false;
+    }
+    order_.reset();
     switch (outcome)
     {
     case order_outcome::accepted:
-        order_.reset();
         conflicts_ = 0;
         return accepted(order, now);
     case order_outcome::holds:
-        order_.reset();
         conflicts_ = 0;
-        return held(order);
-    case order_outcome::unknown:
-        // Sent again as it was, until the worker says something.
-        repeated_ = true;
-        retry_at_ = now + settings_.poll_interval;
-        return;
+        held(order);
+        return true;
     case order_outcome::conflict:
-        order_.reset();
         // An order repeated under a number that the worker is past was carried
         // out the first time.
         if (repeated_ && order.expected_sequence == *sequence_)
             return accepted(order, now);
-        return conflicted(order, now);
-    case order_outcome::fenced:
-    case order_outcome::other_worker:
-        order_.reset();
-        return lose_track(now);
+        conflicted(order, now);
+        return false;
     case order_outcome::refused:
-        order_.reset();
         retry_at_ = now + refused_retry;
         // An adapter that does not exist: nobody should wait for it.
         if (!order.adapter.empty())
             adapters_.erase({order.model, order.adapter});
-        return;
+        return false;
+    case order_outcome::fenced:
+    case order_outcome::other_worker:
+    case order_outcome::unknown:
+        break;
     }
+    lose_track(now);
+    return false;
 }
 
-void worker_adapters::accepted(worker_order const& order, time_point now)
+bool worker_adapters::accepted(worker_order const& order, time_point now)
 {
-    model_target const target{order.model, order.adapter};
     if (order.kind == order_kind::unload)
-    {
-        // A request that this VM does not know of uses the adapter. Its slot
-        // is not free before that request is over: one more load would be one
-        // too many.
-        entry& state = adapters_[target];
-        if (std::exchange(state.stage, adapter_stage::unloading) !=
-            adapter_stage::unloading)
-            ++*sequence_;
-        state.check_at = now + settings_.poll_interval;
-        return;
-    }
+        return unload_begun(order, now);
     if (order.adapter.empty())
-    {
-        if (!loading_model_)
-            ++*sequence_;
-        loading_model_ = order.model;
-        wanted_model_.reset();
-        model_check_at_ = now + settings_.cold_load / 2;
-        return;
-    }
+        return model_load_begun(order, now);
+    model_target const target{order.model, order.adapter};
     entry& state = adapters_[target];
     if (state.stage == adapter_stage::loading)
     {
         state.check_at = now + settings_.poll_interval;
-        return;
+        return false;
     }
     ++*sequence_;
     bool const warm = was_here_lately(target);
@@ -439,6 +425,32 @@
     state.ordered = state.newest;
     state.due = now + (warm ? settings_.warm_load : settings_.cold_load);
     state.check_at = state.due;
+    return true;
+}
+
+/// A request that this VM does not know of uses the adapter. Its slot is not
+/// free before that request is over: one more load would be one too many.
+bool worker_adapters::unload_begun(worker_order const& order, time_point now)
+{
+    entry& state = adapters_[{order.model, order.adapter}];
+    bool const begun = std::exchange(state.stage, adapter_stage::unloading) !=
+                       adapter_stage::unloading;
+    if (begun)
+        ++*sequence_;
+    state.check_at = now + settings_.poll_interval;
+    return begun;
+}
+
+bool worker_adapters::model_load_begun(worker_order const& order,
+                                       time_point now)
+{
+    bool const begun = !loading_model_;
+    if (begun)
+        ++*sequence_;
+    loading_model_ = order.model;
+    wanted_model_.reset();
+    model_check_at_ = now + settings_.cold_load / 2;
+    return begun;
 }
 
 void worker_adapters::held(worker_order const& order)
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -99,7 +99,7 @@
     /// Wants the adapter loaded. Precondition: can_take().
     void want(model_target const& target, time_point now);
     /// Requests in progress under the adapter.
-    void begin_use(model_target const& target, time_point now);
+    void begin_use(model_target const& target);
     void end_use(model_target const& target, time_point now);
     /// Requests that wait here for the adapter; it is not evicted meanwhile.
     void begin_wait(model_target const& target);
@@ -116,7 +116,9 @@
     /// may_order(now).
     std::optional<worker_order> next_order(worker_id const& worker,
                                            score const& keep, time_point now);
-    void on_outcome(order_outcome outcome, time_point now);
+    /// Whether what is believed of the worker changed: false for an order that
+    /// only asked how far another is, and for one without effect.
+    bool on_outcome(order_outcome outcome, time_point now);
     bool order_in_flight() const { return in_flight_; }
     /// The next moment at which next_order() may have something new.
     time_point next_due() const;
@@ -152,11 +154,14 @@
     std::size_t occupied() const;
     std::size_t coming() const;
     std::optional<worker_order> poll_order(time_point now);
-    std::optional<worker_order> model_order(time_point now);
-    std::optional<worker_order> load_order(time_point now);
+    std::optional<worker_order> model_order() const;
+    std::optional<worker_order> load_order() const;
     std::optional<worker_order> evict_order(score const& keep, time_point now);
     worker_order make(order_kind kind, model_target target) const;
-    void accepted(worker_order const& order, time_point now);
+    /// False when it was known before.
+    bool accepted(worker_order const& order, time_point now);
+    bool unload_begun(worker_order const& order, time_point now);
+    bool model_load_begun(worker_order const& order, time_point now);
     void held(worker_order const& order);
     void conflicted(worker_order const& order, time_point now);
     void lose_track(time_point now);
