Drop a question without taking its owner for silent

Cause: a question whose caller left before the owner had begun to answer stayed open in the owner's record, so that the owner looked silent for good and was never asked again (found reading; the test failed: no second question). Change: the question is ended as given up; numbers of requests begin anywhere, so that a restarted VM is not told of its earlier process's grants. scheduling_test 40, platform_test 32 cases passed.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -15,6 +15,8 @@
 
 /// How often idle connections and other slow things are looked at.
 constexpr milliseconds sweep_interval{500};
+/// Of the numbers that requests are given; half of what JSON can carry.
+constexpr std::uint64_t highest_first = std::uint64_t{1} << 52U;
 /// A caller that named no deadline waits as long as its route allows.
 constexpr std::chrono::seconds no_deadline{3600};
 /// While a VM does not know its configuration, others may.
@@ -45,6 +47,11 @@
     : io_(io), codec_(codec), options_(std::move(options)), log_(log),
       pool_(io), timer_(io), random_(options_.seed)
 {
+    // Failure: a VM restarts, and another tells it that a grant of its earlier
+    // process is over; a grant of this one with the same number ends early.
+    // Numbers that begin anywhere do not meet.
+    std::uniform_int_distribution<std::uint64_t> anywhere(1, highest_first);
+    last_ticket_ = anywhere(random_);
 }
 
 relay::~relay() = default;
@@ -245,7 +252,8 @@
         ask->second->cancel();
         asks_.erase(ask);
     }
-    find(exchange.terms().service)->scheduler.withdraw(exchange.terms().ticket);
+    find(exchange.terms().service)
+        ->scheduler.withdraw(exchange.terms().ticket, now());
 }
 
 void relay::first_byte(relay_exchange& exchange)
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -115,7 +115,7 @@
         return;
     if (service_state* const service = find(found->second.service))
     {
-        service->scheduler.withdraw(ticket);
+        service->scheduler.withdraw(ticket, now());
         service->scheduler.ended(ticket, outcome, now());
     }
     due_.erase(ticket);
@@ -148,7 +148,7 @@
     auto const found = exchanges_.find(ask.ticket);
     auto const peer = peers_.find(ask.owner);
     if (found == exchanges_.end())
-        return service.scheduler.withdraw(ask.ticket);
+        return service.scheduler.withdraw(ask.ticket, now());
     service_id const name = found->second->terms().service;
     if (peer == peers_.end())
     {
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -134,9 +134,16 @@
     waiting.loads_at = {};
 }
 
-void service_scheduler::withdraw(ticket_id ticket)
+void service_scheduler::withdraw(ticket_id ticket, time_point now)
 {
-    asked_.erase(ticket);
+    // Failure: a question that was dropped stays open in the owner's record;
+    // the owner looks silent from then on and is never asked again.
+    if (auto const asked = asked_.find(ticket); asked != asked_.end())
+    {
+        peers_[asked->second.owner].ended(send_outcome::abandoned,
+                                          asked->second.asked_at, now);
+        asked_.erase(asked);
+    }
     auto const known = waiting_.find(ticket);
     if (known == waiting_.end())
         return;
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -179,7 +179,7 @@
 
     void submit(work_item item, time_point now);
     /// The caller is gone or has been answered. Does nothing once sent.
-    void withdraw(ticket_id ticket);
+    void withdraw(ticket_id ticket, time_point now);
     /// The worker began to answer.
     void first_byte(ticket_id ticket, time_point now);
     /// A request that was sent is over at its worker.
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -469,6 +469,23 @@
     CHECK(world.asks().size() == before + 1);
 }
 
+// A caller leaves while the owner has not yet begun to answer. The question is
+// dropped; the owner is not taken for silent because of it, and is asked again.
+TEST_CASE("a question that was dropped says nothing of the owner",
+          "[scheduler]")
+{
+    foreign_world world;
+    ticket_id const first = world.ask("a1");
+    world.run(5ms);
+    REQUIRE(world.asks().size() == 1);
+    world.scheduler.withdraw(first, world.now);
+    world.run(10s);
+    ticket_id const second = world.ask("a2");
+    world.run(5ms);
+    CHECK(world.asks().size() == 2);
+    CHECK_FALSE(world.refused(second));
+}
+
 TEST_CASE("another VM's request is granted when its adapter is there",
           "[scheduler]")
 {
@@ -533,7 +550,7 @@
     scheduler_world world(1, 1);
     ticket_id const first = world.ask("a1");
     world.run(20ms);
-    world.scheduler.withdraw(first);
+    world.scheduler.withdraw(first, world.now);
     ticket_id const second = world.ask("a2");
     world.run(700ms);
     CHECK_FALSE(world.placed(first));
