Do not pass on a worker's 503 that does not state that nothing ran

Cause: a worker that ran a call and answered 408, 421, 429 or 503 without stating that it did not had its answer passed on; callers take these for a promise and send again (found reading; the test failed: 503 in place of 502).

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -27,6 +27,20 @@
 /// so much is cut off.
 constexpr std::size_t most_unsent = 1UL * 1024 * 1024;
 
+/// How long opening a connection to a worker may take. Within a region it
+/// takes milliseconds; one that is not open after this long will not be.
+constexpr milliseconds connect_timeout{300};
+/// A kept connection may have been dropped without a word. What may run once
+/// only is sent over one that was in use a moment ago.
+constexpr milliseconds repeatable_idle{3000};
+constexpr milliseconds once_idle{1000};
+
+/// Statuses that callers take for "not run, and never will be".
+bool promises_not_run(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 /// Hears of one send, and nothing once another follows.
@@ -119,12 +133,8 @@
     if (stream_begun_ && events_.last_id())
         terms.resume_after = events_.last_id();
     exchange_options options;
-    // A connection that is opened within the domain takes a millisecond; one
-    // that is still not open after this long will not be.
-    options.connect_timeout = std::chrono::milliseconds(300);
-    // A kept connection may have been dropped without a word. What may run
-    // once only is sent over one that was in use a moment ago.
-    options.max_idle = repeatable() ? milliseconds(3000) : milliseconds(1000);
+    options.connect_timeout = connect_timeout;
+    options.max_idle = repeatable() ? repeatable_idle : once_idle;
     ++attempt_number_;
     running_ = host_.pool().start(
         {worker.address, worker.port},
@@ -323,6 +333,11 @@
 {
     if (!answer_acceptable())
         return recover(send_outcome::broken, "the answer has no proof");
+    // Failure: a worker ran the request and answers with a status that callers
+    // take for "not run"; they send it again and it runs twice.
+    if (promises_not_run(reply_.status))
+        return recover(send_outcome::failed,
+                       "the worker does not state that it did not run");
     bool const failed = reply_.status >= first_server_error;
     if (failed && may_repeat())
     {
