Let one VM of a failure domain read the store for the others

Cause: every VM asks the store for declarations, workers and the product's own rows by itself.

Ruled out: fewer questions by each VM (the bounds on configuration and on draining workers leave no room for more than a third less); a longer wait of the feed (a connection that went silent would be noticed too late).

Change: row_copy keeps a set of rows and tells what changed since a version, without heartbeats that nobody acts on; reader_choice names the same few readers of a failure domain on every VM by hashes (one for sixteen VMs, none below four); row_mirror asks the store or the reader, notices a reader that is silent, gone or has old rows within the bound on draining workers, and asks the store then. The ownership keeper's scans are answered from the copy, by the moment that it shows. Entries of workers that lapse with the store are handled as before, now with a test.

Deployments with fewer than four VMs a failure domain are unchanged.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -400,6 +400,20 @@
 
 } // namespace
 
+std::optional<backend_address> parse_address(std::string const& text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0)
+        return std::nullopt;
+    std::uint16_t port = 0;
+    char const* const end = text.data() + text.size();
+    auto const [stop, fault] =
+        std::from_chars(text.data() + colon + 1, end, port);
+    if (fault != std::errc() || stop != end || port == 0)
+        return std::nullopt;
+    return backend_address{text.substr(0, colon), port};
+}
+
 class backend_pool::implementation final : public connection_home
 {
 public:
--- a/src/backend_pool.hpp
+++ b/src/backend_pool.hpp
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,9 @@
                             backend_address const&) = default;
 };
 
+/// Reads IP:PORT; nothing when it is none.
+std::optional<backend_address> parse_address(std::string const& text);
+
 /// Sees one exchange. Exactly one of on_end and on_failure comes last, unless
 /// the exchange is cancelled. May start and cancel exchanges.
 class exchange_observer
--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -200,8 +200,8 @@
         next_scan_at_ = now + random_.around(settings_.heartbeat);
         return;
     }
-    which.read_at = which.asked_at;
-    table_heard_at_ = std::max(table_heard_at_, which.asked_at);
+    which.read_at = std::min(which.asked_at, reply.as_of);
+    table_heard_at_ = std::max(table_heard_at_, which.read_at);
     store_rows(reply.rows, actions);
     workers_.set_read_at(std::min(vm_scan_.read_at, worker_scan_.read_at));
     if (&which == &vm_scan_)
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -15,6 +15,8 @@
 /// How often the keeper is given the time; its own deadlines are hundreds of
 /// milliseconds apart.
 constexpr std::chrono::milliseconds tick_interval{100};
+/// For so many heartbeats after it registered a VM reads the rows itself.
+constexpr int strict_heartbeats = 2;
 
 table_outcome outcome_of(store_outcome outcome)
 {
@@ -41,11 +43,12 @@
 } // namespace
 
 ownership_runner::ownership_runner(asio::io_context& io, row_store& store,
+                                   row_mirror& mirror,
                                    ownership_run_options options,
                                    event_log& log, ownership_listener listener)
-    : io_(io), store_(store), options_(std::move(options)), log_(log),
-      listener_(std::move(listener)), keeper_(options_.keeper, checks_, ids_),
-      timer_(io)
+    : io_(io), store_(store), mirror_(mirror), options_(std::move(options)),
+      log_(log), listener_(std::move(listener)),
+      keeper_(options_.keeper, checks_, ids_), timer_(io)
 {
 }
 
@@ -291,50 +294,44 @@
         });
 }
 
-/// Scans that are asked for together are answered by one read of the whole
-/// set, since the store counts calls.
-void ownership_runner::run(std::vector<scan_rows> scans)
+/// Failure: rows that were read before this VM registered show too few members
+/// and it takes workers that are not its share, so for a while after it
+/// registered only rows as of the scan will do.
+bool ownership_runner::needs_newest(time_point now)
 {
-    scan_page(std::move(scans), "", {});
+    if (!keeper_.registered())
+    {
+        registered_at_ = never;
+        return true;
+    }
+    registered_at_ = std::min(registered_at_, now);
+    return now < registered_at_ + options_.keeper.heartbeat * strict_heartbeats;
 }
 
-void ownership_runner::scan_page(std::vector<scan_rows> scans,
-                                 std::string after, std::vector<table_row> rows)
+/// Scans that are asked for together are answered from one reading.
+void ownership_runner::run(std::vector<scan_rows> scans)
 {
-    std::string const prefix = scans.size() == 1 ? scans.front().prefix : "";
-    duration const limit = scans.front().deadline - boot_clock::now();
-    store_.read(row_set::own, prefix, after, limit,
-                [this, scans = std::move(scans),
-                 rows = std::move(rows)](store_reply const& reply)
-                {
-                    asio::post(io_,
-                               [this, scans, rows, reply]() mutable
-                               {
-                                   for (stored_row const& row : reply.rows)
-                                       rows.push_back(to_table_row(row));
-                                   bool const more =
-                                       reply.outcome == store_outcome::done &&
-                                       reply.truncated && !rows.empty();
-                                   if (!more)
-                                       return scanned(scans, reply.outcome,
-                                                      rows);
-                                   std::string last = rows.back().key;
-                                   scan_page(std::move(scans), std::move(last),
-                                             std::move(rows));
-                               });
-                });
+    bool const strict = needs_newest(boot_clock::now());
+    mirror_.refresh_own(
+        strict, [this, scans = std::move(scans)](bool current, time_point as_of)
+        { scanned(scans, current, as_of); });
 }
 
 void ownership_runner::scanned(std::vector<scan_rows> const& scans,
-                               store_outcome outcome,
-                               std::vector<table_row> const& rows)
+                               bool current, time_point as_of)
 {
+    std::vector<stored_row> const rows = mirror_.rows(row_set::own);
     for (scan_rows const& scan : scans)
     {
-        table_reply reply{scan.operation, outcome_of(outcome), {}};
-        for (table_row const& row : rows)
-            if (row.key.starts_with(scan.prefix))
-                reply.rows.push_back(row);
+        table_reply reply{scan.operation,
+                          current ? table_outcome::done
+                                  : table_outcome::unreachable,
+                          {},
+                          as_of};
+        if (current)
+            for (stored_row const& row : rows)
+                if (row.key.starts_with(scan.prefix))
+                    reply.rows.push_back(to_table_row(row));
         deliver(reply);
     }
 }
--- a/src/ownership_runner.hpp
+++ b/src/ownership_runner.hpp
@@ -5,6 +5,7 @@
 #include "backend_entry.hpp"
 #include "event_log.hpp"
 #include "ownership_keeper.hpp"
+#include "row_mirror.hpp"
 #include "row_store.hpp"
 #include "service_scheduler.hpp"
 
@@ -43,7 +44,7 @@
 {
 public:
     /// The references outlive this object.
-    ownership_runner(asio::io_context& io, row_store& store,
+    ownership_runner(asio::io_context& io, row_store& store, row_mirror& mirror,
                      ownership_run_options options, event_log& log,
                      ownership_listener listener);
 
@@ -60,10 +61,9 @@
     void run(transact const& what);
     void run(read_row const& what);
     void run(std::vector<scan_rows> scans);
-    void scan_page(std::vector<scan_rows> scans, std::string after,
-                   std::vector<table_row> rows);
-    void scanned(std::vector<scan_rows> const& scans, store_outcome outcome,
-                 std::vector<table_row> const& rows);
+    void scanned(std::vector<scan_rows> const& scans, bool current,
+                 time_point as_of);
+    bool needs_newest(time_point now);
     void written(transact const& what, store_reply const& reply);
     void answered(operation_id operation, store_reply const& reply);
     void deliver(table_reply const& reply);
@@ -77,6 +77,7 @@
 
     asio::io_context& io_;
     row_store& store_;
+    row_mirror& mirror_;
     ownership_run_options options_;
     event_log& log_;
     ownership_listener listener_;
@@ -92,6 +93,8 @@
     std::vector<member_view> members_;
     std::map<worker_id, vm_id> others_;
     bool held_lease_ = false;
+    /// When this VM was seen to have registered.
+    time_point registered_at_ = never;
 };
 
 } // namespace mulberry
--- /dev/null
+++ b/src/peer_rows.hpp
@@ -0,0 +1,65 @@
+/// What VMs say to each other about the store's rows.
+///
+///   POST /rows  {"after": [V, V, V], "wait_ms": N}
+///   200         {"sets": [{"read": true, "version": V, "age_ms": N,
+///                          "whole": false,
+///                          "rows": [[KIND, KEY, VERSION, VALUE or null]]},
+///                         ...]}
+///
+/// One entry for each set, in the order of row_set. The answer comes when a
+/// row that others act on has changed, or when the wait is over.
+#ifndef MULBERRY_PEER_ROWS_HPP
+#define MULBERRY_PEER_ROWS_HPP
+
+#include "row_store.hpp"
+#include "time_point.hpp"
+
+#include <array>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mulberry
+{
+
+inline constexpr char const* rows_path = "/rows";
+inline constexpr std::array<row_set, 3> all_row_sets{
+    row_set::declarations, row_set::workers, row_set::own};
+
+/// What changed after these versions? Value.
+struct rows_question
+{
+    std::array<row_version, all_row_sets.size()> after;
+    /// How long the answer may wait for a change.
+    duration wait{};
+    friend bool operator==(rows_question const&,
+                           rows_question const&) = default;
+};
+
+/// What changed in one set. Value.
+struct rows_news
+{
+    /// The VM that answers has read the set.
+    bool read = false;
+    row_version version;
+    /// How long ago the store was asked for what this shows.
+    duration age{};
+    /// All rows there are, in place of those that changed.
+    bool whole = false;
+    std::vector<stored_row> rows;
+    friend bool operator==(rows_news const&, rows_news const&) = default;
+};
+
+using rows_answer = std::array<rows_news, all_row_sets.size()>;
+
+/// A whole HTTP request.
+std::string encode_rows_question(rows_question const& question,
+                                 std::string const& host);
+/// Nothing when the text is no such message.
+std::optional<rows_question> decode_rows_question(std::string const& body);
+std::string encode_rows_answer(rows_answer const& answer);
+std::optional<rows_answer> decode_rows_answer(std::string const& body);
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/reader_choice.cpp
@@ -0,0 +1,81 @@
+#include "reader_choice.hpp"
+
+#include "placement.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// VMs that one reader serves at most. What a reader sends grows with them,
+/// and its link and processor are those of any other VM: some 10 KB a second
+/// for each at a hundred VMs, mostly their heartbeats.
+constexpr std::size_t vms_per_reader = 16;
+/// In a smaller failure domain every VM reads for itself: one less to depend
+/// on, for a read or two a second more at the store.
+constexpr std::size_t least_members = 4;
+/// A reader that failed is passed over for so long, twice as long after each
+/// further failure: a restart takes one to some seconds.
+constexpr milliseconds first_avoid{1000};
+constexpr int most_doublings = 3;
+
+std::uint64_t rank_of(vm_id const& vm)
+{
+    return stable_hash("rows/" + vm.str());
+}
+
+} // namespace
+
+void reader_choice::set_members(std::vector<vm_id> members)
+{
+    readers_.clear();
+    std::erase_if(troubles_,
+                  [&members](auto const& each)
+                  {
+                      return std::find(members.begin(), members.end(),
+                                       each.first) == members.end();
+                  });
+    if (members.size() < least_members)
+        return;
+    std::sort(members.begin(), members.end(),
+              [](vm_id const& left, vm_id const& right)
+              { return rank_of(left) > rank_of(right); });
+    members.resize((members.size() + vms_per_reader - 1) / vms_per_reader);
+    if (std::find(members.begin(), members.end(), self_) != members.end())
+        return;
+    // Spread over the readers; the next ones follow when the first fails.
+    auto const first =
+        static_cast<std::ptrdiff_t>(stable_hash(self_.str()) % members.size());
+    std::rotate(members.begin(), members.begin() + first, members.end());
+    readers_ = std::move(members);
+}
+
+vm_id reader_choice::choose(time_point now) const
+{
+    for (vm_id const& reader : readers_)
+    {
+        auto const known = troubles_.find(reader);
+        if (known == troubles_.end() || now >= known->second.avoid_until)
+            return reader;
+    }
+    return {};
+}
+
+void reader_choice::answered(vm_id const& reader)
+{
+    troubles_.erase(reader);
+}
+
+void reader_choice::failed(vm_id const& reader, time_point now)
+{
+    trouble& known = troubles_[reader];
+    int const doublings = std::min(known.failures++, most_doublings);
+    known.avoid_until = now + first_avoid * (1 << doublings);
+}
+
+} // namespace mulberry
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -1,23 +1,26 @@
 # The relay's decisions: routes, waiting, placing, turning away, orders,
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
-  SOURCES retry_allowance.cpp route_table.cpp service_placing.cpp
+  SOURCES reader_choice.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
+          service_placing.cpp
           service_scheduler.cpp
           worker_adapters.cpp worker_health.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
-  SOURCES retry_allowance_test.cpp route_table_test.cpp scheduler_world.cpp
+  SOURCES reader_choice_test.cpp retry_allowance_test.cpp route_table_test.cpp
+          row_copy_test.cpp scheduler_world.cpp
           service_scheduler_test.cpp worker_health_test.cpp
   LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp collected_exchange.cpp event_log.cpp event_splitter.cpp
-          ownership_runner.cpp peer_ask.cpp registry_watch.cpp relay.cpp relay_daemon.cpp
+          ownership_runner.cpp peer_ask.cpp peer_rows.cpp registry_watch.cpp relay.cpp relay_daemon.cpp
           relay_exchange.cpp relay_metrics.cpp relay_orders.cpp
-          relay_peers.cpp relay_settings.cpp
+          relay_peers.cpp relay_settings.cpp row_mirror.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
 mulberry_test(relay_test
   SOURCES backend_pool_test.cpp event_log_test.cpp event_splitter_test.cpp
-          peer_ask_test.cpp relay_settings_test.cpp
+          memory_row_store.cpp peer_ask_test.cpp peer_rows_test.cpp
+          registry_watch_test.cpp relay_settings_test.cpp row_mirror_test.cpp
   LINK mulberry_relay)
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -7,11 +7,14 @@
 #include "ownership_runner.hpp"
 #include "registry_watch.hpp"
 #include "relay.hpp"
+#include "row_mirror.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <csignal>
 #include <iostream>
@@ -58,6 +61,12 @@
     return at.address + ":" + std::to_string(server.port());
 }
 
+duration heartbeat_of(relay_settings const& value)
+{
+    return std::chrono::duration_cast<duration>(value.order_gap /
+                                                heartbeats_per_gap);
+}
+
 ownership_run_options ownership_options(relay_settings const& value,
                                         std::string const& peers_address,
                                         std::uint64_t seed)
@@ -69,8 +78,7 @@
     options.keeper.lease = value.order_gap * lease_gaps;
     duration const gap = value.order_gap + value.order_gap / gap_slack;
     options.keeper.lease_margin = gap;
-    options.keeper.heartbeat = std::chrono::duration_cast<duration>(
-        value.order_gap / heartbeats_per_gap);
+    options.keeper.heartbeat = heartbeat_of(value);
     options.keeper.table_timeout = value.order_gap / gap_shares;
     options.keeper.settle = value.order_gap / gap_shares;
     // A worker that changes hands takes no orders for the gap: one at a time.
@@ -80,12 +88,35 @@
     return options;
 }
 
-registry_watch_options watch_options(relay_settings const& value)
+/// What others act on of a worker's row: all but its heartbeat and the adapters
+/// that it holds, which change with each load. Other VMs' workers are found by
+/// asking their owners, not by what they list.
+std::string essence_of(relay_codec const& codec, stored_row const& row)
 {
-    registry_watch_options options;
+    std::string fault;
+    auto const entry = codec.decode_backend(row.key, row.value, fault);
+    if (!entry)
+        return row.value;
+    std::string text = fmt::format(
+        "{} {}:{} {} {} {}", entry->service.str(), entry->address, entry->port,
+        entry->domain.str(), entry->slots, entry->draining);
+    for (held_model const& held : entry->models)
+        text += " " + held.model.str();
+    return text;
+}
+
+row_mirror_options mirror_options(relay_settings const& value,
+                                  relay_codec const& codec)
+{
+    row_mirror_options options;
+    options.vm = value.vm;
+    options.domain = value.domain;
     options.declaration_wait = value.configuration_bound;
     options.answer_time = value.configuration_bound * 3 / 10;
     options.worker_interval = value.drain_bound / 2;
+    options.own_interval = heartbeat_of(value);
+    options.worker_essence = [&codec](stored_row const& row)
+    { return essence_of(codec, row); };
     return options;
 }
 
@@ -123,6 +154,8 @@
     void begin_stop();
     void review_stop();
     bool ready() const;
+    bool registry_known() const;
+    void on_rows(row_set set, std::vector<stored_row> const& rows);
     void share_workers();
     void start_ownership();
     void tell_addresses() const;
@@ -138,6 +171,7 @@
     event_log log_;
     relay relay_;
     registry_watch registry_;
+    row_mirror mirror_;
     std::optional<ownership_runner> ownership_;
     std::vector<backend_entry> backends_;
     std::shared_ptr<routing_config const> config_;
@@ -183,7 +217,7 @@
                             return ownership_ && ownership_->may_order(worker);
                         }),
              log_),
-      registry_(io_, store, codec, watch_options(value), log_,
+      registry_(codec, log_,
                 {[this](std::shared_ptr<routing_config const> config)
                  {
                      config_ = config;
@@ -197,13 +231,30 @@
                      backends_ = std::move(entries);
                      relay_.set_backends(backends_);
                      share_workers();
-                 }})
+                 }}),
+      mirror_(io_, store, relay_.pool(), mirror_options(value, codec), log_,
+              {[this](row_set set, std::vector<stored_row> const& rows)
+               { on_rows(set, rows); }})
 {
 }
 
+bool relay_process::registry_known() const
+{
+    return mirror_.read(row_set::declarations) &&
+           mirror_.read(row_set::workers);
+}
+
+void relay_process::on_rows(row_set set, std::vector<stored_row> const& rows)
+{
+    time_point const now = boot_clock::now();
+    bool const away = mirror_.lost();
+    registry_.on_rows(set, rows, now,
+                      (away ? now : mirror_.returned_at()) + lapse_grace);
+}
+
 void relay_process::share_workers()
 {
-    if (config_ && registry_.complete())
+    if (config_ && registry_known())
         ownership_->set_workers(engines_among(backends_, *config_));
 }
 
@@ -220,7 +271,7 @@
 
 bool relay_process::ready() const
 {
-    return !stopping_ && relay_.has_config() && registry_.complete();
+    return !stopping_ && relay_.has_config() && registry_known();
 }
 
 void relay_process::answer_readiness(http_request const& request,
@@ -333,14 +384,17 @@
 void relay_process::start_ownership()
 {
     ownership_.emplace(
-        io_, store_,
+        io_, store_, mirror_,
         ownership_options(settings_, bound_text(settings_.peers, *peers_),
                           seed_),
         log_,
         ownership_listener{[this](std::map<worker_id, order_grant> grants)
                            { relay_.set_grants(std::move(grants)); },
                            [this](std::vector<member_view> members)
-                           { relay_.set_members(std::move(members)); },
+                           {
+                               mirror_.set_members(members);
+                               relay_.set_members(std::move(members));
+                           },
                            [this](std::map<worker_id, vm_id> owners)
                            { relay_.set_owners(std::move(owners)); }});
     ownership_->start();
@@ -372,7 +426,11 @@
     peers_.emplace(
         server_options(settings_.peers),
         [this](http_request const& request, std::shared_ptr<http_answer> answer)
-        { relay_.handle_peer(request, std::move(answer)); });
+        {
+            if (request.path == rows_path)
+                return mirror_.serve(request, std::move(answer));
+            relay_.handle_peer(request, std::move(answer));
+        });
     if (settings_.serves_metrics)
         metrics_.emplace(
             server_options(settings_.metrics),
@@ -382,7 +440,7 @@
     log_.notable("started", log_fields().add("domain", settings_.domain.str()),
                  boot_clock::now());
     start_ownership();
-    registry_.start();
+    mirror_.start();
     io_.run();
     return 0;
 }
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -47,13 +47,11 @@
     std::map<vm_id, peer_link> links;
     for (member_view const& member : members)
     {
-        auto const colon = member.address.rfind(':');
-        if (member.vm == options_.vm || colon == std::string::npos)
+        auto const address = parse_address(member.address);
+        if (member.vm == options_.vm || !address)
             continue;
         peer_link& link = links[member.vm];
-        link.address = {member.address.substr(0, colon),
-                        static_cast<std::uint16_t>(std::strtoul(
-                            member.address.c_str() + colon + 1, nullptr, 10))};
+        link.address = *address;
         if (auto const known = peers_.find(member.vm); known != peers_.end())
             link.done = std::move(known->second.done);
     }
--- /dev/null
+++ b/src/row_mirror.hpp
@@ -0,0 +1,187 @@
+/// Copies of the store's rows on this VM, kept up to date from the store or
+/// from another VM that reads it.
+#ifndef MULBERRY_ROW_MIRROR_HPP
+#define MULBERRY_ROW_MIRROR_HPP
+
+#include "backend_pool.hpp"
+#include "event_log.hpp"
+#include "http_server.hpp"
+#include "ownership_keeper.hpp"
+#include "peer_rows.hpp"
+#include "reader_choice.hpp"
+#include "row_copy.hpp"
+#include "row_store.hpp"
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace mulberry
+{
+
+struct row_mirror_options
+{
+    vm_id vm;
+    domain_id domain;
+    /// How long a question about declarations waits at the store. A change is
+    /// answered at once; the bound is there to notice a connection that went
+    /// silent. It is about the time that a configuration has to come into
+    /// force: each question costs the store a call.
+    duration declaration_wait = std::chrono::milliseconds(2000);
+    /// How long a question may take beyond its wait.
+    duration answer_time = std::chrono::milliseconds(600);
+    /// How often the workers are asked for. They heartbeat all the time, so a
+    /// question that waits for a change would return at once, a call for each
+    /// heartbeat. Half of the bound on draining workers leaves the other half
+    /// for a question that fails and the one after it.
+    duration worker_interval = std::chrono::milliseconds(1000);
+    /// How often the product's own rows are asked for.
+    duration own_interval = std::chrono::milliseconds(2000);
+    /// What of a worker's row others act on; see row_copy.
+    row_copy::essence worker_essence;
+};
+
+/// Told on the mirror's thread.
+struct row_listener
+{
+    /// Rows that changed in a set, dropped ones among them; also without any,
+    /// as often as the set was looked at.
+    std::function<void(row_set, std::vector<stored_row> const&)> on_rows;
+};
+
+/// Reads each set of rows whole, then its changes; whole again when the store
+/// has dropped the history in between. Thread safety: none; used on the thread
+/// that runs the io_context.
+class row_mirror
+{
+public:
+    /// Whether the rows are there as of the moment that was asked for, and of
+    /// which moment they are.
+    using refreshed = std::function<void(bool current, time_point as_of)>;
+
+    /// The references outlive this object.
+    row_mirror(asio::io_context& io, row_store& store, backend_pool& pool,
+               row_mirror_options options, event_log& log,
+               row_listener listener);
+
+    void start();
+    /// The VMs there are, this one among them.
+    void set_members(std::vector<member_view> const& members);
+    /// Calls back when the own rows are known as of now or, unless `strict`,
+    /// as of a little earlier; with false when the store cannot be asked. Never
+    /// within this call.
+    void refresh_own(bool strict, refreshed done);
+    /// Another VM's question; see peer_rows.hpp.
+    void serve(http_request const& request,
+               std::shared_ptr<http_answer> answer);
+
+    /// Whether a set has been read.
+    bool read(row_set set) const { return at(set).copy.read(); }
+    std::vector<stored_row> rows(row_set set) const
+    {
+        return at(set).copy.rows();
+    }
+    /// Whether the store does not answer, neither here nor at the VM that
+    /// reads it for this one.
+    bool lost() const { return lost_; }
+    /// When the store last began to answer again.
+    time_point returned_at() const { return returned_at_; }
+    /// The VM that reads the store for this one; empty for none.
+    vm_id const& reader() const { return reader_; }
+
+private:
+    struct followed_set
+    {
+        row_set set;
+        row_copy copy;
+        asio::steady_timer timer;
+        /// A question is on its way to the store.
+        bool asking = false;
+        time_point asked_at{};
+        /// The question waits at the store for a change.
+        bool waits = false;
+        /// When the question was asked whose answer the copy shows.
+        time_point as_of{};
+        /// Rows gathered while a whole read goes on page by page.
+        std::vector<stored_row> pages;
+        row_version first_page;
+        bool whole = true;
+        int failures = 0;
+
+        followed_set(asio::io_context& io, row_set which,
+                     row_copy::essence essence_of)
+            : set(which), copy(std::move(essence_of)), timer(io)
+        {
+        }
+    };
+    struct held_question
+    {
+        rows_question question;
+        std::shared_ptr<http_answer> answer;
+        time_point answer_at{};
+    };
+    struct wanted_refresh
+    {
+        time_point as_of{};
+        refreshed done;
+    };
+
+    followed_set& at(row_set set);
+    followed_set const& at(row_set set) const;
+    duration interval_of(row_set set) const;
+    duration oldest(row_set set) const;
+    time_point shown_at(followed_set const& which, time_point now) const;
+    void choose_reader();
+    void go_on(followed_set& which);
+    void ask_store(followed_set& which);
+    void read_page(followed_set& which, std::string const& after);
+    void watch(followed_set& which);
+    void later(followed_set& which, duration delay);
+    bool usable(followed_set& which, store_reply const& reply);
+    void on_page(followed_set& which, store_reply const& reply);
+    void on_changes(followed_set& which, store_reply const& reply);
+    void took(followed_set& which, std::vector<stored_row> const& news);
+    void settle_refreshes(bool failed);
+
+    void ask_reader();
+    void ask_reader_later(duration delay);
+    void on_reader(vm_id const& reader, time_point asked_at,
+                   std::optional<rows_answer> const& answer);
+    bool take_news(followed_set& which, rows_news const& news, time_point now);
+
+    rows_answer answer_to(rows_question const& question) const;
+    bool has_news(rows_question const& question) const;
+    void answer_held();
+    void review_held();
+
+    asio::io_context& io_;
+    row_store& store_;
+    backend_pool& pool_;
+    row_mirror_options options_;
+    event_log& log_;
+    row_listener listener_;
+    std::array<followed_set, all_row_sets.size()> sets_;
+    reader_choice choice_;
+    std::map<vm_id, backend_address> addresses_;
+    vm_id reader_;
+    bool reader_asked_ = false;
+    asio::steady_timer reader_timer_;
+    /// Other VMs have asked lately; until then this one reads for itself.
+    time_point serves_until_{};
+    std::vector<held_question> held_;
+    asio::steady_timer held_timer_;
+    bool news_posted_ = false;
+    std::vector<wanted_refresh> refreshes_;
+    bool lost_ = false;
+    time_point heard_at_{};
+    time_point returned_at_{};
+};
+
+} // namespace mulberry
+
+#endif
--- a/src/row_store.hpp
+++ b/src/row_store.hpp
@@ -40,6 +40,7 @@
     row_version version;
     std::string value;
     bool deleted = false;
+    friend bool operator==(stored_row const&, stored_row const&) = default;
 };
 
 enum class store_outcome
--- a/src/table.hpp
+++ b/src/table.hpp
@@ -67,6 +67,9 @@
     /// done: the rows written, with versions (values may be left out), or the
     /// rows read. conflict: the rows of the conditions as they are.
     std::vector<table_row> rows;
+    /// A scan that was answered from an earlier reading: when that was asked.
+    /// Otherwise the rows are as of the question.
+    time_point as_of = never;
 };
 
 enum class object_outcome
--- /dev/null
+++ b/tests/memory_row_store.hpp
@@ -0,0 +1,63 @@
+/// A store in this process: rows with versions out of one counter.
+#ifndef MULBERRY_TESTS_MEMORY_ROW_STORE_HPP
+#define MULBERRY_TESTS_MEMORY_ROW_STORE_HPP
+
+#include "row_store.hpp"
+
+#include <cstddef>
+#include <list>
+#include <map>
+#include <string>
+
+namespace mulberry_test
+{
+
+/// Answers within the call, but for a watch that waits, which is answered by
+/// the change or by answer_watches(). Thread safety: none.
+class memory_row_store final : public mulberry::row_store
+{
+public:
+    void put(mulberry::row_set set, mulberry::row_kind kind,
+             std::string const& key, std::string const& value);
+    void drop(mulberry::row_set set, std::string const& key);
+    /// Refuses every call.
+    void set_down(bool down) { down_ = down; }
+    /// Answers the watches that wait, without a change.
+    void answer_watches();
+    std::size_t calls() const { return calls_; }
+
+    void read(mulberry::row_set set, std::string const& prefix,
+              std::string const& after, mulberry::duration time_limit,
+              mulberry::store_callback done) override;
+    void watch(mulberry::row_set set, mulberry::row_version after,
+               mulberry::duration wait, mulberry::duration time_limit,
+               mulberry::store_callback done) override;
+    void transact(mulberry::table_transaction const& transaction,
+                  mulberry::duration time_limit,
+                  mulberry::store_callback done) override;
+    void close() override { waiting_.clear(); }
+
+private:
+    struct waiting_watch
+    {
+        mulberry::row_set set;
+        mulberry::row_version after;
+        mulberry::store_callback done;
+    };
+
+    mulberry::store_reply changes(mulberry::row_set set,
+                                  mulberry::row_version after) const;
+    bool refused(mulberry::store_callback const& done);
+    void write(mulberry::row_set set, mulberry::stored_row row);
+
+    std::map<mulberry::row_set, std::map<std::string, mulberry::stored_row>>
+        sets_;
+    std::uint64_t version_ = 0;
+    std::list<waiting_watch> waiting_;
+    bool down_ = false;
+    std::size_t calls_ = 0;
+};
+
+} // namespace mulberry_test
+
+#endif
--- /dev/null
+++ b/tests/peer_rows_test.cpp
@@ -0,0 +1,56 @@
+#include "peer_rows.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+TEST_CASE("a question about rows comes back as it was", "[peer_rows]")
+{
+    rows_question const question{
+        {row_version(1), row_version(0), row_version(7)}, 300ms};
+    std::string const call = encode_rows_question(question, "vm");
+    CHECK(decode_rows_question(call.substr(call.find("\r\n\r\n") + 4)) ==
+          question);
+}
+
+TEST_CASE("rows come back as they were", "[peer_rows]")
+{
+    rows_answer answer;
+    answer[0] = {true,
+                 row_version(9),
+                 40ms,
+                 true,
+                 {{row_kind::configuration, "config", row_version(3), "{\"a\"}",
+                   false}}};
+    answer[1] = {true,
+                 row_version(9),
+                 0ms,
+                 false,
+                 {{row_kind::worker, "w", row_version(4), {}, true}}};
+    CHECK(decode_rows_answer(encode_rows_answer(answer)) == answer);
+}
+
+TEST_CASE("what is no message about rows is told", "[peer_rows]")
+{
+    for (char const* text :
+         {"", "[]", "{}", "{\"after\":[1,2],\"wait_ms\":1}",
+          "{\"after\":[1,2,-3],\"wait_ms\":1}",
+          "{\"after\":[1,2,3],\"wait_ms\":-1}", "{\"after\":[1,2,3]}"})
+        CHECK_FALSE(decode_rows_question(text));
+    std::string const good =
+        R"({"read":true,"version":1,"age_ms":0,"whole":false,"rows":[]})";
+    auto const with = [&](std::string const& last)
+    { return "{\"sets\":[" + good + "," + good + "," + last + "]}"; };
+    CHECK(decode_rows_answer(with(good)));
+    for (char const* last :
+         {"{}", "1",
+          R"({"read":true,"version":1,"age_ms":-1,"whole":false,"rows":[]})",
+          R"({"read":true,"version":1,"age_ms":0,"whole":false,"rows":[1]})",
+          R"({"read":true,"version":1,"age_ms":0,"whole":false,
+              "rows":[[9,"k",1,"v"]]})",
+          R"({"read":true,"version":1,"age_ms":0,"whole":false,
+              "rows":[[2,"k",1,7]]})"})
+        CHECK_FALSE(decode_rows_answer(with(last)));
+    CHECK_FALSE(decode_rows_answer("{\"sets\":[]}"));
+}
--- /dev/null
+++ b/tests/reader_choice_test.cpp
@@ -0,0 +1,87 @@
+#include "reader_choice.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::vector<vm_id> names(int count)
+{
+    std::vector<vm_id> vms;
+    for (int number = 0; number < count; ++number)
+        vms.emplace_back("vm-" + std::to_string(number));
+    return vms;
+}
+
+/// How many VMs each reader serves; the store counts as an empty name.
+std::map<vm_id, int> served(int count)
+{
+    std::map<vm_id, int> result;
+    for (vm_id const& vm : names(count))
+    {
+        reader_choice choice(vm);
+        choice.set_members(names(count));
+        ++result[choice.choose(time_point(1s))];
+    }
+    return result;
+}
+
+} // namespace
+
+// A hundred VMs of one failure domain start. Few of them ask the store; each
+// of the others asks one of these few, none of which asks another VM.
+TEST_CASE("few VMs read the store for the others", "[reader_choice]")
+{
+    std::map<vm_id, int> const counts = served(100);
+    CHECK(counts.at(vm_id()) == 7);
+    CHECK(counts.size() == 8);
+    for (auto const& [reader, asked_by] : counts)
+    {
+        CHECK(asked_by < 30);
+        if (reader.empty())
+            continue;
+        reader_choice choice(reader);
+        choice.set_members(names(100));
+        CHECK(choice.choose(time_point(1s)).empty());
+    }
+}
+
+TEST_CASE("in a small failure domain every VM reads the store",
+          "[reader_choice]")
+{
+    CHECK(served(3) == std::map<vm_id, int>{{vm_id(), 3}});
+}
+
+// The reader is killed. The VM that it read for goes to the next one, to the
+// store when none is left, and back to it once it answers again.
+TEST_CASE("a reader that fails is passed over for a while", "[reader_choice]")
+{
+    time_point const now(10s);
+    for (vm_id const& vm : names(32))
+    {
+        reader_choice choice(vm);
+        choice.set_members(names(32));
+        vm_id const first = choice.choose(now);
+        if (first.empty())
+            continue;
+        choice.failed(first, now);
+        vm_id const second = choice.choose(now);
+        CHECK(second != first);
+        REQUIRE_FALSE(second.empty());
+        choice.failed(second, now);
+        CHECK(choice.choose(now).empty());
+        CHECK(choice.choose(now + 1s) == first);
+        choice.failed(first, now + 1s);
+        CHECK(choice.choose(now + 2s) == second);
+        CHECK(choice.choose(now + 3s) == first);
+        choice.answered(first);
+        choice.failed(first, now + 3s);
+        CHECK(choice.choose(now + 4s) == first);
+    }
+}
--- /dev/null
+++ b/tests/registry_watch_test.cpp
@@ -0,0 +1,186 @@
+#include "registry_watch.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <optional>
+#include <stdexcept>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{std::chrono::hours(1)};
+
+/// Rows whose text is their meaning: a worker's service, with "!" while it
+/// drains; a configuration's version; "?" is malformed.
+class plain_codec final : public relay_codec
+{
+public:
+    std::optional<routing_config>
+    decode_config(std::string const& text, std::string& fault) const override
+    {
+        if (text == "?")
+        {
+            fault = "malformed";
+            return std::nullopt;
+        }
+        routing_config config;
+        config.version = config_version(std::stoull(text));
+        return config;
+    }
+    std::optional<backend_entry>
+    decode_backend(std::string const& id, std::string const& text,
+                   std::string& fault) const override
+    {
+        if (text == "?")
+        {
+            fault = "malformed";
+            return std::nullopt;
+        }
+        backend_entry entry;
+        entry.id = worker_id(id);
+        entry.draining = text.ends_with('!');
+        entry.service = service_id(text);
+        return entry;
+    }
+    std::optional<adapter_release> decode_release(std::string const&,
+                                                  std::string&) const override
+    {
+        return adapter_release{{base_model_id("m"), adapter_id("a")},
+                               adapter_version(2)};
+    }
+
+    relay_request decode_request(http_request) const override { throw unused; }
+    std::string encode_request(relay_request const&,
+                               send_terms const&) const override
+    {
+        throw unused;
+    }
+    worker_reply decode_reply(int, http_headers const&,
+                              relay_request const&) const override
+    {
+        throw unused;
+    }
+    http_headers answer_headers(http_headers const&) const override
+    {
+        throw unused;
+    }
+    http_response error_response(relay_request const&,
+                                 error const&) const override
+    {
+        throw unused;
+    }
+    std::string encode_order(worker_order const&) const override
+    {
+        throw unused;
+    }
+    order_outcome decode_order_reply(int) const override { throw unused; }
+    std::string encode_report_request() const override { throw unused; }
+    std::optional<worker_report>
+    decode_report(std::string const&) const override
+    {
+        throw unused;
+    }
+    bool is_ready_question(http_request const&) const override { throw unused; }
+
+private:
+    std::logic_error const unused{"not used by the registry"};
+};
+
+struct registry_world
+{
+    plain_codec codec;
+    std::vector<std::string> lines;
+    event_log log{"test", 1000,
+                  [this](log_level, std::string_view, std::string_view event,
+                         std::string const&) { lines.emplace_back(event); }};
+    std::vector<std::uint64_t> configs;
+    std::vector<adapter_release> releases;
+    std::optional<std::vector<backend_entry>> workers;
+    registry_watch registry{
+        codec,
+        log,
+        {[this](std::shared_ptr<routing_config const> const& config)
+         { configs.push_back(config->version.value()); },
+         [this](adapter_release const& release)
+         { releases.push_back(release); },
+         [this](std::vector<backend_entry> entries)
+         { workers = std::move(entries); }}};
+    std::uint64_t version = 0;
+
+    void worker(std::string const& key, std::optional<std::string> value,
+                time_point now, time_point trusted_at)
+    {
+        registry.on_rows(row_set::workers,
+                         {{row_kind::worker, key, row_version(++version),
+                           value.value_or(""), !value}},
+                         now, trusted_at);
+    }
+    void declare(row_kind kind, std::string const& value)
+    {
+        registry.on_rows(row_set::declarations,
+                         {{kind, "key", row_version(++version), value, false}},
+                         start, start);
+    }
+};
+
+} // namespace
+
+TEST_CASE("only newer configurations are taken", "[registry_watch]")
+{
+    registry_world world;
+    for (char const* text : {"3", "2", "3", "?", "5"})
+        world.declare(row_kind::configuration, text);
+    CHECK(world.configs == std::vector<std::uint64_t>{3, 5});
+    CHECK(world.lines == std::vector<std::string>{"malformed declaration"});
+    world.declare(row_kind::adapter_release, "");
+    CHECK(world.releases.size() == 1);
+}
+
+TEST_CASE("a worker's entry is told when it changes", "[registry_watch]")
+{
+    registry_world world;
+    world.worker("w", "llm", start, start);
+    REQUIRE(world.workers);
+    CHECK(world.workers->size() == 1);
+    world.workers.reset();
+    world.worker("w", "llm", start, start);
+    CHECK_FALSE(world.workers);
+    world.worker("w", "?", start, start);
+    CHECK_FALSE(world.workers);
+    CHECK(world.lines == std::vector<std::string>{"malformed worker entry"});
+    world.worker("w", "llm!", start, start);
+    REQUIRE(world.workers);
+    CHECK(world.workers->front().draining);
+    world.worker("w", std::nullopt, start, start);
+    CHECK(world.workers->empty());
+}
+
+// The store was away, and the entries of workers that live have lapsed. They
+// are kept until the grace is over; one that said that it leaves is gone.
+TEST_CASE("entries that lapsed with the store are kept for a while",
+          "[registry_watch]")
+{
+    registry_world world;
+    world.worker("w", "llm", start, start);
+    world.worker("v", "llm!", start, start);
+    time_point const trusted_at = start + 12s;
+    world.worker("v", std::nullopt, start + 10s, trusted_at);
+    world.worker("w", std::nullopt, start + 10s, trusted_at);
+    CHECK(world.workers->size() == 1);
+    SECTION("and gone when they do not come back")
+    {
+        world.registry.on_rows(row_set::workers, {}, start + 11s, trusted_at);
+        CHECK(world.workers->size() == 1);
+        world.registry.on_rows(row_set::workers, {}, start + 12s, trusted_at);
+        CHECK(world.workers->empty());
+    }
+    SECTION("and stay when they come back")
+    {
+        world.worker("w", "llm", start + 11s, trusted_at);
+        world.registry.on_rows(row_set::workers, {}, start + 20s, trusted_at);
+        CHECK(world.workers->size() == 1);
+    }
+}
--- /dev/null
+++ b/tests/row_mirror_test.cpp
@@ -0,0 +1,279 @@
+#include "row_mirror.hpp"
+
+#include "boot_clock.hpp"
+#include "collected_exchange.hpp"
+#include "memory_row_store.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace mulberry;
+using namespace mulberry_test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::seconds generous_wait{20};
+
+/// One VM's mirror, with the listener at which other VMs ask it.
+struct mirror_vm
+{
+    std::string name;
+    memory_row_store store;
+    event_log log{"test", 1000,
+                  [](log_level, std::string_view, std::string_view,
+                     std::string const&) {}};
+    backend_pool pool;
+    std::vector<stored_row> seen;
+    row_mirror mirror;
+    http_server server;
+    bool answers = true;
+
+    mirror_vm(asio::io_context& io, std::string named)
+        : name(std::move(named)), pool(io),
+          mirror(io, store, pool, options(name), log,
+                 {[this](row_set, std::vector<stored_row> const& rows)
+                  { seen.insert(seen.end(), rows.begin(), rows.end()); }}),
+          server(server_options(io),
+                 [this](http_request const& request,
+                        std::shared_ptr<http_answer> answer)
+                 {
+                     if (answers)
+                         return mirror.serve(request, std::move(answer));
+                     answer->abort();
+                 })
+    {
+    }
+
+    static row_mirror_options options(std::string const& name)
+    {
+        row_mirror_options options;
+        options.vm = vm_id(name);
+        options.domain = domain_id("zone");
+        options.declaration_wait = 200ms;
+        options.worker_interval = 60ms;
+        options.own_interval = 100ms;
+        options.worker_essence = [](stored_row const& row)
+        { return row.value.substr(0, row.value.find('/')); };
+        return options;
+    }
+
+    static http_server_options server_options(asio::io_context& io)
+    {
+        http_server_options options;
+        options.shared_io = &io;
+        return options;
+    }
+
+    member_view member() const
+    {
+        return {vm_id(name), incarnation(1), domain_id("zone"),
+                "127.0.0.1:" + std::to_string(server.port()),
+                member_state::live};
+    }
+
+    bool saw(std::string const& value) const
+    {
+        for (stored_row const& row : seen)
+            if (row.value == value)
+                return true;
+        return false;
+    }
+};
+
+/// Four VMs of one failure domain, each with a store of its own, so that what a
+/// VM knows shows whom it asked. One of the four reads for the others.
+class mirror_world
+{
+public:
+    mirror_world()
+    {
+        for (int number = 0; number < 4; ++number)
+            vms.push_back(std::make_unique<mirror_vm>(
+                io, "vm-" + std::to_string(number)));
+        for (auto const& vm : vms)
+        {
+            // The same versions everywhere.
+            vm->store.put(row_set::declarations, row_kind::configuration,
+                          "config", "first");
+            vm->store.put(row_set::workers, row_kind::worker, "w", "ready/1");
+            vm->store.put(row_set::own, row_kind::own, "worker/w", "none");
+            vm->mirror.start();
+        }
+        REQUIRE(until(
+            [this]
+            {
+                bool all = true;
+                for (auto const& vm : vms)
+                    for (row_set const set : all_row_sets)
+                        all = all && vm->mirror.read(set);
+                return all;
+            }));
+        std::vector<member_view> members;
+        for (auto const& vm : vms)
+            members.push_back(vm->member());
+        for (auto const& vm : vms)
+            vm->mirror.set_members(members);
+        for (auto const& vm : vms)
+            (vm->mirror.reader().empty() ? reader : followers)
+                .push_back(vm.get());
+        REQUIRE(reader.size() == 1);
+    }
+
+    bool until(std::function<bool()> const& holds)
+    {
+        auto const limit = std::chrono::steady_clock::now() + generous_wait;
+        while (!holds() && std::chrono::steady_clock::now() < limit)
+            io.run_one_for(10ms);
+        return holds();
+    }
+
+    asio::io_context io{1};
+    std::vector<std::unique_ptr<mirror_vm>> vms;
+    std::vector<mirror_vm*> reader;
+    std::vector<mirror_vm*> followers;
+};
+
+} // namespace
+
+TEST_CASE("a change is heard from the VM that reads the store", "[row_mirror]")
+{
+    mirror_world world;
+    std::vector<std::size_t> before;
+    for (mirror_vm const* vm : world.followers)
+        before.push_back(vm->store.calls());
+    world.reader[0]->store.put(row_set::declarations, row_kind::configuration,
+                               "config", "second");
+    world.reader[0]->store.put(row_set::workers, row_kind::worker, "w",
+                               "drains/2");
+    CHECK(world.until(
+        [&]
+        {
+            bool all = true;
+            for (mirror_vm const* vm : world.followers)
+                all = all && vm->saw("second") && vm->saw("drains/2");
+            return all;
+        }));
+    // A question that was open when it began to follow may be answered; no
+    // other is asked.
+    for (std::size_t index = 0; index < world.followers.size(); ++index)
+        CHECK(world.followers[index]->store.calls() <= before[index] + 1);
+}
+
+// The VM that reads the store for the others is gone: it resets every
+// connection. They ask the store themselves and miss nothing.
+TEST_CASE("without its reader a VM asks the store", "[row_mirror]")
+{
+    mirror_world world;
+    world.reader[0]->answers = false;
+    for (mirror_vm* vm : world.followers)
+        vm->store.put(row_set::workers, row_kind::worker, "w", "drains/9");
+    CHECK(world.until(
+        [&]
+        {
+            bool all = true;
+            for (mirror_vm const* vm : world.followers)
+                all = all && vm->saw("drains/9") && vm->mirror.reader().empty();
+            return all;
+        }));
+}
+
+// The reader is cut off from the store and answers promptly with what it read
+// before that. The others notice by the age that it tells, and ask the store.
+TEST_CASE("a reader whose rows are old is not believed", "[row_mirror]")
+{
+    mirror_world world;
+    world.reader[0]->store.set_down(true);
+    world.reader[0]->store.answer_watches();
+    for (mirror_vm* vm : world.followers)
+        vm->store.put(row_set::workers, row_kind::worker, "w", "drains/9");
+    CHECK(world.until(
+        [&]
+        {
+            bool all = true;
+            for (mirror_vm const* vm : world.followers)
+                all = all && vm->saw("drains/9");
+            return all;
+        }));
+    CHECK_FALSE(world.followers[0]->mirror.lost());
+    CHECK(world.reader[0]->mirror.lost());
+}
+
+// The store and so the reader's copy is away for all, then back.
+TEST_CASE("the store's absence and return are noticed by all", "[row_mirror]")
+{
+    mirror_world world;
+    auto const all = [&world](auto const& holds)
+    {
+        return world.until(
+            [&]
+            {
+                for (auto const& vm : world.vms)
+                    if (!holds(*vm))
+                        return false;
+                return true;
+            });
+    };
+    for (auto const& vm : world.vms)
+    {
+        vm->store.set_down(true);
+        vm->store.answer_watches();
+    }
+    CHECK(all([](mirror_vm const& vm) { return vm.mirror.lost(); }));
+    time_point const back = boot_clock::now();
+    for (auto const& vm : world.vms)
+        vm->store.set_down(false);
+    CHECK(all([](mirror_vm const& vm) { return !vm.mirror.lost(); }));
+    for (auto const& vm : world.vms)
+        CHECK(vm->mirror.returned_at() >= back);
+}
+
+// A lease must not be judged by rows that were read before it began: a strict
+// question is answered by the store, an ordinary one by the reader's rows.
+TEST_CASE("own rows are as recent as was asked for", "[row_mirror]")
+{
+    mirror_world world;
+    mirror_vm& vm = *world.followers[0];
+    REQUIRE(world.until([&vm] { return !vm.mirror.reader().empty(); }));
+    auto const refresh = [&](bool strict)
+    {
+        std::optional<time_point> as_of;
+        vm.mirror.refresh_own(strict, [&as_of](bool current, time_point at)
+                              { as_of = current ? at : time_point(); });
+        CHECK_FALSE(as_of);
+        CHECK(world.until([&as_of] { return as_of.has_value(); }));
+        return *as_of;
+    };
+    time_point const asked = boot_clock::now();
+    std::size_t const calls = vm.store.calls();
+    CHECK(refresh(true) >= asked);
+    CHECK(vm.store.calls() > calls);
+    vm.store.set_down(true);
+    CHECK(refresh(true) == time_point());
+}
+
+TEST_CASE("what is no question about rows is rejected", "[row_mirror]")
+{
+    mirror_world world;
+    bool answered = false;
+    std::optional<int> status;
+    collected_call call;
+    call.to = *parse_address(world.vms[0]->member().address);
+    call.bytes =
+        "POST /rows HTTP/1.1\r\nHost: vm\r\nContent-Length: 2\r\n\r\n{}";
+    call.ends_at = [ends = std::chrono::steady_clock::now() + generous_wait]
+    { return ends; };
+    call.on_end = [&](collected_answer const& answer)
+    {
+        answered = true;
+        status = answer.status;
+    };
+    start_collected(world.io, world.vms[1]->pool, std::move(call));
+    CHECK(world.until([&] { return answered; }));
+    CHECK(status == 400);
+}
