Say no at once where a queue is long, so that hot adapters spread

With a line for each answer of an owner (new, with the request's id): 446 questions of five seconds ended after 2.0 s without a decision, and 4,140 grants took 245 ms on average, at owners whose batch was full of one adapter's requests. A second copy was loaded only at another worker of the same VM, and a VM of that deployment owns one worker. The owner made all others wait.

Change: a request waits at a worker while room in the batch, or a slot for its adapter, is expected within 250 ms by those ahead of it; otherwise its owner refuses at once with the load, and the VM that asked goes to the next home by hash, where a second copy is loaded. Four owners are asked before a request is served here. Two tests replay it: rare adapters in a burst at one home, one adapter that more ask for than a batch holds.

--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -22,6 +22,7 @@
     json["model"] = ask.target.model.str();
     json["adapter"] = ask.target.adapter.str();
     json["priority"] = ask.priority;
+    json["request"] = ask.request.str();
     json["left_ms"] = Json::Int64(
         std::chrono::floor<std::chrono::milliseconds>(ask.time_left).count());
     return json;
@@ -37,6 +38,7 @@
     ask.priority = json["priority"].isInt() ? json["priority"].asInt() : 0;
     ask.time_left = std::chrono::milliseconds(
         std::min(number_or(json, "left_ms", 0), longest_wait_ms));
+    ask.request = request_id(text_or(json, "request", ""));
     if (ask.service.empty() || ask.target.model.empty() ||
         ask.target.adapter.empty())
         return std::nullopt;
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -2,7 +2,7 @@
 /// orders to have an adapter there, and tells it when requests are over.
 ///
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
-///                 "left_ms", "done": [[GRANT, NOT_HELD], ...]}
+///                 "left_ms", "request", "done": [[GRANT, NOT_HELD], ...]}
 ///   200          {"granted": true, "grant": N, "worker": ID, "load": 0.5}
 ///
 /// The head of the answer comes at once, the rest when the adapter is there
@@ -34,6 +34,8 @@
     int priority = 0;
     /// How long the request may still wait; its receiver makes a deadline.
     duration time_left{};
+    /// The caller's id of the request, for the logs of both VMs.
+    request_id request;
     friend bool operator==(peer_ask const&, peer_ask const&) = default;
 };
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -408,7 +408,7 @@
     {
         auto const found = exchanges_.find(refused->ticket);
         if (found == exchanges_.end())
-            return answer_peer(refused->ticket, false, {}, 1);
+            return answer_peer(refused->ticket, false, {}, refused->load);
         auto const exchange = found->second;
         // Spread, so that those turned away do not come back in one wave.
         duration const spread(static_cast<duration::rep>(
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -109,6 +109,9 @@
         service_id service;
         /// Until it is answered.
         std::shared_ptr<http_answer> answer;
+        request_id request;
+        worker_id worker;
+        time_point arrived_at{};
     };
     /// What other VMs are owed: which of their grants are over.
     struct peer_link
@@ -149,7 +152,10 @@
     void send_report(ask_report const& question);
     void send_ask(service_state& service, ask_owner const& ask);
     void on_ask(service_id const& service, ask_owner const& ask,
-                ask_outcome outcome, peer_reply const& reply);
+                time_point asked_at, ask_outcome outcome,
+                peer_reply const& reply);
+    void note_ask(ask_owner const& ask, time_point asked_at,
+                  ask_outcome outcome, peer_reply const& reply);
     void give_back(held_grant const& grant, bool not_held);
     void tell_done();
     void answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -27,6 +27,25 @@
 /// A grant whose end was never told is over so long after its deadline.
 constexpr milliseconds grant_slack{500};
 
+/// An answer that takes longer is always logged.
+constexpr milliseconds slow_answer{200};
+
+std::string_view outcome_name(ask_outcome outcome)
+{
+    switch (outcome)
+    {
+    case ask_outcome::granted:
+        return "granted";
+    case ask_outcome::refused:
+        return "refused";
+    case ask_outcome::unreachable:
+        return "unreachable";
+    case ask_outcome::silent:
+        return "silent";
+    }
+    return "silent";
+}
+
 collected_call call_to(backend_address const& to, peer_call const& message)
 {
     collected_call call;
@@ -97,7 +116,7 @@
     item.asked_for = ask.worker;
     ticket_id const ticket = item.ticket;
     due_.set(ticket, item.give_up_at + grant_slack);
-    peer_requests_[ticket] = {ask.service, answer};
+    peer_requests_[ticket] = {ask.service, answer, ask.request, ask.worker, at};
     service->scheduler.submit(std::move(item), at);
     answer->on_closed(
         [this, ticket]
@@ -128,6 +147,21 @@
     if (found == peer_requests_.end())
         return;
     auto const answer = std::exchange(found->second.answer, nullptr);
+    time_point const at = now();
+    auto const waited = at - found->second.arrived_at;
+    auto const fields = [&]
+    {
+        return log_fields()
+            .add("request", found->second.request.str())
+            .add("worker", (granted ? worker : found->second.worker).str())
+            .add("outcome", granted ? "granted" : "refused")
+            .add("waited_ms", waited)
+            .add("load_percent", static_cast<int>(load * 100));
+    };
+    if (!granted || waited >= slow_answer)
+        log_.notable("room for another VM", fields(), at);
+    else
+        log_.routine("room for another VM", fields(), at);
     if (answer)
     {
         answer->write(
@@ -151,12 +185,16 @@
     if (peer == peers_.end())
     {
         asio::post(io_, [this, name, ask]
-                   { on_ask(name, ask, ask_outcome::unreachable, {}); });
+                   { on_ask(name, ask, now(), ask_outcome::unreachable, {}); });
         return;
     }
     peer_call message;
-    message.ask = peer_ask{name, ask.worker, ask.target, ask.priority,
-                           ask.give_up_at - now()};
+    message.ask = peer_ask{name,
+                           ask.worker,
+                           ask.target,
+                           ask.priority,
+                           ask.give_up_at - now(),
+                           found->second->request().id};
     message.done = std::exchange(peer->second.done, {});
     collected_call call = call_to(peer->second.address, message);
     call.ends_at = [this, name, ticket = ask.ticket] {
@@ -167,7 +205,8 @@
         if (status == status_ok)
             find(name)->scheduler.on_owner_heard(ticket, now());
     };
-    call.on_end = [this, name, ask](collected_answer const& answer)
+    call.on_end =
+        [this, name, ask, asked_at = now()](collected_answer const& answer)
     {
         auto const reply = answer.status == status_ok
                                ? decode_peer_reply(answer.body)
@@ -176,15 +215,41 @@
                                     : !reply         ? ask_outcome::unreachable
                                     : reply->granted ? ask_outcome::granted
                                                      : ask_outcome::refused;
-        on_ask(name, ask, outcome, reply.value_or(peer_reply()));
+        on_ask(name, ask, asked_at, outcome, reply.value_or(peer_reply()));
     };
     asks_[ask.ticket] = start_collected(io_, pool_, std::move(call));
 }
 
+void relay::note_ask(ask_owner const& ask, time_point asked_at,
+                     ask_outcome outcome, peer_reply const& reply)
+{
+    auto const found = exchanges_.find(ask.ticket);
+    if (found == exchanges_.end())
+        return;
+    time_point const at = now();
+    auto const fields = [&]
+    {
+        return log_fields()
+            .add("request", found->second->request().id.str())
+            .add("owner", ask.owner.str())
+            .add("worker", ask.worker.str())
+            .add("granted", reply.worker.str())
+            .add("outcome", outcome_name(outcome))
+            .add("took_ms", at - asked_at)
+            .add("load_percent", static_cast<int>(reply.load * 100));
+    };
+    if (outcome != ask_outcome::granted || at - asked_at >= slow_answer)
+        log_.notable("owner answered", fields(), at);
+    else
+        log_.routine("owner answered", fields(), at);
+}
+
 void relay::on_ask(service_id const& service, ask_owner const& ask,
-                   ask_outcome outcome, peer_reply const& reply)
+                   time_point asked_at, ask_outcome outcome,
+                   peer_reply const& reply)
 {
     asks_.erase(ask.ticket);
+    note_ask(ask, asked_at, outcome, reply);
     bool const wanted = exchanges_.count(ask.ticket) > 0;
     if (outcome == ask_outcome::granted)
     {
@@ -192,15 +257,6 @@
             return give_back({ask.owner, reply.grant}, false);
         held_grants_[ask.ticket] = {ask.owner, reply.grant};
     }
-    else if (outcome != ask_outcome::refused)
-        log_.notable("owner does not answer",
-                     log_fields()
-                         .add("owner", ask.owner.str())
-                         .add("worker", ask.worker.str())
-                         .add("reason", outcome == ask_outcome::silent
-                                            ? "silent"
-                                            : "unreachable"),
-                     now());
     bool const used = find(service)->scheduler.on_owner(
         ask.ticket, outcome, reply.worker, reply.load, now());
     if (!used && outcome == ask_outcome::granted)
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -48,10 +48,12 @@
 /// the bytes outweigh the fetch within some ten seconds.
 constexpr double local_home_rate = 0.3;
 /// After so many owners said no, a request is served by whatever is here.
-constexpr std::size_t most_refusals = 2;
-/// A home whose slots are all in use is waited for so long before another is
-/// taken: a slot is free again after the rest of a request, which takes about
-/// half a second, while a fetch elsewhere keeps others from theirs.
+constexpr std::size_t most_refusals = 4;
+/// A home whose slots are all in use is waited for while one is expected to be
+/// free within this: a fetch elsewhere takes about as long, and keeps others
+/// from theirs.
+constexpr milliseconds longest_slot_wait{250};
+/// However soon a slot was expected, a home is waited for no longer.
 constexpr milliseconds busy_home_wait{700};
 
 } // namespace
@@ -192,6 +194,32 @@
     return best;
 }
 
+/// Each slot is free again after the rest of a request: on average one of them
+/// after a mean request's time over their number.
+duration service_scheduler::slot_wait(worker_state const& worker,
+                                      std::size_t slots) const
+{
+    return mean_service_ * (worker.queued + 1) /
+           std::max<std::size_t>(slots, 1);
+}
+
+/// Load it answers: many rare adapters at once, more of them at some homes than
+/// those have slots for, or one adapter that more ask for than a batch holds.
+/// Homes are chosen by hash, so a few have queues of seconds while others have
+/// room to spare; a short queue is waited for.
+bool service_scheduler::worth_waiting(worker_state const& worker,
+                                      work_item const& item,
+                                      time_point now) const
+{
+    if (taken(worker) >= limit_of(worker) &&
+        slot_wait(worker, worker.entry.slots) > longest_slot_wait)
+        return false;
+    return worker.adapters.can_take(*item.target) ||
+           (now < item.arrived_at + busy_home_wait &&
+            slot_wait(worker, config_.engine->adapter_slots) <=
+                longest_slot_wait);
+}
+
 bool service_scheduler::may_load_at(worker_state const& worker,
                                     waiting_item const& waiting,
                                     time_point now) const
@@ -204,8 +232,7 @@
     if (worker.owned)
         return worker.adapters.may_order(now) &&
                worker.adapters.has_model(waiting.item.target->model) &&
-               (worker.adapters.can_take(*waiting.item.target) ||
-                now < waiting.item.arrived_at + busy_home_wait);
+               worth_waiting(worker, waiting.item, now);
     auto const owner = owners_.find(id);
     if (owner == owners_.end())
         return false;
@@ -326,14 +353,21 @@
         return verdict::placed;
     }
     if (holds(*worker, target, now))
+    {
+        if (!worth_waiting(*worker, waiting.item, now))
+            return verdict::hopeless;
+        ++worker->queued;
         return verdict::waits;
+    }
     if (!waiting.loads_at.empty() && worker->adapters.stage(target))
         return verdict::waits;
     leave_wait(waiting);
     if (!worker->adapters.may_order(now))
         return verdict::hopeless;
-    return worker->adapters.synced() ? wait_at(waiting, *worker, now)
-                                     : verdict::hopeless;
+    return worker->adapters.synced() &&
+                   worth_waiting(*worker, waiting.item, now)
+               ? wait_at(waiting, *worker, now)
+               : verdict::hopeless;
 }
 
 service_scheduler::verdict service_scheduler::wait_at(waiting_item& waiting,
@@ -341,7 +375,11 @@
                                                       time_point now)
 {
     if (!worker.adapters.can_take(*waiting.item.target))
+    {
+        ++worker.queued;
         return verdict::waits;
+    }
+    worker.queued += holds(worker, *waiting.item.target, now);
     worker.adapters.want(*waiting.item.target, now);
     worker.adapters.begin_wait(*waiting.item.target);
     waiting.loads_at = worker.entry.id;
@@ -410,8 +448,8 @@
     {
         worker_state const* const loading = find(waiting.loads_at);
         if (loading != nullptr && loading->adapters.stage(target) &&
-            !loading->entry.draining && !loading->health.avoided(now) &&
-            !sick(*loading, now))
+            !holds(*loading, target, now) && !loading->entry.draining &&
+            !loading->health.avoided(now) && !sick(*loading, now))
             return verdict::waits;
         leave_wait(waiting);
     }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -211,11 +211,15 @@
 }
 
 void service_scheduler::refuse(waiting_item const& waiting, error_kind kind,
-                               duration retry_after, std::string_view reason)
+                               duration retry_after, std::string_view reason,
+                               time_point now)
 {
     ++counts_.refused;
-    actions_.push_back(
-        refuse_request{waiting.item.ticket, kind, retry_after, reason});
+    worker_state* const asked =
+        waiting.item.asked_for ? find(*waiting.item.asked_for) : nullptr;
+    actions_.push_back(refuse_request{waiting.item.ticket, kind, retry_after,
+                                      reason,
+                                      asked ? load_of(*asked, now) : 1});
 }
 
 void service_scheduler::set_owners(std::map<worker_id, vm_id> owners)
@@ -319,6 +323,8 @@
 /// now will be gone.
 void service_scheduler::run_queue(time_point now)
 {
+    for (auto& [id, worker] : workers_)
+        worker->queued = 0;
     std::set<model_target> stuck;
     std::vector<queue_key> done;
     std::size_t ahead = 0;
@@ -338,7 +344,7 @@
         if (decided == verdict::hopeless)
         {
             refuse(waiting, error_kind::back_end_unavailable, elsewhere_retry,
-                   "no worker can serve it here");
+                   "no worker can serve it here", now);
             done.push_back(key);
             continue;
         }
@@ -350,7 +356,7 @@
             refuse(waiting, error_kind::overloaded,
                    std::clamp<duration>(expected_wait(ahead), least_retry,
                                         longest_retry),
-                   "the queue is too long for its deadline");
+                   "the queue is too long for its deadline", now);
             done.push_back(key);
         }
     }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -81,6 +81,9 @@
     error_kind kind = error_kind::overloaded;
     duration retry_after{};
     std::string_view reason;
+    /// Of the worker that another VM asked for: the share of its batch that is
+    /// taken.
+    double load = 1;
 };
 
 /// Send the order now.
@@ -217,6 +220,9 @@
         bool owned = false;
         /// Requests of other VMs that were granted and are not over.
         std::size_t granted = 0;
+        /// Requests that wait for room in its batch or for one of its adapter
+        /// slots, as decided so far in this pass over the queue.
+        std::size_t queued = 0;
         /// The load that its owner told, and until when it counts.
         double told_load = 0;
         time_point told_until{};
@@ -280,6 +286,11 @@
     adapter_version newest_of(model_target const& target) const;
     bool past_grace(model_target const& target, time_point now) const;
     worker_state* best_holder(waiting_item const& waiting, time_point now);
+    /// Until one of so many slots is free for one more request, with those that
+    /// wait ahead.
+    duration slot_wait(worker_state const& worker, std::size_t slots) const;
+    bool worth_waiting(worker_state const& worker, work_item const& item,
+                       time_point now) const;
     bool may_load_at(worker_state const& worker, waiting_item const& waiting,
                      time_point now) const;
     worker_state* home_of(waiting_item const& waiting, bool own_only,
@@ -304,7 +315,7 @@
                      time_point now);
     void place(waiting_item& waiting, worker_state& on, time_point now);
     void refuse(waiting_item const& waiting, error_kind kind,
-                duration retry_after, std::string_view reason);
+                duration retry_after, std::string_view reason, time_point now);
     void leave_wait(waiting_item& waiting);
     duration expected_wait(std::size_t ahead) const;
     bool too_late(waiting_item const& waiting, std::size_t ahead,
--- a/tests/peer_ask_test.cpp
+++ b/tests/peer_ask_test.cpp
@@ -22,7 +22,8 @@
                         worker_id("w1"),
                         {base_model_id("base"), adapter_id("a1")},
                         2,
-                        1500ms};
+                        1500ms,
+                        request_id("r1")};
     call.done = {{7, false}, {8, true}};
     CHECK(decode_peer_call(body_of(encode_peer_call(call, "vm"))) == call);
     call.ask.reset();
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -158,12 +158,26 @@
                                duration time_left)
 {
     work_item item;
-    item.ticket = ticket_id(++last_ticket_);
-    item.target = model_target{base_model_id(model), adapter_id(adapter)};
     item.priority = priority;
+    return submit(std::move(item), adapter, time_left);
+}
+
+ticket_id scheduler_world::ask_for_peer(std::string const& adapter,
+                                        std::size_t worker)
+{
+    work_item item;
+    item.asked_for = name(worker);
+    return submit(std::move(item), adapter, std::chrono::seconds(5));
+}
+
+ticket_id scheduler_world::submit(work_item item, std::string const& adapter,
+                                  duration time_left)
+{
+    ticket_id const ticket(++last_ticket_);
+    item.ticket = ticket;
+    item.target = model_target{base_model_id(model), adapter_id(adapter)};
     item.arrived_at = now;
     item.give_up_at = now + time_left;
-    ticket_id const ticket = item.ticket;
     scheduler.submit(std::move(item), now);
     return ticket;
 }
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -60,6 +60,8 @@
     /// A request for an adapter; empty: for the model itself.
     ticket_id ask(std::string const& adapter, int priority = 0,
                   duration time_left = std::chrono::seconds(5));
+    /// Another VM's request for room at a worker.
+    ticket_id ask_for_peer(std::string const& adapter, std::size_t worker);
     /// Runs the scheduler and answers orders and reports until `span` is over.
     void run(duration span);
     void end(ticket_id ticket, send_outcome outcome = send_outcome::served);
@@ -88,6 +90,8 @@
     service_scheduler scheduler;
 
 private:
+    ticket_id submit(work_item item, std::string const& adapter,
+                     duration time_left);
     void carry_out(placement_action const& action);
 
     std::size_t batch_slots_;
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -138,6 +138,78 @@
         CHECK(world.placed(ticket));
 }
 
+// A burst of rare adapters: more of them have their home at one worker than it
+// has slots, and all its slots are in use by requests that last. The first few
+// wait there for a slot; the rest are loaded at the other worker at once. One
+// that waited for all of them at its home would be answered seconds late while
+// the other worker stands idle.
+TEST_CASE("a long queue at a home goes elsewhere, a short one is waited for",
+          "[scheduler]")
+{
+    scheduler_world world(2, 4, 32);
+    std::vector<std::string> at_home;
+    std::vector<ticket_id> running;
+    worker_id home;
+    for (int number = 0; at_home.size() < 10; ++number)
+    {
+        std::string const adapter = "b" + std::to_string(number);
+        ticket_id const probe = world.ask(adapter);
+        world.run(400ms);
+        REQUIRE(world.placed(probe));
+        if (home.empty())
+            home = world.worker_of(probe);
+        if (world.worker_of(probe) == home)
+            at_home.push_back(adapter);
+        world.end(probe);
+        world.run(20ms);
+    }
+    for (int number = 0; number < 4; ++number)
+        running.push_back(world.ask(at_home[std::size_t(number)]));
+    world.run(400ms);
+    for (ticket_id const ticket : running)
+        REQUIRE(world.worker_of(ticket) == home);
+    std::vector<ticket_id> burst;
+    for (std::size_t number = 4; number < 8; ++number)
+        burst.push_back(world.ask(at_home[number]));
+    world.run(400ms);
+    std::size_t elsewhere = 0;
+    for (ticket_id const ticket : burst)
+        elsewhere += world.placed(ticket) && world.worker_of(ticket) != home;
+    CHECK(elsewhere >= 1);
+    CHECK_FALSE(world.placed(burst.front()));
+    world.end(running.front());
+    world.run(400ms);
+    REQUIRE(world.placed(burst.front()));
+    CHECK(world.worker_of(burst.front()) == home);
+}
+
+// One adapter is asked for by more than a batch holds, by callers of other VMs.
+// Those for whom room is near wait; the rest are told no at once, so that their
+// VMs load a second copy at the next home.
+TEST_CASE("a full batch says no to other VMs at once", "[scheduler]")
+{
+    scheduler_world world(1, 4, 8);
+    ticket_id const first = world.ask("a1");
+    world.run(400ms);
+    REQUIRE(world.placed(first));
+    std::vector<ticket_id> foreign;
+    for (int number = 0; number < 20; ++number)
+        foreign.push_back(world.ask_for_peer("a1", 0));
+    world.run(5ms);
+    std::size_t refused = 0;
+    for (ticket_id const ticket : foreign)
+        refused += world.refused(ticket) && world.refusal(ticket).load == 1;
+    CHECK(world.scheduler.counts().granted == 7);
+    CHECK(refused >= 8);
+    // The rest wait, and get room as it comes free.
+    std::size_t const waiting = world.scheduler.counts().waiting;
+    CHECK(waiting == foreign.size() - refused - 7);
+    REQUIRE(waiting > 0);
+    world.end(first);
+    world.run(5ms);
+    CHECK(world.scheduler.counts().granted == 8);
+}
+
 // A worker fails most of its requests for some seconds; its adapter is served
 // elsewhere. Its share of failures fades while it is left alone: without that
 // it would never be tried again, and requests that wait for an adapter there
@@ -490,18 +562,12 @@
           "[scheduler]")
 {
     scheduler_world world(1);
-    work_item item;
-    item.ticket = ticket_id(900);
-    item.target = model_target{base_model_id("base"), adapter_id("a1")};
-    item.arrived_at = world.now;
-    item.give_up_at = world.now + 5s;
-    item.asked_for = scheduler_world::name(0);
-    world.scheduler.submit(item, world.now);
+    ticket_id const ticket = world.ask_for_peer("a1", 0);
     world.run(300ms);
     CHECK(world.scheduler.counts().granted == 1);
     // Its room counts as taken until it is over.
     CHECK(world.scheduler.counts().sent == 1);
-    world.scheduler.ended(item.ticket, send_outcome::served, world.now);
+    world.end(ticket);
     CHECK(world.scheduler.counts().sent == 0);
 }
 
