Tell owners which workers are dark, and count waiting loads as queue

Other requests waited for loads at dark workers until half of their time was over (grants after 1.7 s, questions silent for 2.0 s). While a hot adapter loads for 250 ms, thirty requests wait for a batch of twelve.

Change: a VM tells the owner how each granted request ended, and which workers a request may not be sent to; two unreachable in a row leave a worker out but for a probe, failures count in its share. A worker that leaves four orders in a row unanswered is waited for by nobody. Requests that wait for a load count in its worker's queue. Tests replay each.

--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -25,9 +25,43 @@
     json["request"] = ask.request.str();
     json["left_ms"] = Json::Int64(
         std::chrono::floor<std::chrono::milliseconds>(ask.time_left).count());
+    for (worker_id const& each : ask.excluded)
+        json["excluded"].append(each.str());
     return json;
 }
 
+std::optional<send_outcome> parse_outcome(Json::Value const& json)
+{
+    if (!json.isInt())
+        return std::nullopt;
+    switch (auto const outcome = static_cast<send_outcome>(json.asInt()))
+    {
+    case send_outcome::served:
+    case send_outcome::failed:
+    case send_outcome::full:
+    case send_outcome::not_held:
+    case send_outcome::unreachable:
+    case send_outcome::broken:
+    case send_outcome::silent:
+    case send_outcome::abandoned:
+        return outcome;
+    }
+    return std::nullopt;
+}
+
+bool parse_excluded(Json::Value const& json, std::set<worker_id>& excluded)
+{
+    if (!json.isNull() && !json.isArray())
+        return false;
+    for (Json::Value const& each : json)
+    {
+        if (!each.isString())
+            return false;
+        excluded.insert(worker_id(each.asString()));
+    }
+    return true;
+}
+
 std::optional<peer_ask> parse_ask(Json::Value const& json)
 {
     peer_ask ask;
@@ -39,6 +73,8 @@
     ask.time_left = std::chrono::milliseconds(
         std::min(number_or(json, "left_ms", 0), longest_wait_ms));
     ask.request = request_id(text_or(json, "request", ""));
+    if (!parse_excluded(json["excluded"], ask.excluded))
+        return std::nullopt;
     if (ask.service.empty() || ask.target.model.empty() ||
         ask.target.adapter.empty())
         return std::nullopt;
@@ -56,7 +92,7 @@
     {
         Json::Value pair(Json::arrayValue);
         pair.append(Json::UInt64(done.grant));
-        pair.append(done.not_held ? 1 : 0);
+        pair.append(static_cast<int>(done.outcome));
         json["done"].append(std::move(pair));
     }
     std::string const body = to_text(json);
@@ -82,10 +118,12 @@
         return std::nullopt;
     for (Json::Value const& pair : done)
     {
-        if (!pair.isArray() || pair.size() != 2 || !pair[0].isUInt64() ||
-            !pair[1].isInt())
+        if (!pair.isArray() || pair.size() != 2 || !pair[0].isUInt64())
+            return std::nullopt;
+        auto const outcome = parse_outcome(pair[1]);
+        if (!outcome)
             return std::nullopt;
-        message.done.push_back({pair[0].asUInt64(), pair[1].asInt() != 0});
+        message.done.push_back({pair[0].asUInt64(), *outcome});
     }
     return message;
 }
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -2,7 +2,8 @@
 /// orders to have an adapter there, and tells it when requests are over.
 ///
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
-///                 "left_ms", "request", "done": [[GRANT, NOT_HELD], ...]}
+///                 "left_ms", "request", "excluded": [ID, ...],
+///                 "done": [[GRANT, OUTCOME], ...]}
 ///   200          {"granted": true, "grant": N, "worker": ID, "load": 0.5}
 ///
 /// The head of the answer comes at once, the rest when the adapter is there
@@ -14,9 +15,11 @@
 #include "ids.hpp"
 #include "relay_request.hpp"
 #include "time_point.hpp"
+#include "worker_health.hpp"
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +39,8 @@
     duration time_left{};
     /// The caller's id of the request, for the logs of both VMs.
     request_id request;
+    /// Workers that it may not be sent to: tried before.
+    std::set<worker_id> excluded;
     friend bool operator==(peer_ask const&, peer_ask const&) = default;
 };
 
@@ -43,8 +48,8 @@
 struct peer_done
 {
     std::uint64_t grant = 0;
-    /// The worker did not hold the adapter after all.
-    bool not_held = false;
+    /// How it ended at its worker, as the VM saw that sent it.
+    send_outcome outcome = send_outcome::served;
     friend bool operator==(peer_done const&, peer_done const&) = default;
 };
 
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -9,7 +9,7 @@
 mulberry_test(scheduling_test
   SOURCES reader_choice_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_copy_test.cpp scheduler_world.cpp
-          service_scheduler_test.cpp worker_health_test.cpp
+          service_scheduler_test.cpp worker_adapters_test.cpp worker_health_test.cpp
   LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -271,7 +271,7 @@
     if (auto const grant = held_grants_.find(exchange.terms().ticket);
         grant != held_grants_.end())
     {
-        give_back(grant->second, outcome == send_outcome::not_held);
+        give_back(grant->second, outcome);
         held_grants_.erase(grant);
     }
     run_soon();
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -156,7 +156,7 @@
                 peer_reply const& reply);
     void note_ask(ask_owner const& ask, time_point asked_at,
                   ask_outcome outcome, peer_reply const& reply);
-    void give_back(held_grant const& grant, bool not_held);
+    void give_back(held_grant const& grant, send_outcome outcome);
     void tell_done();
     void answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
                      double load);
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -94,9 +94,7 @@
     if (!message)
         return answer->respond({status_bad_request, {}, {}});
     for (peer_done const& done : message->done)
-        forget_peer_request(ticket_id(done.grant), done.not_held
-                                                       ? send_outcome::not_held
-                                                       : send_outcome::served);
+        forget_peer_request(ticket_id(done.grant), done.outcome);
     if (!message->ask)
         return answer->respond(json_response(status_ok, "{}"));
     peer_ask const& ask = *message->ask;
@@ -114,6 +112,7 @@
     item.arrived_at = at;
     item.give_up_at = at + ask.time_left;
     item.asked_for = ask.worker;
+    item.excluded = ask.excluded;
     ticket_id const ticket = item.ticket;
     due_.set(ticket, item.give_up_at + grant_slack);
     peer_requests_[ticket] = {ask.service, answer, ask.request, ask.worker, at};
@@ -194,7 +193,8 @@
                            ask.target,
                            ask.priority,
                            ask.give_up_at - now(),
-                           found->second->request().id};
+                           found->second->request().id,
+                           ask.excluded};
     message.done = std::exchange(peer->second.done, {});
     collected_call call = call_to(peer->second.address, message);
     call.ends_at = [this, name, ticket = ask.ticket] {
@@ -254,25 +254,25 @@
     if (outcome == ask_outcome::granted)
     {
         if (!wanted)
-            return give_back({ask.owner, reply.grant}, false);
+            return give_back({ask.owner, reply.grant}, send_outcome::abandoned);
         held_grants_[ask.ticket] = {ask.owner, reply.grant};
     }
     bool const used = find(service)->scheduler.on_owner(
         ask.ticket, outcome, reply.worker, reply.load, now());
     if (!used && outcome == ask_outcome::granted)
     {
-        give_back({ask.owner, reply.grant}, false);
+        give_back({ask.owner, reply.grant}, send_outcome::abandoned);
         held_grants_.erase(ask.ticket);
     }
     run_soon();
 }
 
-void relay::give_back(held_grant const& grant, bool not_held)
+void relay::give_back(held_grant const& grant, send_outcome outcome)
 {
     auto const peer = peers_.find(grant.owner);
     if (peer == peers_.end())
         return;
-    peer->second.done.push_back({grant.number, not_held});
+    peer->second.done.push_back({grant.number, outcome});
     tell_done_at_ = std::min(tell_done_at_, now() + tell_done_delay);
 }
 
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -196,11 +196,10 @@
 
 /// Each slot is free again after the rest of a request: on average one of them
 /// after a mean request's time over their number.
-duration service_scheduler::slot_wait(worker_state const& worker,
+duration service_scheduler::slot_wait(std::size_t ahead,
                                       std::size_t slots) const
 {
-    return mean_service_ * (worker.queued + 1) /
-           std::max<std::size_t>(slots, 1);
+    return mean_service_ * ahead / std::max<std::size_t>(slots, 1);
 }
 
 /// Load it answers: many rare adapters at once, more of them at some homes than
@@ -211,12 +210,17 @@
                                       work_item const& item,
                                       time_point now) const
 {
-    if (taken(worker) >= limit_of(worker) &&
-        slot_wait(worker, worker.entry.slots) > longest_slot_wait)
+    if (worker.adapters.leaves_orders_unanswered() &&
+        !holds(worker, *item.target, now))
+        return false;
+    std::size_t const slots = limit_of(worker);
+    std::size_t const with_this = taken(worker) + worker.queued + 1;
+    if (with_this > slots &&
+        slot_wait(with_this - slots, slots) > longest_slot_wait)
         return false;
     return worker.adapters.can_take(*item.target) ||
            (now < item.arrived_at + busy_home_wait &&
-            slot_wait(worker, config_.engine->adapter_slots) <=
+            slot_wait(worker.queued + 1, config_.engine->adapter_slots) <=
                 longest_slot_wait);
 }
 
@@ -286,6 +290,8 @@
 {
     work_item const& item = waiting.item;
     bool const loaded = !waiting.loads_at.empty();
+    if (on.health.avoided(now))
+        on.health.probed(now);
     sent_item sent{on.entry.id, now, item.target, false, false, false};
     if (item.target && !item.target->adapter.empty() && on.owned)
     {
@@ -302,8 +308,6 @@
         sent_.emplace(item.ticket, std::move(sent));
         return;
     }
-    if (on.health.avoided(now))
-        on.health.probed(now);
     on.health.sent(now);
     ++(on.owned ? loaded ? counts_.placed_after_load : counts_.placed_resident
                 : counts_.placed_elsewhere);
@@ -342,7 +346,8 @@
 {
     worker_state* const worker = find(*waiting.item.asked_for);
     if (worker == nullptr || !worker->owned || worker->entry.draining ||
-        worker->health.avoided(now) || sick(*worker, now))
+        (worker->health.avoided(now) && !worker->health.may_probe(now)) ||
+        sick(*worker, now))
         return verdict::hopeless;
     model_target const& target = *waiting.item.target;
     if (worker_state* const holder = own_holder(waiting, now))
@@ -352,20 +357,16 @@
         leave_wait(waiting);
         return verdict::placed;
     }
-    if (holds(*worker, target, now))
+    if (!worth_waiting(*worker, waiting.item, now))
+        return verdict::hopeless;
+    if (holds(*worker, target, now) ||
+        (!waiting.loads_at.empty() && worker->adapters.stage(target)))
     {
-        if (!worth_waiting(*worker, waiting.item, now))
-            return verdict::hopeless;
         ++worker->queued;
         return verdict::waits;
     }
-    if (!waiting.loads_at.empty() && worker->adapters.stage(target))
-        return verdict::waits;
     leave_wait(waiting);
-    if (!worker->adapters.may_order(now))
-        return verdict::hopeless;
-    return worker->adapters.synced() &&
-                   worth_waiting(*worker, waiting.item, now)
+    return worker->adapters.may_order(now) && worker->adapters.synced()
                ? wait_at(waiting, *worker, now)
                : verdict::hopeless;
 }
@@ -374,12 +375,9 @@
                                                       worker_state& worker,
                                                       time_point now)
 {
+    ++worker.queued;
     if (!worker.adapters.can_take(*waiting.item.target))
-    {
-        ++worker.queued;
         return verdict::waits;
-    }
-    worker.queued += holds(worker, *waiting.item.target, now);
     worker.adapters.want(*waiting.item.target, now);
     worker.adapters.begin_wait(*waiting.item.target);
     waiting.loads_at = worker.entry.id;
@@ -432,6 +430,16 @@
     return best;
 }
 
+/// Whether a request still waits for its adapter at that worker.
+bool service_scheduler::goes_on_waiting(worker_state const& worker,
+                                        waiting_item const& waiting,
+                                        time_point now) const
+{
+    return worker.adapters.stage(*waiting.item.target) &&
+           !worker.entry.draining && !worker.health.avoided(now) &&
+           !sick(worker, now) && worth_waiting(worker, waiting.item, now);
+}
+
 service_scheduler::verdict
 service_scheduler::decide_adapter(waiting_item& waiting, queue_key const& key,
                                   time_point now)
@@ -446,11 +454,12 @@
     }
     if (!waiting.loads_at.empty())
     {
-        worker_state const* const loading = find(waiting.loads_at);
-        if (loading != nullptr && loading->adapters.stage(target) &&
-            !holds(*loading, target, now) && !loading->entry.draining &&
-            !loading->health.avoided(now) && !sick(*loading, now))
+        worker_state* const loading = find(waiting.loads_at);
+        if (loading != nullptr && goes_on_waiting(*loading, waiting, now))
+        {
+            ++loading->queued;
             return verdict::waits;
+        }
         leave_wait(waiting);
     }
     bool const tired = waiting.said_no.size() >= most_refusals;
@@ -491,7 +500,8 @@
         peer.probed(now);
     peer.sent(now);
     actions_.push_back(ask_owner{item.ticket, owner, worker.entry.id,
-                                 *item.target, item.priority, item.give_up_at});
+                                 *item.target, item.priority, item.give_up_at,
+                                 item.excluded});
     asked_.insert_or_assign(
         item.ticket, asked_item{waiting, key, owner, worker.entry.id, now});
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -179,7 +179,10 @@
     if (worker == nullptr)
         return;
     if (sent.by_peer)
+    {
         worker->granted -= worker->granted > 0;
+        worker->health.told(outcome, now);
+    }
     else
         worker->health.ended(outcome, sent.sent_at, now);
     if (sent.counted_use)
@@ -331,9 +334,14 @@
     for (auto& [key, waiting] : queue_)
     {
         work_item const& item = waiting.item;
-        bool const known_stuck = item.target && item.excluded.empty() &&
-                                 !waiting.loads_at.empty() &&
-                                 stuck.count(*item.target) > 0;
+        worker_state* const loading = item.target && item.excluded.empty() &&
+                                              stuck.count(*item.target) > 0
+                                          ? find(waiting.loads_at)
+                                          : nullptr;
+        bool const known_stuck =
+            loading != nullptr && goes_on_waiting(*loading, waiting, now);
+        if (known_stuck)
+            ++loading->queued;
         verdict const decided =
             known_stuck ? verdict::waits : decide(waiting, key, now);
         if (decided == verdict::placed || decided == verdict::asked)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -63,6 +63,8 @@
     model_target target;
     int priority = 0;
     time_point give_up_at = never;
+    /// Workers that the request may not be sent to.
+    std::set<worker_id> excluded;
 };
 
 /// Tell the VM that asked that it may send the request now, to the worker that
@@ -286,9 +288,10 @@
     adapter_version newest_of(model_target const& target) const;
     bool past_grace(model_target const& target, time_point now) const;
     worker_state* best_holder(waiting_item const& waiting, time_point now);
-    /// Until one of so many slots is free for one more request, with those that
-    /// wait ahead.
-    duration slot_wait(worker_state const& worker, std::size_t slots) const;
+    /// Until so many requests more have found one of the slots free.
+    duration slot_wait(std::size_t ahead, std::size_t slots) const;
+    bool goes_on_waiting(worker_state const& worker,
+                         waiting_item const& waiting, time_point now) const;
     bool worth_waiting(worker_state const& worker, work_item const& item,
                        time_point now) const;
     bool may_load_at(worker_state const& worker, waiting_item const& waiting,
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -23,11 +23,20 @@
 constexpr std::chrono::milliseconds busy_pause{150};
 /// Orders in a row that conflict before what is believed counts as wrong.
 constexpr int most_conflicts = 2;
+/// A worker that loses a third of its answers loses so many in a row once in a
+/// hundred orders; one that is dark has lost them within half a second.
+constexpr int unanswered_that_count = 4;
+/// The weight of the newest fetch in how long they take: the last few count,
+/// since a burst is over within seconds.
+constexpr double newest_fetch_weight = 0.25;
+/// Waiting for so long counts as much as one more request that waits: what is
+/// wanted by many is fetched first, and nothing waits for ever.
+constexpr std::chrono::milliseconds waiting_worth{100};
 
 } // namespace
 
 worker_adapters::worker_adapters(worker_adapters_settings settings)
-    : settings_(settings)
+    : settings_(settings), fetch_time_(settings.cold_load)
 {
 }
 
@@ -42,6 +51,7 @@
     known_ = false;
     holder_ = std::move(holder);
     fence_ = fence;
+    unanswered_ = 0;
     orders_from_ = orders_from;
     // Another VM may have given orders since this one last did.
     sequence_.reset();
@@ -236,6 +246,11 @@
            known->second.stage == adapter_stage::resident;
 }
 
+bool worker_adapters::leaves_orders_unanswered() const
+{
+    return unanswered_ >= unanswered_that_count;
+}
+
 std::size_t worker_adapters::occupied() const
 {
     return static_cast<std::size_t>(
@@ -276,7 +291,7 @@
     if (!next)
         next = model_order();
     if (!next)
-        next = load_order();
+        next = load_order(now);
     if (!next)
         next = evict_order(keep, now);
     order_ = next;
@@ -311,18 +326,47 @@
     return make(order_kind::load, {*wanted_model_, {}});
 }
 
-std::optional<worker_order> worker_adapters::load_order() const
+/// Load it answers: more is fetched at once, over all workers, than the weight
+/// store sends at full speed; every fetch then takes several times longer, and
+/// holds its adapter slot for as long. The slower fetches are, the fewer this
+/// worker has on their way: those that begin first are there sooner, and the
+/// rest no later.
+std::size_t worker_adapters::coming_limit() const
+{
+    auto const limit =
+        (settings_.max_coming * settings_.cold_load + fetch_time_ / 2) /
+        fetch_time_;
+    return std::clamp<std::size_t>(static_cast<std::size_t>(limit), 1,
+                                   settings_.max_coming);
+}
+
+void worker_adapters::note_fetch(entry const& state, time_point now)
+{
+    auto const took =
+        std::max<duration>(now - state.ordered_at, settings_.cold_load);
+    fetch_time_ += duration(static_cast<duration::rep>(
+        newest_fetch_weight * double((took - fetch_time_).count())));
+}
+
+std::optional<worker_order> worker_adapters::load_order(time_point now) const
 {
-    if (occupied() >= settings_.adapter_slots ||
-        coming() >= settings_.max_coming)
+    if (occupied() >= settings_.adapter_slots || coming() >= coming_limit())
         return std::nullopt;
     std::pair<model_target const, entry> const* first = nullptr;
+    duration most{};
     for (auto const& each : adapters_)
-        if (each.second.stage == adapter_stage::wanted &&
-            has_model(each.first.model) &&
-            (first == nullptr ||
-             each.second.wanted_at < first->second.wanted_at))
-            first = &each;
+    {
+        entry const& state = each.second;
+        if (state.stage != adapter_stage::wanted ||
+            !has_model(each.first.model))
+            continue;
+        duration const worth =
+            now - state.wanted_at + waiting_worth * state.waits;
+        if (first != nullptr && worth <= most)
+            continue;
+        first = &each;
+        most = worth;
+    }
     if (first == nullptr)
         return std::nullopt;
     return make(order_kind::load, first->first);
@@ -369,9 +413,11 @@
     {
         // Sent again as it was, until the worker says something.
         repeated_ = true;
+        ++unanswered_;
         retry_at_ = now + settings_.poll_interval;
         return false;
     }
+    unanswered_ = 0;
     order_.reset();
     switch (outcome)
     {
@@ -380,7 +426,7 @@
         return accepted(order, now);
     case order_outcome::holds:
         conflicts_ = 0;
-        held(order);
+        held(order, now);
         return true;
     case order_outcome::conflict:
         // An order repeated under a number that the worker is past was carried
@@ -423,8 +469,11 @@
     remember(target);
     state.stage = adapter_stage::loading;
     state.ordered = state.newest;
-    state.due = now + (warm ? settings_.warm_load : settings_.cold_load);
-    state.check_at = state.due;
+    state.ordered_at = now;
+    state.cold = !warm;
+    state.due = now + (warm ? settings_.warm_load : fetch_time_);
+    // Not later: fetches may be fast again.
+    state.check_at = now + (warm ? settings_.warm_load : settings_.cold_load);
     return true;
 }
 
@@ -453,7 +502,7 @@
     return begun;
 }
 
-void worker_adapters::held(worker_order const& order)
+void worker_adapters::held(worker_order const& order, time_point now)
 {
     model_target const target{order.model, order.adapter};
     if (order.adapter.empty())
@@ -486,6 +535,8 @@
     entry& state = adapters_[target];
     if (state.stage == adapter_stage::wanted && repeated_)
         ++*sequence_;
+    if (state.stage == adapter_stage::loading && state.cold)
+        note_fetch(state, now);
     state.stage = adapter_stage::resident;
     state.check_at = never;
     state.due = never;
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -120,6 +120,9 @@
     /// only asked how far another is, and for one without effect.
     bool on_outcome(order_outcome outcome, time_point now);
     bool order_in_flight() const { return in_flight_; }
+    /// The last orders all went without an answer: the worker is dark, or
+    /// cannot be reached, and loads nothing until it answers one.
+    bool leaves_orders_unanswered() const;
     /// The next moment at which next_order() may have something new.
     time_point next_due() const;
 
@@ -140,6 +143,9 @@
         std::size_t uses = 0;
         std::size_t waits = 0;
         time_point wanted_at{};
+        time_point ordered_at{};
+        /// Fetched from the weight store, as far as is known.
+        bool cold = false;
         time_point check_at = never;
         time_point due = never;
         /// It is not unloaded before: the worker may still be at the end of a
@@ -153,16 +159,18 @@
     }
     std::size_t occupied() const;
     std::size_t coming() const;
+    std::size_t coming_limit() const;
     std::optional<worker_order> poll_order(time_point now);
     std::optional<worker_order> model_order() const;
-    std::optional<worker_order> load_order() const;
+    std::optional<worker_order> load_order(time_point now) const;
     std::optional<worker_order> evict_order(score const& keep, time_point now);
     worker_order make(order_kind kind, model_target target) const;
     /// False when it was known before.
     bool accepted(worker_order const& order, time_point now);
     bool unload_begun(worker_order const& order, time_point now);
     bool model_load_begun(worker_order const& order, time_point now);
-    void held(worker_order const& order);
+    void held(worker_order const& order, time_point now);
+    void note_fetch(entry const& state, time_point now);
     void conflicted(worker_order const& order, time_point now);
     void lose_track(time_point now);
     bool was_here_lately(model_target const& target) const;
@@ -181,12 +189,16 @@
     std::optional<base_model_id> loading_model_;
     time_point model_check_at_ = never;
     std::map<model_target, entry> adapters_;
+    /// How long fetches from the weight store have taken lately.
+    duration fetch_time_;
     /// Least recently loaded first; the worker keeps copies of about as many.
     std::list<model_target> recent_;
     std::optional<worker_order> order_;
     /// The order was sent and may yet be answered.
     bool in_flight_ = false;
     bool repeated_ = false;
+    /// Orders in a row that had no answer.
+    int unanswered_ = 0;
     /// Orders in a row that conflicted.
     int conflicts_ = 0;
     time_point retry_at_{};
--- a/src/worker_health.cpp
+++ b/src/worker_health.cpp
@@ -16,6 +16,8 @@
 /// as long, up to the longest: a restart takes one to some seconds.
 constexpr milliseconds first_avoid{250};
 constexpr milliseconds longest_avoid{2000};
+constexpr int most_doublings = 4;
+constexpr int told_failures_that_count = 2;
 constexpr milliseconds probe_interval{500};
 /// Without answers a share of failures falls to a third in this time: a worker
 /// left alone at 0.4 is tried again after some two seconds.
@@ -42,6 +44,7 @@
         pending_.erase(found);
     last_byte_ = now;
     failures_in_a_row_ = 0;
+    told_failures_in_a_row_ = 0;
     auto const took = std::min<duration>(now - sent_at, most_patience);
     mean_first_byte_ += duration(static_cast<duration::rep>(
         newest_weight * double((took - mean_first_byte_).count())));
@@ -53,11 +56,13 @@
     if (auto const found = pending_.find(sent_at); found != pending_.end())
         pending_.erase(found);
     pending_total_ -= pending_total_ > 0;
-    bool failed = false;
     switch (outcome)
     {
     case send_outcome::served:
-        break;
+        return judge(false, now);
+    case send_outcome::failed:
+    case send_outcome::broken:
+        return judge(true, now);
     case send_outcome::full:
         full_until_ = now + full_pause;
         return;
@@ -66,17 +71,38 @@
         return;
     case send_outcome::unreachable:
     case send_outcome::silent:
-        ++failures_in_a_row_;
-        avoid(std::min<duration>(first_avoid *
-                                     (1 << std::min(failures_in_a_row_, 4)),
-                                 longest_avoid),
-              now);
-        return;
+        return avoid(++failures_in_a_row_, now);
+    }
+}
+
+/// Failure: a worker goes dark, and the VM that orders it sends it nothing of
+/// its own. It grants one request after the other, each of which waits for a
+/// connection that is never made. One VM that cannot reach a worker proves
+/// little; the second in a row does.
+void worker_health::told(send_outcome outcome, time_point now)
+{
+    switch (outcome)
+    {
+    case send_outcome::served:
+        told_failures_in_a_row_ = 0;
+        return judge(false, now);
     case send_outcome::failed:
     case send_outcome::broken:
-        failed = true;
-        break;
+        return judge(true, now);
+    case send_outcome::unreachable:
+    case send_outcome::silent:
+        if (++told_failures_in_a_row_ >= told_failures_that_count)
+            avoid(told_failures_in_a_row_, now);
+        return;
+    case send_outcome::full:
+    case send_outcome::not_held:
+    case send_outcome::abandoned:
+        return;
     }
+}
+
+void worker_health::judge(bool failed, time_point now)
+{
     failure_share_ = failure_share(now);
     failure_share_ += newest_weight * (double(failed) - failure_share_);
     judged_at_ = now;
@@ -88,9 +114,12 @@
     return failure_share_ * std::exp(-idle / fading_time);
 }
 
-void worker_health::avoid(duration span, time_point now)
+void worker_health::avoid(int failures, time_point now)
 {
-    next_probe_ = now + span;
+    next_probe_ =
+        now + std::min<duration>(first_avoid *
+                                     (1 << std::min(failures, most_doublings)),
+                                 longest_avoid);
 }
 
 /// Failure: a worker that cannot be reached is given everything again when its
@@ -98,7 +127,9 @@
 /// first, and the rest follow once it was answered.
 bool worker_health::avoided(time_point now) const
 {
-    return failures_in_a_row_ > 0 || now >= silent_at();
+    return failures_in_a_row_ > 0 ||
+           told_failures_in_a_row_ >= told_failures_that_count ||
+           now >= silent_at();
 }
 
 bool worker_health::may_probe(time_point now) const
--- a/src/worker_health.hpp
+++ b/src/worker_health.hpp
@@ -42,6 +42,9 @@
     void first_byte(time_point sent_at, time_point now);
     void ended(send_outcome outcome, time_point sent_at, time_point now);
 
+    /// How a request ended that another VM sent.
+    void told(send_outcome outcome, time_point now);
+
     std::size_t outstanding() const { return pending_total_; }
     /// Could not be reached, or left everything unanswered for too long, and
     /// has answered nothing since.
@@ -67,7 +70,8 @@
     time_point silent_at() const;
 
 private:
-    void avoid(duration span, time_point now);
+    void avoid(int failures, time_point now);
+    void judge(bool failed, time_point now);
 
     std::multimap<time_point, int> pending_;
     std::size_t pending_total_ = 0;
@@ -75,6 +79,8 @@
     time_point full_until_{};
     time_point next_probe_{};
     int failures_in_a_row_ = 0;
+    /// Of other VMs' requests.
+    int told_failures_in_a_row_ = 0;
     double failure_share_ = 0;
     time_point judged_at_{};
     duration mean_first_byte_ = std::chrono::milliseconds(50);
--- a/tests/peer_ask_test.cpp
+++ b/tests/peer_ask_test.cpp
@@ -23,8 +23,9 @@
                         {base_model_id("base"), adapter_id("a1")},
                         2,
                         1500ms,
-                        request_id("r1")};
-    call.done = {{7, false}, {8, true}};
+                        request_id("r1"),
+                        {worker_id("w3"), worker_id("w4")}};
+    call.done = {{7, send_outcome::served}, {8, send_outcome::silent}};
     CHECK(decode_peer_call(body_of(encode_peer_call(call, "vm"))) == call);
     call.ask.reset();
     CHECK(decode_peer_call(body_of(encode_peer_call(call, "vm"))) == call);
@@ -41,7 +42,8 @@
 {
     for (char const* text :
          {"", "[]", "{\"worker\":\"w\"}", "{\"done\":1}", "{\"done\":[1]}",
-          "{\"done\":[[1]]}", "{\"done\":[[-1,0]]}", "nonsense"})
+          "{\"done\":[[1]]}", "{\"done\":[[-1,0]]}", "{\"done\":[[1,99]]}",
+          "nonsense"})
         CHECK_FALSE(decode_peer_call(text));
     for (char const* text : {"", "{}", "{\"granted\":1}", "{\"granted\":true}"})
         CHECK_FALSE(decode_peer_reply(text));
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -163,10 +163,12 @@
 }
 
 ticket_id scheduler_world::ask_for_peer(std::string const& adapter,
-                                        std::size_t worker)
+                                        std::size_t worker,
+                                        std::set<worker_id> excluded)
 {
     work_item item;
     item.asked_for = name(worker);
+    item.excluded = std::move(excluded);
     return submit(std::move(item), adapter, std::chrono::seconds(5));
 }
 
@@ -222,6 +224,8 @@
         order_.push_back(placed->ticket);
         scheduler.first_byte(placed->ticket, now);
     }
+    else if (auto const* granted = std::get_if<grant_ask>(&action))
+        granted_.emplace(granted->ticket, granted->worker);
     else if (auto const* refused = std::get_if<refuse_request>(&action))
         refused_.emplace(refused->ticket, *refused);
     else if (auto const* ask = std::get_if<ask_owner>(&action))
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -61,13 +61,19 @@
     ticket_id ask(std::string const& adapter, int priority = 0,
                   duration time_left = std::chrono::seconds(5));
     /// Another VM's request for room at a worker.
-    ticket_id ask_for_peer(std::string const& adapter, std::size_t worker);
+    ticket_id ask_for_peer(std::string const& adapter, std::size_t worker,
+                           std::set<worker_id> excluded = {});
     /// Runs the scheduler and answers orders and reports until `span` is over.
     void run(duration span);
     void end(ticket_id ticket, send_outcome outcome = send_outcome::served);
 
     bool placed(ticket_id ticket) const { return placed_.count(ticket) > 0; }
     bool refused(ticket_id ticket) const { return refused_.count(ticket) > 0; }
+    bool granted(ticket_id ticket) const { return granted_.count(ticket) > 0; }
+    worker_id granted_worker(ticket_id ticket) const
+    {
+        return granted_.at(ticket);
+    }
     worker_id worker_of(ticket_id ticket) const { return placed_.at(ticket); }
     refuse_request const& refusal(ticket_id ticket) const
     {
@@ -97,6 +103,8 @@
     std::size_t batch_slots_;
     std::uint64_t last_ticket_ = 0;
     std::map<ticket_id, worker_id> placed_;
+    /// Of other VMs' requests.
+    std::map<ticket_id, worker_id> granted_;
     std::map<ticket_id, time_point> times_;
     std::map<ticket_id, refuse_request> refused_;
     std::vector<ticket_id> order_;
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -571,6 +571,73 @@
     CHECK(world.scheduler.counts().sent == 0);
 }
 
+// A worker goes dark. Its owner sends it nothing of its own, so it hears of
+// that from the VMs that it granted room: after the second it grants none, but
+// for one at a time that finds out whether the worker is back.
+TEST_CASE("a worker that other VMs cannot reach is granted to none",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    ticket_id const first = world.ask_for_peer("a1", 0);
+    world.run(400ms);
+    CHECK(world.scheduler.counts().granted == 1);
+    world.end(first, send_outcome::unreachable);
+    ticket_id const second = world.ask_for_peer("a1", 0);
+    world.run(5ms);
+    CHECK(world.scheduler.counts().granted == 2);
+    world.end(second, send_outcome::unreachable);
+    ticket_id const third = world.ask_for_peer("a1", 0);
+    world.run(5ms);
+    CHECK(world.refused(third));
+    world.run(1s);
+    ticket_id const probe = world.ask_for_peer("a1", 0);
+    ticket_id const beside = world.ask_for_peer("a1", 0);
+    world.run(5ms);
+    CHECK(world.scheduler.counts().granted == 3);
+    CHECK(world.refused(beside));
+    world.end(probe);
+    world.ask_for_peer("a1", 0);
+    world.ask_for_peer("a1", 0);
+    world.run(5ms);
+    CHECK(world.scheduler.counts().granted == 5);
+}
+
+// A request was sent to one worker and failed there. Its VM asks the owner for
+// another; it is not given the first again.
+TEST_CASE("a worker that a request was sent to is not granted again",
+          "[scheduler]")
+{
+    scheduler_world world(2);
+    ticket_id const first = world.ask("a1");
+    world.run(400ms);
+    worker_id const home = world.worker_of(first);
+    world.end(first);
+    std::size_t const other = home == scheduler_world::name(0) ? 1 : 0;
+    ticket_id const ticket = world.ask_for_peer("a1", other, {home});
+    world.run(400ms);
+    REQUIRE(world.granted(ticket));
+    CHECK(world.granted_worker(ticket) == scheduler_world::name(other));
+}
+
+// A worker goes dark while adapters are to be loaded there. Its orders have no
+// answer. Other VMs' requests are refused within half a second, not after half
+// of the time that they have, so that they go to the next home.
+TEST_CASE("nothing waits for a worker that leaves orders unanswered",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    world.run(10ms);
+    world.workers.at(scheduler_world::name(0)).lose_answers(true);
+    ticket_id const ticket = world.ask_for_peer("a1", 0);
+    world.run(600ms);
+    CHECK(world.refused(ticket));
+    world.workers.at(scheduler_world::name(0)).lose_answers(false);
+    world.run(400ms);
+    ticket_id const later = world.ask_for_peer("a2", 0);
+    world.run(400ms);
+    CHECK(world.granted(later));
+}
+
 // Many VMs ask the owner of an adapter's home, so the owner sees all of its
 // requests. Its own callers ask seldom: they are sent to that home, and no copy
 // is fetched for the owner's failure domain.
--- /dev/null
+++ b/tests/worker_adapters_test.cpp
@@ -0,0 +1,147 @@
+#include "worker_adapters.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+worker_id const worker("w");
+base_model_id const model("base");
+
+model_target target(std::string const& adapter)
+{
+    return {model, adapter_id(adapter)};
+}
+
+/// One worker that accepts every order; its loads are done when the test says.
+struct ordered_worker
+{
+    worker_adapters adapters;
+    time_point now{std::chrono::hours(1)};
+
+    ordered_worker() : adapters(settings())
+    {
+        adapters.grant(vm_id("vm"), fencing_number(1), now);
+        worker_report report;
+        report.models[model] = {};
+        adapters.on_report(report, now);
+    }
+
+    static worker_adapters_settings settings()
+    {
+        worker_adapters_settings settings;
+        settings.adapter_slots = 64;
+        return settings;
+    }
+
+    void want(std::string const& adapter, int waiting = 1)
+    {
+        adapters.want(target(adapter), now);
+        for (int number = 0; number < waiting; ++number)
+            adapters.begin_wait(target(adapter));
+    }
+
+    std::optional<worker_order> next()
+    {
+        return adapters.next_order(
+            worker, [](model_target const&) { return 0.0; }, now);
+    }
+
+    /// The loads that are ordered now, in their order.
+    std::vector<std::string> order_loads()
+    {
+        std::vector<std::string> ordered;
+        while (auto const order = next())
+        {
+            ordered.push_back(order->adapter.str());
+            adapters.on_outcome(order_outcome::accepted, now);
+        }
+        return ordered;
+    }
+
+    /// Every load on its way is done; nothing else is ordered.
+    void finish_loads(std::size_t coming)
+    {
+        for (std::size_t number = 0; number < coming; ++number)
+        {
+            auto const order = next();
+            REQUIRE(order);
+            CHECK(adapters.stage({order->model, order->adapter}) ==
+                  adapter_stage::loading);
+            adapters.on_outcome(order_outcome::holds, now);
+        }
+    }
+
+    /// Has four more adapters fetched, each of which takes that long; how many
+    /// were on their way at a time at the first.
+    std::size_t fetch_four(duration takes)
+    {
+        for (int number = 0; number < 4; ++number)
+            want("f" + std::to_string(last_++));
+        std::size_t at_a_time = 0;
+        while (true)
+        {
+            auto const coming = order_loads();
+            if (coming.empty())
+                return at_a_time;
+            at_a_time = std::max(at_a_time, coming.size());
+            now += takes;
+            finish_loads(coming.size());
+        }
+    }
+
+private:
+    int last_ = 0;
+};
+
+} // namespace
+
+// The start of all workers at once: each fetches as many adapters as it may,
+// and the weight store sends all of them slowly. A worker whose fetches take
+// four times as long has one on its way at a time, and four again when they
+// are as fast as usual.
+TEST_CASE("the slower fetches are the fewer are on their way",
+          "[worker_adapters]")
+{
+    ordered_worker worker;
+    CHECK(worker.fetch_four(250ms) == 4);
+    worker.fetch_four(1000ms);
+    worker.fetch_four(1000ms);
+    CHECK(worker.fetch_four(1000ms) == 1);
+    for (int round = 0; round < 4; ++round)
+        worker.fetch_four(250ms);
+    CHECK(worker.fetch_four(250ms) == 4);
+}
+
+// A hot adapter and rare ones are wanted at the same moment. Twenty requests
+// wait for the hot one, so it comes first; a rare one that has waited for long
+// comes before it.
+TEST_CASE("what more requests wait for is fetched first", "[worker_adapters]")
+{
+    ordered_worker worker;
+    for (char const* rare : {"a1", "a2", "a3", "a4", "a5"})
+        worker.want(rare);
+    worker.now += 10ms;
+    worker.want("hot", 20);
+    auto const ordered = worker.order_loads();
+    REQUIRE(ordered.size() == 4);
+    CHECK(ordered.front() == "hot");
+    CHECK(ordered[1] == "a1");
+}
+
+TEST_CASE("what has waited for long is fetched before what many want",
+          "[worker_adapters]")
+{
+    ordered_worker worker;
+    worker.want("rare");
+    worker.now += 3s;
+    worker.want("hot", 20);
+    CHECK(worker.order_loads().front() == "rare");
+}
