--- a/src/action.hpp
+++ b/src/action.hpp
@@ -150,7 +150,7 @@
     time_point deadline;
 };
 
-/// Send a message to another VM's peers' door; it may be lost.
+/// Send a message to another VM's peers' listener; it may be lost.
 struct tell_peer
 {
     vm_id to;
--- a/src/call_book.hpp
+++ b/src/call_registry.hpp
@@ -1,6 +1,6 @@
 /// An HTTP client that knows which call carries which attempt.
-#ifndef MULBERRY_CALL_BOOK_HPP
-#define MULBERRY_CALL_BOOK_HPP
+#ifndef MULBERRY_CALL_REGISTRY_HPP
+#define MULBERRY_CALL_REGISTRY_HPP
 
 #include "http_client.hpp"
 #include "ids.hpp"
@@ -14,7 +14,7 @@
 {
 
 /// Thread safe.
-class call_book
+class call_registry
 {
 public:
     void start(attempt_id attempt, http_call call,
--- a/src/callers_door.cpp
+++ b/src/caller_listener.cpp
@@ -1,10 +1,10 @@
-#include "callers_door.hpp"
+#include "caller_listener.hpp"
 
-#include "asking.hpp"
 #include "completion_answer.hpp"
 #include "error_page.hpp"
 #include "json_text.hpp"
 #include "metrics_text.hpp"
+#include "request_intake.hpp"
 #include "shell_clock.hpp"
 
 #include <algorithm>
@@ -18,11 +18,12 @@
 constexpr std::string_view services_path = "/services/";
 constexpr std::size_t max_key_bytes = 200;
 
-/// A caller's open connection, as the asker of a plain service's answer.
-class service_asker : public asker
+/// A caller's open connection, as the response writer of a plain service's
+/// answer.
+class service_writer : public response_writer
 {
 public:
-    service_asker(request_id id, std::shared_ptr<http_answer> out)
+    service_writer(request_id id, std::shared_ptr<http_answer> out)
         : id_(std::move(id)), out_(std::move(out))
     {
     }
@@ -54,7 +55,7 @@
                        [](char c) { return c > ' ' && c <= '~'; });
 }
 
-/// Fields that belong to this door, not to the service behind it.
+/// Fields that belong to this listener, not to the service behind it.
 bool kept_here(std::string name)
 {
     std::transform(name.begin(), name.end(), name.begin(),
@@ -68,14 +69,15 @@
 
 } // namespace
 
-callers_door::callers_door(callers_settings settings, answer_board& answers)
+caller_listener::caller_listener(callers_settings settings,
+                                 pending_answers& answers)
     : settings_(std::move(settings)), answers_(&answers)
 {
 }
 
-callers_door::~callers_door() = default;
+caller_listener::~caller_listener() = default;
 
-void callers_door::start(kernel& parts)
+void caller_listener::start(kernel& parts)
 {
     decisions_ = &parts.find<decision_loop>("decisions");
     http_server_options options = settings_.server;
@@ -86,18 +88,18 @@
         { handle(std::move(request), std::move(out)); });
 }
 
-void callers_door::stop()
+void caller_listener::stop()
 {
     server_.reset();
 }
 
-std::string callers_door::address() const
+std::string caller_listener::address() const
 {
     return settings_.server.address + ":" + std::to_string(server_->port());
 }
 
-void callers_door::handle(http_request request,
-                          std::shared_ptr<http_answer> out)
+void caller_listener::handle(http_request request,
+                             std::shared_ptr<http_answer> out)
 {
     bool const reads = request.method == "GET" || request.method == "HEAD";
     if (request.path.starts_with(services_path))
@@ -131,9 +133,9 @@
                        ""));
 }
 
-void callers_door::handle_completion(http_request const& request,
-                                     model_endpoint endpoint,
-                                     std::shared_ptr<http_answer> out)
+void caller_listener::handle_completion(http_request const& request,
+                                        model_endpoint endpoint,
+                                        std::shared_ptr<http_answer> out)
 {
     auto parsed = parse_completion(request, endpoint, settings_.limits,
                                    shell_clock::now());
@@ -144,7 +146,7 @@
     }
     auto& asked = std::get<model_request>(parsed);
     asked.id = next_id();
-    std::shared_ptr<asker> who;
+    std::shared_ptr<response_writer> who;
     if (asked.streamed)
         who = std::make_shared<streamed_answer>(asked.id, asked.adapter, out);
     else
@@ -155,8 +157,8 @@
         model_request_arrived{std::move(asked)});
 }
 
-void callers_door::handle_service(http_request const& request,
-                                  std::shared_ptr<http_answer> out)
+void caller_listener::handle_service(http_request const& request,
+                                     std::shared_ptr<http_answer> out)
 {
     std::string const rest = request.path.substr(services_path.size());
     auto const slash = std::min(rest.find('/'), rest.size());
@@ -192,16 +194,16 @@
     asked.arrived = shell_clock::now();
     asked.deadline = std::get<time_point>(deadline);
     request_id const id = asked.id;
-    ask(*decisions_, *answers_, id, std::make_shared<service_asker>(id, out),
+    ask(*decisions_, *answers_, id, std::make_shared<service_writer>(id, out),
         out, service_request_arrived{std::move(asked)});
 }
 
-request_id callers_door::next_id()
+request_id caller_listener::next_id()
 {
     return request_id(settings_.id_prefix + "-" + std::to_string(++last_id_));
 }
 
-http_response callers_door::models() const
+http_response caller_listener::models() const
 {
     auto const declared = decisions_->status()->declared;
     Json::Value body;
--- a/src/callers_door.hpp
+++ b/src/caller_listener.hpp
@@ -1,12 +1,13 @@
-/// The callers' door: OpenAI-compatible paths, plain services, probes, metrics.
-#ifndef MULBERRY_CALLERS_DOOR_HPP
-#define MULBERRY_CALLERS_DOOR_HPP
+/// The callers' listener: OpenAI-compatible paths, plain services, probes,
+/// metrics.
+#ifndef MULBERRY_CALLER_LISTENER_HPP
+#define MULBERRY_CALLER_LISTENER_HPP
 
-#include "answer_board.hpp"
 #include "completion_request.hpp"
 #include "decision_loop.hpp"
 #include "http_server.hpp"
 #include "kernel.hpp"
+#include "pending_answers.hpp"
 
 #include <atomic>
 #include <cstdint>
@@ -26,12 +27,12 @@
     std::string id_prefix;
 };
 
-class callers_door : public daemon_part
+class caller_listener : public daemon_part
 {
 public:
     /// `answers` outlives this object.
-    callers_door(callers_settings settings, answer_board& answers);
-    ~callers_door() override;
+    caller_listener(callers_settings settings, pending_answers& answers);
+    ~caller_listener() override;
 
     void start(kernel& parts) override;
     void stop() override;
@@ -48,7 +49,7 @@
     http_response models() const;
 
     callers_settings settings_;
-    answer_board* answers_;
+    pending_answers* answers_;
     decision_loop* decisions_ = nullptr;
     std::atomic<std::uint64_t> last_id_{0};
     std::unique_ptr<http_server> server_;
--- a/src/claim_book.cpp
+++ b/src/claim_store.cpp
@@ -1,4 +1,4 @@
-#include "claim_book.hpp"
+#include "claim_store.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -32,15 +32,16 @@
 
 } // namespace
 
-claim_book::claim_book(id_source& ids, duration table_timeout,
-                       std::size_t inline_answer_bytes, std::uint64_t seed)
+claim_store::claim_store(id_source& ids, duration table_timeout,
+                         std::size_t inline_answer_bytes, std::uint64_t seed)
     : ids_(ids), table_timeout_(table_timeout),
       inline_answer_bytes_(inline_answer_bytes), jitter_(0, 0, seed)
 {
 }
 
-void claim_book::open(request_id const& request, std::string key, claim_row row,
-                      time_point deadline, time_point now, action_list& actions)
+void claim_store::open(request_id const& request, std::string key,
+                       claim_row row, time_point deadline, time_point now,
+                       action_list& actions)
 {
     claim fresh;
     fresh.key = std::move(key);
@@ -50,9 +51,9 @@
     send_claim(*entry, now, actions);
 }
 
-void claim_book::end(request_id const& request, claim_stage stage,
-                     std::optional<service_answer> answer, time_point now,
-                     action_list& actions)
+void claim_store::end(request_id const& request, claim_stage stage,
+                      std::optional<service_answer> answer, time_point now,
+                      action_list& actions)
 {
     auto const found = claims_.find(request);
     if (found == claims_.end())
@@ -89,7 +90,7 @@
         resume(*found, now, actions);
 }
 
-void claim_book::forget(request_id const& request)
+void claim_store::forget(request_id const& request)
 {
     auto const found = claims_.find(request);
     if (found == claims_.end())
@@ -101,25 +102,25 @@
     claims_.erase(found);
 }
 
-bool claim_book::open(request_id const& request) const
+bool claim_store::open(request_id const& request) const
 {
     return claims_.count(request) != 0;
 }
 
-bool claim_book::settled(request_id const& request) const
+bool claim_store::settled(request_id const& request) const
 {
     auto const found = claims_.find(request);
     return found != claims_.end() && found->second.settled;
 }
 
-bool claim_book::knows(operation_id operation) const
+bool claim_store::knows(operation_id operation) const
 {
     return operations_.count(operation) != 0;
 }
 
-std::optional<claim_verdict> claim_book::on_table(table_reply const& reply,
-                                                  time_point now,
-                                                  action_list& actions)
+std::optional<claim_verdict> claim_store::on_table(table_reply const& reply,
+                                                   time_point now,
+                                                   action_list& actions)
 {
     auto const operation = operations_.find(reply.operation);
     if (operation == operations_.end())
@@ -128,10 +129,10 @@
     return apply(*found, reply, now, actions);
 }
 
-std::optional<claim_verdict> claim_book::apply(claim_map::value_type& entry,
-                                               table_reply const& reply,
-                                               time_point now,
-                                               action_list& actions)
+std::optional<claim_verdict> claim_store::apply(claim_map::value_type& entry,
+                                                table_reply const& reply,
+                                                time_point now,
+                                                action_list& actions)
 {
     claim& own = entry.second;
     step const was = own.busy;
@@ -146,9 +147,9 @@
                          std::nullopt, own.condition};
 }
 
-std::optional<request_id> claim_book::on_object(object_reply const& reply,
-                                                time_point now,
-                                                action_list& actions)
+std::optional<request_id> claim_store::on_object(object_reply const& reply,
+                                                 time_point now,
+                                                 action_list& actions)
 {
     auto const operation = operations_.find(reply.operation);
     if (operation == operations_.end())
@@ -167,8 +168,8 @@
     return found->first;
 }
 
-std::optional<claim_verdict> claim_book::tick(time_point now,
-                                              action_list& actions)
+std::optional<claim_verdict> claim_store::tick(time_point now,
+                                               action_list& actions)
 {
     while (auto const request = due_.pop(now))
     {
@@ -202,8 +203,8 @@
     return std::nullopt;
 }
 
-void claim_book::resume(claim_map::value_type& entry, time_point now,
-                        action_list& actions)
+void claim_store::resume(claim_map::value_type& entry, time_point now,
+                         action_list& actions)
 {
     claim const& own = entry.second;
     if (!own.end)
@@ -214,8 +215,8 @@
         send_end(entry, now, actions);
 }
 
-void claim_book::send_claim(claim_map::value_type& entry, time_point now,
-                            action_list& actions)
+void claim_store::send_claim(claim_map::value_type& entry, time_point now,
+                             action_list& actions)
 {
     claim& own = entry.second;
     time_point const due = std::min(now + table_timeout_, own.deadline);
@@ -229,8 +230,8 @@
 // For a claim that was never certain the end `not_run` is written under the
 // same condition as the claim itself: whichever lands first makes the other
 // conflict, so that after it no copy of the claim can land any more.
-void claim_book::send_end(claim_map::value_type& entry, time_point now,
-                          action_list& actions)
+void claim_store::send_end(claim_map::value_type& entry, time_point now,
+                           action_list& actions)
 {
     claim& own = entry.second;
     claim_row row = own.row;
@@ -245,8 +246,8 @@
                  due});
 }
 
-void claim_book::send_body(claim_map::value_type& entry, time_point now,
-                           action_list& actions)
+void claim_store::send_body(claim_map::value_type& entry, time_point now,
+                            action_list& actions)
 {
     claim& own = entry.second;
     time_point const due = now + table_timeout_;
@@ -255,7 +256,7 @@
                                       own.end->body, due});
 }
 
-void claim_book::begin(claim_map::value_type& entry, step what, time_point due)
+void claim_store::begin(claim_map::value_type& entry, step what, time_point due)
 {
     claim& own = entry.second;
     own.busy = what;
@@ -265,7 +266,7 @@
     schedule(entry);
 }
 
-void claim_book::finish_operation(claim_map::value_type& entry)
+void claim_store::finish_operation(claim_map::value_type& entry)
 {
     claim& own = entry.second;
     operations_.erase(own.operation);
@@ -275,13 +276,13 @@
     schedule(entry);
 }
 
-void claim_book::schedule(claim_map::value_type const& entry)
+void claim_store::schedule(claim_map::value_type const& entry)
 {
     due_.set(entry.first,
              std::min(entry.second.reply_due, entry.second.retry_due));
 }
 
-void claim_book::retry(claim_map::value_type& entry, time_point now)
+void claim_store::retry(claim_map::value_type& entry, time_point now)
 {
     claim& own = entry.second;
     ++own.tries;
@@ -290,7 +291,7 @@
     schedule(entry);
 }
 
-void claim_book::settle(claim_map::value_type& entry)
+void claim_store::settle(claim_map::value_type& entry)
 {
     claim& own = entry.second;
     if (own.settled)
@@ -301,9 +302,9 @@
 }
 
 std::optional<claim_verdict>
-claim_book::on_claim_reply(claim_map::value_type& entry,
-                           table_reply const& reply, time_point now,
-                           action_list& actions)
+claim_store::on_claim_reply(claim_map::value_type& entry,
+                            table_reply const& reply, time_point now,
+                            action_list& actions)
 {
     claim& own = entry.second;
     claim_verdict verdict{entry.first, claim_verdict::what::uncertain,
@@ -331,9 +332,9 @@
 }
 
 std::optional<claim_verdict>
-claim_book::on_claim_conflict(claim_map::value_type& entry,
-                              table_reply const& reply, time_point now,
-                              action_list& actions)
+claim_store::on_claim_conflict(claim_map::value_type& entry,
+                               table_reply const& reply, time_point now,
+                               action_list& actions)
 {
     claim& own = entry.second;
     table_row const& row = *row_of(reply, own.key);
@@ -375,9 +376,9 @@
     return std::nullopt;
 }
 
-void claim_book::on_abandoned_claim_reply(claim_map::value_type& entry,
-                                          table_reply const& reply,
-                                          time_point now, action_list& actions)
+void claim_store::on_abandoned_claim_reply(claim_map::value_type& entry,
+                                           table_reply const& reply,
+                                           time_point now, action_list& actions)
 {
     claim& own = entry.second;
     table_row const* const row = row_of(reply, own.key);
@@ -401,9 +402,9 @@
     retry(entry, now);
 }
 
-void claim_book::on_end_reply(claim_map::value_type& entry,
-                              table_reply const& reply, time_point now,
-                              action_list& actions)
+void claim_store::on_end_reply(claim_map::value_type& entry,
+                               table_reply const& reply, time_point now,
+                               action_list& actions)
 {
     claim& own = entry.second;
     table_row const* const row = row_of(reply, own.key);
@@ -428,9 +429,9 @@
         resume(entry, now, actions);
 }
 
-void claim_book::on_end_conflict(claim_map::value_type& entry,
-                                 table_reply const& reply, time_point now,
-                                 action_list& actions)
+void claim_store::on_end_conflict(claim_map::value_type& entry,
+                                  table_reply const& reply, time_point now,
+                                  action_list& actions)
 {
     claim& own = entry.second;
     table_row const& row = *row_of(reply, own.key);
--- a/src/claim_book.hpp
+++ b/src/claim_store.hpp
@@ -1,7 +1,7 @@
 /// The table work of this VM's claims: one row a call that may not be
 /// repeated, from the claim before the call to its end.
-#ifndef MULBERRY_CLAIM_BOOK_HPP
-#define MULBERRY_CLAIM_BOOK_HPP
+#ifndef MULBERRY_CLAIM_STORE_HPP
+#define MULBERRY_CLAIM_STORE_HPP
 
 #include "action.hpp"
 #include "claim_row.hpp"
@@ -53,11 +53,11 @@
 /// safe since each is conditional on the version that the row had before: at
 /// most one of the copies takes effect, however late one lands.
 /// Thread safety: none; owned by service_caller.
-class claim_book
+class claim_store
 {
 public:
-    claim_book(id_source& ids, duration table_timeout,
-               std::size_t inline_answer_bytes, std::uint64_t seed);
+    claim_store(id_source& ids, duration table_timeout,
+                std::size_t inline_answer_bytes, std::uint64_t seed);
 
     /// Starts claiming `key` with `row` (stage claimed), until `deadline`.
     /// Precondition: no claim of that request is open.
--- a/src/completion_answer.hpp
+++ b/src/completion_answer.hpp
@@ -1,10 +1,10 @@
-/// A caller's open connection, as the asker of a model's answer.
+/// A caller's open connection, as the response writer of a model's answer.
 #ifndef MULBERRY_COMPLETION_ANSWER_HPP
 #define MULBERRY_COMPLETION_ANSWER_HPP
 
-#include "answer_board.hpp"
 #include "http_server.hpp"
 #include "model_request.hpp"
+#include "pending_answers.hpp"
 
 #include <memory>
 #include <string>
@@ -13,7 +13,7 @@
 {
 
 /// Passes events on as they come.
-class streamed_answer : public asker
+class streamed_answer : public response_writer
 {
 public:
     streamed_answer(request_id id, adapter_ref adapter,
@@ -33,7 +33,7 @@
 };
 
 /// Puts the events together into one answer.
-class whole_answer : public asker
+class whole_answer : public response_writer
 {
 public:
     whole_answer(request_id id, adapter_ref adapter, model_endpoint endpoint,
--- a/src/configuration_keeper.cpp
+++ b/src/configuration_keeper.cpp
@@ -4,7 +4,7 @@
 #include "configuration_reader.hpp"
 #include "confirm_run.hpp"
 #include "jitter.hpp"
-#include "promise_book.hpp"
+#include "promise_store.hpp"
 
 #include <algorithm>
 #include <list>
--- a/src/confirm_run.hpp
+++ b/src/confirm_run.hpp
@@ -8,7 +8,7 @@
 #include "configuration_reader.hpp"
 #include "configuration_row.hpp"
 #include "jitter.hpp"
-#include "promise_book.hpp"
+#include "promise_store.hpp"
 
 #include <cstdint>
 #include <memory>
--- a/src/core_event.hpp
+++ b/src/core_event.hpp
@@ -31,7 +31,7 @@
 };
 
 /// The caller, or the peer that forwarded the request, closed its connection.
-struct asker_gone
+struct writer_gone
 {
     request_id request;
 };
@@ -84,7 +84,7 @@
 };
 
 using core_event =
-    std::variant<model_request_arrived, service_request_arrived, asker_gone,
+    std::variant<model_request_arrived, service_request_arrived, writer_gone,
                  request_forwarded, peer_said, vms_listed, confirm_asked,
                  leave_asked, quarter_began, clock_ticked, attempt_chunk,
                  attempt_end, attempt_failure, service_attempt_answer,
--- a/src/ctl_commands.cpp
+++ b/src/ctl_commands.cpp
@@ -67,7 +67,7 @@
     Json::Value parameters(Json::objectValue);
     parameters["declaration"] = text;
     Json::Value const answer =
-        context.door.call("plan", parameters, resend::allowed);
+        context.client.call("plan", parameters, resend::allowed);
     Json::Value const& plan = answer["plan"];
     context.out << (options.json ? pretty_json(plan)
                                  : plan["summary"].asString());
@@ -88,7 +88,7 @@
 {
     Json::Value parameters(Json::objectValue);
     parameters["all"] = all;
-    return context.door.call("status", parameters, resend::allowed);
+    return context.client.call("status", parameters, resend::allowed);
 }
 
 ctl_exit run_status(ctl_options const& options, ctl_context const& context)
@@ -102,7 +102,7 @@
                            ctl_context const& context)
 {
     Json::Value const answer =
-        context.door.call("configuration", no_parameters(), resend::allowed);
+        context.client.call("configuration", no_parameters(), resend::allowed);
     auto const version = answer["version"].asUInt64();
     std::string const text = answer["declaration"].asString();
     if (options.json)
@@ -121,7 +121,7 @@
 ctl_exit run_targets(ctl_options const& options, ctl_context const& context)
 {
     Json::Value const targets =
-        context.door.call("targets", no_parameters(), resend::allowed);
+        context.client.call("targets", no_parameters(), resend::allowed);
     context.out << (options.json ? pretty_json(targets)
                                  : targets_text(targets));
     return ctl_exit::ok;
@@ -155,7 +155,7 @@
         {
             state = state_of(read_status(context, true), vm);
         }
-        catch (door_failure const& failure)
+        catch (operator_call_failure const& failure)
         {
             context.err << failure.what() << "\n";
         }
@@ -180,7 +180,7 @@
     Json::Value parameters(Json::objectValue);
     parameters["vm"] = options.arguments.front();
     Json::Value const answer =
-        context.door.call("drain", parameters, resend::allowed);
+        context.client.call("drain", parameters, resend::allowed);
     if (options.wait)
         return wait_until_left(options, context);
     if (options.json)
@@ -195,7 +195,7 @@
 class timeline_reader
 {
 public:
-    explicit timeline_reader(ctl_door& door) : door_(door) {}
+    explicit timeline_reader(operator_client& client) : client_(client) {}
 
     /// The next events, none at the end.
     Json::Value next()
@@ -204,7 +204,7 @@
         parameters["after"] = cursor_;
         parameters["limit"] = events_a_call;
         Json::Value answer =
-            door_.call("timeline", parameters, resend::allowed);
+            client_.call("timeline", parameters, resend::allowed);
         cursor_ = answer["cursor"].asString();
         return answer["events"];
     }
@@ -228,7 +228,7 @@
     }
 
 private:
-    ctl_door& door_;
+    operator_client& client_;
     std::string cursor_;
 };
 
@@ -243,7 +243,7 @@
 
 ctl_exit run_timeline(ctl_options const& options, ctl_context const& context)
 {
-    timeline_reader reader(context.door);
+    timeline_reader reader(context.client);
     show_events(reader.newest(options.limit), options.json, context.out);
     while (options.follow && context.out)
     {
@@ -252,9 +252,9 @@
         {
             show_events(reader.next(), options.json, context.out);
         }
-        catch (door_failure const& failure)
+        catch (operator_call_failure const& failure)
         {
-            if (failure.reason() == door_failure::kind::refused)
+            if (failure.reason() == operator_call_failure::kind::refused)
                 throw;
             context.err << failure.what() << "; trying again\n";
         }
@@ -279,13 +279,14 @@
     return command == "confirm" || command == "drain";
 }
 
-ctl_exit exit_of(door_failure const& failure, std::string const& command)
+ctl_exit exit_of(operator_call_failure const& failure,
+                 std::string const& command)
 {
     switch (failure.reason())
     {
-    case door_failure::kind::refused:
+    case operator_call_failure::kind::refused:
         return ctl_exit::refused;
-    case door_failure::kind::outcome_unknown:
+    case operator_call_failure::kind::outcome_unknown:
         if (changes_something(command))
             return ctl_exit::outcome_unknown;
         [[fallthrough]];
@@ -294,20 +295,20 @@
     }
 }
 
-std::string_view meaning_of(door_failure const& failure)
+std::string_view meaning_of(operator_call_failure const& failure)
 {
     switch (failure.reason())
     {
-    case door_failure::kind::unreachable:
+    case operator_call_failure::kind::unreachable:
         return "no VM can be reached";
-    case door_failure::kind::outcome_unknown:
+    case operator_call_failure::kind::outcome_unknown:
         return "no whole answer came";
     default:
         return "refused";
     }
 }
 
-void report(door_failure const& failure, std::ostream& err)
+void report(operator_call_failure const& failure, std::ostream& err)
 {
     err << meaning_of(failure) << ": " << failure.what() << "\n";
     Json::Value const& data = failure.data();
@@ -340,10 +341,11 @@
     {
         return command_table().at(options.command)(options, context);
     }
-    catch (door_failure const& failure)
+    catch (operator_call_failure const& failure)
     {
         report(failure, context.err);
-        if (options.json && failure.reason() == door_failure::kind::refused)
+        if (options.json &&
+            failure.reason() == operator_call_failure::kind::refused)
             context.out << pretty_json(
                 refusal_json(failure.what(), failure.data()));
         return exit_of(failure, options.command);
--- a/src/ctl_commands.hpp
+++ b/src/ctl_commands.hpp
@@ -2,9 +2,9 @@
 #ifndef MULBERRY_CTL_COMMANDS_HPP
 #define MULBERRY_CTL_COMMANDS_HPP
 
-#include "ctl_door.hpp"
 #include "ctl_exit.hpp"
 #include "ctl_options.hpp"
+#include "operator_client.hpp"
 
 #include <iosfwd>
 #include <string>
@@ -16,7 +16,7 @@
 /// What a command works with; all of it outlives the command.
 struct ctl_context
 {
-    ctl_door& door;
+    operator_client& client;
     ctl_clock& clock;
     /// Results.
     std::ostream& out;
@@ -34,19 +34,19 @@
 /// Throws file_failure.
 std::string read_file(std::string const& path);
 
-/// `check`: the faults of declarations and settings. Needs no door. Throws
+/// `check`: the faults of declarations and settings. Needs no client. Throws
 /// file_failure.
 ctl_exit run_check(ctl_options const& options, std::ostream& out,
                    std::ostream& err);
 
-/// `explain`: the story of one request out of log files. Needs no door. Throws
-/// file_failure.
+/// `explain`: the story of one request out of log files. Needs no client.
+/// Throws file_failure.
 ctl_exit run_explain(ctl_options const& options, std::ostream& out,
                      std::ostream& err);
 
 /// `confirm`: sends the plan once; when the answer is lost, reads the
 /// configuration back until it tells whether the plan is in force. Throws
-/// door_failure, file_failure.
+/// operator_call_failure, file_failure.
 ctl_exit run_confirm(ctl_options const& options, ctl_context const& context);
 
 /// Runs any command but the offline ones and reports its failures.
--- a/src/ctl_confirm.cpp
+++ b/src/ctl_confirm.cpp
@@ -36,12 +36,13 @@
 
 // The VM that was asked may itself have lost the table's answer: its error
 // then says that the write may have taken effect.
-bool may_have_run(door_failure const& failure)
+bool may_have_run(operator_call_failure const& failure)
 {
-    if (failure.reason() == door_failure::kind::outcome_unknown)
+    if (failure.reason() == operator_call_failure::kind::outcome_unknown)
         return true;
     Json::Value const& data = failure.data();
-    if (failure.reason() != door_failure::kind::refused || !data.isObject())
+    if (failure.reason() != operator_call_failure::kind::refused ||
+        !data.isObject())
         return false;
     return data["ran"] == "unknown" || data["kind"] == unknown_outcome;
 }
@@ -59,11 +60,11 @@
     {
         try
         {
-            Json::Value const result = context_.door.call(
+            Json::Value const result = context_.client.call(
                 "confirm", confirm_parameters(plan_), resend::never);
             return in_force(result["version"].asUInt64(), "");
         }
-        catch (door_failure const& failure)
+        catch (operator_call_failure const& failure)
         {
             if (!may_have_run(failure))
                 throw;
@@ -98,13 +99,13 @@
     {
         try
         {
-            Json::Value const result = context_.door.call(
+            Json::Value const result = context_.client.call(
                 "configuration", Json::Value(Json::objectValue),
                 resend::allowed);
             return confirmed{result["version"].asUInt64(),
                              digest_of(result["declaration"].asString())};
         }
-        catch (door_failure const& failure)
+        catch (operator_call_failure const& failure)
         {
             context_.err << failure.what() << "\n";
             return std::nullopt;
--- a/src/ctl_options.cpp
+++ b/src/ctl_options.cpp
@@ -136,10 +136,11 @@
     po::options_description options("Options");
     options.add_options()("help", "show help, also of one command")(
         "operators", po::value<std::vector<std::string>>()->composing(),
-        "IP:PORT of a VM's operators' door; may be given several times: the "
+        "IP:PORT of a VM's operators' listener; may be given several times: "
+        "the "
         "next one is tried when one cannot be reached")(
         "key-file", po::value<std::string>(),
-        "file with the key of the operators' door")(
+        "file with the key of the operators' listener")(
         "json", "print the answer as JSON, for programs")(
         "timeout-ms", po::value<std::int64_t>(),
         "how long to wait for one VM's answer (default 15000)");
@@ -260,7 +261,7 @@
             fmt::format("{} needs --operators IP:PORT of a VM", form.name));
     if (options.key_file.empty())
         throw usage_failure(fmt::format("{} needs --key-file FILE with the key "
-                                        "of the operators' door",
+                                        "of the operators' listener",
                                         form.name));
 }
 
--- a/src/ctl_options.hpp
+++ b/src/ctl_options.hpp
@@ -27,7 +27,7 @@
     std::vector<std::string> arguments;
     bool help = false;
 
-    /// IP:PORT of VMs' operators' doors, in the order to try.
+    /// IP:PORT of VMs' operators' listeners, in the order to try.
     std::vector<std::string> operators;
     std::string key_file;
     bool json = false;
--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -1,7 +1,6 @@
 #include "daemon.hpp"
 
-#include "answer_board.hpp"
-#include "callers_door.hpp"
+#include "caller_listener.hpp"
 #include "decision_loop.hpp"
 #include "http_engine_port.hpp"
 #include "http_peer_port.hpp"
@@ -9,8 +8,9 @@
 #include "http_service_port.hpp"
 #include "kernel.hpp"
 #include "log.hpp"
-#include "operators_door.hpp"
-#include "peers_door.hpp"
+#include "operator_listener.hpp"
+#include "peer_listener.hpp"
+#include "pending_answers.hpp"
 #include "shell_clock.hpp"
 #include "timeline.hpp"
 
@@ -77,11 +77,12 @@
     return core;
 }
 
-http_server_options server_of(settings const& value, door_address const& door)
+http_server_options server_of(settings const& value,
+                              listen_address const& listener)
 {
     http_server_options options;
-    options.address = door.address;
-    options.port = door.port;
+    options.address = listener.address;
+    options.port = listener.port;
     options.max_body_bytes = value.max_body_bytes;
     options.max_header_bytes = value.max_header_bytes;
     options.max_connections = value.max_connections;
@@ -96,12 +97,12 @@
           timeline_(clock_, value.timeline_capacity),
           prefix_(life_prefix(value.vm))
     {
-        // The peers' door comes first, since its port is part of what the VM
-        // registers under.
-        add_peers_door(value);
+        // The peers' listener comes first, since its port is part of what the
+        // VM registers under.
+        add_peer_listener(value);
         add_decisions(value);
-        add_operators_door(value);
-        add_callers_door(value);
+        add_operator_listener(value);
+        add_caller_listener(value);
     }
 
     void start() { parts_.start(); }
@@ -113,10 +114,10 @@
     timeline& events() { return timeline_; }
     std::string addresses() const
     {
-        return "callers " + parts_.find<callers_door>("callers").address() +
-               " peers " + parts_.find<peers_door>("peers").address() +
+        return "callers " + parts_.find<caller_listener>("callers").address() +
+               " peers " + parts_.find<peer_listener>("peers").address() +
                " operators " +
-               parts_.find<operators_door>("operators").address();
+               parts_.find<operator_listener>("operators").address();
     }
 
 private:
@@ -125,7 +126,7 @@
         loop_settings loop;
         loop.core = core_of(value);
         loop.own_address = [](kernel const& parts)
-        { return parts.find<peers_door>("peers").address(); };
+        { return parts.find<peer_listener>("peers").address(); };
         loop.ring_capacity = value.ring_capacity;
         loop.load_report_interval = value.load_report_interval;
         auto ports = [this, value](event_sink& sink)
@@ -145,27 +146,27 @@
                                     loop, ports, answers_, timeline_));
     }
 
-    void add_peers_door(settings const& value)
+    void add_peer_listener(settings const& value)
     {
         // The forwarded requests of all other VMs come in here.
         http_server_options peers = server_of(value, value.peers);
         peers.max_body_bytes = 2 * value.max_body_bytes;
         parts_.add("peers",
-                   std::make_unique<peers_door>(
+                   std::make_unique<peer_listener>(
                        peers_settings{value.vm, peers, value.peers_key},
                        answers_, clock_, timeline_));
     }
 
-    void add_operators_door(settings const& value)
+    void add_operator_listener(settings const& value)
     {
         operators_settings operators{value.vm, value.deployment,
                                      server_of(value, value.operators),
                                      value.operators_key, value.peers_key};
         operators.server.max_body_bytes = 64UL * 1024 * 1024;
-        parts_.add("operators", std::make_unique<operators_door>(operators));
+        parts_.add("operators", std::make_unique<operator_listener>(operators));
     }
 
-    void add_callers_door(settings const& value)
+    void add_caller_listener(settings const& value)
     {
         callers_settings callers;
         callers.vm = value.vm;
@@ -175,12 +176,12 @@
         callers.limits.max_deadline = value.max_deadline;
         callers.id_prefix = prefix_;
         parts_.add("callers",
-                   std::make_unique<callers_door>(callers, answers_));
+                   std::make_unique<caller_listener>(callers, answers_));
     }
 
     causal_clock clock_;
     timeline timeline_;
-    answer_board answers_;
+    pending_answers answers_;
     std::string prefix_;
     kernel parts_;
 };
--- a/src/decision_loop.cpp
+++ b/src/decision_loop.cpp
@@ -21,7 +21,7 @@
 
 decision_loop::decision_loop(loop_settings settings,
                              std::function<loop_ports(event_sink&)> make_ports,
-                             answer_board& answers, timeline& events)
+                             pending_answers& answers, timeline& events)
     : settings_(std::move(settings)), make_ports_(std::move(make_ports)),
       answers_(&answers), timeline_(&events), ring_(settings_.ring_capacity),
       status_(std::make_shared<core_status const>()),
--- a/src/decision_loop.hpp
+++ b/src/decision_loop.hpp
@@ -2,10 +2,10 @@
 #ifndef MULBERRY_DECISION_LOOP_HPP
 #define MULBERRY_DECISION_LOOP_HPP
 
-#include "answer_board.hpp"
 #include "bounded_ring.hpp"
 #include "event_sink.hpp"
 #include "kernel.hpp"
+#include "pending_answers.hpp"
 #include "ports.hpp"
 #include "safeguards.hpp"
 #include "timeline.hpp"
@@ -51,7 +51,7 @@
     /// this object.
     decision_loop(loop_settings settings,
                   std::function<loop_ports(event_sink&)> make_ports,
-                  answer_board& answers, timeline& events);
+                  pending_answers& answers, timeline& events);
     ~decision_loop() override;
 
     void start(kernel& parts) override;
@@ -81,7 +81,7 @@
 
     loop_settings settings_;
     std::function<loop_ports(event_sink&)> make_ports_;
-    answer_board* answers_;
+    pending_answers* answers_;
     timeline* timeline_;
     safeguards checks_;
     bounded_ring<core_event> ring_;
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -16,7 +16,7 @@
     error_answer{bad_deadline, "bad_deadline", 400, ran::no, false,
                  "the deadline is past, absurd or not a number"},
     error_answer{unauthorized, "unauthorized", 401, ran::no, false,
-                 "the door's key is missing or wrong"},
+                 "the listener's key is missing or wrong"},
     error_answer{not_found, "not_found", 404, ran::no, false,
                  "no such path or object"},
     error_answer{unknown_model, "unknown_model", 404, ran::no, false,
--- a/src/event_sink.hpp
+++ b/src/event_sink.hpp
@@ -13,7 +13,8 @@
 public:
     virtual ~event_sink() = default;
     /// For new work: false when the decision thread's ring is full, so that
-    /// the asker is told of the overload while it is certain that nothing ran.
+    /// the response writer is told of the overload while it is certain that
+    /// nothing ran.
     virtual bool offer(core_event event) = 0;
     /// For what became of work already taken: waits for room, since a lost
     /// event would be a lost answer. The wait slows the back end's connection
--- a/src/http_engine_port.cpp
+++ b/src/http_engine_port.cpp
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds cancel_timeout{2000};
 
 /// The engine's body: the caller's, with the name to run in place of `model`.
-/// The callers' door leaves `model`, `stream` and `priority` out of what it
+/// The callers' listener leaves `model`, `stream` and `priority` out of what it
 /// passes on, so they are put in front.
 std::string engine_body(start_attempt const& what)
 {
@@ -107,13 +107,14 @@
                                     std::nullopt});
         return;
     }
-    book_.start(what.attempt, stream_call(*base, what),
-                std::make_shared<stream_observer>(what.attempt, *sink_, book_));
+    calls_.start(
+        what.attempt, stream_call(*base, what),
+        std::make_shared<stream_observer>(what.attempt, *sink_, calls_));
 }
 
 void http_engine_port::cancel(cancel_attempt const& what)
 {
-    book_.cancel(what.attempt);
+    calls_.cancel(what.attempt);
     auto const base = url_of(what.worker);
     if (!what.stop_at_engine || !base)
         return;
@@ -124,7 +125,7 @@
     call.repeatable = true;
     // Whether it arrives matters little: a stream that nobody reads is
     // cancelled by the engine itself after a while.
-    book_.client().start(
+    calls_.client().start(
         std::move(call),
         std::make_shared<response_observer>([](collected_response const&) {}));
 }
@@ -148,7 +149,7 @@
     call.body = std::move(body);
     call.deadline = shell_clock::to_steady(deadline);
     call.connect_timeout = connect_timeout;
-    book_.client().start(
+    calls_.client().start(
         std::move(call),
         std::make_shared<response_observer>(
             [order, sink = sink_](collected_response const& response)
@@ -185,17 +186,17 @@
         call.url = *base + "/load";
         call.deadline = std::chrono::steady_clock::now() + report_timeout;
         call.repeatable = true;
-        book_.client().start(std::move(call),
-                             std::make_shared<response_observer>(
-                                 [worker, asked_at, sink = sink_](
-                                     collected_response const& response)
-                                 {
-                                     if (response.status != 200)
-                                         return;
-                                     if (auto report = parse_engine_report(
-                                             worker, response.body, asked_at))
-                                         sink->post(std::move(*report));
-                                 }));
+        calls_.client().start(std::move(call),
+                              std::make_shared<response_observer>(
+                                  [worker, asked_at, sink = sink_](
+                                      collected_response const& response)
+                                  {
+                                      if (response.status != 200)
+                                          return;
+                                      if (auto report = parse_engine_report(
+                                              worker, response.body, asked_at))
+                                          sink->post(std::move(*report));
+                                  }));
     }
 }
 
--- a/src/http_engine_port.hpp
+++ b/src/http_engine_port.hpp
@@ -2,7 +2,7 @@
 #ifndef MULBERRY_HTTP_ENGINE_PORT_HPP
 #define MULBERRY_HTTP_ENGINE_PORT_HPP
 
-#include "call_book.hpp"
+#include "call_registry.hpp"
 #include "event_sink.hpp"
 #include "http_client.hpp"
 #include "ports.hpp"
@@ -35,7 +35,7 @@
 
     event_sink* sink_;
     std::shared_ptr<declaration const> configuration_;
-    call_book book_;
+    call_registry calls_;
 };
 
 /// A worker's answer to GET /load. Nothing if it cannot be read.
--- a/src/http_peer_port.cpp
+++ b/src/http_peer_port.cpp
@@ -80,13 +80,14 @@
     call.deadline = shell_clock::to_steady(what.request.deadline);
     call.connect_timeout = connect_timeout;
     call.silence_timeout = peer_silence;
-    book_.start(what.attempt, std::move(call),
-                std::make_shared<stream_observer>(what.attempt, *sink_, book_));
+    calls_.start(
+        what.attempt, std::move(call),
+        std::make_shared<stream_observer>(what.attempt, *sink_, calls_));
 }
 
 void http_peer_port::cancel(attempt_id attempt)
 {
-    book_.cancel(attempt);
+    calls_.cancel(attempt);
 }
 
 void http_peer_port::tell(tell_peer const& what, std::string const& address)
--- a/src/http_peer_port.hpp
+++ b/src/http_peer_port.hpp
@@ -3,7 +3,7 @@
 #ifndef MULBERRY_HTTP_PEER_PORT_HPP
 #define MULBERRY_HTTP_PEER_PORT_HPP
 
-#include "call_book.hpp"
+#include "call_registry.hpp"
 #include "event_sink.hpp"
 #include "http_client.hpp"
 #include "ids.hpp"
@@ -38,7 +38,7 @@
     causal_clock* clock_;
     event_sink* sink_;
     std::shared_ptr<messages_under_way> under_way_;
-    call_book book_;
+    call_registry calls_;
     http_client message_client_;
 };
 
--- a/src/http_service_port.cpp
+++ b/src/http_service_port.cpp
@@ -67,9 +67,9 @@
         return;
     }
     auto done = [attempt = what.attempt, sink = sink_,
-                 book = &book_](collected_response response)
+                 calls = &calls_](collected_response response)
     {
-        book->ended(attempt);
+        calls->ended(attempt);
         if (response.status != 0)
             sink->post(service_attempt_answer{attempt,
                                               to_answer(std::move(response))});
@@ -78,13 +78,13 @@
                 attempt_failure{attempt, to_failure_stage(response.stage), 0,
                                 "connection", response.failure, std::nullopt});
     };
-    book_.start(what.attempt, to_call(what, place->second),
-                std::make_shared<response_observer>(std::move(done)));
+    calls_.start(what.attempt, to_call(what, place->second),
+                 std::make_shared<response_observer>(std::move(done)));
 }
 
 void http_service_port::cancel(attempt_id attempt)
 {
-    book_.cancel(attempt);
+    calls_.cancel(attempt);
 }
 
 } // namespace mulberry
--- a/src/http_service_port.hpp
+++ b/src/http_service_port.hpp
@@ -2,7 +2,7 @@
 #ifndef MULBERRY_HTTP_SERVICE_PORT_HPP
 #define MULBERRY_HTTP_SERVICE_PORT_HPP
 
-#include "call_book.hpp"
+#include "call_registry.hpp"
 #include "event_sink.hpp"
 #include "http_client.hpp"
 #include "ports.hpp"
@@ -27,7 +27,7 @@
 private:
     event_sink* sink_;
     std::map<service_worker_id, std::string> urls_;
-    call_book book_;
+    call_registry calls_;
 };
 
 } // namespace mulberry
--- a/src/json_rpc.hpp
+++ b/src/json_rpc.hpp
@@ -28,7 +28,7 @@
     rpc_not_sent = -32090,
     /// It may have run; the answer did not come whole.
     rpc_outcome_unknown = -32091,
-    /// The door answered another status than 200, as to a wrong key.
+    /// The listener answered another status than 200, as to a wrong key.
     rpc_refused = -32092
 };
 
@@ -47,7 +47,7 @@
 };
 
 /// Dispatches JSON-RPC request bodies to methods: the server connector that
-/// the HTTP doors call. Thread safe once built.
+/// the HTTP listeners call. Thread safe once built.
 class rpc_server
 {
 public:
--- a/src/mulberryctl.cpp
+++ b/src/mulberryctl.cpp
@@ -26,10 +26,10 @@
 ctl_exit run_online(ctl_options const& options)
 {
     http_client client;
-    rpc_ctl_door door(client, options.operators, read_key(options.key_file),
-                      options.timeout);
+    rpc_operator_client listener(client, options.operators,
+                                 read_key(options.key_file), options.timeout);
     steady_ctl_clock clock;
-    return run_command(options, {door, clock, std::cout, std::cerr});
+    return run_command(options, {listener, clock, std::cout, std::cerr});
 }
 
 ctl_exit run(std::vector<std::string> const& arguments)
--- a/src/ctl_door.cpp
+++ b/src/operator_client.cpp
@@ -1,4 +1,4 @@
-#include "ctl_door.hpp"
+#include "operator_client.hpp"
 
 #include <fmt/format.h>
 
@@ -9,21 +9,22 @@
 namespace
 {
 
-door_failure::kind reason_of(rpc_failure const& failure)
+operator_call_failure::kind reason_of(rpc_failure const& failure)
 {
     switch (failure.code())
     {
     case rpc_not_sent:
-        return door_failure::kind::unreachable;
+        return operator_call_failure::kind::unreachable;
     case rpc_outcome_unknown:
-        return door_failure::kind::outcome_unknown;
+        return operator_call_failure::kind::outcome_unknown;
     default:
-        return door_failure::kind::refused;
+        return operator_call_failure::kind::refused;
     }
 }
 
 /// A failed call as the commands see it.
-door_failure converted(rpc_failure const& failure, std::string const& address)
+operator_call_failure converted(rpc_failure const& failure,
+                                std::string const& address)
 {
     std::string text = fmt::format("{}: {}", address, failure.what());
     if (failure.code() == rpc_refused)
@@ -43,14 +44,13 @@
     std::this_thread::sleep_until(when);
 }
 
-rpc_ctl_door::rpc_ctl_door(http_client& client,
-                           std::vector<std::string> const& addresses,
-                           std::string const& key,
-                           std::chrono::milliseconds timeout)
+rpc_operator_client::rpc_operator_client(
+    http_client& client, std::vector<std::string> const& addresses,
+    std::string const& key, std::chrono::milliseconds timeout)
     : timeout_(timeout)
 {
     for (std::string const& address : addresses)
-        doors_.push_back(
+        clients_.push_back(
             {address, std::make_unique<rpc_client>(
                           client, "http://" + address + "/rpc", key)});
 }
@@ -58,25 +58,27 @@
 // A call that no VM saw may always go to the next one. One whose answer was
 // lost may have run: sending it again could do it twice, so only calls that
 // allow it are.
-Json::Value rpc_ctl_door::call(std::string const& method,
-                               Json::Value const& parameters, resend lost)
+Json::Value rpc_operator_client::call(std::string const& method,
+                                      Json::Value const& parameters,
+                                      resend lost)
 {
     std::string failures;
     bool may_have_run = false;
-    for (vm_door const& door : doors_)
+    for (vm_client const& client : clients_)
     {
         auto const deadline = std::chrono::steady_clock::now() + timeout_;
         try
         {
-            return door.client->call(method, parameters, deadline);
+            return client.client->call(method, parameters, deadline);
         }
         catch (rpc_failure const& failure)
         {
-            door_failure const seen = converted(failure, door.address);
-            if (seen.reason() == door_failure::kind::refused)
+            operator_call_failure const seen =
+                converted(failure, client.address);
+            if (seen.reason() == operator_call_failure::kind::refused)
                 throw seen;
             bool const unseen =
-                seen.reason() == door_failure::kind::unreachable;
+                seen.reason() == operator_call_failure::kind::unreachable;
             if (!unseen && lost == resend::never)
                 throw seen;
             may_have_run = may_have_run || !unseen;
@@ -84,9 +86,10 @@
                 (failures.empty() ? "" : "; ") + std::string(seen.what());
         }
     }
-    throw door_failure(may_have_run ? door_failure::kind::outcome_unknown
-                                    : door_failure::kind::unreachable,
-                       failures);
+    throw operator_call_failure(
+        may_have_run ? operator_call_failure::kind::outcome_unknown
+                     : operator_call_failure::kind::unreachable,
+        failures);
 }
 
 } // namespace mulberry
--- a/src/ctl_door.hpp
+++ b/src/operator_client.hpp
@@ -1,6 +1,6 @@
-/// The way from mulberryctl to the VMs' operators' doors.
-#ifndef MULBERRY_CTL_DOOR_HPP
-#define MULBERRY_CTL_DOOR_HPP
+/// The way from mulberryctl to the VMs' operators' listeners.
+#ifndef MULBERRY_OPERATOR_CLIENT_HPP
+#define MULBERRY_OPERATOR_CLIENT_HPP
 
 #include "json_rpc.hpp"
 
@@ -16,7 +16,7 @@
 {
 
 /// A call that brought no result.
-class door_failure : public std::runtime_error
+class operator_call_failure : public std::runtime_error
 {
 public:
     enum class kind
@@ -29,7 +29,8 @@
         outcome_unknown
     };
 
-    door_failure(kind what, std::string const& text, Json::Value data = {})
+    operator_call_failure(kind what, std::string const& text,
+                          Json::Value data = {})
         : std::runtime_error(text), what_(what), data_(std::move(data))
     {
     }
@@ -51,11 +52,11 @@
 };
 
 /// The deployment as mulberryctl sees it.
-class ctl_door
+class operator_client
 {
 public:
-    virtual ~ctl_door() = default;
-    /// Calls a method. Throws door_failure.
+    virtual ~operator_client() = default;
+    /// Calls a method. Throws operator_call_failure.
     virtual Json::Value call(std::string const& method,
                              Json::Value const& parameters, resend lost) = 0;
 };
@@ -78,24 +79,26 @@
 };
 
 /// Calls VMs one after the other until one answers. Not thread safe.
-class rpc_ctl_door : public ctl_door
+class rpc_operator_client : public operator_client
 {
 public:
     /// `addresses` are IP:PORT, not empty; `client` outlives this object.
-    rpc_ctl_door(http_client& client, std::vector<std::string> const& addresses,
-                 std::string const& key, std::chrono::milliseconds timeout);
+    rpc_operator_client(http_client& client,
+                        std::vector<std::string> const& addresses,
+                        std::string const& key,
+                        std::chrono::milliseconds timeout);
 
     Json::Value call(std::string const& method, Json::Value const& parameters,
                      resend lost) override;
 
 private:
-    struct vm_door
+    struct vm_client
     {
         std::string address;
         std::unique_ptr<rpc_client> client;
     };
 
-    std::vector<vm_door> doors_;
+    std::vector<vm_client> clients_;
     std::chrono::milliseconds timeout_;
 };
 
--- a/src/operators_door.cpp
+++ b/src/operator_listener.cpp
@@ -1,4 +1,4 @@
-#include "operators_door.hpp"
+#include "operator_listener.hpp"
 
 #include "declaration_text.hpp"
 #include "error_page.hpp"
@@ -16,7 +16,7 @@
 namespace
 {
 
-constexpr std::size_t desk_capacity = 64;
+constexpr std::size_t queue_capacity = 64;
 constexpr std::chrono::milliseconds peer_timeout{2000};
 constexpr std::size_t usual_timeline_limit = 1000;
 
@@ -69,18 +69,18 @@
 
 } // namespace
 
-operators_door::operators_door(operators_settings settings)
+operator_listener::operator_listener(operators_settings settings)
     : settings_(std::move(settings))
 {
 }
 
-operators_door::~operators_door() = default;
+operator_listener::~operator_listener() = default;
 
-void operators_door::start(kernel& parts)
+void operator_listener::start(kernel& parts)
 {
     decisions_ = &parts.find<decision_loop>("decisions");
     client_ = std::make_unique<http_client>();
-    desk_ = std::make_unique<rpc_desk>(
+    executor_ = std::make_unique<rpc_executor>(
         std::map<std::string, rpc_method>{
             {"status", [this](Json::Value const& in) { return status(in); }},
             {"configuration",
@@ -91,7 +91,7 @@
             {"targets", [this](Json::Value const&) { return targets(); }},
             {"timeline",
              [this](Json::Value const& in) { return timeline(in); }}},
-        desk_capacity);
+        queue_capacity);
     http_server_options options = settings_.server;
     options.error_page = server_error_page;
     server_ = std::make_unique<http_server>(
@@ -101,33 +101,33 @@
             if (!has_key(request, settings_.key))
                 out->respond(key_refusal());
             else if (request.method == "POST" && request.path == "/rpc")
-                desk_->take(std::move(request.body), std::move(out));
+                executor_->take(std::move(request.body), std::move(out));
             else
                 out->respond(error_page(
                     error(error_kind::not_found, "no " + request.path), ""));
         });
 }
 
-void operators_door::stop()
+void operator_listener::stop()
 {
     server_.reset();
-    desk_.reset();
+    executor_.reset();
     client_.reset();
 }
 
-std::string operators_door::address() const
+std::string operator_listener::address() const
 {
     return settings_.server.address + ":" + std::to_string(server_->port());
 }
 
-std::vector<member_view> operators_door::members() const
+std::vector<member_view> operator_listener::members() const
 {
     return decisions_->status()->members;
 }
 
-Json::Value operators_door::ask_peer(member_view const& member,
-                                     std::string const& method,
-                                     Json::Value const& parameters)
+Json::Value operator_listener::ask_peer(member_view const& member,
+                                        std::string const& method,
+                                        Json::Value const& parameters)
 {
     rpc_client peer(*client_, "http://" + member.address + "/rpc",
                     settings_.peers_key);
@@ -135,7 +135,7 @@
                      std::chrono::steady_clock::now() + peer_timeout);
 }
 
-Json::Value operators_door::status(Json::Value const& parameters)
+Json::Value operator_listener::status(Json::Value const& parameters)
 {
     Json::Value result;
     result["vms"].append(status_json(*decisions_->status()));
@@ -158,7 +158,7 @@
     return result;
 }
 
-Json::Value operators_door::configuration() const
+Json::Value operator_listener::configuration() const
 {
     auto const status = decisions_->status();
     Json::Value result;
@@ -168,7 +168,7 @@
     return result;
 }
 
-declaration operators_door::declared_in(Json::Value const& parameters) const
+declaration operator_listener::declared_in(Json::Value const& parameters) const
 {
     declaration wanted =
         parse_or_refuse(text_or(parameters, "declaration", ""));
@@ -179,7 +179,7 @@
     return wanted;
 }
 
-Json::Value operators_door::plan(Json::Value const& parameters) const
+Json::Value operator_listener::plan(Json::Value const& parameters) const
 {
     declaration const wanted = declared_in(parameters);
     mulberry::plan const made = plan_for(*decisions_->status(), wanted);
@@ -190,7 +190,7 @@
     return result;
 }
 
-Json::Value operators_door::confirm(Json::Value const& parameters)
+Json::Value operator_listener::confirm(Json::Value const& parameters)
 {
     std::string const text = text_or(parameters, "declaration", "");
     std::string const digest = text_or(parameters, "digest", "");
@@ -222,7 +222,7 @@
     return result;
 }
 
-Json::Value operators_door::drain(Json::Value const& parameters)
+Json::Value operator_listener::drain(Json::Value const& parameters)
 {
     vm_id const wanted(text_or(parameters, "vm", ""));
     for (member_view const& member : members())
@@ -231,12 +231,12 @@
     refuse(error(error_kind::not_found, "no VM " + wanted.str()));
 }
 
-Json::Value operators_door::targets() const
+Json::Value operator_listener::targets() const
 {
     return targets_json(*decisions_->status());
 }
 
-Json::Value operators_door::timeline(Json::Value const& parameters)
+Json::Value operator_listener::timeline(Json::Value const& parameters)
 {
     Json::Value cursor = parse_cursor(text_or(parameters, "after", ""));
     std::size_t const limit =
--- a/src/operators_door.hpp
+++ b/src/operator_listener.hpp
@@ -1,12 +1,12 @@
-/// The operators' door: JSON-RPC for mulberryctl.
-#ifndef MULBERRY_OPERATORS_DOOR_HPP
-#define MULBERRY_OPERATORS_DOOR_HPP
+/// The operators' listener: JSON-RPC for mulberryctl.
+#ifndef MULBERRY_OPERATOR_LISTENER_HPP
+#define MULBERRY_OPERATOR_LISTENER_HPP
 
 #include "decision_loop.hpp"
 #include "http_client.hpp"
 #include "http_server.hpp"
 #include "kernel.hpp"
-#include "rpc_desk.hpp"
+#include "rpc_executor.hpp"
 
 #include <json/value.h>
 
@@ -27,11 +27,11 @@
     std::string peers_key;
 };
 
-class operators_door : public daemon_part
+class operator_listener : public daemon_part
 {
 public:
-    explicit operators_door(operators_settings settings);
-    ~operators_door() override;
+    explicit operator_listener(operators_settings settings);
+    ~operator_listener() override;
 
     void start(kernel& parts) override;
     void stop() override;
@@ -39,7 +39,7 @@
     std::string address() const;
 
 private:
-    /// Calls a method of a VM's peers' door; throws rpc_failure.
+    /// Calls a method of a VM's peers' listener; throws rpc_failure.
     Json::Value ask_peer(member_view const& member, std::string const& method,
                          Json::Value const& parameters);
     std::vector<member_view> members() const;
@@ -56,7 +56,7 @@
     operators_settings settings_;
     decision_loop* decisions_ = nullptr;
     std::unique_ptr<http_client> client_;
-    std::unique_ptr<rpc_desk> desk_;
+    std::unique_ptr<rpc_executor> executor_;
     std::unique_ptr<http_server> server_;
 };
 
--- a/src/ownership_keeper.hpp
+++ b/src/ownership_keeper.hpp
@@ -43,7 +43,7 @@
     vm_id vm;
     incarnation life;
     domain_id domain;
-    /// IP:PORT of its peers' door.
+    /// IP:PORT of its peers' listener.
     std::string address;
     member_state state = member_state::live;
     friend bool operator==(member_view const&, member_view const&) = default;
@@ -181,8 +181,8 @@
     /// Members that are live or leaving, this VM among them.
     std::vector<member_view> members() const;
     member_view const* member(vm_id const& vm) const;
-    /// IP:PORT of a VM's peers' door, member or not; empty if its row is not
-    /// known.
+    /// IP:PORT of a VM's peers' listener, member or not; empty if its row is
+    /// not known.
     std::string address_of(vm_id const& vm) const;
     /// VMs whose process may still act, expired ones among them. Promises are
     /// counted against all of these: a VM whose lease lapsed because it lost
--- a/src/peers_door.cpp
+++ b/src/peer_listener.cpp
@@ -1,10 +1,10 @@
-#include "peers_door.hpp"
+#include "peer_listener.hpp"
 
-#include "asking.hpp"
 #include "error_page.hpp"
 #include "json_text.hpp"
 #include "metrics_text.hpp"
 #include "peer_codec.hpp"
+#include "request_intake.hpp"
 #include "shell_clock.hpp"
 
 #include <algorithm>
@@ -17,15 +17,16 @@
 {
 
 constexpr std::string_view forward_path = "/forward/";
-constexpr std::size_t desk_capacity = 1024;
+constexpr std::size_t queue_capacity = 1024;
 constexpr std::size_t most_events_at_once = 10000;
 constexpr std::size_t most_unsent_bytes = 4UL * 1024 * 1024;
 
-/// A peer's open connection, as the asker of a forwarded request's answer.
-class peer_asker : public asker
+/// A peer's open connection, as the response writer of a forwarded request's
+/// answer.
+class peer_writer : public response_writer
 {
 public:
-    peer_asker(request_id id, std::shared_ptr<http_answer> out)
+    peer_writer(request_id id, std::shared_ptr<http_answer> out)
         : id_(std::move(id)), out_(std::move(out))
     {
         http_headers headers;
@@ -89,26 +90,26 @@
     return value;
 }
 
-peers_door::peers_door(peers_settings settings, answer_board& answers,
-                       causal_clock& clock, timeline& events)
+peer_listener::peer_listener(peers_settings settings, pending_answers& answers,
+                             causal_clock& clock, timeline& events)
     : settings_(std::move(settings)), answers_(&answers), clock_(&clock),
       timeline_(&events)
 {
 }
 
-peers_door::~peers_door() = default;
+peer_listener::~peer_listener() = default;
 
-void peers_door::start(kernel& parts)
+void peer_listener::start(kernel& parts)
 {
     decisions_ = &parts.find<decision_loop>("decisions");
-    desk_ = std::make_unique<rpc_desk>(
+    executor_ = std::make_unique<rpc_executor>(
         std::map<std::string, rpc_method>{
             {"tell", [this](Json::Value const& in) { return tell(in); }},
             {"status", [this](Json::Value const&) { return status(); }},
             {"timeline",
              [this](Json::Value const& in) { return read_timeline(in); }},
             {"drain", [this](Json::Value const&) { return drain(); }}},
-        desk_capacity);
+        queue_capacity);
     http_server_options options = settings_.server;
     options.error_page = server_error_page;
     server_ = std::make_unique<http_server>(
@@ -117,18 +118,19 @@
         { handle(std::move(request), std::move(out)); });
 }
 
-void peers_door::stop()
+void peer_listener::stop()
 {
     server_.reset();
-    desk_.reset();
+    executor_.reset();
 }
 
-std::string peers_door::address() const
+std::string peer_listener::address() const
 {
     return settings_.server.address + ":" + std::to_string(server_->port());
 }
 
-void peers_door::handle(http_request request, std::shared_ptr<http_answer> out)
+void peer_listener::handle(http_request request,
+                           std::shared_ptr<http_answer> out)
 {
     if (!has_key(request, settings_.key))
     {
@@ -139,7 +141,7 @@
         if (auto const heard = parse_causal_stamp(*stamp))
             clock_->hear(*heard);
     if (request.method == "POST" && request.path == "/rpc")
-        desk_->take(std::move(request.body), std::move(out));
+        executor_->take(std::move(request.body), std::move(out));
     else if (request.method == "POST" && request.path.starts_with(forward_path))
         handle_forward(request, std::move(out));
     else
@@ -149,8 +151,8 @@
                        ""));
 }
 
-void peers_door::handle_forward(http_request const& request,
-                                std::shared_ptr<http_answer> out)
+void peer_listener::handle_forward(http_request const& request,
+                                   std::shared_ptr<http_answer> out)
 {
     auto asked = parse_forwarded(request.body, shell_clock::now());
     worker_id const worker(
@@ -162,12 +164,12 @@
         return;
     }
     request_id const id = asked->id;
-    if (!ask(*decisions_, *answers_, id, std::make_shared<peer_asker>(id, out),
+    if (!ask(*decisions_, *answers_, id, std::make_shared<peer_writer>(id, out),
              out, request_forwarded{worker, std::move(*asked)}))
         out->abort();
 }
 
-Json::Value peers_door::tell(Json::Value const& parameters)
+Json::Value peer_listener::tell(Json::Value const& parameters)
 {
     if (auto const heard = parse_causal_stamp(text_or(parameters, "stamp", "")))
         clock_->hear(*heard);
@@ -179,12 +181,12 @@
     return true;
 }
 
-Json::Value peers_door::status() const
+Json::Value peer_listener::status() const
 {
     return status_json(*decisions_->status());
 }
 
-Json::Value peers_door::read_timeline(Json::Value const& parameters) const
+Json::Value peer_listener::read_timeline(Json::Value const& parameters) const
 {
     std::size_t const limit = std::min<std::size_t>(
         number_or(parameters, "limit", most_events_at_once),
@@ -196,7 +198,7 @@
     return events;
 }
 
-Json::Value peers_door::drain()
+Json::Value peer_listener::drain()
 {
     decisions_->post(leave_asked{"an operator asked for it"});
     Json::Value result;
--- a/src/peers_door.hpp
+++ b/src/peer_listener.hpp
@@ -1,12 +1,12 @@
-/// The peers' door: forwarded requests and messages of other VMs.
-#ifndef MULBERRY_PEERS_DOOR_HPP
-#define MULBERRY_PEERS_DOOR_HPP
+/// The peers' listener: forwarded requests and messages of other VMs.
+#ifndef MULBERRY_PEER_LISTENER_HPP
+#define MULBERRY_PEER_LISTENER_HPP
 
-#include "answer_board.hpp"
 #include "decision_loop.hpp"
 #include "http_server.hpp"
 #include "kernel.hpp"
-#include "rpc_desk.hpp"
+#include "pending_answers.hpp"
+#include "rpc_executor.hpp"
 #include "timeline.hpp"
 
 #include <json/value.h>
@@ -25,13 +25,13 @@
     std::string key;
 };
 
-class peers_door : public daemon_part
+class peer_listener : public daemon_part
 {
 public:
     /// The references outlive this object.
-    peers_door(peers_settings settings, answer_board& answers,
-               causal_clock& clock, timeline& events);
-    ~peers_door() override;
+    peer_listener(peers_settings settings, pending_answers& answers,
+                  causal_clock& clock, timeline& events);
+    ~peer_listener() override;
 
     void start(kernel& parts) override;
     void stop() override;
@@ -48,11 +48,11 @@
     Json::Value drain();
 
     peers_settings settings_;
-    answer_board* answers_;
+    pending_answers* answers_;
     causal_clock* clock_;
     timeline* timeline_;
     decision_loop* decisions_ = nullptr;
-    std::unique_ptr<rpc_desk> desk_;
+    std::unique_ptr<rpc_executor> executor_;
     std::unique_ptr<http_server> server_;
 };
 
--- a/src/peer_message.hpp
+++ b/src/peer_message.hpp
@@ -50,7 +50,7 @@
     incarnation life;
     /// Whether the promise is given.
     bool promised = false;
-    /// Measured by the asker from the moment it asked.
+    /// Measured by the response writer from the moment it asked.
     duration holds_for{};
     config_version configuration;
 };
--- a/src/answer_board.cpp
+++ b/src/pending_answers.cpp
@@ -1,24 +1,27 @@
-#include "answer_board.hpp"
+#include "pending_answers.hpp"
 
 #include <utility>
 
 namespace mulberry
 {
 
-bool answer_board::add(request_id const& request, std::shared_ptr<asker> who)
+bool pending_answers::add(request_id const& request,
+                          std::shared_ptr<response_writer> who)
 {
     std::lock_guard const lock(mutex_);
     return waiting_.emplace(request, std::move(who)).second;
 }
 
-std::shared_ptr<asker> answer_board::find(request_id const& request) const
+std::shared_ptr<response_writer>
+pending_answers::find(request_id const& request) const
 {
     std::lock_guard const lock(mutex_);
     auto const place = waiting_.find(request);
     return place == waiting_.end() ? nullptr : place->second;
 }
 
-std::shared_ptr<asker> answer_board::take(request_id const& request)
+std::shared_ptr<response_writer>
+pending_answers::take(request_id const& request)
 {
     std::lock_guard const lock(mutex_);
     auto const place = waiting_.find(request);
@@ -29,9 +32,9 @@
     return who;
 }
 
-void answer_board::keep_all_alive()
+void pending_answers::keep_all_alive()
 {
-    std::vector<std::shared_ptr<asker>> all;
+    std::vector<std::shared_ptr<response_writer>> all;
     {
         std::lock_guard const lock(mutex_);
         for (auto const& [request, who] : waiting_)
@@ -41,7 +44,7 @@
         who->keep_alive();
 }
 
-std::size_t answer_board::size() const
+std::size_t pending_answers::size() const
 {
     std::lock_guard const lock(mutex_);
     return waiting_.size();
--- a/src/answer_board.hpp
+++ b/src/pending_answers.hpp
@@ -1,6 +1,6 @@
 /// Who waits for which answer.
-#ifndef MULBERRY_ANSWER_BOARD_HPP
-#define MULBERRY_ANSWER_BOARD_HPP
+#ifndef MULBERRY_PENDING_ANSWERS_HPP
+#define MULBERRY_PENDING_ANSWERS_HPP
 
 #include "action.hpp"
 #include "error_kind.hpp"
@@ -18,10 +18,10 @@
 
 /// Whoever asked: a caller's or a peer's open connection. Called on the
 /// decision thread; must not block.
-class asker
+class response_writer
 {
 public:
-    virtual ~asker() = default;
+    virtual ~response_writer() = default;
     virtual void on_event(std::uint64_t offset, std::string const& payload) = 0;
     virtual void on_end() = 0;
     virtual void on_error(error const& what) = 0;
@@ -32,20 +32,20 @@
 };
 
 /// Thread safe.
-class answer_board
+class pending_answers
 {
 public:
     /// False if an answer of that id is outstanding already.
-    bool add(request_id const& request, std::shared_ptr<asker> who);
+    bool add(request_id const& request, std::shared_ptr<response_writer> who);
     /// Null if nobody waits for it any more.
-    std::shared_ptr<asker> find(request_id const& request) const;
-    std::shared_ptr<asker> take(request_id const& request);
+    std::shared_ptr<response_writer> find(request_id const& request) const;
+    std::shared_ptr<response_writer> take(request_id const& request);
     void keep_all_alive();
     std::size_t size() const;
 
 private:
     mutable std::mutex mutex_;
-    std::unordered_map<request_id, std::shared_ptr<asker>> waiting_;
+    std::unordered_map<request_id, std::shared_ptr<response_writer>> waiting_;
 };
 
 } // namespace mulberry
--- a/src/ports.hpp
+++ b/src/ports.hpp
@@ -1,4 +1,4 @@
-/// The shell's doors outwards, as the decision loop uses them. Each turns
+/// The shell's listeners outwards, as the decision loop uses them. Each turns
 /// actions into calls and posts what becomes of them to an event_sink.
 #ifndef MULBERRY_PORTS_HPP
 #define MULBERRY_PORTS_HPP
@@ -53,7 +53,7 @@
     virtual void ask_vms() = 0;
 };
 
-/// Towards other VMs' peers' doors. Called on the decision thread; never
+/// Towards other VMs' peers' listeners. Called on the decision thread; never
 /// blocks. An address is IP:PORT; empty if it is not known.
 class peer_port
 {
--- a/src/promise_rules.hpp
+++ b/src/promise_rules.hpp
@@ -32,7 +32,7 @@
 
     /// Whether to promise not to help a confirm. A promise of each kind at
     /// once would let one half confirm while the other goes on with the old.
-    /// A VM that helped a confirm and has not read since may not vouch for the
+    /// A VM that helped a confirm and has not read since may not vote for the
     /// old version either: the confirm may have succeeded.
     virtual bool may_promise_outage(giver_state const& giver) const;
 
@@ -42,8 +42,9 @@
     /// Two sets of promises must share a giver.
     virtual bool is_majority(std::size_t promises, std::size_t members) const;
 
-    /// From when on the asker counts an answer's time. The giver's own record
-    /// starts when it answers, which is later, so it outlives the belief.
+    /// From when on the response writer counts an answer's time. The giver's
+    /// own record starts when it answers, which is later, so it outlives the
+    /// belief.
     virtual time_point counts_from(time_point asked, time_point answered) const;
 
     /// Until when a new life keeps to what its former one may have promised:
--- a/src/promise_book.cpp
+++ b/src/promise_store.cpp
@@ -1,4 +1,4 @@
-#include "promise_book.hpp"
+#include "promise_store.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -75,8 +75,8 @@
 time_point given_promises::record_end(time_point now) const
 {
     // Two VMs' clocks run at slightly different rates: by this margin the
-    // record outlives the asker's belief even when no time was spent on the
-    // way.
+    // record outlives the response writer's belief even when no time was spent
+    // on the way.
     return now + promise_ + promise_ / 16;
 }
 
--- a/src/promise_book.hpp
+++ b/src/promise_store.hpp
@@ -1,6 +1,6 @@
 /// Promises between VMs: those that this VM gave, and those that it collects.
-#ifndef MULBERRY_PROMISE_BOOK_HPP
-#define MULBERRY_PROMISE_BOOK_HPP
+#ifndef MULBERRY_PROMISE_STORE_HPP
+#define MULBERRY_PROMISE_STORE_HPP
 
 #include "ids.hpp"
 #include "promise_rules.hpp"
@@ -62,7 +62,7 @@
     void ask(std::uint64_t number, time_point now);
     /// This VM's own promise, given when it asked.
     void add_own(vm_id const& self, time_point until);
-    /// An answer to a question of this book; late and repeated ones count
+    /// An answer to a question of this store; late and repeated ones count
     /// from the moment their own question was asked. Returns false for
     /// another's answer.
     bool add(vm_id const& from, std::uint64_t number, duration holds_for,
--- a/src/quarter_forecast.hpp
+++ b/src/quarter_forecast.hpp
@@ -2,8 +2,8 @@
 #ifndef MULBERRY_QUARTER_FORECAST_HPP
 #define MULBERRY_QUARTER_FORECAST_HPP
 
-#include "quarter_book.hpp"
 #include "quarter_counts.hpp"
+#include "quarter_store.hpp"
 #include "time_point.hpp"
 
 #include <deque>
--- a/src/quarter_book.cpp
+++ b/src/quarter_store.cpp
@@ -1,4 +1,4 @@
-#include "quarter_book.hpp"
+#include "quarter_store.hpp"
 
 #include "quarter_forecast.hpp"
 #include "quarter_ledger.hpp"
@@ -11,7 +11,7 @@
 namespace mulberry
 {
 
-class quarter_book::implementation
+class quarter_store::implementation
 {
 public:
     implementation(quarter_settings settings, id_source& ids,
@@ -97,7 +97,7 @@
     quarter_pace pace_;
 };
 
-void quarter_book::implementation::configure(
+void quarter_store::implementation::configure(
     std::shared_ptr<declaration const> configuration)
 {
     configuration_ = std::move(configuration);
@@ -110,7 +110,7 @@
     }
 }
 
-void quarter_book::implementation::set_life(incarnation life)
+void quarter_store::implementation::set_life(incarnation life)
 {
     if (life.none() || life == life_)
         return;
@@ -126,8 +126,8 @@
     life_ = life;
 }
 
-void quarter_book::implementation::set_quarter(std::string name,
-                                               time_point ends, time_point now)
+void quarter_store::implementation::set_quarter(std::string name,
+                                                time_point ends, time_point now)
 {
     ends_ = ends;
     if (name == quarter_)
@@ -138,18 +138,18 @@
     next_read_at_ = std::min(next_read_at_, now);
 }
 
-bool quarter_book::implementation::counts_for(
+bool quarter_store::implementation::counts_for(
     application_id const& application) const
 {
     return !quarter_.empty() && bounds_.contains(application);
 }
 
-quarter_ledger& quarter_book::implementation::current()
+quarter_ledger& quarter_store::implementation::current()
 {
     return own_[{quarter_, settings_.vm, life_}].ledger;
 }
 
-void quarter_book::implementation::count_answer(
+void quarter_store::implementation::count_answer(
     application_id const& application, std::optional<duration> took)
 {
     if (!counts_for(application))
@@ -165,7 +165,7 @@
     }
 }
 
-void quarter_book::implementation::count_withdrawn(
+void quarter_store::implementation::count_withdrawn(
     application_id const& application, duration waited)
 {
     if (!counts_for(application))
@@ -177,14 +177,14 @@
             ++counts.bounds[bound].counted;
 }
 
-void quarter_book::implementation::count_stalls(
+void quarter_store::implementation::count_stalls(
     application_id const& application, std::uint64_t count)
 {
     if (count > 0 && counts_for(application))
         current().counts(application).stalled += count;
 }
 
-void quarter_book::implementation::add_slot_time(
+void quarter_store::implementation::add_slot_time(
     application_id const& application, duration busy, duration open)
 {
     if (busy + open <= duration::zero() || !counts_for(application))
@@ -194,12 +194,12 @@
     counts.open_slot_time += open;
 }
 
-bool quarter_book::implementation::is_own(quarter_key const& key) const
+bool quarter_store::implementation::is_own(quarter_key const& key) const
 {
     return own_.contains(key) || (key.vm == settings_.vm && key.life == life_);
 }
 
-bool quarter_book::implementation::knows(operation_id operation) const
+bool quarter_store::implementation::knows(operation_id operation) const
 {
     if (operation.none())
         return false;
@@ -209,8 +209,8 @@
                        { return each.second.ledger.knows(operation); });
 }
 
-void quarter_book::implementation::on_table(table_reply const& reply,
-                                            time_point now)
+void quarter_store::implementation::on_table(table_reply const& reply,
+                                             time_point now)
 {
     if (reply.operation == scan_)
     {
@@ -237,15 +237,15 @@
     }
 }
 
-void quarter_book::implementation::tick(time_point now, action_list& actions)
+void quarter_store::implementation::tick(time_point now, action_list& actions)
 {
     write_due(now, actions);
     read(now, actions);
     fold(now, actions);
 }
 
-void quarter_book::implementation::write_due(time_point now,
-                                             action_list& actions)
+void quarter_store::implementation::write_due(time_point now,
+                                              action_list& actions)
 {
     if (life_.none())
         return;
@@ -255,15 +255,15 @@
             write(key, row, now, actions);
 }
 
-void quarter_book::implementation::write(quarter_key const& key, own_row& row,
-                                         time_point now, action_list& actions)
+void quarter_store::implementation::write(quarter_key const& key, own_row& row,
+                                          time_point now, action_list& actions)
 {
     row.next_write_at = now + settings_.write_interval;
     row.ledger.write(key.str(), ids_->next_operation(),
                      now + settings_.table_timeout, actions);
 }
 
-void quarter_book::implementation::flush(time_point now, action_list& actions)
+void quarter_store::implementation::flush(time_point now, action_list& actions)
 {
     if (!std::exchange(flushing_, true))
         for (auto& [key, row] : own_)
@@ -274,14 +274,14 @@
     write_due(now, actions);
 }
 
-bool quarter_book::implementation::flushed() const
+bool quarter_store::implementation::flushed() const
 {
     return std::all_of(own_.begin(), own_.end(),
                        [](auto const& each)
                        { return each.second.ledger.marked_written(); });
 }
 
-void quarter_book::implementation::read(time_point now, action_list& actions)
+void quarter_store::implementation::read(time_point now, action_list& actions)
 {
     if (quarter_.empty() || now < next_read_at_ || !scan_.none())
         return;
@@ -292,8 +292,8 @@
         scan_rows{scan_, quarter_prefix, now + settings_.table_timeout});
 }
 
-void quarter_book::implementation::on_rows(table_reply const& reply,
-                                           time_point now)
+void quarter_store::implementation::on_rows(table_reply const& reply,
+                                            time_point now)
 {
     found_.clear();
     for (table_row const& raw : reply.rows)
@@ -310,7 +310,7 @@
     pace_.sample(totals(), now);
 }
 
-void quarter_book::implementation::drop_finished()
+void quarter_store::implementation::drop_finished()
 {
     std::erase_if(own_,
                   [this](auto const& each)
@@ -321,7 +321,7 @@
                   });
 }
 
-void quarter_book::implementation::sum_others()
+void quarter_store::implementation::sum_others()
 {
     others_.clear();
     for (found_row const& row : found_)
@@ -329,7 +329,7 @@
             add(others_, row.held.totals);
 }
 
-void quarter_book::implementation::fold(time_point now, action_list& actions)
+void quarter_store::implementation::fold(time_point now, action_list& actions)
 {
     if (!folds_ || !may_fold_ || !fold_.none())
         return;
@@ -368,8 +368,8 @@
     }
 }
 
-std::vector<quarter_book::implementation::found_row const*>
-quarter_book::implementation::foldable(std::string const& quarter) const
+std::vector<quarter_store::implementation::found_row const*>
+quarter_store::implementation::foldable(std::string const& quarter) const
 {
     std::vector<found_row const*> rows;
     for (found_row const& row : found_)
@@ -383,7 +383,7 @@
     return rows;
 }
 
-quarter_totals quarter_book::implementation::totals() const
+quarter_totals quarter_store::implementation::totals() const
 {
     quarter_totals sum = others_;
     for (auto const& [key, row] : own_)
@@ -393,7 +393,7 @@
 }
 
 std::vector<target_standing>
-quarter_book::implementation::standings(time_point now) const
+quarter_store::implementation::standings(time_point now) const
 {
     std::vector<target_standing> result;
     if (!configuration_)
@@ -405,7 +405,7 @@
     return result;
 }
 
-quarter_book::quarter_book(
+quarter_store::quarter_store(
     quarter_settings settings, id_source& ids,
     std::function<bool(vm_id const&, incarnation)> life_is_over)
     : implementation_(std::make_unique<implementation>(std::move(settings), ids,
@@ -413,90 +413,90 @@
 {
 }
 
-quarter_book::~quarter_book() = default;
+quarter_store::~quarter_store() = default;
 
-void quarter_book::configure(std::shared_ptr<declaration const> configuration)
+void quarter_store::configure(std::shared_ptr<declaration const> configuration)
 {
     implementation_->configure(std::move(configuration));
 }
 
-void quarter_book::set_life(incarnation life)
+void quarter_store::set_life(incarnation life)
 {
     implementation_->set_life(life);
 }
 
-void quarter_book::set_folds(bool folds)
+void quarter_store::set_folds(bool folds)
 {
     implementation_->set_folds(folds);
 }
 
-void quarter_book::set_quarter(std::string name, time_point ends,
-                               time_point now)
+void quarter_store::set_quarter(std::string name, time_point ends,
+                                time_point now)
 {
     implementation_->set_quarter(std::move(name), ends, now);
 }
 
-void quarter_book::count_answer(application_id const& application,
-                                std::optional<duration> took)
+void quarter_store::count_answer(application_id const& application,
+                                 std::optional<duration> took)
 {
     implementation_->count_answer(application, took);
 }
 
-void quarter_book::count_withdrawn(application_id const& application,
-                                   duration waited)
+void quarter_store::count_withdrawn(application_id const& application,
+                                    duration waited)
 {
     implementation_->count_withdrawn(application, waited);
 }
 
-void quarter_book::count_stalls(application_id const& application,
-                                std::uint64_t count)
+void quarter_store::count_stalls(application_id const& application,
+                                 std::uint64_t count)
 {
     implementation_->count_stalls(application, count);
 }
 
-void quarter_book::add_slot_time(application_id const& application,
-                                 duration busy, duration open)
+void quarter_store::add_slot_time(application_id const& application,
+                                  duration busy, duration open)
 {
     implementation_->add_slot_time(application, busy, open);
 }
 
-bool quarter_book::knows(operation_id operation) const
+bool quarter_store::knows(operation_id operation) const
 {
     return implementation_->knows(operation);
 }
 
-void quarter_book::on_table(table_reply const& reply, time_point now,
-                            action_list&)
+void quarter_store::on_table(table_reply const& reply, time_point now,
+                             action_list&)
 {
     implementation_->on_table(reply, now);
 }
 
-void quarter_book::tick(time_point now, action_list& actions)
+void quarter_store::tick(time_point now, action_list& actions)
 {
     implementation_->tick(now, actions);
 }
 
-void quarter_book::flush(time_point now, action_list& actions)
+void quarter_store::flush(time_point now, action_list& actions)
 {
     implementation_->flush(now, actions);
 }
 
-bool quarter_book::flushed() const
+bool quarter_store::flushed() const
 {
     return implementation_->flushed();
 }
 
-std::string const& quarter_book::quarter() const
+std::string const& quarter_store::quarter() const
 {
     return implementation_->quarter();
 }
 
-std::vector<target_standing> quarter_book::standings(time_point now) const
+std::vector<target_standing> quarter_store::standings(time_point now) const
 {
     return implementation_->standings(now);
 }
 
-std::vector<application_id> quarter_book::at_risk(time_point now) const
+std::vector<application_id> quarter_store::at_risk(time_point now) const
 {
     std::set<application_id> applications;
     for (target_standing const& standing : standings(now))
--- a/src/quarter_book.hpp
+++ b/src/quarter_store.hpp
@@ -16,8 +16,8 @@
 /// stall saved and slots left empty, or the reverse. Stalls go first where the
 /// deployment's stall_weight is 0.5 or more, else efficiency; at_risk()
 /// names the applications for the policy to spend effort on.
-#ifndef MULBERRY_QUARTER_BOOK_HPP
-#define MULBERRY_QUARTER_BOOK_HPP
+#ifndef MULBERRY_QUARTER_STORE_HPP
+#define MULBERRY_QUARTER_STORE_HPP
 
 #include "action.hpp"
 #include "declaration.hpp"
@@ -68,15 +68,15 @@
 };
 
 /// Thread safety: none; owned by the decision core.
-class quarter_book
+class quarter_store
 {
 public:
     /// `life_is_over` tells whether a life of a VM has ended for certain.
-    quarter_book(quarter_settings settings, id_source& ids,
-                 std::function<bool(vm_id const&, incarnation)> life_is_over);
-    ~quarter_book();
-    quarter_book(quarter_book const&) = delete;
-    quarter_book& operator=(quarter_book const&) = delete;
+    quarter_store(quarter_settings settings, id_source& ids,
+                  std::function<bool(vm_id const&, incarnation)> life_is_over);
+    ~quarter_store();
+    quarter_store(quarter_store const&) = delete;
+    quarter_store& operator=(quarter_store const&) = delete;
 
     /// Only applications with a target are counted: the name comes with the
     /// request, and any name would otherwise make the row grow.
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -56,7 +56,7 @@
     return (std::uint64_t{source()} << 32) ^ source();
 }
 
-std::string bound_text(door_address const& at, http_server const& server)
+std::string bound_text(listen_address const& at, http_server const& server)
 {
     return at.address + ":" + std::to_string(server.port());
 }
@@ -145,7 +145,7 @@
     int run();
 
 private:
-    http_server_options server_options(door_address const& at);
+    http_server_options server_options(listen_address const& at);
     void answer_readiness(http_request const& request, http_answer& answer);
     void answer_metrics(http_request const& request, http_answer& answer);
     void await_signal();
@@ -258,7 +258,7 @@
         ownership_->set_workers(engines_among(backends_, *config_));
 }
 
-http_server_options relay_process::server_options(door_address const& at)
+http_server_options relay_process::server_options(listen_address const& at)
 {
     http_server_options options;
     options.address = at.address;
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds longest_bound{60'000};
 
 /// IP:PORT, as one text.
-void read_address(json_object& root, char const* key, door_address& into,
+void read_address(json_object& root, char const* key, listen_address& into,
                   presence need)
 {
     std::string text;
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -20,13 +20,13 @@
 {
     vm_id vm;
     domain_id domain;
-    door_address callers;
+    listen_address callers;
     /// Where the balancer asks whether this VM takes connections.
-    door_address readiness;
+    listen_address readiness;
     /// Where other VMs ask for room at workers that this one orders.
-    door_address peers;
+    listen_address peers;
     /// Where metrics are served, if they are.
-    door_address metrics;
+    listen_address metrics;
     bool serves_metrics = false;
     std::string store_url;
 
--- /dev/null
+++ b/src/request_intake.cpp
@@ -0,0 +1,35 @@
+#include "request_intake.hpp"
+
+#include <utility>
+
+namespace mulberry
+{
+
+bool ask(event_sink& sink, pending_answers& answers, request_id const& id,
+         std::shared_ptr<response_writer> who,
+         std::shared_ptr<http_answer> const& out, core_event event)
+{
+    // On the table of pending answers before the event is offered: the core may
+    // answer before this function returns, and would find nobody.
+    if (!answers.add(id, std::move(who)))
+        return false;
+    if (!sink.offer(std::move(event)))
+    {
+        if (auto const refused = answers.take(id))
+            refused->on_error(error(error_kind::overloaded,
+                                    "this VM's queue of events is full"));
+        return true;
+    }
+    // Whoever takes the response writer off the table of pending answers
+    // answers it, or tells that it went: the answer and the closing connection
+    // cannot both win.
+    out->on_closed(
+        [&sink, &answers, id]
+        {
+            if (answers.take(id))
+                sink.post(writer_gone{id});
+        });
+    return true;
+}
+
+} // namespace mulberry
--- a/src/rpc_desk.cpp
+++ b/src/rpc_executor.cpp
@@ -1,4 +1,4 @@
-#include "rpc_desk.hpp"
+#include "rpc_executor.hpp"
 
 #include "error_page.hpp"
 
@@ -14,26 +14,26 @@
 
 } // namespace
 
-rpc_desk::rpc_desk(std::map<std::string, rpc_method> const& methods,
-                   std::size_t capacity)
+rpc_executor::rpc_executor(std::map<std::string, rpc_method> const& methods,
+                           std::size_t capacity)
     : server_(methods), ring_(capacity), thread_([this] { run(); })
 {
 }
 
-rpc_desk::~rpc_desk()
+rpc_executor::~rpc_executor()
 {
     ring_.close();
     thread_.join();
 }
 
-void rpc_desk::take(std::string body, std::shared_ptr<http_answer> out)
+void rpc_executor::take(std::string body, std::shared_ptr<http_answer> out)
 {
     if (!ring_.try_push({std::move(body), out}))
         out->respond(error_page(
             error(error_kind::overloaded, "too many requests wait here"), ""));
 }
 
-void rpc_desk::run()
+void rpc_executor::run()
 {
     while (!ring_.closed())
     {
--- a/src/rpc_desk.hpp
+++ b/src/rpc_executor.hpp
@@ -1,7 +1,7 @@
-/// Answers JSON-RPC requests of a door on a thread of its own, so that a
-/// method that waits never holds up the door.
-#ifndef MULBERRY_RPC_DESK_HPP
-#define MULBERRY_RPC_DESK_HPP
+/// Answers JSON-RPC requests of a listener on a thread of its own, so that a
+/// method that waits never holds up the listener.
+#ifndef MULBERRY_RPC_EXECUTOR_HPP
+#define MULBERRY_RPC_EXECUTOR_HPP
 
 #include "bounded_ring.hpp"
 #include "http_server.hpp"
@@ -17,12 +17,12 @@
 {
 
 /// Thread safe but for the destructor.
-class rpc_desk
+class rpc_executor
 {
 public:
-    rpc_desk(std::map<std::string, rpc_method> const& methods,
-             std::size_t capacity);
-    ~rpc_desk();
+    rpc_executor(std::map<std::string, rpc_method> const& methods,
+                 std::size_t capacity);
+    ~rpc_executor();
     /// Queues a request; answered as overloaded if there is no room.
     void take(std::string body, std::shared_ptr<http_answer> out);
 
@@ -40,11 +40,11 @@
     std::thread thread_;
 };
 
-/// Whether the request carries the door's key as a bearer token. Takes the
+/// Whether the request carries the listener's key as a bearer token. Takes the
 /// same time wherever the texts differ.
 bool has_key(http_request const& request, std::string const& key);
 
-/// What a door without the key answers to everything.
+/// What a listener without the key answers to everything.
 http_response key_refusal();
 
 } // namespace mulberry
--- a/src/service_caller_implementation.hpp
+++ b/src/service_caller_implementation.hpp
@@ -2,8 +2,8 @@
 #ifndef MULBERRY_SERVICE_CALLER_IMPLEMENTATION_HPP
 #define MULBERRY_SERVICE_CALLER_IMPLEMENTATION_HPP
 
-#include "claim_book.hpp"
 #include "claim_row.hpp"
+#include "claim_store.hpp"
 #include "due_index.hpp"
 #include "service_call.hpp"
 #include "service_caller.hpp"
@@ -129,7 +129,7 @@
     incarnation life_;
     retry_budget budget_;
     service_picker picker_;
-    claim_book claims_;
+    claim_store claims_;
     std::unordered_map<request_id, service_call> calls_;
     std::unordered_map<attempt_id, request_id> attempts_;
     std::unordered_map<operation_id, request_id> fetches_;
--- a/src/services.cmake
+++ b/src/services.cmake
@@ -1,6 +1,6 @@
 # Calls of plain services and the retry budget.
 mulberry_library(mulberry_services
-  SOURCES claim_book.cpp claim_row.cpp retry_budget.cpp service_caller.cpp
+  SOURCES claim_store.cpp claim_row.cpp retry_budget.cpp service_caller.cpp
           service_caller_claims.cpp service_caller_replay.cpp
           service_caller_tries.cpp service_picker.cpp write_pacer.cpp
   LINK mulberry_config mulberry_safeguards)
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -22,43 +22,44 @@
 // Callers may ask for up to ten minutes (X-Deadline-Ms).
 constexpr milliseconds longest_deadline{600'000};
 
-void read_door(json_document& document, Json::Value const& json,
-               std::string const& path, door_address& door)
+void read_listener(json_document& document, Json::Value const& json,
+                   std::string const& path, listen_address& listener)
 {
     json_object object(document, json, path);
-    object.read_text("address", door.address, optional);
-    if (!valid_address(door.address))
+    object.read_text("address", listener.address, optional);
+    if (!valid_address(listener.address))
         object.add_fault("address", fmt::format("\"{}\" is not an IP address "
                                                 "in numbers",
-                                                door.address));
+                                                listener.address));
     std::size_t port = 0;
     object.read_count("port", port, {0, max_port}, required);
-    door.port = static_cast<std::uint16_t>(port);
+    listener.port = static_cast<std::uint16_t>(port);
     object.refuse_unknown_keys();
 }
 
-void read_doors(json_document& document, json_object& root, settings& value)
+void read_listeners(json_document& document, json_object& root, settings& value)
 {
-    struct named_door
+    struct named_listener
     {
         char const* key;
-        door_address* door;
+        listen_address* listener;
     };
-    std::array const doors{named_door{"callers", &value.callers},
-                           named_door{"peers", &value.peers},
-                           named_door{"operators", &value.operators}};
-    for (named_door const& entry : doors)
-        root.read_object(entry.key, required,
-                         [&](auto const& json, auto const& path)
-                         { read_door(document, json, path, *entry.door); });
-    for (std::size_t at = 1; at < doors.size(); ++at)
+    std::array const listeners{named_listener{"callers", &value.callers},
+                               named_listener{"peers", &value.peers},
+                               named_listener{"operators", &value.operators}};
+    for (named_listener const& entry : listeners)
+        root.read_object(
+            entry.key, required,
+            [&](auto const& json, auto const& path)
+            { read_listener(document, json, path, *entry.listener); });
+    for (std::size_t at = 1; at < listeners.size(); ++at)
         for (std::size_t other = 0; other < at; ++other)
-            if (*doors[at].door == *doors[other].door &&
-                doors[at].door->port != 0)
-                root.add_fault(doors[at].key,
+            if (*listeners[at].listener == *listeners[other].listener &&
+                listeners[at].listener->port != 0)
+                root.add_fault(listeners[at].key,
                                fmt::format("has the same address and port as "
                                            "{}",
-                                           doors[other].key));
+                                           listeners[other].key));
 }
 
 // The faults never repeat a key: they end up in logs and terminals.
@@ -190,7 +191,7 @@
     settings value;
     json_object root(document, document.root(), "");
     read_identity(root, value);
-    read_doors(document, root, value);
+    read_listeners(document, root, value);
     read_key(root, "peers_key", value.peers_key);
     read_key(root, "operators_key", value.operators_key);
     read_platform(root, value);
--- a/src/settings.hpp
+++ b/src/settings.hpp
@@ -15,11 +15,12 @@
 namespace mulberry
 {
 
-struct door_address
+struct listen_address
 {
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
-    friend bool operator==(door_address const&, door_address const&) = default;
+    friend bool operator==(listen_address const&,
+                           listen_address const&) = default;
 };
 
 /// Immutable once loaded. Spans of time stand here as settings only; the
@@ -30,10 +31,10 @@
     domain_id domain;
     std::string deployment;
 
-    door_address callers;
-    door_address peers;
-    door_address operators;
-    /// Bearer keys of the peers' and the operators' doors; never empty.
+    listen_address callers;
+    listen_address peers;
+    listen_address operators;
+    /// Bearer keys of the peers' and the operators' listeners; never empty.
     std::string peers_key;
     std::string operators_key;
 
--- a/src/stream_observer.cpp
+++ b/src/stream_observer.cpp
@@ -45,8 +45,8 @@
 }
 
 stream_observer::stream_observer(attempt_id attempt, event_sink& sink,
-                                 call_book& book)
-    : attempt_(attempt), sink_(&sink), book_(&book), parser_(max_event_bytes)
+                                 call_registry& calls)
+    : attempt_(attempt), sink_(&sink), calls_(&calls), parser_(max_event_bytes)
 {
 }
 
@@ -89,7 +89,7 @@
     if (event.data == "[DONE]")
     {
         over_ = true;
-        book_->ended(attempt_);
+        calls_->ended(attempt_);
         sink_->post(attempt_end{attempt_});
         return;
     }
@@ -155,7 +155,7 @@
 void stream_observer::fail(attempt_failure failure)
 {
     over_ = true;
-    book_->ended(attempt_);
+    calls_->ended(attempt_);
     sink_->post(std::move(failure));
 }
 
--- a/src/stream_observer.hpp
+++ b/src/stream_observer.hpp
@@ -2,7 +2,7 @@
 #ifndef MULBERRY_STREAM_OBSERVER_HPP
 #define MULBERRY_STREAM_OBSERVER_HPP
 
-#include "call_book.hpp"
+#include "call_registry.hpp"
 #include "event_sink.hpp"
 #include "http_client.hpp"
 #include "ids.hpp"
@@ -22,7 +22,7 @@
 class stream_observer : public http_call_observer
 {
 public:
-    stream_observer(attempt_id attempt, event_sink& sink, call_book& book);
+    stream_observer(attempt_id attempt, event_sink& sink, call_registry& calls);
 
     void on_status(int status, http_headers const& headers) override;
     void on_data(std::string_view data) override;
@@ -36,7 +36,7 @@
 
     attempt_id attempt_;
     event_sink* sink_;
-    call_book* book_;
+    call_registry* calls_;
     sse_parser parser_;
     int status_ = 0;
     std::string body_;
--- a/src/vm_core.cpp
+++ b/src/vm_core.cpp
@@ -277,7 +277,7 @@
     services_.submit(event.request, now, actions);
 }
 
-void vm_core::on(asker_gone const& event, time_point now, action_list& actions)
+void vm_core::on(writer_gone const& event, time_point now, action_list& actions)
 {
     entry_.withdraw(event.request, now, actions);
     services_.withdraw(event.request, now, actions);
--- a/src/vm_core.hpp
+++ b/src/vm_core.hpp
@@ -10,7 +10,7 @@
 #include "load_budget.hpp"
 #include "model_entry.hpp"
 #include "ownership_keeper.hpp"
-#include "quarter_book.hpp"
+#include "quarter_store.hpp"
 #include "routing_policy.hpp"
 #include "safeguards.hpp"
 #include "service_caller.hpp"
@@ -44,7 +44,7 @@
     std::uint64_t seed = 1;
 };
 
-/// How a confirm ended, for the operators' door.
+/// How a confirm ended, for the operators' listener.
 using confirm_result = confirm_settled;
 
 /// What the VM looks like from outside, at a moment. Value.
@@ -108,7 +108,7 @@
     /// The workers whose load reports the core needs: those it owns, and
     /// those it gave up while something of its own is left there.
     std::vector<worker_id> watched_workers() const;
-    /// IP:PORT of a VM's peers' door; empty if it is not known.
+    /// IP:PORT of a VM's peers' listener; empty if it is not known.
     std::string address_of(vm_id const& vm) const;
 
 private:
@@ -122,7 +122,7 @@
             action_list& actions);
     void on(service_request_arrived const& event, time_point now,
             action_list& actions);
-    void on(asker_gone const& event, time_point now, action_list& actions);
+    void on(writer_gone const& event, time_point now, action_list& actions);
     void on(request_forwarded const& event, time_point now,
             action_list& actions);
     void on(peer_said const& event, time_point now, action_list& actions);
@@ -196,7 +196,7 @@
     ownership_keeper ownership_;
     configuration_keeper configuration_;
     service_caller services_;
-    quarter_book quarter_;
+    quarter_store quarter_;
     model_entry entry_;
     std::shared_ptr<declaration const> declared_;
     std::map<worker_id, std::unique_ptr<worker_dispatcher>> dispatchers_;
--- a/standins/engine_worker.cpp
+++ b/standins/engine_worker.cpp
@@ -236,7 +236,7 @@
     case load_start::no_free_slot:
         return refuse(request, call, 409, "no_free_slot");
     case load_start::joined:
-        loads_.at(call.name).askers.push_back(request);
+        loads_.at(call.name).writers.push_back(request);
         return;
     case load_start::started:
         loads_.emplace(call.name, pending_load{call, {request}});
@@ -277,8 +277,8 @@
     adapters_.finish_load(name, loaded);
     auto const load = loads_.extract(name);
     journal_.record(loaded ? "loaded" : "load_failed", load.mapped().call);
-    for (standin_request const& asker : load.mapped().askers)
-        respond(asker, loaded ? 200 : 503,
+    for (standin_request const& response_writer : load.mapped().writers)
+        respond(response_writer, loaded ? 200 : 503,
                 loaded ? "{}" : R"({"error":{"code":"load_failed"}})");
 }
 
@@ -319,8 +319,8 @@
     adapters_.clear();
     for (auto const& [name, load] : std::exchange(loads_, {}))
     {
-        for (standin_request const& asker : load.askers)
-            asker.answer->abort();
+        for (standin_request const& response_writer : load.writers)
+            response_writer.answer->abort();
     }
     take_report();
 }
--- a/standins/engine_worker.hpp
+++ b/standins/engine_worker.hpp
@@ -61,7 +61,7 @@
     struct pending_load
     {
         engine_call call;
-        std::vector<standin_request> askers;
+        std::vector<standin_request> writers;
     };
 
     void handle_change(standin_request const& request, std::string const& path);
--- a/standins/fault_counts.hpp
+++ b/standins/fault_counts.hpp
@@ -1,4 +1,4 @@
-/// Faults ordered through the control door for the next N occasions.
+/// Faults ordered through the control listener for the next N occasions.
 #ifndef MULBERRY_FAULT_COUNTS_HPP
 #define MULBERRY_FAULT_COUNTS_HPP
 
--- a/standins/json_text.hpp
+++ b/standins/json_text.hpp
@@ -1,4 +1,4 @@
-/// JSON helpers of the stand-ins' HTTP doors.
+/// JSON helpers of the stand-ins' HTTP listeners.
 #ifndef MULBERRY_JSON_TEXT_HPP
 #define MULBERRY_JSON_TEXT_HPP
 
--- a/standins/platform_service.cpp
+++ b/standins/platform_service.cpp
@@ -65,7 +65,7 @@
 
 void platform_service::handle(standin_request const& request)
 {
-    if (handle_control_door(request))
+    if (handle_control(request))
         return;
     std::string const& path = request.http.path;
     if (path.starts_with("/table/"))
@@ -80,7 +80,7 @@
         request.answer->respond(error_reply(404, "no_such_path"));
 }
 
-bool platform_service::handle_control_door(standin_request const& request)
+bool platform_service::handle_control(standin_request const& request)
 {
     std::string const& path = request.http.path;
     if (path == "/control")
@@ -102,7 +102,7 @@
     if (order.isMember("down"))
         set_down(order);
     if (order.isMember("weights_down"))
-        down_[static_cast<std::size_t>(door::weights)] =
+        down_[static_cast<std::size_t>(part::weights)] =
             order["weights_down"].asBool();
     faults_.set(order);
     set_duration(order, "slow_ms", slow_);
@@ -118,24 +118,24 @@
     finish_weights();
 }
 
-platform_service::door platform_service::door_named(std::string const& name)
+platform_service::part platform_service::part_named(std::string const& name)
 {
     if (name == "table")
-        return door::table;
+        return part::table;
     if (name == "objects")
-        return door::objects;
+        return part::objects;
     if (name == "weights")
-        return door::weights;
+        return part::weights;
     if (name == "list")
-        return door::list;
-    throw bad_request("no such door");
+        return part::list;
+    throw bad_request("no such part");
 }
 
 void platform_service::set_down(Json::Value const& order)
 {
     bool const down = order["down"].asBool();
-    if (order.isMember("door"))
-        down_[static_cast<std::size_t>(door_named(order["door"].asString()))] =
+    if (order.isMember("part"))
+        down_[static_cast<std::size_t>(part_named(order["part"].asString()))] =
             down;
     else
         down_.fill(down);
@@ -172,7 +172,7 @@
 
 void platform_service::handle_table(standin_request const& request)
 {
-    if (is_down(door::table))
+    if (is_down(part::table))
         return request.answer->abort();
     if (request.http.path == "/table/transact")
         transact(request);
@@ -209,7 +209,7 @@
                               ? admit_read()
                               : admit_writes(wanted.writes.size());
     if (!admitted)
-        return answer(door::table, request.answer,
+        return answer(part::table, request.answer,
                       error_reply(429, "too_many_requests"));
     if (write_delay_.count() == 0 || wanted.writes.empty())
         return apply(wanted, request.answer);
@@ -231,7 +231,7 @@
     Json::Value json;
     json["outcome"] = result.applied ? "applied" : "conflict";
     json["rows"] = to_json(result.rows, !wrote);
-    this->answer(door::table, answer, reply(result.applied ? 200 : 409, json));
+    this->answer(part::table, answer, reply(result.applied ? 200 : 409, json));
 }
 
 void platform_service::read_row(standin_request const& request)
@@ -240,10 +240,10 @@
     if (!key)
         throw bad_request("needs a key");
     if (!admit_read())
-        return answer(door::table, request.answer,
+        return answer(part::table, request.answer,
                       error_reply(429, "too_many_requests"));
     auto const row = table_.read(*key, now() - read_lag_);
-    answer(door::table, request.answer,
+    answer(part::table, request.answer,
            row ? reply(200, to_json(*row, true))
                : error_reply(404, "no_such_row"));
 }
@@ -251,50 +251,50 @@
 void platform_service::scan(standin_request const& request)
 {
     if (!admit_read())
-        return answer(door::table, request.answer,
+        return answer(part::table, request.answer,
                       error_reply(429, "too_many_requests"));
     Json::Value json;
     json["rows"] =
         to_json(table_.scan(request.http.parameter("prefix").value_or(""),
                             now() - read_lag_),
                 true);
-    answer(door::table, request.answer, reply(200, json));
+    answer(part::table, request.answer, reply(200, json));
 }
 
 void platform_service::handle_objects(standin_request const& request)
 {
-    if (is_down(door::objects))
+    if (is_down(part::objects))
         return request.answer->abort();
     bool const put = request.http.method == "PUT";
     if (!(put ? admit_writes(1) : admit_read()))
-        return answer(door::objects, request.answer,
+        return answer(part::objects, request.answer,
                       error_reply(429, "too_many_requests"));
     std::string const key =
         percent_decode(request.http.path.substr(objects_path.size()));
     if (put)
     {
         objects_[key] = request.http.body;
-        return answer(door::objects, request.answer, json_response(200, "{}"));
+        return answer(part::objects, request.answer, json_response(200, "{}"));
     }
     auto const found = objects_.find(key);
     if (found == objects_.end())
-        return answer(door::objects, request.answer,
+        return answer(part::objects, request.answer,
                       error_reply(404, "no_such_object"));
     http_response response;
     response.headers.add("Content-Type", "application/octet-stream");
     response.body = found->second;
-    answer(door::objects, request.answer, std::move(response));
+    answer(part::objects, request.answer, std::move(response));
 }
 
 void platform_service::handle_weights(standin_request const& request)
 {
-    if (is_down(door::weights))
+    if (is_down(part::weights))
         return request.answer->abort();
     std::optional<load_id> const id = gate_.start(now());
     if (!id)
     {
         ++statistics_.refused_loads;
-        return answer(door::weights, request.answer,
+        return answer(part::weights, request.answer,
                       error_reply(429, "too_many_loads"));
     }
     ++statistics_.loads;
@@ -307,7 +307,7 @@
     for (load_id id : gate_.finished(now()))
     {
         auto const load = loads_.extract(id);
-        answer(door::weights, load.mapped(),
+        answer(part::weights, load.mapped(),
                json_response(200, R"({"weights":"ok"})"));
     }
     weights_timer_.set(gate_.next_finish());
@@ -315,7 +315,7 @@
 
 void platform_service::list_vms(standin_request const& request)
 {
-    if (is_down(door::list))
+    if (is_down(part::list))
         return request.answer->abort();
     Json::Value json;
     json["vms"] = Json::Value(Json::arrayValue);
@@ -326,7 +326,7 @@
         vm["state"] = *row.value;
         json["vms"].append(vm);
     }
-    answer(door::list, request.answer, reply(200, json));
+    answer(part::list, request.answer, reply(200, json));
 }
 
 bool platform_service::admit_writes(std::size_t rows)
@@ -351,12 +351,12 @@
     return true;
 }
 
-bool platform_service::is_down(door where) const
+bool platform_service::is_down(part where) const
 {
     return down_[static_cast<std::size_t>(where)];
 }
 
-void platform_service::answer(door where, answer_ptr const& answer,
+void platform_service::answer(part where, answer_ptr const& answer,
                               http_response response)
 {
     if (is_down(where))
--- a/standins/platform_service.hpp
+++ b/standins/platform_service.hpp
@@ -1,4 +1,4 @@
-/// The platform's doors over HTTP: table, objects, weights, list of VMs.
+/// The platform's parts over HTTP: table, objects, weights, list of VMs.
 #ifndef MULBERRY_PLATFORM_SERVICE_HPP
 #define MULBERRY_PLATFORM_SERVICE_HPP
 
@@ -29,7 +29,7 @@
     void handle(standin_request const& request) override;
 
 private:
-    enum class door
+    enum class part
     {
         table,
         objects,
@@ -52,9 +52,9 @@
         std::uint64_t refused_loads = 0;
     };
 
-    static door door_named(std::string const& name);
+    static part part_named(std::string const& name);
     static transaction parse_transaction(std::string const& body);
-    bool handle_control_door(standin_request const& request);
+    bool handle_control(standin_request const& request);
     void control(Json::Value const& order);
     void set_down(Json::Value const& order);
     http_response stats() const;
@@ -72,8 +72,8 @@
 
     bool admit_writes(std::size_t rows);
     bool admit_read();
-    bool is_down(door where) const;
-    void answer(door where, answer_ptr const& answer, http_response response);
+    bool is_down(part where) const;
+    void answer(part where, answer_ptr const& answer, http_response response);
 
     standin_loop& loop_;
     table_store table_;
--- a/standins/standin_program.hpp
+++ b/standins/standin_program.hpp
@@ -1,4 +1,4 @@
-/// The frame that all stand-in programs share: options, the HTTP door, the
+/// The frame that all stand-in programs share: options, the HTTP listener, the
 /// signals that end it.
 #ifndef MULBERRY_STANDIN_PROGRAM_HPP
 #define MULBERRY_STANDIN_PROGRAM_HPP
--- a/tests/configuration_keeper_test.cpp
+++ b/tests/configuration_keeper_test.cpp
@@ -336,7 +336,7 @@
     {
         CHECK(first_found(went_on, one_changes_sides, both_promises(), checks));
     }
-    SECTION("a VM vouches for a version whose confirm it helped")
+    SECTION("a VM votes for a version whose confirm it helped")
     {
         CHECK(first_found(old_held, cut_off_at_confirm, no_doubt(), checks));
     }
--- a/tests/core_link.hpp
+++ b/tests/core_link.hpp
@@ -40,7 +40,7 @@
     /// Attempts that this process has open, as the client.
     std::map<attempt_id, core_link_ptr> open;
     /// Forwarded requests that it is to answer.
-    std::map<request_id, core_link_ptr> askers;
+    std::map<request_id, core_link_ptr> writers;
     /// Callers' requests, and those without a final answer.
     std::set<request_id> taken;
     std::set<request_id> unanswered;
--- a/tests/core_network.cpp
+++ b/tests/core_network.cpp
@@ -79,11 +79,11 @@
                 [this, link]
                 {
                     core_process_ptr const server = link->server;
-                    auto const found = server->askers.find(link->request);
-                    if (found == server->askers.end() || found->second != link)
+                    auto const found = server->writers.find(link->request);
+                    if (found == server->writers.end() || found->second != link)
                         return;
-                    server->askers.erase(found);
-                    feed(server, asker_gone{link->request});
+                    server->writers.erase(found);
+                    feed(server, writer_gone{link->request});
                 });
 }
 
@@ -136,7 +136,7 @@
     if (!server->running)
         return send(link, failure_of(link, failure_stage::not_sent));
     link->server = server;
-    server->askers[request.id] = link;
+    server->writers[request.id] = link;
     feed(server, request_forwarded{worker, request});
     if (!link->open)
         hang_up(link);
@@ -162,14 +162,14 @@
         });
 }
 
-core_link_ptr core_world::take_asker(core_process_ptr const& process,
-                                     request_id const& request)
+core_link_ptr core_world::take_writer(core_process_ptr const& process,
+                                      request_id const& request)
 {
-    auto const found = process->askers.find(request);
-    if (found == process->askers.end())
+    auto const found = process->writers.find(request);
+    if (found == process->writers.end())
         return nullptr;
     core_link_ptr const link = found->second;
-    process->askers.erase(found);
+    process->writers.erase(found);
     return link;
 }
 
@@ -185,10 +185,10 @@
             promises_.seen.answer_event(what.request, told);
         return;
     }
-    auto const asker = process->askers.find(what.request);
-    if (asker == process->askers.end())
+    auto const response_writer = process->writers.find(what.request);
+    if (response_writer == process->writers.end())
         return;
-    core_link_ptr const link = asker->second;
+    core_link_ptr const link = response_writer->second;
     link->begun = true;
     send(link, attempt_chunk{link->attempt, what.offset, piece.name,
                              piece.written_for, what.payload, piece.last});
@@ -202,7 +202,7 @@
         ++counts_.whole;
         finish(process, what.request, "whole");
     }
-    else if (core_link_ptr const link = take_asker(process, what.request))
+    else if (core_link_ptr const link = take_writer(process, what.request))
         send(link, attempt_end{link->attempt});
 }
 
@@ -216,7 +216,7 @@
                std::string(answer_of(what.what.kind()).name) + ": " +
                    what.what.text());
     }
-    else if (core_link_ptr const link = take_asker(process, what.request))
+    else if (core_link_ptr const link = take_writer(process, what.request))
     {
         attempt_failure failure = failure_of(link, failure_stage::answering);
         failure.peer_error = what.what;
--- a/tests/core_traffic.cpp
+++ b/tests/core_traffic.cpp
@@ -97,7 +97,7 @@
     process->taken.erase(request);
     process->unanswered.erase(request);
     promises_.seen.withdrawn(request);
-    feed(process, asker_gone{request});
+    feed(process, writer_gone{request});
 }
 
 void core_world::finish(core_process_ptr const& process,
@@ -201,7 +201,7 @@
         core_process_ptr const process = vms_[vm];
         for (auto const& [attempt, link] : std::map(process->open))
             what(link);
-        for (auto const& [request, link] : std::map(process->askers))
+        for (auto const& [request, link] : std::map(process->writers))
             what(link);
     };
     switch (step.kind)
--- a/tests/core_world.cpp
+++ b/tests/core_world.cpp
@@ -295,7 +295,7 @@
 {
     for (auto const& [attempt, link] : std::exchange(process->open, {}))
         hang_up(link);
-    for (auto const& [request, link] : std::exchange(process->askers, {}))
+    for (auto const& [request, link] : std::exchange(process->writers, {}))
         break_link(link);
 }
 
@@ -304,7 +304,7 @@
     flush(process);
     ++counts_.ended;
     promises_.ended(process->id,
-                    process->unanswered.size() + process->askers.size());
+                    process->unanswered.size() + process->writers.size());
     kill(process->vm);
     list(process->vm, false, false);
     time_.after(newcomer_after,
--- a/tests/core_world.hpp
+++ b/tests/core_world.hpp
@@ -114,8 +114,8 @@
     void run_service(core_link_ptr const& link, service_request const& request);
     void answer_object(core_process_ptr const& process, object_reply reply,
                        time_point deadline);
-    core_link_ptr take_asker(core_process_ptr const& process,
-                             request_id const& request);
+    core_link_ptr take_writer(core_process_ptr const& process,
+                              request_id const& request);
     std::size_t vm_of(vm_id const& vm) const;
 
     // Callers (core_traffic.cpp).
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -24,7 +24,7 @@
 using step = std::function<Json::Value(std::string const&)>;
 
 /// Answers calls from a script, in order.
-class scripted_door : public ctl_door
+class scripted_client : public operator_client
 {
 public:
     Json::Value call(std::string const& method, Json::Value const&,
@@ -55,7 +55,7 @@
     time_point now_;
 };
 
-/// A command's world: a door, a clock, a folder and what was printed.
+/// A command's world: a client, a clock, a folder and what was printed.
 struct ctl_world
 {
     ctl_world()
@@ -81,11 +81,11 @@
              {"--operators", "127.0.0.1:9", "--key-file", "key"})
             arguments.emplace_back(word);
         return run_command(parse_ctl_options(arguments),
-                           {door, clock, out, err});
+                           {client, clock, out, err});
     }
 
     std::filesystem::path folder;
-    scripted_door door;
+    scripted_client client;
     jumping_clock clock;
     std::ostringstream out;
     std::ostringstream err;
@@ -121,14 +121,14 @@
     };
 }
 
-step failure(door_failure::kind kind, char const* ran = nullptr)
+step failure(operator_call_failure::kind kind, char const* ran = nullptr)
 {
     return [=](std::string const&) -> Json::Value
     {
         Json::Value data;
         if (ran != nullptr)
             data["ran"] = ran;
-        throw door_failure(kind, "the door's words", data);
+        throw operator_call_failure(kind, "the client's words", data);
     };
 }
 
@@ -147,7 +147,7 @@
 std::string const declaration_text = R"({"deployment": "trust",
 "store": {"loads_per_second": 9, "loads_at_once": 4}})";
 
-constexpr auto lost = door_failure::kind::outcome_unknown;
+constexpr auto lost = operator_call_failure::kind::outcome_unknown;
 
 } // namespace
 
@@ -216,8 +216,8 @@
     planned["plan"]["digest"] = digest_of("wanted");
     planned["plan"]["feasible"] = true;
     planned["plan"]["summary"] = "Plan ...\n";
-    world.door.script = {[=](std::string const&) { return planned; },
-                         answer(R"({"version": 5})")};
+    world.client.script = {[=](std::string const&) { return planned; },
+                           answer(R"({"version": 5})")};
     std::string const file = world.folder / "plan.json";
     CHECK(world.run({"plan", world.write("d.jsonc", declaration_text),
                      "--output", file}) == ctl_exit::ok);
@@ -229,7 +229,7 @@
 TEST_CASE("a plan that does not fit is not kept", "[ctl]")
 {
     ctl_world world;
-    world.door.script = {answer(R"({"plan": {"feasible": false}})")};
+    world.client.script = {answer(R"({"plan": {"feasible": false}})")};
     std::string const file = world.folder / "plan.json";
     CHECK(world.run({"plan", world.write("d.jsonc", declaration_text),
                      "--output", file}) == ctl_exit::refused);
@@ -243,7 +243,7 @@
     text.replace(text.find("wanted"), 6, "wanter");
     CHECK(world.run({"confirm", world.write("p.json", text)}) ==
           ctl_exit::faults);
-    CHECK(world.door.calls.empty());
+    CHECK(world.client.calls.empty());
 }
 
 // An operator confirms, the table's answer or the VM's is lost after the
@@ -257,34 +257,36 @@
     std::string const file = world.write("p.json", plan_text(4));
     SECTION("it is in force, though the first reading was old")
     {
-        world.door.script = {failure(lost), configuration(4, "old"),
-                             failure(door_failure::kind::unreachable),
-                             configuration(5, "wanted")};
+        world.client.script = {
+            failure(lost), configuration(4, "old"),
+            failure(operator_call_failure::kind::unreachable),
+            configuration(5, "wanted")};
         CHECK(world.run({"confirm", file}) == ctl_exit::ok);
     }
     SECTION("the VM itself does not know")
     {
-        world.door.script = {failure(door_failure::kind::refused, "unknown"),
-                             configuration(5, "wanted")};
+        world.client.script = {
+            failure(operator_call_failure::kind::refused, "unknown"),
+            configuration(5, "wanted")};
         CHECK(world.run({"confirm", file}) == ctl_exit::ok);
     }
     SECTION("another operator came first")
     {
-        world.door.script = {failure(lost), configuration(5, "other")};
+        world.client.script = {failure(lost), configuration(5, "other")};
         CHECK(world.run({"confirm", file}) == ctl_exit::refused);
     }
     SECTION("it may have been in force in between")
     {
-        world.door.script = {failure(lost), configuration(6, "other")};
+        world.client.script = {failure(lost), configuration(6, "other")};
         CHECK(world.run({"confirm", file}) == ctl_exit::outcome_unknown);
     }
     SECTION("it is not in force yet")
     {
-        world.door.script = {failure(lost), configuration(4, "old")};
+        world.client.script = {failure(lost), configuration(4, "old")};
         CHECK(world.run({"confirm", file}) == ctl_exit::outcome_unknown);
     }
-    CHECK(world.door.sent_once == words{"confirm"});
-    CHECK(std::count(world.door.calls.begin(), world.door.calls.end(),
+    CHECK(world.client.sent_once == words{"confirm"});
+    CHECK(std::count(world.client.calls.begin(), world.client.calls.end(),
                      "confirm") == 1);
 }
 
@@ -292,11 +294,11 @@
 {
     ctl_world world;
     std::string const file = world.write("p.json", plan_text(4));
-    world.door.script = {failure(door_failure::kind::refused, "no")};
+    world.client.script = {failure(operator_call_failure::kind::refused, "no")};
     CHECK(world.run({"confirm", file}) == ctl_exit::refused);
-    world.door.script = {failure(door_failure::kind::unreachable)};
+    world.client.script = {failure(operator_call_failure::kind::unreachable)};
     CHECK(world.run({"confirm", file}) == ctl_exit::unreachable);
-    CHECK(world.door.calls == words{"confirm", "confirm"});
+    CHECK(world.client.calls == words{"confirm", "confirm"});
 }
 
 TEST_CASE("a refusal is told in JSON to programs", "[ctl]")
@@ -306,13 +308,14 @@
     // the text for people on standard error are as without --json.
     ctl_world world;
     std::string const file = world.write("p.json", plan_text(4));
-    world.door.script = {[](std::string const&) -> Json::Value
-                         {
-                             throw door_failure(
-                                 door_failure::kind::refused, "changed",
-                                 json(R"({"kind": "plan_outdated", "ran": "no",
+    world.client.script = {
+        [](std::string const&) -> Json::Value
+        {
+            throw operator_call_failure(
+                operator_call_failure::kind::refused, "changed",
+                json(R"({"kind": "plan_outdated", "ran": "no",
 "retry_after_ms": 300, "changes": [{"key": "adapter a@1"}]})"));
-                         }};
+        }};
     CHECK(world.run({"confirm", file}) == ctl_exit::refused);
     CHECK(world.out.str().empty());
     std::string const text = world.err.str();
@@ -332,13 +335,13 @@
     ctl_exit expected = ctl_exit::refused;
     SECTION("another operator came first")
     {
-        world.door.script = {failure(lost), configuration(5, "other")};
+        world.client.script = {failure(lost), configuration(5, "other")};
         kind = "plan_outdated";
         ran = "no";
     }
     SECTION("it is not in force yet")
     {
-        world.door.script = {failure(lost), configuration(4, "old")};
+        world.client.script = {failure(lost), configuration(4, "old")};
         expected = ctl_exit::outcome_unknown;
         kind = "outcome_unknown";
         ran = "unknown";
@@ -353,23 +356,23 @@
 TEST_CASE("an unanswered read changed nothing", "[ctl]")
 {
     ctl_world world;
-    world.door.script = {failure(lost)};
+    world.client.script = {failure(lost)};
     CHECK(world.run({"targets"}) == ctl_exit::unreachable);
 }
 
 TEST_CASE("drain --wait comes back when the VM has left", "[ctl]")
 {
     ctl_world world;
-    world.door.script = {
+    world.client.script = {
         answer(R"({"vm": "vm-3", "state": "leaving"})"),
         answer(R"({"vms": [{"vm": "vm-3", "state": "leaving"}]})"),
         failure(lost), answer(R"({"vms": [], "unreachable": ["vm-3"]})"),
         answer(R"({"vms": [{"vm": "vm-1", "state": "live"}]})")};
     CHECK(world.run({"drain", "vm-3", "--wait"}) == ctl_exit::ok);
-    CHECK(world.door.calls.size() == 5);
+    CHECK(world.client.calls.size() == 5);
     CHECK(world.out.str() == "vm-3 has left\n");
-    world.door.script = {answer(R"({"state": "leaving"})"),
-                         answer(R"({"vms": [], "unreachable": ["vm-3"]})")};
+    world.client.script = {answer(R"({"state": "leaving"})"),
+                           answer(R"({"vms": [], "unreachable": ["vm-3"]})")};
     CHECK(world.run({"drain", "vm-3", "--wait", "--wait-ms", "3000"}) ==
           ctl_exit::outcome_unknown);
 }
@@ -377,7 +380,7 @@
 TEST_CASE("the time line shows the newest events", "[ctl]")
 {
     ctl_world world;
-    world.door.script = {
+    world.client.script = {
         answer(R"({"cursor": "a", "events": [{"text": "one"},
                                              {"text": "two"}]})"),
         answer(R"({"cursor": "b", "events": [{"vm": "vm-1", "number": 3,
@@ -393,7 +396,7 @@
     ctl_world world;
     auto const parsed = parse_declaration(declaration_text, "d.jsonc");
     std::string const text = write_declaration(std::get<declaration>(parsed));
-    world.door.script = {configuration(7, text)};
+    world.client.script = {configuration(7, text)};
     CHECK(world.run({"configuration"}) == ctl_exit::ok);
     CHECK(world.out.str().find("// version 7\n") == 0);
     CHECK(parse_declaration(world.out.str(), "x") == parsed);
--- a/tests/json_rpc_test.cpp
+++ b/tests/json_rpc_test.cpp
@@ -28,8 +28,8 @@
                         }}});
 }
 
-/// The server behind a door that wants the key "right".
-http_handler door_to(rpc_server& server)
+/// The server behind a listener that wants the key "right".
+http_handler handler_of(rpc_server& server)
 {
     return [&server](http_request const& request,
                      std::shared_ptr<http_answer> const& answer)
@@ -43,10 +43,10 @@
     };
 }
 
-struct door
+struct listener
 {
     rpc_server rpc = make_server();
-    http_server http{{}, door_to(rpc)};
+    http_server http{{}, handler_of(rpc)};
     http_client client;
 
     rpc_client caller(std::string const& key, std::string const& path = "/")
@@ -87,8 +87,8 @@
 
 TEST_CASE("a method's result comes back to each of many callers", "[json_rpc]")
 {
-    door door;
-    rpc_client caller = door.caller("right");
+    listener listener;
+    rpc_client caller = listener.caller("right");
     std::atomic<int> right{0};
     std::vector<std::thread> threads;
     threads.reserve(8);
@@ -113,8 +113,8 @@
 TEST_CASE("the code and text of a method's failure travel to the caller",
           "[json_rpc]")
 {
-    door door;
-    rpc_client caller = door.caller("right");
+    listener listener;
+    rpc_client caller = listener.caller("right");
     CHECK(failure_code(caller, "refuse") == 17);
     CHECK(failure_code(caller, "break") == -32603);
     CHECK(failure_code(caller, "no such method") == -32601);
@@ -124,12 +124,12 @@
 TEST_CASE("a call that failed on the way says whether it may have run",
           "[json_rpc]")
 {
-    door door;
-    auto refused = door.caller("wrong");
+    listener listener;
+    auto refused = listener.caller("wrong");
     CHECK(failure_code(refused, "add") == rpc_refused);
-    auto lost = door.caller("right", "/lost");
+    auto lost = listener.caller("right", "/lost");
     CHECK(failure_code(lost, "add") == rpc_outcome_unknown);
-    rpc_client unreachable(door.client, "http://127.0.0.1:1/", "right");
+    rpc_client unreachable(listener.client, "http://127.0.0.1:1/", "right");
     CHECK(failure_code(unreachable, "add") == rpc_not_sent);
 }
 
--- a/tests/ctl_door_test.cpp
+++ b/tests/operator_client_test.cpp
@@ -1,4 +1,4 @@
-#include "ctl_door.hpp"
+#include "operator_client.hpp"
 
 #include "http_server.hpp"
 
@@ -12,9 +12,9 @@
 namespace
 {
 
-constexpr auto unknown = door_failure::kind::outcome_unknown;
+constexpr auto unknown = operator_call_failure::kind::outcome_unknown;
 
-/// A VM's operators' door: counts calls, and may run one without an answer.
+/// A VM's operators' listener: counts calls, and may run one without an answer.
 class vm
 {
 public:
@@ -64,18 +64,18 @@
     vm second;
     http_client client;
 
-    rpc_ctl_door door(std::string const& key = "right")
+    rpc_operator_client operator_client(std::string const& key = "right")
     {
         return {client, {first.address(), second.address()}, key, 20s};
     }
 
-    door_failure failure(rpc_ctl_door door, resend lost)
+    operator_call_failure failure(rpc_operator_client client, resend lost)
     {
         try
         {
-            door.call("confirm", Json::objectValue, lost);
+            client.call("confirm", Json::objectValue, lost);
         }
-        catch (door_failure const& seen)
+        catch (operator_call_failure const& seen)
         {
             return seen;
         }
@@ -91,42 +91,46 @@
 
 } // namespace
 
-TEST_CASE("the next VM is tried when one cannot be reached", "[ctl_door]")
+TEST_CASE("the next VM is tried when one cannot be reached",
+          "[operator_client]")
 {
     two_vms vms;
-    rpc_ctl_door door(vms.client, {closed_address(), vms.second.address()},
-                      "right", 20s);
-    CHECK(door.call("confirm", Json::objectValue, resend::never) == "done");
+    rpc_operator_client client(
+        vms.client, {closed_address(), vms.second.address()}, "right", 20s);
+    CHECK(client.call("confirm", Json::objectValue, resend::never) == "done");
     CHECK(vms.failure({vms.client, {closed_address()}, "right", 20s},
                       resend::allowed)
-              .reason() == door_failure::kind::unreachable);
+              .reason() == operator_call_failure::kind::unreachable);
 }
 
 // An operator's confirm runs at a VM, which dies before it answers. Sent to
 // the next VM as well, it would run twice.
 TEST_CASE("a call whose answer is lost goes to no other VM unless it may",
-          "[ctl_door]")
+          "[operator_client]")
 {
     two_vms vms;
     vms.first.loses_answers = true;
-    CHECK(vms.failure(vms.door(), resend::never).reason() == unknown);
+    CHECK(vms.failure(vms.operator_client(), resend::never).reason() ==
+          unknown);
     CHECK(vms.first.ran == 1);
     CHECK(vms.second.ran == 0);
-    CHECK(vms.door().call("confirm", Json::objectValue, resend::allowed) ==
-          "done");
+    CHECK(vms.operator_client().call("confirm", Json::objectValue,
+                                     resend::allowed) == "done");
     CHECK(vms.second.ran == 1);
 }
 
-TEST_CASE("a refusal is final and keeps its data", "[ctl_door]")
+TEST_CASE("a refusal is final and keeps its data", "[operator_client]")
 {
     two_vms vms;
     vms.first.refuses = true;
-    door_failure const seen = vms.failure(vms.door(), resend::allowed);
-    CHECK(seen.reason() == door_failure::kind::refused);
+    operator_call_failure const seen =
+        vms.failure(vms.operator_client(), resend::allowed);
+    CHECK(seen.reason() == operator_call_failure::kind::refused);
     CHECK(seen.data()["kind"] == "plan_outdated");
     CHECK(vms.second.ran == 0);
-    door_failure const locked = vms.failure(vms.door("wrong"), resend::allowed);
-    CHECK(locked.reason() == door_failure::kind::refused);
+    operator_call_failure const locked =
+        vms.failure(vms.operator_client("wrong"), resend::allowed);
+    CHECK(locked.reason() == operator_call_failure::kind::refused);
     CHECK(std::string(locked.what()).find("is the key right?") !=
           std::string::npos);
     CHECK(vms.second.ran == 0);
--- a/tests/process_caller.hpp
+++ b/tests/process_caller.hpp
@@ -19,7 +19,7 @@
 /// A model request.
 struct model_call
 {
-    /// IP:PORT of the VM's door for callers.
+    /// IP:PORT of the VM's listener for callers.
     std::string address;
     std::string vm;
     /// ADAPTER@VERSION
--- a/tests/process_calls_test.cpp
+++ b/tests/process_calls_test.cpp
@@ -39,7 +39,7 @@
     run.world().control_service(order("slow_ms", 300));
     for (int number = 0; number < 10; ++number)
     {
-        std::vector<caller_book::under_way> tries;
+        std::vector<caller_registry::under_way> tries;
         std::string const key = fmt::format("permit-{}", number);
         for (std::size_t const vm : {0, 1, 2})
             tries.push_back(run.callers().send(run.once_call_to(vm, key)));
@@ -90,7 +90,7 @@
     // The callers are told that the outcome is unknown by their deadlines.
     scenario run;
     run.world().control_service(order("hold_run", true));
-    std::vector<caller_book::under_way> tries;
+    std::vector<caller_registry::under_way> tries;
     for (std::size_t const vm : {0, 1, 2})
     {
         auto call = run.once_call_to(vm, fmt::format("silent-{}", vm));
--- a/tests/process_deployment.cpp
+++ b/tests/process_deployment.cpp
@@ -23,14 +23,15 @@
 constexpr std::size_t domain_count = 3;
 constexpr char const* http = "http://";
 
-std::string address_in(std::string const& listening, std::string const& door)
+std::string address_in(std::string const& listening,
+                       std::string const& listener)
 {
     std::istringstream words(listening);
     std::string word;
     while (words >> word)
-        if (word == door && words >> word)
+        if (word == listener && words >> word)
             return word;
-    throw std::runtime_error("no " + door + " in " + listening);
+    throw std::runtime_error("no " + listener + " in " + listening);
 }
 
 std::string without_scheme(std::string const& url)
@@ -44,7 +45,7 @@
                                              value);
 }
 
-Json::Value door()
+Json::Value listener()
 {
     Json::Value value;
     value["address"] = "127.0.0.1";
@@ -228,9 +229,9 @@
     settings["vm"] = name;
     settings["domain"] = domain(index);
     settings["deployment"] = "pit-logbook";
-    settings["callers"] = door();
-    settings["peers"] = door();
-    settings["operators"] = door();
+    settings["callers"] = listener();
+    settings["peers"] = listener();
+    settings["operators"] = listener();
     settings["peers_key"] = "peers-key";
     settings["operators_key"] = operators_key_;
     settings["table_url"] = platform + "/table";
@@ -399,10 +400,10 @@
 Json::Value deployment::rpc(std::size_t index, std::string const& method,
                             Json::Value const& parameters)
 {
-    mulberry::rpc_client door(client_, http + vm(index).operators + "/rpc",
-                              operators_key_);
-    return door.call(method, parameters,
-                     std::chrono::steady_clock::now() + generous_wait);
+    mulberry::rpc_client listener(client_, http + vm(index).operators + "/rpc",
+                                  operators_key_);
+    return listener.call(method, parameters,
+                         std::chrono::steady_clock::now() + generous_wait);
 }
 
 Json::Value deployment::status(std::size_t index)
--- a/tests/process_deployment.hpp
+++ b/tests/process_deployment.hpp
@@ -41,7 +41,7 @@
     std::filesystem::path path_;
 };
 
-/// One entry VM and the addresses of its doors.
+/// One entry VM and the addresses of its listeners.
 struct entry_vm
 {
     std::string name;
@@ -97,7 +97,7 @@
     bool ready(std::size_t index);
     /// The text of /metrics.
     std::string metrics(std::size_t index);
-    /// The time line of all VMs, as the operators' door gives it.
+    /// The time line of all VMs, as the operators' listener gives it.
     std::vector<Json::Value> timeline(std::size_t index);
     std::string const& operators_key() const { return operators_key_; }
 
--- a/tests/process_engine_test.cpp
+++ b/tests/process_engine_test.cpp
@@ -38,9 +38,9 @@
 }
 
 /// A stream through each VM, each of which has begun to arrive.
-std::vector<caller_book::under_way> begun_streams(scenario& run)
+std::vector<caller_registry::under_way> begun_streams(scenario& run)
 {
-    std::vector<caller_book::under_way> streams;
+    std::vector<caller_registry::under_way> streams;
     for (std::size_t const vm : {0, 1, 2})
     {
         model_call call = run.call_to(vm, run.world().adapters().front());
--- a/tests/process_input_test.cpp
+++ b/tests/process_input_test.cpp
@@ -167,31 +167,33 @@
     REQUIRE(run.more_answers(30));
     for (entry_vm const* vm :
          {&run.world().vm(0), &run.world().vm(1), &run.world().vm(2)})
-        for (std::string const& door : {vm->callers, vm->peers, vm->operators})
+        for (std::string const& listener :
+             {vm->callers, vm->peers, vm->operators})
         {
-            answer_to(door, std::string(1000, '\0') + "\r\n\r\n");
-            answer_to(door, "GET / HTTP/9.9\r\nContent-Length: -1\r\n\r\n");
+            answer_to(listener, std::string(1000, '\0') + "\r\n\r\n");
+            answer_to(listener, "GET / HTTP/9.9\r\nContent-Length: -1\r\n\r\n");
         }
     CHECK(run.more_answers(30));
     CHECK(to_string(run.finish()) == nothing);
 }
 
-TEST_CASE("the doors of peers and operators answer nothing without their key",
-          "[input]")
+TEST_CASE(
+    "the listeners of peers and operators answer nothing without their key",
+    "[input]")
 {
     scenario run;
     auto const& vm = run.world().vm(0);
-    for (std::string const& door : {vm.peers, vm.operators})
+    for (std::string const& listener : {vm.peers, vm.operators})
         for (char const* key : {"", "wrong", "operators-ke", "callers"})
             for (char const* path : {"/", "/rpc", "/forward/loglm-01",
                                      "/healthz", "/metrics", "/v1/models"})
                 for (char const* method : {"GET", "POST", "DELETE"})
                 {
                     std::string const answer =
-                        answer_to(door, with_bearer(method, path, key));
+                        answer_to(listener, with_bearer(method, path, key));
                     CHECK(answer.starts_with("HTTP/1.1 401 "));
                 }
-    // The key of the one door does not open the other.
+    // The key of the one listener does not open the other.
     CHECK(answer_to(vm.peers, with_bearer("POST", "/rpc", "operators-key"))
               .starts_with("HTTP/1.1 401 "));
     CHECK(answer_to(vm.operators, with_bearer("POST", "/rpc", "peers-key"))
--- a/tests/process_table_test.cpp
+++ b/tests/process_table_test.cpp
@@ -21,7 +21,7 @@
 Json::Value table_down(bool down)
 {
     Json::Value body = order("down", down);
-    body["door"] = "table";
+    body["part"] = "table";
     return body;
 }
 
--- a/tests/process_traffic.cpp
+++ b/tests/process_traffic.cpp
@@ -34,8 +34,8 @@
 } // namespace
 
 template <class Call>
-caller_book::under_way caller_book::send(Call const& call,
-                                         std::deque<kept<Call>>& list)
+caller_registry::under_way caller_registry::send(Call const& call,
+                                                 std::deque<kept<Call>>& list)
 {
     auto request = std::make_shared<request_under_way>();
     std::lock_guard const lock(mutex_);
@@ -48,18 +48,19 @@
     return request;
 }
 
-caller_book::under_way caller_book::send(model_call const& call)
+caller_registry::under_way caller_registry::send(model_call const& call)
 {
     return send(call, model_calls_);
 }
 
-caller_book::under_way caller_book::send(service_call_made const& call)
+caller_registry::under_way caller_registry::send(service_call_made const& call)
 {
     return send(call, service_calls_);
 }
 
 template <class Call>
-bool caller_book::close(std::deque<kept<Call>>& list, under_way const& request)
+bool caller_registry::close(std::deque<kept<Call>>& list,
+                            under_way const& request)
 {
     auto const found = std::find_if(list.begin(), list.end(),
                                     [&](kept<Call> const& each)
@@ -72,22 +73,22 @@
     return true;
 }
 
-void caller_book::go_away(under_way const& request)
+void caller_registry::go_away(under_way const& request)
 {
     std::lock_guard const lock(mutex_);
     if (!close(model_calls_, request))
         close(service_calls_, request);
 }
 
-void caller_book::note_leaving(std::string const& vm)
+void caller_registry::note_leaving(std::string const& vm)
 {
     std::lock_guard const lock(mutex_);
     leaving_.insert(vm);
 }
 
 template <class Call>
-void caller_book::write(std::deque<kept<Call>>& list,
-                        std::vector<recorded<Call>>& out)
+void caller_registry::write(std::deque<kept<Call>>& list,
+                            std::vector<recorded<Call>>& out)
 {
     for (kept<Call>& each : list)
     {
@@ -100,13 +101,13 @@
     }
 }
 
-void caller_book::write_to(process_record& record)
+void caller_registry::write_to(process_record& record)
 {
     write(model_calls_, record.model_calls);
     write(service_calls_, record.service_calls);
 }
 
-std::string caller_book::told()
+std::string caller_registry::told()
 {
     std::map<std::string, std::size_t> counts;
     std::lock_guard const lock(mutex_);
@@ -185,7 +186,7 @@
         call.tokens = 4 + random() % 30;
         call.streamed = random() % 2 == 0;
         call.chat = random() % 4 == 0;
-        if (answered_whole(book_.send(call)->wait()))
+        if (answered_whole(registry_.send(call)->wait()))
             ++answers_;
         else
             std::this_thread::sleep_for(pause_after_error);
@@ -205,7 +206,7 @@
             target const to = pick(random);
             call.vm = to.name;
             call.address = to.callers;
-            auto const seen = book_.send(call)->wait();
+            auto const seen = registry_.send(call)->wait();
             if (seen.status == 200 && seen.ended)
             {
                 ++once_answers_;
@@ -304,16 +305,16 @@
         [&]
         {
             auto const seen =
-                book_.send(call_to(vm, world_.adapters().front()))->wait();
+                registry_.send(call_to(vm, world_.adapters().front()))->wait();
             return seen.not_sent || error_in(seen).kind == "draining";
         });
-    book_.note_leaving(world_.vm(vm).name);
+    registry_.note_leaving(world_.vm(vm).name);
     return refused;
 }
 
 std::string scenario::told()
 {
-    return book_.told();
+    return registry_.told();
 }
 
 std::vector<finding> scenario::finish()
@@ -322,7 +323,7 @@
     stop_traffic();
     if (watched && record_.versions.empty())
         throw std::runtime_error("no VM showed its configuration's version");
-    book_.write_to(record_);
+    registry_.write_to(record_);
     record_.engine_events = world_.engine_history();
     record_.service_events = world_.service_history();
     return findings(record_);
--- a/tests/process_traffic.hpp
+++ b/tests/process_traffic.hpp
@@ -22,7 +22,7 @@
 {
 
 /// Sends requests and keeps them. Thread safe.
-class caller_book
+class caller_registry
 {
 public:
     using under_way = std::shared_ptr<request_under_way>;
@@ -71,7 +71,7 @@
     ~scenario();
 
     deployment& world() { return world_; }
-    caller_book& callers() { return book_; }
+    caller_registry& callers() { return registry_; }
 
     void start_traffic();
     /// Where traffic goes from now on; all VMs at first.
@@ -108,7 +108,7 @@
     std::vector<target> targets();
 
     deployment world_;
-    caller_book book_;
+    caller_registry registry_;
     process_record record_;
     std::mutex mutex_;
     std::vector<target> targets_;
--- a/tests/quarter_book_test.cpp
+++ b/tests/quarter_store_test.cpp
@@ -139,7 +139,7 @@
 constexpr std::uint64_t most_seeds = 20;
 
 /// Whether one of some seeds shows a mutant to count twice or to lose.
-bool found(book_mutant mutant, schedule const& faults)
+bool found(store_mutant mutant, schedule const& faults)
 {
     for (std::uint64_t seed = 1; seed <= most_seeds; ++seed)
     {
@@ -153,7 +153,7 @@
 }
 
 /// What is stored of ten requests whose first write came late.
-std::uint64_t stored_after_late_create(book_mutant mutant)
+std::uint64_t stored_after_late_create(store_mutant mutant)
 {
     quarter_world world(2, 1, mutant);
     world.table().delay_writes(write_delay);
@@ -180,7 +180,7 @@
         [](std::uint64_t seed)
         {
             schedule const faults = *any_schedule(all_faults);
-            quarter_world world(vms, seed, book_mutant::none);
+            quarter_world world(vms, seed, store_mutant::none);
             live_through(world, faults);
             RC_ASSERT(world.stored() <= world.counted());
         }));
@@ -192,7 +192,7 @@
         [](std::uint64_t seed)
         {
             schedule const faults = *any_schedule(faults_of_one_life);
-            quarter_world world(vms, seed, book_mutant::none);
+            quarter_world world(vms, seed, store_mutant::none);
             live_through(world, faults);
             RC_ASSERT(world.stored() <= world.counted());
             RC_ASSERT(world.stored() + world.lost_at_most() >= world.counted());
@@ -208,7 +208,7 @@
         [](std::uint64_t seed)
         {
             schedule const faults = *any_schedule(clear_faults);
-            quarter_world world(vms, seed, book_mutant::none);
+            quarter_world world(vms, seed, store_mutant::none);
             live_through(world, faults);
             RC_ASSERT(world.stored() <= world.counted());
             RC_ASSERT(world.stored() + world.lost_at_most() >= world.counted());
@@ -224,8 +224,8 @@
                           {fault_kind::crash, 1, 24s, 1s},
                           {fault_kind::crash, 0, 31s, 1s},
                           {fault_kind::lagging_reads, 0, 15s, 30s}};
-    CHECK_FALSE(found(book_mutant::none, faults));
-    CHECK(found(book_mutant::unconditional_folds, faults));
+    CHECK_FALSE(found(store_mutant::none, faults));
+    CHECK(found(store_mutant::unconditional_folds, faults));
 }
 
 TEST_CASE("a write without its condition is found", "[quarter]")
@@ -235,8 +235,8 @@
     // next fold counts it once more.
     schedule const faults{{fault_kind::late_writes, 0, 10s, 6s},
                           {fault_kind::crash, 0, 17s, 1s}};
-    CHECK_FALSE(found(book_mutant::none, faults));
-    CHECK(found(book_mutant::unconditional_writes, faults));
+    CHECK_FALSE(found(store_mutant::none, faults));
+    CHECK(found(store_mutant::unconditional_writes, faults));
 }
 
 TEST_CASE("a create that holds counts is found", "[quarter]")
@@ -244,13 +244,13 @@
     // A VM's first write is held back, its next ones are not; it crashes and
     // is folded; then the first one lands, since its row does not exist, and
     // is folded too. The ten requests would be twenty.
-    CHECK(stored_after_late_create(book_mutant::none) == 10);
-    CHECK(stored_after_late_create(book_mutant::creates_with_counts) == 20);
+    CHECK(stored_after_late_create(store_mutant::none) == 10);
+    CHECK(stored_after_late_create(store_mutant::creates_with_counts) == 20);
 }
 
 TEST_CASE("the last counts of a quarter go into its row", "[quarter]")
 {
-    quarter_world world(1, 1, book_mutant::none);
+    quarter_world world(1, 1, store_mutant::none);
     world.answer(0, 5);
     world.run(7s);
     world.answer(0, 2);
@@ -259,12 +259,12 @@
     world.run(15s);
     CHECK(world.stored("2026-Q4") == 7);
     CHECK(world.stored("2027-Q1") == 4);
-    CHECK(only(world.book(0).standings(world.now())).counted == 4);
+    CHECK(only(world.store(0).standings(world.now())).counted == 4);
 }
 
 TEST_CASE("a clock set back and forth loses no counts", "[quarter]")
 {
-    quarter_world world(1, 1, book_mutant::none);
+    quarter_world world(1, 1, store_mutant::none);
     world.answer(0, 5);
     world.run(12s);
     world.begin_quarter("2027-Q1");
@@ -281,31 +281,31 @@
 {
     // The VM ends as soon as flushed() says so. What was not in the table by
     // then would be lost at each graceful shutdown.
-    quarter_world world(1, 1, book_mutant::none);
+    quarter_world world(1, 1, store_mutant::none);
     world.answer(0, 3);
     world.run(6s);
     world.answer(0, 4);
     world.table().lose_answers(true);
     world.flush(0);
     world.run(3s);
-    CHECK_FALSE(world.book(0).flushed());
+    CHECK_FALSE(world.store(0).flushed());
     world.table().lose_answers(false);
     world.run(2s);
-    CHECK(world.book(0).flushed());
+    CHECK(world.store(0).flushed());
     CHECK(world.stored() == 7);
 }
 
 TEST_CASE("a restarted VM shows the quarter of all", "[quarter]")
 {
-    quarter_world world(2, 1, book_mutant::none);
+    quarter_world world(2, 1, store_mutant::none);
     world.answer(0, 30);
     world.answer(1, 70);
     world.run(12s);
     world.crash(0);
-    CHECK_FALSE(only(world.book(0).standings(world.now())).reached);
+    CHECK_FALSE(only(world.store(0).standings(world.now())).reached);
     world.run(25s);
-    CHECK(only(world.book(0).standings(world.now())).counted == 100);
-    CHECK(only(world.book(1).standings(world.now())).counted == 100);
+    CHECK(only(world.store(0).standings(world.now())).counted == 100);
+    CHECK(only(world.store(1).standings(world.now())).counted == 100);
 }
 
 TEST_CASE("the budget and the forecast say when a target is at risk",
@@ -313,39 +313,39 @@
 {
     // 1000 requests in time, then one late in four: the share to date is still
     // met when the pace says that the quarter will not be.
-    quarter_world world(1, 1, book_mutant::none);
+    quarter_world world(1, 1, store_mutant::none);
     world.answer(0, 1000);
     world.run(12s);
-    auto const first = only(world.book(0).standings(world.now()));
+    auto const first = only(world.store(0).standings(world.now()));
     CHECK(first.left == 100);
     CHECK(first.forecast == 1.0);
     CHECK_FALSE(first.at_risk);
     for (int at = 0; at < 60; ++at)
     {
         world.answer(0, 3);
-        world.book(0).count_answer(
+        world.store(0).count_answer(
             notes, at % 2 == 0 ? std::optional(duration(900ms)) : std::nullopt);
         world.run(1s);
     }
-    auto const second = only(world.book(0).standings(world.now()));
+    auto const second = only(world.store(0).standings(world.now()));
     CHECK(second.counted == 1240);
     CHECK(second.left == 124 - 60);
     CHECK(*second.reached > 0.95);
     CHECK(*second.forecast < 0.76);
     CHECK(second.at_risk);
-    CHECK(world.book(0).at_risk(world.now()) ==
+    CHECK(world.store(0).at_risk(world.now()) ==
           std::vector<application_id>{notes});
 }
 
 TEST_CASE("a caller who gave up counts against the bounds that were past",
           "[quarter]")
 {
-    quarter_world world(1, 1, book_mutant::none);
+    quarter_world world(1, 1, store_mutant::none);
     world.answer(0, 8);
-    world.book(0).count_withdrawn(notes, notes_bound - 1ms);
-    world.book(0).count_withdrawn(notes, notes_bound + 1ms);
+    world.store(0).count_withdrawn(notes, notes_bound - 1ms);
+    world.store(0).count_withdrawn(notes, notes_bound + 1ms);
     world.run(12s);
-    auto const standing = only(world.book(0).standings(world.now()));
+    auto const standing = only(world.store(0).standings(world.now()));
     CHECK(standing.counted == 9);
     CHECK(*standing.reached == Approx(8.0 / 9));
     CHECK(world.stored() == 10);
@@ -354,25 +354,26 @@
 TEST_CASE("stalls and efficiency have their own budgets", "[quarter]")
 {
     id_source ids;
-    quarter_book book({}, ids, [](auto const&, incarnation) { return false; });
-    book.configure(
+    quarter_store store({}, ids,
+                        [](auto const&, incarnation) { return false; });
+    store.configure(
         with_targets({{notes, target_measure::stall_share, {}, 0.1},
                       {notes, target_measure::batch_efficiency, {}, 0.5}}));
     time_point const start(1h);
-    book.set_quarter("2026-Q4", start + 24h, start);
-    book.set_life(incarnation(1));
+    store.set_quarter("2026-Q4", start + 24h, start);
+    store.set_life(incarnation(1));
     action_list actions;
-    book.tick(start, actions);
+    store.tick(start, actions);
     REQUIRE(actions.size() == 1);
-    book.on_table(
+    store.on_table(
         {std::get<scan_rows>(actions[0]).operation, table_outcome::done, {}},
         start, actions);
     for (int count = 0; count < 100; ++count)
-        book.count_answer(notes, 10ms);
-    book.count_stalls(notes, 12);
-    book.add_slot_time(notes, 80s, 100s);
-    book.count_stalls(application_id("made up"), 5);
-    auto const all = book.standings(start);
+        store.count_answer(notes, 10ms);
+    store.count_stalls(notes, 12);
+    store.add_slot_time(notes, 80s, 100s);
+    store.count_stalls(application_id("made up"), 5);
+    auto const all = store.standings(start);
     REQUIRE(all.size() == 2);
     CHECK(all[0].counted == 100);
     CHECK(all[0].left == -2);
--- a/tests/quarter_world.cpp
+++ b/tests/quarter_world.cpp
@@ -31,7 +31,7 @@
 }
 
 quarter_world::quarter_world(std::size_t vms, std::uint64_t seed,
-                             book_mutant mutant)
+                             store_mutant mutant)
     : table_(time_, seed), mutant_(mutant)
 {
     for (std::size_t at = 0; at < vms; ++at)
@@ -54,17 +54,17 @@
     one.ids = std::make_unique<id_source>();
     quarter_settings settings;
     settings.vm = one.id;
-    one.book = std::make_unique<quarter_book>(
+    one.store = std::make_unique<quarter_store>(
         settings, *one.ids,
         [this](vm_id const& who, incarnation life) {
             return over_.contains({who, life});
         });
-    one.book->configure(with_targets(
+    one.store->configure(with_targets(
         {{notes, target_measure::answered_within, notes_bound, 0.9}}));
-    one.book->set_life(one.life);
+    one.store->set_life(one.life);
     // All fold, so that they race.
-    one.book->set_folds(true);
-    one.book->set_quarter(quarter_, time_.now() + 24h, time_.now());
+    one.store->set_folds(true);
+    one.store->set_quarter(quarter_, time_.now() + 24h, time_.now());
 }
 
 void quarter_world::tick()
@@ -72,9 +72,9 @@
     for (vm& one : vms_)
     {
         action_list actions;
-        one.book->tick(time_.now(), actions);
+        one.store->tick(time_.now(), actions);
         if (one.leaving)
-            one.book->flush(time_.now(), actions);
+            one.store->flush(time_.now(), actions);
         for (action& each : actions)
             perform(one, std::move(each));
     }
@@ -85,15 +85,15 @@
 {
     bool const folds = what.transaction.writes.size() > 1;
     table_write& first = what.transaction.writes.front();
-    if (mutant_ == book_mutant::creates_with_counts && !folds &&
+    if (mutant_ == store_mutant::creates_with_counts && !folds &&
         what.transaction.conditions.front().version.none())
     {
         quarter_row row = *decode_quarter_row(*first.value);
         row.totals[notes].requests = one.counted.at(first.key);
         first.value = encode(row);
     }
-    if (folds ? mutant_ == book_mutant::unconditional_folds
-              : mutant_ == book_mutant::unconditional_writes)
+    if (folds ? mutant_ == store_mutant::unconditional_folds
+              : mutant_ == store_mutant::unconditional_writes)
         what.transaction.conditions.clear();
 }
 
@@ -121,7 +121,7 @@
         if (reply.outcome == table_outcome::done)
             one.acknowledged[key] = std::max(one.acknowledged[key], requests);
         action_list none;
-        one.book->on_table(reply, time_.now(), none);
+        one.store->on_table(reply, time_.now(), none);
     };
     table_.submit(one.id, what, hear);
     // The fake answers for a write that it holds back only when that lands.
@@ -137,7 +137,7 @@
     vm& one = vms_.at(at);
     std::string const key = quarter_key{quarter_, one.id, one.life}.str();
     for (std::uint64_t each = 0; each < count; ++each)
-        one.book->count_answer(notes, 100ms);
+        one.store->count_answer(notes, 100ms);
     one.counted[key] += count;
     counted_ += count;
 }
@@ -157,14 +157,14 @@
     vm& one = vms_.at(at);
     over_.insert({one.id, one.life});
     one.life = incarnation(one.life.value() + 1);
-    one.book->set_life(one.life);
+    one.store->set_life(one.life);
 }
 
 void quarter_world::begin_quarter(std::string const& name)
 {
     quarter_ = name;
     for (vm& one : vms_)
-        one.book->set_quarter(name, time_.now() + 24h, time_.now());
+        one.store->set_quarter(name, time_.now() + 24h, time_.now());
 }
 
 std::uint64_t quarter_world::stored(std::string const& quarter)
--- a/tests/quarter_world.hpp
+++ b/tests/quarter_world.hpp
@@ -3,8 +3,8 @@
 #define MULBERRY_TESTS_QUARTER_WORLD_HPP
 
 #include "fake_table.hpp"
-#include "quarter_book.hpp"
 #include "quarter_row.hpp"
+#include "quarter_store.hpp"
 #include "virtual_time.hpp"
 
 #include <cstdint>
@@ -25,8 +25,8 @@
 std::shared_ptr<declaration const>
 with_targets(std::vector<target_declaration> targets);
 
-/// A rule of the book left out, to see that the check notices.
-enum class book_mutant
+/// A rule of the store left out, to see that the check notices.
+enum class store_mutant
 {
     none,
     unconditional_writes,
@@ -37,7 +37,7 @@
 class quarter_world
 {
 public:
-    quarter_world(std::size_t vms, std::uint64_t seed, book_mutant mutant);
+    quarter_world(std::size_t vms, std::uint64_t seed, store_mutant mutant);
 
     void run(duration span) { time_.run_until(time_.now() + span); }
     void answer(std::size_t vm, std::uint64_t count);
@@ -51,7 +51,7 @@
     void flush(std::size_t vm) { vms_.at(vm).leaving = true; }
 
     fake_table& table() { return table_; }
-    quarter_book& book(std::size_t vm) { return *vms_.at(vm).book; }
+    quarter_store& store(std::size_t vm) { return *vms_.at(vm).store; }
     time_point now() const { return time_.now(); }
     std::uint64_t counted() const { return counted_; }
     /// Counted by lives that crashed and not acknowledged to them.
@@ -68,7 +68,7 @@
         int process = 0;
         bool leaving = false;
         std::unique_ptr<id_source> ids;
-        std::unique_ptr<quarter_book> book;
+        std::unique_ptr<quarter_store> store;
         /// Of this process, by row.
         std::map<std::string, std::uint64_t> counted;
         std::map<std::string, std::uint64_t> acknowledged;
@@ -81,7 +81,7 @@
 
     virtual_time time_;
     fake_table table_;
-    book_mutant mutant_;
+    store_mutant mutant_;
     std::string quarter_ = "2026-Q4";
     std::vector<vm> vms_;
     std::set<std::pair<vm_id, incarnation>> over_;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -41,8 +41,8 @@
     REQUIRE(std::holds_alternative<settings>(parsed));
     auto const& value = std::get<settings>(parsed);
     CHECK(value.vm == vm_id("vm-1"));
-    CHECK(value.callers == door_address{"10.0.0.1", 8080});
-    CHECK(value.peers == door_address{"127.0.0.1", 8081});
+    CHECK(value.callers == listen_address{"10.0.0.1", 8080});
+    CHECK(value.peers == listen_address{"127.0.0.1", 8081});
     CHECK(value.lease == 2s);
     CHECK(value.heartbeat == settings().heartbeat);
     CHECK(value.log_format == "json");
@@ -102,7 +102,7 @@
                 "max_deadline_ms (1000)"});
 }
 
-TEST_CASE("addresses are numeric, doors differ and keys stay secret",
+TEST_CASE("addresses are numeric, listeners differ and keys stay secret",
           "[settings]")
 {
     std::string text = with("");
--- a/tests/stream_observer_test.cpp
+++ b/tests/stream_observer_test.cpp
@@ -33,8 +33,8 @@
 bool read_as_last(std::string const& choices)
 {
     kept_events sink;
-    call_book book;
-    stream_observer observer(attempt_id(1), sink, book);
+    call_registry calls;
+    stream_observer observer(attempt_id(1), sink, calls);
     observer.on_status(200, {});
     observer.on_data(event_with(choices));
     REQUIRE(sink.all.size() == 1);
@@ -58,8 +58,8 @@
 TEST_CASE("a stream without its mark of the end is a cut", "[stream_observer]")
 {
     kept_events sink;
-    call_book book;
-    stream_observer observer(attempt_id(1), sink, book);
+    call_registry calls;
+    stream_observer observer(attempt_id(1), sink, calls);
     observer.on_status(200, {});
     observer.on_data(event_with(R"([{"finish_reason":"stop"}])"));
     observer.on_end();
--- a/tools/deployment.sh
+++ b/tools/deployment.sh
@@ -80,7 +80,7 @@
         "$3"
 }
 
-# start_vm N: entry-N, its id in vm_pids[N], its doors in callers[N] and
+# start_vm N: entry-N, its id in vm_pids[N], its listeners in callers[N] and
 # operators[N]. $extra_settings are further lines of its settings.
 callers=() operators=() vm_pids=()
 start_vm()
