Do not believe a worker's report from before the last orders

An unload conflicts while another VM's request uses the adapter. Two such conflicts counted as a wrong count of orders; the report that was read then is some hundred milliseconds old, loads on their way were missing in it and ordered again, the count went wrong for real, and the next order conflicted.

Ruled out: orders of the process before the cut (the count in the reports did not change); two holders.

Change: unloads that conflict are taken for adapters in use, five in a row for a wrong count; a report with fewer orders than were known is asked for again, for 1.5 s at most. An answer that comes after track was lost no longer reads a count that is not there.

--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -188,7 +188,7 @@
     if (sent.counted_use)
         worker->adapters.end_use(*sent.target, now);
     if (outcome == send_outcome::not_held && sent.target && worker->owned)
-        worker->adapters.missing(*sent.target);
+        worker->adapters.missing(*sent.target, now);
     if (outcome == send_outcome::not_held && sent.target && !worker->owned)
         for (held_model& held : worker->entry.models)
             held.adapters.erase(sent.target->adapter);
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -21,8 +21,14 @@
 constexpr std::chrono::milliseconds end_of_use{10};
 /// An adapter that the worker would not unload is left alone for so long.
 constexpr std::chrono::milliseconds busy_pause{150};
-/// Orders in a row that conflict before what is believed counts as wrong.
-constexpr int most_conflicts = 2;
+/// Loads in a row that conflict before what is believed counts as wrong.
+constexpr int most_load_conflicts = 2;
+/// Unloads: a worker does not unload an adapter in use, and requests that other
+/// VMs sent without asking may use a few.
+constexpr int most_unload_conflicts = 5;
+/// A report shows a moment some hundred milliseconds ago, at most this.
+constexpr std::chrono::milliseconds longest_report_lag{1500};
+constexpr std::chrono::milliseconds report_again{100};
 /// A worker that loses a third of its answers loses so many in a row once in a
 /// hundred orders; one that is dark has lost them within half a second.
 constexpr int unanswered_that_count = 4;
@@ -55,6 +61,7 @@
     orders_from_ = orders_from;
     // Another VM may have given orders since this one last did.
     sequence_.reset();
+    lost_sequence_.reset();
     report_asked_ = false;
     report_from_ = orders_from;
 }
@@ -87,6 +94,11 @@
         report_from_ = now + settings_.resync_delay;
         return;
     }
+    if (too_old(*report, now))
+    {
+        report_from_ = now + report_again;
+        return;
+    }
     sequence_ = report->sequence;
     known_ = true;
     models_.clear();
@@ -121,6 +133,17 @@
         }
 }
 
+/// Failure: after a conflict the report shows the worker as it was before the
+/// last orders. Loads that are on their way are missing in it and are ordered
+/// again, each order counts once too often, and the next one conflicts: for
+/// seconds nothing is loaded there. The count of orders never falls during a
+/// worker's life, so a report with fewer than were known is an old one.
+bool worker_adapters::too_old(worker_report const& report, time_point now) const
+{
+    return lost_sequence_ && report.sequence < *lost_sequence_ &&
+           now < lost_at_ + longest_report_lag;
+}
+
 bool worker_adapters::has_model(base_model_id const& model) const
 {
     auto const held = models_.find(model);
@@ -219,16 +242,16 @@
         adapters_.erase(known);
 }
 
-void worker_adapters::missing(model_target const& target)
+void worker_adapters::missing(model_target const& target, time_point now)
 {
     auto const known = adapters_.find(target);
     if (known == adapters_.end() ||
         known->second.stage != adapter_stage::resident)
         return;
-    // What is believed of the worker is wrong: look before the next order.
-    sequence_.reset();
-    report_asked_ = false;
     adapters_.erase(known);
+    // What is believed of the worker is wrong: look before the next order.
+    lose_track(now);
+    report_from_ = now;
 }
 
 void worker_adapters::outdate(model_target const& target,
@@ -419,13 +442,23 @@
     }
     unanswered_ = 0;
     order_.reset();
+    if (!sequence_)
+    {
+        // Track was lost while it was on its way; the report shows its effect,
+        // and one from before it must not be believed.
+        bool const counted = outcome == order_outcome::accepted ||
+                             outcome == order_outcome::holds;
+        if (lost_sequence_ && counted)
+            lost_sequence_ = std::max(*lost_sequence_, order.expected_sequence);
+        return false;
+    }
     switch (outcome)
     {
     case order_outcome::accepted:
-        conflicts_ = 0;
+        load_conflicts_ = unload_conflicts_ = 0;
         return accepted(order, now);
     case order_outcome::holds:
-        conflicts_ = 0;
+        load_conflicts_ = unload_conflicts_ = 0;
         held(order, now);
         return true;
     case order_outcome::conflict:
@@ -544,15 +577,18 @@
     state.version = std::max(state.version, state.ordered);
 }
 
-/// One conflict may be a passing state of the worker; the sequence is wrong
-/// when the next order conflicts as well.
+/// One conflict may be a passing state of the worker, and an unload conflicts
+/// while its adapter is in use; several in a row tell that the count is wrong.
 void worker_adapters::conflicted(worker_order const& order, time_point now)
 {
-    if (++conflicts_ >= most_conflicts)
+    bool const unload = order.kind == order_kind::unload;
+    bool const wrong = unload ? ++unload_conflicts_ >= most_unload_conflicts
+                              : ++load_conflicts_ >= most_load_conflicts;
+    if (wrong)
         return lose_track(now);
     retry_at_ = now + settings_.conflict_pause;
     auto const known = adapters_.find({order.model, order.adapter});
-    if (order.kind == order_kind::unload && known != adapters_.end())
+    if (unload && known != adapters_.end())
         known->second.busy_until = now + busy_pause;
 }
 
@@ -560,7 +596,12 @@
 /// report that is younger than the last order says it.
 void worker_adapters::lose_track(time_point now)
 {
-    conflicts_ = 0;
+    load_conflicts_ = unload_conflicts_ = 0;
+    if (sequence_)
+    {
+        lost_sequence_ = sequence_;
+        lost_at_ = now;
+    }
     sequence_.reset();
     report_asked_ = false;
     report_from_ = now + settings_.resync_delay;
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -105,7 +105,7 @@
     void begin_wait(model_target const& target);
     void end_wait(model_target const& target);
     /// The worker said that it does not hold the adapter.
-    void missing(model_target const& target);
+    void missing(model_target const& target, time_point now);
     /// A newer version exists. The copy is evicted as soon as it is idle.
     void outdate(model_target const& target, adapter_version newest);
     bool outdated(model_target const& target) const;
@@ -173,6 +173,7 @@
     void note_fetch(entry const& state, time_point now);
     void conflicted(worker_order const& order, time_point now);
     void lose_track(time_point now);
+    bool too_old(worker_report const& report, time_point now) const;
     bool was_here_lately(model_target const& target) const;
     void remember(model_target const& target);
 
@@ -181,6 +182,9 @@
     fencing_number fence_;
     time_point orders_from_ = never;
     std::optional<std::uint64_t> sequence_;
+    /// What it was when track of it was lost, and when that was.
+    std::optional<std::uint64_t> lost_sequence_;
+    time_point lost_at_{};
     time_point report_from_{};
     bool report_asked_ = false;
     bool known_ = false;
@@ -199,8 +203,9 @@
     bool repeated_ = false;
     /// Orders in a row that had no answer.
     int unanswered_ = 0;
-    /// Orders in a row that conflicted.
-    int conflicts_ = 0;
+    /// Loads, and unloads, in a row that conflicted.
+    int load_conflicts_ = 0;
+    int unload_conflicts_ = 0;
     time_point retry_at_{};
     worker_id worker_;
     std::size_t evictions_ = 0;
--- a/tests/worker_adapters_test.cpp
+++ b/tests/worker_adapters_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -145,3 +146,76 @@
     worker.want("hot", 20);
     CHECK(worker.order_loads().front() == "rare");
 }
+
+// The order before last is on its way when a load conflicts twice. The report
+// that is read then shows the worker before that order; it is not believed, and
+// what is on its way is not ordered again.
+TEST_CASE("a report from before the last orders is not believed",
+          "[worker_adapters]")
+{
+    ordered_worker worker;
+    worker.want("a1");
+    REQUIRE(worker.order_loads().size() == 1);
+    worker.want("a2");
+    for (int time = 0; time < 2; ++time)
+    {
+        REQUIRE(worker.next());
+        worker.adapters.on_outcome(order_outcome::conflict, worker.now);
+        worker.now += 20ms;
+    }
+    REQUIRE_FALSE(worker.adapters.synced());
+    worker.now += 400ms;
+    worker_report report;
+    report.models[model] = {};
+    REQUIRE(worker.adapters.wants_report(worker.now));
+    worker.adapters.report_asked();
+    worker.adapters.on_report(report, worker.now);
+    CHECK_FALSE(worker.adapters.synced());
+    worker.now += 100ms;
+    REQUIRE(worker.adapters.wants_report(worker.now));
+    SECTION("a later one is")
+    {
+        report.sequence = 1;
+        report.models[model] = {{adapter_id("a1"), adapter_version(1)}};
+        worker.adapters.on_report(report, worker.now);
+        CHECK(worker.adapters.synced());
+        CHECK(worker.adapters.stage(target("a1")) == adapter_stage::resident);
+    }
+    SECTION("after a while whatever it says is")
+    {
+        worker.now += 2s;
+        worker.adapters.on_report(report, worker.now);
+        CHECK(worker.adapters.synced());
+    }
+}
+
+// Requests that other VMs sent without asking use adapters that this one takes
+// for idle. Their unloads conflict; the worker's count of orders is right all
+// the same, and another adapter makes way.
+TEST_CASE("an adapter in use elsewhere does not stop all orders",
+          "[worker_adapters]")
+{
+    worker_adapters_settings settings;
+    settings.adapter_slots = 4;
+    worker_adapters adapters(settings);
+    time_point now{std::chrono::hours(1)};
+    adapters.grant(vm_id("vm"), fencing_number(1), now);
+    worker_report report;
+    for (char const* held : {"a1", "a2", "a3", "a4"})
+        report.models[model][adapter_id(held)] = adapter_version(1);
+    adapters.on_report(report, now);
+    adapters.want(target("b"), now);
+    std::set<std::string> tried;
+    for (int time = 0; time < 3; ++time)
+    {
+        auto const order = adapters.next_order(
+            worker, [](model_target const&) { return 0.0; }, now);
+        REQUIRE(order);
+        CHECK(order->kind == order_kind::unload);
+        tried.insert(order->adapter.str());
+        adapters.on_outcome(order_outcome::conflict, now);
+        now += 20ms;
+    }
+    CHECK(tried.size() == 3);
+    CHECK(adapters.synced());
+}
