Give no order while an unload waits for a request

The log of one worker shows it: an unload is answered as accepted, since a request uses its adapter, and from then on every other order conflicts, though the count of orders in the worker's reports is the one that was believed.

Ruled out: a wrong count (the reports say the same number before and after); an unload that conflicts because of its own adapter (each of five victims did).

Change: while an unload waits, only the question whether it is done goes out. Two conflicts in a row lose track again, for loads and unloads alike: the higher limit for unloads rested on the wrong cause, and its test is replaced by one that plays the right one.

--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -21,11 +21,8 @@
 constexpr std::chrono::milliseconds end_of_use{10};
 /// An adapter that the worker would not unload is left alone for so long.
 constexpr std::chrono::milliseconds busy_pause{150};
-/// Loads in a row that conflict before what is believed counts as wrong.
-constexpr int most_load_conflicts = 2;
-/// Unloads: a worker does not unload an adapter in use, and requests that other
-/// VMs sent without asking may use a few.
-constexpr int most_unload_conflicts = 5;
+/// Orders in a row that conflict before what is believed counts as wrong.
+constexpr int most_conflicts = 2;
 /// A report shows a moment some hundred milliseconds ago, at most this.
 constexpr std::chrono::milliseconds longest_report_lag{1500};
 constexpr std::chrono::milliseconds report_again{100};
@@ -311,6 +308,8 @@
         return order_;
     }
     auto next = poll_order(now);
+    if (!next && waits_for_unload())
+        return std::nullopt;
     if (!next)
         next = model_order();
     if (!next)
@@ -323,6 +322,19 @@
     return next;
 }
 
+/// Failure: a request that another VM sent without asking uses an adapter that
+/// is unloaded. The unload is accepted and waits for that request's end, and
+/// the worker carries out no other order meanwhile: each one conflicts, and the
+/// count of orders looks wrong though it is right. Nothing but the question
+/// whether the unload is done goes out until it is.
+bool worker_adapters::waits_for_unload() const
+{
+    return std::any_of(adapters_.begin(), adapters_.end(),
+                       [](auto const& each) {
+                           return each.second.stage == adapter_stage::unloading;
+                       });
+}
+
 /// The same load again asks whether it is done: a worker that has the adapter
 /// says so at once, one that is fetching it goes on, and neither counts it as
 /// another order.
@@ -455,10 +467,10 @@
     switch (outcome)
     {
     case order_outcome::accepted:
-        load_conflicts_ = unload_conflicts_ = 0;
+        conflicts_ = 0;
         return accepted(order, now);
     case order_outcome::holds:
-        load_conflicts_ = unload_conflicts_ = 0;
+        conflicts_ = 0;
         held(order, now);
         return true;
     case order_outcome::conflict:
@@ -577,18 +589,15 @@
     state.version = std::max(state.version, state.ordered);
 }
 
-/// One conflict may be a passing state of the worker, and an unload conflicts
-/// while its adapter is in use; several in a row tell that the count is wrong.
+/// One conflict may be a passing state of the worker; the sequence is wrong
+/// when the next order conflicts as well.
 void worker_adapters::conflicted(worker_order const& order, time_point now)
 {
-    bool const unload = order.kind == order_kind::unload;
-    bool const wrong = unload ? ++unload_conflicts_ >= most_unload_conflicts
-                              : ++load_conflicts_ >= most_load_conflicts;
-    if (wrong)
+    if (++conflicts_ >= most_conflicts)
         return lose_track(now);
     retry_at_ = now + settings_.conflict_pause;
     auto const known = adapters_.find({order.model, order.adapter});
-    if (unload && known != adapters_.end())
+    if (order.kind == order_kind::unload && known != adapters_.end())
         known->second.busy_until = now + busy_pause;
 }
 
@@ -596,7 +605,7 @@
 /// report that is younger than the last order says it.
 void worker_adapters::lose_track(time_point now)
 {
-    load_conflicts_ = unload_conflicts_ = 0;
+    conflicts_ = 0;
     if (sequence_)
     {
         lost_sequence_ = sequence_;
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -160,6 +160,7 @@
     std::size_t occupied() const;
     std::size_t coming() const;
     std::size_t coming_limit() const;
+    bool waits_for_unload() const;
     std::optional<worker_order> poll_order(time_point now);
     std::optional<worker_order> model_order() const;
     std::optional<worker_order> load_order(time_point now) const;
@@ -203,9 +204,8 @@
     bool repeated_ = false;
     /// Orders in a row that had no answer.
     int unanswered_ = 0;
-    /// Loads, and unloads, in a row that conflicted.
-    int load_conflicts_ = 0;
-    int unload_conflicts_ = 0;
+    /// Orders in a row that conflicted.
+    int conflicts_ = 0;
     time_point retry_at_{};
     worker_id worker_;
     std::size_t evictions_ = 0;
--- a/tests/worker_adapters_test.cpp
+++ b/tests/worker_adapters_test.cpp
@@ -3,7 +3,6 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -189,33 +188,43 @@
     }
 }
 
-// Requests that other VMs sent without asking use adapters that this one takes
-// for idle. Their unloads conflict; the worker's count of orders is right all
-// the same, and another adapter makes way.
-TEST_CASE("an adapter in use elsewhere does not stop all orders",
+// A request that another VM sent without asking uses an adapter that this one
+// takes for idle. Its unload is accepted and waits. The worker would answer any
+// other order with a conflict, so that none goes out before the unload is done;
+// the count of orders stays right.
+TEST_CASE("an unload that waits for a request holds back other orders",
           "[worker_adapters]")
 {
     worker_adapters_settings settings;
-    settings.adapter_slots = 4;
+    settings.adapter_slots = 2;
     worker_adapters adapters(settings);
     time_point now{std::chrono::hours(1)};
     adapters.grant(vm_id("vm"), fencing_number(1), now);
     worker_report report;
-    for (char const* held : {"a1", "a2", "a3", "a4"})
-        report.models[model][adapter_id(held)] = adapter_version(1);
+    report.models[model] = {{adapter_id("a1"), adapter_version(1)},
+                            {adapter_id("a2"), adapter_version(1)}};
     adapters.on_report(report, now);
-    adapters.want(target("b"), now);
-    std::set<std::string> tried;
-    for (int time = 0; time < 3; ++time)
+    adapters.want(target("b1"), now);
+    adapters.want(target("b2"), now);
+    auto const next = [&]
     {
-        auto const order = adapters.next_order(
+        return adapters.next_order(
             worker, [](model_target const&) { return 0.0; }, now);
-        REQUIRE(order);
-        CHECK(order->kind == order_kind::unload);
-        tried.insert(order->adapter.str());
-        adapters.on_outcome(order_outcome::conflict, now);
-        now += 20ms;
-    }
-    CHECK(tried.size() == 3);
-    CHECK(adapters.synced());
+    };
+    auto const unload = next();
+    REQUIRE(unload);
+    REQUIRE(unload->kind == order_kind::unload);
+    adapters.on_outcome(order_outcome::accepted, now);
+    CHECK_FALSE(next());
+    now += 30ms;
+    auto const again = next();
+    REQUIRE(again);
+    CHECK(again->kind == order_kind::unload);
+    CHECK(again->adapter == unload->adapter);
+    CHECK(again->expected_sequence == unload->expected_sequence + 1);
+    adapters.on_outcome(order_outcome::holds, now);
+    auto const load = next();
+    REQUIRE(load);
+    CHECK(load->kind == order_kind::load);
+    CHECK(load->expected_sequence == unload->expected_sequence + 1);
 }
