Serve metrics of store calls, waits, pauses in streams and ages of rows

Change: store_meter counts calls by kind and outcome and rows read; the mirror tells how old each set of rows is and whether another VM reads for this one; spans from arrival to the first send and between pieces of streams. Tests of the meter and of the page that a process serves.

Retries by service and health by worker are still missing.

--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -16,11 +16,12 @@
   SOURCES backend_pool.cpp collected_exchange.cpp event_log.cpp event_splitter.cpp
           ownership_runner.cpp peer_ask.cpp peer_rows.cpp registry_watch.cpp relay.cpp relay_daemon.cpp
           relay_exchange.cpp relay_metrics.cpp relay_orders.cpp
-          relay_peers.cpp relay_settings.cpp row_mirror.cpp
+          relay_peers.cpp relay_settings.cpp row_mirror.cpp store_meter.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
 mulberry_test(relay_test
   SOURCES backend_pool_test.cpp event_log_test.cpp event_splitter_test.cpp
           memory_row_store.cpp peer_ask_test.cpp peer_rows_test.cpp
           registry_watch_test.cpp relay_settings_test.cpp row_mirror_test.cpp
+          store_meter_test.cpp
   LINK mulberry_relay)
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -402,6 +402,8 @@
             return service.scheduler.ended(placed->ticket,
                                            send_outcome::abandoned, now());
         auto const exchange = found->second;
+        if (exchange->sends() == 0)
+            waits_.add(now() - exchange->terms().arrived_at);
         return exchange->on_placed(placed->entry, placed->reason);
     }
     if (auto const* refused = std::get_if<refuse_request>(&action))
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -94,6 +94,7 @@
                          std::set<worker_id> const& excluded) override;
     void stop_waiting(relay_exchange& exchange) override;
     void first_byte(relay_exchange& exchange) override;
+    void stream_went_on(duration gap) override { stream_gaps_.add(gap); }
     void send_ended(relay_exchange& exchange, send_outcome outcome) override;
     duration patience(relay_exchange const& exchange) const override;
     bool take_retry(relay_exchange const& exchange) override;
@@ -195,6 +196,9 @@
     std::mt19937_64 random_;
     relay_counts counts_;
     latency_meter first_byte_;
+    /// From a request's arrival to its first send.
+    latency_meter waits_;
+    latency_meter stream_gaps_;
 };
 
 } // namespace mulberry
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -8,6 +8,7 @@
 #include "registry_watch.hpp"
 #include "relay.hpp"
 #include "row_mirror.hpp"
+#include "store_meter.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -162,7 +163,7 @@
 
     relay_settings const settings_;
     relay_codec const& codec_;
-    row_store& store_;
+    store_meter store_;
     settings_reader const& read_again_;
     std::uint64_t const seed_;
     asio::io_context io_{1};
@@ -232,7 +233,7 @@
                      relay_.set_backends(backends_);
                      share_workers();
                  }}),
-      mirror_(io_, store, relay_.pool(), mirror_options(value, codec), log_,
+      mirror_(io_, store_, relay_.pool(), mirror_options(value, codec), log_,
               {[this](row_set set, std::vector<stored_row> const& rows)
                { on_rows(set, rows); }})
 {
@@ -294,7 +295,7 @@
         return answer.respond({404, {}, {}});
     http_response response;
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
-    response.body = relay_.metrics();
+    response.body = relay_.metrics() + mirror_.metrics() + store_.metrics();
     answer.respond(std::move(response));
 }
 
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -278,7 +278,8 @@
 
 void relay_exchange::pass_on(std::string_view bytes)
 {
-    last_byte_at_ = host_.now();
+    time_point const at = host_.now();
+    host_.stream_went_on(at - std::exchange(last_byte_at_, at));
     if (!repeatable())
         answer_->write(std::string(bytes));
     else if (std::string whole = events_.feed(bytes); !whole.empty())
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -43,6 +43,8 @@
                                  std::set<worker_id> const& excluded) = 0;
     virtual void stop_waiting(relay_exchange& exchange) = 0;
     virtual void first_byte(relay_exchange& exchange) = 0;
+    /// More of a stream came, that long after what came before it.
+    virtual void stream_went_on(duration gap) = 0;
     /// The send to the worker is over.
     virtual void send_ended(relay_exchange& exchange, send_outcome outcome) = 0;
     virtual duration patience(relay_exchange const& exchange) const = 0;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -29,12 +29,18 @@
     add("config_version", "", version().value());
     add("members", "", members_);
     add("requests_in_progress", "", exchanges_.size());
-    latency_summary const first = first_byte_.summary();
-    add("first_byte_seconds", "{quantile=\"0.5\"}", first.median);
-    add("first_byte_seconds", "{quantile=\"0.95\"}", first.p95);
-    add("first_byte_seconds", "{quantile=\"0.99\"}", first.p99);
-    add("first_byte_seconds_count", "", first.count);
-    add("first_byte_seconds_sum", "", first.sum);
+    auto const spans = [&](std::string const& name, latency_meter const& meter)
+    {
+        latency_summary const seen = meter.summary();
+        add(name, "{quantile=\"0.5\"}", seen.median);
+        add(name, "{quantile=\"0.95\"}", seen.p95);
+        add(name, "{quantile=\"0.99\"}", seen.p99);
+        add(name + "_count", "", seen.count);
+        add(name + "_sum", "", seen.sum);
+    };
+    spans("first_byte_seconds", first_byte_);
+    spans("waited_seconds", waits_);
+    spans("stream_gap_seconds", stream_gaps_);
     for (auto const& [name, service] : services_)
     {
         scheduler_counts const counts = service.scheduler.counts();
--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -5,6 +5,8 @@
 
 #include <asio/post.hpp>
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -38,6 +40,9 @@
 constexpr milliseconds least_question_gap{50};
 constexpr milliseconds reader_connect_timeout{250};
 constexpr milliseconds reader_idle{3000};
+/// In the order of row_set.
+constexpr std::array<char const*, all_row_sets.size()> set_names{
+    "declarations", "workers", "own"};
 constexpr int status_ok = 200;
 constexpr int status_bad_request = 400;
 
@@ -467,6 +472,21 @@
     return false;
 }
 
+std::string row_mirror::metrics() const
+{
+    time_point const now = boot_clock::now();
+    std::string text;
+    for (followed_set const& each : sets_)
+        text += fmt::format(
+            "mulberry_rows_age_seconds{{set=\"{}\"}} {}\n",
+            set_names.at(static_cast<std::size_t>(each.set)),
+            std::chrono::duration<double>(now - shown_at(each, now)).count());
+    text += fmt::format("mulberry_rows_from_another_vm {}\n",
+                        reader_.empty() ? 0 : 1);
+    text += fmt::format("mulberry_rows_questions_waiting {}\n", held_.size());
+    return text;
+}
+
 void row_mirror::answer_held()
 {
     if (held_.empty() || std::exchange(news_posted_, true))
--- a/src/row_mirror.hpp
+++ b/src/row_mirror.hpp
@@ -91,6 +91,9 @@
     bool lost() const { return lost_; }
     /// When the store last began to answer again.
     time_point returned_at() const { return returned_at_; }
+    /// Prometheus lines: how old each set of rows is, whether another VM reads
+    /// the store for this one, and how many questions of others wait here.
+    std::string metrics() const;
     /// The VM that reads the store for this one; empty for none.
     vm_id const& reader() const { return reader_; }
 
--- a/tests/row_mirror_test.cpp
+++ b/tests/row_mirror_test.cpp
@@ -202,6 +202,9 @@
         }));
     CHECK_FALSE(world.followers[0]->mirror.lost());
     CHECK(world.reader[0]->mirror.lost());
+    CHECK(world.reader[0]->mirror.metrics().find(
+              "mulberry_rows_age_seconds{set=\"workers\"}") !=
+          std::string::npos);
 }
 
 // The store and so the reader's copy is away for all, then back.
