--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -325,8 +325,8 @@
 /// Failure: a request that another VM sent without asking uses an adapter that
 /// is unloaded. The unload is accepted and waits for that request's end, and
 /// the worker carries out no other order meanwhile: each one conflicts, and the
-/// count of orders looks wrong though it is right. Nothing but the question
-/// whether the unload is done goes out until it is.
+/// count of orders looks wrong though it is right. Nothing but questions how
+/// far orders are goes out until it is done.
 bool worker_adapters::waits_for_unload() const
 {
     return std::any_of(adapters_.begin(), adapters_.end(),
