Wait for the gap where a worker was given a moment before a restart

The same hole stands where a VM is killed right after it was given a worker, and where a third VM takes it from one whose lease lapses.

Ruled out: a late order on a slow connection (none was harmed then); a wait after every restart (loads would stand still for a gap after each kill of all VMs).

Change: a VM writes into its row up to which version of the table rows are older than a gap; an owner's row that is not, as known by this process or the one before it, is followed by a gap, whoever is named.

--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -72,6 +72,11 @@
     vm_id owner_of(worker_id const& worker) const;
     vm_id named_owner_of(worker_id const& worker) const;
     fencing_number fence_of(worker_id const& worker) const;
+    row_version version_of(worker_id const& worker) const
+    {
+        worker_ownership const* const known = workers_.find(worker);
+        return known == nullptr ? row_version() : known->version();
+    }
 
 private:
     /// A scan of one prefix; one at a time.
@@ -464,6 +469,16 @@
     return implementation_->named_owner_of(worker);
 }
 
+row_version ownership_keeper::version_of(worker_id const& worker) const
+{
+    return implementation_->version_of(worker);
+}
+
+row_version ownership_keeper::settled_version(time_point now) const
+{
+    return implementation_->registration().settled(now);
+}
+
 vm_id ownership_keeper::owner_of(worker_id const& worker) const
 {
     return implementation_->owner_of(worker);
--- a/src/ownership_keeper.hpp
+++ b/src/ownership_keeper.hpp
@@ -116,6 +116,9 @@
     /// that it did not own before. VMs that start together register within a
     /// moment; the first would take all and hand most of them over later.
     duration settle = std::chrono::milliseconds(0);
+    /// The least time between orders of two owners to one worker; see
+    /// ownership_keeper::settled_version().
+    duration order_gap = std::chrono::milliseconds(0);
     std::uint64_t seed = 1;
 };
 
@@ -191,6 +194,11 @@
     /// The VM that owns a worker by the rows last read; empty if none.
     vm_id owner_of(worker_id const& worker) const;
     fencing_number fence_of(worker_id const& worker) const;
+    /// The version of a worker's row; none when it is not known.
+    row_version version_of(worker_id const& worker) const;
+    /// Rows up to this version are known to be older than the order gap, by
+    /// this process or by an earlier one of the same VM.
+    row_version settled_version(time_point now) const;
     /// The VM that a worker's row names, whether or not that life goes on;
     /// empty for nobody, or where the row is not known.
     vm_id named_owner_of(worker_id const& worker) const;
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -114,8 +114,9 @@
     {
         fencing_number const fence = keeper_.fence_of(worker);
         if (!fence.none())
-            seen_owners_[worker].try_emplace(fence,
-                                             keeper_.named_owner_of(worker));
+            seen_owners_[worker].try_emplace(
+                fence, seen_owner{keeper_.named_owner_of(worker),
+                                  keeper_.version_of(worker)});
     }
     std::erase_if(seen_owners_, [this](auto const& each)
                   { return declared_.count(each.first) == 0; });
@@ -125,27 +126,32 @@
 /// just lost it and the one that just got it; a late order of the first is
 /// carried out among those of the second. The first gave its last order before
 /// its row changed, so the second waits for the gap from then on. No gap is
-/// needed where this VM itself was the last owner, before a restart, where
-/// there was none, or where the last owner's lease lapsed: it stopped giving
-/// orders a gap before that.
+/// needed where there was no owner, where the last owner's lease lapsed, since
+/// it stopped giving orders a gap before that, or where this VM itself was the
+/// last owner, before a restart. But either may have been given the worker a
+/// moment before, even as a life that was over already: then the VM that gave
+/// it ordered last. So the row that names it must have stood for a gap.
 time_point ownership_runner::orders_from(worker_id const& worker,
                                          fencing_number fence,
                                          time_point now) const
 {
+    time_point const after_gap = now + options_.order_gap;
     auto const seen = seen_owners_.find(worker);
     for (std::uint64_t before = fence.value() - 1; before > 0; --before)
     {
         if (seen == seen_owners_.end())
-            return now + options_.order_gap;
+            return after_gap;
         auto const owner = seen->second.find(fencing_number(before));
         if (owner == seen->second.end())
-            return now + options_.order_gap;
-        if (owner->second == options_.keeper.vm)
-            return now;
-        if (!owner->second.empty())
-            return keeper_.member(owner->second) == nullptr
-                       ? now
-                       : now + options_.order_gap;
+            return after_gap;
+        vm_id const& vm = owner->second.vm;
+        if (vm.empty())
+            continue;
+        bool const orders_no_more =
+            vm == options_.keeper.vm || keeper_.member(vm) == nullptr;
+        bool const stood =
+            owner->second.version <= keeper_.settled_version(now);
+        return orders_no_more && stood ? now : after_gap;
     }
     return now;
 }
--- a/src/ownership_runner.hpp
+++ b/src/ownership_runner.hpp
@@ -86,9 +86,15 @@
     ownership_keeper keeper_;
     asio::steady_timer timer_;
     std::set<worker_id> declared_;
-    /// The owners that a worker's row named, by fencing number; empty for
-    /// nobody.
-    std::map<worker_id, std::map<fencing_number, vm_id>> seen_owners_;
+    /// What a worker's row said. Value.
+    struct seen_owner
+    {
+        /// Empty for nobody.
+        vm_id vm;
+        row_version version;
+    };
+    /// By fencing number.
+    std::map<worker_id, std::map<fencing_number, seen_owner>> seen_owners_;
     std::map<worker_id, order_grant> grants_;
     std::vector<member_view> members_;
     std::map<worker_id, vm_id> others_;
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -21,7 +21,7 @@
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
 mulberry_test(relay_test
   SOURCES backend_pool_test.cpp event_log_test.cpp event_splitter_test.cpp
-          memory_row_store.cpp peer_ask_test.cpp peer_rows_test.cpp
+          memory_row_store.cpp ownership_runner_test.cpp peer_ask_test.cpp peer_rows_test.cpp
           registry_watch_test.cpp relay_settings_test.cpp row_mirror_test.cpp
           store_meter_test.cpp
   LINK mulberry_relay)
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -85,6 +85,7 @@
     // A worker that changes hands takes no orders for the gap: one at a time.
     options.keeper.handover_interval = gap;
     options.keeper.seed = seed;
+    options.keeper.order_gap = gap;
     options.order_gap = gap;
     return options;
 }
--- a/src/vm_registration.cpp
+++ b/src/vm_registration.cpp
@@ -110,7 +110,7 @@
         enrol_asked_at_ = now;
     if (kind != call_kind::read)
     {
-        made.written = row_to_write(kind);
+        made.written = row_to_write(kind, now);
         transaction.writes.push_back({key, to_text(made.written)});
     }
     if (kind == call_kind::enrol)
@@ -126,7 +126,23 @@
     call_ = made;
 }
 
-vm_row vm_registration::row_to_write(call_kind kind)
+void vm_registration::note_version(row_version version, time_point now)
+{
+    seen_versions_.emplace_back(now, version);
+    while (seen_versions_.size() > 1 &&
+           seen_versions_[1].first + settings_.order_gap <= now)
+        seen_versions_.pop_front();
+}
+
+row_version vm_registration::settled(time_point now) const
+{
+    if (seen_versions_.empty() ||
+        seen_versions_.front().first + settings_.order_gap > now)
+        return inherited_settled_;
+    return std::max(inherited_settled_, seen_versions_.front().second);
+}
+
+vm_row vm_registration::row_to_write(call_kind kind, time_point now)
 {
     if (kind == call_kind::enrol)
         return row_to_enrol();
@@ -135,6 +151,7 @@
     row.ready = ready_;
     row.listed = row.listed || members_.listed(settings_.vm);
     row.beat = ++beat_;
+    row.settled = settled(now);
     row.state = leaving_ ? member_state::leaving : member_state::live;
     if (kind == call_kind::close)
         row.state = member_state::closed;
@@ -170,6 +187,9 @@
     row.state = leaving_ ? member_state::leaving : member_state::live;
     row.ready = ready_;
     row.listed = members_.listed(settings_.vm) || (old && old->listed);
+    if (old != nullptr)
+        inherited_settled_ = std::max(inherited_settled_, old->settled);
+    row.settled = inherited_settled_;
     enrol_row_ = row;
     return row;
 }
@@ -194,7 +214,10 @@
     call const done = *call_;
     call_.reset();
     if (reply.outcome == table_outcome::done)
+    {
         store_written(done, reply);
+        note_version(members_.version_of(settings_.vm), now);
+    }
     if (reply.outcome == table_outcome::conflict)
         store_read(reply);
     switch (done.kind)
--- a/src/vm_registration.hpp
+++ b/src/vm_registration.hpp
@@ -9,8 +9,10 @@
 #include "ownership_rules.hpp"
 #include "vm_row.hpp"
 
+#include <deque>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace mulberry
 {
@@ -54,6 +56,8 @@
     /// When the own row last changed from none or another life to this one.
     time_point registered_at() const { return registered_at_; }
     bool lease_holds(time_point now) const;
+    /// See ownership_keeper::settled_version().
+    row_version settled(time_point now) const;
 
 private:
     enum class phase
@@ -85,8 +89,9 @@
     };
 
     void send(call_kind kind, time_point now, action_list& actions);
-    vm_row row_to_write(call_kind kind);
+    vm_row row_to_write(call_kind kind, time_point now);
     vm_row row_to_enrol();
+    void note_version(row_version version, time_point now);
     incarnation ended_below(vm_row const& old, incarnation next) const;
     void on_read(table_reply const& reply, time_point now,
                  action_list& actions);
@@ -123,6 +128,11 @@
     time_point registered_at_ = never;
     time_point holds_until_ = time_point::min();
     std::uint64_t beat_ = 0;
+    /// What the table's newest version was, and when; the newest of those that
+    /// are older than the order gap, and all after it.
+    std::deque<std::pair<time_point, row_version>> seen_versions_;
+    /// Of an earlier process of this VM.
+    row_version inherited_settled_;
     bool ready_ = false;
     bool leaving_ = false;
 };
--- a/src/vm_row.cpp
+++ b/src/vm_row.cpp
@@ -59,6 +59,7 @@
     object["ready"] = row.ready;
     object["listed"] = row.listed;
     object["beat"] = Json::UInt64(row.beat);
+    object["settled"] = Json::UInt64(row.settled.value());
     return to_row_text(object);
 }
 
@@ -77,6 +78,8 @@
     auto const ready = flag_member(*object, "ready");
     auto const listed = flag_member(*object, "listed");
     auto const beat = number_member(*object, "beat");
+    // Rows of programs that did not write it yet have none.
+    auto const settled = number_member(*object, "settled");
     if (!token || !life || !process_life || !ended_below || !address ||
         !domain || !state || !ready || !listed || !beat)
         return std::nullopt;
@@ -92,7 +95,8 @@
                   *known_state,
                   *ready,
                   *listed,
-                  *beat};
+                  *beat,
+                  row_version(settled.value_or(0))};
 }
 
 bool is_member(member_state state)
--- a/src/vm_row.hpp
+++ b/src/vm_row.hpp
@@ -33,6 +33,9 @@
     /// The platform's list has had the VM, in this life or an earlier one.
     bool listed = false;
     std::uint64_t beat = 0;
+    /// Rows up to this version of the table were written longer before this
+    /// row than the gap between two owners' orders.
+    row_version settled;
     friend bool operator==(vm_row const&, vm_row const&) = default;
 };
 
--- a/src/worker_ownership.hpp
+++ b/src/worker_ownership.hpp
@@ -45,6 +45,8 @@
     /// Takes the row if it is newer than the one known. True when the owner
     /// or the fencing number changed.
     bool store(row_version version, worker_row const& row);
+    /// Of the row as it is known; none when it is not.
+    row_version version() const { return version_; }
     /// Gains, loses and clears according to the rows known.
     void examine(time_point now, action_list& actions);
 
