Reject requests that arrive after a stopping VM closed its listener

A connection that was taken before the listener closed brought its request a second after; nothing kept the relay from taking it.

Ruled out: a longer stop (the platform kills after its bound); closing such connections (their callers would wait, or send again what was read).

Change: once the listener is closed, callers' requests are rejected at once with a time to come back.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::seconds no_deadline{3600};
 /// While a VM does not know its configuration, others may.
 constexpr milliseconds not_ready_retry{200};
+/// Other VMs take the caller's next connection at once.
+constexpr milliseconds leaving_retry{20};
 
 std::string_view outcome_name(relay_outcome outcome)
 {
@@ -186,6 +188,10 @@
 {
     ++counts_.requests;
     relay_request request = codec_.decode_request(std::move(received));
+    if (refuses_new_)
+        return refuse_at_once(request, *answer,
+                              error(error_kind::draining, "this VM is leaving",
+                                    ran::no, leaving_retry));
     if (!routes_)
         return refuse_at_once(request, *answer,
                               error(error_kind::configuration_stale,
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -80,6 +80,10 @@
     void handle_peer(http_request const& received,
                      std::shared_ptr<http_answer> answer);
 
+    /// From now on callers' requests are rejected at once: this VM is about to
+    /// end. What is in progress goes on.
+    void refuse_new() { refuses_new_ = true; }
+
     bool has_config() const { return routes_ != nullptr; }
     config_version version() const;
     std::size_t in_progress() const { return exchanges_.size(); }
@@ -192,6 +196,7 @@
     due_index<ticket_id> due_;
     std::uint64_t last_ticket_ = 0;
     bool run_posted_ = false;
+    bool refuses_new_ = false;
     time_point sweep_at_{};
     std::mt19937_64 random_;
     relay_counts counts_;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -356,8 +356,13 @@
 void relay_process::review_stop()
 {
     time_point const now = boot_clock::now();
+    // Failure: a connection that was taken before brings its request after the
+    // balancer has long turned away; it is passed on, and cut with the process
+    // in the middle of its answer. So it is rejected, and its caller comes back
+    // elsewhere.
     if (now >= stop_accepting_at_)
     {
+        relay_.refuse_new();
         callers_->stop_accepting();
         callers_->close_idle();
         bool const idle = relay_.in_progress() == 0 && !callers_->has_unsent();
