Judge a worker's silence by the prompts that it has to read

A worker counted as silent after six times its mean time to a first byte, two seconds at the most, whatever it had to read.

Ruled out: slow fetches (260 ms of wait is what one takes); load of the VMs (0.01 of a core).

Change: the size of a prompt is decoded, the pace of reading learned from answers, and a worker's silence allows for twice the reading that is known to be ahead. The test fails without it.

--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::uint64_t longest_wait_ms = 600'000;
 constexpr std::size_t most_done = 100'000;
+/// Of one prompt; more than any engine's memory.
+constexpr std::uint64_t most_tokens = 100'000'000;
 
 Json::Value ask_json(peer_ask const& ask)
 {
@@ -25,6 +27,7 @@
     json["request"] = ask.request.str();
     json["left_ms"] = Json::Int64(
         std::chrono::floor<std::chrono::milliseconds>(ask.time_left).count());
+    json["tokens"] = ask.prompt_tokens;
     for (worker_id const& each : ask.excluded)
         json["excluded"].append(each.str());
     return json;
@@ -72,6 +75,8 @@
     ask.priority = json["priority"].isInt() ? json["priority"].asInt() : 0;
     ask.time_left = std::chrono::milliseconds(
         std::min(number_or(json, "left_ms", 0), longest_wait_ms));
+    ask.prompt_tokens = static_cast<std::uint32_t>(
+        std::min(number_or(json, "tokens", 0), most_tokens));
     ask.request = request_id(text_or(json, "request", ""));
     if (!parse_excluded(json["excluded"], ask.excluded))
         return std::nullopt;
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -2,7 +2,7 @@
 /// orders to have an adapter there, and tells it when requests are over.
 ///
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
-///                 "left_ms", "request", "excluded": [ID, ...],
+///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190,
 ///                 "done": [[GRANT, OUTCOME], ...]}
 ///   200          {"granted": true, "grant": N, "worker": ID, "load": 0.5}
 ///
@@ -41,6 +41,7 @@
     request_id request;
     /// Workers that it may not be sent to: tried before.
     std::set<worker_id> excluded;
+    std::uint32_t prompt_tokens = 0;
     friend bool operator==(peer_ask const&, peer_ask const&) = default;
 };
 
--- /dev/null
+++ b/src/reading_pace.cpp
@@ -0,0 +1,36 @@
+#include "reading_pace.hpp"
+
+#include <algorithm>
+
+namespace mulberry
+{
+namespace
+{
+
+/// Below this the time to a first byte is the way there and a step of the
+/// batch rather than reading.
+constexpr std::uint32_t least_tokens = 512;
+/// By so much of itself the pace moves towards each observation; the first few
+/// move it further.
+constexpr double step = 0.05;
+constexpr double first_step = 0.5;
+
+} // namespace
+
+void reading_pace::observe(std::uint32_t tokens, duration took)
+{
+    if (tokens < least_tokens)
+        return;
+    double const seen = double(took.count()) / tokens;
+    double const move = std::max(step, first_step / ++observed_);
+    microseconds_per_token_ *=
+        seen < microseconds_per_token_ ? 1 - move : 1 + move;
+}
+
+duration reading_pace::time_for(std::uint32_t tokens) const
+{
+    return duration(
+        static_cast<duration::rep>(microseconds_per_token_ * tokens));
+}
+
+} // namespace mulberry
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -241,7 +241,10 @@
     work_item item;
     item.ticket = terms.ticket;
     if (terms.engine)
+    {
         item.target = exchange.request().model;
+        item.prompt_tokens = exchange.request().prompt.tokens;
+    }
     item.priority = terms.matched->priority;
     item.arrived_at = terms.arrived_at;
     item.give_up_at = terms.give_up_at;
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -113,6 +113,7 @@
     item.give_up_at = at + ask.time_left;
     item.asked_for = ask.worker;
     item.excluded = ask.excluded;
+    item.prompt_tokens = ask.prompt_tokens;
     ticket_id const ticket = item.ticket;
     due_.set(ticket, item.give_up_at + grant_slack);
     peer_requests_[ticket] = {ask.service, answer, ask.request, ask.worker, at};
@@ -194,7 +195,8 @@
                            ask.priority,
                            ask.give_up_at - now(),
                            found->second->request().id,
-                           ask.excluded};
+                           ask.excluded,
+                           ask.prompt_tokens};
     message.done = std::exchange(peer->second.done, {});
     collected_call call = call_to(peer->second.address, message);
     call.ends_at = [this, name, ticket = ask.ticket] {
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -25,6 +25,26 @@
     friend auto operator<=>(model_target const&, model_target const&) = default;
 };
 
+/// A part of a prompt. Requests share parts; the last one is a request's own,
+/// or its session's.
+struct prompt_part
+{
+    /// The same text has the same id.
+    std::string id;
+    std::uint32_t tokens = 0;
+    friend auto operator<=>(prompt_part const&, prompt_part const&) = default;
+};
+
+/// How much a request asks of an engine, as its caller counted it. Value.
+struct prompt_shape
+{
+    /// Of the whole prompt; 0 when the caller did not say.
+    std::uint32_t tokens = 0;
+    /// In their order in the prompt.
+    std::vector<prompt_part> parts;
+    friend auto operator<=>(prompt_shape const&, prompt_shape const&) = default;
+};
+
 /// What the relay decides on; everything else passes through unchanged.
 struct relay_request
 {
@@ -42,6 +62,7 @@
     /// How much longer the caller waits, as of its arrival.
     std::optional<duration> time_left;
     std::optional<model_target> model;
+    prompt_shape prompt;
     /// Where the caller resumes a stream.
     std::optional<std::uint64_t> last_event;
 };
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -292,7 +292,10 @@
     bool const loaded = !waiting.loads_at.empty();
     if (on.health.avoided(now))
         on.health.probed(now);
-    sent_item sent{on.entry.id, now, item.target, false, false, false};
+    sent_item sent;
+    sent.worker = on.entry.id;
+    sent.sent_at = now;
+    sent.target = item.target;
     if (item.target && !item.target->adapter.empty() && on.owned)
     {
         on.adapters.begin_use(*item.target);
@@ -303,18 +306,18 @@
         sent.by_peer = true;
         ++on.granted;
         ++counts_.granted;
+        add_reading(on, item.prompt_tokens, now);
         actions_.push_back(
             grant_ask{item.ticket, on.entry.id, load_of(on, now)});
         sent_.emplace(item.ticket, std::move(sent));
         return;
     }
-    on.health.sent(now);
     ++(on.owned ? loaded ? counts_.placed_after_load : counts_.placed_resident
                 : counts_.placed_elsewhere);
     actions_.push_back(
         place_request{item.ticket, on.entry.id, on.entry,
                       on.owned ? loaded ? "loaded" : "resident" : "listed"});
-    sent_.emplace(item.ticket, std::move(sent));
+    note_send(on, item, std::move(sent), now);
 }
 
 service_scheduler::verdict service_scheduler::decide(waiting_item& waiting,
@@ -501,7 +504,7 @@
     peer.sent(now);
     actions_.push_back(ask_owner{item.ticket, owner, worker.entry.id,
                                  *item.target, item.priority, item.give_up_at,
-                                 item.excluded});
+                                 item.excluded, item.prompt_tokens});
     asked_.insert_or_assign(
         item.ticket, asked_item{waiting, key, owner, worker.entry.id, now});
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -159,6 +159,8 @@
     if (sent == sent_.end() || sent->second.begun || sent->second.by_peer)
         return;
     sent->second.begun = true;
+    if (sent->second.alone)
+        pace_.observe(sent->second.prompt_tokens, now - sent->second.sent_at);
     if (worker_state* const worker = find(sent->second.worker))
         worker->health.first_byte(sent->second.sent_at, now);
 }
@@ -283,12 +285,13 @@
                               worker != nullptr && !worker->entry.draining;
     if (usable_grant)
     {
-        worker->health.sent(now);
         ++counts_.placed_granted;
         actions_.push_back(place_request{item.ticket, worker->entry.id,
                                          worker->entry, "granted"});
-        sent_.emplace(item.ticket, sent_item{worker->entry.id, now, item.target,
-                                             false, false, false});
+        sent_item sent;
+        sent.worker = worker->entry.id;
+        sent.target = item.target;
+        note_send(*worker, item, std::move(sent), now);
         return true;
     }
     asked.waiting.said_no.insert(asked.worker);
@@ -297,6 +300,30 @@
     return false;
 }
 
+duration service_scheduler::reading_ahead(worker_state const& worker,
+                                          time_point now) const
+{
+    return std::max<duration>(worker.reads_until - now, duration(0));
+}
+
+void service_scheduler::add_reading(worker_state& worker,
+                                    std::uint32_t prompt_tokens, time_point now)
+{
+    worker.reads_until =
+        std::max(worker.reads_until, now) + pace_.time_for(prompt_tokens);
+}
+
+void service_scheduler::note_send(worker_state& worker, work_item const& item,
+                                  sent_item sent, time_point now)
+{
+    sent.sent_at = now;
+    sent.prompt_tokens = item.prompt_tokens;
+    sent.alone = reading_ahead(worker, now) == duration(0);
+    add_reading(worker, item.prompt_tokens, now);
+    worker.health.sent(now, reading_ahead(worker, now));
+    sent_.emplace(item.ticket, std::move(sent));
+}
+
 /// Little's law over what this VM's workers run at a time.
 duration service_scheduler::expected_wait(std::size_t ahead) const
 {
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -6,6 +6,7 @@
 #include "adapter_demand.hpp"
 #include "backend_entry.hpp"
 #include "error_kind.hpp"
+#include "reading_pace.hpp"
 #include "relay_request.hpp"
 #include "routing_config.hpp"
 #include "worker_adapters.hpp"
@@ -38,6 +39,8 @@
     time_point arrived_at{};
     /// When the caller stops waiting, or the route's timeout ends.
     time_point give_up_at = never;
+    /// Tokens of its prompt; 0 when that is not known.
+    std::uint32_t prompt_tokens = 0;
     /// Workers that are not to be used: tried before.
     std::set<worker_id> excluded;
     /// Another VM asks for room at that worker; the request itself is there.
@@ -65,6 +68,7 @@
     time_point give_up_at = never;
     /// Workers that the request may not be sent to.
     std::set<worker_id> excluded;
+    std::uint32_t prompt_tokens = 0;
 };
 
 /// Tell the VM that asked that it may send the request now, to the worker that
@@ -228,6 +232,8 @@
         /// The load that its owner told, and until when it counts.
         double told_load = 0;
         time_point told_until{};
+        /// When it has read all prompts that are known to be there.
+        time_point reads_until{};
 
         worker_state(backend_entry listed, worker_adapters_settings settings)
             : entry(std::move(listed)), adapters(settings)
@@ -261,6 +267,9 @@
         bool begun = false;
         /// Sent by another VM.
         bool by_peer = false;
+        std::uint32_t prompt_tokens = 0;
+        /// Nothing was ahead of it at its worker, as far as is known.
+        bool alone = false;
     };
     struct release
     {
@@ -277,6 +286,14 @@
     };
 
     worker_state* find(worker_id const& worker);
+    /// Until the worker has read the prompts that are there.
+    duration reading_ahead(worker_state const& worker, time_point now) const;
+    /// Adds a prompt to what the worker reads.
+    void add_reading(worker_state& worker, std::uint32_t prompt_tokens,
+                     time_point now);
+    /// Notes that this VM sends a request to the worker now.
+    void note_send(worker_state& worker, work_item const& item, sent_item sent,
+                   time_point now);
     std::size_t limit_of(worker_state const& worker) const;
     bool usable(worker_state const& worker, work_item const& item,
                 time_point now) const;
@@ -346,6 +363,7 @@
     std::vector<time_point> weight_loads_;
     std::uint64_t last_number_ = 0;
     std::size_t vms_ = 1;
+    reading_pace pace_;
     duration mean_service_ = std::chrono::milliseconds(500);
     scheduler_counts counts_;
 };
--- a/src/worker_health.cpp
+++ b/src/worker_health.cpp
@@ -29,12 +29,17 @@
 constexpr int silence_multiple = 6;
 constexpr milliseconds least_patience{350};
 constexpr milliseconds most_patience{2000};
+/// What was expected may take so many times as long before it counts as
+/// silence: a worker reads the prompts of several VMs, and each VM knows its
+/// own. Load it answers: prompts that take a second to read. Taken for silence
+/// and read again by another worker, they are a sixth of all that is read.
+constexpr int expected_multiple = 2;
 
 } // namespace
 
-void worker_health::sent(time_point now)
+void worker_health::sent(time_point now, duration first_byte_after)
 {
-    pending_.emplace(now, 0);
+    pending_.emplace(now, first_byte_after);
     ++pending_total_;
 }
 
@@ -142,10 +147,19 @@
     next_probe_ = now + probe_interval;
 }
 
+duration worker_health::longest_expected() const
+{
+    duration longest{};
+    for (auto const& [sent_at, expected] : pending_)
+        longest = std::max(longest, expected);
+    return longest;
+}
+
 duration worker_health::patience() const
 {
     return std::clamp<duration>(mean_first_byte_ * silence_multiple,
-                                least_patience, most_patience);
+                                least_patience, most_patience) +
+           longest_expected() * expected_multiple;
 }
 
 time_point worker_health::silent_at() const
--- a/src/worker_health.hpp
+++ b/src/worker_health.hpp
@@ -38,7 +38,10 @@
 class worker_health
 {
 public:
-    void sent(time_point now);
+    /// `first_byte_after`: how long it should take to begin its answer, as far
+    /// as that follows from the request and from what is ahead of it; beside
+    /// this the worker's usual time is allowed for.
+    void sent(time_point now, duration first_byte_after = duration(0));
     void first_byte(time_point sent_at, time_point now);
     void ended(send_outcome outcome, time_point sent_at, time_point now);
 
@@ -70,10 +73,13 @@
     time_point silent_at() const;
 
 private:
+    duration longest_expected() const;
     void avoid(int failures, time_point now);
     void judge(bool failed, time_point now);
 
-    std::multimap<time_point, int> pending_;
+    /// When each was sent that has no first byte yet, and after how long one
+    /// was expected.
+    std::multimap<time_point, duration> pending_;
     std::size_t pending_total_ = 0;
     time_point last_byte_{};
     time_point full_until_{};
--- a/tests/worker_health_test.cpp
+++ b/tests/worker_health_test.cpp
@@ -82,3 +82,26 @@
     CHECK(health.failure_share(start) == 0);
     CHECK(health.outstanding() == 0);
 }
+
+// Two long prompts are sent to a worker, which reads them for 1.4 s before it
+// says anything. Taken for silent after its usual 0.3 s, it would be left by
+// all, and both prompts would be read a second time elsewhere.
+TEST_CASE("a worker that reads long prompts is not silent", "[worker_health]")
+{
+    worker_health health;
+    answer(health, start - 1s, send_outcome::served);
+    health.sent(start, 700ms);
+    health.sent(start, 1400ms);
+    CHECK_FALSE(health.avoided(start + 1500ms));
+    CHECK_FALSE(health.avoided(start + 2s));
+    CHECK(health.avoided(start + 6s));
+}
+
+TEST_CASE("a worker with nothing long to read is soon silent",
+          "[worker_health]")
+{
+    worker_health health;
+    answer(health, start - 1s, send_outcome::served);
+    health.sent(start, 20ms);
+    CHECK(health.avoided(start + 500ms));
+}
