--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -413,7 +413,8 @@
         auto const exchange = found->second;
         if (exchange->sends() == 0)
             waits_.add(now() - exchange->terms().arrived_at);
-        return exchange->on_placed(placed->entry, placed->reason);
+        return exchange->on_placed(placed->entry, placed->version,
+                                   placed->reason);
     }
     if (auto const* refused = std::get_if<refuse_request>(&action))
     {
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -112,7 +112,7 @@
 }
 
 void relay_exchange::on_placed(backend_entry const& worker,
-                               std::string_view reason)
+                               adapter_version version, std::string_view reason)
 {
     worker_ = worker;
     stage_ = stage::sent;
@@ -125,6 +125,7 @@
     ++runs_;
     send_terms terms;
     terms.worker = worker.id;
+    terms.version = version;
     terms.time_left =
         std::max<duration>(terms_.give_up_at - sent_at_, milliseconds(1));
     if (terms_.engine)
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -83,7 +83,9 @@
                    relay_request request, std::shared_ptr<http_answer> answer);
 
     void start();
-    void on_placed(backend_entry const& worker, std::string_view reason);
+    /// `version`: of its adapter, that the request has to run on; 0 for any.
+    void on_placed(backend_entry const& worker, adapter_version version,
+                   std::string_view reason);
     void on_refused(error_kind kind, duration retry_after,
                     std::string_view reason);
     void on_due();
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -74,6 +74,9 @@
     duration time_left{};
     /// 0 is the most urgent; absent for a plain service.
     std::optional<int> priority;
+    /// The worker runs the request on that version of its adapter or refuses
+    /// it; 0 for any.
+    adapter_version version;
     /// The stream goes on after this event.
     std::optional<std::uint64_t> resume_after;
 };
@@ -117,6 +120,8 @@
     std::uint64_t expected_sequence = 0;
     vm_id holder;
     fencing_number fence;
+    /// Of an adapter that is loaded; 0 for the newest.
+    adapter_version version;
     friend bool operator==(worker_order const&, worker_order const&) = default;
 };
 
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -113,6 +113,20 @@
            now >= known->second.heard_at + settings_.release_grace;
 }
 
+/// Failure: a copy is believed to be newer than it is, after orders whose
+/// answers were lost or came late, and a request begins on the old version long
+/// after the new one was declared. Whatever is believed here, the worker
+/// compares the version itself and refuses a request that names another.
+adapter_version
+service_scheduler::required_version(worker_state const& worker,
+                                    std::optional<model_target> const& target,
+                                    time_point now) const
+{
+    if (!target || !past_grace(*target, now))
+        return {};
+    return std::max(newest_of(*target), worker.adapters.version(*target));
+}
+
 double service_scheduler::average_taken(time_point now) const
 {
     double sum = 0;
@@ -141,7 +155,8 @@
 /// Failure: a version is declared while a copy of the one before is in use; a
 /// request that begins on the old copy after the bound gets an answer of the
 /// wrong version. An old copy is used for the grace only, and only while the
-/// new one is being loaded.
+/// new one is being loaded; the grace has to last until the request begins,
+/// after the prompts that are ahead of it.
 bool service_scheduler::holds(worker_state const& worker,
                               model_target const& target, time_point now) const
 {
@@ -151,7 +166,8 @@
             return worker.adapters.has_model(target.model);
         if (worker.adapters.stage(target) != adapter_stage::resident)
             return false;
-        return !worker.adapters.outdated(target) || !past_grace(target, now);
+        return !worker.adapters.outdated(target) ||
+               !past_grace(target, now + reading_ahead(worker, now));
     }
     for (held_model const& held : worker.entry.models)
     {
@@ -316,7 +332,8 @@
                 : counts_.placed_elsewhere);
     actions_.push_back(
         place_request{item.ticket, on.entry.id, on.entry,
-                      on.owned ? loaded ? "loaded" : "resident" : "listed"});
+                      on.owned ? loaded ? "loaded" : "resident" : "listed",
+                      required_version(on, item.target, now)});
     note_send(on, item, std::move(sent), now);
 }
 
@@ -381,7 +398,8 @@
     ++worker.queued;
     if (!worker.adapters.can_take(*waiting.item.target))
         return verdict::waits;
-    worker.adapters.want(*waiting.item.target, now);
+    worker.adapters.want(*waiting.item.target, newest_of(*waiting.item.target),
+                         now);
     worker.adapters.begin_wait(*waiting.item.target);
     waiting.loads_at = worker.entry.id;
     return verdict::waits;
@@ -407,7 +425,7 @@
     if (other == nullptr || !other->adapters.can_take(target) ||
         (!outdated && crowded(*other, often, now)))
         return;
-    other->adapters.want(target, now);
+    other->adapters.want(target, newest_of(target), now);
 }
 
 /// A worker of this VM that has the adapter and room: one with the newest
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -286,8 +286,9 @@
     if (usable_grant)
     {
         ++counts_.placed_granted;
-        actions_.push_back(place_request{item.ticket, worker->entry.id,
-                                         worker->entry, "granted"});
+        actions_.push_back(place_request{
+            item.ticket, worker->entry.id, worker->entry, "granted",
+            required_version(*worker, item.target, now)});
         sent_item sent;
         sent.worker = worker->entry.id;
         sent.target = item.target;
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -55,6 +55,8 @@
     backend_entry entry;
     /// What decided it, for the log.
     std::string_view reason;
+    /// The version of its adapter that it has to run on; 0 for any.
+    adapter_version version;
 };
 
 /// Ask the VM that gives the worker its orders to have the adapter there.
@@ -304,6 +306,9 @@
                time_point now) const;
     adapter_version newest_of(model_target const& target) const;
     bool past_grace(model_target const& target, time_point now) const;
+    adapter_version required_version(worker_state const& worker,
+                                     std::optional<model_target> const& target,
+                                     time_point now) const;
     worker_state* best_holder(waiting_item const& waiting, time_point now);
     /// Until so many requests more have found one of the slots free.
     duration slot_wait(std::size_t ahead, std::size_t slots) const;
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -193,11 +193,13 @@
     return fixed < settings_.adapter_slots;
 }
 
-void worker_adapters::want(model_target const& target, time_point now)
+void worker_adapters::want(model_target const& target, adapter_version newest,
+                           time_point now)
 {
     auto const [known, added] = adapters_.try_emplace(target);
     if (!added)
         return;
+    known->second.newest = newest;
     known->second.wanted_at = now;
     known->second.due = now + (was_here_lately(target) ? settings_.warm_load
                                                        : settings_.cold_load);
@@ -287,10 +289,19 @@
                       { return each.second.stage == adapter_stage::loading; }));
 }
 
+/// A load names the version that is wanted. Failure: the unload of an old copy
+/// is lost, the load that follows is answered "already there", and the old copy
+/// is taken for the new version.
 worker_order worker_adapters::make(order_kind kind, model_target target) const
 {
-    return {kind,       target.model, target.adapter, worker_,
-            *sequence_, *holder_,     fence_};
+    worker_order order{kind,       target.model, target.adapter, worker_,
+                       *sequence_, *holder_,     fence_,         {}};
+    auto const known = adapters_.find(target);
+    if (kind == order_kind::load && known != adapters_.end())
+        order.version = known->second.stage == adapter_stage::loading
+                            ? known->second.ordered
+                            : known->second.newest;
+    return order;
 }
 
 std::optional<worker_order> worker_adapters::next_order(worker_id const& worker,
@@ -585,8 +596,7 @@
     state.stage = adapter_stage::resident;
     state.check_at = never;
     state.due = never;
-    // A load fetches the newest version.
-    state.version = std::max(state.version, state.ordered);
+    state.version = std::max(state.version, order.version);
 }
 
 /// One conflict may be a passing state of the worker; the sequence is wrong
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -96,8 +96,10 @@
     /// Whether a load of it could begin now or after evictions: a free slot or
     /// an idle adapter.
     bool can_take(model_target const& target) const;
-    /// Wants the adapter loaded. Precondition: can_take().
-    void want(model_target const& target, time_point now);
+    /// Wants the adapter loaded, in the version that was declared last (0 for
+    /// whichever is newest). Precondition: can_take().
+    void want(model_target const& target, adapter_version newest,
+              time_point now);
     /// Requests in progress under the adapter.
     void begin_use(model_target const& target);
     void end_use(model_target const& target, time_point now);
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -50,6 +50,8 @@
                                          time_point now)
 {
     std::string const adapter = order.adapter.str();
+    if (order.kind == order_kind::load)
+        ordered_[adapter] = order.version;
     for (auto coming = coming_.begin(); coming != coming_.end();)
         if (coming->second <= now)
         {
@@ -155,9 +157,10 @@
 }
 
 ticket_id scheduler_world::ask(std::string const& adapter, int priority,
-                               duration time_left)
+                               duration time_left, std::uint32_t prompt_tokens)
 {
     work_item item;
+    item.prompt_tokens = prompt_tokens;
     item.priority = priority;
     return submit(std::move(item), adapter, time_left);
 }
@@ -221,6 +224,7 @@
     {
         placed_.emplace(placed->ticket, placed->worker);
         times_.emplace(placed->ticket, now);
+        versions_.emplace(placed->ticket, placed->version);
         order_.push_back(placed->ticket);
         scheduler.first_byte(placed->ticket, now);
     }
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -31,6 +31,12 @@
     {
         return resident_.count(adapter) > 0;
     }
+    /// The version that the last load of the adapter named; 0 for the newest.
+    adapter_version ordered_version(std::string const& adapter) const
+    {
+        auto const found = ordered_.find(adapter);
+        return found == ordered_.end() ? adapter_version() : found->second;
+    }
     std::size_t loads_of(std::string const& adapter) const
     {
         auto const found = loads_.find(adapter);
@@ -46,6 +52,7 @@
     std::set<std::string> used_;
     std::map<std::string, time_point> leaving_;
     std::map<std::string, std::size_t> loads_;
+    std::map<std::string, adapter_version> ordered_;
     std::size_t most_held_ = 0;
     bool loses_answers_ = false;
 };
@@ -59,7 +66,8 @@
 
     /// A request for an adapter; empty: for the model itself.
     ticket_id ask(std::string const& adapter, int priority = 0,
-                  duration time_left = std::chrono::seconds(5));
+                  duration time_left = std::chrono::seconds(5),
+                  std::uint32_t prompt_tokens = 0);
     /// Another VM's request for room at a worker.
     ticket_id ask_for_peer(std::string const& adapter, std::size_t worker,
                            std::set<worker_id> excluded = {});
@@ -79,6 +87,10 @@
     {
         return refused_.at(ticket);
     }
+    adapter_version version_of(ticket_id ticket) const
+    {
+        return versions_.at(ticket);
+    }
     std::vector<ticket_id> const& order_of_placing() const { return order_; }
     std::vector<ask_owner> const& asks() const { return asks_; }
     time_point placed_at(ticket_id ticket) const { return times_.at(ticket); }
@@ -106,6 +118,7 @@
     /// Of other VMs' requests.
     std::map<ticket_id, worker_id> granted_;
     std::map<ticket_id, time_point> times_;
+    std::map<ticket_id, adapter_version> versions_;
     std::map<ticket_id, refuse_request> refused_;
     std::vector<ticket_id> order_;
     std::vector<ask_owner> asks_;
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -368,6 +368,55 @@
     CHECK(world.workers.at(scheduler_world::name(0)).loads_of("a1") == 2);
 }
 
+// A version is declared, and the orders that replace the old copy are lost on
+// the way or answered "already there" for a copy that never went. What is
+// believed of the worker is wrong then; the load and the request both name the
+// version, so that the worker does not take the old one for it.
+TEST_CASE("loads and requests name the version that was declared",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    model_target const target{base_model_id("base"), adapter_id("a1")};
+    ticket_id const before = world.ask("a1");
+    world.run(300ms);
+    CHECK(world.version_of(before) == adapter_version());
+    world.end(before);
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    world.run(600ms);
+    ticket_id const soon = world.ask("a1");
+    world.run(600ms);
+    REQUIRE(world.placed(soon));
+    CHECK(world.workers.at(scheduler_world::name(0)).ordered_version("a1") ==
+          adapter_version(2));
+    world.end(soon);
+    world.run(2s);
+    ticket_id const late = world.ask("a1");
+    world.run(100ms);
+    REQUIRE(world.placed(late));
+    CHECK(world.version_of(late) == adapter_version(2));
+}
+
+// An old copy may be used for two seconds. A worker has seconds of prompts to
+// read when a request comes near the end of them: the request would begin long
+// after, on the old version, and so is not sent there.
+TEST_CASE("an old version is not used by what would begin after the grace",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    model_target const target{base_model_id("base"), adapter_id("a1")};
+    ticket_id const first = world.ask("a1", 0, 60s);
+    world.run(300ms);
+    REQUIRE(world.placed(first));
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    world.run(1s);
+    ticket_id const heavy = world.ask("a1", 0, 60s, 20'000);
+    world.run(5ms);
+    REQUIRE(world.placed(heavy));
+    ticket_id const late = world.ask("a1", 0, 60s);
+    world.run(5ms);
+    CHECK_FALSE(world.placed(late));
+}
+
 TEST_CASE("a worker that drains or is gone gets nothing more", "[scheduler]")
 {
     scheduler_world world(2);
--- a/tests/worker_adapters_test.cpp
+++ b/tests/worker_adapters_test.cpp
@@ -43,7 +43,7 @@
 
     void want(std::string const& adapter, int waiting = 1)
     {
-        adapters.want(target(adapter), now);
+        adapters.want(target(adapter), {}, now);
         for (int number = 0; number < waiting; ++number)
             adapters.begin_wait(target(adapter));
     }
@@ -204,8 +204,8 @@
     report.models[model] = {{adapter_id("a1"), adapter_version(1)},
                             {adapter_id("a2"), adapter_version(1)}};
     adapters.on_report(report, now);
-    adapters.want(target("b1"), now);
-    adapters.want(target("b2"), now);
+    adapters.want(target("b1"), {}, now);
+    adapters.want(target("b2"), {}, now);
     auto const next = [&]
     {
         return adapters.next_order(
