Choose workers by the time until a request would begin

Cause: workers were compared by counts of requests. A prompt takes a worker 20 ms to a second to read, so that two long ones at one worker are late while its count says two of 64; and adapters were fetched 1,186 times for 564 different ones.

Change: one estimate, the time until the first event: prompts ahead, corrected by what has begun, the load of the adapter, the way there. VMs tell each other how busy their workers are with every answer; an owner says no to what begins sooner elsewhere.

--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -16,6 +16,17 @@
 /// Of one prompt; more than any engine's memory.
 constexpr std::uint64_t most_tokens = 100'000'000;
 
+Json::Int64 whole_ms(duration span)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(span).count();
+}
+
+duration parse_ms(Json::Value const& json)
+{
+    return std::chrono::milliseconds(
+        json.isUInt64() ? std::min(json.asUInt64(), longest_wait_ms) : 0);
+}
+
 Json::Value ask_json(peer_ask const& ask)
 {
     Json::Value json;
@@ -25,9 +36,10 @@
     json["adapter"] = ask.target.adapter.str();
     json["priority"] = ask.priority;
     json["request"] = ask.request.str();
-    json["left_ms"] = Json::Int64(
-        std::chrono::floor<std::chrono::milliseconds>(ask.time_left).count());
+    json["left_ms"] = whole_ms(ask.time_left);
     json["tokens"] = ask.prompt_tokens;
+    if (ask.begins_elsewhere)
+        json["elsewhere_ms"] = whole_ms(*ask.begins_elsewhere);
     for (worker_id const& each : ask.excluded)
         json["excluded"].append(each.str());
     return json;
@@ -77,6 +89,8 @@
         std::min(number_or(json, "left_ms", 0), longest_wait_ms));
     ask.prompt_tokens = static_cast<std::uint32_t>(
         std::min(number_or(json, "tokens", 0), most_tokens));
+    if (json.isMember("elsewhere_ms"))
+        ask.begins_elsewhere = parse_ms(json["elsewhere_ms"]);
     ask.request = request_id(text_or(json, "request", ""));
     if (!parse_excluded(json["excluded"], ask.excluded))
         return std::nullopt;
@@ -139,19 +153,50 @@
     json["granted"] = reply.granted;
     json["grant"] = Json::UInt64(reply.grant);
     json["worker"] = reply.worker.str();
-    json["load"] = reply.load;
+    for (worker_load const& load : reply.loads)
+    {
+        Json::Value item(Json::arrayValue);
+        item.append(load.worker.str());
+        item.append(load.batch);
+        item.append(whole_ms(load.reading));
+        item.append(whole_ms(load.slot_wait));
+        json["loads"].append(std::move(item));
+    }
     return to_text(json);
 }
 
+namespace
+{
+
+bool parse_loads(Json::Value const& json, std::vector<worker_load>& loads)
+{
+    if (!json.isNull() && !json.isArray())
+        return false;
+    for (Json::Value const& item : json)
+    {
+        if (!item.isArray() || item.size() != 4 || !item[0].isString() ||
+            !item[1].isNumeric())
+            return false;
+        loads.push_back({worker_id(item[0].asString()), item[1].asDouble(),
+                         parse_ms(item[2]), parse_ms(item[3])});
+    }
+    return true;
+}
+
+} // namespace
+
 std::optional<peer_reply> decode_peer_reply(std::string const& body)
 {
     auto const json = from_text(body);
-    if (!json || !json->isObject() || !(*json)["granted"].isBool() ||
-        !(*json)["load"].isNumeric())
+    if (!json || !json->isObject() || !(*json)["granted"].isBool())
+        return std::nullopt;
+    peer_reply reply{(*json)["granted"].asBool(),
+                     number_or(*json, "grant", 0),
+                     worker_id(text_or(*json, "worker", "")),
+                     {}};
+    if (!parse_loads((*json)["loads"], reply.loads))
         return std::nullopt;
-    return peer_reply{(*json)["granted"].asBool(), number_or(*json, "grant", 0),
-                      worker_id(text_or(*json, "worker", "")),
-                      (*json)["load"].asDouble()};
+    return reply;
 }
 
 } // namespace mulberry
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -2,13 +2,14 @@
 /// orders to have an adapter there, and tells it when requests are over.
 ///
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
-///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190,
+///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190, "elsewhere_ms": 320,
 ///                 "done": [[GRANT, OUTCOME], ...]}
-///   200          {"granted": true, "grant": N, "worker": ID, "load": 0.5}
+///   200          {"granted": true, "grant": N, "worker": ID,
+///                 "loads": [[ID, BATCH, READING_MS, SLOT_WAIT_MS], ...]}
 ///
 /// The head of the answer comes at once, the rest when the adapter is there
 /// and the worker has room, or when that is not to be. A call without a worker
-/// only tells what is over.
+/// only tells what is over. Every answer tells how busy workers are.
 #ifndef MULBERRY_PEER_ASK_HPP
 #define MULBERRY_PEER_ASK_HPP
 
@@ -16,6 +17,7 @@
 #include "relay_request.hpp"
 #include "time_point.hpp"
 #include "worker_health.hpp"
+#include "worker_load.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -42,6 +44,9 @@
     /// Workers that it may not be sent to: tried before.
     std::set<worker_id> excluded;
     std::uint32_t prompt_tokens = 0;
+    /// After how long it would begin at another worker that the VM knows of;
+    /// absent if there is none.
+    std::optional<duration> begins_elsewhere;
     friend bool operator==(peer_ask const&, peer_ask const&) = default;
 };
 
@@ -67,8 +72,8 @@
     std::uint64_t grant = 0;
     /// The worker to send to; it need not be the one that was asked for.
     worker_id worker;
-    /// The share of the worker's batch that is taken.
-    double load = 0;
+    /// How busy the answering VM's workers are, the least busy ones.
+    std::vector<worker_load> loads;
     friend bool operator==(peer_reply const&, peer_reply const&) = default;
 };
 
--- a/src/reading_pace.cpp
+++ b/src/reading_pace.cpp
@@ -17,14 +17,13 @@
 
 } // namespace
 
-void reading_pace::observe(std::uint32_t tokens, duration took)
+void reading_pace::observe(std::uint32_t tokens, duration expected,
+                           duration took)
 {
     if (tokens < least_tokens)
         return;
-    double const seen = double(took.count()) / tokens;
     double const move = std::max(step, first_step / ++observed_);
-    microseconds_per_token_ *=
-        seen < microseconds_per_token_ ? 1 - move : 1 + move;
+    microseconds_per_token_ *= took < expected ? 1 - move : 1 + move;
 }
 
 duration reading_pace::time_for(std::uint32_t tokens) const
--- a/src/reading_pace.hpp
+++ b/src/reading_pace.hpp
@@ -19,8 +19,9 @@
     /// A request with so many tokens of prompt, sent with nothing ahead of it,
     /// began its answer after `took`. Short prompts say nothing of the pace
     /// and are passed over.
-    void observe(std::uint32_t tokens, duration took);
+    void observe(std::uint32_t tokens, duration expected, duration took);
     /// How long that many tokens take to be read.
+    bool known() const { return observed_ > 0; }
     duration time_for(std::uint32_t tokens) const;
 
 private:
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -1,10 +1,10 @@
 # The relay's decisions: routes, waiting, placing, turning away, orders,
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
-  SOURCES reader_choice.cpp reading_pace.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
+  SOURCES adapter_sightings.cpp reader_choice.cpp reading_pace.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
           service_placing.cpp
           service_scheduler.cpp
-          worker_adapters.cpp worker_health.cpp
+          worker_adapters.cpp worker_health.cpp worker_reading.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
   SOURCES reader_choice_test.cpp reading_pace_test.cpp retry_allowance_test.cpp route_table_test.cpp
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -96,7 +96,8 @@
     for (peer_done const& done : message->done)
         forget_peer_request(ticket_id(done.grant), done.outcome);
     if (!message->ask)
-        return answer->respond(json_response(status_ok, "{}"));
+        return answer->respond(json_response(
+            status_ok, encode_peer_reply({false, 0, {}, own_loads()})));
     peer_ask const& ask = *message->ask;
     service_state* const service = find(ask.service);
     if (service == nullptr || !service->engine)
@@ -114,6 +115,8 @@
     item.asked_for = ask.worker;
     item.excluded = ask.excluded;
     item.prompt_tokens = ask.prompt_tokens;
+    if (ask.begins_elsewhere)
+        item.begins_elsewhere_at = at + *ask.begins_elsewhere;
     ticket_id const ticket = item.ticket;
     due_.set(ticket, item.give_up_at + grant_slack);
     peer_requests_[ticket] = {ask.service, answer, ask.request, ask.worker, at};
@@ -140,6 +143,23 @@
     run_soon();
 }
 
+std::vector<worker_load> relay::own_loads() const
+{
+    std::vector<worker_load> loads;
+    for (auto const& [name, service] : services_)
+        if (service.engine)
+            for (worker_load& load : service.scheduler.loads(now()))
+                loads.push_back(std::move(load));
+    return loads;
+}
+
+void relay::take_loads(std::vector<worker_load> const& loads)
+{
+    for (auto& [name, service] : services_)
+        if (service.engine)
+            service.scheduler.on_loads(loads, now());
+}
+
 void relay::answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
                         double load)
 {
@@ -165,7 +185,7 @@
     if (answer)
     {
         answer->write(
-            encode_peer_reply({granted, ticket.value(), worker, load}));
+            encode_peer_reply({granted, ticket.value(), worker, own_loads()}));
         answer->finish();
     }
     if (granted)
@@ -196,7 +216,10 @@
                            ask.give_up_at - now(),
                            found->second->request().id,
                            ask.excluded,
-                           ask.prompt_tokens};
+                           ask.prompt_tokens,
+                           std::nullopt};
+    if (ask.begins_elsewhere_at != never)
+        message.ask->begins_elsewhere = ask.begins_elsewhere_at - now();
     message.done = std::exchange(peer->second.done, {});
     collected_call call = call_to(peer->second.address, message);
     call.ends_at = [this, name, ticket = ask.ticket] {
@@ -238,7 +261,7 @@
             .add("granted", reply.worker.str())
             .add("outcome", outcome_name(outcome))
             .add("took_ms", at - asked_at)
-            .add("load_percent", static_cast<int>(reply.load * 100));
+            .add("workers_told", std::uint64_t{reply.loads.size()});
     };
     if (outcome != ask_outcome::granted || at - asked_at >= slow_answer)
         log_.notable("owner answered", fields(), at);
@@ -259,8 +282,9 @@
             return give_back({ask.owner, reply.grant}, send_outcome::abandoned);
         held_grants_[ask.ticket] = {ask.owner, reply.grant};
     }
+    take_loads(reply.loads);
     bool const used = find(service)->scheduler.on_owner(
-        ask.ticket, outcome, reply.worker, reply.load, now());
+        ask.ticket, outcome, reply.worker, now());
     if (!used && outcome == ask_outcome::granted)
     {
         give_back({ask.owner, reply.grant}, send_outcome::abandoned);
@@ -290,8 +314,15 @@
         collected_call call = call_to(peer.address, message);
         call.ends_at = [ends = std::chrono::steady_clock::now() +
                                tell_done_timeout] { return ends; };
-        // Nothing follows from it: a grant that is not given back expires.
-        call.on_end = [](collected_answer const&) {};
+        // A call that fails needs nothing: a grant that is not given back
+        // expires.
+        call.on_end = [this](collected_answer const& answer)
+        {
+            if (answer.status != status_ok)
+                return;
+            if (auto const reply = decode_peer_reply(answer.body))
+                take_loads(reply->loads);
+        };
         start_collected(io_, pool_, std::move(call));
     }
 }
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -14,15 +14,18 @@
 
 using std::chrono::milliseconds;
 
-/// Added to a worker's load, in shares of its batch, when one is chosen.
+/// A worker is chosen by the time until a request would begin there: the
+/// prompts that it has yet to read, and this for a batch in use as a whole,
+/// whose steps take longer.
+constexpr milliseconds full_batch_delay{100};
 /// Bytes between failure domains cost time and money, so a worker elsewhere is
-/// used when those here are fuller by as much.
-constexpr double other_domain_penalty = 0.4;
+/// used when those here are later by as much.
+constexpr milliseconds other_domain_penalty{40};
 /// Another VM gives that worker its orders and fills it; what it holds is
 /// known from its last heartbeat only.
-constexpr double other_owner_penalty = 0.3;
-/// Twice a whole batch: a worker that fails is used when there is no other.
-constexpr double sick_penalty = 2.0;
+constexpr milliseconds other_owner_penalty{30};
+/// Longer than any queue: a worker that fails is used when there is no other.
+constexpr milliseconds sick_penalty{60'000};
 /// A worker fails too much when it does so for so much more of its answers
 /// than the average worker of the service, and for so many times as many. A
 /// fault of the service as a whole is no reason to leave any worker: adapters
@@ -37,6 +40,18 @@
 /// is full. Then other homes are used and second copies loaded.
 constexpr double crowded_multiple = 1.5;
 constexpr double few_requests = 4;
+constexpr milliseconds longest_queue{300};
+/// A fetch from the weight store at full speed, where nothing is known.
+constexpr milliseconds default_fetch{250};
+/// What a fetch takes from other requests: a place among those that are sent
+/// at full speed, and an adapter slot.
+constexpr milliseconds fetch_cost{100};
+/// An adapter's home is likely to have kept a copy of it, which loads in a
+/// tenth of the time.
+constexpr milliseconds away_from_home{100};
+/// An owner that would begin a request so much later than another worker says
+/// no: asking costs the way there and back twice.
+constexpr milliseconds elsewhere_margin{60};
 /// Whatever the average, a batch that is so full is crowded. This alone counts
 /// for an adapter that is seldom asked for: it adds little to the crowd, and a
 /// second home costs a fetch.
@@ -78,6 +93,15 @@
     return now < worker.told_until ? std::max(known, worker.told_load) : known;
 }
 
+duration service_scheduler::queue_delay(worker_state const& worker,
+                                        time_point now) const
+{
+    return worker.reading.ahead(now) +
+           duration(static_cast<duration::rep>(
+               load_of(worker, now) *
+               double(duration(full_batch_delay).count())));
+}
+
 bool service_scheduler::usable(worker_state const& worker,
                                work_item const& item, time_point now) const
 {
@@ -147,9 +171,12 @@
 {
     double const load = load_of(worker, now);
     double const requests = load * double(worker.entry.slots);
-    return load >= crowded_share ||
-           (popular && requests > few_requests &&
-            requests > crowded_multiple * average_taken(now) + 1);
+    if (load >= crowded_share)
+        return true;
+    if (worker.reading.ahead(now) > longest_queue)
+        return popular;
+    return popular && requests > few_requests &&
+           requests > crowded_multiple * average_taken(now) + 1;
 }
 
 /// Failure: a version is declared while a copy of the one before is in use; a
@@ -167,7 +194,7 @@
         if (worker.adapters.stage(target) != adapter_stage::resident)
             return false;
         return !worker.adapters.outdated(target) ||
-               !past_grace(target, now + reading_ahead(worker, now));
+               !past_grace(target, now + worker.reading.ahead(now));
     }
     for (held_model const& held : worker.entry.models)
     {
@@ -186,14 +213,14 @@
 {
     work_item const& item = waiting.item;
     worker_state* best = nullptr;
-    double least = std::numeric_limits<double>::max();
+    duration least = duration::max();
     for (auto& [id, worker] : workers_)
     {
         if (!usable(*worker, item, now))
             continue;
         if (item.target && !holds(*worker, *item.target, now))
             continue;
-        double score = load_of(*worker, now);
+        duration score = queue_delay(*worker, now);
         if (worker->entry.domain != settings_.domain)
             score += other_domain_penalty;
         if (config_.engine && !worker->owned)
@@ -246,7 +273,7 @@
 {
     worker_id const& id = worker.entry.id;
     if (worker.entry.draining || waiting.item.excluded.count(id) > 0 ||
-        waiting.said_no.count(id) > 0 || worker.health.avoided(now) ||
+        refused_by(id, waiting, now) || worker.health.avoided(now) ||
         sick(worker, now))
         return false;
     if (worker.owned)
@@ -261,6 +288,20 @@
            peer->second.may_probe(now);
 }
 
+/// Load it answers: more adapters in use at once than their homes have slots
+/// for. Some are loaded away from home then; asked for at home again, each
+/// would be fetched once more and take a second slot.
+bool service_scheduler::known_at(worker_state const& worker,
+                                 model_target const& target,
+                                 time_point now) const
+{
+    if (worker.owned && worker.adapters.known())
+        return worker.adapters.stage(target).has_value();
+    if (sightings_.at(target, worker.entry.id, now))
+        return true;
+    return holds(worker, target, now);
+}
+
 bool service_scheduler::popular(model_target const& target,
                                 time_point now) const
 {
@@ -272,31 +313,87 @@
     return demand_.rate(demand_key(target), now) >= local_home_rate;
 }
 
-/// The home of the adapter by rendezvous hashing, the same on every VM that
-/// sees the same workers, so that the adapter is fetched once and comes back
-/// to where copies of it are kept; the next one when the home is crowded or
-/// cannot be reached.
-service_scheduler::worker_state*
-service_scheduler::home_of(waiting_item const& waiting, bool own_only,
-                           worker_state const* except, time_point now)
+duration service_scheduler::slot_delay(worker_state const& worker,
+                                       time_point now) const
 {
-    model_target const& target = *waiting.item.target;
-    bool const local = popular(target, now);
-    worker_state* best = nullptr;
-    std::tuple<bool, bool, std::uint64_t> highest{};
+    if (!worker.owned)
+        return std::max<duration>(worker.slot_free_at - now, duration(0));
+    if (!config_.engine || worker.adapters.has_room())
+        return duration(0);
+    return slot_wait(worker.queued + 1, config_.engine->adapter_slots);
+}
+
+duration service_scheduler::load_delay(worker_state const& worker,
+                                       model_target const& target,
+                                       time_point now) const
+{
+    if (!worker.owned)
+        return slot_delay(worker, now) + default_fetch;
+    return slot_delay(worker, now) + worker.adapters.load_time(target);
+}
+
+duration service_scheduler::begin_delay(worker_state const& worker,
+                                        work_item const& item,
+                                        time_point now) const
+{
+    model_target const& target = *item.target;
+    duration delay = queue_delay(worker, now);
+    if (!known_at(worker, target, now))
+        delay = std::max(delay, load_delay(worker, target, now)) + fetch_cost;
+    else if (worker.owned)
+        delay = std::max<duration>(
+            delay, worker.adapters.due(target) == never
+                       ? duration(0)
+                       : worker.adapters.due(target) - now);
+    if (worker.entry.domain != settings_.domain)
+        delay += other_domain_penalty;
+    return delay;
+}
+
+/// Load it answers: prompts of a second beside short ones, many rare adapters
+/// and a few that everybody asks for. Each request goes where it would begin
+/// first. Adapters that are nowhere go to their home by rendezvous hashing, the
+/// same on every VM that sees the same workers and where copies of them are
+/// kept, unless another worker is sooner by more than a fetch is worth.
+service_scheduler::choice
+service_scheduler::best_place(waiting_item const& waiting, bool own_only,
+                              worker_state const* except, time_point now)
+{
+    work_item const& item = waiting.item;
+    std::vector<worker_state*> candidates;
+    worker_state const* home = nullptr;
+    std::uint64_t highest = 0;
     for (auto& [id, worker] : workers_)
     {
-        if (worker.get() == except || (own_only && !worker->owned) ||
-            !may_load_at(*worker, waiting, now))
+        if (worker.get() == except || (own_only && !worker->owned))
+            continue;
+        bool const ready = worker->owned && usable(*worker, item, now) &&
+                           !sick(*worker, now) &&
+                           holds(*worker, *item.target, now);
+        if (!ready && !may_load_at(*worker, waiting, now))
             continue;
-        std::tuple<bool, bool, std::uint64_t> const rank{
-            !crowded(*worker, local, now),
-            local && worker->entry.domain == settings_.domain,
-            stable_hash(target.adapter.str() + "@" + id.str())};
-        if (best != nullptr && rank <= highest)
+        candidates.push_back(worker.get());
+        std::uint64_t const rank =
+            stable_hash(item.target->adapter.str() + "@" + id.str());
+        if (home != nullptr && rank <= highest)
             continue;
         highest = rank;
-        best = worker.get();
+        home = worker.get();
+    }
+    choice best;
+    for (worker_state* const worker : candidates)
+    {
+        duration delay = begin_delay(*worker, item, now);
+        if (worker != home && !known_at(*worker, *item.target, now))
+            delay += away_from_home;
+        if (delay < best.delay)
+        {
+            best.next_delay = best.delay;
+            best.delay = delay;
+            best.worker = worker;
+        }
+        else
+            best.next_delay = std::min(best.next_delay, delay);
     }
     return best;
 }
@@ -322,7 +419,7 @@
         sent.by_peer = true;
         ++on.granted;
         ++counts_.granted;
-        add_reading(on, item.prompt_tokens, now);
+        on.reading.add(pace_.time_for(item.prompt_tokens), now);
         actions_.push_back(
             grant_ask{item.ticket, on.entry.id, load_of(on, now)});
         sent_.emplace(item.ticket, std::move(sent));
@@ -370,25 +467,40 @@
         sick(*worker, now))
         return verdict::hopeless;
     model_target const& target = *waiting.item.target;
+    time_point const latest = waiting.item.begins_elsewhere_at == never
+                                  ? never
+                                  : waiting.item.begins_elsewhere_at +
+                                        duration(elsewhere_margin);
     if (worker_state* const holder = own_holder(waiting, now))
     {
+        if (waiting.loads_at.empty() &&
+            now + queue_delay(*holder, now) > latest)
+            return verdict::hopeless;
         spread_load(*holder, waiting, now);
         place(waiting, *holder, now);
         leave_wait(waiting);
         return verdict::placed;
     }
-    if (!worth_waiting(*worker, waiting.item, now))
+    if (!waiting.loads_at.empty())
+    {
+        worker_state* const loading = find(waiting.loads_at);
+        if (loading != nullptr && goes_on_waiting(*loading, waiting, now))
+        {
+            ++loading->queued;
+            return verdict::waits;
+        }
+        leave_wait(waiting);
+    }
+    choice const best = best_place(waiting, true, nullptr, now);
+    if (best.worker == nullptr || now + best.delay > latest ||
+        !best.worker->adapters.synced())
         return verdict::hopeless;
-    if (holds(*worker, target, now) ||
-        (!waiting.loads_at.empty() && worker->adapters.stage(target)))
+    if (holds(*best.worker, target, now))
     {
-        ++worker->queued;
+        ++best.worker->queued;
         return verdict::waits;
     }
-    leave_wait(waiting);
-    return worker->adapters.may_order(now) && worker->adapters.synced()
-               ? wait_at(waiting, *worker, now)
-               : verdict::hopeless;
+    return wait_at(waiting, *best.worker, now);
 }
 
 service_scheduler::verdict service_scheduler::wait_at(waiting_item& waiting,
@@ -421,7 +533,7 @@
             worker->adapters.stage(target) &&
             !worker->adapters.outdated(target))
             return;
-    worker_state* const other = home_of(waiting, true, &busy, now);
+    worker_state* const other = best_place(waiting, true, &busy, now).worker;
     if (other == nullptr || !other->adapters.can_take(target) ||
         (!outdated && crowded(*other, often, now)))
         return;
@@ -435,14 +547,14 @@
 {
     model_target const& target = *waiting.item.target;
     worker_state* best = nullptr;
-    std::pair<bool, double> least;
+    std::pair<bool, duration> least;
     for (auto& [id, worker] : workers_)
     {
         if (!worker->owned || !usable(*worker, waiting.item, now) ||
             sick(*worker, now) || !holds(*worker, target, now))
             continue;
-        std::pair<bool, double> const cost{worker->adapters.outdated(target),
-                                           load_of(*worker, now)};
+        std::pair<bool, duration> const cost{worker->adapters.outdated(target),
+                                             queue_delay(*worker, now)};
         if (best != nullptr && cost >= least)
             continue;
         best = worker.get();
@@ -466,15 +578,14 @@
                                   time_point now)
 {
     model_target const& target = *waiting.item.target;
-    if (worker_state* const holder = own_holder(waiting, now))
-    {
-        spread_load(*holder, waiting, now);
-        place(waiting, *holder, now);
-        leave_wait(waiting);
-        return verdict::placed;
-    }
     if (!waiting.loads_at.empty())
     {
+        if (worker_state* const holder = own_holder(waiting, now))
+        {
+            place(waiting, *holder, now);
+            leave_wait(waiting);
+            return verdict::placed;
+        }
         worker_state* const loading = find(waiting.loads_at);
         if (loading != nullptr && goes_on_waiting(*loading, waiting, now))
         {
@@ -483,15 +594,24 @@
         }
         leave_wait(waiting);
     }
+    std::erase_if(waiting.said_no,
+                  [now](auto const& each) { return each.second <= now; });
     bool const tired = waiting.said_no.size() >= most_refusals;
-    worker_state* const home = home_of(waiting, tired, nullptr, now);
-    if (home != nullptr && home->owned)
-        return wait_at(waiting, *home, now);
-    if (home != nullptr)
+    choice const best = best_place(waiting, tired, nullptr, now);
+    if (best.worker != nullptr && !best.worker->owned)
     {
-        ask(waiting, key, *home, now);
+        ask(waiting, key, best, now);
         return verdict::asked;
     }
+    if (best.worker != nullptr && usable(*best.worker, waiting.item, now) &&
+        holds(*best.worker, target, now))
+    {
+        spread_load(*best.worker, waiting, now);
+        place(waiting, *best.worker, now);
+        return verdict::placed;
+    }
+    if (best.worker != nullptr)
+        return wait_at(waiting, *best.worker, now);
     // Nobody can be asked and nothing loaded: whoever lists the adapter.
     if (worker_state* const holder = best_holder(waiting, now))
     {
@@ -511,20 +631,32 @@
     return own_may_later ? verdict::waits : verdict::hopeless;
 }
 
+bool service_scheduler::refused_by(worker_id const& worker,
+                                   waiting_item const& waiting,
+                                   time_point now) const
+{
+    auto const refusal = waiting.said_no.find(worker);
+    return refusal != waiting.said_no.end() && now < refusal->second;
+}
+
 void service_scheduler::ask(waiting_item& waiting, queue_key const& key,
-                            worker_state& worker, time_point now)
+                            choice const& best, time_point now)
 {
     work_item const& item = waiting.item;
-    vm_id const owner = owners_.at(worker.entry.id);
+    worker_id const worker = best.worker->entry.id;
+    vm_id const owner = owners_.at(worker);
     worker_health& peer = peers_[owner];
     if (peer.avoided(now))
         peer.probed(now);
     peer.sent(now);
-    actions_.push_back(ask_owner{item.ticket, owner, worker.entry.id,
-                                 *item.target, item.priority, item.give_up_at,
-                                 item.excluded, item.prompt_tokens});
-    asked_.insert_or_assign(
-        item.ticket, asked_item{waiting, key, owner, worker.entry.id, now});
+    time_point const elsewhere = best.next_delay == duration::max()
+                                     ? never
+                                     : now + best.next_delay;
+    actions_.push_back(ask_owner{item.ticket, owner, worker, *item.target,
+                                 item.priority, item.give_up_at, item.excluded,
+                                 item.prompt_tokens, elsewhere});
+    asked_.insert_or_assign(item.ticket,
+                            asked_item{waiting, key, owner, worker, now});
 }
 
 } // namespace mulberry
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -16,6 +16,12 @@
 constexpr double wait_share = 0.5;
 /// A load that another VM told is believed for so long.
 constexpr milliseconds told_load_age{500};
+/// What an owner refused, it is asked for again after this: by then some of
+/// what its workers were busy with is over.
+constexpr milliseconds refusal_valid{500};
+/// An owner tells the loads of so many of its workers, the least busy first:
+/// enough to choose from, and no more bytes where it has many.
+constexpr std::size_t most_loads_told = 4;
 /// An owner that has begun to answer does so in the end once the adapter is
 /// loaded, which takes several times longer than usual while many are fetched.
 constexpr milliseconds owner_answers{2000};
@@ -159,10 +165,14 @@
     if (sent == sent_.end() || sent->second.begun || sent->second.by_peer)
         return;
     sent->second.begun = true;
-    if (sent->second.alone)
-        pace_.observe(sent->second.prompt_tokens, now - sent->second.sent_at);
-    if (worker_state* const worker = find(sent->second.worker))
-        worker->health.first_byte(sent->second.sent_at, now);
+    sent_item const& begun = sent->second;
+    pace_.observe(begun.prompt_tokens, begun.expected_at - begun.sent_at,
+                  now - begun.sent_at);
+    worker_state* const worker = find(begun.worker);
+    if (worker == nullptr)
+        return;
+    worker->reading.begun(begun.sent_at, now);
+    worker->health.first_byte(begun.sent_at, now);
 }
 
 void service_scheduler::ended(ticket_id ticket, send_outcome outcome,
@@ -191,6 +201,8 @@
         worker->adapters.end_use(*sent.target, now);
     if (outcome == send_outcome::not_held && sent.target && worker->owned)
         worker->adapters.missing(*sent.target, now);
+    if (outcome == send_outcome::not_held && sent.target)
+        sightings_.missed(*sent.target, sent.worker);
     if (outcome == send_outcome::not_held && sent.target && !worker->owned)
         for (held_model& held : worker->entry.models)
             held.adapters.erase(sent.target->adapter);
@@ -257,7 +269,7 @@
 }
 
 bool service_scheduler::on_owner(ticket_id ticket, ask_outcome outcome,
-                                 worker_id const& granted, double load,
+                                 worker_id const& granted,
                                  time_point now)
 {
     auto const found = asked_.find(ticket);
@@ -273,11 +285,6 @@
                                   : send_outcome::unreachable,
                               asked.asked_at, now);
     worker_state* const worker = find(granted.empty() ? asked.worker : granted);
-    if (worker != nullptr && answered)
-    {
-        worker->told_load = load;
-        worker->told_until = now + told_load_age;
-    }
     work_item const& item = asked.waiting.item;
     // Failure: the owner hears later than this VM that a worker leaves, and
     // its grant sends a request there after the bound.
@@ -286,6 +293,7 @@
     if (usable_grant)
     {
         ++counts_.placed_granted;
+        sightings_.seen(*item.target, worker->entry.id, now);
         actions_.push_back(place_request{
             item.ticket, worker->entry.id, worker->entry, "granted",
             required_version(*worker, item.target, now)});
@@ -295,23 +303,43 @@
         note_send(*worker, item, std::move(sent), now);
         return true;
     }
-    asked.waiting.said_no.insert(asked.worker);
+    asked.waiting.said_no[asked.worker] = now + refusal_valid;
     waiting_.emplace(item.ticket, asked.key);
     queue_.emplace(asked.key, std::move(asked.waiting));
     return false;
 }
 
-duration service_scheduler::reading_ahead(worker_state const& worker,
-                                          time_point now) const
+std::vector<worker_load> service_scheduler::loads(time_point now) const
 {
-    return std::max<duration>(worker.reads_until - now, duration(0));
+    std::vector<worker_load> told;
+    for (auto const& [id, worker] : workers_)
+        if (worker->owned && !worker->entry.draining)
+            told.push_back({id, load_of(*worker, now),
+                            worker->reading.ahead(now),
+                            slot_delay(*worker, now)});
+    std::sort(told.begin(), told.end(),
+              [](worker_load const& one, worker_load const& other) {
+                  return one.reading + one.slot_wait <
+                         other.reading + other.slot_wait;
+              });
+    if (told.size() > most_loads_told)
+        told.resize(most_loads_told);
+    return told;
 }
 
-void service_scheduler::add_reading(worker_state& worker,
-                                    std::uint32_t prompt_tokens, time_point now)
+void service_scheduler::on_loads(std::vector<worker_load> const& loads,
+                                 time_point now)
 {
-    worker.reads_until =
-        std::max(worker.reads_until, now) + pace_.time_for(prompt_tokens);
+    for (worker_load const& load : loads)
+    {
+        worker_state* const worker = find(load.worker);
+        if (worker == nullptr || worker->owned)
+            continue;
+        worker->told_load = load.batch;
+        worker->told_until = now + told_load_age;
+        worker->reading.told(load.reading, now);
+        worker->slot_free_at = now + load.slot_wait;
+    }
 }
 
 void service_scheduler::note_send(worker_state& worker, work_item const& item,
@@ -319,9 +347,9 @@
 {
     sent.sent_at = now;
     sent.prompt_tokens = item.prompt_tokens;
-    sent.alone = reading_ahead(worker, now) == duration(0);
-    add_reading(worker, item.prompt_tokens, now);
-    worker.health.sent(now, reading_ahead(worker, now));
+    worker.reading.add(pace_.time_for(item.prompt_tokens), now);
+    sent.expected_at = worker.reading.until();
+    worker.health.sent(now, worker.reading.ahead(now));
     sent_.emplace(item.ticket, std::move(sent));
 }
 
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -4,6 +4,7 @@
 #define MULBERRY_SERVICE_SCHEDULER_HPP
 
 #include "adapter_demand.hpp"
+#include "adapter_sightings.hpp"
 #include "backend_entry.hpp"
 #include "error_kind.hpp"
 #include "reading_pace.hpp"
@@ -11,6 +12,8 @@
 #include "routing_config.hpp"
 #include "worker_adapters.hpp"
 #include "worker_health.hpp"
+#include "worker_load.hpp"
+#include "worker_reading.hpp"
 
 #include <cstddef>
 #include <map>
@@ -45,6 +48,8 @@
     std::set<worker_id> excluded;
     /// Another VM asks for room at that worker; the request itself is there.
     std::optional<worker_id> asked_for = std::nullopt;
+    /// That VM knows of another worker where it would begin by then.
+    time_point begins_elsewhere_at = never;
 };
 
 /// Send the request to the worker now.
@@ -71,6 +76,8 @@
     /// Workers that the request may not be sent to.
     std::set<worker_id> excluded;
     std::uint32_t prompt_tokens = 0;
+    /// When it would begin at the next best worker.
+    time_point begins_elsewhere_at = never;
 };
 
 /// Tell the VM that asked that it may send the request now, to the worker that
@@ -179,7 +186,11 @@
     /// Another VM answered a question, or did not. Whether its grant is used;
     /// one that is not is to be given back.
     bool on_owner(ticket_id ticket, ask_outcome outcome,
-                  worker_id const& granted, double load, time_point now);
+                  worker_id const& granted, time_point now);
+    /// Another VM told how busy its workers are.
+    void on_loads(std::vector<worker_load> const& loads, time_point now);
+    /// How busy this VM's workers are, to be told to others.
+    std::vector<worker_load> loads(time_point now) const;
     /// Another VM began to answer a question.
     void on_owner_heard(ticket_id ticket, time_point now);
     /// When a question to another VM is to be given up, as of now.
@@ -234,8 +245,9 @@
         /// The load that its owner told, and until when it counts.
         double told_load = 0;
         time_point told_until{};
-        /// When it has read all prompts that are known to be there.
-        time_point reads_until{};
+        /// When one of its adapter slots is free, as its owner told.
+        time_point slot_free_at{};
+        worker_reading reading;
 
         worker_state(backend_entry listed, worker_adapters_settings settings)
             : entry(std::move(listed)), adapters(settings)
@@ -247,8 +259,8 @@
         work_item item;
         /// The worker whose load of the adapter it waits for.
         worker_id loads_at;
-        /// Workers whose owner said no.
-        std::set<worker_id> said_no;
+        /// Workers whose owner said no, and until when that counts.
+        std::map<worker_id, time_point> said_no;
     };
     struct asked_item
     {
@@ -270,8 +282,8 @@
         /// Sent by another VM.
         bool by_peer = false;
         std::uint32_t prompt_tokens = 0;
-        /// Nothing was ahead of it at its worker, as far as is known.
-        bool alone = false;
+        /// When it was to begin, as of its sending.
+        time_point expected_at{};
     };
     struct release
     {
@@ -288,15 +300,20 @@
     };
 
     worker_state* find(worker_id const& worker);
-    /// Until the worker has read the prompts that are there.
-    duration reading_ahead(worker_state const& worker, time_point now) const;
-    /// Adds a prompt to what the worker reads.
-    void add_reading(worker_state& worker, std::uint32_t prompt_tokens,
-                     time_point now);
     /// Notes that this VM sends a request to the worker now.
     void note_send(worker_state& worker, work_item const& item, sent_item sent,
                    time_point now);
     std::size_t limit_of(worker_state const& worker) const;
+    /// Until a request that is sent to the worker now would begin.
+    duration queue_delay(worker_state const& worker, time_point now) const;
+    /// Until a slot for one more adapter is free.
+    duration slot_delay(worker_state const& worker, time_point now) const;
+    /// Until an adapter that is not there has been loaded.
+    duration load_delay(worker_state const& worker, model_target const& target,
+                        time_point now) const;
+    /// Until the request would begin there, and what that costs others.
+    duration begin_delay(worker_state const& worker, work_item const& item,
+                         time_point now) const;
     bool usable(worker_state const& worker, work_item const& item,
                 time_point now) const;
     bool sick(worker_state const& worker, time_point now) const;
@@ -316,10 +333,22 @@
                          waiting_item const& waiting, time_point now) const;
     bool worth_waiting(worker_state const& worker, work_item const& item,
                        time_point now) const;
+    bool refused_by(worker_id const& worker, waiting_item const& waiting,
+                    time_point now) const;
     bool may_load_at(worker_state const& worker, waiting_item const& waiting,
                      time_point now) const;
-    worker_state* home_of(waiting_item const& waiting, bool own_only,
-                          worker_state const* except, time_point now);
+    bool known_at(worker_state const& worker, model_target const& target,
+                  time_point now) const;
+    /// Where a request for an adapter would begin first, and where next.
+    struct choice
+    {
+        worker_state* worker = nullptr;
+        duration delay = duration::max();
+        /// At the next best worker of another VM.
+        duration next_delay = duration::max();
+    };
+    choice best_place(waiting_item const& waiting, bool own_only,
+                      worker_state const* except, time_point now);
     double average_taken(time_point now) const;
     bool crowded(worker_state const& worker, bool popular,
                  time_point now) const;
@@ -331,7 +360,7 @@
     verdict decide_asked(waiting_item& waiting, time_point now);
     verdict wait_at(waiting_item& waiting, worker_state& worker,
                     time_point now);
-    void ask(waiting_item& waiting, queue_key const& key, worker_state& worker,
+    void ask(waiting_item& waiting, queue_key const& key, choice const& best,
              time_point now);
     verdict decide(waiting_item& waiting, queue_key const& key, time_point now);
     verdict decide_adapter(waiting_item& waiting, queue_key const& key,
@@ -364,6 +393,7 @@
     adapter_demand demand_;
     /// Of this VM's callers alone.
     adapter_demand own_demand_;
+    adapter_sightings sightings_;
     std::vector<placement_action> actions_;
     std::vector<time_point> weight_loads_;
     std::uint64_t last_number_ = 0;
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -186,6 +186,11 @@
         return false;
     if (auto const known = adapters_.find(target); known != adapters_.end())
         return !stale(known->second) || known->second.uses == 0;
+    return has_room();
+}
+
+bool worker_adapters::has_room() const
+{
     std::size_t fixed = 0;
     for (auto const& [each, state] : adapters_)
         fixed += state.stage != adapter_stage::resident || state.uses > 0 ||
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -96,6 +96,13 @@
     /// Whether a load of it could begin now or after evictions: a free slot or
     /// an idle adapter.
     bool can_take(model_target const& target) const;
+    /// Whether some adapter that is not there could be loaded now.
+    bool has_room() const;
+    /// How long a load of it takes, as far as is known.
+    duration load_time(model_target const& target) const
+    {
+        return was_here_lately(target) ? settings_.warm_load : fetch_time_;
+    }
     /// Wants the adapter loaded, in the version that was declared last (0 for
     /// whichever is newest). Precondition: can_take().
     void want(model_target const& target, adapter_version newest,
