Remember where workers keep copies of adapters

Cause: an adapter that comes back is fetched anew wherever it is placed, though the worker that had it loads its copy in a tenth of the time.

Change: copies are remembered from workers' lists and grants, for other VMs' workers too.

--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -41,8 +41,6 @@
 constexpr double crowded_multiple = 1.5;
 constexpr double few_requests = 4;
 constexpr milliseconds longest_queue{300};
-/// A fetch from the weight store at full speed, where nothing is known.
-constexpr milliseconds default_fetch{250};
 /// What a fetch takes from other requests: a place among those that are sent
 /// at full speed, and an adapter slot.
 constexpr milliseconds fetch_cost{100};
@@ -327,8 +325,6 @@
                                        model_target const& target,
                                        time_point now) const
 {
-    if (!worker.owned)
-        return slot_delay(worker, now) + default_fetch;
     return slot_delay(worker, now) + worker.adapters.load_time(target);
 }
 
@@ -339,7 +335,11 @@
     model_target const& target = *item.target;
     duration delay = queue_delay(worker, now);
     if (!known_at(worker, target, now))
-        delay = std::max(delay, load_delay(worker, target, now)) + fetch_cost;
+    {
+        delay = std::max(delay, load_delay(worker, target, now));
+        if (!worker.adapters.was_here_lately(target))
+            delay += fetch_cost;
+    }
     else if (worker.owned)
         delay = std::max<duration>(
             delay, worker.adapters.due(target) == never
@@ -384,7 +384,8 @@
     for (worker_state* const worker : candidates)
     {
         duration delay = begin_delay(*worker, item, now);
-        if (worker != home && !known_at(*worker, *item.target, now))
+        if (worker != home && !known_at(*worker, *item.target, now) &&
+            !worker->adapters.was_here_lately(*item.target))
             delay += away_from_home;
         if (delay < best.delay)
         {
@@ -649,9 +650,13 @@
     if (peer.avoided(now))
         peer.probed(now);
     peer.sent(now);
-    time_point const elsewhere = best.next_delay == duration::max()
-                                     ? never
-                                     : now + best.next_delay;
+    // Failure: every VM knows the others' workers from a while ago. Each owner
+    // says no for the sake of the next one, and the request is served by none.
+    bool const first_ask = waiting.said_no.empty();
+    time_point const elsewhere =
+        first_ask && best.next_delay != duration::max()
+            ? now + best.next_delay
+            : never;
     actions_.push_back(ask_owner{item.ticket, owner, worker, *item.target,
                                  item.priority, item.give_up_at, item.excluded,
                                  item.prompt_tokens, elsewhere});
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -65,13 +65,15 @@
         if (worker_state* const known = find(entry.id))
         {
             known->entry = entry;
+            remember_listed(*known);
             continue;
         }
         worker_adapters_settings shelf;
         shelf.adapter_slots =
             config_.engine ? config_.engine->adapter_slots : 0;
-        workers_.emplace(entry.id,
-                         std::make_unique<worker_state>(entry, shelf));
+        auto const made = workers_.emplace(
+            entry.id, std::make_unique<worker_state>(entry, shelf));
+        remember_listed(*made.first->second);
     }
     std::erase_if(workers_, [&](auto const& each)
                   { return listed.count(each.first) == 0; });
@@ -80,6 +82,16 @@
             waiting.loads_at = {};
 }
 
+/// Load it answers: more adapters are asked for than slots hold, and each comes
+/// and goes. One that is asked for again loads in a tenth of the time where it
+/// was before, wherever that was.
+void service_scheduler::remember_listed(worker_state& worker)
+{
+    for (held_model const& held : worker.entry.models)
+        for (auto const& [adapter, version] : held.adapters)
+            worker.adapters.remember({held.model, adapter});
+}
+
 void service_scheduler::set_grants(
     std::map<worker_id, order_grant> const& grants)
 {
@@ -294,6 +306,7 @@
     {
         ++counts_.placed_granted;
         sightings_.seen(*item.target, worker->entry.id, now);
+        worker->adapters.remember(*item.target);
         actions_.push_back(place_request{
             item.ticket, worker->entry.id, worker->entry, "granted",
             required_version(*worker, item.target, now)});
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -300,6 +300,7 @@
     };
 
     worker_state* find(worker_id const& worker);
+    static void remember_listed(worker_state& worker);
     /// Notes that this VM sends a request to the worker now.
     void note_send(worker_state& worker, work_item const& item, sent_item sent,
                    time_point now);
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -96,6 +96,11 @@
     /// Whether a load of it could begin now or after evictions: a free slot or
     /// an idle adapter.
     bool can_take(model_target const& target) const;
+    /// Held lately: the worker keeps a copy, which loads in a tenth of the time
+    /// and without the weight store.
+    bool was_here_lately(model_target const& target) const;
+    /// The worker was seen to hold the adapter, whoever ordered it there.
+    void remember(model_target const& target);
     /// Whether some adapter that is not there could be loaded now.
     bool has_room() const;
     /// How long a load of it takes, as far as is known.
@@ -184,8 +189,6 @@
     void conflicted(worker_order const& order, time_point now);
     void lose_track(time_point now);
     bool too_old(worker_report const& report, time_point now) const;
-    bool was_here_lately(model_target const& target) const;
-    void remember(model_target const& target);
 
     worker_adapters_settings settings_;
     std::optional<vm_id> holder_;
