Ask an avoided worker how it is

Cause: after a worker had been dark for two seconds it stayed unused for 27 s with nine idle adapters: what it held had been loaded elsewhere, so that no request came to try it again.

Ruled out: sickness by failures, lost track of its orders (printed: neither).

Change: its owner asks it for a report and uses it again once it answers.

--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -271,8 +271,12 @@
 {
     worker_id const& id = worker.entry.id;
     if (worker.entry.draining || waiting.item.excluded.count(id) > 0 ||
-        refused_by(id, waiting, now) || worker.health.avoided(now) ||
-        sick(worker, now))
+        refused_by(id, waiting, now) || sick(worker, now))
+        return false;
+    // Its owner can reach it: it may be tried again.
+    bool const vouched = !worker.owned && now < worker.told_until &&
+                         worker.health.may_probe(now);
+    if (worker.health.avoided(now) && !vouched)
         return false;
     if (worker.owned)
         return worker.adapters.may_order(now) &&
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -234,6 +234,8 @@
     worker_state* const known = find(worker);
     if (known == nullptr)
         return;
+    if (report)
+        known->health.reached(now);
     known->adapters.on_report(report, now);
     for (auto const& [target, release] : releases_)
         known->adapters.outdate(target, release.version);
@@ -326,7 +328,8 @@
 {
     std::vector<worker_load> told;
     for (auto const& [id, worker] : workers_)
-        if (worker->owned && !worker->entry.draining)
+        if (worker->owned && !worker->entry.draining &&
+            !worker->health.avoided(now) && !sick(*worker, now))
             told.push_back({id, load_of(*worker, now),
                             worker->reading.ahead(now),
                             slot_delay(*worker, now)});
@@ -446,6 +449,9 @@
     }
 }
 
+/// Failure: a worker goes dark for a second and is avoided. What it holds is
+/// loaded elsewhere meanwhile, so that no request comes to try it again, and it
+/// stays unused for good. Its owner asks an avoided worker how it is instead.
 /// A worker that starts empty is given the model that is asked for most.
 void service_scheduler::want_model(worker_state& worker, time_point now)
 {
@@ -480,11 +486,15 @@
     {
         if (!worker->owned)
             continue;
-        if (worker->adapters.wants_report(now))
-        {
+        bool const unsynced = worker->adapters.wants_report(now);
+        if (unsynced)
             worker->adapters.report_asked();
+        bool const probes =
+            worker->health.avoided(now) && worker->health.may_probe(now);
+        if (probes)
+            worker->health.probed(now);
+        if (unsynced || probes)
             actions_.push_back(ask_report{id, worker->entry});
-        }
         if (!worker->adapters.synced() || !worker->adapters.may_order(now) ||
             worker->entry.draining)
             continue;
--- a/src/worker_health.cpp
+++ b/src/worker_health.cpp
@@ -106,6 +106,13 @@
     }
 }
 
+void worker_health::reached(time_point now)
+{
+    failures_in_a_row_ = 0;
+    told_failures_in_a_row_ = 0;
+    last_byte_ = now;
+}
+
 void worker_health::judge(bool failed, time_point now)
 {
     failure_share_ = failure_share(now);
--- a/src/worker_health.hpp
+++ b/src/worker_health.hpp
@@ -52,6 +52,8 @@
     /// Could not be reached, or left everything unanswered for too long, and
     /// has answered nothing since.
     bool avoided(time_point now) const;
+    /// It answered a question of another kind: it can be reached after all.
+    void reached(time_point now);
     /// May be tried with one request although it is avoided.
     bool may_probe(time_point now) const;
     void probed(time_point now);
