Count being late as a cost, and wait for owners that are busy

Cause: a request went to a holder with half a second to read although a fetch elsewhere would have been in time; and a VM that orders no worker rejected what four busy owners had refused for a moment.

--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -38,6 +38,8 @@
     json["request"] = ask.request.str();
     json["left_ms"] = whole_ms(ask.time_left);
     json["tokens"] = ask.prompt_tokens;
+    if (ask.objective_left)
+        json["objective_ms"] = whole_ms(*ask.objective_left);
     if (ask.begins_elsewhere)
         json["elsewhere_ms"] = whole_ms(*ask.begins_elsewhere);
     for (worker_id const& each : ask.excluded)
@@ -89,6 +91,8 @@
         std::min(number_or(json, "left_ms", 0), longest_wait_ms));
     ask.prompt_tokens = static_cast<std::uint32_t>(
         std::min(number_or(json, "tokens", 0), most_tokens));
+    if (json.isMember("objective_ms"))
+        ask.objective_left = parse_ms(json["objective_ms"]);
     if (json.isMember("elsewhere_ms"))
         ask.begins_elsewhere = parse_ms(json["elsewhere_ms"]);
     ask.request = request_id(text_or(json, "request", ""));
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -3,6 +3,7 @@
 ///
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
 ///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190, "elsewhere_ms": 320,
+///                 "objective_ms": 540,
 ///                 "done": [[GRANT, OUTCOME], ...]}
 ///   200          {"granted": true, "grant": N, "worker": ID,
 ///                 "loads": [[ID, BATCH, READING_MS, SLOT_WAIT_MS], ...]}
@@ -44,6 +45,8 @@
     /// Workers that it may not be sent to: tried before.
     std::set<worker_id> excluded;
     std::uint32_t prompt_tokens = 0;
+    /// How long it may take to begin and be on time; 0 when that is over.
+    std::optional<duration> objective_left;
     /// After how long it would begin at another worker that the VM knows of;
     /// absent if there is none.
     std::optional<duration> begins_elsewhere;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -248,6 +248,7 @@
     item.priority = terms.matched->priority;
     item.arrived_at = terms.arrived_at;
     item.give_up_at = terms.give_up_at;
+    item.objective_at = terms.arrived_at + terms.matched->latency_objective;
     item.excluded = excluded;
     find(terms.service)->scheduler.submit(std::move(item), now());
     run_soon();
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -115,6 +115,8 @@
     item.asked_for = ask.worker;
     item.excluded = ask.excluded;
     item.prompt_tokens = ask.prompt_tokens;
+    if (ask.objective_left)
+        item.objective_at = at + *ask.objective_left;
     if (ask.begins_elsewhere)
         item.begins_elsewhere_at = at + *ask.begins_elsewhere;
     ticket_id const ticket = item.ticket;
@@ -217,7 +219,11 @@
                            found->second->request().id,
                            ask.excluded,
                            ask.prompt_tokens,
+                           std::nullopt,
                            std::nullopt};
+    if (ask.objective_at != never)
+        message.ask->objective_left =
+            std::max<duration>(ask.objective_at - now(), duration(0));
     if (ask.begins_elsewhere_at != never)
         message.ask->begins_elsewhere = ask.begins_elsewhere_at - now();
     message.done = std::exchange(peer->second.done, {});
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -44,6 +44,9 @@
 /// What a fetch takes from other requests: a place among those that are sent
 /// at full speed, and an adapter slot.
 constexpr milliseconds fetch_cost{100};
+/// An answer that begins after its objective is worth a third to its caller; a
+/// fetch that saves it from that is worth its cost.
+constexpr milliseconds lateness_cost{500};
 /// An adapter's home is likely to have kept a copy of it, which loads in a
 /// tenth of the time.
 constexpr milliseconds away_from_home{100};
@@ -273,10 +276,10 @@
     if (worker.entry.draining || waiting.item.excluded.count(id) > 0 ||
         refused_by(id, waiting, now) || sick(worker, now))
         return false;
-    // Its owner can reach it: it may be tried again.
-    bool const vouched = !worker.owned && now < worker.told_until &&
-                         worker.health.may_probe(now);
-    if (worker.health.avoided(now) && !vouched)
+    // Another VM's worker may be asked for now and then though this VM could
+    // not reach it: its owner says no if it cannot either.
+    if (worker.health.avoided(now) &&
+        (worker.owned || !worker.health.may_probe(now)))
         return false;
     if (worker.owned)
         return worker.adapters.may_order(now) &&
@@ -338,17 +341,18 @@
 {
     model_target const& target = *item.target;
     duration delay = queue_delay(worker, now);
+    duration cost{};
     if (!known_at(worker, target, now))
     {
         delay = std::max(delay, load_delay(worker, target, now));
         if (!worker.adapters.was_here_lately(target))
-            delay += fetch_cost;
+            cost += fetch_cost;
     }
-    else if (worker.owned)
-        delay = std::max<duration>(
-            delay, worker.adapters.due(target) == never
-                       ? duration(0)
-                       : worker.adapters.due(target) - now);
+    else if (worker.owned && worker.adapters.due(target) != never)
+        delay = std::max<duration>(delay, worker.adapters.due(target) - now);
+    if (now + delay + pace_.time_for(item.prompt_tokens) > item.objective_at)
+        cost += lateness_cost;
+    delay += cost;
     if (worker.entry.domain != settings_.domain)
         delay += other_domain_penalty;
     return delay;
@@ -623,6 +627,10 @@
         place(waiting, *holder, now);
         return verdict::placed;
     }
+    // Failure: a VM that orders no worker is told by four owners that they are
+    // busy, and rejects for seconds what they could take a moment later.
+    if (!waiting.said_no.empty())
+        return verdict::waits;
     bool const own_may_later =
         std::any_of(workers_.begin(), workers_.end(),
                     [&](auto const& each)
@@ -663,7 +671,7 @@
             : never;
     actions_.push_back(ask_owner{item.ticket, owner, worker, *item.target,
                                  item.priority, item.give_up_at, item.excluded,
-                                 item.prompt_tokens, elsewhere});
+                                 item.prompt_tokens, item.objective_at, elsewhere});
     asked_.insert_or_assign(item.ticket,
                             asked_item{waiting, key, owner, worker, now});
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -525,6 +525,8 @@
             waiting.item.arrived_at +
             (waiting.item.give_up_at - waiting.item.arrived_at) / 2;
         next = std::min(next, review);
+        for (auto const& [worker, until] : waiting.said_no)
+            next = std::min(next, until);
     }
     return next;
 }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -42,6 +42,8 @@
     time_point arrived_at{};
     /// When the caller stops waiting, or the route's timeout ends.
     time_point give_up_at = never;
+    /// Until then its answer is to begin.
+    time_point objective_at = never;
     /// Tokens of its prompt; 0 when that is not known.
     std::uint32_t prompt_tokens = 0;
     /// Workers that are not to be used: tried before.
@@ -76,6 +78,7 @@
     /// Workers that the request may not be sent to.
     std::set<worker_id> excluded;
     std::uint32_t prompt_tokens = 0;
+    time_point objective_at = never;
     /// When it would begin at the next best worker.
     time_point begins_elsewhere_at = never;
 };
