Use workers whose owner is gone for what they hold

Cause: a VM that is replaced leaves the workers that it ordered without an owner for 15 s, a third of all where it stood alone in its failure domain; requests for what these hold waited for somebody to ask.

--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -37,7 +37,7 @@
 /// The lease in multiples of the gap between two owners' orders: the holder
 /// stops a gap before others may take over, and rides out three gaps without
 /// the store before that, which is longer than most cuts.
-constexpr int lease_gaps = 5;
+constexpr int lease_gaps = 3;
 /// The share of the gap by which it is kept longer than asked: an order is on
 /// its way for some time.
 constexpr int gap_slack = 15;
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -285,7 +285,13 @@
         return worker.adapters.may_order(now) &&
                worker.adapters.has_model(waiting.item.target->model) &&
                worth_waiting(worker, waiting.item, now);
-    auto const owner = owners_.find(id);
+    return has_reachable_owner(worker, now);
+}
+
+bool service_scheduler::has_reachable_owner(worker_state const& worker,
+                                            time_point now) const
+{
+    auto const owner = owners_.find(worker.entry.id);
     if (owner == owners_.end())
         return false;
     auto const peer = peers_.find(owner->second);
@@ -293,6 +299,18 @@
            peer->second.may_probe(now);
 }
 
+/// Load it answers: a VM is gone or cut off with the workers that it orders, a
+/// third of all. What they hold goes on being used; only loads have to wait for
+/// another owner.
+bool service_scheduler::may_send_unasked(worker_state const& worker,
+                                         work_item const& item,
+                                         time_point now) const
+{
+    return !worker.owned && !has_reachable_owner(worker, now) &&
+           usable(worker, item, now) && !sick(worker, now) &&
+           holds(worker, *item.target, now);
+}
+
 /// Load it answers: more adapters in use at once than their homes have slots
 /// for. Some are loaded away from home then; asked for at home again, each
 /// would be fetched once more and take a second slot.
@@ -378,7 +396,8 @@
         bool const ready = worker->owned && usable(*worker, item, now) &&
                            !sick(*worker, now) &&
                            holds(*worker, *item.target, now);
-        if (!ready && !may_load_at(*worker, waiting, now))
+        if (!ready && !may_load_at(*worker, waiting, now) &&
+            !may_send_unasked(*worker, item, now))
             continue;
         candidates.push_back(worker.get());
         std::uint64_t const rank =
@@ -395,8 +414,12 @@
         if (worker != home && !known_at(*worker, *item.target, now) &&
             !worker->adapters.was_here_lately(*item.target))
             delay += away_from_home;
+        bool const unasked = may_send_unasked(*worker, item, now);
+        if (unasked)
+            delay += other_owner_penalty;
         if (delay < best.delay)
         {
+            best.unasked = unasked;
             best.next_delay = best.delay;
             best.delay = delay;
             best.worker = worker;
@@ -607,6 +630,11 @@
                   [now](auto const& each) { return each.second <= now; });
     bool const tired = waiting.said_no.size() >= most_refusals;
     choice const best = best_place(waiting, tired, nullptr, now);
+    if (best.worker != nullptr && best.unasked)
+    {
+        place(waiting, *best.worker, now);
+        return verdict::placed;
+    }
     if (best.worker != nullptr && !best.worker->owned)
     {
         ask(waiting, key, best, now);
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -339,6 +339,12 @@
                        time_point now) const;
     bool refused_by(worker_id const& worker, waiting_item const& waiting,
                     time_point now) const;
+    /// Whether some VM can be asked for room at the worker.
+    bool has_reachable_owner(worker_state const& worker, time_point now) const;
+    /// Whether a request may be sent there without asking: the worker lists
+    /// its adapter, and nobody can be asked.
+    bool may_send_unasked(worker_state const& worker, work_item const& item,
+                          time_point now) const;
     bool may_load_at(worker_state const& worker, waiting_item const& waiting,
                      time_point now) const;
     bool known_at(worker_state const& worker, model_target const& target,
@@ -347,6 +353,8 @@
     struct choice
     {
         worker_state* worker = nullptr;
+        /// Sent there without asking its owner.
+        bool unasked = false;
         duration delay = duration::max();
         /// At the next best worker of another VM.
         duration next_delay = duration::max();
