Send prompts with the same beginning to the same holder

Cause: reading binds.

Change: among the holders of its adapter a request prefers the one that requests with the same beginning go to, and copies the beginning from there when it is placed at another.

--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -38,6 +38,11 @@
     json["request"] = ask.request.str();
     json["left_ms"] = whole_ms(ask.time_left);
     json["tokens"] = ask.prompt_tokens;
+    if (ask.prefix.key != 0)
+    {
+        json["prefix"].append(Json::UInt64(ask.prefix.key));
+        json["prefix"].append(ask.prefix.tokens);
+    }
     if (ask.objective_left)
         json["objective_ms"] = whole_ms(*ask.objective_left);
     if (ask.begins_elsewhere)
@@ -91,6 +96,10 @@
         std::min(number_or(json, "left_ms", 0), longest_wait_ms));
     ask.prompt_tokens = static_cast<std::uint32_t>(
         std::min(number_or(json, "tokens", 0), most_tokens));
+    Json::Value const& prefix = json["prefix"];
+    if (prefix.isArray() && prefix.size() == 2 && prefix[0].isUInt64() &&
+        prefix[1].isUInt())
+        ask.prefix = {prefix[0].asUInt64(), prefix[1].asUInt()};
     if (json.isMember("objective_ms"))
         ask.objective_left = parse_ms(json["objective_ms"]);
     if (json.isMember("elsewhere_ms"))
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -2,7 +2,8 @@
 /// orders to have an adapter there, and tells it when requests are over.
 ///
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
-///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190, "elsewhere_ms": 320,
+///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190,
+///                 "prefix": [KEY, TOKENS], "elsewhere_ms": 320,
 ///                 "objective_ms": 540,
 ///                 "done": [[GRANT, OUTCOME], ...]}
 ///   200          {"granted": true, "grant": N, "worker": ID,
@@ -45,6 +46,7 @@
     /// Workers that it may not be sent to: tried before.
     std::set<worker_id> excluded;
     std::uint32_t prompt_tokens = 0;
+    shared_prefix prefix;
     /// How long it may take to begin and be on time; 0 when that is over.
     std::optional<duration> objective_left;
     /// After how long it would begin at another worker that the VM knows of;
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -1,7 +1,7 @@
 # The relay's decisions: routes, waiting, placing, turning away, orders,
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
-  SOURCES adapter_sightings.cpp reader_choice.cpp reading_pace.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
+  SOURCES adapter_sightings.cpp reader_choice.cpp reading_pace.cpp relay_request.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
           service_placing.cpp
           service_scheduler.cpp
           worker_adapters.cpp worker_health.cpp worker_reading.cpp
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -244,6 +244,7 @@
     {
         item.target = exchange.request().model;
         item.prompt_tokens = exchange.request().prompt.tokens;
+        item.prefix = prefix_of(exchange.request().prompt);
     }
     item.priority = terms.matched->priority;
     item.arrived_at = terms.arrived_at;
@@ -414,8 +415,7 @@
         auto const exchange = found->second;
         if (exchange->sends() == 0)
             waits_.add(now() - exchange->terms().arrived_at);
-        return exchange->on_placed(placed->entry, placed->version,
-                                   placed->reason);
+        return exchange->on_placed(*placed);
     }
     if (auto const* refused = std::get_if<refuse_request>(&action))
     {
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -111,13 +111,13 @@
            (matched.repeats == repeat_rule::stream && matched.resumable);
 }
 
-void relay_exchange::on_placed(backend_entry const& worker,
-                               adapter_version version, std::string_view reason)
+void relay_exchange::on_placed(place_request const& placed)
 {
+    backend_entry const& worker = placed.entry;
     worker_ = worker;
     stage_ = stage::sent;
     sent_at_ = host_.now();
-    placed_reason_ = reason;
+    placed_reason_ = placed.reason;
     reply_ = {};
     headers_ = {};
     body_.clear();
@@ -125,7 +125,11 @@
     ++runs_;
     send_terms terms;
     terms.worker = worker.id;
-    terms.version = version;
+    terms.version = placed.version;
+    if (placed.prefix_source)
+        terms.copy_prompt_from =
+            placed.prefix_source->address + ":" +
+            std::to_string(placed.prefix_source->port);
     terms.time_left =
         std::max<duration>(terms_.give_up_at - sent_at_, milliseconds(1));
     if (terms_.engine)
@@ -142,7 +146,7 @@
         host_.codec().encode_request(request_, terms), options,
         std::make_shared<attempt>(shared_from_this(), attempt_number_));
     if (sends_ > 1)
-        host_.note(*this, "sent again", reason);
+        host_.note(*this, "sent again", placed.reason);
     schedule_wake();
 }
 
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -83,9 +83,7 @@
                    relay_request request, std::shared_ptr<http_answer> answer);
 
     void start();
-    /// `version`: of its adapter, that the request has to run on; 0 for any.
-    void on_placed(backend_entry const& worker, adapter_version version,
-                   std::string_view reason);
+    void on_placed(place_request const& placed);
     void on_refused(error_kind kind, duration retry_after,
                     std::string_view reason);
     void on_due();
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -115,6 +115,7 @@
     item.asked_for = ask.worker;
     item.excluded = ask.excluded;
     item.prompt_tokens = ask.prompt_tokens;
+    item.prefix = ask.prefix;
     if (ask.objective_left)
         item.objective_at = at + *ask.objective_left;
     if (ask.begins_elsewhere)
@@ -219,6 +220,7 @@
                            found->second->request().id,
                            ask.excluded,
                            ask.prompt_tokens,
+                           ask.prefix,
                            std::nullopt,
                            std::nullopt};
     if (ask.objective_at != never)
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -35,6 +35,16 @@
     friend auto operator<=>(prompt_part const&, prompt_part const&) = default;
 };
 
+/// The beginning of a prompt that other requests have in common with it. Value.
+struct shared_prefix
+{
+    /// Of the ids of its parts; 0 for none.
+    std::uint64_t key = 0;
+    std::uint32_t tokens = 0;
+    friend bool operator==(shared_prefix const&,
+                           shared_prefix const&) = default;
+};
+
 /// How much a request asks of an engine, as its caller counted it. Value.
 struct prompt_shape
 {
@@ -45,6 +55,9 @@
     friend auto operator<=>(prompt_shape const&, prompt_shape const&) = default;
 };
 
+/// All parts but the last, which is the request's own.
+shared_prefix prefix_of(prompt_shape const& prompt);
+
 /// What the relay decides on; everything else passes through unchanged.
 struct relay_request
 {
@@ -77,6 +90,9 @@
     /// The worker runs the request on that version of its adapter or refuses
     /// it; 0 for any.
     adapter_version version;
+    /// IP:PORT of another worker that may still have the beginning of the
+    /// prompt in its memory; the worker copies it instead of reading it.
+    std::optional<std::string> copy_prompt_from;
     /// The stream goes on after this event.
     std::optional<std::uint64_t> resume_after;
 };
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -47,6 +47,8 @@
 /// An answer that begins after its objective is worth a third to its caller; a
 /// fetch that saves it from that is worth its cost.
 constexpr milliseconds lateness_cost{500};
+/// A worker that read a prompt's beginning has it still in half of the cases.
+constexpr int prefix_divisor = 2;
 /// An adapter's home is likely to have kept a copy of it, which loads in a
 /// tenth of the time.
 constexpr milliseconds away_from_home{100};
@@ -355,6 +357,7 @@
 
 duration service_scheduler::begin_delay(worker_state const& worker,
                                         work_item const& item,
+                                        worker_state const* prefix_home,
                                         time_point now) const
 {
     model_target const& target = *item.target;
@@ -373,9 +376,43 @@
     delay += cost;
     if (worker.entry.domain != settings_.domain)
         delay += other_domain_penalty;
+    if (&worker == prefix_home)
+        delay -= pace_.time_for(item.prefix.tokens) / prefix_divisor;
     return delay;
 }
 
+service_scheduler::worker_state const*
+service_scheduler::prefix_home(work_item const& item, time_point now) const
+{
+    if (item.prefix.key == 0 || !item.target)
+        return nullptr;
+    std::string const key = std::to_string(item.prefix.key) + "@";
+    worker_state const* home = nullptr;
+    std::uint64_t highest = 0;
+    for (auto const& [id, worker] : workers_)
+    {
+        if (worker->entry.draining || worker->health.avoided(now) ||
+            !known_at(*worker, *item.target, now))
+            continue;
+        std::uint64_t const rank = stable_hash(key + id.str());
+        if (home != nullptr && rank <= highest)
+            continue;
+        highest = rank;
+        home = worker.get();
+    }
+    return home;
+}
+
+std::optional<backend_entry>
+service_scheduler::prefix_source(work_item const& item, worker_state const& on,
+                                 time_point now) const
+{
+    worker_state const* const home = prefix_home(item, now);
+    if (home == nullptr || home == &on)
+        return std::nullopt;
+    return home->entry;
+}
+
 /// Load it answers: prompts of a second beside short ones, many rare adapters
 /// and a few that everybody asks for. Each request goes where it would begin
 /// first. Adapters that are nowhere go to their home by rendezvous hashing, the
@@ -407,10 +444,11 @@
         highest = rank;
         home = worker.get();
     }
+    worker_state const* const prefers = prefix_home(item, now);
     choice best;
     for (worker_state* const worker : candidates)
     {
-        duration delay = begin_delay(*worker, item, now);
+        duration delay = begin_delay(*worker, item, prefers, now);
         if (worker != home && !known_at(*worker, *item.target, now) &&
             !worker->adapters.was_here_lately(*item.target))
             delay += away_from_home;
@@ -462,7 +500,8 @@
     actions_.push_back(
         place_request{item.ticket, on.entry.id, on.entry,
                       on.owned ? loaded ? "loaded" : "resident" : "listed",
-                      required_version(on, item.target, now)});
+                      required_version(on, item.target, now),
+                      prefix_source(item, on, now)});
     note_send(on, item, std::move(sent), now);
 }
 
@@ -580,13 +619,17 @@
     model_target const& target = *waiting.item.target;
     worker_state* best = nullptr;
     std::pair<bool, duration> least;
+    worker_state const* const prefers = prefix_home(waiting.item, now);
     for (auto& [id, worker] : workers_)
     {
         if (!worker->owned || !usable(*worker, waiting.item, now) ||
             sick(*worker, now) || !holds(*worker, target, now))
             continue;
+        duration delay = queue_delay(*worker, now);
+        if (worker.get() == prefers)
+            delay -= pace_.time_for(waiting.item.prefix.tokens) / prefix_divisor;
         std::pair<bool, duration> const cost{worker->adapters.outdated(target),
-                                             queue_delay(*worker, now)};
+                                             delay};
         if (best != nullptr && cost >= least)
             continue;
         best = worker.get();
@@ -699,7 +742,7 @@
             : never;
     actions_.push_back(ask_owner{item.ticket, owner, worker, *item.target,
                                  item.priority, item.give_up_at, item.excluded,
-                                 item.prompt_tokens, item.objective_at, elsewhere});
+                                 item.prompt_tokens, item.prefix, item.objective_at, elsewhere});
     asked_.insert_or_assign(item.ticket,
                             asked_item{waiting, key, owner, worker, now});
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -312,6 +312,8 @@
         actions_.push_back(place_request{
             item.ticket, worker->entry.id, worker->entry, "granted",
             required_version(*worker, item.target, now)});
+        std::get<place_request>(actions_.back()).prefix_source =
+            prefix_source(item, *worker, now);
         sent_item sent;
         sent.worker = worker->entry.id;
         sent.target = item.target;
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -46,6 +46,8 @@
     time_point objective_at = never;
     /// Tokens of its prompt; 0 when that is not known.
     std::uint32_t prompt_tokens = 0;
+    /// The beginning of its prompt that other requests share.
+    shared_prefix prefix;
     /// Workers that are not to be used: tried before.
     std::set<worker_id> excluded;
     /// Another VM asks for room at that worker; the request itself is there.
@@ -64,6 +66,8 @@
     std::string_view reason;
     /// The version of its adapter that it has to run on; 0 for any.
     adapter_version version;
+    /// Another worker that may have the beginning of its prompt.
+    std::optional<backend_entry> prefix_source = std::nullopt;
 };
 
 /// Ask the VM that gives the worker its orders to have the adapter there.
@@ -78,6 +82,7 @@
     /// Workers that the request may not be sent to.
     std::set<worker_id> excluded;
     std::uint32_t prompt_tokens = 0;
+    shared_prefix prefix;
     time_point objective_at = never;
     /// When it would begin at the next best worker.
     time_point begins_elsewhere_at = never;
@@ -317,7 +322,7 @@
                         time_point now) const;
     /// Until the request would begin there, and what that costs others.
     duration begin_delay(worker_state const& worker, work_item const& item,
-                         time_point now) const;
+                         worker_state const* prefix_home, time_point now) const;
     bool usable(worker_state const& worker, work_item const& item,
                 time_point now) const;
     bool sick(worker_state const& worker, time_point now) const;
@@ -359,6 +364,13 @@
         /// At the next best worker of another VM.
         duration next_delay = duration::max();
     };
+    /// The holder of the request's adapter that requests with the same
+    /// beginning of a prompt go to first; null if there is none.
+    worker_state const* prefix_home(work_item const& item,
+                                    time_point now) const;
+    std::optional<backend_entry> prefix_source(work_item const& item,
+                                               worker_state const& on,
+                                               time_point now) const;
     choice best_place(waiting_item const& waiting, bool own_only,
                       worker_state const* except, time_point now);
     double average_taken(time_point now) const;
