--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -166,6 +166,7 @@
     json["granted"] = reply.granted;
     json["grant"] = Json::UInt64(reply.grant);
     json["worker"] = reply.worker.str();
+    json["loads"] = Json::Value(Json::arrayValue);
     for (worker_load const& load : reply.loads)
     {
         Json::Value item(Json::arrayValue);
@@ -183,7 +184,7 @@
 
 bool parse_loads(Json::Value const& json, std::vector<worker_load>& loads)
 {
-    if (!json.isNull() && !json.isArray())
+    if (!json.isArray())
         return false;
     for (Json::Value const& item : json)
     {
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -2,14 +2,16 @@
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
   SOURCES adapter_sightings.cpp reader_choice.cpp reading_pace.cpp relay_request.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
-          service_placing.cpp
+          service_estimate.cpp service_placing.cpp
           service_scheduler.cpp
           worker_adapters.cpp worker_health.cpp worker_reading.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
-  SOURCES reader_choice_test.cpp reading_pace_test.cpp retry_allowance_test.cpp route_table_test.cpp
+  SOURCES adapter_sightings_test.cpp reader_choice_test.cpp reading_pace_test.cpp
+          relay_request_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_copy_test.cpp scheduler_world.cpp
-          service_scheduler_test.cpp worker_adapters_test.cpp worker_health_test.cpp
+          service_load_test.cpp service_scheduler_test.cpp worker_adapters_test.cpp worker_health_test.cpp
+          worker_reading_test.cpp
   LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -127,9 +127,8 @@
     terms.worker = worker.id;
     terms.version = placed.version;
     if (placed.prefix_source)
-        terms.copy_prompt_from =
-            placed.prefix_source->address + ":" +
-            std::to_string(placed.prefix_source->port);
+        terms.copy_prompt_from = placed.prefix_source->address + ":" +
+                                 std::to_string(placed.prefix_source->port);
     terms.time_left =
         std::max<duration>(terms_.give_up_at - sent_at_, milliseconds(1));
     if (terms_.engine)
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -291,8 +291,8 @@
         held_grants_[ask.ticket] = {ask.owner, reply.grant};
     }
     take_loads(reply.loads);
-    bool const used = find(service)->scheduler.on_owner(
-        ask.ticket, outcome, reply.worker, now());
+    bool const used = find(service)->scheduler.on_owner(ask.ticket, outcome,
+                                                        reply.worker, now());
     if (!used && outcome == ask_outcome::granted)
     {
         give_back({ask.owner, reply.grant}, send_outcome::abandoned);
--- /dev/null
+++ b/src/service_estimate.cpp
@@ -0,0 +1,326 @@
+// What is known of workers, and when a request would begin at one; see
+// service_scheduler.hpp.
+#include "service_scheduler.hpp"
+
+#include <algorithm>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A worker is chosen by the time until a request would begin there: the
+/// prompts that it has yet to read, and this for a batch in use as a whole,
+/// whose steps take longer.
+constexpr milliseconds full_batch_delay{100};
+/// Bytes between failure domains cost time and money, so a worker elsewhere is
+/// used when those here are later by as much.
+constexpr milliseconds other_domain_penalty{40};
+/// A worker fails too much when it does so for so much more of its answers
+/// than the average worker of the service, and for so many times as many. A
+/// fault of the service as a whole is no reason to leave any worker: adapters
+/// would be fetched anew elsewhere, for nothing.
+constexpr double sick_margin = 0.2;
+constexpr double sick_multiple = 2;
+/// The share of a batch that a VM may fill at a worker that another VM fills.
+constexpr std::size_t foreign_share = 4;
+/// A worker is crowded when it has so many times as many requests as the
+/// average one, and more than a few: prompts are read one after the other, so
+/// that a first token waits for all of those before it long before the batch
+/// is full. Then other homes are used and second copies loaded.
+constexpr double crowded_multiple = 1.5;
+constexpr double few_requests = 4;
+/// A worker with so much to read is crowded too: a fetch elsewhere takes less.
+constexpr milliseconds longest_queue{300};
+/// What a fetch takes from other requests: a place among those that are sent
+/// at full speed, and an adapter slot.
+constexpr milliseconds fetch_cost{100};
+/// An answer that begins after its objective is worth a third to its caller; a
+/// fetch that saves it from that is worth its cost.
+constexpr milliseconds lateness_cost{500};
+/// A worker that read a prompt's beginning has it still in half of the cases.
+constexpr int prefix_divisor = 2;
+/// Whatever the average, a batch that is so full is crowded. This alone counts
+/// for an adapter that is seldom asked for: it adds little to the crowd, and a
+/// second home costs a fetch.
+constexpr double crowded_share = 0.75;
+/// An adapter that is asked for so often a second is worth a second copy when
+/// the first is busy: at one in three seconds the copy is used before it has to
+/// make way.
+constexpr double hot_rate = 0.3;
+/// A load that another VM told is believed for so long.
+constexpr milliseconds told_load_age{500};
+/// An owner tells the loads of so many of its workers, the least busy first:
+/// enough to choose from, and no more bytes where it has many.
+constexpr std::size_t most_loads_told = 4;
+
+} // namespace
+
+std::size_t service_scheduler::limit_of(worker_state const& worker) const
+{
+    std::size_t const slots = worker.entry.slots;
+    if (!config_.engine || worker.owned)
+        return slots;
+    return std::max<std::size_t>(1, slots / foreign_share);
+}
+
+std::size_t service_scheduler::taken(worker_state const& worker) const
+{
+    return worker.health.outstanding() + worker.granted;
+}
+
+double service_scheduler::load_of(worker_state const& worker,
+                                  time_point now) const
+{
+    double const known = double(taken(worker)) / double(worker.entry.slots);
+    return now < worker.told_until ? std::max(known, worker.told_load) : known;
+}
+
+duration service_scheduler::queue_delay(worker_state const& worker,
+                                        time_point now) const
+{
+    return worker.reading.ahead(now) +
+           duration(static_cast<duration::rep>(
+               load_of(worker, now) *
+               double(duration(full_batch_delay).count())));
+}
+
+bool service_scheduler::usable(worker_state const& worker,
+                               work_item const& item, time_point now) const
+{
+    if (worker.entry.draining || item.excluded.count(worker.entry.id) > 0 ||
+        worker.health.full(now) || taken(worker) >= limit_of(worker))
+        return false;
+    return !worker.health.avoided(now) || worker.health.may_probe(now);
+}
+
+bool service_scheduler::ready_at(worker_state const& worker,
+                                 work_item const& item, time_point now) const
+{
+    return worker.owned && usable(worker, item, now) && !sick(worker, now) &&
+           holds(worker, *item.target, now);
+}
+
+bool service_scheduler::sick(worker_state const& worker, time_point now) const
+{
+    double const share = worker.health.failure_share(now);
+    if (share <= sick_margin)
+        return false;
+    double sum = 0;
+    for (auto const& [id, each] : workers_)
+        sum += each->health.failure_share(now);
+    double const average = sum / double(workers_.size());
+    return share > average + sick_margin && share > sick_multiple * average;
+}
+
+adapter_version service_scheduler::newest_of(model_target const& target) const
+{
+    auto const known = releases_.find(target);
+    return known == releases_.end() ? adapter_version() : known->second.version;
+}
+
+bool service_scheduler::past_grace(model_target const& target,
+                                   time_point now) const
+{
+    auto const known = releases_.find(target);
+    return known != releases_.end() &&
+           now >= known->second.heard_at + settings_.release_grace;
+}
+
+/// Failure: a copy is believed to be newer than it is, after orders whose
+/// answers were lost or came late, and a request begins on the old version long
+/// after the new one was declared. Whatever is believed here, the worker
+/// compares the version itself and refuses a request that names another.
+adapter_version
+service_scheduler::required_version(worker_state const& worker,
+                                    std::optional<model_target> const& target,
+                                    time_point now) const
+{
+    if (!target || !past_grace(*target, now))
+        return {};
+    return std::max(newest_of(*target), worker.adapters.version(*target));
+}
+
+double service_scheduler::average_taken(time_point now) const
+{
+    double sum = 0;
+    double known = 0;
+    for (auto const& [id, worker] : workers_)
+    {
+        if (worker->entry.draining ||
+            (!worker->owned && now >= worker->told_until))
+            continue;
+        sum += load_of(*worker, now) * double(worker->entry.slots);
+        known += 1;
+    }
+    return known == 0 ? 0 : sum / known;
+}
+
+bool service_scheduler::crowded(worker_state const& worker, bool asked_often,
+                                time_point now) const
+{
+    double const load = load_of(worker, now);
+    double const requests = load * double(worker.entry.slots);
+    if (load >= crowded_share)
+        return true;
+    if (worker.reading.ahead(now) > longest_queue)
+        return asked_often;
+    return asked_often && requests > few_requests &&
+           requests > crowded_multiple * average_taken(now) + 1;
+}
+
+/// Failure: a version is declared while a copy of the one before is in use; a
+/// request that begins on the old copy after the bound gets an answer of the
+/// wrong version. An old copy is used for the grace only, and only while the
+/// new one is being loaded; the grace has to last until the request begins,
+/// after the prompts that are ahead of it.
+bool service_scheduler::holds(worker_state const& worker,
+                              model_target const& target, time_point now) const
+{
+    if (worker.owned && worker.adapters.known())
+    {
+        if (target.adapter.empty())
+            return worker.adapters.has_model(target.model);
+        if (worker.adapters.stage(target) != adapter_stage::resident)
+            return false;
+        return !worker.adapters.outdated(target) ||
+               !past_grace(target, now + worker.reading.ahead(now));
+    }
+    for (held_model const& held : worker.entry.models)
+    {
+        if (held.model != target.model)
+            continue;
+        if (target.adapter.empty())
+            return true;
+        auto const copy = held.adapters.find(target.adapter);
+        return copy != held.adapters.end() && copy->second >= newest_of(target);
+    }
+    return false;
+}
+
+/// Load it answers: more adapters in use at once than their homes have slots
+/// for. Some are loaded away from home then; asked for at home again, each
+/// would be fetched once more and take a second slot.
+bool service_scheduler::known_at(worker_state const& worker,
+                                 model_target const& target,
+                                 time_point now) const
+{
+    if (worker.owned && worker.adapters.known())
+        return worker.adapters.stage(target).has_value();
+    if (sightings_.at(target, worker.entry.id, now))
+        return true;
+    return holds(worker, target, now);
+}
+
+/// Each slot is free again after the rest of a request: on average one of them
+/// after a mean request's time over their number.
+duration service_scheduler::slot_wait(std::size_t ahead,
+                                      std::size_t slots) const
+{
+    return mean_service_ * ahead / std::max<std::size_t>(slots, 1);
+}
+
+duration service_scheduler::slot_delay(worker_state const& worker,
+                                       time_point now) const
+{
+    if (!worker.owned)
+        return std::max<duration>(worker.slot_free_at - now, duration(0));
+    if (!config_.engine || worker.adapters.has_room())
+        return duration(0);
+    return slot_wait(worker.queued + 1, config_.engine->adapter_slots);
+}
+
+duration service_scheduler::load_delay(worker_state const& worker,
+                                       model_target const& target,
+                                       time_point now) const
+{
+    return slot_delay(worker, now) + worker.adapters.load_time(target);
+}
+
+duration service_scheduler::begin_delay(worker_state const& worker,
+                                        work_item const& item,
+                                        worker_state const* prefix_home,
+                                        time_point now) const
+{
+    model_target const& target = *item.target;
+    duration delay = queue_delay(worker, now);
+    duration cost{};
+    if (!known_at(worker, target, now))
+    {
+        delay = std::max(delay, load_delay(worker, target, now));
+        if (!worker.adapters.was_here_lately(target))
+            cost += fetch_cost;
+    }
+    else if (worker.owned && worker.adapters.due(target) != never)
+        delay = std::max<duration>(delay, worker.adapters.due(target) - now);
+    if (now + delay + pace_.time_for(item.prompt_tokens) > item.objective_at)
+        cost += lateness_cost;
+    delay += cost;
+    if (worker.entry.domain != settings_.domain)
+        delay += other_domain_penalty;
+    if (&worker == prefix_home)
+        delay -= pace_.time_for(item.prefix.tokens) / prefix_divisor;
+    return delay;
+}
+
+bool service_scheduler::hot(model_target const& target, time_point now) const
+{
+    return demand_.rate(demand_key(target), now) >= hot_rate;
+}
+
+bool service_scheduler::has_reachable_owner(worker_state const& worker,
+                                            time_point now) const
+{
+    auto const owner = owners_.find(worker.entry.id);
+    if (owner == owners_.end())
+        return false;
+    auto const peer = peers_.find(owner->second);
+    return peer == peers_.end() || !peer->second.avoided(now) ||
+           peer->second.may_probe(now);
+}
+
+bool service_scheduler::refused_by(worker_id const& worker,
+                                   waiting_item const& waiting,
+                                   time_point now) const
+{
+    auto const refusal = waiting.said_no.find(worker);
+    return refusal != waiting.said_no.end() && now < refusal->second;
+}
+
+std::vector<worker_load> service_scheduler::loads(time_point now) const
+{
+    std::vector<worker_load> told;
+    for (auto const& [id, worker] : workers_)
+        if (worker->owned && !worker->entry.draining &&
+            !worker->health.avoided(now) && !sick(*worker, now))
+            told.push_back({id, load_of(*worker, now),
+                            worker->reading.ahead(now),
+                            slot_delay(*worker, now)});
+    std::sort(told.begin(), told.end(),
+              [](worker_load const& one, worker_load const& other) {
+                  return one.reading + one.slot_wait <
+                         other.reading + other.slot_wait;
+              });
+    if (told.size() > most_loads_told)
+        told.resize(most_loads_told);
+    return told;
+}
+
+void service_scheduler::on_loads(std::vector<worker_load> const& loads,
+                                 time_point now)
+{
+    for (worker_load const& load : loads)
+    {
+        worker_state* const worker = find(load.worker);
+        if (worker == nullptr || worker->owned)
+            continue;
+        worker->told_load = load.batch;
+        worker->told_until = now + told_load_age;
+        worker->reading.told(load.reading, now);
+        worker->slot_free_at = now + load.slot_wait;
+    }
+}
+
+} // namespace mulberry
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <tuple>
 #include <utility>
 
 namespace mulberry
@@ -14,10 +13,6 @@
 
 using std::chrono::milliseconds;
 
-/// A worker is chosen by the time until a request would begin there: the
-/// prompts that it has yet to read, and this for a batch in use as a whole,
-/// whose steps take longer.
-constexpr milliseconds full_batch_delay{100};
 /// Bytes between failure domains cost time and money, so a worker elsewhere is
 /// used when those here are later by as much.
 constexpr milliseconds other_domain_penalty{40};
@@ -26,27 +21,6 @@
 constexpr milliseconds other_owner_penalty{30};
 /// Longer than any queue: a worker that fails is used when there is no other.
 constexpr milliseconds sick_penalty{60'000};
-/// A worker fails too much when it does so for so much more of its answers
-/// than the average worker of the service, and for so many times as many. A
-/// fault of the service as a whole is no reason to leave any worker: adapters
-/// would be fetched anew elsewhere, for nothing.
-constexpr double sick_margin = 0.2;
-constexpr double sick_multiple = 2;
-/// The share of a batch that a VM may fill at a worker that another VM fills.
-constexpr std::size_t foreign_share = 4;
-/// A worker is crowded when it has so many times as many requests as the
-/// average one, and more than a few: prompts are read one after the other, so
-/// that a first token waits for all of those before it long before the batch
-/// is full. Then other homes are used and second copies loaded.
-constexpr double crowded_multiple = 1.5;
-constexpr double few_requests = 4;
-constexpr milliseconds longest_queue{300};
-/// What a fetch takes from other requests: a place among those that are sent
-/// at full speed, and an adapter slot.
-constexpr milliseconds fetch_cost{100};
-/// An answer that begins after its objective is worth a third to its caller; a
-/// fetch that saves it from that is worth its cost.
-constexpr milliseconds lateness_cost{500};
 /// A worker that read a prompt's beginning has it still in half of the cases.
 constexpr int prefix_divisor = 2;
 /// An adapter's home is likely to have kept a copy of it, which loads in a
@@ -55,16 +29,6 @@
 /// An owner that would begin a request so much later than another worker says
 /// no: asking costs the way there and back twice.
 constexpr milliseconds elsewhere_margin{60};
-/// Whatever the average, a batch that is so full is crowded. This alone counts
-/// for an adapter that is seldom asked for: it adds little to the crowd, and a
-/// second home costs a fetch.
-constexpr double crowded_share = 0.75;
-/// An adapter that callers of this VM ask for so often has a home in the VM's
-/// own failure domain; a rarer one has one home for all domains. A copy more
-/// costs a fetch from the weight store and later ones; a request that crosses
-/// domains costs its few kilobytes there. At a rate of one in three seconds
-/// the bytes outweigh the fetch within some ten seconds.
-constexpr double local_home_rate = 0.3;
 /// After so many owners said no, a request is served by whatever is here.
 constexpr std::size_t most_refusals = 4;
 /// A home whose slots are all in use is waited for while one is expected to be
@@ -76,141 +40,6 @@
 
 } // namespace
 
-std::size_t service_scheduler::limit_of(worker_state const& worker) const
-{
-    std::size_t const slots = worker.entry.slots;
-    if (!config_.engine || worker.owned)
-        return slots;
-    return std::max<std::size_t>(1, slots / foreign_share);
-}
-
-std::size_t service_scheduler::taken(worker_state const& worker) const
-{
-    return worker.health.outstanding() + worker.granted;
-}
-
-double service_scheduler::load_of(worker_state const& worker,
-                                  time_point now) const
-{
-    double const known = double(taken(worker)) / double(worker.entry.slots);
-    return now < worker.told_until ? std::max(known, worker.told_load) : known;
-}
-
-duration service_scheduler::queue_delay(worker_state const& worker,
-                                        time_point now) const
-{
-    return worker.reading.ahead(now) +
-           duration(static_cast<duration::rep>(
-               load_of(worker, now) *
-               double(duration(full_batch_delay).count())));
-}
-
-bool service_scheduler::usable(worker_state const& worker,
-                               work_item const& item, time_point now) const
-{
-    if (worker.entry.draining || item.excluded.count(worker.entry.id) > 0 ||
-        worker.health.full(now) || taken(worker) >= limit_of(worker))
-        return false;
-    return !worker.health.avoided(now) || worker.health.may_probe(now);
-}
-
-bool service_scheduler::sick(worker_state const& worker, time_point now) const
-{
-    double const share = worker.health.failure_share(now);
-    if (share <= sick_margin)
-        return false;
-    double sum = 0;
-    for (auto const& [id, each] : workers_)
-        sum += each->health.failure_share(now);
-    double const average = sum / double(workers_.size());
-    return share > average + sick_margin && share > sick_multiple * average;
-}
-
-adapter_version service_scheduler::newest_of(model_target const& target) const
-{
-    auto const known = releases_.find(target);
-    return known == releases_.end() ? adapter_version() : known->second.version;
-}
-
-bool service_scheduler::past_grace(model_target const& target,
-                                   time_point now) const
-{
-    auto const known = releases_.find(target);
-    return known != releases_.end() &&
-           now >= known->second.heard_at + settings_.release_grace;
-}
-
-/// Failure: a copy is believed to be newer than it is, after orders whose
-/// answers were lost or came late, and a request begins on the old version long
-/// after the new one was declared. Whatever is believed here, the worker
-/// compares the version itself and refuses a request that names another.
-adapter_version
-service_scheduler::required_version(worker_state const& worker,
-                                    std::optional<model_target> const& target,
-                                    time_point now) const
-{
-    if (!target || !past_grace(*target, now))
-        return {};
-    return std::max(newest_of(*target), worker.adapters.version(*target));
-}
-
-double service_scheduler::average_taken(time_point now) const
-{
-    double sum = 0;
-    double known = 0;
-    for (auto const& [id, worker] : workers_)
-    {
-        if (worker->entry.draining ||
-            (!worker->owned && now >= worker->told_until))
-            continue;
-        sum += load_of(*worker, now) * double(worker->entry.slots);
-        known += 1;
-    }
-    return known == 0 ? 0 : sum / known;
-}
-
-bool service_scheduler::crowded(worker_state const& worker, bool popular,
-                                time_point now) const
-{
-    double const load = load_of(worker, now);
-    double const requests = load * double(worker.entry.slots);
-    if (load >= crowded_share)
-        return true;
-    if (worker.reading.ahead(now) > longest_queue)
-        return popular;
-    return popular && requests > few_requests &&
-           requests > crowded_multiple * average_taken(now) + 1;
-}
-
-/// Failure: a version is declared while a copy of the one before is in use; a
-/// request that begins on the old copy after the bound gets an answer of the
-/// wrong version. An old copy is used for the grace only, and only while the
-/// new one is being loaded; the grace has to last until the request begins,
-/// after the prompts that are ahead of it.
-bool service_scheduler::holds(worker_state const& worker,
-                              model_target const& target, time_point now) const
-{
-    if (worker.owned && worker.adapters.known())
-    {
-        if (target.adapter.empty())
-            return worker.adapters.has_model(target.model);
-        if (worker.adapters.stage(target) != adapter_stage::resident)
-            return false;
-        return !worker.adapters.outdated(target) ||
-               !past_grace(target, now + worker.reading.ahead(now));
-    }
-    for (held_model const& held : worker.entry.models)
-    {
-        if (held.model != target.model)
-            continue;
-        if (target.adapter.empty())
-            return true;
-        auto const copy = held.adapters.find(target.adapter);
-        return copy != held.adapters.end() && copy->second >= newest_of(target);
-    }
-    return false;
-}
-
 service_scheduler::worker_state*
 service_scheduler::best_holder(waiting_item const& waiting, time_point now)
 {
@@ -240,14 +69,6 @@
     return best;
 }
 
-/// Each slot is free again after the rest of a request: on average one of them
-/// after a mean request's time over their number.
-duration service_scheduler::slot_wait(std::size_t ahead,
-                                      std::size_t slots) const
-{
-    return mean_service_ * ahead / std::max<std::size_t>(slots, 1);
-}
-
 /// Load it answers: many rare adapters at once, more of them at some homes than
 /// those have slots for, or one adapter that more ask for than a batch holds.
 /// Homes are chosen by hash, so a few have queues of seconds while others have
@@ -290,17 +111,6 @@
     return has_reachable_owner(worker, now);
 }
 
-bool service_scheduler::has_reachable_owner(worker_state const& worker,
-                                            time_point now) const
-{
-    auto const owner = owners_.find(worker.entry.id);
-    if (owner == owners_.end())
-        return false;
-    auto const peer = peers_.find(owner->second);
-    return peer == peers_.end() || !peer->second.avoided(now) ||
-           peer->second.may_probe(now);
-}
-
 /// Load it answers: a VM is gone or cut off with the workers that it orders, a
 /// third of all. What they hold goes on being used; only loads have to wait for
 /// another owner.
@@ -313,74 +123,11 @@
            holds(worker, *item.target, now);
 }
 
-/// Load it answers: more adapters in use at once than their homes have slots
-/// for. Some are loaded away from home then; asked for at home again, each
-/// would be fetched once more and take a second slot.
-bool service_scheduler::known_at(worker_state const& worker,
-                                 model_target const& target,
-                                 time_point now) const
-{
-    if (worker.owned && worker.adapters.known())
-        return worker.adapters.stage(target).has_value();
-    if (sightings_.at(target, worker.entry.id, now))
-        return true;
-    return holds(worker, target, now);
-}
-
-bool service_scheduler::popular(model_target const& target,
-                                time_point now) const
-{
-    return own_demand_.rate(demand_key(target), now) >= local_home_rate;
-}
-
-bool service_scheduler::hot(model_target const& target, time_point now) const
-{
-    return demand_.rate(demand_key(target), now) >= local_home_rate;
-}
-
-duration service_scheduler::slot_delay(worker_state const& worker,
-                                       time_point now) const
-{
-    if (!worker.owned)
-        return std::max<duration>(worker.slot_free_at - now, duration(0));
-    if (!config_.engine || worker.adapters.has_room())
-        return duration(0);
-    return slot_wait(worker.queued + 1, config_.engine->adapter_slots);
-}
-
-duration service_scheduler::load_delay(worker_state const& worker,
-                                       model_target const& target,
-                                       time_point now) const
-{
-    return slot_delay(worker, now) + worker.adapters.load_time(target);
-}
-
-duration service_scheduler::begin_delay(worker_state const& worker,
-                                        work_item const& item,
-                                        worker_state const* prefix_home,
-                                        time_point now) const
-{
-    model_target const& target = *item.target;
-    duration delay = queue_delay(worker, now);
-    duration cost{};
-    if (!known_at(worker, target, now))
-    {
-        delay = std::max(delay, load_delay(worker, target, now));
-        if (!worker.adapters.was_here_lately(target))
-            cost += fetch_cost;
-    }
-    else if (worker.owned && worker.adapters.due(target) != never)
-        delay = std::max<duration>(delay, worker.adapters.due(target) - now);
-    if (now + delay + pace_.time_for(item.prompt_tokens) > item.objective_at)
-        cost += lateness_cost;
-    delay += cost;
-    if (worker.entry.domain != settings_.domain)
-        delay += other_domain_penalty;
-    if (&worker == prefix_home)
-        delay -= pace_.time_for(item.prefix.tokens) / prefix_divisor;
-    return delay;
-}
-
+/// Load it answers: prompts with a long beginning in common, more of them than
+/// one worker can read. An engine keeps what it has read for as long as memory
+/// lasts; requests with the same beginning go to the same holder of their
+/// adapter, by rendezvous hashing, and where another begins sooner the
+/// beginning is copied from there.
 service_scheduler::worker_state const*
 service_scheduler::prefix_home(work_item const& item, time_point now) const
 {
@@ -430,10 +177,8 @@
     {
         if (worker.get() == except || (own_only && !worker->owned))
             continue;
-        bool const ready = worker->owned && usable(*worker, item, now) &&
-                           !sick(*worker, now) &&
-                           holds(*worker, *item.target, now);
-        if (!ready && !may_load_at(*worker, waiting, now) &&
+        if (!ready_at(*worker, item, now) &&
+            !may_load_at(*worker, waiting, now) &&
             !may_send_unasked(*worker, item, now))
             continue;
         candidates.push_back(worker.get());
@@ -497,11 +242,10 @@
     }
     ++(on.owned ? loaded ? counts_.placed_after_load : counts_.placed_resident
                 : counts_.placed_elsewhere);
-    actions_.push_back(
-        place_request{item.ticket, on.entry.id, on.entry,
-                      on.owned ? loaded ? "loaded" : "resident" : "listed",
-                      required_version(on, item.target, now),
-                      prefix_source(item, on, now)});
+    actions_.push_back(place_request{
+        item.ticket, on.entry.id, on.entry,
+        on.owned ? loaded ? "loaded" : "resident" : "listed",
+        required_version(on, item.target, now), prefix_source(item, on, now)});
     note_send(on, item, std::move(sent), now);
 }
 
@@ -538,34 +282,18 @@
         sick(*worker, now))
         return verdict::hopeless;
     model_target const& target = *waiting.item.target;
-    time_point const latest = waiting.item.begins_elsewhere_at == never
-                                  ? never
-                                  : waiting.item.begins_elsewhere_at +
-                                        duration(elsewhere_margin);
-    if (worker_state* const holder = own_holder(waiting, now))
-    {
-        if (waiting.loads_at.empty() &&
-            now + queue_delay(*holder, now) > latest)
-            return verdict::hopeless;
-        spread_load(*holder, waiting, now);
-        place(waiting, *holder, now);
-        leave_wait(waiting);
-        return verdict::placed;
-    }
-    if (!waiting.loads_at.empty())
-    {
-        worker_state* const loading = find(waiting.loads_at);
-        if (loading != nullptr && goes_on_waiting(*loading, waiting, now))
-        {
-            ++loading->queued;
-            return verdict::waits;
-        }
-        leave_wait(waiting);
-    }
+    time_point const latest =
+        waiting.item.begins_elsewhere_at == never
+            ? never
+            : waiting.item.begins_elsewhere_at + duration(elsewhere_margin);
+    if (auto const decided = go_on(waiting, now))
+        return *decided;
     choice const best = best_place(waiting, true, nullptr, now);
     if (best.worker == nullptr || now + best.delay > latest ||
         !best.worker->adapters.synced())
         return verdict::hopeless;
+    if (ready_at(*best.worker, waiting.item, now))
+        return use_holder(waiting, *best.worker, now);
     if (holds(*best.worker, target, now))
     {
         ++best.worker->queued;
@@ -574,6 +302,39 @@
     return wait_at(waiting, *best.worker, now);
 }
 
+/// Failure: an adapter is fetched because its holder has seconds of prompts to
+/// read; asked again a moment later, the request goes to that holder all the
+/// same, and is late beside a copy that nobody uses.
+std::optional<service_scheduler::verdict>
+service_scheduler::go_on(waiting_item& waiting, time_point now)
+{
+    if (waiting.loads_at.empty())
+        return std::nullopt;
+    worker_state* const loading = find(waiting.loads_at);
+    if (loading == nullptr || !goes_on_waiting(*loading, waiting, now))
+    {
+        leave_wait(waiting);
+        return std::nullopt;
+    }
+    worker_state* const holder = own_holder(waiting, now);
+    worker_state const* const home = prefix_home(waiting.item, now);
+    if (holder != nullptr && begin_delay(*holder, waiting.item, home, now) <=
+                                 begin_delay(*loading, waiting.item, home, now))
+        return use_holder(waiting, *holder, now);
+    ++loading->queued;
+    return verdict::waits;
+}
+
+service_scheduler::verdict service_scheduler::use_holder(waiting_item& waiting,
+                                                         worker_state& holder,
+                                                         time_point now)
+{
+    spread_load(holder, waiting, now);
+    place(waiting, holder, now);
+    leave_wait(waiting);
+    return verdict::placed;
+}
+
 service_scheduler::verdict service_scheduler::wait_at(waiting_item& waiting,
                                                       worker_state& worker,
                                                       time_point now)
@@ -622,12 +383,12 @@
     worker_state const* const prefers = prefix_home(waiting.item, now);
     for (auto& [id, worker] : workers_)
     {
-        if (!worker->owned || !usable(*worker, waiting.item, now) ||
-            sick(*worker, now) || !holds(*worker, target, now))
+        if (!ready_at(*worker, waiting.item, now))
             continue;
         duration delay = queue_delay(*worker, now);
         if (worker.get() == prefers)
-            delay -= pace_.time_for(waiting.item.prefix.tokens) / prefix_divisor;
+            delay -=
+                pace_.time_for(waiting.item.prefix.tokens) / prefix_divisor;
         std::pair<bool, duration> const cost{worker->adapters.outdated(target),
                                              delay};
         if (best != nullptr && cost >= least)
@@ -653,22 +414,8 @@
                                   time_point now)
 {
     model_target const& target = *waiting.item.target;
-    if (!waiting.loads_at.empty())
-    {
-        if (worker_state* const holder = own_holder(waiting, now))
-        {
-            place(waiting, *holder, now);
-            leave_wait(waiting);
-            return verdict::placed;
-        }
-        worker_state* const loading = find(waiting.loads_at);
-        if (loading != nullptr && goes_on_waiting(*loading, waiting, now))
-        {
-            ++loading->queued;
-            return verdict::waits;
-        }
-        leave_wait(waiting);
-    }
+    if (auto const decided = go_on(waiting, now))
+        return *decided;
     std::erase_if(waiting.said_no,
                   [now](auto const& each) { return each.second <= now; });
     bool const tired = waiting.said_no.size() >= most_refusals;
@@ -683,13 +430,8 @@
         ask(waiting, key, best, now);
         return verdict::asked;
     }
-    if (best.worker != nullptr && usable(*best.worker, waiting.item, now) &&
-        holds(*best.worker, target, now))
-    {
-        spread_load(*best.worker, waiting, now);
-        place(waiting, *best.worker, now);
-        return verdict::placed;
-    }
+    if (best.worker != nullptr && ready_at(*best.worker, waiting.item, now))
+        return use_holder(waiting, *best.worker, now);
     if (best.worker != nullptr)
         return wait_at(waiting, *best.worker, now);
     // Nobody can be asked and nothing loaded: whoever lists the adapter.
@@ -700,7 +442,7 @@
     }
     // Failure: a VM that orders no worker is told by four owners that they are
     // busy, and rejects for seconds what they could take a moment later.
-    if (!waiting.said_no.empty())
+    if (may_ask_again(waiting, now))
         return verdict::waits;
     bool const own_may_later =
         std::any_of(workers_.begin(), workers_.end(),
@@ -715,12 +457,17 @@
     return own_may_later ? verdict::waits : verdict::hopeless;
 }
 
-bool service_scheduler::refused_by(worker_id const& worker,
-                                   waiting_item const& waiting,
-                                   time_point now) const
+bool service_scheduler::may_ask_again(waiting_item const& waiting,
+                                      time_point now) const
 {
-    auto const refusal = waiting.said_no.find(worker);
-    return refusal != waiting.said_no.end() && now < refusal->second;
+    return std::any_of(waiting.said_no.begin(), waiting.said_no.end(),
+                       [&](auto const& refusal)
+                       {
+                           auto const known = workers_.find(refusal.first);
+                           return known != workers_.end() &&
+                                  !known->second->entry.draining &&
+                                  has_reachable_owner(*known->second, now);
+                       });
 }
 
 void service_scheduler::ask(waiting_item& waiting, queue_key const& key,
@@ -736,13 +483,13 @@
     // Failure: every VM knows the others' workers from a while ago. Each owner
     // says no for the sake of the next one, and the request is served by none.
     bool const first_ask = waiting.said_no.empty();
-    time_point const elsewhere =
-        first_ask && best.next_delay != duration::max()
-            ? now + best.next_delay
-            : never;
+    time_point const elsewhere = first_ask && best.next_delay != duration::max()
+                                     ? now + best.next_delay
+                                     : never;
     actions_.push_back(ask_owner{item.ticket, owner, worker, *item.target,
                                  item.priority, item.give_up_at, item.excluded,
-                                 item.prompt_tokens, item.prefix, item.objective_at, elsewhere});
+                                 item.prompt_tokens, item.prefix,
+                                 item.objective_at, elsewhere});
     asked_.insert_or_assign(item.ticket,
                             asked_item{waiting, key, owner, worker, now});
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -14,14 +14,9 @@
 /// of the time that it has left: the rest is for the answer itself, and for
 /// the caller to come back elsewhere.
 constexpr double wait_share = 0.5;
-/// A load that another VM told is believed for so long.
-constexpr milliseconds told_load_age{500};
 /// What an owner refused, it is asked for again after this: by then some of
 /// what its workers were busy with is over.
 constexpr milliseconds refusal_valid{500};
-/// An owner tells the loads of so many of its workers, the least busy first:
-/// enough to choose from, and no more bytes where it has many.
-constexpr std::size_t most_loads_told = 4;
 /// An owner that has begun to answer does so in the end once the adapter is
 /// loaded, which takes several times longer than usual while many are fetched.
 constexpr milliseconds owner_answers{2000};
@@ -133,14 +128,10 @@
 void service_scheduler::submit(work_item item, time_point now)
 {
     if (item.target && !item.target->adapter.empty() && item.excluded.empty())
-    {
         demand_.observe(demand_key(*item.target), now);
-        if (!item.asked_for)
-            own_demand_.observe(demand_key(*item.target), now);
-    }
     queue_key const key{item.priority, ++last_number_};
     waiting_.emplace(item.ticket, key);
-    queue_.emplace(key, waiting_item{std::move(item), {}});
+    queue_.emplace(key, waiting_item{std::move(item), {}, {}});
 }
 
 void service_scheduler::leave_wait(waiting_item& waiting)
@@ -283,8 +274,7 @@
 }
 
 bool service_scheduler::on_owner(ticket_id ticket, ask_outcome outcome,
-                                 worker_id const& granted,
-                                 time_point now)
+                                 worker_id const& granted, time_point now)
 {
     auto const found = asked_.find(ticket);
     if (found == asked_.end())
@@ -326,40 +316,6 @@
     return false;
 }
 
-std::vector<worker_load> service_scheduler::loads(time_point now) const
-{
-    std::vector<worker_load> told;
-    for (auto const& [id, worker] : workers_)
-        if (worker->owned && !worker->entry.draining &&
-            !worker->health.avoided(now) && !sick(*worker, now))
-            told.push_back({id, load_of(*worker, now),
-                            worker->reading.ahead(now),
-                            slot_delay(*worker, now)});
-    std::sort(told.begin(), told.end(),
-              [](worker_load const& one, worker_load const& other) {
-                  return one.reading + one.slot_wait <
-                         other.reading + other.slot_wait;
-              });
-    if (told.size() > most_loads_told)
-        told.resize(most_loads_told);
-    return told;
-}
-
-void service_scheduler::on_loads(std::vector<worker_load> const& loads,
-                                 time_point now)
-{
-    for (worker_load const& load : loads)
-    {
-        worker_state* const worker = find(load.worker);
-        if (worker == nullptr || worker->owned)
-            continue;
-        worker->told_load = load.batch;
-        worker->told_until = now + told_load_age;
-        worker->reading.told(load.reading, now);
-        worker->slot_free_at = now + load.slot_wait;
-    }
-}
-
 void service_scheduler::note_send(worker_state& worker, work_item const& item,
                                   sent_item sent, time_point now)
 {
@@ -492,7 +448,7 @@
         if (unsynced)
             worker->adapters.report_asked();
         bool const probes =
-            worker->health.avoided(now) && worker->health.may_probe(now);
+            worker->health.unreached(now) && worker->health.may_probe(now);
         if (probes)
             worker->health.probed(now);
         if (unsynced || probes)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -325,6 +325,9 @@
                          worker_state const* prefix_home, time_point now) const;
     bool usable(worker_state const& worker, work_item const& item,
                 time_point now) const;
+    /// A worker of this VM that has the adapter and room.
+    bool ready_at(worker_state const& worker, work_item const& item,
+                  time_point now) const;
     bool sick(worker_state const& worker, time_point now) const;
     double load_of(worker_state const& worker, time_point now) const;
     std::size_t taken(worker_state const& worker) const;
@@ -342,6 +345,8 @@
                          waiting_item const& waiting, time_point now) const;
     bool worth_waiting(worker_state const& worker, work_item const& item,
                        time_point now) const;
+    /// Whether an owner that said no may say yes a moment later.
+    bool may_ask_again(waiting_item const& waiting, time_point now) const;
     bool refused_by(worker_id const& worker, waiting_item const& waiting,
                     time_point now) const;
     /// Whether some VM can be asked for room at the worker.
@@ -374,12 +379,15 @@
     choice best_place(waiting_item const& waiting, bool own_only,
                       worker_state const* except, time_point now);
     double average_taken(time_point now) const;
-    bool crowded(worker_state const& worker, bool popular,
+    bool crowded(worker_state const& worker, bool asked_often,
                  time_point now) const;
-    /// Asked for often by this VM's callers.
-    bool popular(model_target const& target, time_point now) const;
     /// Asked for often by all that come to this VM's workers.
     bool hot(model_target const& target, time_point now) const;
+    /// Goes on waiting for a load that has begun, or begins at a holder that is
+    /// sooner; nothing if the request waits for no load.
+    std::optional<verdict> go_on(waiting_item& waiting, time_point now);
+    verdict use_holder(waiting_item& waiting, worker_state& holder,
+                       time_point now);
     worker_state* own_holder(waiting_item const& waiting, time_point now);
     verdict decide_asked(waiting_item& waiting, time_point now);
     verdict wait_at(waiting_item& waiting, worker_state& worker,
@@ -415,8 +423,6 @@
     std::map<model_target, release> releases_;
     /// Of this VM's callers and of the VMs that ask it.
     adapter_demand demand_;
-    /// Of this VM's callers alone.
-    adapter_demand own_demand_;
     adapter_sightings sightings_;
     std::vector<placement_action> actions_;
     std::vector<time_point> weight_loads_;
--- a/src/worker_health.cpp
+++ b/src/worker_health.cpp
@@ -80,10 +80,11 @@
     }
 }
 
-/// Failure: a worker goes dark, and the VM that orders it sends it nothing of
-/// its own. It grants one request after the other, each of which waits for a
-/// connection that is never made. One VM that cannot reach a worker proves
-/// little; the second in a row does.
+/// What other VMs tell counts for a while: without it nobody would ask for the
+/// worker again to find out. Failure: a worker goes dark, and the VM that
+/// orders it sends it nothing of its own. It grants one request after the
+/// other, each of which waits for a connection that is never made. One VM that
+/// cannot reach a worker proves little; the second in a row does.
 void worker_health::told(send_outcome outcome, time_point now)
 {
     switch (outcome)
@@ -98,6 +99,7 @@
     case send_outcome::silent:
         if (++told_failures_in_a_row_ >= told_failures_that_count)
             avoid(told_failures_in_a_row_, now);
+        told_until_ = now + longest_avoid;
         return;
     case send_outcome::full:
     case send_outcome::not_held:
@@ -109,7 +111,6 @@
 void worker_health::reached(time_point now)
 {
     failures_in_a_row_ = 0;
-    told_failures_in_a_row_ = 0;
     last_byte_ = now;
 }
 
@@ -139,9 +140,14 @@
 /// first, and the rest follow once it was answered.
 bool worker_health::avoided(time_point now) const
 {
-    return failures_in_a_row_ > 0 ||
-           told_failures_in_a_row_ >= told_failures_that_count ||
-           now >= silent_at();
+    return unreached(now) ||
+           (told_failures_in_a_row_ >= told_failures_that_count &&
+            now < told_until_);
+}
+
+bool worker_health::unreached(time_point now) const
+{
+    return failures_in_a_row_ > 0 || now >= silent_at();
 }
 
 bool worker_health::may_probe(time_point now) const
--- a/src/worker_health.hpp
+++ b/src/worker_health.hpp
@@ -49,10 +49,13 @@
     void told(send_outcome outcome, time_point now);
 
     std::size_t outstanding() const { return pending_total_; }
+    /// This VM itself could not reach it, or heard nothing from it.
+    bool unreached(time_point now) const;
     /// Could not be reached, or left everything unanswered for too long, and
     /// has answered nothing since.
     bool avoided(time_point now) const;
-    /// It answered a question of another kind: it can be reached after all.
+    /// It answered this VM a question of another kind: this VM can reach it
+    /// after all.
     void reached(time_point now);
     /// May be tried with one request although it is avoided.
     bool may_probe(time_point now) const;
@@ -89,6 +92,7 @@
     int failures_in_a_row_ = 0;
     /// Of other VMs' requests.
     int told_failures_in_a_row_ = 0;
+    time_point told_until_{};
     double failure_share_ = 0;
     time_point judged_at_{};
     duration mean_first_byte_ = std::chrono::milliseconds(50);
--- a/tests/peer_ask_test.cpp
+++ b/tests/peer_ask_test.cpp
@@ -25,7 +25,10 @@
                         1500ms,
                         request_id("r1"),
                         {worker_id("w3"), worker_id("w4")},
-                        9190};
+                        9190,
+                        {77, 6300},
+                        540ms,
+                        320ms};
     call.done = {{7, send_outcome::served}, {8, send_outcome::silent}};
     CHECK(decode_peer_call(body_of(encode_peer_call(call, "vm"))) == call);
     call.ask.reset();
@@ -35,7 +38,11 @@
 
 TEST_CASE("a reply comes back as it was", "[peer_ask]")
 {
-    peer_reply const reply{true, 41, worker_id("w2"), 0.5};
+    peer_reply const reply{true,
+                           41,
+                           worker_id("w2"),
+                           {{worker_id("w2"), 0.5, 120ms, 0ms},
+                            {worker_id("w3"), 0.25, 0ms, 80ms}}};
     CHECK(decode_peer_reply(encode_peer_reply(reply)) == reply);
 }
 
@@ -46,6 +53,8 @@
           "{\"done\":[[1]]}", "{\"done\":[[-1,0]]}", "{\"done\":[[1,99]]}",
           "nonsense"})
         CHECK_FALSE(decode_peer_call(text));
-    for (char const* text : {"", "{}", "{\"granted\":1}", "{\"granted\":true}"})
+    for (char const* text : {"", "{}", "{\"granted\":1}", "{\"granted\":true}",
+                             "{\"granted\":true,\"loads\":[1]}",
+                             "{\"granted\":true,\"loads\":[[\"w\",1,2]]}"})
         CHECK_FALSE(decode_peer_reply(text));
 }
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -226,7 +226,9 @@
         times_.emplace(placed->ticket, now);
         versions_.emplace(placed->ticket, placed->version);
         order_.push_back(placed->ticket);
-        scheduler.first_byte(placed->ticket, now);
+        sources_.emplace(placed->ticket, placed->prefix_source);
+        if (begins_at_once)
+            scheduler.first_byte(placed->ticket, now);
     }
     else if (auto const* granted = std::get_if<grant_ask>(&action))
         granted_.emplace(granted->ticket, granted->worker);
@@ -235,8 +237,11 @@
     else if (auto const* ask = std::get_if<ask_owner>(&action))
         asks_.push_back(*ask);
     else if (auto const* report = std::get_if<ask_report>(&action))
-        scheduler.on_report(report->worker, workers.at(report->worker).report(),
-                            now);
+        scheduler.on_report(
+            report->worker,
+            reports ? std::optional(workers.at(report->worker).report())
+                    : std::nullopt,
+            now);
     else if (auto const* order = std::get_if<give_order>(&action))
     {
         order_outcome const outcome =
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -71,6 +71,9 @@
     /// Another VM's request for room at a worker.
     ticket_id ask_for_peer(std::string const& adapter, std::size_t worker,
                            std::set<worker_id> excluded = {});
+    /// A request as it is; target, ticket and times are filled in.
+    ticket_id submit(work_item item, std::string const& adapter,
+                     duration time_left = std::chrono::seconds(5));
     /// Runs the scheduler and answers orders and reports until `span` is over.
     void run(duration span);
     void end(ticket_id ticket, send_outcome outcome = send_outcome::served);
@@ -93,6 +96,10 @@
     }
     std::vector<ticket_id> const& order_of_placing() const { return order_; }
     std::vector<ask_owner> const& asks() const { return asks_; }
+    backend_entry prefix_source(ticket_id ticket) const
+    {
+        return sources_.at(ticket).value_or(backend_entry());
+    }
     time_point placed_at(ticket_id ticket) const { return times_.at(ticket); }
 
     static worker_id name(std::size_t number);
@@ -101,6 +108,10 @@
     void own_all();
 
     time_point now{std::chrono::hours(1)};
+    /// Whether a request that is placed begins its answer in the same moment.
+    bool begins_at_once = true;
+    /// Whether workers answer questions for their reports.
+    bool reports = true;
     service_config config;
     std::map<worker_id, scripted_worker> workers;
     std::set<worker_id> draining;
@@ -108,8 +119,6 @@
     service_scheduler scheduler;
 
 private:
-    ticket_id submit(work_item item, std::string const& adapter,
-                     duration time_left);
     void carry_out(placement_action const& action);
 
     std::size_t batch_slots_;
@@ -119,6 +128,7 @@
     std::map<ticket_id, worker_id> granted_;
     std::map<ticket_id, time_point> times_;
     std::map<ticket_id, adapter_version> versions_;
+    std::map<ticket_id, std::optional<backend_entry>> sources_;
     std::map<ticket_id, refuse_request> refused_;
     std::vector<ticket_id> order_;
     std::vector<ask_owner> asks_;
--- /dev/null
+++ b/tests/service_load_test.cpp
@@ -0,0 +1,295 @@
+// The scheduler under the loads that its decisions answer, replayed.
+#include "scheduler_world.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace mulberry::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Takes a worker two seconds at the pace that is assumed at first.
+constexpr std::uint32_t long_prompt = 20'000;
+constexpr std::uint32_t short_prompt = 500;
+
+work_item item_of(std::uint32_t tokens)
+{
+    work_item item;
+    item.prompt_tokens = tokens;
+    return item;
+}
+
+/// Two workers of this VM hold the adapter.
+struct two_holders : scheduler_world
+{
+    two_holders() : scheduler_world(2)
+    {
+        for (std::size_t const other : {0, 1})
+        {
+            draining = {name(other)};
+            list_all();
+            ticket_id const ticket = ask("a1");
+            run(400ms);
+            end(ticket);
+        }
+        draining.clear();
+        list_all();
+        begins_at_once = false;
+    }
+};
+
+/// The first worker is this VM's, the second another's.
+struct shared_world : scheduler_world
+{
+    shared_world() : scheduler_world(2)
+    {
+        scheduler.set_grants({{name(0), grants.at(name(0))}});
+        scheduler.set_owners({{name(1), vm_id("vm-2")}});
+    }
+};
+
+/// An adapter whose home by hashing is that worker, of so many.
+std::string adapter_at_home(std::size_t worker, std::size_t workers)
+{
+    for (int number = 0;; ++number)
+    {
+        std::string const adapter = "h" + std::to_string(number);
+        scheduler_world world(workers);
+        ticket_id const ticket = world.ask(adapter);
+        world.run(300ms);
+        if (world.worker_of(ticket) == scheduler_world::name(worker))
+            return adapter;
+    }
+}
+
+} // namespace
+
+// A prompt of two seconds is being read at one worker. Counted as requests the
+// two workers look the same; a short prompt sent behind the long one would
+// begin two seconds late, and begins at once at the other.
+TEST_CASE("a short prompt is not sent behind a long one", "[load]")
+{
+    scheduler_world world(2);
+    ticket_id const one = world.ask("", 0, 5s);
+    world.run(5ms);
+    world.end(one);
+    world.begins_at_once = false;
+    ticket_id const heavy = world.submit(item_of(long_prompt), "");
+    world.run(5ms);
+    ticket_id const quick = world.submit(item_of(short_prompt), "");
+    ticket_id const third = world.submit(item_of(short_prompt), "");
+    world.run(5ms);
+    REQUIRE(world.placed(third));
+    CHECK(world.worker_of(quick) != world.worker_of(heavy));
+    CHECK(world.worker_of(third) != world.worker_of(heavy));
+}
+
+// The only holder of an adapter has seconds of prompts to read. A request that
+// waited behind them would be late; a copy is fetched at an idle worker, which
+// takes a quarter of a second.
+TEST_CASE("an adapter is fetched where its holder would begin too late",
+          "[load]")
+{
+    scheduler_world world(2);
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    worker_id const holder = world.worker_of(first);
+    world.begins_at_once = false;
+    world.submit(item_of(long_prompt), "a1");
+    world.run(5ms);
+    work_item item = item_of(short_prompt);
+    item.objective_at = world.now + 600ms;
+    ticket_id const quick = world.submit(item, "a1");
+    world.run(400ms);
+    REQUIRE(world.placed(quick));
+    CHECK(world.worker_of(quick) != holder);
+}
+
+// Another VM's worker is idle, this VM's own has seconds to read. The loads
+// that the other VM told decide whom to ask.
+TEST_CASE("what an owner told of its workers decides where a request goes",
+          "[load]")
+{
+    shared_world world;
+    world.begins_at_once = false;
+    std::string const adapter = adapter_at_home(0, 2);
+    world.scheduler.on_loads({{scheduler_world::name(1), 0.9, 3s, 1s}},
+                             world.now);
+    ticket_id const here = world.submit(item_of(long_prompt), adapter);
+    world.run(300ms);
+    CHECK(world.placed(here));
+    world.scheduler.on_loads({{scheduler_world::name(1), 0, 0ms, 0ms}},
+                             world.now);
+    world.submit(item_of(short_prompt), adapter);
+    world.run(5ms);
+    REQUIRE(world.asks().size() == 1);
+    CHECK(world.asks().front().worker == scheduler_world::name(1));
+}
+
+// Each VM believes that some other one is sooner, from what it heard a while
+// ago. The first owner may say no for the sake of the next best; after that the
+// request goes wherever there is room, and is not sent round for ever.
+TEST_CASE("only the first owner may point to another worker", "[load]")
+{
+    scheduler_world world(3);
+    world.scheduler.set_grants({});
+    world.scheduler.set_owners({{scheduler_world::name(0), vm_id("vm-2")},
+                                {scheduler_world::name(1), vm_id("vm-3")},
+                                {scheduler_world::name(2), vm_id("vm-4")}});
+    ticket_id const ticket = world.ask("a1");
+    world.run(5ms);
+    REQUIRE(world.asks().size() == 1);
+    CHECK(world.asks().front().begins_elsewhere_at != never);
+    world.scheduler.on_owner(ticket, ask_outcome::refused, {}, world.now);
+    world.run(5ms);
+    REQUIRE(world.asks().size() == 2);
+    CHECK(world.asks().back().owner != world.asks().front().owner);
+    CHECK(world.asks().back().begins_elsewhere_at == never);
+}
+
+TEST_CASE("an owner says no to what begins sooner elsewhere", "[load]")
+{
+    scheduler_world world(1);
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    REQUIRE(world.placed(first));
+    world.begins_at_once = false;
+    world.submit(item_of(long_prompt), "a1");
+    world.run(5ms);
+    work_item item = item_of(short_prompt);
+    item.asked_for = scheduler_world::name(0);
+    item.begins_elsewhere_at = world.now + 50ms;
+    ticket_id const other = world.submit(item, "a1");
+    item.begins_elsewhere_at = never;
+    ticket_id const nowhere = world.submit(item, "a1");
+    world.run(5ms);
+    CHECK(world.refused(other));
+    CHECK(world.granted(nowhere));
+}
+
+// A VM orders no worker: it has just taken the place of another. All owners are
+// busy for a moment. Its requests wait for that moment and are asked for again,
+// instead of being rejected one after the other for seconds.
+TEST_CASE("what busy owners refused is asked for again", "[load]")
+{
+    scheduler_world world(2);
+    world.scheduler.set_grants({});
+    world.scheduler.set_owners({{scheduler_world::name(0), vm_id("vm-2")},
+                                {scheduler_world::name(1), vm_id("vm-3")}});
+    ticket_id const ticket = world.ask("a1");
+    for (std::size_t asked = 1; asked <= 2; ++asked)
+    {
+        world.run(5ms);
+        REQUIRE(world.asks().size() == asked);
+        world.scheduler.on_owner(ticket, ask_outcome::refused, {}, world.now);
+    }
+    world.run(5ms);
+    CHECK_FALSE(world.refused(ticket));
+    world.run(600ms);
+    CHECK(world.asks().size() == 3);
+}
+
+// The VM that orders a worker is gone for good, and nobody else may order it
+// for many seconds. What the worker lists as loaded is used all the same.
+TEST_CASE("a worker whose owner is gone is used for what it holds", "[load]")
+{
+    scheduler_world world(1);
+    world.scheduler.set_grants({});
+    world.scheduler.set_owners({});
+    backend_entry entry = world.entry(0);
+    entry.models.front().adapters.emplace(adapter_id("a1"), adapter_version(1));
+    world.scheduler.set_backends({entry});
+    ticket_id const ticket = world.ask("a1");
+    world.run(5ms);
+    CHECK(world.placed(ticket));
+}
+
+// A worker was dark for a second. What it held has been loaded elsewhere since,
+// so that no request comes to try it again. Its owner asks it for a report, and
+// uses it from then on.
+TEST_CASE("an avoided worker is asked how it is and used again", "[load]")
+{
+    scheduler_world world(2);
+    std::string const adapter = adapter_at_home(0, 2);
+    ticket_id const first = world.ask(adapter);
+    world.run(300ms);
+    REQUIRE(world.worker_of(first) == scheduler_world::name(0));
+    world.reports = false;
+    world.end(first, send_outcome::unreachable);
+    ticket_id const meanwhile = world.ask(adapter_at_home(0, 2) + "x");
+    world.run(2s);
+    CHECK(world.worker_of(meanwhile) == scheduler_world::name(1));
+    world.reports = true;
+    world.run(3s);
+    std::set<worker_id> used;
+    for (int number = 0; number < 12; ++number)
+    {
+        ticket_id const ticket = world.ask("n" + std::to_string(number));
+        world.run(300ms);
+        used.insert(world.worker_of(ticket));
+        world.end(ticket);
+    }
+    CHECK(used.size() == 2);
+}
+
+// More adapters are asked for than the slots hold, and each comes and goes. One
+// that was loaded away from its home returns to where the worker has kept a
+// copy of it, which loads in a tenth of the time.
+TEST_CASE("an adapter returns to where a copy of it was kept", "[load]")
+{
+    scheduler_world world(2, 1);
+    std::string const adapter = adapter_at_home(0, 2);
+    world.draining.insert(scheduler_world::name(0));
+    world.list_all();
+    ticket_id const away = world.ask(adapter);
+    world.run(400ms);
+    REQUIRE(world.worker_of(away) == scheduler_world::name(1));
+    world.end(away);
+    world.draining.clear();
+    world.list_all();
+    ticket_id const other = world.ask("b1");
+    world.run(800ms);
+    REQUIRE(world.placed(other));
+    world.end(other);
+    ticket_id const again = world.ask(adapter);
+    world.run(400ms);
+    REQUIRE(world.placed(again));
+    CHECK(world.worker_of(again) == scheduler_world::name(1));
+}
+
+// Many requests of one adapter begin with the same long text. They go to one of
+// its two holders, which has read it; one that begins sooner at the other
+// holder copies it from there.
+TEST_CASE("prompts with the same beginning go to the same holder", "[load]")
+{
+    two_holders world;
+    auto const ask_with = [&](std::uint64_t key)
+    {
+        work_item item = item_of(2'000);
+        item.prefix = {key, 1'900};
+        ticket_id const ticket = world.submit(item, "a1");
+        world.run(5ms);
+        return ticket;
+    };
+    ticket_id const first = ask_with(7);
+    REQUIRE(world.placed(first));
+    CHECK(world.prefix_source(first).id.empty());
+    ticket_id const second = ask_with(7);
+    REQUIRE(world.placed(second));
+    // The holder of the beginning is busy with the first by now.
+    if (world.worker_of(second) != world.worker_of(first))
+        CHECK(world.prefix_source(second).id == world.worker_of(first));
+    std::set<worker_id> homes;
+    for (std::uint64_t key = 100; key < 120; ++key)
+    {
+        ticket_id const ticket = ask_with(key);
+        REQUIRE(world.placed(ticket));
+        backend_entry const source = world.prefix_source(ticket);
+        homes.insert(source.id.empty() ? world.worker_of(ticket) : source.id);
+        world.run(1s);
+        world.end(ticket);
+    }
+    CHECK(homes.size() == 2);
+}
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -409,6 +409,7 @@
     REQUIRE(world.placed(first));
     world.scheduler.on_release(target, adapter_version(2), world.now);
     world.run(1s);
+    world.begins_at_once = false;
     ticket_id const heavy = world.ask("a1", 0, 60s, 20'000);
     world.run(5ms);
     REQUIRE(world.placed(heavy));
@@ -535,7 +536,7 @@
     CHECK(world.asks().front().owner == vm_id("vm-2"));
     CHECK_FALSE(world.placed(ticket));
     world.scheduler.on_owner(ticket, ask_outcome::granted,
-                             scheduler_world::name(0), 0.1, world.now);
+                             scheduler_world::name(0), world.now);
     world.run(0ms);
     CHECK(world.placed(ticket));
 }
@@ -552,8 +553,7 @@
     world.draining.insert(scheduler_world::name(0));
     world.list_all();
     CHECK_FALSE(world.scheduler.on_owner(ticket, ask_outcome::granted,
-                                         scheduler_world::name(0), 0.1,
-                                         world.now));
+                                         scheduler_world::name(0), world.now));
     world.run(5ms);
     CHECK_FALSE(world.placed(ticket));
     CHECK(world.refused(ticket));
@@ -581,7 +581,7 @@
     foreign_world world;
     ticket_id const first = world.ask("a1");
     world.run(5ms);
-    world.scheduler.on_owner(first, ask_outcome::silent, {}, 0, world.now);
+    world.scheduler.on_owner(first, ask_outcome::silent, {}, world.now);
     world.run(3s);
     std::size_t const before = world.asks().size();
     for (int number = 0; number < 10; ++number)
--- /dev/null
+++ b/tests/worker_reading_test.cpp
@@ -0,0 +1,51 @@
+#include "worker_reading.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{std::chrono::hours(1)};
+
+} // namespace
+
+TEST_CASE("prompts are read one after the other", "[worker_reading]")
+{
+    worker_reading reading;
+    CHECK(reading.ahead(start) == duration(0));
+    reading.add(300ms, start);
+    reading.add(200ms, start + 100ms);
+    CHECK(reading.ahead(start + 100ms) == duration(400ms));
+    CHECK(reading.ahead(start + 600ms) == duration(0));
+    reading.add(50ms, start + 1s);
+    CHECK(reading.ahead(start + 1s) == duration(50ms));
+}
+
+// Prompts turn out to be read faster than was thought: the engine still had
+// their beginnings. Once a request begins, all that was sent before it is read,
+// and only what was sent after it is ahead of the next one. Without this the
+// estimate grows to many seconds under steady load and is never right again.
+TEST_CASE("a request that begins corrects what is ahead", "[worker_reading]")
+{
+    worker_reading reading;
+    reading.add(500ms, start);
+    reading.add(500ms, start + 10ms);
+    reading.add(300ms, start + 20ms);
+    reading.begun(start + 10ms, start + 100ms);
+    CHECK(reading.ahead(start + 100ms) == duration(300ms));
+    reading.begun(start + 20ms, start + 150ms);
+    CHECK(reading.ahead(start + 150ms) == duration(0));
+}
+
+TEST_CASE("what its owner tells of a worker is believed", "[worker_reading]")
+{
+    worker_reading reading;
+    reading.add(500ms, start);
+    reading.told(80ms, start + 10ms);
+    CHECK(reading.ahead(start + 10ms) == duration(80ms));
+    reading.add(100ms, start + 20ms);
+    CHECK(reading.ahead(start + 20ms) == duration(170ms));
+}
