Tell the lives of a worker apart, and pass over rows of other writers

Change: entries and reports say when the worker started. A later start ends all that was believed of the life before: what it holds, its orders and their outcomes, its health, its queue, requests in progress; an earlier one is passed over; none says nothing. An entry without sense names no worker, is logged once a version and counted; a worker whose row was overwritten has two seconds to write it again.

--- a/src/adapter_sightings.cpp
+++ b/src/adapter_sightings.cpp
@@ -30,6 +30,12 @@
         seen_.erase(known);
 }
 
+void adapter_sightings::forget(worker_id const& worker)
+{
+    std::erase_if(seen_, [&worker](auto const& each)
+                  { return each.second.worker == worker; });
+}
+
 bool adapter_sightings::at(model_target const& target, worker_id const& worker,
                            time_point now) const
 {
--- a/src/adapter_sightings.hpp
+++ b/src/adapter_sightings.hpp
@@ -21,6 +21,8 @@
               time_point now);
     /// The worker turned out not to hold it.
     void missed(model_target const& target, worker_id const& worker);
+    /// The worker holds nothing any more.
+    void forget(worker_id const& worker);
     bool at(model_target const& target, worker_id const& worker,
             time_point now) const;
     std::size_t size() const { return seen_.size(); }
--- a/src/backend_entry.hpp
+++ b/src/backend_entry.hpp
@@ -21,10 +21,12 @@
     friend bool operator==(held_model const&, held_model const&) = default;
 };
 
-/// One life of one worker process: each start has a new id. Immutable value.
+/// One life of one worker process. Immutable value.
 struct backend_entry
 {
     worker_id id;
+    /// A worker may start again under its id.
+    worker_start started;
     service_id service;
     std::string address;
     std::uint16_t port = 0;
--- a/src/ids.hpp
+++ b/src/ids.hpp
@@ -38,6 +38,9 @@
 using order_id = number_id<struct order_tag>;
 /// One call of the table service; unique within a process.
 using operation_id = number_id<struct operation_tag>;
+/// When a worker started, in Unix milliseconds: tells its lives under one id
+/// apart. 0 where it did not say.
+using worker_start = number_id<struct worker_start_tag>;
 /// One life of a VM's process. It rises with each registration.
 using incarnation = number_id<struct incarnation_tag>;
 /// A fencing token: rises each time a worker changes owner.
--- a/src/registry_watch.cpp
+++ b/src/registry_watch.cpp
@@ -45,8 +45,7 @@
         return listener_.on_config(
             std::make_shared<routing_config const>(std::move(*config)));
     }
-    log_.notable("malformed declaration",
-                 log_fields().add("key", row.key).add("fault", fault), now);
+    take_malformed("malformed declaration", row, fault, now);
 }
 
 /// Failure: the store is away and entries lapse, though their workers live.
@@ -60,23 +59,15 @@
     if (known != listed_.end() && row.version < known->second.version)
         return;
     if (row.deleted)
-    {
-        if (known == listed_.end())
-            return;
-        workers_changed_ = true;
-        if (now >= trusted_at || known->second.entry.draining)
-            listed_.erase(known);
-        else if (known->second.lapses_at == never)
-            known->second.lapses_at = trusted_at;
-        return;
-    }
+        return drop_worker(row.key, now, trusted_at);
     std::string fault;
     auto entry = codec_.decode_backend(row.key, row.value, fault);
     if (!entry)
     {
-        log_.notable("malformed worker entry",
-                     log_fields().add("key", row.key).add("fault", fault), now);
-        return;
+        // Another writer's: it names no worker. One that it named before
+        // writes its entry again, or is gone.
+        take_malformed("malformed worker entry", row, fault, now);
+        return drop_worker(row.key, now, now + lapse_grace);
     }
     if (known != listed_.end() && known->second.entry == *entry &&
         known->second.lapses_at == never)
@@ -88,6 +79,34 @@
     listed_[row.key] = {std::move(*entry), row.version, never};
 }
 
+void registry_watch::drop_worker(std::string const& key, time_point now,
+                                 time_point trusted_at)
+{
+    auto const known = listed_.find(key);
+    if (known == listed_.end())
+        return;
+    if (now >= trusted_at || known->second.entry.draining)
+    {
+        workers_changed_ = true;
+        listed_.erase(known);
+    }
+    else if (known->second.lapses_at == never)
+        known->second.lapses_at = trusted_at;
+}
+
+void registry_watch::take_malformed(std::string_view event,
+                                    stored_row const& row,
+                                    std::string const& fault, time_point now)
+{
+    row_version& seen = malformed_[row.key];
+    if (row.version <= seen)
+        return;
+    seen = row.version;
+    ++malformed_rows_;
+    log_.notable(event, log_fields().add("key", row.key).add("fault", fault),
+                 now);
+}
+
 void registry_watch::publish_workers(time_point now)
 {
     workers_changed_ |=
--- a/src/registry_watch.hpp
+++ b/src/registry_watch.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace mulberry
@@ -37,6 +38,10 @@
     registry_watch(relay_codec const& codec, event_log& log,
                    registry_listener listener);
 
+    /// Rows that name no worker or declaration for want of sense, each version
+    /// counted once.
+    std::uint64_t malformed_rows() const { return malformed_rows_; }
+
     /// Rows of the declarations or the workers that changed, dropped ones
     /// among them. `trusted_at`: a worker's entry that is missing counts as
     /// gone from then on; before, it may have lapsed while the store was away.
@@ -54,6 +59,10 @@
 
     void take_worker(stored_row const& row, time_point now,
                      time_point trusted_at);
+    void take_malformed(std::string_view event, stored_row const& row,
+                        std::string const& fault, time_point now);
+    void drop_worker(std::string const& key, time_point now,
+                     time_point trusted_at);
     void take_declaration(stored_row const& row, time_point now);
     void publish_workers(time_point now);
 
@@ -63,6 +72,10 @@
     std::map<std::string, listed_worker> listed_;
     config_version config_version_;
     bool workers_changed_ = false;
+    /// The last version of each row that made no sense, so that it is logged
+    /// once however often it is read.
+    std::map<std::string, row_version> malformed_;
+    std::uint64_t malformed_rows_ = 0;
 };
 
 } // namespace mulberry
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -35,9 +35,11 @@
 /// Kept back from the stop bound, so that the process ends by itself.
 constexpr milliseconds stop_margin{700};
 /// The lease in multiples of the gap between two owners' orders: the holder
-/// stops a gap before others may take over, and rides out three gaps without
-/// the store before that, which is longer than most cuts.
-constexpr int lease_gaps = 3;
+/// stops a gap before others may take over, and rides out two gaps without the
+/// store before that, which is longer than most cuts. With three, a VM whose
+/// writes are all left unanswered never holds it; with five, the workers of a
+/// VM that is gone for good are without orders for three seconds more.
+constexpr int lease_gaps = 4;
 /// The share of the gap by which it is kept longer than asked: an order is on
 /// its way for some time.
 constexpr int gap_slack = 15;
@@ -49,9 +51,9 @@
 constexpr int gap_shares = 3;
 /// An older version may be used for that part of the bound on a new one's being
 /// in force. Failure: a request that was sent to an old copy after half of the
-/// bound waited 2.7 s at its worker and began too late. Four fifths are left for
-/// hearing of the version, a second at most, and for such a wait; the new copy
-/// is there after a quarter of a second.
+/// bound waited 2.7 s at its worker and began too late. Four fifths are left
+/// for hearing of the version, a second at most, and for such a wait; the new
+/// copy is there after a quarter of a second.
 constexpr int grace_share = 5;
 /// Callers keep connections as long as the operator's limits say; nothing is
 /// gained by closing sooner.
--- a/src/relay_orders.cpp
+++ b/src/relay_orders.cpp
@@ -109,8 +109,8 @@
             .add("outcome", outcome_name(outcome));
     };
     service_state* const known = find(service);
-    bool const changed = known != nullptr && known->scheduler.on_order(
-                                                 order.worker, outcome, now());
+    bool const changed =
+        known != nullptr && known->scheduler.on_order(order, outcome, now());
     if (notable)
         log_.notable("order answered", fields(), now());
     else if (changed)
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -162,6 +162,7 @@
 /// What a worker reports of itself. Some hundred milliseconds old.
 struct worker_report
 {
+    worker_start started;
     std::uint64_t sequence = 0;
     bool busy = false;
     std::map<base_model_id, std::map<adapter_id, adapter_version>> models;
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -223,6 +223,7 @@
     sent_item sent;
     sent.worker = on.entry.id;
     sent.sent_at = now;
+    sent.started = on.entry.started;
     sent.target = item.target;
     if (item.target && !item.target->adapter.empty() && on.owned)
     {
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -58,17 +58,9 @@
     {
         listed.insert(entry.id);
         if (worker_state* const known = find(entry.id))
-        {
-            known->entry = entry;
-            remember_listed(*known);
-            continue;
-        }
-        worker_adapters_settings shelf;
-        shelf.adapter_slots =
-            config_.engine ? config_.engine->adapter_slots : 0;
-        auto const made = workers_.emplace(
-            entry.id, std::make_unique<worker_state>(entry, shelf));
-        remember_listed(*made.first->second);
+            take_listed(*known, entry);
+        else
+            add_worker(entry);
     }
     std::erase_if(workers_, [&](auto const& each)
                   { return listed.count(each.first) == 0; });
@@ -77,6 +69,56 @@
             waiting.loads_at = {};
 }
 
+void service_scheduler::add_worker(backend_entry const& entry)
+{
+    worker_adapters_settings shelf;
+    shelf.adapter_slots = config_.engine ? config_.engine->adapter_slots : 0;
+    auto const made = workers_.emplace(
+        entry.id, std::make_unique<worker_state>(entry, shelf));
+    remember_listed(*made.first->second);
+}
+
+/// An entry that does not say when the worker started is of the life that is
+/// known. One of an earlier life came late and says nothing of this one.
+void service_scheduler::take_listed(worker_state& known,
+                                    backend_entry const& entry)
+{
+    worker_start const before = known.entry.started;
+    bool const told = entry.started != worker_start();
+    if (told && before != worker_start() && entry.started < before)
+        return;
+    if (told && before != worker_start() && entry.started > before)
+        return begin_life(known, entry);
+    known.entry = entry;
+    if (!told)
+        known.entry.started = before;
+    remember_listed(known);
+}
+
+/// Failure: a worker crashes and starts again under its id. What it held, its
+/// count of orders, its health and its queue are believed of it on, so that
+/// requests go to copies that are gone and every order conflicts. Nothing of
+/// the life before is kept; its owner asks what it holds before the next order.
+void service_scheduler::begin_life(worker_state& known,
+                                   backend_entry const& entry)
+{
+    worker_id const id = entry.id;
+    bool const owned = known.owned;
+    stop_waiting_at(id);
+    sightings_.forget(id);
+    workers_.erase(id);
+    add_worker(entry);
+    if (owned && grants_.count(id) > 0)
+        set_grants(grants_);
+}
+
+void service_scheduler::stop_waiting_at(worker_id const& worker)
+{
+    for (auto& [key, waiting] : queue_)
+        if (waiting.loads_at == worker)
+            waiting.loads_at = {};
+}
+
 /// Load it answers: more adapters are asked for than slots hold, and each comes
 /// and goes. One that is asked for again loads in a tenth of the time where it
 /// was before, wherever that was.
@@ -90,6 +132,8 @@
 void service_scheduler::set_grants(
     std::map<worker_id, order_grant> const& grants)
 {
+    if (&grants != &grants_)
+        grants_ = grants;
     for (auto& [id, worker] : workers_)
     {
         auto const grant = grants.find(id);
@@ -100,9 +144,7 @@
         else if (worker->adapters.granted())
         {
             worker->adapters.revoke();
-            for (auto& [key, waiting] : queue_)
-                if (waiting.loads_at == id)
-                    waiting.loads_at = {};
+            stop_waiting_at(id);
         }
         worker->owned = granted;
     }
@@ -191,7 +233,7 @@
             newest_weight *
             double((now - sent.sent_at - mean_service_).count())));
     worker_state* const worker = find(sent.worker);
-    if (worker == nullptr)
+    if (worker == nullptr || worker->entry.started != sent.started)
         return;
     if (sent.by_peer)
     {
@@ -211,11 +253,12 @@
             held.adapters.erase(sent.target->adapter);
 }
 
-bool service_scheduler::on_order(worker_id const& worker, order_outcome outcome,
-                                 time_point now)
+bool service_scheduler::on_order(worker_order const& order,
+                                 order_outcome outcome, time_point now)
 {
-    worker_state* const known = find(worker);
-    return known != nullptr && known->adapters.on_outcome(outcome, now);
+    worker_state* const known = find(order.worker);
+    return known != nullptr && known->adapters.awaits(order) &&
+           known->adapters.on_outcome(outcome, now);
 }
 
 void service_scheduler::on_report(worker_id const& worker,
@@ -225,6 +268,18 @@
     worker_state* const known = find(worker);
     if (known == nullptr)
         return;
+    worker_start const listed = known->entry.started;
+    if (report && report->started > listed && listed != worker_start())
+    {
+        // Its entry in the registry still tells of the life before.
+        backend_entry entry = known->entry;
+        entry.started = report->started;
+        entry.models.clear();
+        begin_life(*known, entry);
+        return on_report(worker, report, now);
+    }
+    if (report && report->started != worker_start() && report->started < listed)
+        return known->adapters.on_report(std::nullopt, now);
     if (report)
         known->health.reached(now);
     known->adapters.on_report(report, now);
@@ -320,6 +375,7 @@
                                   sent_item sent, time_point now)
 {
     sent.sent_at = now;
+    sent.started = worker.entry.started;
     sent.prompt_tokens = item.prompt_tokens;
     worker.reading.add(pace_.time_for(item.prompt_tokens), now);
     sent.expected_at = worker.reading.until();
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -215,8 +215,9 @@
     /// A request that was sent is over at its worker.
     void ended(ticket_id ticket, send_outcome outcome, time_point now);
 
-    /// Whether what is believed of the worker changed.
-    bool on_order(worker_id const& worker, order_outcome outcome,
+    /// Whether what is believed of the worker changed. An outcome of an order
+    /// to an earlier life of the worker is passed over.
+    bool on_order(worker_order const& order, order_outcome outcome,
                   time_point now);
     void on_report(worker_id const& worker,
                    std::optional<worker_report> const& report, time_point now);
@@ -289,6 +290,8 @@
         bool begun = false;
         /// Sent by another VM.
         bool by_peer = false;
+        /// Of the life that it was sent to.
+        worker_start started;
         std::uint32_t prompt_tokens = 0;
         /// When it was to begin, as of its sending.
         time_point expected_at{};
@@ -309,6 +312,10 @@
 
     worker_state* find(worker_id const& worker);
     static void remember_listed(worker_state& worker);
+    void add_worker(backend_entry const& entry);
+    void take_listed(worker_state& known, backend_entry const& entry);
+    void begin_life(worker_state& known, backend_entry const& entry);
+    void stop_waiting_at(worker_id const& worker);
     /// Notes that this VM sends a request to the worker now.
     void note_send(worker_state& worker, work_item const& item, sent_item sent,
                    time_point now);
@@ -422,6 +429,7 @@
     std::map<ticket_id, sent_item> sent_;
     std::map<ticket_id, asked_item> asked_;
     std::map<worker_id, vm_id> owners_;
+    std::map<worker_id, order_grant> grants_;
     std::map<vm_id, worker_health> peers_;
     std::map<model_target, release> releases_;
     /// Of this VM's callers and of the VMs that ask it.
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -134,6 +134,11 @@
     /// only asked how far another is, and for one without effect.
     bool on_outcome(order_outcome outcome, time_point now);
     bool order_in_flight() const { return in_flight_; }
+    /// The order was sent and has no outcome yet.
+    bool awaits(worker_order const& order) const
+    {
+        return in_flight_ && order_ == order;
+    }
     /// The last orders all went without an answer: the worker is dark, or
     /// cannot be reached, and loads nothing until it answers one.
     bool leaves_orders_unanswered() const;
--- a/tests/registry_watch_test.cpp
+++ b/tests/registry_watch_test.cpp
@@ -158,6 +158,59 @@
     CHECK(world.workers->empty());
 }
 
+// Another writer puts rows among the workers'. They name no worker, and one
+// line tells of each however often it is read; the workers beside them hold. A
+// worker whose own row was overwritten writes it again, or is given up.
+TEST_CASE("a row of another writer names no worker and is told once",
+          "[registry_watch]")
+{
+    registry_world world;
+    world.worker("w", "llm", start, start);
+    world.worker("v", "llm", start, start);
+    std::vector<stored_row> const odd{
+        {row_kind::worker, "odd", row_version(50), "?", false}};
+    for (int again = 0; again < 3; ++again)
+        world.registry.on_rows(row_set::workers, odd, start, start);
+    CHECK(world.workers->size() == 2);
+    CHECK(world.lines.size() == 1);
+    CHECK(world.registry.malformed_rows() == 1);
+    world.version = 50;
+    world.worker("w", "?", start, start);
+    world.worker("v", "llm", start + 1s, start);
+    CHECK(world.workers->size() == 2);
+    SECTION("given up when it stays so")
+    {
+        world.worker("v", "llm", start + 3s, start);
+        REQUIRE(world.workers->size() == 1);
+        CHECK(world.workers->front().id == worker_id("v"));
+    }
+    SECTION("kept when it writes its entry again")
+    {
+        world.worker("w", "llm", start + 1s, start);
+        world.worker("v", "llm", start + 3s, start);
+        CHECK(world.workers->size() == 2);
+    }
+}
+
+// A machine that has heard of a worker's leaving keeps to it while the store is
+// away: an older row that is read again, from a reader that lags, and the lapse
+// of the entry do not bring the worker back.
+TEST_CASE("a worker that leaves does not come back with an older row",
+          "[registry_watch]")
+{
+    registry_world world;
+    world.worker("w", "llm", start, start);
+    world.worker("w", "llm!", start, start);
+    REQUIRE(world.workers->front().draining);
+    world.registry.on_rows(
+        row_set::workers,
+        {{row_kind::worker, "w", row_version(1), "llm", false}}, start + 1s,
+        start + 30s);
+    CHECK(world.workers->front().draining);
+    world.worker("w", std::nullopt, start + 2s, start + 30s);
+    CHECK(world.workers->empty());
+}
+
 // The store was away, and the entries of workers that live have lapsed. They
 // are kept until the grace is over; one that said that it leaves is gone.
 TEST_CASE("entries that lapsed with the store are kept for a while",
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -137,6 +137,8 @@
     made.domain = domain_id("a");
     made.slots = batch_slots_;
     made.draining = draining.count(made.id) > 0;
+    if (auto const life = lives.find(made.id); life != lives.end())
+        made.started = life->second;
     made.models.push_back({base_model_id(model), {}});
     return made;
 }
@@ -207,7 +209,7 @@
                           return true;
                       });
         for (auto const& [at, order] : due)
-            scheduler.on_order(order.worker, order_outcome::unknown, now);
+            scheduler.on_order(order, order_outcome::unknown, now);
         // A worker's answers may let the next order follow at once.
         for (int again = 0; again < 4; ++again)
             for (placement_action const& action : scheduler.run(now))
@@ -249,7 +251,7 @@
         if (outcome == order_outcome::unknown)
             unanswered_.emplace_back(now + unanswered_after, order->order);
         else
-            scheduler.on_order(order->order.worker, outcome, now);
+            scheduler.on_order(order->order, outcome, now);
     }
 }
 
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -115,6 +115,8 @@
     service_config config;
     std::map<worker_id, scripted_worker> workers;
     std::set<worker_id> draining;
+    /// When workers started, of those that say it.
+    std::map<worker_id, worker_start> lives;
     std::map<worker_id, order_grant> grants;
     service_scheduler scheduler;
 
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -738,3 +738,81 @@
     CHECK_FALSE(world.placed(first));
     CHECK(world.placed(second));
 }
+
+// A worker crashes and starts again under the id that it had, empty, with its
+// count of orders at zero. Its entry says when it started. Believed to be the
+// one before, it would be sent requests for what it lost, and every order to it
+// would conflict.
+TEST_CASE("a worker's next life under its id begins with nothing",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    worker_id const id = scheduler_world::name(0);
+    world.lives[id] = worker_start(1000);
+    world.list_all();
+    ticket_id const before = world.ask("a1");
+    world.run(300ms);
+    REQUIRE(world.placed(before));
+    world.workers[id] = scripted_worker();
+    world.lives[id] = worker_start(2000);
+    world.list_all();
+    // The end of a request of the life before takes nothing from this one.
+    world.end(before, send_outcome::unreachable);
+    ticket_id const after = world.ask("a1");
+    world.run(20ms);
+    CHECK_FALSE(world.placed(after));
+    world.run(400ms);
+    CHECK(world.placed(after));
+    CHECK(world.workers.at(id).loads_of("a1") == 1);
+}
+
+// The order that was under way when the worker crashed is answered after its
+// next life was listed; the answer is not taken for one of this life's orders.
+TEST_CASE("an order's outcome counts for the life that it was given to",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    worker_id const id = scheduler_world::name(0);
+    world.lives[id] = worker_start(1000);
+    world.list_all();
+    world.ask("a1");
+    std::optional<worker_order> old;
+    for (placement_action const& action : world.scheduler.run(world.now))
+        if (auto const* order = std::get_if<give_order>(&action))
+            old = order->order;
+    REQUIRE(old);
+    world.workers[id] = scripted_worker();
+    world.lives[id] = worker_start(2000);
+    world.list_all();
+    CHECK_FALSE(
+        world.scheduler.on_order(*old, order_outcome::holds, world.now));
+    ticket_id const after = world.ask("a1");
+    world.run(400ms);
+    CHECK(world.placed(after));
+    CHECK(world.workers.at(id).loads_of("a1") == 1);
+}
+
+// A VM hears of the next life from the worker's own report first; the entry of
+// the life before is read once more after that.
+TEST_CASE("a report of a later life ends the earlier one, an entry of an "
+          "earlier life changes nothing",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    worker_id const id = scheduler_world::name(0);
+    world.lives[id] = worker_start(1000);
+    world.list_all();
+    ticket_id const before = world.ask("a1");
+    world.run(300ms);
+    REQUIRE(world.placed(before));
+    world.workers[id] = scripted_worker();
+    worker_report report = world.workers.at(id).report();
+    report.started = worker_start(2000);
+    world.scheduler.on_report(id, report, world.now);
+    world.list_all();
+    ticket_id const after = world.ask("a1");
+    world.run(20ms);
+    CHECK_FALSE(world.placed(after));
+    world.run(700ms);
+    CHECK(world.placed(after));
+}
