--- a/src/lapsed_members.cpp
+++ b/src/lapsed_members.cpp
@@ -44,6 +44,9 @@
 
 bool lapsed_members::due(vm_id const& vm, time_point now) const
 {
+    auto const next_try = next_try_.find(vm);
+    if (next_try != next_try_.end() && now < next_try->second)
+        return false;
     return vm != settings_.vm && lapsed(vm, now) && !under_way(vm) &&
            lapsed(vm, now - turn(vm, now));
 }
@@ -77,6 +80,10 @@
     return rank * settings_.heartbeat;
 }
 
+// Failure: the table refuses writes at once. Symptom: the same write again at
+// every tick, which uses up the rate that heartbeats need. It is tried again
+// after a heartbeat.
+//
 // The write rests on both rows: it lands only if the other VM did not renew
 // its lease, and only while this VM is a member itself.
 void lapsed_members::expire(vm_id const& vm, time_point now,
@@ -96,6 +103,9 @@
                                now + settings_.table_timeout});
     actions.push_back(note_event{"ownership", "lease-lapsed", vm.str()});
     expiring_.emplace(operation, expiring{vm, row});
+    std::erase_if(next_try_,
+                  [now](auto const& each) { return each.second <= now; });
+    next_try_[vm] = now + settings_.heartbeat;
 }
 
 bool lapsed_members::knows(operation_id operation) const
--- a/src/lapsed_members.hpp
+++ b/src/lapsed_members.hpp
@@ -53,6 +53,8 @@
     id_source& ids_;
     lease_watch watch_;
     std::map<operation_id, expiring> expiring_;
+    /// When a VM's end may be written again that could not be.
+    std::map<vm_id, time_point> next_try_;
 };
 
 } // namespace mulberry
--- a/src/registry_watch.cpp
+++ b/src/registry_watch.cpp
@@ -107,6 +107,12 @@
                  now);
 }
 
+std::string registry_watch::metrics() const
+{
+    return "mulberry_malformed_rows_total " + std::to_string(malformed_rows_) +
+           "\n";
+}
+
 void registry_watch::publish_workers(time_point now)
 {
     workers_changed_ |=
--- a/src/registry_watch.hpp
+++ b/src/registry_watch.hpp
@@ -41,6 +41,8 @@
     /// Rows that name no worker or declaration for want of sense, each version
     /// counted once.
     std::uint64_t malformed_rows() const { return malformed_rows_; }
+    /// Prometheus text.
+    std::string metrics() const;
 
     /// Rows of the declarations or the workers that changed, dropped ones
     /// among them. `trusted_at`: a worker's entry that is missing counts as
--- a/tests/ownership_keeper_test.cpp
+++ b/tests/ownership_keeper_test.cpp
@@ -120,6 +120,31 @@
     CHECK(gap < 3s + 5 * 500ms);
 }
 
+// A VM is gone for good, and just then the table refuses everything at once.
+// The VM whose turn it is would write the other's end again at every tick, some
+// sixty times a second, and each refusal counts against the table's rate.
+TEST_CASE("a refused write about a lapsed VM is not repeated at every tick",
+          "[ownership]")
+{
+    cluster_size size = six_vms();
+    size.tick = 20ms;
+    ownership_cluster cluster(size, 1, standard_ownership_rules());
+    cluster.run_for(10s);
+    cluster.kill(2);
+    cluster.delist(2);
+    cluster.run_for(2800ms);
+    cluster.table().refuse(true);
+    cluster.run_for(1500ms);
+    auto const tries = cluster.count("lease-lapsed");
+    CHECK(tries > 0);
+    CHECK(tries < 12);
+    cluster.table().refuse(false);
+    cluster.run_for(15s);
+    cluster.judge_recovery();
+    for (std::string const& violation : cluster.violations())
+        FAIL_CHECK(violation);
+}
+
 TEST_CASE("a leaving VM hands over at once", "[ownership]")
 {
     // The VM says that it leaves; each of its workers is written over to its
