--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -302,8 +302,8 @@
         return answer.respond({404, {}, {}});
     http_response response;
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
-    response.body = relay_.metrics() + registry_.metrics() +
-                    mirror_.metrics() + store_.metrics();
+    response.body = relay_.metrics() + registry_.metrics() + mirror_.metrics() +
+                    store_.metrics();
     answer.respond(std::move(response));
 }
 
