Do not tell loads among VMs

Change: answers between VMs carry no loads; the mechanism, its fields and its tests are gone. What an owner says no to stays as it was.

--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -166,51 +166,17 @@
     json["granted"] = reply.granted;
     json["grant"] = Json::UInt64(reply.grant);
     json["worker"] = reply.worker.str();
-    json["loads"] = Json::Value(Json::arrayValue);
-    for (worker_load const& load : reply.loads)
-    {
-        Json::Value item(Json::arrayValue);
-        item.append(load.worker.str());
-        item.append(load.batch);
-        item.append(whole_ms(load.reading));
-        item.append(whole_ms(load.slot_wait));
-        json["loads"].append(std::move(item));
-    }
     return to_text(json);
 }
 
-namespace
-{
-
-bool parse_loads(Json::Value const& json, std::vector<worker_load>& loads)
-{
-    if (!json.isArray())
-        return false;
-    for (Json::Value const& item : json)
-    {
-        if (!item.isArray() || item.size() != 4 || !item[0].isString() ||
-            !item[1].isNumeric())
-            return false;
-        loads.push_back({worker_id(item[0].asString()), item[1].asDouble(),
-                         parse_ms(item[2]), parse_ms(item[3])});
-    }
-    return true;
-}
-
-} // namespace
-
 std::optional<peer_reply> decode_peer_reply(std::string const& body)
 {
     auto const json = from_text(body);
-    if (!json || !json->isObject() || !(*json)["granted"].isBool())
-        return std::nullopt;
-    peer_reply reply{(*json)["granted"].asBool(),
-                     number_or(*json, "grant", 0),
-                     worker_id(text_or(*json, "worker", "")),
-                     {}};
-    if (!parse_loads((*json)["loads"], reply.loads))
+    if (!json || !json->isObject() || !(*json)["granted"].isBool() ||
+        !(*json)["worker"].isString())
         return std::nullopt;
-    return reply;
+    return peer_reply{(*json)["granted"].asBool(), number_or(*json, "grant", 0),
+                      worker_id((*json)["worker"].asString())};
 }
 
 } // namespace mulberry
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -6,12 +6,11 @@
 ///                 "prefix": [KEY, TOKENS], "elsewhere_ms": 320,
 ///                 "objective_ms": 540,
 ///                 "done": [[GRANT, OUTCOME], ...]}
-///   200          {"granted": true, "grant": N, "worker": ID,
-///                 "loads": [[ID, BATCH, READING_MS, SLOT_WAIT_MS], ...]}
+///   200          {"granted": true, "grant": N, "worker": ID}
 ///
 /// The head of the answer comes at once, the rest when the adapter is there
 /// and the worker has room, or when that is not to be. A call without a worker
-/// only tells what is over. Every answer tells how busy workers are.
+/// only tells what is over.
 #ifndef MULBERRY_PEER_ASK_HPP
 #define MULBERRY_PEER_ASK_HPP
 
@@ -19,7 +18,6 @@
 #include "relay_request.hpp"
 #include "time_point.hpp"
 #include "worker_health.hpp"
-#include "worker_load.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -77,8 +75,6 @@
     std::uint64_t grant = 0;
     /// The worker to send to; it need not be the one that was asked for.
     worker_id worker;
-    /// How busy the answering VM's workers are, the least busy ones.
-    std::vector<worker_load> loads;
     friend bool operator==(peer_reply const&, peer_reply const&) = default;
 };
 
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -165,9 +165,6 @@
     void tell_done();
     void answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
                      double load);
-    /// How busy this VM's workers are, of all engines.
-    std::vector<worker_load> own_loads() const;
-    void take_loads(std::vector<worker_load> const& loads);
     void forget_peer_request(ticket_id ticket, send_outcome outcome);
     void on_order(service_id const& service, worker_order const& order,
                   order_outcome outcome);
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -96,8 +96,7 @@
     for (peer_done const& done : message->done)
         forget_peer_request(ticket_id(done.grant), done.outcome);
     if (!message->ask)
-        return answer->respond(json_response(
-            status_ok, encode_peer_reply({false, 0, {}, own_loads()})));
+        return answer->respond(json_response(status_ok, encode_peer_reply({})));
     peer_ask const& ask = *message->ask;
     service_state* const service = find(ask.service);
     if (service == nullptr || !service->engine)
@@ -146,23 +145,6 @@
     run_soon();
 }
 
-std::vector<worker_load> relay::own_loads() const
-{
-    std::vector<worker_load> loads;
-    for (auto const& [name, service] : services_)
-        if (service.engine)
-            for (worker_load& load : service.scheduler.loads(now()))
-                loads.push_back(std::move(load));
-    return loads;
-}
-
-void relay::take_loads(std::vector<worker_load> const& loads)
-{
-    for (auto& [name, service] : services_)
-        if (service.engine)
-            service.scheduler.on_loads(loads, now());
-}
-
 void relay::answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
                         double load)
 {
@@ -187,8 +169,7 @@
         log_.routine("room for another VM", fields(), at);
     if (answer)
     {
-        answer->write(
-            encode_peer_reply({granted, ticket.value(), worker, own_loads()}));
+        answer->write(encode_peer_reply({granted, ticket.value(), worker}));
         answer->finish();
     }
     if (granted)
@@ -268,8 +249,7 @@
             .add("worker", ask.worker.str())
             .add("granted", reply.worker.str())
             .add("outcome", outcome_name(outcome))
-            .add("took_ms", at - asked_at)
-            .add("workers_told", std::uint64_t{reply.loads.size()});
+            .add("took_ms", at - asked_at);
     };
     if (outcome != ask_outcome::granted || at - asked_at >= slow_answer)
         log_.notable("owner answered", fields(), at);
@@ -290,7 +270,6 @@
             return give_back({ask.owner, reply.grant}, send_outcome::abandoned);
         held_grants_[ask.ticket] = {ask.owner, reply.grant};
     }
-    take_loads(reply.loads);
     bool const used = find(service)->scheduler.on_owner(ask.ticket, outcome,
                                                         reply.worker, now());
     if (!used && outcome == ask_outcome::granted)
@@ -322,15 +301,8 @@
         collected_call call = call_to(peer.address, message);
         call.ends_at = [ends = std::chrono::steady_clock::now() +
                                tell_done_timeout] { return ends; };
-        // A call that fails needs nothing: a grant that is not given back
-        // expires.
-        call.on_end = [this](collected_answer const& answer)
-        {
-            if (answer.status != status_ok)
-                return;
-            if (auto const reply = decode_peer_reply(answer.body))
-                take_loads(reply->loads);
-        };
+        // Nothing follows from it: a grant that is not given back expires.
+        call.on_end = [](collected_answer const&) {};
         start_collected(io_, pool_, std::move(call));
     }
 }
--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -55,11 +55,6 @@
 /// the first is busy: at one in three seconds the copy is used before it has to
 /// make way.
 constexpr double hot_rate = 0.3;
-/// A load that another VM told is believed for so long.
-constexpr milliseconds told_load_age{500};
-/// An owner tells the loads of so many of its workers, the least busy first:
-/// enough to choose from, and no more bytes where it has many.
-constexpr std::size_t most_loads_told = 4;
 
 } // namespace
 
@@ -76,11 +71,9 @@
     return worker.health.outstanding() + worker.granted;
 }
 
-double service_scheduler::load_of(worker_state const& worker,
-                                  time_point now) const
+double service_scheduler::load_of(worker_state const& worker) const
 {
-    double const known = double(taken(worker)) / double(worker.entry.slots);
-    return now < worker.told_until ? std::max(known, worker.told_load) : known;
+    return double(taken(worker)) / double(worker.entry.slots);
 }
 
 duration service_scheduler::queue_delay(worker_state const& worker,
@@ -88,8 +81,7 @@
 {
     return worker.reading.ahead(now) +
            duration(static_cast<duration::rep>(
-               load_of(worker, now) *
-               double(duration(full_batch_delay).count())));
+               load_of(worker) * double(duration(full_batch_delay).count())));
 }
 
 duration service_scheduler::domain_delay(worker_state const& worker) const
@@ -155,16 +147,15 @@
     return std::max(newest_of(*target), worker.adapters.version(*target));
 }
 
-double service_scheduler::average_taken(time_point now) const
+double service_scheduler::average_taken() const
 {
     double sum = 0;
     double known = 0;
     for (auto const& [id, worker] : workers_)
     {
-        if (worker->entry.draining ||
-            (!worker->owned && now >= worker->told_until))
+        if (worker->entry.draining || !worker->owned)
             continue;
-        sum += load_of(*worker, now) * double(worker->entry.slots);
+        sum += load_of(*worker) * double(worker->entry.slots);
         known += 1;
     }
     return known == 0 ? 0 : sum / known;
@@ -173,14 +164,14 @@
 bool service_scheduler::crowded(worker_state const& worker, bool asked_often,
                                 time_point now) const
 {
-    double const load = load_of(worker, now);
+    double const load = load_of(worker);
     double const requests = load * double(worker.entry.slots);
     if (load >= crowded_share)
         return true;
     if (worker.reading.ahead(now) > longest_queue)
         return asked_often;
     return asked_often && requests > few_requests &&
-           requests > crowded_multiple * average_taken(now) + 1;
+           requests > crowded_multiple * average_taken() + 1;
 }
 
 /// Failure: a version is declared while a copy of the one before is in use; a
@@ -235,21 +226,17 @@
     return mean_service_ * ahead / std::max<std::size_t>(slots, 1);
 }
 
-duration service_scheduler::slot_delay(worker_state const& worker,
-                                       time_point now) const
+duration service_scheduler::slot_delay(worker_state const& worker) const
 {
-    if (!worker.owned)
-        return std::max<duration>(worker.slot_free_at - now, duration(0));
-    if (!config_.engine || worker.adapters.has_room())
+    if (!worker.owned || !config_.engine || worker.adapters.has_room())
         return duration(0);
     return slot_wait(worker.queued + 1, config_.engine->adapter_slots);
 }
 
 duration service_scheduler::load_delay(worker_state const& worker,
-                                       model_target const& target,
-                                       time_point now) const
+                                       model_target const& target) const
 {
-    return slot_delay(worker, now) + worker.adapters.load_time(target);
+    return slot_delay(worker) + worker.adapters.load_time(target);
 }
 
 /// A load that is overdue is taken to need as long again as it is late: while
@@ -272,7 +259,7 @@
     duration cost{};
     if (!known_at(worker, target, now))
     {
-        delay = std::max(delay, load_delay(worker, target, now));
+        delay = std::max(delay, load_delay(worker, target));
         if (!worker.adapters.was_here_lately(target))
             cost += fetch_cost;
     }
@@ -311,38 +298,4 @@
     return refusal != waiting.said_no.end() && now < refusal->second;
 }
 
-std::vector<worker_load> service_scheduler::loads(time_point now) const
-{
-    std::vector<worker_load> told;
-    for (auto const& [id, worker] : workers_)
-        if (worker->owned && !worker->entry.draining &&
-            !worker->health.avoided(now) && !sick(*worker, now))
-            told.push_back({id, load_of(*worker, now),
-                            worker->reading.ahead(now),
-                            slot_delay(*worker, now)});
-    std::sort(told.begin(), told.end(),
-              [](worker_load const& one, worker_load const& other) {
-                  return one.reading + one.slot_wait <
-                         other.reading + other.slot_wait;
-              });
-    if (told.size() > most_loads_told)
-        told.resize(most_loads_told);
-    return told;
-}
-
-void service_scheduler::on_loads(std::vector<worker_load> const& loads,
-                                 time_point now)
-{
-    for (worker_load const& load : loads)
-    {
-        worker_state* const worker = find(load.worker);
-        if (worker == nullptr || worker->owned)
-            continue;
-        worker->told_load = load.batch;
-        worker->told_until = now + told_load_age;
-        worker->reading.told(load.reading, now);
-        worker->slot_free_at = now + load.slot_wait;
-    }
-}
-
 } // namespace mulberry
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -230,8 +230,7 @@
         ++on.granted;
         ++counts_.granted;
         on.reading.add(pace_.time_for(item.prompt_tokens), now);
-        actions_.push_back(
-            grant_ask{item.ticket, on.entry.id, load_of(on, now)});
+        actions_.push_back(grant_ask{item.ticket, on.entry.id, load_of(on)});
         sent_.emplace(item.ticket, std::move(sent));
         return;
     }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -295,8 +295,7 @@
     worker_state* const asked =
         waiting.item.asked_for ? find(*waiting.item.asked_for) : nullptr;
     actions_.push_back(refuse_request{waiting.item.ticket, kind, retry_after,
-                                      reason,
-                                      asked ? load_of(*asked, now) : 1});
+                                      reason, asked ? load_of(*asked) : 1});
 }
 
 void service_scheduler::set_owners(std::map<worker_id, vm_id> owners)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -12,7 +12,6 @@
 #include "routing_config.hpp"
 #include "worker_adapters.hpp"
 #include "worker_health.hpp"
-#include "worker_load.hpp"
 #include "worker_reading.hpp"
 
 #include <cstddef>
@@ -195,10 +194,6 @@
     /// one that is not is to be given back.
     bool on_owner(ticket_id ticket, ask_outcome outcome,
                   worker_id const& granted, time_point now);
-    /// Another VM told how busy its workers are.
-    void on_loads(std::vector<worker_load> const& loads, time_point now);
-    /// How busy this VM's workers are, to be told to others.
-    std::vector<worker_load> loads(time_point now) const;
     /// Another VM began to answer a question.
     void on_owner_heard(ticket_id ticket, time_point now);
     /// When a question to another VM is to be given up, as of now.
@@ -251,11 +246,6 @@
         /// Requests that wait for room in its batch or for one of its adapter
         /// slots, as decided so far in this pass over the queue.
         std::size_t queued = 0;
-        /// The load that its owner told, and until when it counts.
-        double told_load = 0;
-        time_point told_until{};
-        /// When one of its adapter slots is free, as its owner told.
-        time_point slot_free_at{};
         worker_reading reading;
 
         worker_state(backend_entry listed, worker_adapters_settings settings)
@@ -325,10 +315,10 @@
     /// What a worker in another failure domain costs.
     duration domain_delay(worker_state const& worker) const;
     /// Until a slot for one more adapter is free.
-    duration slot_delay(worker_state const& worker, time_point now) const;
+    duration slot_delay(worker_state const& worker) const;
     /// Until an adapter that is not there has been loaded.
-    duration load_delay(worker_state const& worker, model_target const& target,
-                        time_point now) const;
+    duration load_delay(worker_state const& worker,
+                        model_target const& target) const;
     /// Until a load that has begun is over.
     duration load_left(worker_state const& worker, model_target const& target,
                        time_point now) const;
@@ -341,7 +331,7 @@
     bool ready_at(worker_state const& worker, work_item const& item,
                   time_point now) const;
     bool sick(worker_state const& worker, time_point now) const;
-    double load_of(worker_state const& worker, time_point now) const;
+    double load_of(worker_state const& worker) const;
     std::size_t taken(worker_state const& worker) const;
     bool holds(worker_state const& worker, model_target const& target,
                time_point now) const;
@@ -390,7 +380,7 @@
                                                time_point now) const;
     choice best_place(waiting_item const& waiting, bool own_only,
                       worker_state const* except, time_point now);
-    double average_taken(time_point now) const;
+    double average_taken() const;
     bool crowded(worker_state const& worker, bool asked_often,
                  time_point now) const;
     /// Asked for often by all that come to this VM's workers.
--- a/src/worker_reading.cpp
+++ b/src/worker_reading.cpp
@@ -27,10 +27,4 @@
     until_ = std::min(until_, now + left);
 }
 
-void worker_reading::told(duration ahead, time_point now)
-{
-    unread_.clear();
-    until_ = now + ahead;
-}
-
 } // namespace mulberry
--- a/src/worker_reading.hpp
+++ b/src/worker_reading.hpp
@@ -11,7 +11,7 @@
 
 /// An engine reads prompts one after the other, so that a request begins when
 /// all that were sent before it are read. Known are the prompts that this VM
-/// sent or granted, and what the worker's owner told. Time wears the estimate
+/// sent or granted. Time wears the estimate
 /// off; a request that begins corrects it. Thread safety: none.
 class worker_reading
 {
@@ -24,8 +24,6 @@
     void add(duration reading, time_point now);
     /// A request that was sent then has begun: what came before it was read.
     void begun(time_point sent_at, time_point now);
-    /// The VM that knows the worker best says how long it has to read.
-    void told(duration ahead, time_point now);
 
 private:
     time_point until_{};
