Tell large rows by their version, and ask the store after one failed reader

Ruled out: that the readers were stopped: both went on answering small questions, and the failures are exactly one time limit apart.

Change: rows over 16 KiB are told by version and read at the store; a VM that the store refuses asks its reader for them. One reader that fails is enough to ask the store, beside the next reader. While the store is away one question at a time asks for it, seldom by VMs that have a reader. Found by the new tests: a reader's later answer skipped over the row left out; the question that asks whether the store is back waited there for a change.

Tests: without the two changes 'one reader that hangs is enough to ask the store' and 'a large configuration is read from the store' fail.

Conclusion: what a VM knows is as old as one question and one answer of the store.

--- a/src/config.cmake
+++ b/src/config.cmake
@@ -3,6 +3,7 @@
   SOURCES adapter_ref.cpp declaration.cpp declaration_reader.cpp
           declaration_text.cpp declaration_writer.cpp json_reader.cpp plan.cpp
           plan_diff.cpp plan_text.cpp placement.cpp settings.cpp
+          vm_rank.cpp
   LINK mulberry_base jsoncpp crypto fmt::fmt)
 target_include_directories(mulberry_config SYSTEM PUBLIC /usr/include/jsoncpp)
 # A fixed seed: the properties reach the same verdict in each run.
--- a/src/peer_rows.cpp
+++ b/src/peer_rows.cpp
@@ -64,6 +64,7 @@
     json["age_ms"] = Json::Int64(
         std::chrono::ceil<std::chrono::milliseconds>(news.age).count());
     json["whole"] = news.whole;
+    json["incomplete"] = news.incomplete;
     json["rows"] = Json::arrayValue;
     for (stored_row const& row : news.rows)
         json["rows"].append(row_json(row));
@@ -82,6 +83,7 @@
     news.age = std::chrono::milliseconds(
         std::min(json["age_ms"].asUInt64(), longest_age_ms));
     news.whole = json["whole"].asBool();
+    news.incomplete = json.get("incomplete", false) == true;
     for (Json::Value const& each : json["rows"])
     {
         auto row = parse_row(each);
@@ -102,6 +104,7 @@
         json["after"].append(Json::UInt64(after.value()));
     json["wait_ms"] = Json::Int64(
         std::chrono::floor<std::chrono::milliseconds>(question.wait).count());
+    json["large_rows"] = question.large_rows;
     std::string const body = to_text(json);
     return fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\n"
                        "Content-Length: {}\r\n\r\n{}",
@@ -118,6 +121,8 @@
         !(*json)["wait_ms"].isUInt64())
         return std::nullopt;
     rows_question question;
+    // A VM that runs an earlier release does not know of rows left out.
+    question.large_rows = json->get("large_rows", true) != false;
     for (Json::ArrayIndex index = 0; index < after.size(); ++index)
     {
         if (!after[index].isUInt64())
--- a/src/peer_rows.hpp
+++ b/src/peer_rows.hpp
@@ -1,13 +1,14 @@
 /// What VMs say to each other about the store's rows.
 ///
-///   POST /rows  {"after": [V, V, V], "wait_ms": N}
+///   POST /rows  {"after": [V, V, V], "wait_ms": N, "large_rows": false}
 ///   200         {"sets": [{"read": true, "version": V, "age_ms": N,
-///                          "whole": false,
+///                          "whole": false, "incomplete": false,
 ///                          "rows": [[KIND, KEY, VERSION, VALUE or null]]},
 ///                         ...]}
 ///
 /// One entry for each set, in the order of row_set. The answer comes when a
-/// row that others act on has changed, or when the wait is over.
+/// row that others act on has changed, or when the wait is over. Large rows are
+/// left out unless they are asked for; see rows_news::incomplete.
 #ifndef MULBERRY_PEER_ROWS_HPP
 #define MULBERRY_PEER_ROWS_HPP
 
@@ -32,6 +33,8 @@
     std::array<row_version, all_row_sets.size()> after;
     /// How long the answer may wait for a change.
     duration wait{};
+    /// Large rows too: whoever asks cannot read them at the store.
+    bool large_rows = false;
     friend bool operator==(rows_question const&,
                            rows_question const&) = default;
 };
@@ -46,6 +49,9 @@
     duration age{};
     /// All rows there are, in place of those that changed.
     bool whole = false;
+    /// Large rows are left out, so that the set is not known up to `version`;
+    /// the store has them.
+    bool incomplete = false;
     std::vector<stored_row> rows;
     friend bool operator==(rows_news const&, rows_news const&) = default;
 };
--- a/src/reader_choice.cpp
+++ b/src/reader_choice.cpp
@@ -21,16 +21,13 @@
 constexpr milliseconds first_avoid{1000};
 constexpr int most_doublings = 3;
 
-std::uint64_t rank_of(vm_id const& vm)
-{
-    return stable_hash("rows/" + vm.str());
-}
-
 } // namespace
 
-void reader_choice::set_members(std::vector<vm_id> members)
+void reader_choice::set_members(std::vector<ranked_vm> candidates,
+                                std::size_t vms)
 {
     readers_.clear();
+    std::vector<vm_id> members = by_rank(std::move(candidates));
     std::erase_if(troubles_,
                   [&members](auto const& each)
                   {
@@ -39,10 +36,8 @@
                   });
     if (members.empty())
         return;
-    std::sort(members.begin(), members.end(),
-              [](vm_id const& left, vm_id const& right)
-              { return rank_of(left) > rank_of(right); });
-    members.resize((members.size() + vms_per_reader - 1) / vms_per_reader);
+    std::size_t const wanted = (vms + vms_per_reader - 1) / vms_per_reader;
+    members.resize(std::min(members.size(), wanted));
     if (std::find(members.begin(), members.end(), self_) != members.end())
         return;
     // Spread over the readers; the next ones follow when the first fails.
--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -17,11 +17,15 @@
 
 using std::chrono::milliseconds;
 
-/// After a question that failed, doubled with each failure in a row. The store
-/// prices refused questions too.
+/// After a question that failed, doubled with each failure in a row, up to the
+/// longest. Failure: the store is away, and two hundred VMs ask it three
+/// questions twice a second each; the first thing that it meets on its return
+/// is that crowd. A VM that reads for others asks as often as that, with one
+/// question; the others hear of the return from it, and ask seldom themselves.
 constexpr milliseconds first_retry{100};
 constexpr milliseconds longest_retry{600};
-constexpr int most_doublings = 3;
+constexpr milliseconds longest_follower_retry{1600};
+constexpr int most_doublings = 4;
 constexpr milliseconds read_time_limit{1500};
 /// A question to another VM waits there for a third of the interval at which
 /// workers are asked for, and may take a fifth of it more: a reader that hangs
@@ -38,6 +42,18 @@
 constexpr milliseconds news_delay{20};
 /// The least time between two questions to a reader.
 constexpr milliseconds least_question_gap{50};
+/// Failure: a configuration of 1,500 routes takes 350 KB, and a reader on a
+/// link of 20 Mbit/s sends it to a dozen VMs at once. Each gives its answer up
+/// after a second and asks again, so that none ever gets it, and requests are
+/// handled by the old configuration for five seconds. So what is larger than
+/// this is told by its version only and read from the store, whose link carries
+/// it to all VMs within a fraction of a second. A dozen rows of this size take
+/// such a link less than a tenth of a second.
+constexpr std::size_t largest_told_row = 16UL * 1024;
+/// The least time between two readings of large rows: one takes a small VM's
+/// link and processor a fifth of a second each, and versions may follow each
+/// other faster.
+constexpr milliseconds large_row_pause{500};
 constexpr milliseconds reader_connect_timeout{250};
 constexpr milliseconds reader_idle{3000};
 /// In the order of row_set.
@@ -53,6 +69,11 @@
     return row.kind != row_kind::own || row.key.starts_with("worker/");
 }
 
+bool is_large(stored_row const& row)
+{
+    return row.value.size() > largest_told_row;
+}
+
 } // namespace
 
 row_mirror::row_mirror(asio::io_context& io, row_store& store,
@@ -113,18 +134,20 @@
 
 void row_mirror::set_members(std::vector<member_view> const& members)
 {
-    std::vector<vm_id> near;
+    std::vector<ranked_vm> candidates;
+    std::size_t near = 0;
     addresses_.clear();
     for (member_view const& member : members)
     {
         if (member.domain != options_.domain ||
             member.state != member_state::live)
             continue;
-        near.push_back(member.vm);
+        ++near;
+        candidates.push_back({member.vm});
         if (auto const address = parse_address(member.address))
             addresses_.emplace(member.vm, *address);
     }
-    choice_.set_members(std::move(near));
+    choice_.set_members(std::move(candidates), near);
     choose_reader();
 }
 
@@ -155,10 +178,15 @@
 /// asked for by whoever needs them; see refresh_own().
 void row_mirror::go_on(followed_set& which)
 {
-    if (which.asking || (!reader_.empty() && which.copy.read()))
+    bool const told_by_reader = !reader_.empty() && which.copy.read();
+    if (told_by_reader && !which.lacks_large_rows())
+    {
+        which.probes = false;
         return;
-    if (which.set == row_set::own && which.copy.read() && held_.empty() &&
-        refreshes_.empty() && boot_clock::now() >= serves_until_)
+    }
+    if (which.set == row_set::own && !which.probes && which.copy.read() &&
+        held_.empty() && refreshes_.empty() &&
+        boot_clock::now() >= serves_until_)
         return;
     ask_store(which);
 }
@@ -189,9 +217,11 @@
 
 void row_mirror::watch(followed_set& which)
 {
-    duration const wait = which.set == row_set::declarations
-                              ? options_.declaration_wait
-                              : duration(0);
+    // After a failure the answer is wanted at once: it shows that the store is
+    // back.
+    bool const waits =
+        which.set == row_set::declarations && which.failures == 0;
+    duration const wait = waits ? options_.declaration_wait : duration(0);
     which.waits = wait > duration(0);
     store_.watch(which.set, which.copy.version(), wait,
                  wait + options_.answer_time,
@@ -220,12 +250,16 @@
     if (reply.outcome == store_outcome::done)
     {
         which.failures = 0;
+        which.probes = false;
         heard_at_ = now;
         if (std::exchange(lost_, false))
         {
             returned_at_ = now;
             log_.notable("store regained", log_fields(), now);
+            // Their rows were old since the store was away, as this VM's were.
+            choice_.forgive();
         }
+        resume_others(which);
         return true;
     }
     which.asking = false;
@@ -244,14 +278,35 @@
                          .add("reason", reply.failure)
                          .add("heard_ms_ago", now - heard_at_),
                      now);
-    int const doublings = std::min(which.failures++, most_doublings);
-    later(which,
-          std::min<duration>(first_retry * (1 << doublings), longest_retry));
+    probe_later(which);
     if (which.set == row_set::own)
         settle_refreshes(true);
     return false;
 }
 
+/// After a failure one set is asked for again and again; the others wait until
+/// the store has answered it.
+void row_mirror::probe_later(followed_set& which)
+{
+    int const doublings = std::min(which.failures++, most_doublings);
+    which.probes = std::none_of(sets_.begin(), sets_.end(),
+                                [&which](followed_set const& each)
+                                { return &each != &which && each.probes; });
+    if (which.probes)
+        later(which,
+              std::min<duration>(first_retry * (1 << doublings),
+                                 choice_.follows() ? longest_follower_retry
+                                                   : longest_retry));
+}
+
+/// The store has answered a question about one set.
+void row_mirror::resume_others(followed_set const& answered)
+{
+    for (followed_set& each : sets_)
+        if (&each != &answered && each.failures > 0 && !each.probes)
+            later(each, duration(0));
+}
+
 void row_mirror::on_page(followed_set& which, store_reply const& reply)
 {
     if (!usable(which, reply))
@@ -278,7 +333,9 @@
 {
     which.asking = false;
     which.as_of = which.asked_at;
-    if (which.set == row_set::declarations)
+    if (which.lacks_large_rows())
+        later(which, large_row_pause);
+    else if (which.set == row_set::declarations)
         go_on(which);
     else
         later(which, which.set == row_set::own ? oldest(which.set)
@@ -333,7 +390,15 @@
     reader_timer_.cancel();
     rows_question question;
     for (std::size_t index = 0; index < sets_.size(); ++index)
-        question.after.at(index) = sets_.at(index).copy.version();
+    {
+        followed_set& which = sets_.at(index);
+        bool const refused = which.lacks_large_rows() && which.failures > 0;
+        question.large_rows |= refused;
+        which.asked_after = refused
+                                ? which.copy.version()
+                                : std::max(which.told, which.copy.version());
+        question.after.at(index) = which.asked_after;
+    }
     question.wait = options_.worker_interval / reader_wait_part;
     collected_call call;
     call.to = address->second;
@@ -397,6 +462,7 @@
                 .add("reader", reader.str())
                 .add("reason", answer ? "its rows are old" : "no answer"),
             now);
+        ask_store_instead();
     }
     choose_reader();
     if (!reader_.empty())
@@ -404,12 +470,31 @@
             duration(0), asked_at + least_question_gap - now));
 }
 
+/// Failure: several readers hang, and a VM waits a second for each in turn,
+/// then for the first again; it hears of a configuration only after its bound.
+/// So one reader that fails is enough to ask the store, while the next one is
+/// asked: what a VM knows is never older than one question and one answer of
+/// the store. Where the store does not answer either, it is being asked
+/// already.
+void row_mirror::ask_store_instead()
+{
+    if (lost_)
+        return;
+    for (followed_set& each : sets_)
+        ask_store(each);
+}
+
 /// Whether the other VM's copy is recent enough.
 bool row_mirror::take_news(followed_set& which, rows_news const& news,
                            time_point now)
 {
     if (!news.read || news.age > oldest(which.set))
         return false;
+    if (news.incomplete || (which.asked_beyond_copy() && !news.whole))
+    {
+        take_incomplete(which, news);
+        return true;
+    }
     std::vector<stored_row> const changed =
         news.whole ? which.copy.replace(news.rows, news.version)
                    : which.copy.apply(news.rows, news.version);
@@ -420,6 +505,20 @@
     return true;
 }
 
+/// The copy stays at its version: asked for what changed after it, the store
+/// tells what was left out here.
+void row_mirror::take_incomplete(followed_set& which, rows_news const& news)
+{
+    std::vector<stored_row> const changed =
+        which.copy.apply(news.rows, which.copy.version());
+    which.told = std::max(which.told, news.version);
+    listener_.on_rows(which.set, changed);
+    if (!which.asking && which.failures == 0)
+        later(which,
+              std::max<duration>(duration(0), which.asked_at + large_row_pause -
+                                                  boot_clock::now()));
+}
+
 void row_mirror::serve(http_request const& request,
                        std::shared_ptr<http_answer> answer)
 {
@@ -455,6 +554,8 @@
         auto changed = which.copy.since(question.after.at(index));
         news.whole = !changed;
         news.rows = changed ? std::move(*changed) : which.copy.rows();
+        if (!question.large_rows)
+            news.incomplete = std::erase_if(news.rows, is_large) > 0;
     }
     return answer;
 }
--- a/src/row_mirror.hpp
+++ b/src/row_mirror.hpp
@@ -110,17 +110,30 @@
         bool waits = false;
         /// When the question was asked whose answer the copy shows.
         time_point as_of{};
+        /// Up to which version another VM told the changes; beyond the copy's
+        /// while large rows that it left out have yet to be read.
+        row_version told;
+        /// Which changes the last question to another VM was for.
+        row_version asked_after;
         /// Rows gathered while a whole read goes on page by page.
         std::vector<stored_row> pages;
         row_version first_page;
         bool whole = true;
+        /// Questions to the store in a row that it did not answer.
         int failures = 0;
+        /// It is asked for again after a failure, on behalf of all sets.
+        bool probes = false;
 
         followed_set(asio::io_context& io, row_set which,
                      row_copy::essence essence_of)
             : set(which), copy(std::move(essence_of)), timer(io)
         {
         }
+
+        bool lacks_large_rows() const { return told > copy.version(); }
+        /// What changed after the last question's version is not all that
+        /// changed after the copy's.
+        bool asked_beyond_copy() const { return asked_after > copy.version(); }
     };
     struct held_question
     {
@@ -146,6 +159,8 @@
     void watch(followed_set& which);
     void later(followed_set& which, duration delay);
     bool usable(followed_set& which, store_reply const& reply);
+    void probe_later(followed_set& which);
+    void resume_others(followed_set const& answered);
     void on_page(followed_set& which, store_reply const& reply);
     void on_changes(followed_set& which, store_reply const& reply);
     void took(followed_set& which, std::vector<stored_row> const& news);
@@ -156,6 +171,8 @@
     void on_reader(vm_id const& reader, time_point asked_at,
                    std::optional<rows_answer> const& answer);
     bool take_news(followed_set& which, rows_news const& news, time_point now);
+    void take_incomplete(followed_set& which, rows_news const& news);
+    void ask_store_instead();
 
     rows_answer answer_to(rows_question const& question) const;
     bool has_news(rows_question const& question) const;
--- a/tests/memory_row_store.hpp
+++ b/tests/memory_row_store.hpp
@@ -25,6 +25,8 @@
     /// Answers the watches that wait, without a change.
     void answer_watches();
     std::size_t calls() const { return calls_; }
+    /// Questions about one set.
+    std::size_t questions(mulberry::row_set set) const;
 
     void read(mulberry::row_set set, std::string const& prefix,
               std::string const& after, mulberry::duration time_limit,
@@ -56,6 +58,7 @@
     std::list<waiting_watch> waiting_;
     bool down_ = false;
     std::size_t calls_ = 0;
+    std::map<mulberry::row_set, std::size_t> questions_;
 };
 
 } // namespace mulberry_test
--- a/tests/peer_rows_test.cpp
+++ b/tests/peer_rows_test.cpp
@@ -8,7 +8,7 @@
 TEST_CASE("a question about rows comes back as it was", "[peer_rows]")
 {
     rows_question const question{
-        {row_version(1), row_version(0), row_version(7)}, 300ms};
+        {row_version(1), row_version(0), row_version(7)}, 300ms, true};
     std::string const call = encode_rows_question(question, "vm");
     CHECK(decode_rows_question(call.substr(call.find("\r\n\r\n") + 4)) ==
           question);
@@ -17,20 +17,35 @@
 TEST_CASE("rows come back as they were", "[peer_rows]")
 {
     rows_answer answer;
-    answer[0] = {true,
-                 row_version(9),
-                 40ms,
-                 true,
-                 {{row_kind::configuration, "config", row_version(3), "{\"a\"}",
-                   false}}};
-    answer[1] = {true,
-                 row_version(9),
-                 0ms,
-                 false,
-                 {{row_kind::worker, "w", row_version(4), {}, true}}};
+    answer[0] = {
+        true,
+        row_version(9),
+        40ms,
+        true,
+        false,
+        {{row_kind::configuration, "config", row_version(3), "{\"a\"}", false}}};
+    answer[1] = {true, row_version(9),
+                 0ms,  false,
+                 true, {{row_kind::worker, "w", row_version(4), {}, true}}};
     CHECK(decode_rows_answer(encode_rows_answer(answer)) == answer);
 }
 
+// While VMs are replaced in turn, some run the release before, which tells
+// nothing of rows left out and knows no answer that leaves any out.
+TEST_CASE("an earlier release gets every row", "[peer_rows]")
+{
+    auto const question =
+        decode_rows_question(R"({"after":[1,2,3],"wait_ms":1})");
+    REQUIRE(question);
+    CHECK(question->large_rows);
+    std::string const set =
+        R"({"read":true,"version":1,"age_ms":0,"whole":false,"rows":[]})";
+    auto const answer =
+        decode_rows_answer("{\"sets\":[" + set + "," + set + "," + set + "]}");
+    REQUIRE(answer);
+    CHECK_FALSE(answer->at(0).incomplete);
+}
+
 TEST_CASE("what is no message about rows is told", "[peer_rows]")
 {
     for (char const* text :
--- a/tests/reader_choice_test.cpp
+++ b/tests/reader_choice_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 
 using namespace mulberry;
@@ -19,6 +20,15 @@
     return vms;
 }
 
+/// Among so many VMs, all alike.
+void set_members(reader_choice& choice, int count)
+{
+    std::vector<ranked_vm> vms;
+    for (vm_id const& vm : names(count))
+        vms.push_back({vm});
+    choice.set_members(vms, vms.size());
+}
+
 /// How many VMs each reader serves; the store counts as an empty name.
 std::map<vm_id, int> served(int count)
 {
@@ -26,7 +36,7 @@
     for (vm_id const& vm : names(count))
     {
         reader_choice choice(vm);
-        choice.set_members(names(count));
+        set_members(choice, count);
         ++result[choice.choose(time_point(1s))];
     }
     return result;
@@ -47,7 +57,7 @@
         if (reader.empty())
             continue;
         reader_choice choice(reader);
-        choice.set_members(names(100));
+        set_members(choice, 100);
         CHECK(choice.choose(time_point(1s)).empty());
     }
 }
@@ -69,7 +79,7 @@
     for (vm_id const& vm : names(32))
     {
         reader_choice choice(vm);
-        choice.set_members(names(32));
+        set_members(choice, 32);
         vm_id const first = choice.choose(now);
         if (first.empty())
             continue;
@@ -88,3 +98,40 @@
         CHECK(choice.choose(now + 4s) == first);
     }
 }
+
+// Most VMs have an eighth of a core and a small link; what a reader sends to a
+// dozen others would leave it nothing for its callers.
+TEST_CASE("the VMs with the most processor read for the others",
+          "[reader_choice]")
+{
+    std::vector<ranked_vm> vms;
+    for (vm_id const& vm : names(39))
+        vms.push_back({vm, 120});
+    for (int large : {4, 20, 38})
+        vms.at(static_cast<std::size_t>(large)).millicores = 500;
+    std::set<vm_id> asked;
+    for (ranked_vm const& each : vms)
+    {
+        reader_choice choice(each.vm);
+        choice.set_members(vms, vms.size());
+        if (vm_id const reader = choice.choose(time_point(1s)); !reader.empty())
+            asked.insert(reader);
+    }
+    CHECK(asked ==
+          std::set<vm_id>{vm_id("vm-4"), vm_id("vm-20"), vm_id("vm-38")});
+}
+
+// A domain of many VMs has few that may read; all the others ask these.
+TEST_CASE("only candidates read for others", "[reader_choice]")
+{
+    std::vector<ranked_vm> const candidates{{vm_id("vm-1")}, {vm_id("vm-2")}};
+    for (vm_id const& vm : names(60))
+    {
+        reader_choice choice(vm);
+        choice.set_members(candidates, 60);
+        vm_id const reader = choice.choose(time_point(1s));
+        bool const reads = vm == vm_id("vm-1") || vm == vm_id("vm-2");
+        CHECK(choice.follows() == !reads);
+        CHECK(reader.empty() == reads);
+    }
+}
--- a/tests/row_mirror_test.cpp
+++ b/tests/row_mirror_test.cpp
@@ -6,7 +6,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,24 +27,32 @@
 {
     std::string name;
     memory_row_store store;
+    std::size_t readers_failed = 0;
     event_log log{"test", 1000,
-                  [](log_level, std::string_view, std::string_view,
-                     std::string const&) {}};
+                  [this](log_level, std::string_view, std::string_view event,
+                         std::string const&)
+                  { readers_failed += event == "reader failed"; }};
     backend_pool pool;
     std::vector<stored_row> seen;
+    /// How many readers had failed when a value was first seen.
+    std::map<std::string, std::size_t> failed_before;
     row_mirror mirror;
     http_server server;
     bool answers = true;
+    bool hangs = false;
+    std::vector<std::shared_ptr<http_answer>> unanswered;
 
     mirror_vm(asio::io_context& io, std::string named)
         : name(std::move(named)), pool(io),
           mirror(io, store, pool, options(name), log,
                  {[this](row_set, std::vector<stored_row> const& rows)
-                  { seen.insert(seen.end(), rows.begin(), rows.end()); }}),
+                  { see(rows); }}),
           server(server_options(io),
                  [this](http_request const& request,
                         std::shared_ptr<http_answer> answer)
                  {
+                     if (hangs)
+                         return unanswered.push_back(std::move(answer));
                      if (answers)
                          return mirror.serve(request, std::move(answer));
                      answer->abort();
@@ -77,6 +87,13 @@
                 member_state::live};
     }
 
+    void see(std::vector<stored_row> const& rows)
+    {
+        for (stored_row const& row : rows)
+            failed_before.emplace(row.value, readers_failed);
+        seen.insert(seen.end(), rows.begin(), rows.end());
+    }
+
     bool saw(std::string const& value) const
     {
         for (stored_row const& row : seen)
@@ -86,14 +103,14 @@
     }
 };
 
-/// Four VMs of one failure domain, each with a store of its own, so that what a
-/// VM knows shows whom it asked. One of the four reads for the others.
+/// VMs of one failure domain, each with a store of its own, so that what a VM
+/// knows shows whom it asked. One of sixteen reads for the others.
 class mirror_world
 {
 public:
-    mirror_world()
+    explicit mirror_world(int count = 4)
     {
-        for (int number = 0; number < 4; ++number)
+        for (int number = 0; number < count; ++number)
             vms.push_back(std::make_unique<mirror_vm>(
                 io, "vm-" + std::to_string(number)));
         for (auto const& vm : vms)
@@ -122,7 +139,19 @@
         for (auto const& vm : vms)
             (vm->mirror.reader().empty() ? reader : followers)
                 .push_back(vm.get());
-        REQUIRE(reader.size() == 1);
+        REQUIRE(reader.size() == static_cast<std::size_t>(count + 15) / 16);
+    }
+
+    /// Whether it comes to hold for every VM that follows a reader.
+    bool until_followers(std::function<bool(mirror_vm const&)> const& holds)
+    {
+        return until(
+            [&]
+            {
+                return std::all_of(followers.begin(), followers.end(),
+                                   [&](mirror_vm const* vm)
+                                   { return holds(*vm); });
+            });
     }
 
     bool until(std::function<bool()> const& holds)
@@ -183,6 +212,64 @@
         }));
 }
 
+// Two readers stand still. A VM that tried both before the store, and then the
+// first again, would hear of a configuration only seconds later.
+TEST_CASE("one reader that hangs is enough to ask the store", "[row_mirror]")
+{
+    mirror_world world(20);
+    for (mirror_vm* vm : world.reader)
+        vm->hangs = true;
+    for (mirror_vm* vm : world.followers)
+        vm->store.put(row_set::workers, row_kind::worker, "w", "drains/9");
+    CHECK(world.until_followers([](mirror_vm const& vm)
+                                { return vm.saw("drains/9"); }));
+    for (mirror_vm const* vm : world.followers)
+        CHECK(vm->failed_before.at("drains/9") == 1);
+}
+
+// A configuration of hundreds of kilobytes comes. Sent by a reader on a small
+// link to all who ask it at once, it arrives with none of them in time; each
+// reads it from the store itself.
+TEST_CASE("a large configuration is read from the store", "[row_mirror]")
+{
+    std::string const from_store(40'000, 's');
+    mirror_world world;
+    // The questions from before they followed are over.
+    for (mirror_vm* vm : world.followers)
+        vm->store.answer_watches();
+    for (auto const& vm : world.vms)
+        vm->store.put(row_set::declarations, row_kind::configuration, "config",
+                      vm.get() == world.reader[0] ? std::string(40'000, 'r')
+                                                  : from_store);
+    CHECK(world.until_followers([&](mirror_vm const& vm)
+                                { return vm.saw(from_store); }));
+    for (mirror_vm const* vm : world.followers)
+        CHECK_FALSE(vm->saw(std::string(40'000, 'r')));
+    // Small rows are told by the reader as before, and nothing is missing.
+    world.reader[0]->store.put(row_set::declarations, row_kind::configuration,
+                               "config", "small");
+    CHECK(world.until_followers([](mirror_vm const& vm)
+                                { return vm.saw("small"); }));
+}
+
+// The store turns one VM away while a large configuration comes: its reader
+// has it.
+TEST_CASE("a VM that the store refuses gets large rows from its reader",
+          "[row_mirror]")
+{
+    std::string const large(40'000, 'r');
+    mirror_world world;
+    for (mirror_vm* vm : world.followers)
+    {
+        vm->store.set_down(true);
+        vm->store.answer_watches();
+    }
+    world.reader[0]->store.put(row_set::declarations, row_kind::configuration,
+                               "config", large);
+    CHECK(world.until_followers([&](mirror_vm const& vm)
+                                { return vm.saw(large); }));
+}
+
 // The reader is cut off from the store and answers promptly with what it read
 // before that. The others notice by the age that it tells, and ask the store.
 TEST_CASE("a reader whose rows are old is not believed", "[row_mirror]")
@@ -236,6 +323,28 @@
         CHECK(vm->mirror.returned_at() >= back);
 }
 
+// The store is away for minutes, and every VM asks for it again and again. One
+// question shows whether it is back; the others wait for its answer.
+TEST_CASE("an absent store is asked one question at a time", "[row_mirror]")
+{
+    mirror_world world(1);
+    mirror_vm& vm = *world.vms[0];
+    vm.store.set_down(true);
+    vm.store.answer_watches();
+    std::map<row_set, std::size_t> before;
+    for (row_set const set : all_row_sets)
+        before[set] = vm.store.questions(set);
+    std::size_t const calls = vm.store.calls();
+    CHECK(world.until([&] { return vm.store.calls() >= calls + 8; }));
+    std::size_t asked_on = 0;
+    for (row_set const set : all_row_sets)
+        asked_on += vm.store.questions(set) > before[set] + 1;
+    CHECK(asked_on == 1);
+    vm.store.set_down(false);
+    vm.store.put(row_set::workers, row_kind::worker, "w", "drains/9");
+    CHECK(world.until([&] { return vm.saw("drains/9"); }));
+}
+
 // A lease must not be judged by rows that were read before it began: a strict
 // question is answered by the store, an ordinary one by the reader's rows.
 TEST_CASE("own rows are as recent as was asked for", "[row_mirror]")
