Let few VMs own workers while the others stand by

Weighed: longer leases for all (an owner that is lost is missed for longer); one write for several VMs' renewals (its loss is all of theirs); no row for VMs without workers (nobody could take over).

Change: four VMs of a failure domain, or one for eight workers, own its workers: those with the most processor first. The others stand by and renew their rows a twelfth as often; they take the place of owners that are gone in turns. Owners read the store for the others. A VM registers when it knows the workers, without a question for its row, and restarts as what it was.

Found by tests: with all owners gone nobody would have noticed, since only owners judge; an owner whose row stands still counts as missing.

Deployments with four VMs or fewer a failure domain are unchanged.

--- a/src/lapsed_members.cpp
+++ b/src/lapsed_members.cpp
@@ -16,7 +16,7 @@
                                ownership_random& random, id_source& ids)
     : settings_(settings), rules_(rules), members_(members),
       registration_(registration), random_(random), ids_(ids),
-      watch_(settings.lease)
+      watch_(settings.lease), silence_(settings.lease)
 {
 }
 
@@ -25,14 +25,21 @@
 // back. One that cannot renew its own lease judges none.
 void lapsed_members::on_scan(time_point now)
 {
-    if (registration_.lease_holds(now))
+    if (registration_.lease_holds(now) && !registration_.stands_by())
         watch_.on_scan(members_.member_versions(), now);
+    silence_.on_scan(members_.member_versions(), now);
+}
+
+bool lapsed_members::silent(vm_id const& vm, time_point now) const
+{
+    auto const lapses_at = silence_.lapses_at(vm, members_.version_of(vm));
+    return lapses_at && now >= *lapses_at;
 }
 
 void lapsed_members::tick(time_point now, action_list& actions)
 {
-    if (!registration_.lease_holds(now) || !watch_.current(now) ||
-        registration_.busy())
+    if (!registration_.lease_holds(now) || registration_.stands_by() ||
+        !watch_.current(now) || registration_.busy())
         return;
     std::vector<vm_id> to_expire;
     for (auto const& [vm, view] : members_.members())
@@ -54,7 +61,11 @@
 bool lapsed_members::lapsed(vm_id const& vm, time_point now) const
 {
     auto const lapses_at = watch_.lapses_at(vm, members_.version_of(vm));
-    return lapses_at && rules_.lapsed(*lapses_at, now);
+    member_view const* const member = members_.member(vm);
+    if (!lapses_at || member == nullptr)
+        return false;
+    int const more_leases = member->stands_by ? standby_lease_factor - 1 : 0;
+    return rules_.lapsed(*lapses_at + settings_.lease * more_leases, now);
 }
 
 bool lapsed_members::under_way(vm_id const& vm) const
@@ -67,7 +78,7 @@
 // Failure: all VMs expire the same one at once. Symptom: hundreds of
 // conflicting writes in one moment, refused for rate with the heartbeats among
 // them. They take turns by rank, a heartbeat apart; one that lapsed itself has
-// no turn.
+// no turn, nor has one that stands by.
 duration lapsed_members::turn(vm_id const& vm, time_point now) const
 {
     auto const score = [&vm](vm_id const& by)
@@ -75,7 +86,8 @@
     std::uint64_t const own = score(settings_.vm);
     duration::rep rank = 0;
     for (auto const& [other, view] : members_.members())
-        if (other != settings_.vm && score(other) > own && !lapsed(other, now))
+        if (other != settings_.vm && !view.stands_by && score(other) > own &&
+            !lapsed(other, now))
             ++rank;
     return rank * settings_.heartbeat;
 }
--- a/src/lapsed_members.hpp
+++ b/src/lapsed_members.hpp
@@ -30,6 +30,10 @@
     void tick(time_point now, action_list& actions);
     bool knows(operation_id operation) const;
     void on_table(table_reply const& reply);
+    /// Whether the VM's row has stood still for a lease, as far as reads tell.
+    /// Unlike the judgement that its lease lapsed it does not rest on this VM's
+    /// own lease: enough to take a place beside it, not to take what it has.
+    bool silent(vm_id const& vm, time_point now) const;
 
 private:
     struct expiring
@@ -52,6 +56,7 @@
     ownership_random& random_;
     id_source& ids_;
     lease_watch watch_;
+    lease_watch silence_;
     std::map<operation_id, expiring> expiring_;
     /// When a VM's end may be written again that could not be.
     std::map<vm_id, time_point> next_try_;
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -30,6 +30,9 @@
 void membership::adopt(vm_id const& vm, row_version version,
                        std::optional<vm_row> row)
 {
+    vm_row const* const before = row_of(vm);
+    bool const was_ready = before != nullptr && before->ready;
+    generation_ += was_ready != (row && row->ready);
     rows_[vm] = known_vm{version, std::move(row)};
     refresh_member(vm);
 }
@@ -40,14 +43,18 @@
     auto const known = members_.find(vm);
     if (row == nullptr || !is_member(row->state))
     {
-        changed_ |= members_.erase(vm) > 0;
+        std::size_t const erased = members_.erase(vm);
+        changed_ |= erased > 0;
+        generation_ += erased;
         return;
     }
-    member_view view{vm, row->life, row->domain, row->address, row->state};
+    member_view view{vm,         row->life,      row->domain,    row->address,
+                     row->state, row->stands_by, row->millicores};
     if (known != members_.end() && known->second == view)
         return;
     members_[vm] = std::move(view);
     changed_ = true;
+    ++generation_;
 }
 
 void membership::on_list(std::vector<listed_vm> const& vms, time_point now)
@@ -65,6 +72,7 @@
             leaving.insert(each.vm);
     }
     changed_ |= leaving != listed_leaving_;
+    generation_ += leaving != listed_leaving_;
     listed_leaving_ = std::move(leaving);
     ever_listed_.insert(listed_.begin(), listed_.end());
     for (auto const& [vm, known] : rows_)
@@ -126,7 +134,7 @@
     {
         bool const leaving = view.state == member_state::leaving ||
                              listed_leaving_.count(vm) > 0;
-        if (!leaving && row_of(vm)->ready)
+        if (!leaving && !view.stands_by && row_of(vm)->ready)
             result.push_back(vm);
     }
     return result;
--- a/src/membership.hpp
+++ b/src/membership.hpp
@@ -8,6 +8,7 @@
 #include "vm_row.hpp"
 #include "worker_row.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +31,8 @@
     void on_list(std::vector<listed_vm> const& vms, time_point now);
     /// Whether members changed since the last call.
     bool take_changed();
+    /// Rises whenever what assignable() or members() return changes.
+    std::uint64_t generation() const { return generation_; }
 
     /// 0 when the row is not known.
     row_version version_of(vm_id const& vm) const;
@@ -40,7 +43,8 @@
     std::map<vm_id, row_version> member_versions() const;
     /// Every VM whose process may still act, members or not.
     std::vector<vm_life> not_over() const;
-    /// Members that may be given workers, in the order of their names.
+    /// Members that may be given workers, in the order of their names; those
+    /// that stand by are not among them.
     std::vector<vm_id> assignable() const;
     bool listed(vm_id const& vm) const { return listed_.count(vm) > 0; }
 
@@ -75,6 +79,7 @@
     std::map<vm_id, time_point> gone_at_;
     std::set<vm_id> gone_;
     bool changed_ = false;
+    std::uint64_t generation_ = 1;
 };
 
 } // namespace mulberry
--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -33,7 +33,8 @@
           lapsed_(settings_, rules, members_, registration_, random_, ids),
           workers_({settings_, rules, members_, registration_, random_, ids,
                     events_},
-                   members_, checks)
+                   members_, checks),
+          standby_(settings_.heartbeat)
     {
     }
 
@@ -109,6 +110,7 @@
     vm_registration registration_;
     lapsed_members lapsed_;
     worker_assignment workers_;
+    standby_decision standby_;
 
     bool started_ = false;
     time_point table_heard_at_ = time_point::min();
@@ -300,6 +302,11 @@
     if (!started_)
         return;
     registration_.examine_row(now, actions);
+    if (registration_.registered())
+        registration_.set_stands_by(
+            standby_.decide(registration_.stands_by(),
+                            workers_.situation(lapsed_, now), now),
+            now);
     registration_.tick(now, actions);
     workers_.review(now, actions);
     lapsed_.tick(now, actions);
@@ -441,6 +448,11 @@
     return implementation_->registration().leaving();
 }
 
+bool ownership_keeper::stands_by() const
+{
+    return implementation_->registration().stands_by();
+}
+
 bool ownership_keeper::lease_holds(time_point now) const
 {
     return implementation_->registration().lease_holds(now);
--- a/src/ownership_keeper.hpp
+++ b/src/ownership_keeper.hpp
@@ -2,7 +2,8 @@
 ///
 /// Rows of the table (JSON texts, each with the writer's own token):
 ///   vm/ID      {"token", "life", "process_life", "ended_below", "address",
-///               "domain", "state", "ready", "listed", "beat"}
+///               "domain", "state", "ready", "listed", "beat", "settled",
+///               "stands_by", "millicores"}
 ///              state: live, leaving, closed, expired; see vm_row.hpp
 ///   worker/ID  {"token", "owner", "life", "fence",
 ///               "suspects": [{"vm", "life"}], "intents": [ENGINE NAME]}
@@ -14,6 +15,7 @@
 
 #include "action.hpp"
 #include "ids.hpp"
+#include "owner_choice.hpp"
 #include "ownership_rules.hpp"
 #include "safeguards.hpp"
 #include "table.hpp"
@@ -46,6 +48,10 @@
     /// IP:PORT of its peers' listener.
     std::string address;
     member_state state = member_state::live;
+    /// Owns no workers and renews its row seldom; see owner_choice.hpp.
+    bool stands_by = false;
+    /// Thousandths of a processor core that it has.
+    unsigned millicores = 1000;
     friend bool operator==(member_view const&, member_view const&) = default;
 };
 
@@ -119,6 +125,9 @@
     /// The least time between orders of two owners to one worker; see
     /// ownership_keeper::settled_version().
     duration order_gap = std::chrono::milliseconds(0);
+    /// Thousandths of a processor core that this VM has.
+    unsigned millicores = 1000;
+    owner_limits owners;
     std::uint64_t seed = 1;
 };
 
@@ -176,6 +185,8 @@
     incarnation life() const;
     bool registered() const;
     bool leaving() const;
+    /// Owns no workers and is to own none for now.
+    bool stands_by() const;
     /// Whether orders may be given: the lease cannot have been taken over.
     bool lease_holds(time_point now) const;
     /// The last moment at which the table is known to have answered; the
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -54,10 +54,17 @@
 
 void ownership_runner::start()
 {
+    begins_by_ = boot_clock::now() + options_.start_wait;
+    tick();
+}
+
+void ownership_runner::begin(time_point now)
+{
+    if (std::exchange(begun_, true))
+        return;
     action_list actions;
-    keeper_.start(boot_clock::now(), actions);
+    keeper_.start(now, actions);
     after_change(actions);
-    tick();
 }
 
 void ownership_runner::set_workers(std::vector<backend_entry> const& workers)
@@ -69,14 +76,16 @@
         listed.insert(each.id);
         domains.emplace(each.id, each.domain);
     }
-    if (listed == declared_)
-        return;
-    declared_ = listed;
-    action_list actions;
-    keeper_.set_domains(std::move(domains));
-    keeper_.set_workers({listed.begin(), listed.end()}, boot_clock::now(),
-                        actions);
-    after_change(actions);
+    time_point const now = boot_clock::now();
+    if (listed != declared_ || !begun_)
+    {
+        declared_ = listed;
+        action_list actions;
+        keeper_.set_domains(std::move(domains));
+        keeper_.set_workers({listed.begin(), listed.end()}, now, actions);
+        after_change(actions);
+    }
+    begin(now);
 }
 
 bool ownership_runner::may_order(worker_id const& worker) const
@@ -89,8 +98,11 @@
 
 void ownership_runner::tick()
 {
+    time_point const now = boot_clock::now();
+    if (now >= begins_by_)
+        begin(now);
     action_list actions;
-    keeper_.tick(boot_clock::now(), actions);
+    keeper_.tick(now, actions);
     after_change(actions);
     timer_.expires_after(tick_interval);
     timer_.async_wait(
@@ -302,7 +314,7 @@
 
 /// Failure: rows that were read before this VM registered show too few members
 /// and it takes workers that are not its share, so for a while after it
-/// registered only rows as of the scan will do.
+/// registered only rows as of the scan will do. One that stands by takes none.
 bool ownership_runner::needs_newest(time_point now)
 {
     if (!keeper_.registered())
@@ -311,7 +323,8 @@
         return true;
     }
     registered_at_ = std::min(registered_at_, now);
-    return now < registered_at_ + options_.keeper.heartbeat * strict_heartbeats;
+    return !keeper_.stands_by() &&
+           now < registered_at_ + options_.keeper.heartbeat * strict_heartbeats;
 }
 
 /// Scans that are asked for together are answered from one reading.
--- a/src/ownership_runner.hpp
+++ b/src/ownership_runner.hpp
@@ -28,6 +28,9 @@
     /// that does not check fencing tokens carries out whatever arrives, so the
     /// owners keep apart in time.
     duration order_gap = std::chrono::milliseconds(3000);
+    /// This VM registers once the workers are known, so that it need not write
+    /// a second time that it can take some, or that long after its start.
+    duration start_wait{};
 };
 
 /// Told about what changed. Called on the runner's thread.
@@ -54,9 +57,12 @@
     /// Whether this VM may give the worker orders at this moment.
     bool may_order(worker_id const& worker) const;
     bool registered() const { return keeper_.registered(); }
+    /// See ownership_keeper::stands_by().
+    bool stands_by() const { return keeper_.stands_by(); }
 
 private:
     void tick();
+    void begin(time_point now);
     void carry_out(action_list const& actions);
     void run(transact const& what);
     void run(read_row const& what);
@@ -98,6 +104,8 @@
     std::map<worker_id, order_grant> grants_;
     std::vector<member_view> members_;
     std::map<worker_id, vm_id> others_;
+    bool begun_ = false;
+    time_point begins_by_ = never;
     bool held_lease_ = false;
     /// When this VM was seen to have registered.
     time_point registered_at_ = never;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -17,6 +17,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <iostream>
 #include <random>
@@ -46,6 +47,13 @@
 /// Five renewals fit into what a holder may count on; each costs the store two
 /// calls.
 constexpr double heartbeats_per_gap = 1.5;
+/// Owners of a failure domain at least: when one is lost, three quarters of the
+/// domain's workers keep theirs, and there are four to read the store for the
+/// others. An owner answers a question for each request at its workers, some
+/// ten a second each; eight workers of a busy service are as many as an eighth
+/// of a core answers beside its own callers.
+constexpr owner_limits relay_owners{4, 8};
+constexpr double millicores_per_core = 1000;
 /// A call of the store that takes longer is as good as lost, and VMs that
 /// start together have registered within the same time: of the gap.
 constexpr int gap_shares = 3;
@@ -94,7 +102,11 @@
     options.keeper.handover_interval = gap;
     options.keeper.seed = seed;
     options.keeper.order_gap = gap;
+    options.keeper.owners = relay_owners;
+    options.keeper.millicores = static_cast<unsigned>(
+        std::lround(value.processor_share * millicores_per_core));
     options.order_gap = gap;
+    options.start_wait = options.keeper.settle;
     return options;
 }
 
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -88,6 +88,8 @@
     root.read_url("store_url", value.store_url, required);
     read_bounds(root, value);
     read_retries(root, value);
+    root.read_number("processor_share", value.processor_share, {0.001, 1000.0},
+                     optional);
     root.read_count("max_connections", value.max_connections, {1, 1'000'000},
                     optional);
     root.read_choice("log_level", value.log_level,
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -42,6 +42,9 @@
     duration stop_bound = std::chrono::seconds(8);
     retry_limits retries;
 
+    /// The part of a processor core that this VM has: those with the most order
+    /// workers and read the store for the others.
+    double processor_share = 1;
     std::size_t max_connections = 4096;
     std::string log_level = "info";
     std::string log_format = "json";
--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -143,7 +143,9 @@
             member.state != member_state::live)
             continue;
         ++near;
-        candidates.push_back({member.vm});
+        // A VM that stands by may be gone for long before others know.
+        if (!member.stands_by)
+            candidates.push_back({member.vm, member.millicores});
         if (auto const address = parse_address(member.address))
             addresses_.emplace(member.vm, *address);
     }
--- a/src/vm_registration.cpp
+++ b/src/vm_registration.cpp
@@ -27,10 +27,13 @@
 {
 }
 
+/// Two hundred VMs start at once after a power cut, and the table takes two
+/// hundred writes a second: each spares it a question for its row. A write that
+/// rests on no row is either the first, or its conflict tells the row.
 void vm_registration::start(time_point now, action_list& actions)
 {
-    phase_ = phase::reading;
-    send(call_kind::read, now, actions);
+    phase_ = phase::registering;
+    send(call_kind::enrol, now, actions);
 }
 
 void vm_registration::set_ready(time_point now)
@@ -40,6 +43,20 @@
     ready_ = true;
 }
 
+void vm_registration::set_stands_by(bool stands_by, time_point now)
+{
+    if (stands_by == stands_by_)
+        return;
+    stands_by_ = stands_by;
+    if (registered())
+        next_call_at_ = now;
+    // Failure: the row says since a while ago that this VM owns workers, the
+    // answer to that write was lost, and this VM counts on the long lease of
+    // one that stands by; it gives orders beside the VM that took over.
+    if (!stands_by_)
+        holds_until_ = time_point::min();
+}
+
 void vm_registration::leave(time_point now)
 {
     leaving_ = true;
@@ -65,8 +82,6 @@
         phase_ = phase::closed;
     switch (phase_)
     {
-    case phase::reading:
-        return send(call_kind::read, now, actions);
     case phase::registering:
         return send(call_kind::enrol, now, actions);
     case phase::registered:
@@ -108,18 +123,11 @@
     row_version base = members_.version_of(settings_.vm);
     if (kind == call_kind::enrol && enrol_token_.empty())
         enrol_asked_at_ = now;
-    if (kind != call_kind::read)
-    {
-        made.written = row_to_write(kind, now);
-        transaction.writes.push_back({key, to_text(made.written)});
-    }
+    made.written = row_to_write(kind, now);
+    transaction.writes.push_back({key, to_text(made.written)});
     if (kind == call_kind::enrol)
         base = enrol_base_;
-    // A read compares with an absent row: either answer tells the row as it
-    // is now, which a lagging read does not.
-    if (kind == call_kind::read)
-        base = row_version();
-    if (rules_.writes_conditionally() || kind == call_kind::read)
+    if (rules_.writes_conditionally())
         transaction.conditions.push_back({key, base});
     actions.push_back(
         transact{made.operation, transaction, now + settings_.table_timeout});
@@ -152,6 +160,7 @@
     row.listed = row.listed || members_.listed(settings_.vm);
     row.beat = ++beat_;
     row.settled = settled(now);
+    row.stands_by = stands_by_;
     row.state = leaving_ ? member_state::leaving : member_state::live;
     if (kind == call_kind::close)
         row.state = member_state::closed;
@@ -169,6 +178,9 @@
     enrol_token_ = random_.next_token();
     enrol_base_ = members_.version_of(settings_.vm);
     vm_row const* const old = members_.row_of(settings_.vm);
+    // After a power cut nobody has to stand back again who did before.
+    if (old != nullptr && process_life_.none())
+        stands_by_ = old->stands_by;
     // Lives are counted by writes of the row, so that the version of a row
     // that cannot be read is not below any of them.
     std::uint64_t const last =
@@ -190,6 +202,8 @@
     if (old != nullptr)
         inherited_settled_ = std::max(inherited_settled_, old->settled);
     row.settled = inherited_settled_;
+    row.stands_by = stands_by_;
+    row.millicores = settings_.millicores;
     enrol_row_ = row;
     return row;
 }
@@ -222,8 +236,6 @@
         store_read(reply);
     switch (done.kind)
     {
-    case call_kind::read:
-        return on_read(reply, now, actions);
     case call_kind::enrol:
         return on_enrolled(done, reply, now, actions);
     case call_kind::renew:
@@ -235,8 +247,6 @@
 
 void vm_registration::store_written(call const& done, table_reply const& reply)
 {
-    if (done.kind == call_kind::read)
-        return;
     for (table_row const& row : reply.rows)
         if (row.key == vm_key(settings_.vm))
             members_.store(settings_.vm, row.version, done.written);
@@ -249,18 +259,6 @@
             members_.store(row);
 }
 
-void vm_registration::on_read(table_reply const& reply, time_point now,
-                              action_list& actions)
-{
-    if (phase_ != phase::reading)
-        return;
-    if (reply.outcome == table_outcome::unreachable ||
-        reply.outcome == table_outcome::refused)
-        return retry_later(now);
-    phase_ = phase::registering;
-    send(call_kind::enrol, now, actions);
-}
-
 void vm_registration::on_enrolled(call const& done, table_reply const& reply,
                                   time_point now, action_list& actions)
 {
@@ -288,8 +286,8 @@
     life_ = row.life;
     process_life_ = row.process_life;
     registered_at_ = now;
-    holds_until_ = asked_at + settings_.lease - settings_.lease_margin;
-    next_call_at_ = now + random_.around(settings_.heartbeat);
+    count_renewal(asked_at, row);
+    next_call_at_ += random_.around(settings_.heartbeat) - settings_.heartbeat;
     if (out_of_date(row))
         next_call_at_ = now;
     note(actions, "vm-registered", life_text(life_));
@@ -303,8 +301,7 @@
     switch (reply.outcome)
     {
     case table_outcome::done:
-        holds_until_ = done.asked_at + settings_.lease - settings_.lease_margin;
-        next_call_at_ = done.asked_at + settings_.heartbeat;
+        count_renewal(done.asked_at, done.written);
         if (out_of_date(done.written))
             next_call_at_ = now;
         return;
@@ -319,6 +316,13 @@
     }
 }
 
+void vm_registration::count_renewal(time_point asked_at, vm_row const& written)
+{
+    int const factor = written.stands_by ? standby_lease_factor : 1;
+    holds_until_ = asked_at + settings_.lease * factor - settings_.lease_margin;
+    next_call_at_ = asked_at + settings_.heartbeat * factor;
+}
+
 void vm_registration::on_closed(table_reply const& reply, time_point now)
 {
     if (reply.outcome == table_outcome::unreachable ||
@@ -349,7 +353,7 @@
 
 bool vm_registration::out_of_date(vm_row const& written) const
 {
-    return written.ready != ready_ ||
+    return written.ready != ready_ || written.stands_by != stands_by_ ||
            leaving_ != (written.state == member_state::leaving);
 }
 
--- a/src/vm_registration.hpp
+++ b/src/vm_registration.hpp
@@ -26,10 +26,13 @@
                     ownership_rules const& rules, membership& members,
                     ownership_random& random, id_source& ids);
 
-    /// Reads the row and registers a life above it.
+    /// Registers a life above the one that the row tells.
     void start(time_point now, action_list& actions);
     /// The workers of the configuration are known: this VM can take some.
     void set_ready(time_point now);
+    /// Whether this VM is to own workers or stands by; says so in its row.
+    /// Precondition: it owns none if it is to stand by.
+    void set_stands_by(bool stands_by, time_point now);
     void leave(time_point now);
     void close(time_point now);
     void tick(time_point now, action_list& actions);
@@ -49,6 +52,7 @@
     bool registered() const { return phase_ == phase::registered; }
     bool ready() const { return ready_; }
     bool leaving() const { return leaving_; }
+    bool stands_by() const { return stands_by_; }
     bool closed() const { return phase_ == phase::closed; }
     incarnation life() const { return life_; }
     /// The first life of this process; none before it registered.
@@ -63,7 +67,6 @@
     enum class phase
     {
         idle,
-        reading,
         registering,
         registered,
         /// Expired while leaving: not worth a new life.
@@ -75,7 +78,6 @@
     };
     enum class call_kind
     {
-        read,
         enrol,
         renew,
         close
@@ -93,8 +95,6 @@
     vm_row row_to_enrol();
     void note_version(row_version version, time_point now);
     incarnation ended_below(vm_row const& old, incarnation next) const;
-    void on_read(table_reply const& reply, time_point now,
-                 action_list& actions);
     void on_enrolled(call const& done, table_reply const& reply, time_point now,
                      action_list& actions);
     void on_renewed(call const& done, table_reply const& reply, time_point now,
@@ -107,6 +107,7 @@
     void become_registered(vm_row const& row, time_point asked_at,
                            time_point now, action_list& actions);
     void retry_later(time_point now);
+    void count_renewal(time_point asked_at, vm_row const& written);
 
     ownership_settings const& settings_;
     ownership_rules const& rules_;
@@ -135,6 +136,7 @@
     row_version inherited_settled_;
     bool ready_ = false;
     bool leaving_ = false;
+    bool stands_by_ = false;
 };
 
 } // namespace mulberry
--- a/src/vm_row.cpp
+++ b/src/vm_row.cpp
@@ -2,6 +2,7 @@
 
 #include "row_json.hpp"
 
+#include <algorithm>
 #include <array>
 #include <string_view>
 #include <utility>
@@ -18,6 +19,11 @@
     {member_state::expired, "expired"},
 }};
 
+/// Of a VM that does not tell.
+constexpr std::uint64_t default_millicores = 1000;
+/// More than any machine has; a row may be another writer's.
+constexpr std::uint64_t most_millicores = 1'000'000;
+
 std::string name_of(member_state state)
 {
     for (auto const& [value, name] : state_names)
@@ -60,6 +66,8 @@
     object["listed"] = row.listed;
     object["beat"] = Json::UInt64(row.beat);
     object["settled"] = Json::UInt64(row.settled.value());
+    object["stands_by"] = row.stands_by;
+    object["millicores"] = row.millicores;
     return to_row_text(object);
 }
 
@@ -78,25 +86,31 @@
     auto const ready = flag_member(*object, "ready");
     auto const listed = flag_member(*object, "listed");
     auto const beat = number_member(*object, "beat");
-    // Rows of programs that did not write it yet have none.
+    // Rows of programs that did not write them yet have none of these.
     auto const settled = number_member(*object, "settled");
+    auto const stands_by = flag_member(*object, "stands_by");
+    auto const millicores = number_member(*object, "millicores");
     if (!token || !life || !process_life || !ended_below || !address ||
         !domain || !state || !ready || !listed || !beat)
         return std::nullopt;
     auto const known_state = state_named(*state);
     if (!known_state || *life == 0)
         return std::nullopt;
-    return vm_row{*token,
-                  incarnation(*life),
-                  incarnation(*process_life),
-                  incarnation(*ended_below),
-                  *address,
-                  domain_id(*domain),
-                  *known_state,
-                  *ready,
-                  *listed,
-                  *beat,
-                  row_version(settled.value_or(0))};
+    return vm_row{
+        *token,
+        incarnation(*life),
+        incarnation(*process_life),
+        incarnation(*ended_below),
+        *address,
+        domain_id(*domain),
+        *known_state,
+        *ready,
+        *listed,
+        *beat,
+        row_version(settled.value_or(0)),
+        stands_by.value_or(false),
+        static_cast<unsigned>(std::min<std::uint64_t>(
+            millicores.value_or(default_millicores), most_millicores))};
 }
 
 bool is_member(member_state state)
--- a/src/vm_row.hpp
+++ b/src/vm_row.hpp
@@ -36,6 +36,10 @@
     /// Rows up to this version of the table were written longer before this
     /// row than the gap between two owners' orders.
     row_version settled;
+    /// Owns no workers, so that it renews the row seldom; see owner_choice.hpp.
+    bool stands_by = false;
+    /// Thousandths of a processor core that the VM has.
+    unsigned millicores = 1000;
     friend bool operator==(vm_row const&, vm_row const&) = default;
 };
 
@@ -50,6 +54,12 @@
 /// Whether the VM may own workers in that state.
 bool is_member(member_state state);
 
+/// So many times as long as an owner's are the lease of a VM that stands by and
+/// the time between two renewals. It owns nothing that anybody waits for; until
+/// its lease lapses others count a VM that is gone among those that share the
+/// allowance of repeats, which makes their shares too small, never too large.
+inline constexpr int standby_lease_factor = 12;
+
 } // namespace mulberry
 
 #endif
--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -1,6 +1,8 @@
 #include "worker_assignment.hpp"
 
+#include "lapsed_members.hpp"
 #include "placement.hpp"
+#include "vm_rank.hpp"
 #include "vm_row.hpp"
 
 #include <algorithm>
@@ -32,13 +34,13 @@
         worker.set_declared(false);
     for (worker_id const& id : declared_)
         of(id).set_declared(true);
-    assigned_to_.clear();
+    assigned_generation_ = 0;
 }
 
 void worker_assignment::set_domains(std::map<worker_id, domain_id> domains)
 {
     domains_ = std::move(domains);
-    assigned_to_.clear();
+    assigned_generation_ = 0;
 }
 
 worker_ownership& worker_assignment::of(worker_id const& worker)
@@ -131,11 +133,11 @@
 
 void worker_assignment::refresh(time_point now)
 {
-    std::vector<vm_id> const vms = members_.assignable();
-    if (vms == assigned_to_ && !vms.empty())
+    if (assigned_generation_ == members_.generation())
         return;
-    assigned_to_ = vms;
-    auto const assignment = assign(vms);
+    assigned_generation_ = members_.generation();
+    assigned_to_ = owners_among(members_.assignable());
+    auto const assignment = assign(assigned_to_);
     for (worker_id const& id : declared_)
     {
         auto const vm = assignment.find(id);
@@ -143,6 +145,97 @@
     }
 }
 
+std::size_t worker_assignment::workers_in(domain_id const& domain) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        domains_.begin(), domains_.end(),
+        [&domain](auto const& each) { return each.second == domain; }));
+}
+
+/// Of each failure domain those that come first; see owner_choice.hpp.
+std::vector<vm_id>
+worker_assignment::owners_among(std::vector<vm_id> const& vms) const
+{
+    owner_limits const& limits = context_.settings.owners;
+    if (limits.least_owners == 0)
+        return vms;
+    std::map<domain_id, std::vector<ranked_vm>> by_domain;
+    for (vm_id const& vm : vms)
+        if (member_view const* const member = members_.member(vm))
+            by_domain[member->domain].push_back({vm, member->millicores});
+    std::vector<vm_id> owners;
+    for (auto& [domain, ranked] : by_domain)
+    {
+        std::size_t const wanted = owners_wanted(limits, workers_in(domain));
+        std::vector<vm_id> first = by_rank(std::move(ranked));
+        first.resize(std::min(first.size(), wanted));
+        owners.insert(owners.end(), first.begin(), first.end());
+    }
+    std::sort(owners.begin(), owners.end());
+    return owners;
+}
+
+bool worker_assignment::owns_any() const
+{
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [this](auto const& each)
+                       {
+                           worker_row const* const row = each.second.row();
+                           return each.second.held() ||
+                                  (row != nullptr &&
+                                   row->owner.vm == context_.settings.vm);
+                       });
+}
+
+bool worker_assignment::settled() const
+{
+    return read_at_ >=
+           context_.registration.registered_at() + context_.settings.settle;
+}
+
+/// Failure: all owners of a failure domain are gone, and with them those who
+/// would say so in their rows. So an owner whose row stands still is missing.
+owner_situation worker_assignment::situation(lapsed_members const& lapsed,
+                                             time_point now) const
+{
+    owner_situation result;
+    owner_limits const& limits = context_.settings.owners;
+    vm_id const& self = context_.settings.vm;
+    // Rows from a while ago show no reason to take a place or to leave one.
+    bool const recent = read_at_ + context_.settings.lease / 2 >= now;
+    if (limits.least_owners == 0 || !context_.registration.registered() ||
+        !recent)
+        return result;
+    vm_row const* const own_row = members_.row_of(self);
+    result.settled = settled() && own_row != nullptr && own_row->ready;
+    std::size_t owners = 0;
+    std::vector<ranked_vm> standing_by;
+    for (auto const& [vm, view] : members_.members())
+    {
+        if (view.domain != context_.settings.domain ||
+            view.state != member_state::live)
+            continue;
+        if (view.stands_by)
+            standing_by.push_back({vm, view.millicores});
+        else
+            owners += vm == self || !lapsed.silent(vm, now);
+    }
+    std::size_t const wanted =
+        owners_wanted(limits, workers_in(context_.settings.domain));
+    bool const assigned =
+        std::binary_search(assigned_to_.begin(), assigned_to_.end(), self);
+    result.surplus = owners > wanted && !assigned &&
+                     assigned_generation_ == members_.generation() &&
+                     !taking_ && !owns_any();
+    result.missing_owners = wanted - std::min(wanted, owners);
+    if (result.missing_owners == 0)
+        return result;
+    std::vector<vm_id> const order = by_rank(std::move(standing_by));
+    result.rank = static_cast<std::size_t>(
+        std::find(order.begin(), order.end(), self) - order.begin());
+    return result;
+}
+
 std::map<worker_id, vm_id>
 worker_assignment::assign(std::vector<vm_id> const& vms) const
 {
@@ -221,12 +314,10 @@
 bool worker_assignment::should_take(worker_ownership const& worker,
                                     time_point now) const
 {
-    bool const settled = read_at_ >= context_.registration.registered_at() +
-                                         context_.settings.settle;
     bool const was_ours = worker.row() != nullptr &&
                           worker.row()->owner.vm == context_.settings.vm;
     return worker.declared() && worker.unowned() && worker.may_write(now) &&
-           worker.assignee() == context_.settings.vm && (settled || was_ours);
+           worker.assignee() == context_.settings.vm && (settled() || was_ours);
 }
 
 void worker_assignment::take_unowned(time_point now, action_list& actions)
--- a/src/worker_assignment.hpp
+++ b/src/worker_assignment.hpp
@@ -3,9 +3,11 @@
 #ifndef MULBERRY_WORKER_ASSIGNMENT_HPP
 #define MULBERRY_WORKER_ASSIGNMENT_HPP
 
+#include "owner_choice.hpp"
 #include "safeguards.hpp"
 #include "worker_ownership.hpp"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -13,6 +15,8 @@
 namespace mulberry
 {
 
+class lapsed_members;
+
 /// Thread safety: none. What the references lead to outlives this object.
 class worker_assignment
 {
@@ -27,6 +31,9 @@
     /// Takes a row that was read, if it is newer. False when it is no
     /// worker's row.
     bool store(table_row const& row);
+    /// What follows from the rows known for whether this VM should own workers.
+    owner_situation situation(lapsed_members const& lapsed,
+                              time_point now) const;
     /// The moment by which the rows known were all read.
     void set_read_at(time_point asked_at) { read_at_ = asked_at; }
     /// Everything that follows from the rows known now.
@@ -51,6 +58,10 @@
 
     void refresh(time_point now);
     std::map<worker_id, vm_id> assign(std::vector<vm_id> const& vms) const;
+    std::size_t workers_in(domain_id const& domain) const;
+    std::vector<vm_id> owners_among(std::vector<vm_id> const& vms) const;
+    bool owns_any() const;
+    bool settled() const;
     void review_handover(worker_ownership& worker, time_point now);
     bool must_hand_over(worker_ownership const& worker) const;
     bool may_rebalance(worker_ownership const& worker, time_point now) const;
@@ -72,6 +83,8 @@
     std::map<worker_id, domain_id> domains_;
     /// The VMs that the assignment was computed for.
     std::vector<vm_id> assigned_to_;
+    /// Of the members that it was computed for; 0 once it is out of date.
+    std::uint64_t assigned_generation_ = 0;
     std::optional<taking> taking_;
     time_point read_at_ = time_point::min();
     time_point next_handover_at_ = time_point::min();
--- a/tests/ownership_cluster.cpp
+++ b/tests/ownership_cluster.cpp
@@ -64,14 +64,18 @@
     settings.settle = size_.settle;
     settings.lease = size_.lease;
     settings.seed = random_();
+    settings.owners = size_.owners;
     started->keeper = std::make_unique<ownership_keeper>(settings, checks_,
                                                          started->ids, rules_);
     vms_[vm].running = started;
     call(started,
          [this](ownership_keeper& keeper, action_list& actions)
          {
+             if (size_.workers_first)
+                 keeper.set_workers(workers_, now(), actions);
              keeper.start(now(), actions);
-             keeper.set_workers(workers_, now(), actions);
+             if (!size_.workers_first)
+                 keeper.set_workers(workers_, now(), actions);
          });
     later(started, up_to(size_.tick), [this, started] { tick(started); });
     later(started, up_to(list_interval),
@@ -466,6 +470,19 @@
     return vms_[vm].running ? vms_[vm].running->owned.size() : 0;
 }
 
+std::size_t ownership_cluster::owners() const
+{
+    std::size_t result = 0;
+    for (std::size_t vm = 0; vm < vms_.size(); ++vm)
+        result += owned_by(vm) > 0;
+    return result;
+}
+
+bool ownership_cluster::stands_by(std::size_t vm) const
+{
+    return vms_[vm].running && vms_[vm].running->keeper->stands_by();
+}
+
 std::uint64_t ownership_cluster::count(std::string const& kind) const
 {
     auto const known = events_.find(kind);
@@ -479,6 +496,8 @@
         members += each.running && !each.running->closing ? 1 : 0;
     if (members == 0)
         return;
+    if (size_.owners.least_owners > 0)
+        members = std::min(members, size_.owners.least_owners);
     for (worker_id const& worker : workers_)
         judge_worker(worker);
     std::size_t const most = (workers_.size() + members - 1) / members;
--- a/tests/ownership_cluster.hpp
+++ b/tests/ownership_cluster.hpp
@@ -63,6 +63,9 @@
     duration settle = std::chrono::milliseconds(0);
     /// How long after one VM the next one starts; 0: all at the same time.
     duration start_apart = std::chrono::milliseconds(0);
+    owner_limits owners{};
+    /// A VM registers when it knows the workers already.
+    bool workers_first = false;
 };
 
 class ownership_cluster
@@ -84,6 +87,10 @@
     /// since the last call.
     duration take_longest_gap();
     std::size_t owned_by(std::size_t vm) const;
+    /// How many VMs own workers.
+    std::size_t owners() const;
+    bool stands_by(std::size_t vm) const;
+    std::size_t vms() const { return vms_.size(); }
     std::uint64_t count(std::string const& kind) const;
     void pause(std::size_t vm);
     void resume(std::size_t vm);
--- a/tests/ownership_keeper_test.cpp
+++ b/tests/ownership_keeper_test.cpp
@@ -55,7 +55,10 @@
                     member_state::leaving,
                     true,
                     true,
-                    7};
+                    7,
+                    row_version(9),
+                    true,
+                    120};
     CHECK(parse_vm_row(to_text(vm)) == vm);
     worker_row const worker{"t",
                             {vm_id("a"), incarnation(3)},
--- a/tests/ownership_schedule_test.cpp
+++ b/tests/ownership_schedule_test.cpp
@@ -90,16 +90,18 @@
                  rc::gen::set(&schedule::faults, faults)));
 }
 
-std::vector<std::string> run(schedule const& plan, ownership_rules const& rules)
+std::vector<std::string> run(schedule const& plan, ownership_rules const& rules,
+                             cluster_size const& size = {},
+                             duration until_well = recovery)
 {
-    ownership_cluster cluster({}, plan.seed, rules);
+    ownership_cluster cluster(size, plan.seed, rules);
     duration last_end{};
     for (ownership_fault const& fault : plan.faults)
     {
         cluster.add(fault);
         last_end = std::max(last_end, fault.at + fault.length);
     }
-    cluster.run_for(last_end + recovery);
+    cluster.run_for(last_end + until_well);
     cluster.judge_recovery();
     return cluster.violations();
 }
@@ -158,6 +160,30 @@
                     }));
 }
 
+// Four of six VMs stand by. They take the place of owners that are gone, and
+// give it back, while any of them are paused, cut off or replaced.
+TEST_CASE("ownership holds while VMs stand by and take over", "[ownership]")
+{
+    cluster_size size;
+    size.vms = 6;
+    size.settle = 400ms;
+    size.owners = {2, 100};
+    // Besides: the turns of those that stand by but are gone, and a newcomer's
+    // lease before it is given its share.
+    constexpr duration longer_recovery = 30s;
+    CHECK(rc::check("no violation",
+                    [&]()
+                    {
+                        schedule const plan = *any_schedule();
+                        auto const violations =
+                            run(plan, standard_ownership_rules(), size,
+                                longer_recovery);
+                        for (std::string const& each : violations)
+                            RC_LOG() << each << "\n";
+                        RC_ASSERT(violations.empty());
+                    }));
+}
+
 TEST_CASE("without the rule of newest rows a worker has two owners",
           "[ownership][double]")
 {
