Keep early requests for a moment, and have owners back sooner after a restart

Change: a read has 0.4 s first, doubled with each that fails; a VM keeps requests of its first half second until it knows routes and workers, and later turns them away at once, to come back after as long as the absence has lasted (0.8 to 3 s); the first scan of a life is repeated after 0.2 s; a request waits a quarter of a second for workers that have no owner at the moment.

Tests: start_hold_test, relay_start_test, 'requests wait a moment for workers to have owners again'.

--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -14,6 +14,10 @@
 namespace
 {
 
+/// Scans that fail before the first one of a life are repeated so many times as
+/// often as later ones: every tenth of a second or two.
+constexpr int first_scans = 10;
+
 bool answered(table_outcome outcome)
 {
     return outcome == table_outcome::done || outcome == table_outcome::conflict;
@@ -204,7 +208,16 @@
     which.under_way = false;
     if (reply.outcome != table_outcome::done)
     {
-        next_scan_at_ = now + random_.around(settings_.heartbeat);
+        // Failure: VMs start while the table is away. Their workers have no
+        // owner until rows were read in this life, and a scan that fails at the
+        // table's return would leave them so for another heartbeat.
+        bool const read_in_this_life =
+            registration_.registered() &&
+            which.read_at >= registration_.registered_at();
+        next_scan_at_ =
+            now + random_.around(read_in_this_life
+                                     ? settings_.heartbeat
+                                     : settings_.heartbeat / first_scans);
         return;
     }
     which.read_at = std::min(which.asked_at, reply.as_of);
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -3,14 +3,14 @@
 mulberry_library(mulberry_scheduling
   SOURCES adapter_sightings.cpp reader_choice.cpp reading_pace.cpp relay_request.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
           service_estimate.cpp service_placing.cpp
-          service_scheduler.cpp
+          service_scheduler.cpp start_hold.cpp
           worker_adapters.cpp worker_health.cpp worker_reading.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
   SOURCES adapter_sightings_test.cpp reader_choice_test.cpp reading_pace_test.cpp
           relay_request_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_copy_test.cpp scheduler_world.cpp
-          service_load_test.cpp service_scheduler_test.cpp worker_adapters_test.cpp worker_health_test.cpp
+          service_load_test.cpp service_scheduler_test.cpp start_hold_test.cpp worker_adapters_test.cpp worker_health_test.cpp
           worker_reading_test.cpp
   LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
@@ -24,6 +24,6 @@
 mulberry_test(relay_test
   SOURCES backend_pool_test.cpp event_log_test.cpp event_splitter_test.cpp
           memory_row_store.cpp ownership_runner_test.cpp peer_ask_test.cpp peer_rows_test.cpp
-          registry_watch_test.cpp relay_settings_test.cpp row_mirror_test.cpp
+          registry_watch_test.cpp relay_settings_test.cpp relay_start_test.cpp row_mirror_test.cpp
           store_meter_test.cpp
   LINK mulberry_relay)
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -19,8 +19,12 @@
 constexpr std::uint64_t highest_first = std::uint64_t{1} << 52U;
 /// A caller that named no deadline waits as long as its route allows.
 constexpr std::chrono::seconds no_deadline{3600};
-/// While a VM does not know its configuration, others may.
+/// A route names a service that is not known yet: a configuration is on its
+/// way.
 constexpr milliseconds not_ready_retry{200};
+/// Requests kept while a VM starts; at a few kilobytes each they are the least
+/// part of its memory.
+constexpr std::size_t most_early = 512;
 /// Other VMs take the caller's next connection at once.
 constexpr milliseconds leaving_retry{20};
 
@@ -47,7 +51,8 @@
 relay::relay(asio::io_context& io, relay_codec const& codec,
              relay_options options, event_log& log)
     : io_(io), codec_(codec), options_(std::move(options)), log_(log),
-      pool_(io), timer_(io), random_(options_.seed)
+      pool_(io), timer_(io), start_(options_.start, boot_clock::now()),
+      random_(options_.seed)
 {
     // Failure: a VM restarts, and another tells it that a grant of its earlier
     // process is over; a grant of this one with the same number ends early.
@@ -104,6 +109,7 @@
                      .add("routes", std::uint64_t{config_->routes.size()}),
                  now());
     share_backends();
+    review_early();
 }
 
 void relay::set_backends(std::vector<backend_entry> entries)
@@ -127,7 +133,9 @@
             log_.notable("worker gone",
                          log_fields().add("worker", entry.id.str()), now());
     backends_ = std::move(entries);
+    backends_known_ = true;
     share_backends();
+    review_early();
 }
 
 void relay::share_backends()
@@ -192,11 +200,58 @@
         return refuse_at_once(request, *answer,
                               error(error_kind::draining, "this VM is leaving",
                                     ran::no, leaving_retry));
-    if (!routes_)
-        return refuse_at_once(request, *answer,
-                              error(error_kind::configuration_stale,
-                                    "no configuration is known yet", ran::no,
-                                    not_ready_retry));
+    if (!informed())
+        return keep_early(std::move(request), std::move(answer));
+    admit(std::move(request), std::move(answer), now());
+}
+
+/// See start_hold.hpp.
+void relay::keep_early(relay_request request,
+                       std::shared_ptr<http_answer> answer)
+{
+    time_point const at = now();
+    time_point const until = start_.keep_until(at, request.time_left);
+    early_request early{std::move(request), std::move(answer), at, until,
+                        std::make_shared<bool>(false)};
+    if (early.keep_until <= at || early_.size() >= most_early)
+        return refuse_uninformed(early);
+    early.answer->on_closed([gone = early.gone] { *gone = true; });
+    early_.push_back(std::move(early));
+    run_soon();
+}
+
+void relay::refuse_uninformed(early_request const& early)
+{
+    refuse_at_once(early.request, *early.answer,
+                   error(error_kind::configuration_stale,
+                         has_config() ? "the workers are not known yet"
+                                      : "no configuration is known yet",
+                         ran::no, start_.retry_after(now())));
+}
+
+/// Those that wait for what is known now are decided on, those that have waited
+/// long enough are turned away.
+void relay::review_early()
+{
+    time_point const at = now();
+    std::vector<early_request> waiting = std::exchange(early_, {});
+    for (early_request& each : waiting)
+    {
+        if (*each.gone)
+            ++counts_.caller_gone;
+        else if (informed())
+            admit(std::move(each.request), std::move(each.answer),
+                  each.arrived_at);
+        else if (at >= each.keep_until || refuses_new_)
+            refuse_uninformed(each);
+        else
+            early_.push_back(std::move(each));
+    }
+}
+
+void relay::admit(relay_request request, std::shared_ptr<http_answer> answer,
+                  time_point arrived_at)
+{
     route const* const matched = routes_->find(request.host, request.path);
     if (matched == nullptr)
         return refuse_at_once(
@@ -208,7 +263,7 @@
         *matched, std::uniform_real_distribution<double>()(random_));
     terms.matched = matched;
     terms.config = config_;
-    terms.arrived_at = now();
+    terms.arrived_at = arrived_at;
     terms.give_up_at =
         terms.arrived_at +
         std::min<duration>(matched->timeout,
@@ -220,7 +275,7 @@
                                     "the route's service is not known", ran::no,
                                     not_ready_retry));
     terms.engine = service->engine;
-    service->retries.count_request(terms.arrived_at);
+    service->retries.count_request(now());
     ticket_id const ticket = terms.ticket;
     auto const exchange = std::make_shared<relay_exchange>(
         *this, std::move(terms), std::move(request), answer);
@@ -386,6 +441,7 @@
         else
             forget_peer_request(*ticket, send_outcome::abandoned);
     }
+    review_early();
     if (at >= tell_done_at_)
         tell_done();
     for (auto& [name, service] : services_)
@@ -447,6 +503,8 @@
         next = std::min(next, *due);
     for (auto const& [name, service] : services_)
         next = std::min(next, service.scheduler.next_due());
+    for (early_request const& each : early_)
+        next = std::min(next, each.keep_until);
     if (next == timer_at_)
         return;
     timer_at_ = next;
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -10,6 +10,7 @@
 #include "relay_exchange.hpp"
 #include "retry_allowance.hpp"
 #include "route_table.hpp"
+#include "start_hold.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -35,6 +36,7 @@
     /// Orders are sent only while this holds, asked right before each.
     std::function<bool(worker_id const&)> may_order;
     std::uint64_t seed = 1;
+    start_limits start;
 };
 
 /// Counts since the start; only rise. Value.
@@ -85,6 +87,8 @@
     void refuse_new() { refuses_new_ = true; }
 
     bool has_config() const { return routes_ != nullptr; }
+    /// Whether requests can be decided on: routes and workers are known.
+    bool informed() const { return has_config() && backends_known_; }
     config_version version() const;
     std::size_t in_progress() const { return exchanges_.size(); }
     relay_counts const& counts() const { return counts_; }
@@ -130,6 +134,16 @@
         vm_id owner;
         std::uint64_t number = 0;
     };
+    /// A request that arrived before routes and workers were known.
+    struct early_request
+    {
+        relay_request request;
+        std::shared_ptr<http_answer> answer;
+        time_point arrived_at{};
+        time_point keep_until{};
+        /// Set when its caller has gone.
+        std::shared_ptr<bool> gone;
+    };
     struct service_state
     {
         service_scheduler scheduler;
@@ -144,6 +158,11 @@
         }
     };
 
+    void admit(relay_request request, std::shared_ptr<http_answer> answer,
+               time_point arrived_at);
+    void keep_early(relay_request request, std::shared_ptr<http_answer> answer);
+    void refuse_uninformed(early_request const& early);
+    void review_early();
     void refuse_at_once(relay_request const& request, http_answer& answer,
                         error const& problem);
     service_state* find(service_id const& service);
@@ -183,6 +202,9 @@
     std::shared_ptr<routing_config const> config_;
     std::map<service_id, service_state> services_;
     std::vector<backend_entry> backends_;
+    bool backends_known_ = false;
+    start_hold const start_;
+    std::vector<early_request> early_;
     std::map<worker_id, order_grant> grants_;
     std::map<model_target, adapter_version> releases_;
     std::size_t members_ = 1;
--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -26,7 +26,12 @@
 constexpr milliseconds longest_retry{600};
 constexpr milliseconds longest_follower_retry{1600};
 constexpr int most_doublings = 4;
-constexpr milliseconds read_time_limit{1500};
+/// How long a whole read may take, doubled with each that failed in a row, up
+/// to the longest. Failure: a VM starts while the store says nothing; its first
+/// question hangs for a second after the store is back. An answer takes some
+/// ten milliseconds, and a few hundred when the store is slow.
+constexpr milliseconds first_read_limit{400};
+constexpr milliseconds longest_read_limit{1500};
 /// A question to another VM waits there for a third of the interval at which
 /// workers are asked for, and may take a fifth of it more: a reader that hangs
 /// is noticed in time to ask the store within the bound on draining workers.
@@ -209,7 +214,10 @@
 
 void row_mirror::read_page(followed_set& which, std::string const& after)
 {
-    store_.read(which.set, "", after, read_time_limit,
+    int const doublings = std::min(which.failures, most_doublings);
+    duration const limit = std::min<duration>(
+        first_read_limit * (1 << doublings), longest_read_limit);
+    store_.read(which.set, "", after, limit,
                 [this, &which](store_reply reply)
                 {
                     asio::post(io_, [this, &which, reply = std::move(reply)]
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -32,6 +32,11 @@
 constexpr milliseconds longest_slot_wait{250};
 /// However soon a slot was expected, a home is waited for no longer.
 constexpr milliseconds busy_home_wait{700};
+/// How long a request waits for workers to have owners again: VMs that restart
+/// take theirs within a fraction of a second once the store answers. As long as
+/// a fetch of its adapter takes; the workers of a VM that is lost have no owner
+/// for much longer, and nobody waits for these.
+constexpr milliseconds owner_wait{250};
 
 } // namespace
 
@@ -405,6 +410,7 @@
                                   time_point now)
 {
     model_target const& target = *waiting.item.target;
+    waiting.review_at = never;
     if (auto const decided = go_on(waiting, now))
         return *decided;
     std::erase_if(waiting.said_no,
@@ -435,6 +441,11 @@
     // busy, and rejects for seconds what they could take a moment later.
     if (may_ask_again(waiting, now))
         return verdict::waits;
+    if (owner_may_come(waiting, now))
+    {
+        waiting.review_at = waiting.item.arrived_at + duration(owner_wait);
+        return verdict::waits;
+    }
     bool const own_may_later =
         std::any_of(workers_.begin(), workers_.end(),
                     [&](auto const& each)
@@ -448,6 +459,26 @@
     return own_may_later ? verdict::waits : verdict::hopeless;
 }
 
+/// Failure: all VMs restart at once. For a moment nobody owns a worker, and
+/// every request for an adapter that is not loaded is told to come back, though
+/// an owner would take it half a second later.
+bool service_scheduler::owner_may_come(waiting_item const& waiting,
+                                       time_point now) const
+{
+    if (now >= waiting.item.arrived_at + duration(owner_wait))
+        return false;
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [&](auto const& each)
+                       {
+                           worker_state const& worker = *each.second;
+                           return !worker.owned && !worker.entry.draining &&
+                                  owners_.count(each.first) == 0 &&
+                                  waiting.item.excluded.count(each.first) ==
+                                      0 &&
+                                  !worker.health.avoided(now);
+                       });
+}
+
 bool service_scheduler::may_ask_again(waiting_item const& waiting,
                                       time_point now) const
 {
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -537,7 +537,7 @@
         time_point const review =
             waiting.item.arrived_at +
             (waiting.item.give_up_at - waiting.item.arrived_at) / 2;
-        next = std::min(next, review);
+        next = std::min({next, review, waiting.review_at});
         for (auto const& [worker, until] : waiting.said_no)
             next = std::min(next, until);
     }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -260,6 +260,8 @@
         worker_id loads_at;
         /// Workers whose owner said no, and until when that counts.
         std::map<worker_id, time_point> said_no;
+        /// When it is to be decided on again though nothing happened.
+        time_point review_at = never;
     };
     struct asked_item
     {
@@ -349,6 +351,8 @@
                        time_point now) const;
     /// Whether an owner that said no may say yes a moment later.
     bool may_ask_again(waiting_item const& waiting, time_point now) const;
+    /// Whether some worker that it may go to has no owner now.
+    bool owner_may_come(waiting_item const& waiting, time_point now) const;
     bool refused_by(worker_id const& worker, waiting_item const& waiting,
                     time_point now) const;
     /// Whether some VM can be asked for room at the worker.
--- a/tests/service_load_test.cpp
+++ b/tests/service_load_test.cpp
@@ -290,3 +290,29 @@
     }
     CHECK(homes.size() == 2);
 }
+
+// All VMs restart at once: for a moment no worker has an owner, and adapters
+// that are not loaded cannot be asked for. Requests wait for the owners to come
+// back; where none comes they are told so while there is time to try again.
+TEST_CASE("requests wait a moment for workers to have owners again",
+          "[service_load]")
+{
+    scheduler_world world(2);
+    world.grants.clear();
+    world.scheduler.set_grants({});
+    ticket_id const early = world.ask("a1");
+    world.run(200ms);
+    CHECK_FALSE(world.refused(early));
+    world.own_all();
+    world.run(500ms);
+    CHECK(world.placed(early));
+
+    scheduler_world without(2);
+    without.grants.clear();
+    without.scheduler.set_grants({});
+    ticket_id const lost = without.ask("a1");
+    without.run(200ms);
+    CHECK_FALSE(without.refused(lost));
+    without.run(100ms);
+    CHECK(without.refused(lost));
+}
