--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -294,7 +294,10 @@
                                    waiting_item const& waiting,
                                    time_point now) const
 {
-    auto const refusal = waiting.said_no.find(worker);
+    auto const owner = owners_.find(worker);
+    if (owner == owners_.end())
+        return false;
+    auto const refusal = waiting.said_no.find(owner->second);
     return refusal != waiting.said_no.end() && now < refusal->second;
 }
 
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -271,14 +271,15 @@
     return all_tried ? verdict::hopeless : verdict::waits;
 }
 
-/// Another VM's request for one worker of this one's.
+/// Another VM's request for one worker of this one's. Load it answers: an owner
+/// has several workers and the one that was asked for is full, fails or leaves.
+/// The others are as good; a no stands for all of them, so that nobody asks the
+/// same owner again for each.
 service_scheduler::verdict
 service_scheduler::decide_asked(waiting_item& waiting, time_point now)
 {
     worker_state* const worker = find(*waiting.item.asked_for);
-    if (worker == nullptr || !worker->owned || worker->entry.draining ||
-        (worker->health.avoided(now) && !worker->health.may_probe(now)) ||
-        sick(*worker, now))
+    if (worker == nullptr || !worker->owned)
         return verdict::hopeless;
     model_target const& target = *waiting.item.target;
     time_point const latest =
@@ -482,13 +483,12 @@
 bool service_scheduler::may_ask_again(waiting_item const& waiting,
                                       time_point now) const
 {
-    return std::any_of(waiting.said_no.begin(), waiting.said_no.end(),
-                       [&](auto const& refusal)
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [&](auto const& each)
                        {
-                           auto const known = workers_.find(refusal.first);
-                           return known != workers_.end() &&
-                                  !known->second->entry.draining &&
-                                  has_reachable_owner(*known->second, now);
+                           return refused_by(each.first, waiting, now) &&
+                                  !each.second->entry.draining &&
+                                  has_reachable_owner(*each.second, now);
                        });
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -364,7 +364,7 @@
         note_send(*worker, item, std::move(sent), now);
         return true;
     }
-    asked.waiting.said_no[asked.worker] = now + refusal_valid;
+    asked.waiting.said_no[asked.owner] = now + refusal_valid;
     waiting_.emplace(item.ticket, asked.key);
     queue_.emplace(asked.key, std::move(asked.waiting));
     return false;
@@ -538,7 +538,7 @@
             waiting.item.arrived_at +
             (waiting.item.give_up_at - waiting.item.arrived_at) / 2;
         next = std::min({next, review, waiting.review_at});
-        for (auto const& [worker, until] : waiting.said_no)
+        for (auto const& [owner, until] : waiting.said_no)
             next = std::min(next, until);
     }
     return next;
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -258,8 +258,9 @@
         work_item item;
         /// The worker whose load of the adapter it waits for.
         worker_id loads_at;
-        /// Workers whose owner said no, and until when that counts.
-        std::map<worker_id, time_point> said_no;
+        /// Owners that said no, for all their workers, and until when that
+        /// counts.
+        std::map<vm_id, time_point> said_no;
         /// When it is to be decided on again though nothing happened.
         time_point review_at = never;
     };
--- a/tests/service_load_test.cpp
+++ b/tests/service_load_test.cpp
@@ -164,6 +164,45 @@
     CHECK(world.granted(nowhere));
 }
 
+// An owner has no room at any of its workers. Asked for each of them in turn it
+// would say no four times over, and other owners would never be asked.
+TEST_CASE("an owner that said no is not asked for its other workers", "[load]")
+{
+    scheduler_world world(4);
+    world.scheduler.set_grants({});
+    world.scheduler.set_owners({{scheduler_world::name(0), vm_id("vm-2")},
+                                {scheduler_world::name(1), vm_id("vm-2")},
+                                {scheduler_world::name(2), vm_id("vm-2")},
+                                {scheduler_world::name(3), vm_id("vm-3")}});
+    ticket_id const ticket = world.ask("a1");
+    for (std::size_t asked = 1; asked <= 2; ++asked)
+    {
+        world.run(5ms);
+        REQUIRE(world.asks().size() == asked);
+        world.scheduler.on_owner(ticket, ask_outcome::refused, {}, world.now);
+    }
+    CHECK(world.asks().front().owner != world.asks().back().owner);
+    world.run(100ms);
+    CHECK(world.asks().size() == 2);
+}
+
+// The worker that is asked for fails; the owner has another one.
+TEST_CASE("an owner grants another of its workers", "[load]")
+{
+    scheduler_world world(2);
+    world.run(50ms);
+    ticket_id const before = world.ask("a1");
+    world.run(300ms);
+    REQUIRE(world.placed(before));
+    worker_id const home = world.worker_of(before);
+    world.end(before, send_outcome::unreachable);
+    std::size_t const number = home == scheduler_world::name(0) ? 0 : 1;
+    ticket_id const asked = world.ask_for_peer("a2", number);
+    world.run(400ms);
+    REQUIRE(world.granted(asked));
+    CHECK(world.granted_worker(asked) != home);
+}
+
 // A VM orders no worker: it has just taken the place of another. All owners are
 // busy for a moment. Its requests wait for that moment and are asked for again,
 // instead of being rejected one after the other for seconds.
