Let owners register before all others after a restart of all VMs

The log of an owner (trial): started at 35.8 s, no 'vm-registered' for seconds, and every question to its workers refused meanwhile (600 refusals a second at 35 VMs, for five seconds): 195 VMs write two rows each, the part of the table takes 200 writes a second and refuses what has to wait for a second; what was refused is repeated after a second.

Change: rows are read before a VM registers, so that it writes once, in place of a question and two writes; a VM that stood by registers within five heartbeats; an owner's registration and its first scan are repeated after a tenth of a heartbeat; only owners insist on rows that are newer than their registration.

The product's path reads its row first as before.

Tests: 'after a power cut owners register before all others'.

--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -14,10 +14,6 @@
 namespace
 {
 
-/// Scans that fail before the first one of a life are repeated so many times as
-/// often as later ones: every tenth of a second or two.
-constexpr int first_scans = 10;
-
 bool answered(table_outcome outcome)
 {
     return outcome == table_outcome::done || outcome == table_outcome::conflict;
@@ -42,10 +38,21 @@
     {
     }
 
+    void learn(std::vector<table_row> const& rows, action_list& actions)
+    {
+        store_rows(rows, actions);
+        learnt_ = true;
+    }
+
+    bool assigned() const
+    {
+        return !registration_.stands_by() && workers_.assigned();
+    }
+
     void start(time_point now, action_list& actions)
     {
-        next_scan_at_ = now;
-        registration_.start(now, actions);
+        next_scan_at_ = learnt_ ? now + settings_.heartbeat : now;
+        registration_.start(learnt_, now, actions);
         started_ = true;
     }
 
@@ -117,6 +124,8 @@
     standby_decision standby_;
 
     bool started_ = false;
+    /// The rows were read a moment before the start.
+    bool learnt_ = false;
     time_point table_heard_at_ = time_point::min();
     time_point next_scan_at_ = never;
     scan vm_scan_{vm_prefix, {}, {}};
@@ -211,13 +220,11 @@
         // Failure: VMs start while the table is away. Their workers have no
         // owner until rows were read in this life, and a scan that fails at the
         // table's return would leave them so for another heartbeat.
-        bool const read_in_this_life =
-            registration_.registered() &&
-            which.read_at >= registration_.registered_at();
-        next_scan_at_ =
-            now + random_.around(read_in_this_life
-                                     ? settings_.heartbeat
-                                     : settings_.heartbeat / first_scans);
+        bool const hurries = settings_.first_retry > duration(0) &&
+                             (!registration_.registered() ||
+                              which.read_at < registration_.registered_at());
+        next_scan_at_ = now + random_.around(hurries ? settings_.first_retry
+                                                     : settings_.heartbeat);
         return;
     }
     which.read_at = std::min(which.asked_at, reply.as_of);
@@ -370,6 +377,12 @@
 
 ownership_keeper::~ownership_keeper() = default;
 
+void ownership_keeper::learn(std::vector<table_row> const& rows,
+                             action_list& actions)
+{
+    implementation_->learn(rows, actions);
+}
+
 void ownership_keeper::start(time_point now, action_list& actions)
 {
     implementation_->start(now, actions);
@@ -461,6 +474,11 @@
     return implementation_->registration().leaving();
 }
 
+bool ownership_keeper::assigned() const
+{
+    return implementation_->assigned();
+}
+
 bool ownership_keeper::stands_by() const
 {
     return implementation_->registration().stands_by();
--- a/src/ownership_keeper.hpp
+++ b/src/ownership_keeper.hpp
@@ -128,6 +128,10 @@
     /// Thousandths of a processor core that this VM has.
     unsigned millicores = 1000;
     owner_limits owners;
+    /// How soon a registration that was refused, and the first scan of a life
+    /// that failed, are tried again: until both are done the VM's workers have
+    /// no owner. 0: as soon as later ones.
+    duration first_retry{};
     std::uint64_t seed = 1;
 };
 
@@ -142,6 +146,9 @@
                      ownership_rules const& rules = standard_ownership_rules());
     ~ownership_keeper();
 
+    /// Takes all rows there are, read a moment before start(), so that it need
+    /// not ask for its own.
+    void learn(std::vector<table_row> const& rows, action_list& actions);
     /// Registers this life of the VM (a life higher than any before it).
     /// Precondition: this process listens on settings.address, so that an
     /// earlier one that did has ended.
@@ -187,6 +194,8 @@
     bool leaving() const;
     /// Owns no workers and is to own none for now.
     bool stands_by() const;
+    /// By the rows known this VM is one of those that own workers.
+    bool assigned() const;
     /// Whether orders may be given: the lease cannot have been taken over.
     bool lease_holds(time_point now) const;
     /// The last moment at which the table is known to have answered; the
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -63,6 +63,13 @@
     if (std::exchange(begun_, true))
         return;
     action_list actions;
+    if (mirror_.read(row_set::own))
+    {
+        std::vector<table_row> known;
+        for (stored_row const& row : mirror_.rows(row_set::own))
+            known.push_back(to_table_row(row));
+        keeper_.learn(known, actions);
+    }
     keeper_.start(now, actions);
     after_change(actions);
 }
@@ -314,16 +321,16 @@
 
 /// Failure: rows that were read before this VM registered show too few members
 /// and it takes workers that are not its share, so for a while after it
-/// registered only rows as of the scan will do. One that stands by takes none.
+/// registered only rows as of the scan will do. One that owns none takes none.
 bool ownership_runner::needs_newest(time_point now)
 {
     if (!keeper_.registered())
     {
         registered_at_ = never;
-        return true;
+        return false;
     }
     registered_at_ = std::min(registered_at_, now);
-    return !keeper_.stands_by() &&
+    return keeper_.assigned() &&
            now < registered_at_ + options_.keeper.heartbeat * strict_heartbeats;
 }
 
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -54,6 +54,9 @@
 /// of a core answers beside its own callers.
 constexpr owner_limits relay_owners{4, 8};
 constexpr double millicores_per_core = 1000;
+/// What a VM needs before its workers have an owner is tried so many times as
+/// often as its heartbeat: each tenth of a second or two.
+constexpr int first_retries = 10;
 /// A call of the store that takes longer is as good as lost, and VMs that
 /// start together have registered within the same time: of the gap.
 constexpr int gap_shares = 3;
@@ -103,6 +106,7 @@
     options.keeper.seed = seed;
     options.keeper.order_gap = gap;
     options.keeper.owners = relay_owners;
+    options.keeper.first_retry = options.keeper.heartbeat / first_retries;
     options.keeper.millicores = static_cast<unsigned>(
         std::lround(value.processor_share * millicores_per_core));
     options.order_gap = gap;
--- a/src/vm_registration.cpp
+++ b/src/vm_registration.cpp
@@ -1,10 +1,17 @@
 #include "vm_registration.hpp"
 
+#include "placement.hpp"
+
 namespace mulberry
 {
 namespace
 {
 
+/// VMs that stood by register within so many heartbeats of their start, spread
+/// over that time: with a heartbeat of two seconds twenty of two hundred each
+/// second.
+constexpr int standby_spread = 5;
+constexpr duration::rep spread_steps = 1000;
 void note(action_list& actions, std::string kind, std::string text)
 {
     actions.push_back(
@@ -27,13 +34,22 @@
 {
 }
 
-/// Two hundred VMs start at once after a power cut, and the table takes two
-/// hundred writes a second: each spares it a question for its row. A write that
-/// rests on no row is either the first, or its conflict tells the row.
-void vm_registration::start(time_point now, action_list& actions)
+/// Failure: two hundred VMs start at once after a power cut, and the table
+/// takes two hundred writes a second. The owners wait for seconds behind those
+/// that own nothing, are refused, and wait again; nobody loads an adapter
+/// meanwhile. So a VM that stood by registers a while later, each at its own
+/// time.
+void vm_registration::start(bool informed, time_point now, action_list& actions)
 {
-    phase_ = phase::registering;
-    send(call_kind::enrol, now, actions);
+    phase_ = informed ? phase::registering : phase::reading;
+    vm_row const* const old = members_.row_of(settings_.vm);
+    if (!informed)
+        return send(call_kind::read, now, actions);
+    if (old == nullptr || !old->stands_by)
+        return send(call_kind::enrol, now, actions);
+    auto const share = stable_hash(settings_.vm.str()) % spread_steps + 1;
+    next_call_at_ = now + settings_.heartbeat * standby_spread *
+                              static_cast<duration::rep>(share) / spread_steps;
 }
 
 void vm_registration::set_ready(time_point now)
@@ -82,6 +98,8 @@
         phase_ = phase::closed;
     switch (phase_)
     {
+    case phase::reading:
+        return send(call_kind::read, now, actions);
     case phase::registering:
         return send(call_kind::enrol, now, actions);
     case phase::registered:
@@ -123,11 +141,18 @@
     row_version base = members_.version_of(settings_.vm);
     if (kind == call_kind::enrol && enrol_token_.empty())
         enrol_asked_at_ = now;
-    made.written = row_to_write(kind, now);
-    transaction.writes.push_back({key, to_text(made.written)});
+    if (kind != call_kind::read)
+    {
+        made.written = row_to_write(kind, now);
+        transaction.writes.push_back({key, to_text(made.written)});
+    }
     if (kind == call_kind::enrol)
         base = enrol_base_;
-    if (rules_.writes_conditionally())
+    // A read compares with an absent row: either answer tells the row as it
+    // is now, which a lagging read does not.
+    if (kind == call_kind::read)
+        base = row_version();
+    if (rules_.writes_conditionally() || kind == call_kind::read)
         transaction.conditions.push_back({key, base});
     actions.push_back(
         transact{made.operation, transaction, now + settings_.table_timeout});
@@ -236,6 +261,8 @@
         store_read(reply);
     switch (done.kind)
     {
+    case call_kind::read:
+        return on_read(reply, now, actions);
     case call_kind::enrol:
         return on_enrolled(done, reply, now, actions);
     case call_kind::renew:
@@ -247,6 +274,8 @@
 
 void vm_registration::store_written(call const& done, table_reply const& reply)
 {
+    if (done.kind == call_kind::read)
+        return;
     for (table_row const& row : reply.rows)
         if (row.key == vm_key(settings_.vm))
             members_.store(settings_.vm, row.version, done.written);
@@ -259,6 +288,18 @@
             members_.store(row);
 }
 
+void vm_registration::on_read(table_reply const& reply, time_point now,
+                              action_list& actions)
+{
+    if (phase_ != phase::reading)
+        return;
+    if (reply.outcome == table_outcome::unreachable ||
+        reply.outcome == table_outcome::refused)
+        return retry_later(now);
+    phase_ = phase::registering;
+    send(call_kind::enrol, now, actions);
+}
+
 void vm_registration::on_enrolled(call const& done, table_reply const& reply,
                                   time_point now, action_list& actions)
 {
@@ -364,7 +405,10 @@
 
 void vm_registration::retry_later(time_point now)
 {
-    next_call_at_ = now + random_.around(settings_.heartbeat / 2);
+    bool const hurries = phase_ == phase::registering && !stands_by_ &&
+                         settings_.first_retry > duration(0);
+    next_call_at_ = now + random_.around(hurries ? settings_.first_retry
+                                                 : settings_.heartbeat / 2);
 }
 
 } // namespace mulberry
--- a/src/vm_registration.hpp
+++ b/src/vm_registration.hpp
@@ -26,8 +26,10 @@
                     ownership_rules const& rules, membership& members,
                     ownership_random& random, id_source& ids);
 
-    /// Registers a life above the one that the row tells.
-    void start(time_point now, action_list& actions);
+    /// Reads the row and registers a life above it. With `informed` the rows
+    /// were read a moment ago: it registers at once, or a while later if the
+    /// life before stood by.
+    void start(bool informed, time_point now, action_list& actions);
     /// The workers of the configuration are known: this VM can take some.
     void set_ready(time_point now);
     /// Whether this VM is to own workers or stands by; says so in its row.
@@ -67,6 +69,7 @@
     enum class phase
     {
         idle,
+        reading,
         registering,
         registered,
         /// Expired while leaving: not worth a new life.
@@ -78,6 +81,7 @@
     };
     enum class call_kind
     {
+        read,
         enrol,
         renew,
         close
@@ -95,6 +99,8 @@
     vm_row row_to_enrol();
     void note_version(row_version version, time_point now);
     incarnation ended_below(vm_row const& old, incarnation next) const;
+    void on_read(table_reply const& reply, time_point now,
+                 action_list& actions);
     void on_enrolled(call const& done, table_reply const& reply, time_point now,
                      action_list& actions);
     void on_renewed(call const& done, table_reply const& reply, time_point now,
--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -187,6 +187,12 @@
                        });
 }
 
+bool worker_assignment::assigned() const
+{
+    return std::binary_search(assigned_to_.begin(), assigned_to_.end(),
+                              context_.settings.vm);
+}
+
 bool worker_assignment::settled() const
 {
     return read_at_ >=
@@ -222,9 +228,7 @@
     }
     std::size_t const wanted =
         owners_wanted(limits, workers_in(context_.settings.domain));
-    bool const assigned =
-        std::binary_search(assigned_to_.begin(), assigned_to_.end(), self);
-    result.surplus = owners > wanted && !assigned &&
+    result.surplus = owners > wanted && !assigned() &&
                      assigned_generation_ == members_.generation() &&
                      !taking_ && !owns_any();
     result.missing_owners = wanted - std::min(wanted, owners);
--- a/src/worker_assignment.hpp
+++ b/src/worker_assignment.hpp
@@ -34,6 +34,8 @@
     /// What follows from the rows known for whether this VM should own workers.
     owner_situation situation(lapsed_members const& lapsed,
                               time_point now) const;
+    /// Whether this VM is one of those that own workers.
+    bool assigned() const;
     /// The moment by which the rows known were all read.
     void set_read_at(time_point asked_at) { read_at_ = asked_at; }
     /// Everything that follows from the rows known now.
