Log when a VM stands by or owns workers again, and serve it as a metric

Cause: what a VM believes of its own part in the fleet had no line in the logs. Change: vm-stands-by, vm-owns-workers; mulberry_stands_by. No decision changes.

--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -112,6 +112,7 @@
     void on_registration(table_reply const& reply, time_point now,
                          action_list& actions);
     void review(time_point now, action_list& actions);
+    void review_standby(time_point now, action_list& actions);
 
     ownership_settings const settings_;
     id_source& ids_;
@@ -322,16 +323,27 @@
     if (!started_)
         return;
     registration_.examine_row(now, actions);
-    if (registration_.registered())
-        registration_.set_stands_by(
-            standby_.decide(registration_.stands_by(),
-                            workers_.situation(lapsed_, now), now),
-            now);
+    review_standby(now, actions);
     registration_.tick(now, actions);
     workers_.review(now, actions);
     lapsed_.tick(now, actions);
 }
 
+void ownership_keeper::implementation::review_standby(time_point now,
+                                                      action_list& actions)
+{
+    if (!registration_.registered())
+        return;
+    bool const stands_by = standby_.decide(
+        registration_.stands_by(), workers_.situation(lapsed_, now), now);
+    if (stands_by == registration_.stands_by())
+        return;
+    actions.push_back(note_event{"ownership",
+                                 stands_by ? "vm-stands-by" : "vm-owns-workers",
+                                 settings_.vm.str()});
+    registration_.set_stands_by(stands_by, now);
+}
+
 std::vector<ownership_event> ownership_keeper::implementation::take_events()
 {
     bool const members_changed = members_.take_changed();
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -320,6 +320,8 @@
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
     response.body = relay_.metrics() + registry_.metrics() + mirror_.metrics() +
                     store_.metrics();
+    response.body +=
+        fmt::format("mulberry_stands_by {}\n", ownership_->stands_by() ? 1 : 0);
     answer.respond(std::move(response));
 }
 
