--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -92,7 +92,14 @@
         keeper_.set_workers({listed.begin(), listed.end()}, now, actions);
         after_change(actions);
     }
-    begin(now);
+    workers_known_ = true;
+    if (informed())
+        begin(now);
+}
+
+bool ownership_runner::informed() const
+{
+    return workers_known_ && mirror_.read(row_set::own);
 }
 
 bool ownership_runner::may_order(worker_id const& worker) const
@@ -106,7 +113,7 @@
 void ownership_runner::tick()
 {
     time_point const now = boot_clock::now();
-    if (now >= begins_by_)
+    if (informed() || now >= begins_by_)
         begin(now);
     action_list actions;
     keeper_.tick(now, actions);
--- a/src/ownership_runner.hpp
+++ b/src/ownership_runner.hpp
@@ -28,8 +28,8 @@
     /// that does not check fencing tokens carries out whatever arrives, so the
     /// owners keep apart in time.
     duration order_gap = std::chrono::milliseconds(3000);
-    /// This VM registers once the workers are known, so that it need not write
-    /// a second time that it can take some, or that long after its start.
+    /// This VM registers once the workers and all own rows are known, so that
+    /// one write does, or that long after its start.
     duration start_wait{};
 };
 
@@ -63,6 +63,7 @@
 private:
     void tick();
     void begin(time_point now);
+    bool informed() const;
     void carry_out(action_list const& actions);
     void run(transact const& what);
     void run(read_row const& what);
@@ -105,6 +106,7 @@
     std::vector<member_view> members_;
     std::map<worker_id, vm_id> others_;
     bool begun_ = false;
+    bool workers_known_ = false;
     time_point begins_by_ = never;
     bool held_lease_ = false;
     /// When this VM was seen to have registered.
--- a/tests/memory_row_store.cpp
+++ b/tests/memory_row_store.cpp
@@ -92,6 +92,7 @@
 void memory_row_store::transact(table_transaction const& transaction, duration,
                                 store_callback done)
 {
+    ++transactions_;
     if (refused(done))
         return;
     store_reply reply;
--- a/tests/memory_row_store.hpp
+++ b/tests/memory_row_store.hpp
@@ -25,6 +25,7 @@
     /// Answers the watches that wait, without a change.
     void answer_watches();
     std::size_t calls() const { return calls_; }
+    std::size_t transactions() const { return transactions_; }
     /// Questions about one set.
     std::size_t questions(mulberry::row_set set) const;
 
@@ -58,6 +59,7 @@
     std::list<waiting_watch> waiting_;
     bool down_ = false;
     std::size_t calls_ = 0;
+    std::size_t transactions_ = 0;
     std::map<mulberry::row_set, std::size_t> questions_;
 };
 
--- a/tests/ownership_runner_test.cpp
+++ b/tests/ownership_runner_test.cpp
@@ -48,6 +48,17 @@
         vm_->runner.start();
         REQUIRE(until([this] { return vm_->runner.registered(); }));
     }
+    /// The workers are known before the rows are.
+    void start_informed()
+    {
+        grant_.reset();
+        start_wait_ = generous_wait;
+        vm_ = std::make_unique<vm_process>(*this, ++starts_);
+        vm_->runner.start();
+        list();
+        vm_->mirror.start();
+        REQUIRE(until([this] { return vm_->runner.registered(); }));
+    }
     /// What it was about to do is dropped, as with a process.
     void kill()
     {
@@ -105,7 +116,8 @@
             : pool(io),
               mirror(io, world.store, pool, {}, log,
                      {[](row_set, std::vector<stored_row> const&) {}}),
-              runner(io, world.store, mirror, options(world.name_, seed), log,
+              runner(io, world.store, mirror,
+                     options(world.name_, seed, world.start_wait_), log,
                      {[&world](std::map<worker_id, order_grant> const& grants)
                       { world.on_grants(grants); },
                       [](std::vector<member_view> const&) {},
@@ -115,9 +127,10 @@
     };
 
     static ownership_run_options options(std::string const& name,
-                                         std::uint64_t seed)
+                                         std::uint64_t seed, duration wait)
     {
         ownership_run_options options;
+        options.start_wait = wait;
         options.keeper.vm = vm_id(name);
         options.keeper.domain = domain_id("zone");
         options.keeper.address = "127.0.0.1:9";
@@ -150,6 +163,7 @@
     std::string name_;
     std::unique_ptr<vm_process> vm_;
     std::uint64_t starts_ = 0;
+    duration start_wait_{};
     std::optional<order_grant> grant_;
     time_point gained_at_{};
 };
@@ -202,6 +216,21 @@
     CHECK(world.gained_with() > gap / 2);
 }
 
+// All VMs start at once, and the table takes so many writes a second. A VM that
+// has read the rows registers with a single one; without them it asks for its
+// own row first, and its workers have no owner for that long.
+TEST_CASE("a VM that restarts registers with one write", "[ownership_runner]")
+{
+    runner_world world;
+    world.start();
+    world.list();
+    world.gained_with();
+    world.kill();
+    std::size_t const before = world.store.transactions();
+    world.start_informed();
+    CHECK(world.store.transactions() == before + 1);
+}
+
 // A worker's owner lapsed. Where it had the worker for long, it stopped giving
 // orders a gap before its lease was over; where it was given the worker a
 // moment before, the VM that gave it may just have ordered.
