--- a/src/vm_registration.cpp
+++ b/src/vm_registration.cpp
@@ -66,9 +66,10 @@
     stands_by_ = stands_by;
     if (registered())
         next_call_at_ = now;
-    // Failure: the row says since a while ago that this VM owns workers, the
-    // answer to that write was lost, and this VM counts on the long lease of
-    // one that stands by; it gives orders beside the VM that took over.
+    // Failure: the answer to the write that says so is lost. From that write on
+    // others judge this VM by an owner's lease, while it counts on the long one
+    // of a VM that stands by, and gives orders beside the VM that took over.
+    // So it counts on none before the answer.
     if (!stands_by_)
         holds_until_ = time_point::min();
 }
