--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -50,9 +50,10 @@
 /// Owners of a failure domain at least: when one is lost, three quarters of the
 /// domain's workers keep theirs, and there are four to read the store for the
 /// others. An owner answers a question for each request at its workers, some
-/// ten a second each; eight workers of a busy service are as many as an eighth
-/// of a core answers beside its own callers.
-constexpr owner_limits relay_owners{4, 8};
+/// ten a second each, beside its own callers, on an eighth of a core where the
+/// domain has no larger VMs to spare: four workers each, as many as the least
+/// number of owners has in a domain of sixteen.
+constexpr owner_limits relay_owners{4, 4};
 constexpr double millicores_per_core = 1000;
 /// What a VM needs before its workers have an owner is tried so many times as
 /// often as its heartbeat: each tenth of a second or two.
--- a/src/vm_registration.cpp
+++ b/src/vm_registration.cpp
@@ -18,6 +18,11 @@
         note_event{"ownership", std::move(kind), std::move(text)});
 }
 
+int lease_factor(vm_row const& row)
+{
+    return row.stands_by ? standby_lease_factor : 1;
+}
+
 std::string life_text(incarnation life)
 {
     return "life " + std::to_string(life.value());
@@ -329,7 +334,8 @@
     process_life_ = row.process_life;
     registered_at_ = now;
     count_renewal(asked_at, row);
-    next_call_at_ += random_.around(settings_.heartbeat) - settings_.heartbeat;
+    next_call_at_ =
+        now + random_.around(settings_.heartbeat * lease_factor(row));
     if (out_of_date(row))
         next_call_at_ = now;
     note(actions, "vm-registered", life_text(life_));
@@ -360,7 +366,7 @@
 
 void vm_registration::count_renewal(time_point asked_at, vm_row const& written)
 {
-    int const factor = written.stands_by ? standby_lease_factor : 1;
+    int const factor = lease_factor(written);
     holds_until_ = asked_at + settings_.lease * factor - settings_.lease_margin;
     next_call_at_ = asked_at + settings_.heartbeat * factor;
 }
