Read, log and count what tells the hypotheses of the copied prompts apart

The version of a model's weights was dropped when a worker's entry was decoded, and no line said from where a prompt was copied, so that the three hypotheses could not be told apart from logs.

A worker's entry now says the version of the weights of each model; `worker listed`, `worker started again` and `worker weights changed` carry it with the worker's start, `prompt copied` names both workers with both, a version declared for weights has its own line, and mulberry_prompt_copies_total counts the copies. Nothing is decided on it yet.

--- a/src/backend_entry.hpp
+++ b/src/backend_entry.hpp
@@ -18,6 +18,8 @@
 {
     base_model_id model;
     std::map<adapter_id, adapter_version> adapters;
+    /// Of the model itself.
+    weights_version weights;
     friend bool operator==(held_model const&, held_model const&) = default;
 };
 
@@ -40,6 +42,16 @@
                            backend_entry const&) = default;
 };
 
+/// The version of the weights that the worker lists for a model; 0 for none.
+inline weights_version weights_of(backend_entry const& worker,
+                                  base_model_id const& model)
+{
+    for (held_model const& held : worker.models)
+        if (held.model == model)
+            return held.weights;
+    return {};
+}
+
 } // namespace mulberry
 
 #endif
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <string>
 #include <utility>
 
 namespace mulberry
@@ -46,6 +47,16 @@
     return "failed";
 }
 
+/// MODEL@VERSION of each model that the worker holds.
+std::string weights_text(backend_entry const& worker)
+{
+    std::string text;
+    for (held_model const& held : worker.models)
+        text += (text.empty() ? "" : ",") + held.model.str() + "@" +
+                std::to_string(held.weights.value());
+    return text;
+}
+
 } // namespace
 
 relay::relay(asio::io_context& io, relay_codec const& codec,
@@ -112,6 +123,39 @@
     review_early();
 }
 
+void relay::note_worker(std::string_view event, backend_entry const& worker)
+{
+    log_.notable(event,
+                 log_fields()
+                     .add("worker", worker.id.str())
+                     .add("service", worker.service.str())
+                     .add("domain", worker.domain.str())
+                     .add("started", worker.started.value())
+                     .add("weights", weights_text(worker)),
+                 now());
+}
+
+/// Tells whether an answer was made from memory that the worker itself did not
+/// make, and under which weights each of the two ran.
+void relay::note_copy(relay_exchange const& exchange,
+                      place_request const& placed)
+{
+    ++counts_.prompt_copies;
+    backend_entry const& source = *placed.prefix_source;
+    auto const& model = exchange.request().model;
+    log_.routine("prompt copied",
+                 log_fields()
+                     .add("request", exchange.request().id.str())
+                     .add("adapter", model ? model->adapter.str() : "")
+                     .add("worker", placed.worker.str())
+                     .add("started", placed.entry.started.value())
+                     .add("weights", weights_text(placed.entry))
+                     .add("from", source.id.str())
+                     .add("from_started", source.started.value())
+                     .add("from_weights", weights_text(source)),
+                 now());
+}
+
 void relay::set_backends(std::vector<backend_entry> entries)
 {
     for (backend_entry const& entry : entries)
@@ -120,12 +164,12 @@
             std::find_if(backends_.begin(), backends_.end(),
                          [&](auto const& each) { return each.id == entry.id; });
         if (before == backends_.end() || before->draining != entry.draining)
-            log_.notable(entry.draining ? "worker drains" : "worker listed",
-                         log_fields()
-                             .add("worker", entry.id.str())
-                             .add("service", entry.service.str())
-                             .add("domain", entry.domain.str()),
-                         now());
+            note_worker(entry.draining ? "worker drains" : "worker listed",
+                        entry);
+        else if (before->started != entry.started)
+            note_worker("worker started again", entry);
+        else if (weights_text(*before) != weights_text(entry))
+            note_worker("worker weights changed", entry);
     }
     for (backend_entry const& entry : backends_)
         if (std::none_of(entries.begin(), entries.end(),
@@ -158,7 +202,8 @@
     if (release.version <= known)
         return;
     known = release.version;
-    log_.notable("adapter version taken",
+    log_.notable(release.target.adapter.empty() ? "weights version taken"
+                                                : "adapter version taken",
                  log_fields()
                      .add("model", release.target.model.str())
                      .add("adapter", release.target.adapter.str())
@@ -471,6 +516,8 @@
         auto const exchange = found->second;
         if (exchange->sends() == 0)
             waits_.add(now() - exchange->terms().arrived_at);
+        if (placed->prefix_source)
+            note_copy(*exchange, *placed);
         return exchange->on_placed(*placed);
     }
     if (auto const* refused = std::get_if<refuse_request>(&action))
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -53,6 +53,9 @@
     std::uint64_t orders_unknown = 0;
     std::uint64_t orders_conflict = 0;
     std::uint64_t reports = 0;
+    /// Requests that named another worker to copy the beginning of their
+    /// prompt from.
+    std::uint64_t prompt_copies = 0;
     friend bool operator==(relay_counts const&, relay_counts const&) = default;
 };
 
@@ -167,6 +170,8 @@
                         error const& problem);
     service_state* find(service_id const& service);
     void add_service(service_config const& config);
+    void note_worker(std::string_view event, backend_entry const& worker);
+    void note_copy(relay_exchange const& exchange, place_request const& placed);
     void share_backends();
     void run_soon();
     void run();
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -24,6 +24,7 @@
     add("orders_unknown_total", "", counts_.orders_unknown);
     add("orders_conflict_total", "", counts_.orders_conflict);
     add("worker_reports_total", "", counts_.reports);
+    add("prompt_copies_total", "", counts_.prompt_copies);
     add("connections_opened_total", "", pool_.connections_opened());
     add("log_lines_left_out_total", "", log_.left_out());
     add("config_version", "", version().value());
