A test that fails: a prompt copied from a worker with other weights

Callers get answers made from prompt memory of one version of the weights and continued by another. It runs as scheduling_prompt_copy and stands in KNOWN-RED.txt until the mend.

--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -8,11 +8,16 @@
   LINK mulberry_policy)
 mulberry_test(scheduling_test
   SOURCES adapter_sightings_test.cpp reader_choice_test.cpp reading_pace_test.cpp
-          relay_request_test.cpp retry_allowance_test.cpp route_table_test.cpp
+          prompt_copy_test.cpp relay_request_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_copy_test.cpp scheduler_world.cpp
           service_load_test.cpp service_scheduler_test.cpp start_hold_test.cpp worker_adapters_test.cpp worker_health_test.cpp
           worker_reading_test.cpp
   LINK mulberry_scheduling)
+if(BUILD_TESTING)
+  # Fails: see KNOWN-RED.txt.
+  add_test(NAME scheduling_prompt_copy COMMAND scheduling_test
+           "a prompt is not copied from a worker with other weights")
+endif()
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp collected_exchange.cpp event_log.cpp event_splitter.cpp
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -139,7 +139,11 @@
     made.draining = draining.count(made.id) > 0;
     if (auto const life = lives.find(made.id); life != lives.end())
         made.started = life->second;
-    made.models.push_back({base_model_id(model), {}});
+    auto const held = weights.find(made.id);
+    made.models.push_back(
+        {base_model_id(model),
+         {},
+         held == weights.end() ? weights_version(1) : held->second});
     return made;
 }
 
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -117,6 +117,9 @@
     std::set<worker_id> draining;
     /// When workers started, of those that say it.
     std::map<worker_id, worker_start> lives;
+    /// The versions of the weights that workers list; the first where none is
+    /// given.
+    std::map<worker_id, weights_version> weights;
     std::map<worker_id, order_grant> grants;
     service_scheduler scheduler;
 
