A test that fails: requests for a model after a version of its weights

Found while tracing the copied prompts. A version of the weights is named; requests carry it after the grace, and every worker that holds the version before would refuse them with 421. In the test world the request names version 2 where it must name none.

--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -396,6 +396,27 @@
     CHECK(world.version_of(late) == adapter_version(2));
 }
 
+// A caller of the model itself is told that no worker can serve it, for as long
+// as the workers live. A version of the weights is named; workers load it when
+// they load the model next. Requests name it at once, as if it were an
+// adapter's, and every worker that holds the version before refuses them.
+TEST_CASE("a version of the weights does not keep requests from the model",
+          "[.][scheduler][weights]")
+{
+    scheduler_world world(1);
+    ticket_id const before = world.ask("");
+    world.run(100ms);
+    REQUIRE(world.placed(before));
+    world.end(before);
+    world.scheduler.on_release({base_model_id("base"), {}}, adapter_version(2),
+                               world.now);
+    world.run(3s);
+    ticket_id const after = world.ask("");
+    world.run(100ms);
+    REQUIRE(world.placed(after));
+    CHECK(world.version_of(after) == adapter_version());
+}
+
 // An old copy may be used for two seconds. A worker has seconds of prompts to
 // read when a request comes near the end of them: the request would begin long
 // after, on the old version, and so is not sent there.
