--- a/tests/prompt_copy_test.cpp
+++ b/tests/prompt_copy_test.cpp
@@ -104,8 +104,9 @@
 // read, and continued by another. A version of the weights is named; a worker
 // starts again and loads it, while the others keep the one before. A request
 // that goes to it names another holder of the adapter to copy its prompt from,
-// chosen by the adapter's name alone. On three deployments 107, 1,073 and 1,399
-// answers of a day on which workers started again after the version.
+// chosen by the adapter's name alone: `prompt copied adapter=a6986
+// worker=i-b504dd9c63 weights=...@2 from=i-65eed6da34 from_weights=...@1`, 1.6 s
+// after the version was named.
 TEST_CASE("a prompt is not copied from a worker with other weights",
           "[prompt_copy]")
 {
