A test that fails: a name whose unload was never sent

core_proof_early_kill keeps the intent to unload a3@1#1 in the row of w0. The order of events, in ms of the run: VM 2 decides to evict a3@1#1 (1478), its conditional write is slow, the VM is killed (1537), the write lands (1538) and no unload follows. VM 2 starts again at the same address (1557), its second life takes w0 with the first as a suspect and the intent as inherited (1582), knows the first life to have ended, since it was followed at its address, and clears the suspects (1584, in the row 1585). From then on nobody can send that unload, the engine still shows the adapter, and nothing ends the intent: a name with an open intent is closed only once a report shows it gone, and it goes only if somebody wants its slot.

The test shows the same in one dispatcher: with suspects that stopped, and with a grant that has none. A second one holds what must stay barred; it passes.

--- a/tests/worker_eviction_test.cpp
+++ b/tests/worker_eviction_test.cpp
@@ -21,6 +21,83 @@
     CHECK(it.last<load_adapter>().name == named("a@1#5"));
 }
 
+// An earlier owner recorded an intent and died before it sent the order. Once
+// it certainly sends nothing more and a report of a moment at which all that it
+// sent had arrived still shows the name, the adapter is not unloaded any more.
+// Barred for good, it would hold a slot that serves nobody, and the intent
+// would stand in the row for ever.
+TEST_CASE("a name whose unload was never sent is used again", "[dispatcher]")
+{
+    engine_name const kept = named("a@1#3");
+    bool const suspects = GENERATE(true, false);
+    bench it({{}, suspects, {kept}});
+    it.report({{kept, 0}});
+    if (suspects)
+    {
+        it.pass(10s);
+        it.report({{kept, 0}});
+        CHECK(it.forgotten(kept) == 0);
+        it.dispatcher->suspects_stopped(it.now, it.now);
+    }
+    it.pass(tests::small_limits().order_timeout +
+            tests::small_limits().settle_time);
+    it.report({{kept, 0}});
+    CHECK(it.forgotten(kept) == 0);
+    it.pass(1ms);
+    it.report({{kept, 0}});
+    CHECK(it.forgotten(kept) == 1);
+    it.submit("r1", "a");
+    REQUIRE(it.asked<start_attempt>().size() == 1);
+    CHECK(it.last<start_attempt>().name == kept);
+    CHECK(it.asked<load_adapter>().empty());
+}
+
+// All that earlier owners sent has arrived, but their intent is not over: this
+// owner evicts the adapter itself, a later owner may do so, or the name says
+// nothing of whose it is.
+TEST_CASE("a name that may yet be unloaded stays barred", "[dispatcher]")
+{
+    duration const long_after = 1min;
+    SECTION("by this owner")
+    {
+        engine_name const going = named("a@1#3");
+        bench it({{}, false, {going}});
+        it.report({{going, 0}, {named("b@1#5"), 0}});
+        it.submit("r1", "c");
+        REQUIRE(it.last<record_intent>().name == going);
+        bool const recorded = GENERATE(true, false);
+        if (recorded)
+            it.dispatcher->on_intent(it.last<record_intent>().order, true,
+                                     it.now, it.actions);
+        it.now += long_after;
+        it.report({{going, 0}, {named("b@1#5"), 0}});
+        CHECK(it.forgotten(going) == 0);
+        it.submit("r2", "a");
+        CHECK(it.asked<start_attempt>().empty());
+    }
+    SECTION("by an owner after this one")
+    {
+        engine_name const name = named("a@1#3");
+        bench it({{}, false, {name}});
+        it.report({{name, 0}});
+        it.dispatcher->stop_admitting(it.now, it.actions);
+        it.pass(long_after);
+        it.report({{name, 0}});
+        CHECK(it.forgotten(name) == 0);
+    }
+    SECTION("by whoever loaded it")
+    {
+        engine_name const name = GENERATE(named("a@1#6"), named("other"));
+        bench it({{}, false, {name}});
+        it.report({{name, 0}});
+        it.pass(long_after);
+        it.report({{name, 0}});
+        CHECK(it.forgotten(name) == 0);
+        it.submit("r1", "a");
+        CHECK(it.asked<start_attempt>().empty());
+    }
+}
+
 // Slots are full of what an earlier owner may still use. While it may send,
 // and until a report of a later moment shows nothing of its running, nothing
 // is evicted; then the request gets its slot.
