--- a/tests/configuration_keeper_test.cpp
+++ b/tests/configuration_keeper_test.cpp
@@ -435,6 +435,40 @@
     }
 }
 
+TEST_CASE("an outage right after a confirm is gone through", "[configuration]")
+{
+    // VMs that have just restarted help a confirm as soon as they give
+    // promises. All lose the table when the new version is in force on them,
+    // and no other confirm can have replaced it. Once their promises to help
+    // the confirm have ended, they go on with it until the table is back.
+    safeguards const checks;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed)
+    {
+        configuration_cluster cluster(3, seed, default_promise_rules(), checks);
+        for (std::size_t vm = 0; vm < 3; ++vm)
+            cluster.add({fault_kind::restart, vm, origin + 3s, {}});
+        // They keep to a former life's promises for somewhat more than 3 s.
+        cluster.add({fault_kind::confirm, 0, origin + 6250ms, {}});
+        while (cluster.at_version(config_version(2)) < 3 &&
+               cluster.now() < origin + 20s)
+            cluster.run_until(cluster.now() + 1ms);
+        REQUIRE(cluster.at_version(config_version(2)) == 3);
+        time_point const cut = cluster.now();
+        cluster.add({fault_kind::cut_table_of_all, 0, cut, 30s});
+        std::size_t least = 3;
+        // A question that comes late is answered with a promise of somewhat
+        // more than 3 s while the table's last answer is less than 1.5 s old;
+        // after that some messages may be lost.
+        for (duration after = 6s; after < 30s; after += 50ms)
+        {
+            cluster.run_until(cut + after);
+            least = std::min(least, cluster.knowing());
+        }
+        CAPTURE(seed);
+        CHECK(least == 3);
+    }
+}
+
 TEST_CASE("no VM stops for a moment when an outage of the table ends",
           "[configuration]")
 {
