Settle the doubt of a former life by a read asked after its promises ended

All VMs of a deployment took no new work through an outage of the table that began right after a confirm (process_table, "an outage right after the first confirm is gone through": no VM goes on without the table, no more answers).

Cause: a VM that starts doubts any version until a read that was asked after its former life's promises ended, since that life may have helped a confirm. The doubt and its end were kept together with those of this life's promises. A VM that helped a confirm after that end and before its next read kept the doubt of any version until its new promise would end, 3 s later; reads in between, which showed the new version, settled nothing. With the table lost in that time the doubt stayed for as long as the outage: such a VM stays out, and two of three leave no majority. Traced on the processes, ms on each VM's clock, the former promises' end at 3187 and 3188: two VMs promised to help at 3234 and 3205, their reads asked at 3236 and 3207 were answered, and 120 s later both still declined to go on, doubting any version.

Ruled out by the same lines: a lost table that was not noticed, a higher version heard of, a second confirm, a confirm promise that ran on. Not load by itself: the confirm asks at fixed steps from its start, and on a free machine one step falls 17 ms before that end; with the first question at 141 to 160 ms after the start in place of 107 ms it falls just after.

The former life's doubt now has an end of its own. What lands after that end rests on promises of this life, which it remembers.

--- a/src/promise_store.cpp
+++ b/src/promise_store.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <functional>
-#include <limits>
 
 namespace mulberry
 {
@@ -12,8 +11,6 @@
 /// Questions whose answers still count; older ones are long past.
 constexpr std::size_t remembered_questions = 64;
 
-constexpr config_version any_version(std::numeric_limits<std::uint64_t>::max());
-
 } // namespace
 
 given_promises::given_promises(promise_rules const& rules, duration promise)
@@ -27,8 +24,8 @@
         rules_.former_promises_end(now, record_end(now) - now);
     outage_until_ = end;
     confirm_until_ = end;
-    // The former life may have helped a confirm of any version.
-    doubted_ = end > now ? any_version : config_version();
+    former_until_ = end;
+    former_doubted_ = end > now;
 }
 
 bool given_promises::promise_outage(facts const& own, config_version with,
@@ -53,8 +50,16 @@
     return true;
 }
 
+// Failure: a VM helps a confirm after its former life's promises have ended and
+// before its next read. Were the two in one doubt, reads would settle neither
+// before the later promise ends. Symptom: the table is lost meanwhile, and the
+// VMs stop at the bound although the new version is in force on all of them.
+// Each is settled by a read asked after its own promises ended: what lands
+// later rests on later promises, and those are this life's, which it remembers.
 void given_promises::read_answered(time_point asked_at)
 {
+    if (asked_at >= former_until_)
+        former_doubted_ = false;
     if (asked_at >= confirm_until_)
         doubted_ = config_version();
 }
@@ -67,8 +72,8 @@
     result.table_lost = own.table_lost;
     result.outage_promise_running = now < outage_until_;
     result.confirm_promise_running = now < confirm_until_;
-    result.version_certain =
-        !with.none() && with >= own.highest && with > doubted_;
+    result.version_certain = !with.none() && with >= own.highest &&
+                             with > doubted_ && !former_doubted_;
     return result;
 }
 
--- a/src/promise_store.hpp
+++ b/src/promise_store.hpp
@@ -48,8 +48,13 @@
     time_point outage_until_{};
     time_point confirm_until_{};
     /// Versions up to this one may have been replaced by a confirm that this
-    /// VM helped; none when a later read has settled it.
+    /// life helped; none when a later read has settled it.
     config_version doubted_;
+    /// When the promises of the former life ended, at the latest.
+    time_point former_until_{};
+    /// Any version may have been replaced by a confirm that the former life
+    /// helped, and no later read has settled it.
+    bool former_doubted_ = false;
 };
 
 /// Promises of one kind that this VM was given. Thread safety: none.
