--- a/tests/configuration_keeper_test.cpp
+++ b/tests/configuration_keeper_test.cpp
@@ -469,6 +469,37 @@
     }
 }
 
+TEST_CASE("a VM in its first life goes on through an outage after a confirm",
+          "[configuration]")
+{
+    // Two of three VMs promise to help a confirm as soon as they give promises.
+    // The third gives none yet, as one that restarted must not; all lose the
+    // table as soon as the new version is in force on it too, before it can ask
+    // again. It has had no life before, in which it could have helped another
+    // confirm, and goes on like its peers.
+    safeguards const checks;
+    for (std::uint64_t seed = 1; seed <= 60; ++seed)
+    {
+        configuration_cluster cluster(3, seed, default_promise_rules(), checks);
+        // The first VMs have started at 1 s, all by 2 s.
+        cluster.add({fault_kind::confirm, 0, origin + 4200ms, {}});
+        while (cluster.at_version(config_version(2)) < 3 &&
+               cluster.now() < origin + 20s)
+            cluster.run_until(cluster.now() + 1ms);
+        REQUIRE(cluster.at_version(config_version(2)) == 3);
+        time_point const cut = cluster.now();
+        cluster.add({fault_kind::cut_table_of_all, 0, cut, 30s});
+        std::size_t least = 3;
+        for (duration after = 6s; after < 30s; after += 50ms)
+        {
+            cluster.run_until(cut + after);
+            least = std::min(least, cluster.knowing());
+        }
+        CAPTURE(seed);
+        CHECK(least == 3);
+    }
+}
+
 TEST_CASE("no VM stops for a moment when an outage of the table ends",
           "[configuration]")
 {
