Let a VM in its first life doubt nothing of a life before

One VM of three that had just started stayed out of service through an outage of the table, its peers went on, and nobody got answers ("an outage right after the first confirm is gone through": one VM does not go on without the table).

Cause: a VM that starts doubts any version until a read asked after its former life's promises ended. When two peers whose promises end sooner confirm and the table is lost at once, the third has no such read. Traced on the processes: a VM that came up 332 ms after its clock began, its end at 3520; its last read that was answered was asked at 3510 and showed the new version, and 60 s later it still declined (no promise of its own, doubt of the former life), while its two peers promised. Ruled out: the doubt of this life's promises (it gave none), a higher version heard of.

The doubt is of what a former life may have helped. A life numbered 1 has none: the VM had no row when it registered, rows are never deleted, and promises are given by registered VMs only. It still gives no promises in its first seconds, and a restarted VM doubts as before.

--- a/src/configuration_keeper.cpp
+++ b/src/configuration_keeper.cpp
@@ -15,6 +15,10 @@
 namespace
 {
 
+/// A VM that never registered before has no row, and rows are never deleted: so
+/// in this life nobody has promised anything under its name before.
+constexpr incarnation first_life(1);
+
 note_event note(std::string kind, std::string text)
 {
     return {"configuration", std::move(kind), std::move(text)};
@@ -137,6 +141,8 @@
     incarnation own_life)
 {
     peers_.set_members(members, own_life);
+    if (own_life == first_life)
+        given_.begin_first_life();
 }
 
 void configuration_keeper::implementation::on_peer(vm_id const& from,
--- a/src/configuration_keeper.hpp
+++ b/src/configuration_keeper.hpp
@@ -89,7 +89,8 @@
 /// the bound.
 ///
 /// A restarted VM has forgotten its promises; its new life gives none until
-/// they have run out, and none to go on before a read asked after that.
+/// they have run out, and none to go on before a read asked after that, but for
+/// a VM in its first life.
 ///
 /// When the table is lost between a confirm's promises and the next read of
 /// those who gave them, nobody can tell which version holds, and the VMs stop
@@ -110,6 +111,7 @@
     void on_object(object_reply const& reply, time_point now,
                    action_list& actions);
     /// Members by the rows last read, this VM among them, with their lives.
+    /// Lives count from 1, over all processes that ever ran under a VM's name.
     /// Precondition: a VM drops out only when it closed itself or is known to
     /// be gone (the platform's list names it no more), not for having lost
     /// the table: else those that have it could confirm among themselves while
--- a/src/promise_store.cpp
+++ b/src/promise_store.cpp
@@ -28,6 +28,15 @@
     former_doubted_ = end > now;
 }
 
+// Failure: the table is lost after a peer's confirm and before this VM could
+// read the row again. Symptom: it stops at the bound and serves none of its
+// workers, although it has the newest version and its peers go on. What it
+// doubts is what a former life may have helped; without one nothing was.
+void given_promises::begin_first_life()
+{
+    former_doubted_ = false;
+}
+
 bool given_promises::promise_outage(facts const& own, config_version with,
                                     time_point now)
 {
--- a/src/promise_store.hpp
+++ b/src/promise_store.hpp
@@ -21,6 +21,8 @@
     /// Takes the promises of the former life over, whatever they were.
     given_promises(promise_rules const& rules, duration promise);
     void start(time_point now);
+    /// There was no former life.
+    void begin_first_life();
 
     /// What this VM knows of the table and of the configuration.
     struct facts
