--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -213,7 +213,7 @@
     running.start();
     running.events().add("daemon", "started", value.vm.str());
     log(log_level::info, "daemon", "started: " + running.addresses());
-    std::cout << "listening " << running.addresses() << std::endl;
+    write_line("listening " + running.addresses());
     int const status = wait_for_end(running, signals);
     log(log_level::info, "daemon",
         status == 0 ? "left: nothing is in progress"
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -136,6 +136,11 @@
     bl::core::get()->add_sink(running_sink);
 }
 
+void write_line(std::string const& line)
+{
+    std::cout << line << std::endl;
+}
+
 void stop_logging()
 {
     if (!running_sink)
--- a/src/log.hpp
+++ b/src/log.hpp
@@ -27,7 +27,7 @@
 };
 
 /// Sets the sink up, once, before any other thread logs. Records go to the
-/// standard error stream through a thread of the sink's own.
+/// standard output stream through a thread of the sink's own.
 /// Throws std::invalid_argument for a level that is none of the above, or a
 /// format that is not text or json.
 void start_logging(std::string_view vm, std::string_view level,
@@ -44,6 +44,10 @@
 void log_event(log_level level, std::string_view part, std::string_view event,
                std::string const& fields);
 
+/// Writes a line for whoever started the process to the standard output stream.
+/// No record lands within it, nor it within a record. Thread safe.
+void write_line(std::string const& line);
+
 } // namespace mulberry
 
 #endif
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -442,7 +442,7 @@
         " peers " + bound_text(settings_.peers, *peers_);
     if (metrics_)
         line += " metrics " + bound_text(settings_.metrics, *metrics_);
-    std::cout << line << std::endl;
+    write_line(line);
 }
 
 int relay_process::run()
