Write the program's line and each log record as one piece

Whoever starts a VM could not read its addresses: a record of the log stood between the line and its end.

Cause: the line was written in three pieces and a record in two (its text, then its end), by different threads, to one unbuffered stream. Ruled out: a line cut by its reader (the record's time followed the port at once). Change: the line is one write, and records carry their own end, so that the sink writes them as one. It holds since the stream locks each write and holds nothing back.

--- a/src/daemon.cpp
+++ b/src/daemon.cpp
@@ -15,7 +15,6 @@
 #include "timeline.hpp"
 
 #include <csignal>
-#include <iostream>
 #include <memory>
 #include <random>
 #include <string>
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -74,6 +74,12 @@
     return stamp ? boost::posix_time::to_iso_extended_string(*stamp) : "";
 }
 
+/// The sink writes a line's end apart from the record unless it is part of it.
+void end_record(bl::formatting_ostream& out)
+{
+    out << "\n";
+}
+
 void write_text(bl::record_view const& record, bl::formatting_ostream& out)
 {
     auto const level = bl::extract<log_level>("Severity", record);
@@ -83,6 +89,7 @@
     auto const fields = bl::extract<std::string>("Fields", record);
     if (fields && !fields->empty())
         out << " {" << *fields << "}";
+    end_record(out);
 }
 
 void write_json(std::string const& vm, bl::record_view const& record,
@@ -105,6 +112,7 @@
         text += "," + *fields + "}";
     }
     out << text;
+    end_record(out);
 }
 
 } // namespace
@@ -136,9 +144,13 @@
     bl::core::get()->add_sink(running_sink);
 }
 
+// Failure: the line and its end are two writes, and the sink's thread puts a
+// record between them; whoever waits for the line cannot read it. The stream is
+// not buffered and each of its writes is whole, so a line is one write, and a
+// record as well: see end_record().
 void write_line(std::string const& line)
 {
-    std::cout << line << std::endl;
+    std::cout << line + "\n" << std::flush;
 }
 
 void stop_logging()
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -20,7 +20,6 @@
 #include <algorithm>
 #include <cmath>
 #include <csignal>
-#include <iostream>
 #include <random>
 
 namespace mulberry
--- a/src/shell.cmake
+++ b/src/shell.cmake
@@ -17,8 +17,3 @@
   SOURCES completion_request_test.cpp kernel_test.cpp log_test.cpp peer_codec_test.cpp
           stream_observer_test.cpp timeline_test.cpp
   LINK mulberry_shell)
-if(BUILD_TESTING)
-  # Fails: see KNOWN-RED.txt.
-  add_test(NAME shell_whole_lines COMMAND shell_test
-           "a line of the program stands whole beside the log's")
-endif()
--- a/tests/log_test.cpp
+++ b/tests/log_test.cpp
@@ -64,7 +64,7 @@
 // Whoever starts a VM waits for the line with its addresses, and gives it up
 // for one that cannot be read: `listening 127.0.0.1:388452026-12-03T06:01:19`.
 // The log's own thread wrote a record between the line and its end.
-TEST_CASE("a line of the program stands whole beside the log's", "[.][log]")
+TEST_CASE("a line of the program stands whole beside the log's", "[log]")
 {
     constexpr int lines = 3'000;
     std::string const line = "listening 127.0.0.1:38845";
