--- a/tests/prompt_copy_test.cpp
+++ b/tests/prompt_copy_test.cpp
@@ -105,8 +105,8 @@
 // starts again and loads it, while the others keep the one before. A request
 // that goes to it names another holder of the adapter to copy its prompt from,
 // chosen by the adapter's name alone: `prompt copied adapter=a6986
-// worker=i-b504dd9c63 weights=...@2 from=i-65eed6da34 from_weights=...@1`, 1.6 s
-// after the version was named.
+// worker=i-b504dd9c63 weights=...@2 from=i-65eed6da34 from_weights=...@1`, 1.6
+// s after the version was named.
 TEST_CASE("a prompt is not copied from a worker with other weights",
           "[prompt_copy]")
 {
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -400,8 +400,9 @@
 // as the workers live. A version of the weights is named; workers load it when
 // they load the model next. Requests name it at once, as if it were an
 // adapter's, and every worker that holds the version before refuses them. In a
-// day with 75 VMs: `tries again ... reason=rejected by the worker status=421` of
-// requests without an adapter: none before the version, 675 in 27 s after it.
+// day with 75 VMs: `tries again ... reason=rejected by the worker status=421`
+// of requests without an adapter: none before the version, 675 in 27 s after
+// it.
 TEST_CASE("a version of the weights does not keep requests from the model",
           "[scheduler]")
 {
