Give a once-call's answer when its record stands, or 50 ms later

Cause: the answer went to its caller before the write of its claim's end was even on its way, so that a retry could read the claim in between. Ruled out: letting the second VM wait for the claim to end. It delays the true "in progress" of a call that goes on, which a test bounds at 20 ms. Change: the answer is held until the table has taken the record, at most 50 ms, and so no longer than that while the table is away; a caller that leaves meanwhile does not turn a call that ran into one that did not. Cost: a once-call's answer on this path waits for one write of the table. The relay's path does not go here.

--- a/src/service_call.hpp
+++ b/src/service_call.hpp
@@ -45,6 +45,10 @@
     /// Until when a late answer is waited for.
     time_point late_until = never;
     std::optional<replay_fetch> fetch;
+    /// The answer of a call that may not be repeated, while its record is being
+    /// written; it is given at `held_until` at the latest.
+    std::optional<service_answer> held;
+    time_point held_until = never;
 
     /// Nobody waits for it any more.
     bool finished() const { return answered || withdrawn; }
@@ -55,7 +59,7 @@
         time_point first = late_until;
         if (late_until == never)
             first = request.deadline;
-        first = std::min({first, next_try, silence_due});
+        first = std::min({first, next_try, silence_due, held_until});
         if (fetch)
             first = std::min({first, fetch->reply_due, fetch->retry_due});
         return first;
--- a/src/service_caller.cpp
+++ b/src/service_caller.cpp
@@ -129,9 +129,13 @@
     service_call& call = found->second;
     call.withdrawn = true;
     call.next_try = never;
+    // It ran, and the record of its answer is on its way.
+    bool const has_run = call.held.has_value();
+    call.held.reset();
+    call.held_until = never;
     if (call.repeatable)
         drop_attempts(call, attempt_id(), now, actions);
-    else if (call.attempts.empty() && claims_.open(request))
+    else if (!has_run && call.attempts.empty() && claims_.open(request))
     {
         claims_.end(request, claim_stage::not_run, std::nullopt, now, actions);
         note(call, "call-not-run", "withdrawn before the call", actions);
@@ -164,7 +168,9 @@
 void service_caller::implementation::on_due(service_call& call, time_point now,
                                             action_list& actions)
 {
-    if (call.late_until <= now)
+    if (call.held_until <= now)
+        give_held(call, actions);
+    else if (call.late_until <= now)
         drop_attempts(call, every_attempt, now, actions);
     else if (call.late_until != never)
         return;
--- a/src/service_caller.hpp
+++ b/src/service_caller.hpp
@@ -38,6 +38,10 @@
     /// A repeatable call without an answer for this long is also tried at
     /// another worker: its connection may have gone silent for good.
     duration silence = std::chrono::milliseconds(1500);
+    /// How long an answer may be held back until its record stands, so that a
+    /// retry through another VM finds it. It is given after that also while
+    /// the table is away.
+    duration record_wait = std::chrono::milliseconds(50);
     /// How long after its deadline the answer of a call that may not be
     /// repeated is still waited for, so that the caller's next try learns it.
     duration late_answer_wait = std::chrono::seconds(30);
--- a/src/service_caller_claims.cpp
+++ b/src/service_caller_claims.cpp
@@ -42,6 +42,8 @@
     service_call& call = calls_.at(verdict.request);
     if (call.finished() || call.called)
     {
+        if (claims_.settled(verdict.request))
+            give_held(call, actions);
         review(call);
         return;
     }
--- a/src/service_caller_implementation.hpp
+++ b/src/service_caller_implementation.hpp
@@ -79,6 +79,10 @@
     /// Those made before `silent_before` count against their workers.
     void drop_attempts(service_call& call, attempt_id silent_before,
                        time_point now, action_list& actions);
+    /// Writes the record of an answer, which is given once that stands.
+    void record_answer(service_call& call, service_answer const& answer,
+                       time_point now, action_list& actions);
+    void give_held(service_call& call, action_list& actions);
     bool certainly_not_run(failure_stage stage) const;
     void on_once_failure(service_call& call, failure_stage stage,
                          time_point now, action_list& actions);
--- a/src/service_caller_tries.cpp
+++ b/src/service_caller_tries.cpp
@@ -1,5 +1,6 @@
 #include "service_caller_implementation.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberry
@@ -124,19 +125,40 @@
         picker_.succeeded(call.request.service, ended->worker);
     if (call.repeatable)
         drop_attempts(call, event.attempt, now, actions);
-    bool const late = call.finished();
     call.next_try = never;
-    if (!late)
+    if (call.repeatable)
         deliver(call, event.answer, false, actions);
-    if (!call.repeatable)
+    else
+        record_answer(call, event.answer, now, actions);
+    review(call);
+}
+
+// Failure: the answer reaches its caller before the record of it stands; a
+// retry through another VM finds the claim open and is told that the call goes
+// on.
+void service_caller::implementation::record_answer(service_call& call,
+                                                   service_answer const& answer,
+                                                   time_point now,
+                                                   action_list& actions)
+{
+    if (call.finished())
+        note(call, "call-answered-late", "kept for the caller's next try",
+             actions);
+    else
     {
-        claims_.end(ended->request, claim_stage::answered, event.answer, now,
-                    actions);
-        if (late)
-            note(call, "call-answered-late", "kept for the caller's next try",
-                 actions);
+        call.held = answer;
+        call.held_until =
+            std::min(now + settings_.record_wait, call.request.deadline);
     }
-    review(call);
+    claims_.end(call.request.id, claim_stage::answered, answer, now, actions);
+}
+
+void service_caller::implementation::give_held(service_call& call,
+                                               action_list& actions)
+{
+    call.held_until = never;
+    if (call.held)
+        deliver(call, *std::exchange(call.held, std::nullopt), false, actions);
 }
 
 void service_caller::implementation::on_failure(attempt_failure const& event,
--- a/tests/service_caller_test.cpp
+++ b/tests/service_caller_test.cpp
@@ -113,6 +113,53 @@
     CHECK(told.failed(other, error_kind::key_conflict, ran::no));
 }
 
+// Guards against an answer that its caller has while the claim still looks
+// open: a retry through another VM would be told that the call goes on.
+TEST_CASE("an answer is given once a retry elsewhere would find it")
+{
+    story told;
+    // The end of the claim is refused for rate at first and written later.
+    told.world.table_faults({table_fault::none, table_fault::refused});
+    request_id const first = told.post(0);
+    while (!told.answered(first) && told.world.now() < time_point{} + 1000 * ms)
+        told.pass(1);
+    REQUIRE(told.answered(first));
+    request_id const again = told.post(1);
+    told.pass(20);
+    CHECK(told.replayed(again));
+    CHECK(told.runs() == 1);
+}
+
+// Guards against an answer that is kept from its caller for as long as the
+// table is away.
+TEST_CASE("an answer does not wait long for a table that is away")
+{
+    story told;
+    told.world.table_faults({table_fault::none, table_fault::lost,
+                             table_fault::lost, table_fault::lost});
+    request_id const first = told.post(0);
+    told.pass(300);
+    CHECK(told.answered(first));
+}
+
+// Guards against a call that ran being recorded as not run because its caller
+// left while its end was being written.
+TEST_CASE("a caller that leaves before its answer does not undo the record")
+{
+    story told;
+    told.world.table_faults({table_fault::none, table_fault::refused});
+    request_id const first = told.post(0);
+    while (told.runs() == 0 && told.world.now() < time_point{} + 1000 * ms)
+        told.pass(1);
+    told.pass(6);
+    told.world.withdraw(first);
+    told.pass(500);
+    CHECK(told.stage() == claim_stage::answered);
+    request_id const again = told.post(1);
+    told.pass(20);
+    CHECK(told.replayed(again));
+}
+
 // The claim takes effect but the table's answer is lost. Sent again, the same
 // transaction meets its own token, and the call is made once.
 TEST_CASE("a claim whose answer was lost is recognised by its token")
