Know as of when a VM's copy of the declarations is certain

Needed for keys that are taken away: a VM has to tell how old what it knows can be, not how old it seems. A copy counted as of when its question was asked; a question that waits three seconds for a change is answered without one, so that the copy looked up to six seconds old on a VM in touch, and a lenient reading (a question that waits shows the rows of now) proves nothing. Change: the store's steady clock, which comes with each answer, is related to the VM's own by the quickest answers (remote_clock); so a copy is as of when its answer was made. Between VMs the proof travels as an offset from the arrival of the question, so that it is sound however long the answer was on its way. No further call to the store. Ruled out: a shorter wait at the store (a call more for each reader and second), asking the store for each doubt. Tests: remote_clock_test (an answer read long after it was made, a clock that shows the impossible).

--- a/src/peer_rows.cpp
+++ b/src/peer_rows.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t longest_wait_ms = 60'000;
 /// An hour: older is as good as never.
 constexpr std::uint64_t longest_age_ms = 3'600'000;
+constexpr Json::Int64 longest_proof_ms = longest_age_ms;
 constexpr Json::ArrayIndex row_fields = 4;
 
 Json::Value row_json(stored_row const& row)
@@ -63,6 +64,10 @@
     json["version"] = Json::UInt64(news.version.value());
     json["age_ms"] = Json::Int64(
         std::chrono::ceil<std::chrono::milliseconds>(news.age).count());
+    if (news.proven_before)
+        json["proven_before_ms"] = Json::Int64(
+            std::chrono::ceil<std::chrono::milliseconds>(*news.proven_before)
+                .count());
     json["whole"] = news.whole;
     json["incomplete"] = news.incomplete;
     json["rows"] = Json::arrayValue;
@@ -82,6 +87,10 @@
     news.version = row_version(json["version"].asUInt64());
     news.age = std::chrono::milliseconds(
         std::min(json["age_ms"].asUInt64(), longest_age_ms));
+    if (json["proven_before_ms"].isInt64())
+        news.proven_before = std::chrono::milliseconds(
+            std::clamp(json["proven_before_ms"].asInt64(), -longest_proof_ms,
+                       longest_proof_ms));
     news.whole = json["whole"].asBool();
     news.incomplete = json.get("incomplete", false) == true;
     for (Json::Value const& each : json["rows"])
--- a/src/peer_rows.hpp
+++ b/src/peer_rows.hpp
@@ -2,6 +2,7 @@
 ///
 ///   POST /rows  {"after": [V, V, V], "wait_ms": N, "large_rows": false}
 ///   200         {"sets": [{"read": true, "version": V, "age_ms": N,
+///                          "proven_before_ms": N,
 ///                          "whole": false, "incomplete": false,
 ///                          "rows": [[KIND, KEY, VERSION, VALUE or null]]},
 ///                         ...]}
@@ -53,6 +54,10 @@
     /// the store has them.
     bool incomplete = false;
     std::vector<stored_row> rows;
+    /// How long before the question arrived the rows were last certain to be
+    /// the store's; negative if it was after that. Nothing where it cannot be
+    /// told.
+    std::optional<duration> proven_before;
     friend bool operator==(rows_news const&, rows_news const&) = default;
 };
 
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -1,14 +1,14 @@
 # The relay's decisions: routes, waiting, placing, turning away, orders,
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
-  SOURCES adapter_sightings.cpp crash_keeper.cpp crash_record.cpp prompt_copy.cpp reader_choice.cpp reading_pace.cpp relay_request.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
+  SOURCES adapter_sightings.cpp crash_keeper.cpp crash_record.cpp prompt_copy.cpp reader_choice.cpp reading_pace.cpp relay_request.cpp remote_clock.cpp retry_allowance.cpp route_table.cpp row_copy.cpp
           service_estimate.cpp service_placing.cpp
           service_scheduler.cpp service_workers.cpp start_hold.cpp
           worker_adapters.cpp worker_health.cpp worker_reading.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
   SOURCES adapter_sightings_test.cpp crash_keeper_test.cpp crash_record_test.cpp crash_world.cpp reader_choice_test.cpp reading_pace_test.cpp
-          prompt_copy_test.cpp relay_request_test.cpp retry_allowance_test.cpp route_table_test.cpp
+          prompt_copy_test.cpp relay_request_test.cpp remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_copy_test.cpp scheduler_world.cpp
           service_load_test.cpp service_scheduler_test.cpp start_hold_test.cpp worker_adapters_test.cpp worker_health_test.cpp
           worker_reading_test.cpp
--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -119,6 +119,9 @@
 
 duration row_mirror::oldest(row_set set) const
 {
+    if (set == row_set::declarations &&
+        options_.oldest_declarations > duration(0))
+        return options_.oldest_declarations;
     duration const interval = interval_of(set);
     return interval + interval / age_slack_part;
 }
@@ -332,25 +335,39 @@
     // Later pages may show later moments; the changes since the first page are
     // read again with the first watch, and applying them twice does no harm.
     if (which.pages.empty())
+    {
         which.first_page = reply.newest;
+        which.first_page_at = made_at(which, reply);
+    }
     which.pages.insert(which.pages.end(), reply.rows.begin(), reply.rows.end());
     if (reply.truncated && !reply.rows.empty())
         return read_page(which, reply.rows.back().key);
     which.whole = false;
     took(which,
-         which.copy.replace(std::exchange(which.pages, {}), which.first_page));
+         which.copy.replace(std::exchange(which.pages, {}), which.first_page),
+         which.first_page_at);
 }
 
 void row_mirror::on_changes(followed_set& which, store_reply const& reply)
 {
     if (usable(which, reply))
-        took(which, which.copy.apply(reply.rows, reply.newest));
+        took(which, which.copy.apply(reply.rows, reply.newest),
+             made_at(which, reply));
+}
+
+time_point row_mirror::made_at(followed_set const& which,
+                               store_reply const& reply)
+{
+    return store_clock_.made_at(reply.made_at, which.asked_at,
+                                boot_clock::now());
 }
 
-void row_mirror::took(followed_set& which, std::vector<stored_row> const& news)
+void row_mirror::took(followed_set& which, std::vector<stored_row> const& news,
+                      time_point as_of)
 {
     which.asking = false;
-    which.as_of = which.asked_at;
+    which.as_of = as_of;
+    which.proven_at = std::max(which.proven_at, as_of);
     if (which.lacks_large_rows())
         later(which, large_row_pause);
     else if (which.set == row_set::declarations)
@@ -467,7 +484,7 @@
         {
             rows_news news = answer->at(index);
             news.age += on_its_way;
-            current &= take_news(sets_.at(index), news, now);
+            current &= take_news(sets_.at(index), news, asked_at, now);
         }
     if (current)
     {
@@ -513,7 +530,7 @@
 
 /// Whether the other VM's copy is recent enough.
 bool row_mirror::take_news(followed_set& which, rows_news const& news,
-                           time_point now)
+                           time_point asked_at, time_point now)
 {
     if (!news.read || news.age > oldest(which.set))
         return false;
@@ -526,6 +543,9 @@
         news.whole ? which.copy.replace(news.rows, news.version)
                    : which.copy.apply(news.rows, news.version);
     which.as_of = std::max(which.as_of, now - news.age);
+    if (news.proven_before)
+        which.proven_at = std::max(
+            which.proven_at, std::min(now, asked_at - *news.proven_before));
     listener_.on_rows(which.set, changed);
     if (which.set == row_set::own)
         settle_refreshes(false);
@@ -561,13 +581,14 @@
         go_on(at(row_set::own));
     }
     if (has_news(*question))
-        return answer->respond(
-            json_response(status_ok, encode_rows_answer(answer_to(*question))));
-    held_.push_back({*question, std::move(answer), now + question->wait});
+        return answer->respond(json_response(
+            status_ok, encode_rows_answer(answer_to(*question, now))));
+    held_.push_back({*question, std::move(answer), now, now + question->wait});
     review_held();
 }
 
-rows_answer row_mirror::answer_to(rows_question const& question) const
+rows_answer row_mirror::answer_to(rows_question const& question,
+                                  time_point arrived_at) const
 {
     time_point const now = boot_clock::now();
     rows_answer answer;
@@ -578,6 +599,8 @@
         news.read = which.copy.read();
         news.version = which.copy.version();
         news.age = now - shown_at(which, now);
+        if (which.proven_at != time_point())
+            news.proven_before = arrived_at - which.proven_at;
         auto changed = which.copy.since(question.after.at(index));
         news.whole = !changed;
         news.rows = changed ? std::move(*changed) : which.copy.rows();
@@ -640,7 +663,8 @@
         if (now >= each.answer_at || has_news(each.question))
         {
             each.answer->respond(json_response(
-                status_ok, encode_rows_answer(answer_to(each.question))));
+                status_ok,
+                encode_rows_answer(answer_to(each.question, each.arrived_at))));
             continue;
         }
         next = std::min(next, each.answer_at);
--- a/src/row_mirror.hpp
+++ b/src/row_mirror.hpp
@@ -9,6 +9,7 @@
 #include "ownership_keeper.hpp"
 #include "peer_rows.hpp"
 #include "reader_choice.hpp"
+#include "remote_clock.hpp"
 #include "row_copy.hpp"
 #include "row_store.hpp"
 
@@ -46,6 +47,9 @@
     /// heartbeat. Half of the bound on draining workers leaves the other half
     /// for a question that fails and the one after it.
     duration worker_interval = std::chrono::milliseconds(1000);
+    /// Declarations for which that is not certain to be less ago are asked for
+    /// elsewhere; 0: as soon as they are half as old again as the wait.
+    duration oldest_declarations{};
     /// How often the product's own rows are asked for.
     duration own_interval = std::chrono::milliseconds(2000);
     /// What of a worker's row others act on; see row_copy.
@@ -99,6 +103,11 @@
     {
         return shown_at(at(set), now);
     }
+    /// A moment at which the store is certain to have held what the copy shows:
+    /// what changed later may be missing, and nothing that changed before. The
+    /// VM's own clock and the store's are all that it rests on, however many
+    /// VMs the rows came through.
+    time_point proven_as_of(row_set set) const { return at(set).proven_at; }
     /// Whether the store does not answer, neither here nor at the VM that
     /// reads it for this one.
     bool lost() const { return lost_; }
@@ -121,8 +130,10 @@
         time_point asked_at{};
         /// The question waits at the store for a change.
         bool waits = false;
-        /// When the question was asked whose answer the copy shows.
+        /// When the answer was made that the copy shows.
         time_point as_of{};
+        /// The latest moment as of which the copy is certain.
+        time_point proven_at{};
         /// Up to which version another VM told the changes; beyond the copy's
         /// while large rows that it left out have yet to be read.
         row_version told;
@@ -131,6 +142,7 @@
         /// Rows gathered while a whole read goes on page by page.
         std::vector<stored_row> pages;
         row_version first_page;
+        time_point first_page_at{};
         bool whole = true;
         /// Questions to the store in a row that it did not answer.
         int failures = 0;
@@ -152,6 +164,7 @@
     {
         rows_question question;
         std::shared_ptr<http_answer> answer;
+        time_point arrived_at{};
         time_point answer_at{};
     };
     struct wanted_refresh
@@ -176,18 +189,22 @@
     void resume_others(followed_set const& answered);
     void on_page(followed_set& which, store_reply const& reply);
     void on_changes(followed_set& which, store_reply const& reply);
-    void took(followed_set& which, std::vector<stored_row> const& news);
+    void took(followed_set& which, std::vector<stored_row> const& news,
+              time_point as_of);
+    time_point made_at(followed_set const& which, store_reply const& reply);
     void settle_refreshes(bool failed);
 
     void ask_reader();
     void ask_reader_later(duration delay);
     void on_reader(vm_id const& reader, time_point asked_at,
                    std::optional<rows_answer> const& answer);
-    bool take_news(followed_set& which, rows_news const& news, time_point now);
+    bool take_news(followed_set& which, rows_news const& news,
+                   time_point asked_at, time_point now);
     void take_incomplete(followed_set& which, rows_news const& news);
     void ask_store_instead();
 
-    rows_answer answer_to(rows_question const& question) const;
+    rows_answer answer_to(rows_question const& question,
+                          time_point arrived_at) const;
     bool has_news(rows_question const& question) const;
     void answer_held();
     void review_held();
@@ -210,6 +227,7 @@
     asio::steady_timer held_timer_;
     bool news_posted_ = false;
     std::vector<wanted_refresh> refreshes_;
+    remote_clock store_clock_;
     bool lost_ = false;
     time_point heard_at_{};
     time_point returned_at_{};
--- a/src/row_store.hpp
+++ b/src/row_store.hpp
@@ -6,6 +6,7 @@
 #include "time_point.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,8 @@
     std::vector<stored_row> rows;
     /// The store's newest version as of the answer.
     row_version newest;
+    /// What the store's steady clock showed then, where it said so.
+    std::optional<duration> made_at;
     /// More rows follow the last one.
     bool truncated = false;
     std::string failure;
