--- /dev/null
+++ b/bench/allotment_fleet.hpp
@@ -0,0 +1,138 @@
+/// Many VMs that keep teams' allotments together, in virtual time.
+#ifndef MULBERRY_ALLOTMENT_FLEET_HPP
+#define MULBERRY_ALLOTMENT_FLEET_HPP
+
+#include "allotment_keeper.hpp"
+#include "event_queue.hpp"
+#include "token_bucket.hpp"
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string_view>
+#include <vector>
+
+namespace mulberry
+{
+
+/// How allotments are kept.
+enum class allotment_way
+{
+    equal,
+    counters,
+    pooled
+};
+
+std::string_view to_string(allotment_way way);
+
+/// What happens to the VMs besides their callers' requests.
+enum class allotment_trouble
+{
+    none,
+    /// A third of the VMs hears nobody for a while.
+    cut,
+    /// A VM that keeps a pool dies and does not come back.
+    pool_lost,
+    /// Half of the VMs die at once and start again.
+    herd_killed,
+    /// A team's limit is lowered far below its use.
+    lowered
+};
+
+std::string_view to_string(allotment_trouble trouble);
+
+struct allotment_plan
+{
+    std::size_t vms = 74;
+    std::size_t teams = 16;
+    /// Of the units a second that the largest team uses.
+    double largest_use = 170'000;
+    /// The allotment of a team in multiples of its usual use.
+    double allotted = 1.8;
+    /// A team that asks for so many times its usual use for a while.
+    double hot = 7.5;
+    /// Callers of all teams; each stays at one VM but moves now and then.
+    std::size_t callers = 180;
+    double over = 0.1;
+    duration window = std::chrono::seconds(8);
+    duration one_way = std::chrono::microseconds(900);
+    duration length = std::chrono::seconds(40);
+    allotment_trouble trouble = allotment_trouble::none;
+    std::uint64_t seed = 1;
+};
+
+/// Value.
+struct allotment_result
+{
+    /// The most that a team used in a window, as a share of what its rate and
+    /// burst allow there.
+    double worst_window = 0;
+    /// Of the units that one bucket for the whole fleet would have let pass:
+    /// those that were refused.
+    double refused_below = 0;
+    /// The same for requests that came within three seconds of the trouble's
+    /// beginning.
+    double refused_in_trouble = 0;
+    double messages_per_vm_second = 0;
+    double bytes_per_vm_second = 0;
+    /// How long after a limit was lowered its first second within it began.
+    duration follows_in{};
+};
+
+/// Plays the plan to its end. Thread safety: none.
+class allotment_fleet
+{
+public:
+    allotment_fleet(allotment_plan plan, allotment_way way);
+    ~allotment_fleet();
+    allotment_fleet(allotment_fleet const&) = delete;
+    allotment_fleet& operator=(allotment_fleet const&) = delete;
+
+    allotment_result play();
+
+private:
+    struct fleet_vm;
+    struct fleet_team;
+    struct use
+    {
+        time_point at{};
+        double units = 0;
+    };
+
+    void add_vms();
+    std::unique_ptr<allotment_keeper> make_keeper(std::size_t index);
+    void add_teams();
+    void schedule_callers();
+    void schedule_trouble();
+    void request_soon(std::size_t team, std::size_t caller);
+    void request(std::size_t team, std::size_t caller);
+    double draw_units();
+    void act(std::size_t vm);
+    void deliver(std::size_t from, ask_pool const& ask);
+    void reply(std::size_t to, std::uint64_t life, std::uint64_t number,
+               std::optional<allotment_reply> const& given);
+    void wake(std::size_t vm);
+    bool connected(std::size_t from, std::size_t to) const;
+    void kill(std::size_t vm);
+    void start_again(std::size_t vm);
+    std::size_t number_of(vm_id const& vm) const;
+    allotment_result judge() const;
+    double worst_window(fleet_team const& team) const;
+
+    allotment_plan const plan_;
+    allotment_way const way_;
+    event_queue queue_;
+    std::mt19937_64 random_;
+    std::vector<std::unique_ptr<fleet_vm>> vms_;
+    std::vector<std::unique_ptr<fleet_team>> teams_;
+    std::vector<std::size_t> caller_at_;
+    std::map<vm_id, std::size_t> numbers_;
+    std::uint64_t last_ticket_ = 0;
+    std::uint64_t messages_ = 0;
+    std::uint64_t bytes_ = 0;
+    time_point trouble_at_ = never;
+};
+
+} // namespace mulberry
+
+#endif
--- a/bench/mulberry_trial.cpp
+++ b/bench/mulberry_trial.cpp
@@ -1,11 +1,13 @@
 /// Trials of the relay's decisions: the product's schedulers before modelled
 /// engines, in virtual time. See docs/POLICY.md.
+#include "allotment_fleet.hpp"
 #include "trial_plan.hpp"
 #include "trial_report.hpp"
 
 #include <boost/program_options.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <exception>
 #include <fstream>
 #include <iostream>
@@ -24,9 +26,11 @@
 
 char const* const usage =
     "mulberry-trial run PLAN [--seeds N] [--first-seed S] [--json FILE]\n"
-    "mulberry-trial compare BEFORE.json AFTER.json\n\n"
+    "mulberry-trial compare BEFORE.json AFTER.json\n"
+    "mulberry-trial allotments [--vms N] [--seeds N] [--first-seed S]\n\n"
     "run plays the plan once for each seed; compare gives what the same seeds\n"
-    "differ by, with an interval that covers 95 in 100.\n";
+    "differ by, with an interval that covers 95 in 100; allotments compares\n"
+    "the ways of keeping teams' allotments under each trouble.\n";
 
 std::string read_file(std::string const& path)
 {
@@ -111,6 +115,63 @@
     return 0;
 }
 
+/// The worst of the windows and the means of the rest over the seeds.
+allotment_result play_allotments(allotment_plan plan, allotment_way way,
+                                 std::uint64_t seeds)
+{
+    allotment_result all;
+    std::uint64_t const first = plan.seed;
+    for (plan.seed = first; plan.seed < first + seeds; ++plan.seed)
+    {
+        allotment_result const one = allotment_fleet(plan, way).play();
+        all.worst_window = std::max(all.worst_window, one.worst_window);
+        all.refused_below += one.refused_below / double(seeds);
+        all.refused_in_trouble += one.refused_in_trouble / double(seeds);
+        all.messages_per_vm_second +=
+            one.messages_per_vm_second / double(seeds);
+        all.bytes_per_vm_second += one.bytes_per_vm_second / double(seeds);
+        all.follows_in = std::max(all.follows_in, one.follows_in);
+    }
+    return all;
+}
+
+int compare_allotments(options::variables_map const& given)
+{
+    allotment_plan plan;
+    plan.vms = given["vms"].as<std::size_t>();
+    plan.seed = given["first-seed"].as<std::uint64_t>();
+    // The same callers a VM at each size.
+    plan.callers = plan.vms * 5 / 2;
+    plan.largest_use *= double(plan.vms) / double(allotment_plan().vms);
+    std::cout << fmt::format("{} VMs\n{:16} {:14} {:>12} {:>13} {:>11} "
+                             "{:>9} {:>10} {:>8}\n",
+                             plan.vms, "trouble", "way", "worst window",
+                             "refused below", "in trouble", "msg/VM/s",
+                             "bytes/VM/s", "follows");
+    for (allotment_trouble const trouble :
+         {allotment_trouble::none, allotment_trouble::cut,
+          allotment_trouble::pool_lost, allotment_trouble::herd_killed,
+          allotment_trouble::lowered})
+        for (allotment_way const way :
+             {allotment_way::equal, allotment_way::counters,
+              allotment_way::pooled})
+        {
+            plan.trouble = trouble;
+            allotment_result const seen =
+                play_allotments(plan, way, given["seeds"].as<std::uint64_t>());
+            std::cout
+                << fmt::format(
+                       "{:16} {:14} {:12.3f} {:13.4f} {:11.4f} {:9.2f} "
+                       "{:10.0f} {:8.1f}\n",
+                       to_string(trouble), to_string(way), seen.worst_window,
+                       seen.refused_below, seen.refused_in_trouble,
+                       seen.messages_per_vm_second, seen.bytes_per_vm_second,
+                       std::chrono::duration<double>(seen.follows_in).count())
+                << std::flush;
+        }
+    return 0;
+}
+
 int run_verb(int count, char** arguments)
 {
     options::options_description described("options");
@@ -118,8 +179,10 @@
         "seeds", options::value<std::uint64_t>()->default_value(1),
         "how many seeds are played")(
         "first-seed", options::value<std::uint64_t>()->default_value(1),
-        "the first of them")("json", options::value<std::string>(),
-                             "a file for the results, one a line")(
+        "the first of them")(
+        "vms", options::value<std::size_t>()->default_value(74),
+        "how many VMs share allotments")("json", options::value<std::string>(),
+                                         "a file for the results, one a line")(
         "words", options::value<std::vector<std::string>>(), "");
     options::positional_options_description words;
     words.add("words", -1);
@@ -142,6 +205,8 @@
     named.erase(named.begin());
     if (verb == "run")
         return run(given, named);
+    if (verb == "allotments")
+        return compare_allotments(given);
     if (verb == "compare")
         return compare_files(named);
     throw options::error("no verb is named " + verb);
--- /dev/null
+++ b/src/allotment_keeper.hpp
@@ -0,0 +1,141 @@
+/// Which requests of a team fit into its allotment, over all VMs together.
+#ifndef MULBERRY_ALLOTMENT_KEEPER_HPP
+#define MULBERRY_ALLOTMENT_KEEPER_HPP
+
+#include "error_kind.hpp"
+#include "ids.hpp"
+#include "service_scheduler.hpp"
+#include "team.hpp"
+#include "time_point.hpp"
+#include "vm_rank.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace mulberry
+{
+
+/// How exactly allotments are kept. Value.
+struct allotment_terms
+{
+    /// In every span of that length a team's requests on all VMs count no more
+    /// than its rate over the span and its burst allow, and a little over.
+    duration window = std::chrono::seconds(8);
+    /// That little, as a share.
+    double over = 0.1;
+    friend bool operator==(allotment_terms const&,
+                           allotment_terms const&) = default;
+};
+
+/// The VMs among which allotments are shared out. Value.
+struct allotment_members
+{
+    /// Those that may keep a pool.
+    std::vector<ranked_vm> candidates;
+    /// All there are.
+    std::size_t count = 1;
+    /// This VM is one of them.
+    bool joined = false;
+    /// No process ran under this VM's name before, so that others may not count
+    /// it yet.
+    bool first_life = false;
+    friend bool operator==(allotment_members const&,
+                           allotment_members const&) = default;
+};
+
+/// What a VM asks of the pool of one team. Value.
+struct team_question
+{
+    team_id team;
+    /// The part of the team's allotment that the VM leaves to the pool from
+    /// now on; 0: no change.
+    double part = 0;
+    /// How many units it needs at least; 0: none.
+    double least = 0;
+    /// How many it can use.
+    double most = 0;
+    friend bool operator==(team_question const&,
+                           team_question const&) = default;
+};
+
+struct allotment_question
+{
+    vm_id from;
+    /// How long the parts are left to the pool.
+    duration left_for{};
+    std::vector<team_question> teams;
+    friend bool operator==(allotment_question const&,
+                           allotment_question const&) = default;
+};
+
+/// What a pool gives to a VM. Value.
+struct team_given
+{
+    team_id team;
+    double units = 0;
+    /// With no units: after how long the least would be there.
+    duration fits_in{};
+    /// With no units: after how long they would be there if everybody who was
+    /// sent away before comes back first.
+    duration come_back_in{};
+    friend bool operator==(team_given const&, team_given const&) = default;
+};
+
+using allotment_reply = std::vector<team_given>;
+
+/// Ask another VM, or this one; the reply goes to on_reply().
+struct ask_pool
+{
+    vm_id pool;
+    std::uint64_t number = 0;
+    allotment_question question;
+};
+
+/// The request fits, or does not.
+struct allotment_settled
+{
+    ticket_id ticket;
+    std::optional<error> refused;
+};
+
+using allotment_action = std::variant<ask_pool, allotment_settled>;
+
+/// Thread safety: none. No I/O, no clock.
+class allotment_keeper
+{
+public:
+    virtual ~allotment_keeper() = default;
+
+    /// The teams that have a limit.
+    virtual void set_teams(std::map<team_id, allotment> const& teams,
+                           time_point now) = 0;
+    virtual void set_members(allotment_members members, time_point now) = 0;
+    /// Whether so many units fit: settled once, in an action of run(), at
+    /// `give_up_at` at the latest. Precondition: the ticket is new.
+    virtual void request(ticket_id ticket, team_id const& team, double units,
+                         time_point give_up_at, time_point now) = 0;
+    /// The request is not wanted any more; nothing is said of it.
+    virtual void withdraw(ticket_id ticket) = 0;
+    /// A request that fitted was not run after all.
+    virtual void give_back(team_id const& team, double units,
+                           time_point now) = 0;
+    /// Another VM's question, or this one's own.
+    virtual allotment_reply answer(allotment_question const& question,
+                                   time_point now) = 0;
+    /// Nothing: there was no answer.
+    virtual void on_reply(std::uint64_t number,
+                          std::optional<allotment_reply> const& reply,
+                          time_point now) = 0;
+    /// What is to be done now.
+    virtual std::vector<allotment_action> run(time_point now) = 0;
+    /// When run() may have something to do, if nothing happens before.
+    virtual time_point next_due() const = 0;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/allotment_pool.hpp
@@ -0,0 +1,54 @@
+/// The parts of teams' allotments that VMs left to this one.
+#ifndef MULBERRY_ALLOTMENT_POOL_HPP
+#define MULBERRY_ALLOTMENT_POOL_HPP
+
+#include "allotment_keeper.hpp"
+#include "token_bucket.hpp"
+
+#include <map>
+
+namespace mulberry
+{
+
+/// Gives out no more than what the parts that VMs left to it bring in. Thread
+/// safety: none. No I/O, no clock.
+class allotment_pool
+{
+public:
+    /// `headroom`: how many seconds' worth of its rate a team may save up
+    /// beside its burst.
+    explicit allotment_pool(duration headroom) : headroom_(headroom) {}
+
+    /// A limit that is lowered is in force at once.
+    void set_teams(std::map<team_id, allotment> const& teams, time_point now);
+    allotment_reply answer(allotment_question const& question, time_point now);
+
+private:
+    struct left_part
+    {
+        double part = 0;
+        time_point until{};
+    };
+    struct team_pool
+    {
+        allotment limit;
+        std::map<vm_id, left_part> parts;
+        time_point next_end = never;
+        token_bucket bucket;
+        /// Units that those who were sent away will come back for are there by
+        /// then.
+        time_point promised_until{};
+    };
+
+    void refill(team_pool& pool, time_point now) const;
+    void renew(team_pool& pool, time_point now) const;
+    static team_given give(team_pool& pool, team_question const& question,
+                           time_point now);
+
+    duration headroom_;
+    std::map<team_id, team_pool> teams_;
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/equal_allotment.hpp
@@ -0,0 +1,45 @@
+/// Each VM has an equal part of each allotment, and no more.
+#ifndef MULBERRY_EQUAL_ALLOTMENT_HPP
+#define MULBERRY_EQUAL_ALLOTMENT_HPP
+
+#include "allotment_keeper.hpp"
+#include "token_bucket.hpp"
+
+namespace mulberry
+{
+
+/// Needs no messages, and refuses a team whose callers are at few VMs most of
+/// what it may ask for. Thread safety: none. No I/O, no clock.
+class equal_allotment final : public allotment_keeper
+{
+public:
+    explicit equal_allotment(allotment_terms terms) : terms_(terms) {}
+
+    void set_teams(std::map<team_id, allotment> const& teams,
+                   time_point now) override;
+    void set_members(allotment_members members, time_point now) override;
+    void request(ticket_id ticket, team_id const& team, double units,
+                 time_point give_up_at, time_point now) override;
+    void withdraw(ticket_id ticket) override;
+    void give_back(team_id const& team, double units, time_point now) override;
+    allotment_reply answer(allotment_question const& question,
+                           time_point now) override;
+    void on_reply(std::uint64_t number,
+                  std::optional<allotment_reply> const& reply,
+                  time_point now) override;
+    std::vector<allotment_action> run(time_point now) override;
+    time_point next_due() const override { return never; }
+
+private:
+    void renew(time_point now);
+
+    allotment_terms const terms_;
+    std::size_t count_ = 1;
+    std::map<team_id, allotment> limits_;
+    std::map<team_id, token_bucket> buckets_;
+    std::vector<allotment_action> settled_;
+};
+
+} // namespace mulberry
+
+#endif
--- a/src/error_kind.hpp
+++ b/src/error_kind.hpp
@@ -34,6 +34,8 @@
     body_too_large,
     too_slow,
     overloaded,
+    over_allotment,
+    allotment_unknown,
     quarantined,
     not_owner,
     draining,
--- a/src/ids.hpp
+++ b/src/ids.hpp
@@ -19,6 +19,10 @@
 using service_worker_id = text_id<struct service_worker_tag>;
 /// An application of a deployment, the unit that targets are set for.
 using application_id = text_id<struct application_tag>;
+/// A team: a customer's part that has keys, a priority and an allotment.
+using team_id = text_id<struct team_tag>;
+/// SHA-256 of a team's key, in hexadecimal; the key itself is not kept.
+using key_digest = text_id<struct key_digest_tag>;
 /// A base model shared by many adapters.
 using base_model_id = text_id<struct base_model_tag>;
 /// An adapter's name without its version.
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -1,6 +1,8 @@
 #include "relay.hpp"
 
 #include "boot_clock.hpp"
+#include "pooled_allotment.hpp"
+#include "team_key.hpp"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -70,6 +72,8 @@
     // Numbers that begin anywhere do not meet.
     std::uniform_int_distribution<std::uint64_t> anywhere(1, highest_first);
     last_ticket_ = anywhere(random_);
+    allotments_ =
+        std::make_unique<pooled_allotment>(options_.vm, options_.allotments);
 }
 
 relay::~relay() = default;
@@ -114,10 +118,12 @@
     for (auto const& [name, service] : config_->services)
         add_service(service);
     routes_ = std::make_unique<route_table>(config_);
+    share_teams();
     log_.notable("configuration taken",
                  log_fields()
                      .add("version", config_->version.value())
-                     .add("routes", std::uint64_t{config_->routes.size()}),
+                     .add("routes", std::uint64_t{config_->routes.size()})
+                     .add("teams", std::uint64_t{config_->teams.size()}),
                  now());
     share_backends();
     review_early();
@@ -301,7 +307,14 @@
         return refuse_at_once(
             request, *answer,
             error(error_kind::not_found, "no route has that host and path"));
+    auto const access = access_to(request, *matched);
+    if (auto const* refused = std::get_if<error>(&access))
+        return refuse_at_once(request, *answer, *refused);
+    team const* const holder = std::get<access_granted>(access).holder;
     exchange_terms terms;
+    if (!teams_->empty())
+        terms.team = holder != nullptr ? holder->name : team_id();
+    terms.priority = routes_->urgency(*matched, holder);
     terms.ticket = ticket_id(++last_ticket_);
     terms.service = route_table::choose_service(
         *matched, std::uniform_real_distribution<double>()(random_));
@@ -326,13 +339,13 @@
         return refuse_at_once(exchange->request(), *answer, *refused);
     service->retries.count_request(now());
     exchanges_.emplace(ticket, exchange);
-    exchange->start();
     answer->on_closed(
         [weak = std::weak_ptr(exchange)]
         {
             if (auto const open = weak.lock())
                 open->on_caller_gone();
         });
+    start_metered(exchange, holder);
 }
 
 std::optional<error> relay::refused_for_crashes(relay_exchange const& exchange)
@@ -370,7 +383,7 @@
         item.prompt_tokens = exchange.request().prompt.tokens;
         item.prefix = prefix_of(exchange.request().prompt);
     }
-    item.priority = terms.matched->priority;
+    item.priority = terms.priority;
     item.arrived_at = terms.arrived_at;
     item.give_up_at = terms.give_up_at;
     item.objective_at = terms.arrived_at + terms.matched->latency_objective;
@@ -387,6 +400,7 @@
         ask->second->cancel();
         asks_.erase(ask);
     }
+    allotments_->withdraw(exchange.terms().ticket);
     find(exchange.terms().service)
         ->scheduler.withdraw(exchange.terms().ticket, now());
 }
@@ -510,6 +524,10 @@
     if (outcome == relay_outcome::caller_gone)
         note(exchange, outcome_name(outcome), "the connection closed");
     ticket_id const ticket = exchange.terms().ticket;
+    if (auto const metered = metered_.extract(ticket);
+        !metered.empty() && !metered.mapped().waits && exchange.never_ran())
+        allotments_->give_back(metered.mapped().team, metered.mapped().units,
+                               now());
     // The caller of this is still within the exchange.
     asio::post(io_, [this, ticket] { exchanges_.erase(ticket); });
 }
@@ -542,6 +560,7 @@
             forget_peer_request(*ticket, send_outcome::abandoned);
     }
     review_early();
+    run_allotments();
     if (at >= tell_done_at_)
         tell_done();
     for (auto& [name, service] : services_)
@@ -567,8 +586,8 @@
         service.scheduler.set_registry_moment(options_.registry_as_of());
 }
 
-/// Asked again for each send: others may have crashed their workers while it
-/// waited, and so may its own earlier sends.
+/// Asked again for each send: while it waited, others may have crashed their
+/// workers, its own earlier sends too, and its key may have been taken away.
 void relay::place(service_state& service, place_request const& placed)
 {
     auto const found = exchanges_.find(placed.ticket);
@@ -576,11 +595,13 @@
         return service.scheduler.ended(placed.ticket, send_outcome::abandoned,
                                        now());
     auto const exchange = found->second;
-    if (auto const refused = refused_for_crashes(*exchange))
+    auto refused = refused_for_crashes(*exchange);
+    if (!refused)
+        refused = refused_for_key(*exchange);
+    if (refused)
     {
         free_place(*exchange, send_outcome::abandoned);
-        return exchange->on_refused(refused->kind(), *refused->retry_after(),
-                                    refused->text());
+        return exchange->on_refused(*refused);
     }
     if (exchange->sends() == 0)
         waits_.add(now() - exchange->terms().arrived_at);
@@ -589,6 +610,14 @@
     exchange->on_placed(placed);
 }
 
+/// So that those turned away do not come back in one wave.
+duration relay::spread(duration retry_after)
+{
+    double const part = std::uniform_real_distribution<double>(0, 0.5)(random_);
+    return retry_after + duration(static_cast<duration::rep>(
+                             part * double(retry_after.count())));
+}
+
 void relay::carry_out(service_state& service, placement_action const& action)
 {
     if (auto const* placed = std::get_if<place_request>(&action))
@@ -599,12 +628,9 @@
         if (found == exchanges_.end())
             return answer_peer(refused->ticket, false, {}, refused->load);
         auto const exchange = found->second;
-        // Spread, so that those turned away do not come back in one wave.
-        duration const spread(static_cast<duration::rep>(
-            std::uniform_real_distribution<double>(0, 0.5)(random_) *
-            double(refused->retry_after.count())));
-        return exchange->on_refused(
-            refused->kind, refused->retry_after + spread, refused->reason);
+        return exchange->on_refused(error(refused->kind,
+                                          std::string(refused->reason), ran::no,
+                                          spread(refused->retry_after)));
     }
     if (auto const* ask = std::get_if<ask_owner>(&action))
         return send_ask(service, *ask);
@@ -618,7 +644,8 @@
 
 void relay::arm_timer()
 {
-    time_point next = std::min(now() + sweep_interval, tell_done_at_);
+    time_point next = std::min({now() + duration(sweep_interval), tell_done_at_,
+                                allotments_->next_due()});
     if (auto const due = due_.next())
         next = std::min(next, *due);
     for (auto const& [name, service] : services_)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -2,6 +2,7 @@
 #ifndef MULBERRY_RELAY_HPP
 #define MULBERRY_RELAY_HPP
 
+#include "allotment_keeper.hpp"
 #include "crash_watch.hpp"
 #include "due_index.hpp"
 #include "event_log.hpp"
@@ -12,6 +13,7 @@
 #include "retry_allowance.hpp"
 #include "route_table.hpp"
 #include "start_hold.hpp"
+#include "team_directory.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -39,6 +41,10 @@
     /// As of when configuration, versions and workers are known; asked before
     /// requests are placed.
     std::function<registry_moment()> registry_as_of;
+    /// As of when the declarations are known. Empty: they always are.
+    std::function<declarations_known()> declarations_as_of;
+    key_bounds keys;
+    allotment_terms allotments;
     std::uint64_t seed = 1;
     start_limits start;
     /// What is known of requests that crash workers.
@@ -59,6 +65,12 @@
     std::uint64_t orders_unknown = 0;
     std::uint64_t orders_conflict = 0;
     std::uint64_t reports = 0;
+    std::uint64_t key_missing = 0;
+    std::uint64_t key_unknown = 0;
+    /// Since a key may have been added or taken away.
+    std::uint64_t key_in_doubt = 0;
+    std::uint64_t over_allotment = 0;
+    std::uint64_t allotment_unknown = 0;
     friend bool operator==(relay_counts const&, relay_counts const&) = default;
 };
 
@@ -93,6 +105,9 @@
     void handle_peer(http_request const& received,
                      std::shared_ptr<http_answer> answer);
 
+    /// Takes a question about allotments; see peer_allotment.hpp.
+    void handle_allotment(http_request const& received, http_answer& answer);
+
     /// From now on callers' requests are rejected at once: this VM is about to
     /// end. What is in progress goes on.
     void refuse_new() { refuses_new_ = true; }
@@ -148,6 +163,14 @@
         vm_id owner;
         std::uint64_t number = 0;
     };
+    /// What a request counts against its team's allotment.
+    struct metered_request
+    {
+        team_id team;
+        double units = 0;
+        /// It waits to be told whether it fits.
+        bool waits = true;
+    };
     /// A request that arrived before routes and workers were known.
     struct early_request
     {
@@ -179,6 +202,20 @@
     void review_early();
     void refuse_at_once(relay_request const& request, http_answer& answer,
                         error const& problem);
+    /// Whose the request is, or why it is not to be sent now; counted.
+    access_decision access_to(relay_request const& request,
+                              route const& matched);
+    /// Whether the key it came with is still its team's; logged.
+    std::optional<error> refused_for_key(relay_exchange const& exchange);
+    /// Takes what the request counts out of its team's allotment, then starts
+    /// it, at once or when that is known to fit.
+    void start_metered(std::shared_ptr<relay_exchange> const& exchange,
+                       team const* holder);
+    void on_allotment(allotment_settled const& settled);
+    void run_allotments();
+    void share_teams();
+    void share_members(std::vector<member_view> const& members);
+    void send_question(ask_pool const& ask);
     /// Whether the request is not to be sent since workers crashed under it;
     /// logged.
     std::optional<error> refused_for_crashes(relay_exchange const& exchange);
@@ -212,6 +249,7 @@
                   order_outcome outcome);
     void on_report(service_id const& service, worker_id const& worker,
                    std::optional<worker_report> const& report);
+    duration spread(duration retry_after);
     void arm_timer();
 
     asio::io_context& io_;
@@ -232,6 +270,10 @@
     std::map<worker_id, order_grant> grants_;
     std::map<model_target, adapter_version> releases_;
     std::size_t members_ = 1;
+    std::unique_ptr<team_directory> teams_;
+    std::unique_ptr<allotment_keeper> allotments_;
+    /// What requests in progress took out of allotments.
+    std::unordered_map<ticket_id, metered_request> metered_;
     std::map<worker_id, vm_id> owners_;
     std::map<vm_id, peer_link> peers_;
     std::unordered_map<ticket_id, peer_request> peer_requests_;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -5,6 +5,7 @@
 #include "kernel.hpp"
 #include "log.hpp"
 #include "ownership_runner.hpp"
+#include "peer_allotment.hpp"
 #include "registry_watch.hpp"
 #include "relay.hpp"
 #include "row_mirror.hpp"
@@ -123,6 +124,8 @@
     options.vm = value.vm;
     options.domain = value.domain;
     options.declaration_wait = value.configuration_bound;
+    if (value.keys.revocation > duration(0))
+        options.oldest_declarations = value.keys.revocation * 3 / 4;
     options.answer_time = value.configuration_bound * 3 / 10;
     options.worker_interval = value.drain_bound / 2;
     options.own_interval = heartbeat_of(value);
@@ -203,6 +206,7 @@
 relay_options options_of(relay_settings const& value, std::uint64_t seed,
                          std::function<bool(worker_id const&)> may_order,
                          std::function<registry_moment()> registry_as_of,
+                         std::function<declarations_known()> declarations_as_of,
                          crash_row_writer write_rows)
 {
     relay_options options;
@@ -210,6 +214,9 @@
     options.crashes.limits = value.crashes;
     options.crashes.seed = seed;
     options.registry_as_of = std::move(registry_as_of);
+    options.declarations_as_of = std::move(declarations_as_of);
+    options.keys = value.keys;
+    options.allotments = value.allotments;
     options.vm = value.vm;
     options.domain = value.domain;
     options.retries = value.retries;
@@ -229,16 +236,23 @@
            [](log_level level, std::string_view part, std::string_view event,
               std::string const& fields)
            { log_event(level, part, event, fields); }),
-      relay_(io_, codec,
-             options_of(
-                 value, seed_,
-                 [this](worker_id const& worker)
-                 { return ownership_ && ownership_->may_order(worker); },
-                 [this] { return registry_as_of(); },
-                 [this](table_transaction const& transaction,
-                        std::function<void(bool)> const& done)
-                 { write_rows(transaction, done); }),
-             log_),
+      relay_(
+          io_, codec,
+          options_of(
+              value, seed_,
+              [this](worker_id const& worker)
+              { return ownership_ && ownership_->may_order(worker); },
+              [this] { return registry_as_of(); },
+              [this]
+              {
+                  return declarations_known{
+                      mirror_.proven_as_of(row_set::declarations),
+                      mirror_.as_of(row_set::declarations, boot_clock::now())};
+              },
+              [this](table_transaction const& transaction,
+                     std::function<void(bool)> const& done)
+              { write_rows(transaction, done); }),
+          log_),
       registry_(codec, log_,
                 {[this](std::shared_ptr<routing_config const> config)
                  {
@@ -485,6 +499,8 @@
         {
             if (request.path == rows_path)
                 return mirror_.serve(request, std::move(answer));
+            if (request.path == allotment_path)
+                return relay_.handle_allotment(request, *answer);
             relay_.handle_peer(request, std::move(answer));
         });
     if (settings_.serves_metrics)
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -139,8 +139,9 @@
                                  std::to_string(placed.prefix_source->port);
     terms.time_left =
         std::max<duration>(terms_.give_up_at - sent_at_, milliseconds(1));
+    terms.team = terms_.team;
     if (terms_.engine)
-        terms.priority = terms_.matched->priority;
+        terms.priority = terms_.priority;
     terms.resume_after = request_.last_event;
     if (stream_begun_ && events_.last_id())
         terms.resume_after = events_.last_id();
@@ -157,12 +158,11 @@
     schedule_wake();
 }
 
-void relay_exchange::on_refused(error_kind kind, duration retry_after,
-                                std::string_view reason)
+void relay_exchange::on_refused(error const& why)
 {
     if (stream_begun_)
     {
-        host_.note(*this, "stream cut", reason);
+        host_.note(*this, "stream cut", why.text());
         answer_->abort();
         return end(relay_outcome::failed);
     }
@@ -170,9 +170,8 @@
     if (runs_ > 0)
         return give_error(error(error_kind::outcome_unknown,
                                 "no worker is left to try again"),
-                          relay_outcome::failed, reason);
-    give_error(error(kind, std::string(reason), ran::no, retry_after),
-               relay_outcome::refused, reason);
+                          relay_outcome::failed, why.text());
+    give_error(why, relay_outcome::refused, why.text());
 }
 
 void relay_exchange::on_due()
@@ -340,7 +339,8 @@
     if (sends_ < most_sends && host_.take_retry(*this))
         return resubmit("rejected by the worker");
     stage_ = stage::waiting;
-    on_refused(error_kind::overloaded, soon, "workers rejected it");
+    on_refused(
+        error(error_kind::overloaded, "workers rejected it", ran::no, soon));
 }
 
 void relay_exchange::finish_answer()
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -71,6 +71,10 @@
     time_point arrived_at{};
     time_point give_up_at = never;
     bool engine = false;
+    /// As in send_terms.
+    std::optional<team_id> team;
+    /// 0 is the most urgent.
+    int priority = 0;
 };
 
 /// A request is sent again only where it did not run, by the worker's own word
@@ -86,8 +90,7 @@
 
     void start();
     void on_placed(place_request const& placed);
-    void on_refused(error_kind kind, duration retry_after,
-                    std::string_view reason);
+    void on_refused(error const& why);
     void on_due();
     void on_caller_gone();
 
@@ -100,6 +103,8 @@
     backend_entry const& worker_entry() const { return worker_; }
     int sends() const { return sends_; }
     int status() const { return reply_.status; }
+    /// Whether no worker may have begun to run it.
+    bool never_ran() const { return runs_ == 0; }
     /// Whether the worker of the last send ran the request to the end of an
     /// answer. One that ends with its connection may have been cut short.
     bool answered_whole() const { return answer_framed_ && !reply_.not_run; }
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -19,6 +19,16 @@
     outcome("rejected", counts_.refused);
     outcome("failed", counts_.failed);
     outcome("caller_gone", counts_.caller_gone);
+    auto const rejected = [&](std::string_view why, std::uint64_t value)
+    {
+        add("rejected_for_team_total", fmt::format("{{reason=\"{}\"}}", why),
+            value);
+    };
+    rejected("key_missing", counts_.key_missing);
+    rejected("key_unknown", counts_.key_unknown);
+    rejected("key_in_doubt", counts_.key_in_doubt);
+    rejected("over_allotment", counts_.over_allotment);
+    rejected("allotment_unknown", counts_.allotment_unknown);
     add("retries_total", "", counts_.retries);
     add("orders_total", "", counts_.orders);
     add("orders_unknown_total", "", counts_.orders_unknown);
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -58,11 +58,27 @@
 
 } // namespace
 
+void relay::share_members(std::vector<member_view> const& members)
+{
+    allotment_members shared;
+    shared.count = members_;
+    for (member_view const& member : members)
+    {
+        bool const self = member.vm == options_.vm;
+        shared.joined |= self;
+        shared.first_life |= self && member.life == incarnation(1);
+        if (member.state == member_state::live)
+            shared.candidates.push_back({member.vm, member.millicores});
+    }
+    allotments_->set_members(std::move(shared), now());
+}
+
 void relay::set_members(std::vector<member_view> members)
 {
     members_ = std::max<std::size_t>(members.size(), 1);
     for (auto& [name, service] : services_)
         service.scheduler.set_members(members_);
+    share_members(members);
     std::map<vm_id, peer_link> links;
     for (member_view const& member : members)
     {
--- a/src/relay_request.cpp
+++ b/src/relay_request.cpp
@@ -37,6 +37,15 @@
     return made;
 }
 
+double allotment_cost(relay_request const& request, allotment const& limit)
+{
+    if (limit.unit == allotment_unit::requests)
+        return 1;
+    prompt_shape const& shape = request.prompt;
+    double const tokens = double(shape.tokens) + double(shape.answer_tokens);
+    return tokens > 0 ? tokens : limit.plain_tokens;
+}
+
 shared_prefix prefix_of(prompt_shape const& prompt)
 {
     shared_prefix prefix;
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -5,6 +5,7 @@
 
 #include "http_message.hpp"
 #include "ids.hpp"
+#include "team.hpp"
 #include "time_point.hpp"
 
 #include <cstdint>
@@ -52,6 +53,8 @@
     std::uint32_t tokens = 0;
     /// In their order in the prompt.
     std::vector<prompt_part> parts;
+    /// The most that its answer may have; 0 when the caller did not say.
+    std::uint32_t answer_tokens = 0;
     friend auto operator<=>(prompt_shape const&, prompt_shape const&) = default;
 };
 
@@ -80,9 +83,14 @@
     /// Path and query as received.
     std::string target;
     std::string path;
-    /// Without the fields of one connection and those that only the layer may
-    /// set.
+    /// Without the fields of one connection, those that only the layer may set
+    /// and those in `credentials`.
     http_headers headers;
+    /// Fields that show or name a team, as received; never logged. They go on
+    /// only where there are no teams.
+    http_headers credentials;
+    /// Of the key that the caller showed, if it showed one.
+    std::optional<key_digest> key;
     std::string body;
     /// How much longer the caller waits, as of its arrival.
     std::optional<duration> time_left;
@@ -94,6 +102,9 @@
     std::string caller;
 };
 
+/// What a request counts against an allotment.
+double allotment_cost(relay_request const& request, allotment const& limit);
+
 /// SHA-256, cut to 128 bits. Linear in the body's size.
 request_identity identity_of(relay_request const& request);
 
@@ -102,6 +113,9 @@
 {
     worker_id worker;
     duration time_left{};
+    /// Whose request it is; empty where its route needs no team. Absent where
+    /// there are no teams: then what the caller wrote goes on.
+    std::optional<team_id> team;
     /// 0 is the most urgent; absent for a plain service.
     std::optional<int> priority;
     /// The worker runs the request on that version of its adapter or refuses
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -47,6 +47,8 @@
     read("release_bound_ms", value.release_bound);
     read("drain_bound_ms", value.drain_bound);
     read("configuration_bound_ms", value.configuration_bound);
+    value.keys.doubt = value.configuration_bound / 2;
+    read("revocation_bound_ms", value.keys.revocation);
     double stop_seconds =
         std::chrono::duration<double>(value.stop_bound).count();
     root.read_number("stop_bound_s", stop_seconds, {0.5, 600.0}, optional);
@@ -64,6 +66,15 @@
         std::chrono::duration<double>(window));
 }
 
+void read_allotments(json_object& root, allotment_terms& value)
+{
+    double window = std::chrono::duration<double>(value.window).count();
+    root.read_number("allotment_window_s", window, {0.1, 600.0}, optional);
+    value.window = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(window));
+    root.read_number("allotment_over", value.over, {0.001, 1.0}, optional);
+}
+
 void read_crashes(json_object& root, crash_limits& value)
 {
     root.read_count("crash_limit", value.crashes, {1, 100}, optional);
@@ -98,6 +109,7 @@
     root.read_url("store_url", value.store_url, required);
     read_bounds(root, value);
     read_retries(root, value);
+    read_allotments(root, value.allotments);
     read_crashes(root, value.crashes);
     root.read_number("processor_share", value.processor_share, {0.001, 1000.0},
                      optional);
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -2,9 +2,11 @@
 #ifndef MULBERRY_RELAY_SETTINGS_HPP
 #define MULBERRY_RELAY_SETTINGS_HPP
 
+#include "allotment_keeper.hpp"
 #include "crash_record.hpp"
 #include "retry_allowance.hpp"
 #include "settings.hpp"
+#include "team_directory.hpp"
 
 #include <string>
 #include <string_view>
@@ -39,6 +41,10 @@
     duration drain_bound = std::chrono::milliseconds(2000);
     /// How soon a configuration is in force.
     duration configuration_bound = std::chrono::milliseconds(2000);
+    /// What is known of teams' keys is used no longer than that.
+    key_bounds keys;
+    /// How teams' allotments are shared out among VMs.
+    allotment_terms allotments;
     /// From the signal to stop until the process is killed.
     duration stop_bound = std::chrono::seconds(8);
     retry_limits retries;
--- /dev/null
+++ b/src/relay_teams.cpp
@@ -0,0 +1,185 @@
+// Whose requests are, and what they count against teams' allotments.
+#include "boot_clock.hpp"
+#include "collected_exchange.hpp"
+#include "peer_allotment.hpp"
+#include "relay.hpp"
+#include "team_key.hpp"
+
+#include <asio/post.hpp>
+
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+/// A pool answers from memory.
+constexpr milliseconds question_timeout{300};
+constexpr milliseconds question_connect_timeout{150};
+constexpr milliseconds question_idle{3000};
+
+std::uint64_t& count_of(relay_counts& counts, relay_request const& request,
+                        error_kind kind)
+{
+    if (kind == error_kind::configuration_stale)
+        return counts.key_in_doubt;
+    return request.key ? counts.key_unknown : counts.key_missing;
+}
+
+} // namespace
+
+access_decision relay::access_to(relay_request const& request,
+                                 route const& matched)
+{
+    time_point const at = now();
+    declarations_known const known = options_.declarations_as_of
+                                         ? options_.declarations_as_of()
+                                         : declarations_known{at, at};
+    access_decision decision =
+        teams_->decide(matched, request.key, known, options_.keys, at);
+    auto const* refused = std::get_if<error>(&decision);
+    if (refused == nullptr)
+        return decision;
+    ++count_of(counts_, request, refused->kind());
+    log_.notable("key refused",
+                 log_fields()
+                     .add("request", request.id.str())
+                     .add("key", request.key ? fingerprint(*request.key) : "")
+                     .add("reason", refused->text())
+                     .add("proven_ms_ago", at - known.proven_at)
+                     .add("shown_ms_ago", at - known.shown_at)
+                     .add("config", version().value()),
+                 at);
+    return decision;
+}
+
+std::optional<error> relay::refused_for_key(relay_exchange const& exchange)
+{
+    auto const& team = exchange.terms().team;
+    if (!team || team->empty())
+        return std::nullopt;
+    auto const access =
+        access_to(exchange.request(), *exchange.terms().matched);
+    if (auto const* refused = std::get_if<error>(&access))
+        return *refused;
+    auto const* const holder = std::get<access_granted>(access).holder;
+    if (holder != nullptr && holder->name == *team)
+        return std::nullopt;
+    return error(error_kind::unauthorized, "the key is another team's now");
+}
+
+void relay::share_teams()
+{
+    teams_ = std::make_unique<team_directory>(config_);
+    std::map<team_id, allotment> limits;
+    for (team const& each : config_->teams)
+        if (each.limit)
+            limits.emplace(each.name, *each.limit);
+    allotments_->set_teams(limits, now());
+    run_soon();
+}
+
+void relay::start_metered(std::shared_ptr<relay_exchange> const& exchange,
+                          team const* holder)
+{
+    if (holder == nullptr || !holder->limit)
+        return exchange->start();
+    exchange_terms const& terms = exchange->terms();
+    double const units = allotment_cost(exchange->request(), *holder->limit);
+    metered_[terms.ticket] = {holder->name, units};
+    allotments_->request(terms.ticket, holder->name, units, terms.give_up_at,
+                         now());
+    run_allotments();
+    run_soon();
+}
+
+void relay::run_allotments()
+{
+    for (allotment_action const& action : allotments_->run(now()))
+        if (auto const* ask = std::get_if<ask_pool>(&action))
+            send_question(*ask);
+        else
+            on_allotment(std::get<allotment_settled>(action));
+}
+
+void relay::on_allotment(allotment_settled const& settled)
+{
+    auto const found = exchanges_.find(settled.ticket);
+    auto const metered = metered_.find(settled.ticket);
+    if (found == exchanges_.end() || metered == metered_.end())
+        return;
+    auto const exchange = found->second;
+    if (!settled.refused)
+    {
+        metered->second.waits = false;
+        return exchange->start();
+    }
+    error const& why = *settled.refused;
+    ++(why.kind() == error_kind::over_allotment ? counts_.over_allotment
+                                                : counts_.allotment_unknown);
+    time_point const at = now();
+    log_.notable("allotment refused",
+                 log_fields()
+                     .add("request", exchange->request().id.str())
+                     .add("team", metered->second.team.str())
+                     .add("units", static_cast<int>(metered->second.units))
+                     .add("reason", why.text())
+                     .add("fits_in_ms", why.retry_after().value_or(duration(0)))
+                     .add("config", version().value()),
+                 at);
+    exchange->on_refused(
+        error(why.kind(), why.text(), why.request_ran(),
+              spread(why.retry_after().value_or(duration(0)))));
+}
+
+/// A question to this VM's own pool takes the same way, without the network.
+void relay::send_question(ask_pool const& ask)
+{
+    auto const told =
+        [this, number = ask.number](std::optional<allotment_reply> const& reply)
+    {
+        allotments_->on_reply(number, reply, now());
+        run_allotments();
+        run_soon();
+    };
+    auto const peer = peers_.find(ask.pool);
+    if (ask.pool == options_.vm || peer == peers_.end())
+        return asio::post(io_,
+                          [this, told, ask]
+                          {
+                              told(ask.pool == options_.vm
+                                       ? std::optional(allotments_->answer(
+                                             ask.question, now()))
+                                       : std::nullopt);
+                          });
+    collected_call call;
+    call.to = peer->second.address;
+    call.bytes = encode_allotment_question(ask.question, call.to.ip);
+    call.options.connect_timeout = question_connect_timeout;
+    call.options.max_idle = question_idle;
+    call.ends_at = [ends = std::chrono::steady_clock::now() + question_timeout]
+    { return ends; };
+    call.on_end = [told](collected_answer const& answer)
+    {
+        told(answer.status == status_ok ? decode_allotment_reply(answer.body)
+                                        : std::nullopt);
+    };
+    start_collected(io_, pool_, std::move(call));
+}
+
+void relay::handle_allotment(http_request const& received, http_answer& answer)
+{
+    auto const question = decode_allotment_question(received.body);
+    if (!question)
+        return answer.respond({status_bad_request, {}, {}});
+    answer.respond(json_response(
+        status_ok,
+        encode_allotment_reply(allotments_->answer(*question, now()))));
+}
+
+} // namespace mulberry
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cstddef>
+#include <iterator>
 
 namespace mulberry
 {
@@ -18,7 +20,12 @@
     : config_(std::move(config))
 {
     for (route const& each : config_->routes)
+    {
         by_host_[host_key(each.host)].push_back(&each);
+        route_priorities_.insert(each.priority);
+    }
+    for (team const& each : config_->teams)
+        team_priorities_.insert(each.priority);
     for (auto& [host, routes] : by_host_)
         std::stable_sort(routes.begin(), routes.end(),
                          [](route const* a, route const* b)
@@ -37,6 +44,17 @@
     return nullptr;
 }
 
+int route_table::urgency(route const& matched, team const* holder) const
+{
+    if (holder == nullptr)
+        return matched.priority;
+    auto const rank = [](std::set<int> const& among, int priority)
+    { return std::distance(among.begin(), among.lower_bound(priority)); };
+    auto const levels = static_cast<std::ptrdiff_t>(route_priorities_.size());
+    return static_cast<int>(rank(team_priorities_, holder->priority) * levels +
+                            rank(route_priorities_, matched.priority));
+}
+
 service_id const& route_table::choose_service(route const& from, double draw)
 {
     double total = 0;
--- a/src/routing_config.hpp
+++ b/src/routing_config.hpp
@@ -4,6 +4,7 @@
 #define MULBERRY_ROUTING_CONFIG_HPP
 
 #include "ids.hpp"
+#include "team.hpp"
 #include "time_point.hpp"
 
 #include <cstddef>
@@ -55,6 +56,8 @@
     int priority = 0;
     /// The most workers that one request may run on.
     int worker_limit = 1;
+    /// Its requests need no key, where others do.
+    bool open_to_all = false;
     friend bool operator==(route const&, route const&) = default;
 };
 
@@ -95,6 +98,8 @@
     config_version version;
     std::vector<route> routes;
     std::map<service_id, service_config> services;
+    /// Empty: callers need no keys.
+    std::vector<team> teams;
     friend bool operator==(routing_config const&,
                            routing_config const&) = default;
 };
--- /dev/null
+++ b/src/team_key.cpp
@@ -0,0 +1,76 @@
+#include "team_key.hpp"
+
+#include "declaration_text.hpp"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr std::string_view bearer_scheme = "bearer";
+constexpr std::size_t longest_key = 4096;
+constexpr std::size_t fingerprint_digits = 8;
+
+bool is_token_character(char each)
+{
+    return each > ' ' && each < '\x7f' && each != ',' && each != '"';
+}
+
+std::string_view without_spaces_around(std::string_view text)
+{
+    auto const first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos)
+        return {};
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+/// The token after the scheme; empty if there is none.
+std::string_view bearer_token(std::string_view field)
+{
+    std::string_view const text = without_spaces_around(field);
+    auto const space = text.find(' ');
+    if (space == std::string_view::npos ||
+        !same_header_name(text.substr(0, space), bearer_scheme))
+        return {};
+    std::string_view const token = without_spaces_around(text.substr(space));
+    bool const sound =
+        token.size() <= longest_key &&
+        std::all_of(token.begin(), token.end(), is_token_character);
+    return sound ? token : std::string_view();
+}
+
+} // namespace
+
+key_digest digest_of_key(std::string_view key)
+{
+    return key_digest(digest_of(key));
+}
+
+std::string fingerprint(key_digest const& key)
+{
+    return key.str().substr(0, fingerprint_digits);
+}
+
+std::optional<key_digest> caller_key(http_headers const& headers)
+{
+    std::string const* only = nullptr;
+    for (auto const& [name, value] : headers.fields())
+    {
+        if (!same_header_name(name, authorization_header))
+            continue;
+        // Two keys may be of two teams; which one counts cannot be told.
+        if (only != nullptr)
+            return std::nullopt;
+        only = &value;
+    }
+    std::string_view const token =
+        only == nullptr ? std::string_view() : bearer_token(*only);
+    if (token.empty())
+        return std::nullopt;
+    return digest_of_key(token);
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/tests/allotment_fleet_test.cpp
@@ -0,0 +1,55 @@
+// Allotments of many VMs under trouble, with fixed seeds.
+#include "allotment_fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+
+namespace
+{
+
+allotment_result play(allotment_trouble trouble, std::uint64_t seed)
+{
+    allotment_plan plan;
+    plan.vms = 24;
+    plan.callers = 60;
+    plan.largest_use = 60'000;
+    plan.trouble = trouble;
+    plan.seed = seed;
+    return allotment_fleet(plan, allotment_way::pooled).play();
+}
+
+constexpr allotment_trouble all_troubles[] = {
+    allotment_trouble::none, allotment_trouble::cut,
+    allotment_trouble::pool_lost, allotment_trouble::herd_killed,
+    allotment_trouble::lowered};
+
+} // namespace
+
+// Guards against a fleet that lets a team run more than its allotment, whoever
+// hears whom: the bound is the stated one, a tenth over.
+TEST_CASE("no trouble lets a team have more than its allotment",
+          "[allotment_fleet]")
+{
+    double const bound = 1 + allotment_plan().over;
+    for (allotment_trouble const trouble : all_troubles)
+        for (std::uint64_t seed = 1; seed <= 4; ++seed)
+        {
+            CAPTURE(to_string(trouble), seed);
+            CHECK(play(trouble, seed).worst_window <= bound);
+        }
+}
+
+// Guards against equal parts: a team whose callers are at few VMs is refused
+// most of what it may ask for.
+TEST_CASE("a team whose callers are at few VMs gets its allotment",
+          "[allotment_fleet]")
+{
+    allotment_plan plan;
+    plan.vms = 24;
+    plan.callers = 60;
+    plan.largest_use = 60'000;
+    auto const equal = allotment_fleet(plan, allotment_way::equal).play();
+    auto const pooled = allotment_fleet(plan, allotment_way::pooled).play();
+    CHECK(pooled.refused_below < equal.refused_below / 5);
+}
--- /dev/null
+++ b/tests/peer_allotment_test.cpp
@@ -0,0 +1,52 @@
+#include "peer_allotment.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::string body_of(std::string const& request)
+{
+    return request.substr(request.find("\r\n\r\n") + 4);
+}
+
+} // namespace
+
+TEST_CASE("questions and replies about allotments come back as they were",
+          "[peer_allotment]")
+{
+    allotment_question const question{
+        vm_id("a"),
+        2000ms,
+        {{team_id("pits"), 0.0625, 0, 0}, {team_id("mills"), 0, 716, 1500.5}}};
+    CHECK(decode_allotment_question(
+              body_of(encode_allotment_question(question, "h"))) == question);
+    allotment_reply const reply{{team_id("pits"), 716, 0ms, 0ms},
+                                {team_id("mills"), 0, 120ms, 900ms}};
+    CHECK(decode_allotment_reply(encode_allotment_reply(reply)) == reply);
+}
+
+// Guards against units out of nothing by a message that makes no sense.
+TEST_CASE("what is no message about allotments is told", "[peer_allotment]")
+{
+    for (char const* text :
+         {"", "[]", "{}", R"({"from":"a","left_ms":-1,"teams":[]})",
+          R"({"from":"a","left_ms":1,"teams":[["t",2,0,0]]})",
+          R"({"from":"a","left_ms":1,"teams":[["t",-1,0,0]]})",
+          R"({"from":"a","left_ms":1,"teams":[["t",0,0]]})",
+          R"({"from":"a","left_ms":1,"teams":[[1,0,0,0]]})",
+          R"({"from":"a","left_ms":1,"teams":[["t",0,1e300,0]]})"})
+    {
+        CAPTURE(text);
+        CHECK_FALSE(decode_allotment_question(text));
+    }
+    for (char const* text :
+         {"", "{}", R"({"given":[["t",-5,0,0]]})", R"({"given":[["t",5,0]]})"})
+    {
+        CAPTURE(text);
+        CHECK_FALSE(decode_allotment_reply(text));
+    }
+}
--- /dev/null
+++ b/tests/pooled_allotment_test.cpp
@@ -0,0 +1,204 @@
+#include "pooled_allotment.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{100s};
+team_id const pits("pits");
+
+std::map<team_id, allotment> limit(double per_second, double burst)
+{
+    return {{pits, {allotment_unit::tokens, per_second, burst, 1}}};
+}
+
+allotment_members members(std::vector<std::string> const& names)
+{
+    allotment_members made;
+    made.count = names.size();
+    made.joined = true;
+    for (std::string const& name : names)
+        made.candidates.push_back({vm_id(name), 1000});
+    return made;
+}
+
+/// One VM, whose own pool is the only one; questions are answered at once.
+struct lone_vm
+{
+    pooled_allotment keeper{vm_id("a"), allotment_terms()};
+    time_point now = start;
+    std::map<ticket_id, std::optional<error>> settled;
+
+    explicit lone_vm(double per_second, double burst)
+    {
+        keeper.set_members(members({"a"}), now);
+        keeper.set_teams(limit(per_second, burst), now);
+        act();
+    }
+    void act()
+    {
+        for (auto actions = keeper.run(now); !actions.empty();
+             actions = keeper.run(now))
+            for (allotment_action const& action : actions)
+                if (auto const* ask = std::get_if<ask_pool>(&action))
+                    keeper.on_reply(ask->number,
+                                    keeper.answer(ask->question, now), now);
+                else
+                {
+                    auto const& done = std::get<allotment_settled>(action);
+                    settled[done.ticket] = done.refused;
+                }
+    }
+    void pass(duration span)
+    {
+        for (time_point const end = now + span; now < end; now += 100ms)
+            act();
+    }
+    bool fits(std::uint64_t ticket, double units)
+    {
+        keeper.request(ticket_id(ticket), pits, units, now + 5s, now);
+        act();
+        return settled.count(ticket_id(ticket)) > 0 &&
+               !settled[ticket_id(ticket)];
+    }
+};
+
+std::vector<ask_pool> questions(pooled_allotment& keeper, time_point now)
+{
+    std::vector<ask_pool> asked;
+    for (allotment_action const& action : keeper.run(now))
+        if (auto const* ask = std::get_if<ask_pool>(&action))
+            asked.push_back(*ask);
+    return asked;
+}
+
+std::optional<error> refusal(pooled_allotment& keeper, time_point now)
+{
+    for (allotment_action const& action : keeper.run(now))
+        if (auto const* done = std::get_if<allotment_settled>(&action))
+            return done->refused;
+    return std::nullopt;
+}
+
+} // namespace
+
+TEST_CASE("a team may ask for its rate and its burst, and no more",
+          "[pooled_allotment]")
+{
+    lone_vm vm(1000, 2000);
+    vm.pass(4s);
+    CHECK(vm.fits(1, 2000));
+    CHECK_FALSE(vm.fits(2, 1000));
+    auto const why = vm.settled[ticket_id(2)];
+    REQUIRE(why);
+    CHECK(why->kind() == error_kind::over_allotment);
+    CHECK(why->request_ran() == ran::no);
+    REQUIRE(why->retry_after());
+    CHECK(*why->retry_after() > 500ms);
+    vm.pass(1100ms);
+    CHECK(vm.fits(3, 1000));
+}
+
+TEST_CASE("a team without a limit is not kept waiting", "[pooled_allotment]")
+{
+    lone_vm vm(1000, 0);
+    vm.keeper.set_teams({}, vm.now);
+    vm.act();
+    CHECK(vm.fits(1, 1e9));
+}
+
+TEST_CASE("what was not run is there for the next", "[pooled_allotment]")
+{
+    lone_vm vm(1000, 1000);
+    vm.pass(3s);
+    CHECK(vm.fits(1, 1200));
+    CHECK_FALSE(vm.fits(2, 1000));
+    vm.keeper.give_back(pits, 1200, vm.now);
+    CHECK(vm.fits(3, 1000));
+}
+
+// Guards against a limit that is lowered and comes into force only when what
+// was saved up before is used.
+TEST_CASE("a lowered limit takes what was saved up with it",
+          "[pooled_allotment]")
+{
+    lone_vm vm(1000, 10'000);
+    vm.pass(15s);
+    vm.keeper.set_teams(limit(10, 100), vm.now);
+    CHECK(vm.fits(1, 100));
+    CHECK_FALSE(vm.fits(2, 100));
+}
+
+// Guards against a caller that waits in vain for a pool that does not answer.
+TEST_CASE("without a pool's answer the next is asked, then the request refused",
+          "[pooled_allotment]")
+{
+    pooled_allotment keeper(vm_id("a"), allotment_terms());
+    keeper.set_members(members({"b", "c"}), start);
+    keeper.set_teams(limit(1000, 1000), start);
+    for (ask_pool const& ask : questions(keeper, start))
+        keeper.on_reply(ask.number, allotment_reply(), start);
+    keeper.request(ticket_id(1), pits, 100, start + 5s, start);
+    auto const first = questions(keeper, start);
+    REQUIRE(first.size() == 1);
+    keeper.on_reply(first[0].number, std::nullopt, start + 300ms);
+    auto const second = questions(keeper, start + 300ms);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].pool != first[0].pool);
+    keeper.on_reply(second[0].number, std::nullopt, start + 600ms);
+    auto const why = refusal(keeper, start + 600ms);
+    REQUIRE(why);
+    CHECK(why->kind() == error_kind::allotment_unknown);
+    CHECK(why->request_ran() == ran::no);
+}
+
+// Guards against a part of an allotment that counts in two pools at once.
+TEST_CASE("a part is left to another pool only when it has ended at the first",
+          "[pooled_allotment]")
+{
+    pooled_allotment keeper(vm_id("a"), allotment_terms());
+    keeper.set_members(members({"a", "b", "c"}), start);
+    keeper.set_teams(limit(1000, 1000), start);
+    std::map<vm_id, time_point> until;
+    vm_id lost;
+    for (time_point now = start; now < start + 20s; now += 100ms)
+    {
+        for (ask_pool const& ask : questions(keeper, now))
+        {
+            if (lost.empty())
+                lost = ask.pool;
+            for (team_question const& each : ask.question.teams)
+                if (each.part > 0)
+                    until[ask.pool] = now + ask.question.left_for;
+            bool const answers = ask.pool != lost || now < start + 5s;
+            keeper.on_reply(
+                ask.number,
+                answers ? std::optional(allotment_reply()) : std::nullopt, now);
+        }
+        auto const in_use = std::count_if(until.begin(), until.end(),
+                                          [now](auto const& each)
+                                          { return each.second > now; });
+        CHECK(in_use <= 2);
+    }
+    CHECK(until.size() == 3);
+}
+
+// Guards against an allotment that grows while VMs that joined are not yet
+// counted by the others.
+TEST_CASE("a VM in its first life leaves no part at once", "[pooled_allotment]")
+{
+    pooled_allotment keeper(vm_id("a"), allotment_terms());
+    allotment_members joined = members({"a", "b"});
+    joined.first_life = true;
+    keeper.set_members(joined, start);
+    keeper.set_teams(limit(1000, 1000), start);
+    CHECK(questions(keeper, start).empty());
+    CHECK(questions(keeper, start + 2s).empty());
+    CHECK_FALSE(questions(keeper, start + 3100ms).empty());
+}
