Pools give ahead, and are found again when the whole fleet starts anew

Cause: a VM whose row says life 1 left no part for three seconds, since others might not count it; after a restart that row is an earlier process's. Also a pool that came back was asked while everybody's parts were at its substitute, and a request was refused although its units came in a moment later. Ruled out: overload (74 VMs had started, 23 registered, questions answered). Change: a row that is there before this process registered counts; parts are left for a second at a time; where a VM's own parts are is asked too; pools give units that come in within 200 ms, to be used when they have; a pool without a fifth of an allotment says that it is not settled. Tests: "a VM that was there before leaves its parts at once", "a request waits for units that are about to come in".

--- a/bench/allotment_fleet.cpp
+++ b/bench/allotment_fleet.cpp
@@ -40,6 +40,7 @@
 constexpr double large_share = 0.04;
 constexpr double large_units = 9190;
 constexpr double lowered_to = 0.3;
+constexpr std::size_t hot_team = 2;
 
 double seconds_of(duration span)
 {
@@ -241,9 +242,9 @@
                           each = anywhere(random_);
                   });
     queue_.at(time_point(hot_begins),
-              [this] { teams_.at(2)->times = plan_.hot; });
+              [this] { teams_.at(hot_team)->times = plan_.hot; });
     queue_.at(time_point(hot_begins + hot_span),
-              [this] { teams_.at(2)->times = 1; });
+              [this] { teams_.at(hot_team)->times = 1; });
 }
 
 void allotment_fleet::schedule_trouble()
@@ -478,6 +479,24 @@
     return worst;
 }
 
+void allotment_fleet::judge_hot(allotment_result& result) const
+{
+    double owed = 0;
+    double refused = 0;
+    for (std::size_t index = 0; index < teams_.size(); ++index)
+        if (index != hot_team)
+        {
+            owed += teams_[index]->owed;
+            refused += teams_[index]->refused;
+        }
+    result.refused_of_usual = owed > 0 ? refused / owed : 0;
+    double used = 0;
+    for (use const& each : teams_.at(hot_team)->used)
+        if (each.at >= time_point(warm_up))
+            used += each.units;
+    result.hot_used = used / std::max(1.0, teams_.at(hot_team)->owed);
+}
+
 allotment_result allotment_fleet::judge() const
 {
     allotment_result result;
@@ -497,6 +516,7 @@
     result.refused_below = owed > 0 ? refused / owed : 0;
     result.refused_in_trouble =
         owed_in_trouble > 0 ? refused_in_trouble / owed_in_trouble : 0;
+    judge_hot(result);
     double const vm_seconds = double(plan_.vms) * seconds_of(plan_.length);
     result.messages_per_vm_second = double(messages_) / vm_seconds;
     result.bytes_per_vm_second = double(bytes_) / vm_seconds;
--- a/bench/allotment_fleet.hpp
+++ b/bench/allotment_fleet.hpp
@@ -70,6 +70,11 @@
     /// Of the units that one bucket for the whole fleet would have let pass:
     /// those that were refused.
     double refused_below = 0;
+    /// The same of the teams that ask for no more than usual.
+    double refused_of_usual = 0;
+    /// What the team that asks for more got, as a share of what that bucket
+    /// would have let pass.
+    double hot_used = 0;
     /// The same for requests that came within three seconds of the trouble's
     /// beginning.
     double refused_in_trouble = 0;
@@ -118,6 +123,7 @@
     std::size_t number_of(vm_id const& vm) const;
     allotment_result judge() const;
     double worst_window(fleet_team const& team) const;
+    void judge_hot(allotment_result& result) const;
 
     allotment_plan const plan_;
     allotment_way const way_;
--- a/bench/mulberry_trial.cpp
+++ b/bench/mulberry_trial.cpp
@@ -126,6 +126,8 @@
         allotment_result const one = allotment_fleet(plan, way).play();
         all.worst_window = std::max(all.worst_window, one.worst_window);
         all.refused_below += one.refused_below / double(seeds);
+        all.refused_of_usual += one.refused_of_usual / double(seeds);
+        all.hot_used += one.hot_used / double(seeds);
         all.refused_in_trouble += one.refused_in_trouble / double(seeds);
         all.messages_per_vm_second +=
             one.messages_per_vm_second / double(seeds);
@@ -143,11 +145,12 @@
     // The same callers a VM at each size.
     plan.callers = plan.vms * 5 / 2;
     plan.largest_use *= double(plan.vms) / double(allotment_plan().vms);
-    std::cout << fmt::format("{} VMs\n{:16} {:14} {:>12} {:>13} {:>11} "
+    std::cout << fmt::format("{} VMs\n{:16} {:14} {:>12} {:>13} {:>9} {:>9} "
+                             "{:>11} "
                              "{:>9} {:>10} {:>8}\n",
                              plan.vms, "trouble", "way", "worst window",
-                             "refused below", "in trouble", "msg/VM/s",
-                             "bytes/VM/s", "follows");
+                             "refused below", "of usual", "hot used",
+                             "in trouble", "msg/VM/s", "bytes/VM/s", "follows");
     for (allotment_trouble const trouble :
          {allotment_trouble::none, allotment_trouble::cut,
           allotment_trouble::pool_lost, allotment_trouble::herd_killed,
@@ -161,11 +164,13 @@
                 play_allotments(plan, way, given["seeds"].as<std::uint64_t>());
             std::cout
                 << fmt::format(
-                       "{:16} {:14} {:12.3f} {:13.4f} {:11.4f} {:9.2f} "
+                       "{:16} {:14} {:12.3f} {:13.4f} {:9.4f} {:9.3f} "
+                       "{:11.4f} {:9.2f} "
                        "{:10.0f} {:8.1f}\n",
                        to_string(trouble), to_string(way), seen.worst_window,
-                       seen.refused_below, seen.refused_in_trouble,
-                       seen.messages_per_vm_second, seen.bytes_per_vm_second,
+                       seen.refused_below, seen.refused_of_usual, seen.hot_used,
+                       seen.refused_in_trouble, seen.messages_per_vm_second,
+                       seen.bytes_per_vm_second,
                        std::chrono::duration<double>(seen.follows_in).count())
                 << std::flush;
         }
--- a/src/allotment_keeper.hpp
+++ b/src/allotment_keeper.hpp
@@ -77,9 +77,10 @@
 {
     team_id team;
     double units = 0;
-    /// With no units: after how long the least would be there.
+    /// With units: after how long they may be used. Without: after how long the
+    /// least would be there.
     duration fits_in{};
-    /// With no units: after how long they would be there if everybody who was
+    /// Without units: after how long they would be there if everybody who was
     /// sent away before comes back first.
     duration come_back_in{};
     friend bool operator==(team_given const&, team_given const&) = default;
@@ -87,6 +88,9 @@
 
 using allotment_reply = std::vector<team_given>;
 
+/// A request waits so long for units that come in, rather than being refused.
+inline constexpr std::chrono::milliseconds longest_unit_wait{200};
+
 /// Ask another VM, or this one; the reply goes to on_reply().
 struct ask_pool
 {
--- a/src/allotment_pool.cpp
+++ b/src/allotment_pool.cpp
@@ -10,9 +10,10 @@
 /// What a caller is told to wait at the most; who asks for more than that is
 /// not expected back.
 constexpr std::chrono::seconds longest_come_back{5};
-/// Without any parts: by then those VMs that left them elsewhere leave them
-/// here.
-constexpr std::chrono::milliseconds no_parts_retry{500};
+/// With less of an allotment than this, VMs are still leaving their parts here,
+/// or leave them elsewhere.
+constexpr double settled_share = 0.2;
+constexpr std::chrono::milliseconds unsettled_retry{100};
 
 duration seconds_for(double units, double per_second)
 {
@@ -70,11 +71,12 @@
         pool.next_end = std::min(pool.next_end, left.until);
     }
     // VMs that do not agree on how many there are leave too much together.
-    double const share = std::min(sum, 1.0);
+    pool.share = std::min(sum, 1.0);
     double const most =
         pool.limit.burst + pool.limit.per_second *
                                std::chrono::duration<double>(headroom_).count();
-    pool.bucket.set_rate(pool.limit.per_second * share, most * share, now);
+    pool.bucket.set_rate(pool.limit.per_second * pool.share, most * pool.share,
+                         now);
 }
 
 void allotment_pool::refill(team_pool& pool, time_point now) const
@@ -100,10 +102,20 @@
         given.units = units;
         return given;
     }
-    if (bucket.per_second() <= 0)
+    // For all who wait there: one by one they would wait for a question each.
+    double const ahead = std::max(
+        question.least,
+        std::min(question.most, bucket.within(longest_unit_wait, now)));
+    if (auto const wait = bucket.take_ahead(ahead, longest_unit_wait, now))
     {
-        given.fits_in = no_parts_retry;
-        given.come_back_in = no_parts_retry;
+        given.units = ahead;
+        given.fits_in = *wait;
+        return given;
+    }
+    if (pool.share < settled_share)
+    {
+        given.fits_in = unsettled_retry;
+        given.come_back_in = unsettled_retry;
         return given;
     }
     given.fits_in = std::min<duration>(bucket.until_fits(question.least, now),
--- a/src/allotment_pool.hpp
+++ b/src/allotment_pool.hpp
@@ -34,12 +34,15 @@
         allotment limit;
         std::map<vm_id, left_part> parts;
         time_point next_end = never;
+        /// The sum of the parts.
+        double share = 0;
         token_bucket bucket;
         /// Units that those who were sent away will come back for are there by
         /// then.
         time_point promised_until{};
     };
 
+    /// Up to now, at what the parts brought in until each of them ended.
     void refill(team_pool& pool, time_point now) const;
     void renew(team_pool& pool, time_point now) const;
     static team_given give(team_pool& pool, team_question const& question,
--- a/src/pooled_allotment.cpp
+++ b/src/pooled_allotment.cpp
@@ -15,8 +15,8 @@
 
 /// How often parts are left to pools anew, and for how long each time: one
 /// message may be lost.
-constexpr milliseconds leave_interval{1000};
-constexpr milliseconds leave_span{2000};
+constexpr milliseconds leave_interval{500};
+constexpr milliseconds leave_span{1000};
 /// A part may be in use so long beyond its end, for the time that its message
 /// was on its way.
 constexpr milliseconds message_time{300};
@@ -24,11 +24,10 @@
 constexpr milliseconds join_wait{3000};
 /// A request waits so long for units at the most.
 constexpr milliseconds longest_wait{600};
-/// A pool that did not answer is not asked for so long: until what was left to
-/// it has ended and was left to another.
-constexpr milliseconds avoid_span{4000};
+/// A pool that did not answer is not asked for so long.
+constexpr milliseconds avoid_span{1000};
 /// VMs for each VM that keeps pools.
-constexpr std::size_t vms_per_pool = 32;
+constexpr std::size_t vms_per_pool = 64;
 /// Units are asked for ahead of requests for so much of the recent use.
 constexpr std::chrono::duration<double> ahead{0.25};
 /// The time over which recent use is told.
@@ -93,15 +92,22 @@
         parts_from_ = never;
     members_ = std::move(members);
     choose_pools();
+    if (joins && leave_at_ != never)
+        leave_at_ = std::min(leave_at_, std::max(now, parts_from_));
+    for (auto& [name, state] : teams_)
+        if (!state.waiting.empty())
+            state.review_at = now;
 }
 
 void pooled_allotment::choose_pools()
 {
     pools_ = by_rank(members_.candidates);
-    // One more, so that another can take the place of one that is lost.
-    std::size_t const wanted =
-        pools_per_team + 1 + members_.count / vms_per_pool;
-    pools_.resize(std::min(pools_.size(), wanted));
+    std::erase_if(avoid_until_,
+                  [this](auto const& each)
+                  {
+                      return std::find(pools_.begin(), pools_.end(),
+                                       each.first) == pools_.end();
+                  });
 }
 
 bool pooled_allotment::avoided(vm_id const& pool, time_point now) const
@@ -111,14 +117,19 @@
 }
 
 /// The VMs that keep pools for a team, the same on all VMs that see the same
-/// ones; those that do not answer come last.
-std::vector<vm_id> pooled_allotment::pools_of(team_id const& team,
-                                              time_point now) const
+/// ones. One that does not answer gives way to the next by rank.
+std::vector<vm_id> pooled_allotment::pools_of(team_id const& team) const
 {
-    std::vector<vm_id> pools = pools_;
+    std::size_t const wanted =
+        pools_per_team + 1 + members_.count / vms_per_pool;
+    std::vector<vm_id> pools;
+    for (bool const suspects : {false, true})
+        for (vm_id const& each : pools_)
+            if (suspect(each) == suspects && pools.size() < wanted)
+                pools.push_back(each);
     auto const order = [&](vm_id const& pool)
     {
-        return std::pair(avoided(pool, now) ? 1 : 0,
+        return std::pair(suspect(pool),
                          stable_hash(team.str() + "/" + pool.str()));
     };
     std::sort(pools.begin(), pools.end(),
@@ -128,10 +139,28 @@
     return pools;
 }
 
+/// Failure: a pool comes back, and for as long as the parts left to its
+/// substitute last it has nothing to give. So where this VM's own parts are is
+/// asked too: most others' are there.
+std::vector<vm_id> pooled_allotment::pools_to_ask(team_id const& team,
+                                                  team_state const& state,
+                                                  time_point now) const
+{
+    std::vector<vm_id> pools = pools_of(team);
+    for (left_half const& left : state.halves)
+        if (now < left.until &&
+            std::find(pools.begin(), pools.end(), left.pool) == pools.end())
+            pools.push_back(left.pool);
+    std::erase_if(pools, [this, now](vm_id const& each)
+                  { return avoided(each, now); });
+    return pools;
+}
+
 /// A half that may be in use at one pool is not left to another.
 void pooled_allotment::leave_parts(time_point now)
 {
     leave_at_ = now + duration(leave_interval);
+    try_suspects(now);
     if (now < parts_from_ || pools_.empty())
         return;
     double const half = 1.0 / double(pools_per_team) /
@@ -139,7 +168,7 @@
     std::map<vm_id, std::map<team_id, double>> parts;
     for (auto& [name, state] : teams_)
     {
-        std::vector<vm_id> const pools = pools_of(name, now);
+        std::vector<vm_id> const pools = pools_of(name);
         for (std::size_t index = 0; index < pools_per_team; ++index)
         {
             left_half& left = state.halves.at(index);
@@ -159,6 +188,18 @@
     }
 }
 
+/// Those that answer are used again.
+void pooled_allotment::try_suspects(time_point now)
+{
+    for (auto& [pool, until] : avoid_until_)
+    {
+        if (now < until)
+            continue;
+        until = now + duration(avoid_span);
+        send(pool, {pool, now, {}, 0}, {self_, {}, {}});
+    }
+}
+
 void pooled_allotment::send(vm_id const& pool, open_question about,
                             allotment_question question)
 {
@@ -195,27 +236,31 @@
     auto const found = teams_.find(team);
     if (found == teams_.end())
         return;
-    found->second.in_hand.push_back({units, now + unit_life_});
+    found->second.in_hand.push_back({units, now, now + unit_life_});
     settle(team, now);
 }
 
-double pooled_allotment::in_hand(team_state& state, time_point now) const
+double pooled_allotment::in_hand(team_state& state, bool later_too,
+                                 time_point now) const
 {
     std::erase_if(state.in_hand, [now](units_in_hand const& each)
                   { return each.until <= now; });
     double sum = 0;
     for (units_in_hand const& each : state.in_hand)
-        sum += each.units;
+        if (later_too || each.from <= now)
+            sum += each.units;
     return sum;
 }
 
 bool pooled_allotment::take_in_hand(team_state& state, double units,
                                     time_point now) const
 {
-    if (in_hand(state, now) < units)
+    if (in_hand(state, false, now) < units)
         return false;
     for (units_in_hand& each : state.in_hand)
     {
+        if (each.from > now)
+            continue;
         double const taken = std::min(units, each.units);
         each.units -= taken;
         units -= taken;
@@ -251,43 +296,64 @@
         ask(team, state, now);
 }
 
+bool pooled_allotment::lacks(team_state const& state, vm_id const& pool,
+                             double least, time_point now) const
+{
+    auto const found = state.shortages.find(pool);
+    return found != state.shortages.end() && now < found->second.until &&
+           least >= found->second.least;
+}
+
 /// What no pool has is refused at once, without another question.
 void pooled_allotment::ask(team_id const& team, team_state& state,
                            time_point now)
 {
-    double const held = in_hand(state, now);
-    double const least = state.waiting.front().units - held;
+    state.review_at = never;
+    // Until the VMs are known there is nobody to ask.
+    if (pools_.empty())
+        return;
+    waiting_request const first = state.waiting.front();
+    double const held = in_hand(state, true, now);
+    double const least = first.units - held;
+    if (least <= 0)
+    {
+        for (units_in_hand const& each : state.in_hand)
+            if (each.from > now)
+                state.review_at = std::min(state.review_at, each.from);
+        return;
+    }
     time_point come_back_at = never;
-    for (vm_id const& pool : pools_of(team, now))
+    for (vm_id const& pool : pools_to_ask(team, state, now))
     {
-        if (avoided(pool, now))
-            continue;
-        auto const lacking = state.shortages.find(pool);
-        if (lacking != state.shortages.end() && now < lacking->second.until &&
-            least >= lacking->second.least)
+        if (lacks(state, pool, least, now))
         {
-            come_back_at = std::min(come_back_at, lacking->second.come_back_at);
+            come_back_at =
+                std::min(come_back_at, state.shortages[pool].come_back_at);
             continue;
         }
-        double most = state.use * ahead.count();
         double sum = 0;
         for (waiting_request const& each : state.waiting)
             sum += each.units;
         // Less than a request's worth would be lost before it is used.
-        if (most < state.waiting.front().units)
-            most = 0;
+        double const beyond = state.use * ahead.count();
+        double const most = sum - held + (beyond < first.units ? 0 : beyond);
         state.asking = true;
         allotment_question question{self_, {}, {}};
-        question.teams.push_back({team, 0, least, sum - held + most});
+        question.teams.push_back({team, 0, least, most});
         return send(pool, {pool, now, team, least}, std::move(question));
     }
     if (come_back_at == never)
         return refuse_waiting(state, unknown_left("no pool can be asked"));
+    if (come_back_at <= now + duration(longest_unit_wait) &&
+        come_back_at < first.give_up_at)
+    {
+        state.review_at = come_back_at;
+        return;
+    }
     // Others that wait may need less.
-    ticket_id const ticket = state.waiting.front().ticket;
     state.waiting.pop_front();
     actions_.emplace_back(
-        allotment_settled{ticket, used_up(come_back_at - now)});
+        allotment_settled{first.ticket, used_up(come_back_at - now)});
     settle(team, now);
 }
 
@@ -332,7 +398,9 @@
         if (given.units > 0)
         {
             // It may have been given any time since it was asked for.
-            state.in_hand.push_back({given.units, about.asked_at + unit_life_});
+            state.in_hand.push_back(
+                {given.units, now + given.fits_in,
+                 about.asked_at + given.fits_in + unit_life_});
             state.shortages.erase(about.pool);
         }
         else
@@ -361,6 +429,12 @@
     if (now >= leave_at_)
         leave_parts(now);
     expire_waiting(now);
+    for (auto& [name, state] : teams_)
+        if (now >= state.review_at)
+        {
+            state.review_at = never;
+            settle(name, now);
+        }
     return std::exchange(actions_, {});
 }
 
@@ -368,8 +442,11 @@
 {
     time_point next = leave_at_;
     for (auto const& [name, state] : teams_)
+    {
+        next = std::min(next, state.review_at);
         for (waiting_request const& each : state.waiting)
             next = std::min(next, each.give_up_at);
+    }
     return next;
 }
 
--- a/src/pooled_allotment.hpp
+++ b/src/pooled_allotment.hpp
@@ -53,10 +53,11 @@
         double units = 0;
         time_point give_up_at{};
     };
-    /// Units in hand; those of one reply are used by the same moment.
+    /// Units that one reply gave; used between two moments.
     struct units_in_hand
     {
         double units = 0;
+        time_point from{};
         time_point until{};
     };
     /// The half of this VM's part that one pool gets.
@@ -80,6 +81,8 @@
         std::deque<waiting_request> waiting;
         std::map<vm_id, shortage> shortages;
         bool asking = false;
+        /// Those that wait are looked at again then.
+        time_point review_at = never;
         /// Units a second that were used here lately.
         double use = 0;
         time_point use_as_of{};
@@ -94,15 +97,27 @@
     };
 
     void choose_pools();
-    std::vector<vm_id> pools_of(team_id const& team, time_point now) const;
+    std::vector<vm_id> pools_of(team_id const& team) const;
+    bool suspect(vm_id const& pool) const
+    {
+        return avoid_until_.count(pool) > 0;
+    }
     bool avoided(vm_id const& pool, time_point now) const;
+    /// Where a team's units are to be had, the likeliest first.
+    std::vector<vm_id> pools_to_ask(team_id const& team,
+                                    team_state const& state,
+                                    time_point now) const;
     void leave_parts(time_point now);
+    void try_suspects(time_point now);
+    bool lacks(team_state const& state, vm_id const& pool, double least,
+               time_point now) const;
     void settle(team_id const& team, time_point now);
     void ask(team_id const& team, team_state& state, time_point now);
     void refuse_waiting(team_state& state, error const& why);
     void expire_waiting(time_point now);
     bool take_in_hand(team_state& state, double units, time_point now) const;
-    double in_hand(team_state& state, time_point now) const;
+    /// Units in hand; with those that may be used later, if they are wanted.
+    double in_hand(team_state& state, bool later_too, time_point now) const;
     void note_use(team_state& state, double units, time_point now) const;
     void send(vm_id const& pool, open_question about,
               allotment_question question);
@@ -116,8 +131,9 @@
     time_point parts_from_ = never;
     std::set<team_id> limited_;
     std::map<team_id, team_state> teams_;
-    /// VMs that keep pools, by rank.
+    /// VMs that may keep pools, by rank.
     std::vector<vm_id> pools_;
+    /// VMs that did not answer, until they do.
     std::map<vm_id, time_point> avoid_until_;
     std::map<std::uint64_t, open_question> open_;
     std::uint64_t last_number_ = 0;
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -93,8 +93,9 @@
     void set_backends(std::vector<backend_entry> entries);
     void on_release(adapter_release const& release);
     void set_grants(std::map<worker_id, order_grant> grants);
-    /// The VMs there are, this one among them.
-    void set_members(std::vector<member_view> members);
+    /// The VMs there are, this one among them. `registered`: this process has
+    /// written its own row; one that is there before is an earlier process's.
+    void set_members(std::vector<member_view> members, bool registered);
     void set_owners(std::map<worker_id, vm_id> owners);
     /// Changed rows of the product's own set.
     void on_own_rows(std::vector<stored_row> const& rows)
@@ -214,7 +215,8 @@
     void on_allotment(allotment_settled const& settled);
     void run_allotments();
     void share_teams();
-    void share_members(std::vector<member_view> const& members);
+    void share_members(std::vector<member_view> const& members,
+                       bool registered);
     void send_question(ask_pool const& ask);
     /// Whether the request is not to be sent since workers crashed under it;
     /// logged.
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -463,7 +463,8 @@
                            [this](std::vector<member_view> members)
                            {
                                mirror_.set_members(members);
-                               relay_.set_members(std::move(members));
+                               relay_.set_members(std::move(members),
+                                                  ownership_->registered());
                            },
                            [this](std::map<worker_id, vm_id> owners)
                            { relay_.set_owners(std::move(owners)); }});
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -58,7 +58,8 @@
 
 } // namespace
 
-void relay::share_members(std::vector<member_view> const& members)
+void relay::share_members(std::vector<member_view> const& members,
+                          bool registered)
 {
     allotment_members shared;
     shared.count = members_;
@@ -66,19 +67,20 @@
     {
         bool const self = member.vm == options_.vm;
         shared.joined |= self;
-        shared.first_life |= self && member.life == incarnation(1);
+        shared.first_life |=
+            self && registered && member.life == incarnation(1);
         if (member.state == member_state::live)
             shared.candidates.push_back({member.vm, member.millicores});
     }
     allotments_->set_members(std::move(shared), now());
 }
 
-void relay::set_members(std::vector<member_view> members)
+void relay::set_members(std::vector<member_view> members, bool registered)
 {
     members_ = std::max<std::size_t>(members.size(), 1);
     for (auto& [name, service] : services_)
         service.scheduler.set_members(members_);
-    share_members(members);
+    share_members(members, registered);
     std::map<vm_id, peer_link> links;
     for (member_view const& member : members)
     {
--- a/src/token_bucket.cpp
+++ b/src/token_bucket.cpp
@@ -43,10 +43,17 @@
 
 bool token_bucket::take(double units, time_point now)
 {
-    if (per_second_ <= 0 || level(now) < enough_for(units))
-        return false;
+    return take_ahead(units, duration(0), now).has_value();
+}
+
+std::optional<duration> token_bucket::take_ahead(double units, duration longest,
+                                                 time_point now)
+{
+    duration const wait = until_fits(units, now);
+    if (wait > longest)
+        return std::nullopt;
     level_ -= units;
-    return true;
+    return wait;
 }
 
 void token_bucket::put(double units, time_point now)
--- a/src/token_bucket.hpp
+++ b/src/token_bucket.hpp
@@ -4,6 +4,8 @@
 
 #include "time_point.hpp"
 
+#include <optional>
+
 namespace mulberry
 {
 
@@ -17,6 +19,16 @@
     /// Takes units if they are there, or if the bucket is full and could never
     /// hold that many; then it owes the rest.
     bool take(double units, time_point now);
+    /// Takes units that will be there within `longest`, ahead of all who take
+    /// later: returns after how long they may be used.
+    std::optional<duration> take_ahead(double units, duration longest,
+                                       time_point now);
+    /// The most that take_ahead() would give.
+    double within(duration span, time_point now)
+    {
+        return level(now) +
+               per_second_ * std::chrono::duration<double>(span).count();
+    }
     /// Units that were taken and not used.
     void put(double units, time_point now);
     /// After how long take() of so many will succeed if nothing else is taken;
--- a/tests/pooled_allotment_test.cpp
+++ b/tests/pooled_allotment_test.cpp
@@ -202,3 +202,37 @@
     CHECK(questions(keeper, start + 2s).empty());
     CHECK_FALSE(questions(keeper, start + 3100ms).empty());
 }
+
+// Guards against requests that are refused although their units come in a
+// moment later.
+TEST_CASE("a request waits for units that are about to come in",
+          "[pooled_allotment]")
+{
+    lone_vm vm(1000, 0);
+    vm.pass(2s);
+    CHECK(vm.fits(1, 200));
+    CHECK_FALSE(vm.fits(2, 100));
+    CHECK(vm.settled.count(ticket_id(2)) == 0);
+    vm.pass(200ms);
+    CHECK(vm.settled.count(ticket_id(2)) == 1);
+    CHECK_FALSE(vm.settled[ticket_id(2)]);
+}
+
+// Guards against a whole fleet that starts again and refuses what its teams may
+// ask for until everybody's parts are counted anew.
+TEST_CASE("a VM that was there before leaves its parts at once",
+          "[pooled_allotment]")
+{
+    pooled_allotment keeper(vm_id("a"), allotment_terms());
+    keeper.set_teams(limit(1000, 1000), start);
+    keeper.request(ticket_id(1), pits, 10, start + 5s, start);
+    CHECK(questions(keeper, start + 100ms).empty());
+    keeper.set_members(members({"a", "b"}), start + 200ms);
+    auto const asked = questions(keeper, start + 200ms);
+    CHECK(std::any_of(asked.begin(), asked.end(),
+                      [](ask_pool const& each)
+                      { return each.question.teams.at(0).part > 0; }));
+    CHECK(std::any_of(asked.begin(), asked.end(),
+                      [](ask_pool const& each)
+                      { return each.question.teams.at(0).least > 0; }));
+}
