Split what a team's waiting requests do: wait, ask, or be refused

One function of fifty lines decided all three and called itself for the next request; now each step has a name, and refusals of a crowd take a loop.

--- a/src/pooled_allotment.cpp
+++ b/src/pooled_allotment.cpp
@@ -285,15 +285,17 @@
     bool const limited = limited_.count(team) > 0;
     while (!state.waiting.empty())
     {
-        waiting_request const& first = state.waiting.front();
-        if (limited && !take_in_hand(state, first.units, now))
-            break;
-        note_use(state, first.units, now);
-        actions_.emplace_back(allotment_settled{first.ticket, std::nullopt});
-        state.waiting.pop_front();
+        waiting_request const first = state.waiting.front();
+        if (!limited || take_in_hand(state, first.units, now))
+        {
+            note_use(state, first.units, now);
+            actions_.emplace_back(
+                allotment_settled{first.ticket, std::nullopt});
+            state.waiting.pop_front();
+        }
+        else if (state.asking || pursue(team, state, now))
+            return;
     }
-    if (!state.waiting.empty() && !state.asking)
-        ask(team, state, now);
 }
 
 bool pooled_allotment::lacks(team_state const& state, vm_id const& pool,
@@ -305,63 +307,76 @@
 }
 
 /// What no pool has is refused at once, without another question.
-void pooled_allotment::ask(team_id const& team, team_state& state,
-                           time_point now)
+bool pooled_allotment::pursue(team_id const& team, team_state& state,
+                              time_point now)
 {
     state.review_at = never;
     // Until the VMs are known there is nobody to ask.
     if (pools_.empty())
-        return;
-    waiting_request const first = state.waiting.front();
-    double const held = in_hand(state, true, now);
-    double const least = first.units - held;
+        return true;
+    double const least =
+        state.waiting.front().units - in_hand(state, true, now);
     if (least <= 0)
     {
-        for (units_in_hand const& each : state.in_hand)
-            if (each.from > now)
-                state.review_at = std::min(state.review_at, each.from);
-        return;
+        await_units(state, now);
+        return true;
     }
     time_point come_back_at = never;
     for (vm_id const& pool : pools_to_ask(team, state, now))
     {
-        if (lacks(state, pool, least, now))
+        if (!lacks(state, pool, least, now))
         {
-            come_back_at =
-                std::min(come_back_at, state.shortages[pool].come_back_at);
-            continue;
+            ask(pool, team, state, least, now);
+            return true;
         }
-        double sum = 0;
-        for (waiting_request const& each : state.waiting)
-            sum += each.units;
-        // Less than a request's worth would be lost before it is used.
-        double const beyond = state.use * ahead.count();
-        double const most = sum - held + (beyond < first.units ? 0 : beyond);
-        state.asking = true;
-        allotment_question question{self_, {}, {}};
-        question.teams.push_back({team, 0, least, most});
-        return send(pool, {pool, now, team, least}, std::move(question));
+        come_back_at =
+            std::min(come_back_at, state.shortages[pool].come_back_at);
     }
-    if (come_back_at == never)
-        return refuse_waiting(state, unknown_left("no pool can be asked"));
-    if (come_back_at <= now + duration(longest_unit_wait) &&
-        come_back_at < first.give_up_at)
+    return come_back_soon(state, come_back_at, now);
+}
+
+/// Units were given that may be used a moment later.
+void pooled_allotment::await_units(team_state& state, time_point now)
+{
+    for (units_in_hand const& each : state.in_hand)
+        if (each.from > now)
+            state.review_at = std::min(state.review_at, each.from);
+}
+
+void pooled_allotment::ask(vm_id const& pool, team_id const& team,
+                           team_state& state, double least, time_point now)
+{
+    double sum = -in_hand(state, true, now);
+    for (waiting_request const& each : state.waiting)
+        sum += each.units;
+    // Less than a request's worth would be lost before it is used.
+    double const beyond = state.use * ahead.count();
+    if (beyond >= state.waiting.front().units)
+        sum += beyond;
+    state.asking = true;
+    allotment_question question{self_, {}, {}};
+    question.teams.push_back({team, 0, least, sum});
+    send(pool, {pool, now, team, least}, std::move(question));
+}
+
+/// No pool has what the first that waits needs. Others may need less.
+bool pooled_allotment::come_back_soon(team_state& state,
+                                      time_point come_back_at, time_point now)
+{
+    waiting_request const first = state.waiting.front();
+    bool const soon = come_back_at <= now + duration(longest_unit_wait) &&
+                      come_back_at < first.give_up_at;
+    if (soon)
     {
         state.review_at = come_back_at;
-        return;
+        return true;
     }
-    // Others that wait may need less.
     state.waiting.pop_front();
-    actions_.emplace_back(
-        allotment_settled{first.ticket, used_up(come_back_at - now)});
-    settle(team, now);
-}
-
-void pooled_allotment::refuse_waiting(team_state& state, error const& why)
-{
-    for (waiting_request const& each :
-         std::exchange(state.waiting, std::deque<waiting_request>()))
-        actions_.emplace_back(allotment_settled{each.ticket, why});
+    actions_.emplace_back(allotment_settled{
+        first.ticket, come_back_at == never
+                          ? unknown_left("no pool can be asked")
+                          : used_up(come_back_at - now)});
+    return false;
 }
 
 allotment_reply pooled_allotment::answer(allotment_question const& question,
--- a/src/pooled_allotment.hpp
+++ b/src/pooled_allotment.hpp
@@ -112,8 +112,14 @@
     bool lacks(team_state const& state, vm_id const& pool, double least,
                time_point now) const;
     void settle(team_id const& team, time_point now);
-    void ask(team_id const& team, team_state& state, time_point now);
-    void refuse_waiting(team_state& state, error const& why);
+    /// Whether those that wait have something to wait for; else the first of
+    /// them was refused.
+    bool pursue(team_id const& team, team_state& state, time_point now);
+    static void await_units(team_state& state, time_point now);
+    void ask(vm_id const& pool, team_id const& team, team_state& state,
+             double least, time_point now);
+    bool come_back_soon(team_state& state, time_point come_back_at,
+                        time_point now);
     void expire_waiting(time_point now);
     bool take_in_hand(team_state& state, double units, time_point now) const;
     /// Units in hand; with those that may be used later, if they are wanted.
