Ask one pool only for what two together may not owe

Cause: a request larger than a full pool is given all the same, and owed; each of a team's two pools gave one. Ruled out: parts that count twice (the sum of parts at pools is bounded by 1). Change: such a request is asked of one pool only, unless what both would owe is within the units that may be used over (allotment_slack, the platform's quota_slack). Test: "what no pool can hold or owe is asked of one pool only".

--- a/src/allotment_keeper.hpp
+++ b/src/allotment_keeper.hpp
@@ -27,6 +27,8 @@
     duration window = std::chrono::seconds(8);
     /// That little, as a share.
     double over = 0.1;
+    /// And so many units, for single requests larger than a burst.
+    double slack = 0;
     friend bool operator==(allotment_terms const&,
                            allotment_terms const&) = default;
 };
--- a/src/pooled_allotment.cpp
+++ b/src/pooled_allotment.cpp
@@ -59,7 +59,8 @@
 
 pooled_allotment::pooled_allotment(vm_id self, allotment_terms terms)
     : self_(std::move(self)), unit_life_(over_span(terms, in_hand_share)),
-      pool_(over_span(terms, saved_share))
+      headroom_(over_span(terms, saved_share)),
+      may_owe_(terms.slack / double(pools_per_team)), pool_(headroom_)
 {
 }
 
@@ -67,15 +68,13 @@
                                  time_point now)
 {
     pool_.set_teams(teams, now);
-    limited_.clear();
-    for (auto const& [name, limit] : teams)
-        limited_.insert(name);
+    limits_ = teams;
     for (auto& [name, state] : teams_)
-        if (limited_.count(name) == 0)
+        if (limits_.count(name) == 0)
             settle(name, now);
     std::erase_if(teams_, [this](auto const& each)
-                  { return limited_.count(each.first) == 0; });
-    for (team_id const& name : limited_)
+                  { return limits_.count(each.first) == 0; });
+    for (auto const& [name, limit] : limits_)
         teams_.try_emplace(name);
     if (!teams_.empty() && leave_at_ == never)
         leave_at_ = now;
@@ -282,7 +281,7 @@
 void pooled_allotment::settle(team_id const& team, time_point now)
 {
     team_state& state = teams_.at(team);
-    bool const limited = limited_.count(team) > 0;
+    bool const limited = limits_.count(team) > 0;
     while (!state.waiting.empty())
     {
         waiting_request const first = state.waiting.front();
@@ -298,6 +297,15 @@
     }
 }
 
+bool pooled_allotment::oversized(team_id const& team, double units) const
+{
+    allotment const& limit = limits_.at(team);
+    double const saved =
+        limit.burst +
+        limit.per_second * std::chrono::duration<double>(headroom_).count();
+    return units > saved / double(pools_per_team) + may_owe_;
+}
+
 bool pooled_allotment::lacks(team_state const& state, vm_id const& pool,
                              double least, time_point now) const
 {
@@ -321,8 +329,13 @@
         await_units(state, now);
         return true;
     }
+    std::vector<vm_id> pools = pools_to_ask(team, state, now);
+    // Failure: a request that no pool can hold is given by one that is full,
+    // which owes the rest; two such pools owe twice as much.
+    if (oversized(team, least) && !pools.empty())
+        pools.resize(1);
     time_point come_back_at = never;
-    for (vm_id const& pool : pools_to_ask(team, state, now))
+    for (vm_id const& pool : pools)
     {
         if (!lacks(state, pool, least, now))
         {
--- a/src/pooled_allotment.hpp
+++ b/src/pooled_allotment.hpp
@@ -8,7 +8,7 @@
 
 #include <array>
 #include <deque>
-#include <set>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -112,6 +112,9 @@
     bool lacks(team_state const& state, vm_id const& pool, double least,
                time_point now) const;
     void settle(team_id const& team, time_point now);
+    /// Whether pools that give so many units would together owe more than a
+    /// team may use over its allotment.
+    bool oversized(team_id const& team, double units) const;
     /// Whether those that wait have something to wait for; else the first of
     /// them was refused.
     bool pursue(team_id const& team, team_state& state, time_point now);
@@ -131,11 +134,15 @@
     vm_id const self_;
     /// How long units that were given may be used.
     duration const unit_life_;
+    /// How much of its rate a team may save up beside its burst.
+    duration const headroom_;
+    /// Units that one pool may owe.
+    double const may_owe_;
     allotment_pool pool_;
     allotment_members members_;
     /// This VM's parts count from then on.
     time_point parts_from_ = never;
-    std::set<team_id> limited_;
+    std::map<team_id, allotment> limits_;
     std::map<team_id, team_state> teams_;
     /// VMs that may keep pools, by rank.
     std::vector<vm_id> pools_;
--- a/tests/pooled_allotment_test.cpp
+++ b/tests/pooled_allotment_test.cpp
@@ -236,3 +236,43 @@
                       [](ask_pool const& each)
                       { return each.question.teams.at(0).least > 0; }));
 }
+
+// Guards against a team that gets as many requests larger than its burst as
+// there are pools, beyond what it may use over its allotment.
+TEST_CASE("what no pool can hold or owe is asked of one pool only",
+          "[pooled_allotment]")
+{
+    double const slack = GENERATE(0.0, 5000.0);
+    allotment_terms terms;
+    terms.slack = slack;
+    pooled_allotment keeper(vm_id("a"), terms);
+    keeper.set_members(members({"b", "c"}), start);
+    keeper.set_teams(limit(1000, 1000), start);
+    for (ask_pool const& ask : questions(keeper, start))
+        keeper.on_reply(ask.number, allotment_reply(), start);
+    keeper.request(ticket_id(1), pits, 5000, start + 5s, start);
+    auto const asked = questions(keeper, start);
+    REQUIRE(asked.size() == 1);
+    keeper.on_reply(asked[0].number, allotment_reply{{pits, 0, 3s, 3s}}, start);
+    auto const why = refusal(keeper, start);
+    REQUIRE(why);
+    CHECK(why->kind() == error_kind::over_allotment);
+}
+
+TEST_CASE("a second pool is asked for what it may owe", "[pooled_allotment]")
+{
+    allotment_terms terms;
+    terms.slack = 10'000;
+    pooled_allotment keeper(vm_id("a"), terms);
+    keeper.set_members(members({"b", "c"}), start);
+    keeper.set_teams(limit(1000, 1000), start);
+    for (ask_pool const& ask : questions(keeper, start))
+        keeper.on_reply(ask.number, allotment_reply(), start);
+    keeper.request(ticket_id(1), pits, 5000, start + 5s, start);
+    auto const first = questions(keeper, start);
+    REQUIRE(first.size() == 1);
+    keeper.on_reply(first[0].number, allotment_reply{{pits, 0, 3s, 3s}}, start);
+    auto const second = questions(keeper, start);
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].pool != first[0].pool);
+}
