Say how many teams a configuration has only where it has any

(1) "a failed request is explained from the logs by its id": the line of a configuration had got a member for its teams, also where there are none, and no longer read as before. Cause: mine, the new member; it is now written only with teams.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -119,12 +119,12 @@
         add_service(service);
     routes_ = std::make_unique<route_table>(config_);
     share_teams();
-    log_.notable("configuration taken",
-                 log_fields()
-                     .add("version", config_->version.value())
-                     .add("routes", std::uint64_t{config_->routes.size()})
-                     .add("teams", std::uint64_t{config_->teams.size()}),
-                 now());
+    log_fields taken;
+    taken.add("version", config_->version.value())
+        .add("routes", std::uint64_t{config_->routes.size()});
+    if (!config_->teams.empty())
+        taken.add("teams", std::uint64_t{config_->teams.size()});
+    log_.notable("configuration taken", taken, now());
     share_backends();
     review_early();
 }
