Tests that take each safeguard of keys and allotments apart; two files split

Missing were: a key that is taken away, or knowledge that grows old, while a request waits (relay_teams_test: one relay before a worker that runs one request at a time); what a copy's proof rests on (row_mirror_test, two cases); units that expire and parts that end (allotment_pool_test, pooled_allotment_test).

--- a/bench/counter_allotment.cpp
+++ b/bench/counter_allotment.cpp
@@ -81,8 +81,6 @@
     actions_.emplace_back(allotment_settled{ticket, std::nullopt});
 }
 
-void counter_allotment::withdraw(ticket_id /*ticket*/) {}
-
 void counter_allotment::give_back(team_id const& /*team*/, double /*units*/,
                                   time_point /*now*/)
 {
@@ -110,12 +108,6 @@
     return {};
 }
 
-void counter_allotment::on_reply(
-    std::uint64_t /*number*/, std::optional<allotment_reply> const& /*reply*/,
-    time_point /*now*/)
-{
-}
-
 std::vector<allotment_action> counter_allotment::run(time_point now)
 {
     if (now >= tell_at_ && !others_.empty())
--- a/bench/counter_allotment.hpp
+++ b/bench/counter_allotment.hpp
@@ -29,13 +29,9 @@
     void set_members(allotment_members members, time_point now) override;
     void request(ticket_id ticket, team_id const& team, double units,
                  time_point give_up_at, time_point now) override;
-    void withdraw(ticket_id ticket) override;
     void give_back(team_id const& team, double units, time_point now) override;
     allotment_reply answer(allotment_question const& question,
                            time_point now) override;
-    void on_reply(std::uint64_t number,
-                  std::optional<allotment_reply> const& reply,
-                  time_point now) override;
     std::vector<allotment_action> run(time_point now) override;
     time_point next_due() const override { return tell_at_; }
 
--- a/src/allotment_keeper.hpp
+++ b/src/allotment_keeper.hpp
@@ -110,6 +110,7 @@
 
 using allotment_action = std::variant<ask_pool, allotment_settled>;
 
+/// A way that keeps nobody waiting and asks nobody leaves out what that needs.
 /// Thread safety: none. No I/O, no clock.
 class allotment_keeper
 {
@@ -125,21 +126,26 @@
     virtual void request(ticket_id ticket, team_id const& team, double units,
                          time_point give_up_at, time_point now) = 0;
     /// The request is not wanted any more; nothing is said of it.
-    virtual void withdraw(ticket_id ticket) = 0;
+    virtual void withdraw(ticket_id /*ticket*/) {}
     /// A request that fitted was not run after all.
     virtual void give_back(team_id const& team, double units,
                            time_point now) = 0;
     /// Another VM's question, or this one's own.
-    virtual allotment_reply answer(allotment_question const& question,
-                                   time_point now) = 0;
+    virtual allotment_reply answer(allotment_question const& /*question*/,
+                                   time_point /*now*/)
+    {
+        return {};
+    }
     /// Nothing: there was no answer.
-    virtual void on_reply(std::uint64_t number,
-                          std::optional<allotment_reply> const& reply,
-                          time_point now) = 0;
+    virtual void on_reply(std::uint64_t /*number*/,
+                          std::optional<allotment_reply> const& /*reply*/,
+                          time_point /*now*/)
+    {
+    }
     /// What is to be done now.
     virtual std::vector<allotment_action> run(time_point now) = 0;
     /// When run() may have something to do, if nothing happens before.
-    virtual time_point next_due() const = 0;
+    virtual time_point next_due() const { return never; }
 };
 
 } // namespace mulberry
--- a/src/equal_allotment.cpp
+++ b/src/equal_allotment.cpp
@@ -47,8 +47,6 @@
                       ran::no, found->second.until_fits(units, now))});
 }
 
-void equal_allotment::withdraw(ticket_id /*ticket*/) {}
-
 void equal_allotment::give_back(team_id const& team, double units,
                                 time_point now)
 {
@@ -56,18 +54,6 @@
         found->second.put(units, now);
 }
 
-allotment_reply equal_allotment::answer(allotment_question const& /*question*/,
-                                        time_point /*now*/)
-{
-    return {};
-}
-
-void equal_allotment::on_reply(std::uint64_t /*number*/,
-                               std::optional<allotment_reply> const& /*reply*/,
-                               time_point /*now*/)
-{
-}
-
 std::vector<allotment_action> equal_allotment::run(time_point /*now*/)
 {
     return std::exchange(settled_, {});
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -11,7 +11,7 @@
           worker_adapters.cpp worker_health.cpp worker_reading.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
-  SOURCES adapter_sightings_test.cpp crash_keeper_test.cpp crash_record_test.cpp crash_world.cpp reader_choice_test.cpp reading_pace_test.cpp
+  SOURCES adapter_sightings_test.cpp allotment_pool_test.cpp crash_keeper_test.cpp crash_record_test.cpp crash_world.cpp reader_choice_test.cpp reading_pace_test.cpp
           pooled_allotment_test.cpp prompt_copy_test.cpp relay_request_test.cpp
           remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_copy_test.cpp scheduler_world.cpp
@@ -22,9 +22,11 @@
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp collected_exchange.cpp crash_row.cpp crash_watch.cpp event_log.cpp event_splitter.cpp
-          ownership_runner.cpp peer_allotment.cpp peer_ask.cpp peer_rows.cpp registry_watch.cpp relay.cpp relay_daemon.cpp
+          ownership_runner.cpp peer_allotment.cpp peer_ask.cpp peer_rows.cpp registry_watch.cpp relay.cpp relay_admission.cpp
+          relay_daemon.cpp
           relay_exchange.cpp relay_metrics.cpp relay_orders.cpp
-          relay_peers.cpp relay_settings.cpp relay_teams.cpp row_mirror.cpp store_meter.cpp team_key.cpp
+          relay_peers.cpp relay_settings.cpp relay_teams.cpp row_mirror.cpp
+          row_mirror_peers.cpp store_meter.cpp team_key.cpp
           worker_essence.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
@@ -32,7 +34,7 @@
   SOURCES backend_pool_test.cpp crash_row_test.cpp event_log_test.cpp event_splitter_test.cpp
           memory_row_store.cpp ownership_runner_test.cpp peer_allotment_test.cpp
           peer_ask_test.cpp peer_rows_test.cpp
-          registry_watch_test.cpp relay_settings_test.cpp relay_start_test.cpp row_mirror_test.cpp
+          registry_watch_test.cpp relay_settings_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp
           store_meter_test.cpp team_key_test.cpp
   LINK mulberry_relay
   ENVIRONMENT "RC_PARAMS=seed=1")
--- a/src/row_mirror.hpp
+++ b/src/row_mirror.hpp
@@ -120,6 +120,14 @@
     vm_id const& reader() const { return reader_; }
 
 private:
+    /// A question to another VM may take this part of the interval at which
+    /// workers are asked for beyond its wait.
+    static constexpr int reader_answer_part = 5;
+    /// The least time between two readings of large rows: one takes a small
+    /// VM's link and processor a fifth of a second each, and versions may
+    /// follow each other faster.
+    static constexpr std::chrono::milliseconds large_row_pause{500};
+
     struct followed_set
     {
         row_set set;
@@ -206,6 +214,8 @@
     rows_answer answer_to(rows_question const& question,
                           time_point arrived_at) const;
     bool has_news(rows_question const& question) const;
+    /// Whether other VMs act on a change of the row at once.
+    static bool urgent(stored_row const& row);
     void answer_held();
     void review_held();
 
--- /dev/null
+++ b/tests/allotment_pool_test.cpp
@@ -0,0 +1,76 @@
+#include "allotment_pool.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+time_point const start{50s};
+team_id const pits("pits");
+
+allotment_pool pool_of(double per_second, double burst)
+{
+    allotment_pool pool(0s);
+    pool.set_teams({{pits, {allotment_unit::tokens, per_second, burst, 1}}},
+                   start);
+    return pool;
+}
+
+void leave(allotment_pool& pool, char const* vm, double part, time_point now,
+           duration span)
+{
+    pool.answer({vm_id(vm), span, {{pits, part, 0, 0}}}, now);
+}
+
+double take(allotment_pool& pool, double least, time_point now)
+{
+    return pool.answer({vm_id("asks"), {}, {{pits, 0, least, least}}}, now)
+        .at(0)
+        .units;
+}
+
+} // namespace
+
+// Guards against a part that counts on at a pool whose VM has gone, or has left
+// it elsewhere.
+TEST_CASE("a part brings units in until its end", "[allotment_pool]")
+{
+    allotment_pool pool = pool_of(1000, 100'000);
+    leave(pool, "a", 0.5, start, 1s);
+    leave(pool, "b", 0.01, start, 60s);
+    // 500 by a, 200 by b.
+    CHECK(take(pool, 720, start + 20s) == 0);
+    CHECK(take(pool, 690, start + 20s) == 690);
+}
+
+// Guards against an allotment that grows where VMs do not agree on how many
+// there are, and against a part that counts twice when it is left anew.
+TEST_CASE("parts bring in no more than the allotment", "[allotment_pool]")
+{
+    allotment_pool pool = pool_of(1000, 100'000);
+    for (char const* vm : {"a", "b", "c", "a"})
+        leave(pool, vm, 0.6, start, 2s);
+    CHECK(take(pool, 1300, start + 1s) == 0);
+    CHECK(take(pool, 1000, start + 1s) == 1000);
+}
+
+TEST_CASE("a pool says when units are there", "[allotment_pool]")
+{
+    allotment_pool pool = pool_of(1000, 1000);
+    for (char const* vm : {"a", "b"})
+        leave(pool, vm, 0.5, start, 1s);
+    auto const reply =
+        pool.answer({vm_id("c"), {}, {{pits, 0, 600, 600}}}, start);
+    CHECK(reply.at(0).units == 0);
+    CHECK(reply.at(0).fits_in == 600ms);
+    CHECK(reply.at(0).come_back_in >= 600ms);
+    auto const soon =
+        pool.answer({vm_id("c"), {}, {{pits, 0, 600, 600}}}, start + 500ms);
+    CHECK(soon.at(0).units == 600);
+    CHECK(soon.at(0).fits_in == 100ms);
+    CHECK(pool.answer({vm_id("c"), {}, {{team_id("x"), 0, 1, 1}}}, start)
+              .empty());
+}
--- a/tests/pooled_allotment_test.cpp
+++ b/tests/pooled_allotment_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <memory>
 
 using namespace mulberry;
 using namespace std::chrono_literals;
@@ -78,6 +79,41 @@
     return asked;
 }
 
+/// One of three VMs, which left its parts and got no answer that matters.
+std::unique_ptr<pooled_allotment> asking_vm(double slack = 0)
+{
+    allotment_terms terms;
+    terms.slack = slack;
+    auto keeper = std::make_unique<pooled_allotment>(vm_id("a"), terms);
+    keeper->set_members(members({"b", "c"}), start);
+    keeper->set_teams(limit(1000, 1000), start);
+    for (ask_pool const& ask : questions(*keeper, start))
+        keeper->on_reply(ask.number, allotment_reply(), start);
+    return keeper;
+}
+
+/// Questions for units; parts are left all the time.
+std::vector<ask_pool> needs(pooled_allotment& keeper, time_point now)
+{
+    std::vector<ask_pool> asked = questions(keeper, now);
+    std::erase_if(asked,
+                  [](ask_pool const& each) {
+                      return each.question.teams.empty() ||
+                             each.question.teams[0].least <= 0;
+                  });
+    return asked;
+}
+
+/// The one question that is asked for a request.
+ask_pool question_for(pooled_allotment& keeper, std::uint64_t ticket,
+                      double units, time_point now)
+{
+    keeper.request(ticket_id(ticket), pits, units, now + 5s, now);
+    auto const asked = needs(keeper, now);
+    REQUIRE(asked.size() == 1);
+    return asked[0];
+}
+
 std::optional<error> refusal(pooled_allotment& keeper, time_point now)
 {
     for (allotment_action const& action : keeper.run(now))
@@ -135,29 +171,38 @@
     CHECK_FALSE(vm.fits(2, 100));
 }
 
-// Guards against a caller that waits in vain for a pool that does not answer.
+// Guards against a caller that waits in vain for a pool that does not answer,
+// and against a VM that hears nobody and lets requests pass.
 TEST_CASE("without a pool's answer the next is asked, then the request refused",
           "[pooled_allotment]")
 {
-    pooled_allotment keeper(vm_id("a"), allotment_terms());
-    keeper.set_members(members({"b", "c"}), start);
-    keeper.set_teams(limit(1000, 1000), start);
-    for (ask_pool const& ask : questions(keeper, start))
-        keeper.on_reply(ask.number, allotment_reply(), start);
-    keeper.request(ticket_id(1), pits, 100, start + 5s, start);
-    auto const first = questions(keeper, start);
-    REQUIRE(first.size() == 1);
-    keeper.on_reply(first[0].number, std::nullopt, start + 300ms);
-    auto const second = questions(keeper, start + 300ms);
+    auto const keeper = asking_vm();
+    ask_pool const first = question_for(*keeper, 1, 100, start);
+    keeper->on_reply(first.number, std::nullopt, start + 300ms);
+    auto const second = questions(*keeper, start + 300ms);
     REQUIRE(second.size() == 1);
-    CHECK(second[0].pool != first[0].pool);
-    keeper.on_reply(second[0].number, std::nullopt, start + 600ms);
-    auto const why = refusal(keeper, start + 600ms);
+    CHECK(second[0].pool != first.pool);
+    keeper->on_reply(second[0].number, std::nullopt, start + 600ms);
+    auto const why = refusal(*keeper, start + 600ms);
     REQUIRE(why);
     CHECK(why->kind() == error_kind::allotment_unknown);
     CHECK(why->request_ran() == ran::no);
 }
 
+// Guards against a team that saves up units in many VMs' hands and uses them
+// all at once.
+TEST_CASE("units that are not used soon are lost", "[pooled_allotment]")
+{
+    auto const keeper = asking_vm();
+    ask_pool const first = question_for(*keeper, 1, 100, start);
+    keeper->on_reply(first.number, allotment_reply{{pits, 500, 0ms, 0ms}},
+                     start);
+    CHECK_FALSE(refusal(*keeper, start));
+    keeper->request(ticket_id(2), pits, 100, start + 5s, start + 500ms);
+    CHECK(needs(*keeper, start + 500ms).empty());
+    question_for(*keeper, 3, 100, start + 700ms);
+}
+
 // Guards against a part of an allotment that counts in two pools at once.
 TEST_CASE("a part is left to another pool only when it has ended at the first",
           "[pooled_allotment]")
@@ -242,37 +287,20 @@
 TEST_CASE("what no pool can hold or owe is asked of one pool only",
           "[pooled_allotment]")
 {
-    double const slack = GENERATE(0.0, 5000.0);
-    allotment_terms terms;
-    terms.slack = slack;
-    pooled_allotment keeper(vm_id("a"), terms);
-    keeper.set_members(members({"b", "c"}), start);
-    keeper.set_teams(limit(1000, 1000), start);
-    for (ask_pool const& ask : questions(keeper, start))
-        keeper.on_reply(ask.number, allotment_reply(), start);
-    keeper.request(ticket_id(1), pits, 5000, start + 5s, start);
-    auto const asked = questions(keeper, start);
-    REQUIRE(asked.size() == 1);
-    keeper.on_reply(asked[0].number, allotment_reply{{pits, 0, 3s, 3s}}, start);
-    auto const why = refusal(keeper, start);
+    auto const keeper = asking_vm(GENERATE(0.0, 5000.0));
+    ask_pool const asked = question_for(*keeper, 1, 5000, start);
+    keeper->on_reply(asked.number, allotment_reply{{pits, 0, 3s, 3s}}, start);
+    auto const why = refusal(*keeper, start);
     REQUIRE(why);
     CHECK(why->kind() == error_kind::over_allotment);
 }
 
 TEST_CASE("a second pool is asked for what it may owe", "[pooled_allotment]")
 {
-    allotment_terms terms;
-    terms.slack = 10'000;
-    pooled_allotment keeper(vm_id("a"), terms);
-    keeper.set_members(members({"b", "c"}), start);
-    keeper.set_teams(limit(1000, 1000), start);
-    for (ask_pool const& ask : questions(keeper, start))
-        keeper.on_reply(ask.number, allotment_reply(), start);
-    keeper.request(ticket_id(1), pits, 5000, start + 5s, start);
-    auto const first = questions(keeper, start);
-    REQUIRE(first.size() == 1);
-    keeper.on_reply(first[0].number, allotment_reply{{pits, 0, 3s, 3s}}, start);
-    auto const second = questions(keeper, start);
+    auto const keeper = asking_vm(10'000);
+    ask_pool const first = question_for(*keeper, 1, 5000, start);
+    keeper->on_reply(first.number, allotment_reply{{pits, 0, 3s, 3s}}, start);
+    auto const second = questions(*keeper, start);
     REQUIRE(second.size() == 1);
-    CHECK(second[0].pool != first[0].pool);
+    CHECK(second[0].pool != first.pool);
 }
--- a/tests/relay_start_test.cpp
+++ b/tests/relay_start_test.cpp
@@ -1,5 +1,6 @@
 // What callers see of a VM that has just started.
 #include "relay.hpp"
+#include "relay_callers.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -8,6 +9,7 @@
 #include <string>
 
 using namespace mulberry;
+using namespace mulberry_test;
 using namespace std::chrono_literals;
 
 namespace
@@ -15,90 +17,6 @@
 
 constexpr std::chrono::seconds generous_wait{20};
 
-/// Requests are their paths; nothing reaches a worker.
-class plain_codec final : public relay_codec
-{
-public:
-    relay_request decode_request(http_request received) const override
-    {
-        relay_request request;
-        request.host = "host";
-        request.path = received.path;
-        request.time_left = 40s;
-        return request;
-    }
-    std::string encode_request(relay_request const&,
-                               send_terms const&) const override
-    {
-        return {};
-    }
-    worker_reply decode_reply(int, http_headers const&,
-                              relay_request const&) const override
-    {
-        return {};
-    }
-    http_headers answer_headers(http_headers const& received) const override
-    {
-        return received;
-    }
-    http_response error_response(relay_request const&,
-                                 error const& problem) const override
-    {
-        http_response response{503, {}, problem.text()};
-        response.headers.add(
-            "Retry-After",
-            std::to_string(std::chrono::duration<double>(
-                               problem.retry_after().value_or(duration(0)))
-                               .count()));
-        return response;
-    }
-    std::string encode_order(worker_order const&) const override { return {}; }
-    order_outcome decode_order_reply(int) const override
-    {
-        return order_outcome::unknown;
-    }
-    std::string encode_report_request() const override { return {}; }
-    std::optional<worker_report>
-    decode_report(std::string const&) const override
-    {
-        return std::nullopt;
-    }
-    std::optional<routing_config> decode_config(std::string const&,
-                                                std::string&) const override
-    {
-        return std::nullopt;
-    }
-    std::optional<backend_entry> decode_backend(std::string const&,
-                                                std::string const&,
-                                                std::string&) const override
-    {
-        return std::nullopt;
-    }
-    std::optional<adapter_release> decode_release(std::string const&,
-                                                  std::string&) const override
-    {
-        return std::nullopt;
-    }
-    bool is_ready_question(http_request const&) const override { return false; }
-};
-
-struct recorded_answer final : http_answer
-{
-    void respond(http_response given) override { response = std::move(given); }
-    void start_stream(int, http_headers) override {}
-    void write(std::string) override {}
-    void finish() override {}
-    void abort() override {}
-    void on_closed(std::function<void()> callback) override
-    {
-        closed = std::move(callback);
-    }
-    std::size_t unsent_bytes() const override { return 0; }
-
-    std::optional<http_response> response;
-    std::function<void()> closed;
-};
-
 /// A VM whose route leads to a service without workers: once it knows that, it
 /// says so.
 struct starting_vm
--- /dev/null
+++ b/tests/relay_teams_test.cpp
@@ -0,0 +1,197 @@
+// Keys of requests that wait in one relay.
+#include "relay.hpp"
+#include "relay_callers.hpp"
+#include "team_key.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace mulberry;
+using namespace mulberry_test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::seconds generous_wait{20};
+
+/// Passes the path on, and reads the key.
+class keyed_codec final : public plain_codec
+{
+public:
+    relay_request decode_request(http_request received) const override
+    {
+        auto const key = caller_key(received.headers);
+        relay_request request =
+            plain_codec::decode_request(std::move(received));
+        request.key = key;
+        return request;
+    }
+    std::string encode_request(relay_request const& request,
+                               send_terms const& terms) const override
+    {
+        return "GET " + request.path + "/" + terms.team.value().str() +
+               " HTTP/1.1\r\nHost: worker\r\n\r\n";
+    }
+    worker_reply decode_reply(int status, http_headers const&,
+                              relay_request const&) const override
+    {
+        worker_reply reply;
+        reply.status = status;
+        reply.sealed = true;
+        return reply;
+    }
+    http_response error_response(relay_request const&,
+                                 error const& problem) const override
+    {
+        return {answer_of(problem.kind()).http_status, {}, problem.text()};
+    }
+};
+
+/// A relay before one worker that runs one request at a time and answers when
+/// it is told to.
+struct busy_relay
+{
+    busy_relay()
+        : worker(worker_options(io),
+                 [this](http_request const& request,
+                        std::shared_ptr<http_answer> answer)
+                 {
+                     ran.push_back(request.path);
+                     running.push_back(std::move(answer));
+                 }),
+          vm(io, codec, options(), log)
+    {
+        configure(1, {"k-one", "k-two"});
+        backend_entry entry;
+        entry.id = worker_id("w");
+        entry.service = service_id("s");
+        entry.address = "127.0.0.1";
+        entry.port = worker.port();
+        entry.slots = 1;
+        vm.set_backends({entry});
+    }
+    static http_server_options worker_options(asio::io_context& io)
+    {
+        http_server_options options;
+        options.shared_io = &io;
+        return options;
+    }
+    relay_options options()
+    {
+        relay_options options;
+        options.vm = vm_id("vm");
+        options.keys.revocation = 5000ms;
+        options.declarations_as_of = [this]
+        {
+            time_point const now = vm.now();
+            return declarations_known{now - known_for, now};
+        };
+        return options;
+    }
+    void configure(std::uint64_t version, std::vector<std::string> const& keys)
+    {
+        routing_config config;
+        config.version = config_version(version);
+        route only;
+        only.host = "host";
+        only.prefix = "/a/";
+        only.timeout = 30s;
+        only.repeats = repeat_rule::once;
+        only.services = {{service_id("s"), 1}};
+        config.routes.push_back(only);
+        service_config service;
+        service.name = service_id("s");
+        config.services.emplace(service.name, service);
+        team pits;
+        pits.name = team_id("pits");
+        for (std::string const& key : keys)
+            pits.keys.insert(digest_of_key(key));
+        config.teams.push_back(pits);
+        vm.set_config(std::make_shared<routing_config const>(config));
+    }
+    std::shared_ptr<recorded_answer> ask(std::string const& path,
+                                         std::string const& key)
+    {
+        auto const answer = std::make_shared<recorded_answer>();
+        http_request request;
+        request.path = path;
+        request.headers.add("Authorization", "Bearer " + key);
+        vm.handle(std::move(request), answer);
+        return answer;
+    }
+    template <class Condition>
+    bool until(Condition const& holds)
+    {
+        auto const limit = std::chrono::steady_clock::now() + generous_wait;
+        while (!holds() && std::chrono::steady_clock::now() < limit)
+            io.run_one_for(10ms);
+        return holds();
+    }
+    /// Fills the worker and its queue at the relay: the last one waits.
+    std::shared_ptr<recorded_answer> ask_behind(std::string const& key)
+    {
+        ask("/a/first", "k-two");
+        REQUIRE(until([this] { return running.size() == 1; }));
+        auto const waiting = ask("/a/second", key);
+        io.poll();
+        REQUIRE(ran.size() == 1);
+        REQUIRE_FALSE(waiting->response);
+        return waiting;
+    }
+    void finish_first() { running.front()->respond({200, {}, "done"}); }
+
+    asio::io_context io{1};
+    keyed_codec codec;
+    event_log log{"test", 1000,
+                  [](log_level, std::string_view, std::string_view,
+                     std::string const&) {}};
+    duration known_for{};
+    std::vector<std::string> ran;
+    std::vector<std::shared_ptr<http_answer>> running;
+    http_server worker;
+    relay vm;
+};
+
+} // namespace
+
+TEST_CASE("a request that waited is sent for its team", "[relay_teams]")
+{
+    busy_relay world;
+    auto const waiting = world.ask_behind("k-one");
+    world.finish_first();
+    REQUIRE(world.until([&] { return world.ran.size() == 2; }));
+    CHECK(world.ran.back() == "/a/second/pits");
+    CHECK_FALSE(waiting->response);
+}
+
+// Guards against a key that is taken away while its request waits, and still
+// runs it.
+TEST_CASE("a request whose key is taken away while it waits is not sent",
+          "[relay_teams]")
+{
+    busy_relay world;
+    auto const waiting = world.ask_behind("k-one");
+    world.configure(2, {"k-two"});
+    world.finish_first();
+    REQUIRE(world.until([&] { return waiting->response.has_value(); }));
+    CHECK(waiting->response->status == 401);
+    CHECK(world.ran.size() == 1);
+}
+
+// Guards against a request that waits until what its VM knows is too old, and
+// is sent on it.
+TEST_CASE("a request is not sent on knowledge that grew old while it waited",
+          "[relay_teams]")
+{
+    busy_relay world;
+    auto const waiting = world.ask_behind("k-one");
+    world.known_for = 6s;
+    world.finish_first();
+    REQUIRE(world.until([&] { return waiting->response.has_value(); }));
+    CHECK(waiting->response->status == 503);
+    CHECK(world.ran.size() == 1);
+}
--- a/tests/row_mirror_test.cpp
+++ b/tests/row_mirror_test.cpp
@@ -407,3 +407,69 @@
     CHECK(world.until([&] { return answered; }));
     CHECK(status == 400);
 }
+
+// Guards against a VM that takes what a reader tells it for certain while the
+// reader itself hears nothing of the store.
+TEST_CASE("a copy is certain only as of what the store answered",
+          "[row_mirror]")
+{
+    mirror_world world;
+    mirror_vm& reader = *world.reader[0];
+    auto const proven = [](mirror_vm const& vm)
+    { return vm.mirror.proven_as_of(row_set::declarations); };
+    // Its question waits at the store: it looks as if it knew the rows of now.
+    REQUIRE(world.until(
+        [&]
+        {
+            time_point const now = boot_clock::now();
+            return reader.mirror.as_of(row_set::declarations, now) == now;
+        }));
+    time_point const certain = proven(reader);
+    std::map<mirror_vm const*, time_point> before;
+    for (mirror_vm const* vm : world.followers)
+        before[vm] = vm->mirror.as_of(row_set::workers, boot_clock::now());
+    REQUIRE(world.until_followers(
+        [&](mirror_vm const& vm)
+        {
+            return vm.mirror.as_of(row_set::workers, boot_clock::now()) >
+                   before[&vm];
+        }));
+    if (proven(reader) == certain)
+        for (mirror_vm const* vm : world.followers)
+            CHECK(proven(*vm) <= std::max(certain, before[vm]));
+    reader.store.answer_watches();
+    REQUIRE(world.until([&] { return proven(reader) > certain; }));
+    CHECK(world.until_followers([&](mirror_vm const& vm)
+                                { return proven(vm) > certain; }));
+}
+
+// Guards against a proof that is dated by when it was read: the VM stood still,
+// or the answer was long on its way.
+TEST_CASE("a proof is as old as the answer that brought it", "[row_mirror]")
+{
+    mirror_world world;
+    mirror_vm& reader = *world.reader[0];
+    mirror_vm& follower = *world.followers[0];
+    reader.hangs = true;
+    REQUIRE(world.until([&] { return !reader.unanswered.empty(); }));
+    time_point const asked_by = boot_clock::now();
+    rows_answer answer;
+    for (rows_news& news : answer)
+    {
+        news.read = true;
+        news.version = row_version(1);
+        news.proven_before = duration(0);
+    }
+    // A moment that tells the two dates apart.
+    REQUIRE(world.until([&] { return boot_clock::now() >= asked_by + 5ms; }));
+    for (auto const& each : reader.unanswered)
+        each->respond(json_response(200, encode_rows_answer(answer)));
+    time_point const before =
+        follower.mirror.proven_as_of(row_set::declarations);
+    time_point const told_at = boot_clock::now();
+    world.until(
+        [&] {
+            return follower.mirror.proven_as_of(row_set::declarations) > before;
+        });
+    CHECK(follower.mirror.proven_as_of(row_set::declarations) < told_at);
+}
