Tell why a request may begin on a replaced version

A request that began on an old version left no trace: the logs could not tell a grace that began again from late news, a long wait at the worker or a copy that was believed to be newer.

The scheduler keeps the versions that were declared of each adapter (adapter_releases) where it kept the newest only, and a placed request says what is believed of a copy that is not the newest. The line `sent to replaced version` gives the copy's version, for how long it and the one before the newest are replaced, and how old the VM's knowledge is; a counter counts them. What is decided is unchanged.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -150,6 +150,28 @@
                  now());
 }
 
+/// Tells why a request began on a replaced version: for how long this VM knew
+/// that it was, and how old what it knows is.
+void relay::note_replaced(relay_exchange const& exchange,
+                          place_request const& placed)
+{
+    ++counts_.sent_to_replaced;
+    replaced_copy const& copy = *placed.replaced;
+    time_point const at = now();
+    log_fields fields;
+    fields.add("request", exchange.request().id.str())
+        .add("adapter", exchange.request().model->adapter.str())
+        .add("worker", placed.worker.str())
+        .add("decided", placed.reason)
+        .add("copy", copy.version.value())
+        .add("newest", copy.newest.value())
+        .add("replaced_ms_ago", at - copy.replaced_at)
+        .add("newest_ms_ago", at - copy.newest_heard_at);
+    if (options_.registry_as_of)
+        fields.add("known_ms_ago", at - options_.registry_as_of().declarations);
+    log_.notable("sent to replaced version", fields, at);
+}
+
 void relay::set_backends(std::vector<backend_entry> entries)
 {
     for (backend_entry const& entry : entries)
@@ -452,6 +474,8 @@
         waits_.add(now() - exchange->terms().arrived_at);
     if (placed.prefix_source)
         note_copy(*exchange, placed);
+    if (placed.replaced && placed.version == adapter_version())
+        note_replaced(*exchange, placed);
     exchange->on_placed(placed);
 }
 
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -61,6 +61,8 @@
     std::uint64_t failed = 0;
     std::uint64_t caller_gone = 0;
     std::uint64_t retries = 0;
+    /// Sends that may begin on a version that is not the newest.
+    std::uint64_t sent_to_replaced = 0;
     std::uint64_t orders = 0;
     std::uint64_t orders_unknown = 0;
     std::uint64_t orders_conflict = 0;
@@ -228,6 +230,8 @@
     void add_service(service_config const& config);
     void note_worker(std::string_view event, backend_entry const& worker);
     void note_copy(relay_exchange const& exchange, place_request const& placed);
+    void note_replaced(relay_exchange const& exchange,
+                       place_request const& placed);
     void share_backends();
     void run_soon();
     void run();
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -30,6 +30,7 @@
     rejected("over_allotment", counts_.over_allotment);
     rejected("allotment_unknown", counts_.allotment_unknown);
     add("retries_total", "", counts_.retries);
+    add("sent_to_replaced_version_total", "", counts_.sent_to_replaced);
     add("orders_total", "", counts_.orders);
     add("orders_unknown_total", "", counts_.orders_unknown);
     add("orders_conflict_total", "", counts_.orders_conflict);
--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -121,8 +121,7 @@
 
 adapter_version service_scheduler::newest_of(model_target const& target) const
 {
-    auto const known = releases_.find(target);
-    return known == releases_.end() ? adapter_version() : known->second.version;
+    return releases_.newest(target);
 }
 
 /// Declared, or listed by a worker that loaded it before this VM heard.
@@ -147,6 +146,33 @@
     return duration(0);
 }
 
+adapter_version
+service_scheduler::believed_version(worker_state const& worker,
+                                    model_target const& target) const
+{
+    if (worker.owned && worker.adapters.known())
+        return worker.adapters.version(target);
+    for (held_model const& held : worker.entry.models)
+        if (auto const copy = held.adapters.find(target.adapter);
+            held.model == target.model && copy != held.adapters.end())
+            return copy->second;
+    return {};
+}
+
+std::optional<replaced_copy>
+service_scheduler::replaced_at(worker_state const& worker,
+                               std::optional<model_target> const& target) const
+{
+    if (!target || target->adapter.empty())
+        return std::nullopt;
+    adapter_version const version = believed_version(worker, *target);
+    time_point const at = releases_.replaced_at(*target, version);
+    if (at == never)
+        return std::nullopt;
+    return replaced_copy{version, newest_of(*target), at,
+                         releases_.newest_heard_at(*target)};
+}
+
 /// Where no version of the adapter was declared there is only the first.
 served_versions service_scheduler::versions_at(worker_state const& worker,
                                                model_target const& target) const
@@ -155,13 +181,7 @@
     known.weights = weights_of(worker.entry, target.model);
     if (target.adapter.empty())
         return known;
-    if (worker.owned && worker.adapters.known())
-        known.adapter = worker.adapters.version(target);
-    else
-        for (held_model const& held : worker.entry.models)
-            if (auto const copy = held.adapters.find(target.adapter);
-                held.model == target.model && copy != held.adapters.end())
-                known.adapter = copy->second;
+    known.adapter = believed_version(worker, target);
     if (newest_of(target) == adapter_version())
         known.adapter = std::max(known.adapter, adapter_version(1));
     return known;
@@ -182,9 +202,7 @@
 bool service_scheduler::past_grace(model_target const& target,
                                    time_point now) const
 {
-    auto const known = releases_.find(target);
-    return known != releases_.end() &&
-           now >= known->second.heard_at + settings_.release_grace;
+    return now >= releases_.older_until(target);
 }
 
 /// Failure: a copy is believed to be newer than it is, after orders whose
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -309,7 +309,8 @@
     actions_.push_back(place_request{
         item.ticket, on.entry.id, on.entry,
         on.owned ? loaded ? "loaded" : "resident" : "listed",
-        required_version(on, item.target, now), prefix_source(item, on, now)});
+        required_version(on, item.target, now), prefix_source(item, on, now),
+        replaced_at(on, item.target)});
     note_send(on, item, std::move(sent), now);
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -220,8 +220,9 @@
         actions_.push_back(place_request{
             item.ticket, worker->entry.id, worker->entry, "granted",
             required_version(*worker, item.target, now)});
-        std::get<place_request>(actions_.back()).prefix_source =
-            prefix_source(item, *worker, now);
+        auto& placed = std::get<place_request>(actions_.back());
+        placed.prefix_source = prefix_source(item, *worker, now);
+        placed.replaced = replaced_at(*worker, item.target);
         sent_item sent;
         sent.worker = worker->entry.id;
         sent.target = item.target;
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -4,6 +4,7 @@
 #define MULBERRY_SERVICE_SCHEDULER_HPP
 
 #include "adapter_demand.hpp"
+#include "adapter_releases.hpp"
 #include "adapter_sightings.hpp"
 #include "backend_entry.hpp"
 #include "error_kind.hpp"
@@ -57,6 +58,20 @@
     time_point begins_elsewhere_at = never;
 };
 
+/// What is believed of a copy of an adapter whose version is not the newest.
+/// Value.
+struct replaced_copy
+{
+    /// 0 where that is not known.
+    adapter_version version;
+    adapter_version newest;
+    /// When this VM heard of the first newer version.
+    time_point replaced_at{};
+    time_point newest_heard_at{};
+    friend bool operator==(replaced_copy const&,
+                           replaced_copy const&) = default;
+};
+
 /// Send the request to the worker now.
 struct place_request
 {
@@ -69,6 +84,8 @@
     adapter_version version;
     /// Another worker that may have the beginning of its prompt.
     std::optional<backend_entry> prefix_source = std::nullopt;
+    /// Of the copy that it is sent to, where a newer version was declared.
+    std::optional<replaced_copy> replaced = std::nullopt;
 };
 
 /// Ask the VM that gives the worker its orders to have the adapter there.
@@ -303,11 +320,6 @@
         /// When it was to begin, as of its sending.
         time_point expected_at{};
     };
-    struct release
-    {
-        adapter_version version;
-        time_point heard_at{};
-    };
     enum class verdict
     {
         placed,
@@ -354,6 +366,12 @@
     bool holds(worker_state const& worker, model_target const& target,
                time_point now) const;
     adapter_version newest_of(model_target const& target) const;
+    /// Of the copy at the worker, as far as is known; 0 where it is not.
+    adapter_version believed_version(worker_state const& worker,
+                                     model_target const& target) const;
+    std::optional<replaced_copy>
+    replaced_at(worker_state const& worker,
+                std::optional<model_target> const& target) const;
     bool past_grace(model_target const& target, time_point now) const;
     adapter_version required_version(worker_state const& worker,
                                      std::optional<model_target> const& target,
@@ -463,7 +481,7 @@
     std::map<worker_id, vm_id> owners_;
     std::map<worker_id, order_grant> grants_;
     std::map<vm_id, worker_health> peers_;
-    std::map<model_target, release> releases_;
+    adapter_releases releases_;
     std::map<base_model_id, weights_version> declared_weights_;
     registry_moment known_as_of_;
     /// Of this VM's callers and of the VMs that ask it.
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -137,10 +137,9 @@
         newest = std::max(newest, weights_version(version.value()));
         return;
     }
-    release& known = releases_[target];
-    if (version <= known.version)
+    if (!releases_.declare(target,
+                           {version, now, now + settings_.release_grace}))
         return;
-    known = {version, now};
     for (auto& [id, worker] : workers_)
         worker->adapters.outdate(target, version);
 }
@@ -170,8 +169,9 @@
     if (report)
         known->health.reached(now);
     known->adapters.on_report(report, now);
-    for (auto const& [target, release] : releases_)
-        known->adapters.outdate(target, release.version);
+    releases_.for_each_newest(
+        [known](model_target const& target, adapter_version newest)
+        { known->adapters.outdate(target, newest); });
 }
 
 /// Failure: a worker starts again where it cannot reach the registry, and loads
--- /dev/null
+++ b/tests/adapter_releases_test.cpp
@@ -0,0 +1,52 @@
+#include "adapter_releases.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace mulberry
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+model_target const target{base_model_id("base"), adapter_id("a1")};
+constexpr time_point start{1h};
+
+declared_version heard(std::uint64_t version, duration after)
+{
+    return {adapter_version(version), start + after, start + after + 1s};
+}
+
+} // namespace
+
+TEST_CASE("an adapter without a declared version has no newest one",
+          "[adapter_releases]")
+{
+    adapter_releases const releases;
+    CHECK(releases.newest(target) == adapter_version());
+    CHECK(releases.newest_heard_at(target) == never);
+    CHECK(releases.replaced_at(target, adapter_version(1)) == never);
+}
+
+TEST_CASE("a version that comes late does not replace a newer one",
+          "[adapter_releases]")
+{
+    adapter_releases releases;
+    CHECK(releases.declare(target, heard(3, 0s)));
+    CHECK_FALSE(releases.declare(target, heard(2, 1s)));
+    CHECK_FALSE(releases.declare(target, heard(3, 1s)));
+    CHECK(releases.newest(target) == adapter_version(3));
+    CHECK(releases.newest_heard_at(target) == start);
+}
+
+TEST_CASE("a copy is replaced by the first newer version", "[adapter_releases]")
+{
+    adapter_releases releases;
+    releases.declare(target, heard(2, 0s));
+    releases.declare(target, heard(5, 4s));
+    CHECK(releases.replaced_at(target, adapter_version(1)) == start);
+    CHECK(releases.replaced_at(target, adapter_version(2)) == start + 4s);
+    CHECK(releases.replaced_at(target, adapter_version(5)) == never);
+}
+
+} // namespace mulberry
