Tests that fail: a replaced version is used again with the next one

Three cases, each with one worker: its copy of version 1, in use and so not unloaded, is used again when version 3 follows version 2 by 4 s; it is still used after six versions 0.5 s apart; and a request does not name version 2, which is in force, while version 3 is in its grace.

--- /dev/null
+++ b/tests/service_version_test.cpp
@@ -0,0 +1,90 @@
+// Which versions of an adapter requests may begin on while newer ones are
+// declared one after the other.
+#include "scheduler_world.hpp"
+
+#include <catch2/catch.hpp>
+
+namespace mulberry::test
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+model_target const target{base_model_id("base"), adapter_id("a1")};
+
+/// A worker whose copy of the first version is in use, and so is not replaced.
+struct copy_in_use
+{
+    copy_in_use()
+    {
+        world.ask("a1", 0, 60s);
+        world.run(300ms);
+    }
+
+    void declare(std::uint64_t version)
+    {
+        world.scheduler.on_release(target, adapter_version(version), world.now);
+    }
+
+    bool placed_now()
+    {
+        ticket_id const asked = world.ask("a1", 0, 10s);
+        world.run(5ms);
+        return world.placed(asked);
+    }
+
+    scheduler_world world{1};
+};
+
+} // namespace
+
+// Guards against a further version that gives replaced copies another grace.
+TEST_CASE("a copy is not used again when the next version is declared",
+          "[scheduler][replaced]")
+{
+    copy_in_use old;
+    old.declare(2);
+    REQUIRE(old.placed_now());
+    old.world.run(4s);
+    REQUIRE_FALSE(old.placed_now());
+    old.declare(3);
+    CHECK_FALSE(old.placed_now());
+}
+
+// Guards against a grace that never ends while versions follow each other.
+TEST_CASE("versions in quick succession do not prolong the use of an old one",
+          "[scheduler][replaced]")
+{
+    copy_in_use old;
+    for (std::uint64_t version = 2; version < 8; ++version)
+    {
+        old.declare(version);
+        old.world.run(500ms);
+    }
+    CHECK_FALSE(old.placed_now());
+}
+
+// Guards against a request that runs on whatever copy its worker has: what is
+// believed of the worker may be wrong.
+TEST_CASE(
+    "a request names a version that is in force though a newer one is not",
+    "[scheduler][replaced]")
+{
+    scheduler_world world(1);
+    ticket_id const first = world.ask("a1");
+    world.run(300ms);
+    world.end(first);
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    world.run(100ms);
+    ticket_id const second = world.ask("a1", 0, 60s);
+    world.run(3s);
+    REQUIRE(world.placed(second));
+    world.scheduler.on_release(target, adapter_version(3), world.now);
+    ticket_id const third = world.ask("a1");
+    world.run(5ms);
+    REQUIRE(world.placed(third));
+    CHECK(world.version_of(third) == adapter_version(2));
+}
+
+} // namespace mulberry::test
