Give each version of an adapter its own deadline for older copies

Seen: requests began on a version of their adapter later than the bound after a newer one was acknowledged. Callers got an answer of the wrong version.

Cause: the time for which a replaced copy may be used counted from the newest version that was heard of, once for each adapter. A further version gave every older copy, however long replaced, the grace anew, and for that time no request named the version that it had to run on, so that the worker could not refuse it either. Class: a deadline derived from the newest of several events, where each event sets one of its own.

Change: adapter_releases keeps the deadline of each version. A copy may be used while no newer version's deadline has passed; a request names the version of the copy that it is sent to as soon as any deadline passed, not only when the newest one's did. The owner of a worker tells the version of the copy with its grant, since the VM that asks would otherwise have to name the newest one and be refused throughout its grace; a grant for a copy that the asking VM knows to be replaced is given back. The same cause in the relay: a service that a configuration adds later took all versions as heard of at that moment; it now gets them with the moments at which they were heard.

--- a/bench/trial_fleet.cpp
+++ b/bench/trial_fleet.cpp
@@ -354,7 +354,7 @@
     if (auto const* question = std::get_if<ask_owner>(&action))
         return ask(index, *question);
     if (auto const* granted = std::get_if<grant_ask>(&action))
-        return answer(granted->ticket, true, granted->worker);
+        return answer(granted->ticket, true, granted->copy);
     if (auto const* given = std::get_if<give_order>(&action))
         return order(index, *given);
     report(index, std::get<ask_report>(action));
@@ -504,7 +504,7 @@
               });
 }
 
-void fleet::answer(ticket_id at_owner, bool granted, worker_id const& on)
+void fleet::answer(ticket_id at_owner, bool granted, granted_copy const& on)
 {
     auto const found = asks_.find(at_owner);
     if (found == asks_.end())
@@ -525,8 +525,8 @@
             if (wanted && request != open_.end())
             {
                 if (granted)
-                    request->second.grant = {workers_.at(index_of(on)).owner,
-                                             at_owner};
+                    request->second.grant = {
+                        workers_.at(index_of(on.worker)).owner, at_owner};
                 used = vms_.at(asked.asker)
                            .scheduler->on_owner(asked.ticket,
                                                 granted ? ask_outcome::granted
--- a/src/adapter_releases.cpp
+++ b/src/adapter_releases.cpp
@@ -7,8 +7,7 @@
 namespace
 {
 
-/// Versions of one adapter that are remembered. Only the newest whose time for
-/// older ones is over and those after it decide anything.
+/// Versions of one adapter that are remembered.
 constexpr std::size_t most_remembered = 16;
 
 } // namespace
@@ -26,12 +25,22 @@
     history& known = declared_[target];
     if (!known.empty() && declared.version <= known.back().version)
         return false;
-    known.push_back(declared);
-    if (known.size() > most_remembered)
-        known.erase(known.begin());
+    drop_passed(known, declared.heard_at);
+    if (known.size() < most_remembered)
+        known.push_back(declared);
+    else
+        // Older copies keep the earlier deadline.
+        known.back().version = declared.version;
     return true;
 }
 
+/// Of the versions whose deadline has passed, only the newest decides anything.
+void adapter_releases::drop_passed(history& known, time_point now)
+{
+    while (known.size() > 1 && known[1].older_until <= now)
+        known.erase(known.begin());
+}
+
 adapter_version adapter_releases::newest(model_target const& target) const
 {
     history const* const known = find(target);
@@ -56,17 +65,24 @@
     return newer == known->end() ? never : newer->heard_at;
 }
 
-time_point adapter_releases::older_until(model_target const& target) const
+adapter_version adapter_releases::oldest_allowed(model_target const& target,
+                                                 time_point at) const
 {
-    history const* const known = find(target);
-    return known == nullptr ? never : known->back().older_until;
+    adapter_version oldest;
+    if (history const* const known = find(target))
+        for (declared_version const& each : *known)
+            if (each.older_until <= at)
+                oldest = each.version;
+    return oldest;
 }
 
-void adapter_releases::for_each_newest(
-    std::function<void(model_target const&, adapter_version)> const& what) const
+void adapter_releases::for_each(
+    std::function<void(model_target const&, declared_version const&)> const&
+        what) const
 {
     for (auto const& [target, known] : declared_)
-        what(target, known.back().version);
+        for (declared_version const& each : known)
+            what(target, each);
 }
 
 } // namespace mulberry
--- a/src/adapter_releases.hpp
+++ b/src/adapter_releases.hpp
@@ -24,7 +24,9 @@
                            declared_version const&) = default;
 };
 
-/// Thread safety: none. Pure: no I/O, no clock.
+/// Each version has a deadline of its own for all that are older. Failure: with
+/// one deadline for each adapter, every further version gives copies that were
+/// replaced long ago more time. Thread safety: none. Pure: no I/O, no clock.
 class adapter_releases
 {
 public:
@@ -38,17 +40,21 @@
     /// where there is none.
     time_point replaced_at(model_target const& target,
                            adapter_version copy) const;
-    /// Until when a request may begin on a version that is not the newest.
-    time_point older_until(model_target const& target) const;
-    /// Calls `what` with the newest version of each adapter.
-    void for_each_newest(
-        std::function<void(model_target const&, adapter_version)> const& what)
-        const;
+    /// The oldest version that a request may begin on at that moment; 0 where
+    /// any may be used.
+    adapter_version oldest_allowed(model_target const& target,
+                                   time_point at) const;
+    /// Calls `what` with all known versions, the older ones of an adapter
+    /// first.
+    void for_each(
+        std::function<void(model_target const&, declared_version const&)> const&
+            what) const;
 
 private:
     using history = std::vector<declared_version>;
 
     history const* find(model_target const& target) const;
+    static void drop_passed(history& known, time_point now);
 
     /// Ascending versions, none empty.
     std::map<model_target, history> declared_;
--- a/src/peer_ask.cpp
+++ b/src/peer_ask.cpp
@@ -225,6 +225,8 @@
     json["granted"] = reply.granted;
     json["grant"] = Json::UInt64(reply.grant);
     json["worker"] = reply.worker.str();
+    if (reply.version != adapter_version())
+        json["version"] = Json::UInt64(reply.version.value());
     return to_text(json);
 }
 
@@ -235,7 +237,8 @@
         !(*json)["worker"].isString())
         return std::nullopt;
     return peer_reply{(*json)["granted"].asBool(), number_or(*json, "grant", 0),
-                      worker_id((*json)["worker"].asString())};
+                      worker_id((*json)["worker"].asString()),
+                      adapter_version(number_or(*json, "version", 0))};
 }
 
 } // namespace mulberry
--- a/src/peer_ask.hpp
+++ b/src/peer_ask.hpp
@@ -9,7 +9,7 @@
 ///                 "crashes": [[DIGEST, WORKER, STARTED,
 ///                               SENT_MS_AGO, SEEN_MS_AGO], ...],
 ///                 "answered": [DIGEST, ...]}
-///   200          {"granted": true, "grant": N, "worker": ID}
+///   200          {"granted": true, "grant": N, "worker": ID, "version": N}
 ///
 /// The head of the answer comes at once, the rest when the adapter is there
 /// and the worker has room, or when that is not to be. A call without a worker
@@ -82,6 +82,8 @@
     std::uint64_t grant = 0;
     /// The worker to send to; it need not be the one that was asked for.
     worker_id worker;
+    /// Of the adapter's copy there; 0 where that is not known.
+    adapter_version version;
     friend bool operator==(peer_reply const&, peer_reply const&) = default;
 };
 
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -18,11 +18,7 @@
           service_load_test.cpp service_scheduler_test.cpp service_version_test.cpp start_hold_test.cpp team_directory_test.cpp token_bucket_test.cpp
           worker_adapters_test.cpp worker_health_test.cpp
           worker_reading_test.cpp
-  LINK mulberry_scheduling
-  CASES ~[replaced])
-if(BUILD_TESTING)
-  add_test(NAME scheduling_version_test COMMAND scheduling_test [replaced])
-endif()
+  LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp collected_exchange.cpp crash_row.cpp crash_watch.cpp event_log.cpp event_splitter.cpp
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -95,8 +95,12 @@
         services_.try_emplace(config.name, settings, config, options_.retries)
             .first;
     made->second.scheduler.set_members(members_);
-    for (auto const& [target, version] : releases_)
-        made->second.scheduler.on_release(target, version, now());
+    releases_.for_each(
+        [&made](model_target const& target, declared_version const& declared)
+        {
+            made->second.scheduler.on_release(target, declared.version,
+                                              declared.heard_at);
+        });
 }
 
 void relay::set_config(std::shared_ptr<routing_config const> config)
@@ -214,10 +218,10 @@
 
 void relay::on_release(adapter_release const& release)
 {
-    adapter_version& known = releases_[release.target];
-    if (release.version <= known)
+    time_point const at = now();
+    if (!releases_.declare(release.target,
+                           {release.version, at, at + options_.release_grace}))
         return;
-    known = release.version;
     log_.notable(release.target.adapter.empty() ? "weights version taken"
                                                 : "adapter version taken",
                  log_fields()
@@ -226,7 +230,7 @@
                      .add("version", release.version.value()),
                  now());
     for (auto& [name, service] : services_)
-        service.scheduler.on_release(release.target, release.version, now());
+        service.scheduler.on_release(release.target, release.version, at);
     run_soon();
 }
 
@@ -504,8 +508,7 @@
     if (auto const* ask = std::get_if<ask_owner>(&action))
         return send_ask(service, *ask);
     if (auto const* granted = std::get_if<grant_ask>(&action))
-        return answer_peer(granted->ticket, true, granted->worker,
-                           granted->load);
+        return answer_peer(granted->ticket, true, granted->copy, granted->load);
     if (auto const* order = std::get_if<give_order>(&action))
         return send_order(*order);
     send_report(std::get<ask_report>(action));
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -248,7 +248,7 @@
                   ask_outcome outcome, peer_reply const& reply);
     void give_back(held_grant const& grant, send_outcome outcome);
     void tell_done();
-    void answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
+    void answer_peer(ticket_id ticket, bool granted, granted_copy const& copy,
                      double load);
     void forget_peer_request(ticket_id ticket, send_outcome outcome);
     void on_order(service_id const& service, worker_order const& order,
@@ -274,7 +274,7 @@
     start_hold const start_;
     std::vector<early_request> early_;
     std::map<worker_id, order_grant> grants_;
-    std::map<model_target, adapter_version> releases_;
+    adapter_releases releases_;
     std::size_t members_ = 1;
     std::unique_ptr<team_directory> teams_;
     std::unique_ptr<allotment_keeper> allotments_;
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -165,8 +165,8 @@
     run_soon();
 }
 
-void relay::answer_peer(ticket_id ticket, bool granted, worker_id const& worker,
-                        double load)
+void relay::answer_peer(ticket_id ticket, bool granted,
+                        granted_copy const& copy, double load)
 {
     auto const found = peer_requests_.find(ticket);
     if (found == peer_requests_.end())
@@ -178,7 +178,7 @@
     {
         return log_fields()
             .add("request", found->second.request.str())
-            .add("worker", (granted ? worker : found->second.worker).str())
+            .add("worker", (granted ? copy.worker : found->second.worker).str())
             .add("outcome", granted ? "granted" : "refused")
             .add("waited_ms", waited)
             .add("load_percent", static_cast<int>(load * 100));
@@ -189,7 +189,8 @@
         log_.routine("room for another VM", fields(), at);
     if (answer)
     {
-        answer->write(encode_peer_reply({granted, ticket.value(), worker}));
+        answer->write(encode_peer_reply(
+            {granted, ticket.value(), copy.worker, copy.version}));
         answer->finish();
     }
     if (granted)
@@ -292,8 +293,8 @@
     }
     service_state& state = *find(service);
     tell_registry_moment(state);
-    bool const used =
-        state.scheduler.on_owner(ask.ticket, outcome, reply.worker, now());
+    bool const used = state.scheduler.on_owner(
+        ask.ticket, outcome, {reply.worker, reply.version}, now());
     if (!used && outcome == ask_outcome::granted)
     {
         give_back({ask.owner, reply.grant}, send_outcome::abandoned);
--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -160,16 +160,15 @@
 }
 
 std::optional<replaced_copy>
-service_scheduler::replaced_at(worker_state const& worker,
-                               std::optional<model_target> const& target) const
+service_scheduler::replaced(std::optional<model_target> const& target,
+                            adapter_version copy) const
 {
     if (!target || target->adapter.empty())
         return std::nullopt;
-    adapter_version const version = believed_version(worker, *target);
-    time_point const at = releases_.replaced_at(*target, version);
+    time_point const at = releases_.replaced_at(*target, copy);
     if (at == never)
         return std::nullopt;
-    return replaced_copy{version, newest_of(*target), at,
+    return replaced_copy{copy, newest_of(*target), at,
                          releases_.newest_heard_at(*target)};
 }
 
@@ -199,24 +198,20 @@
                        });
 }
 
-bool service_scheduler::past_grace(model_target const& target,
-                                   time_point now) const
-{
-    return now >= releases_.older_until(target);
-}
-
 /// Failure: a copy is believed to be newer than it is, after orders whose
 /// answers were lost or came late, and a request begins on the old version long
 /// after the new one was declared. Whatever is believed here, the worker
 /// compares the version itself and refuses a request that names another.
 adapter_version
-service_scheduler::required_version(worker_state const& worker,
-                                    std::optional<model_target> const& target,
-                                    time_point now) const
+service_scheduler::required_version(std::optional<model_target> const& target,
+                                    adapter_version copy, time_point now) const
 {
-    if (!target || !past_grace(*target, now))
+    if (!target)
+        return {};
+    adapter_version const oldest = releases_.oldest_allowed(*target, now);
+    if (oldest == adapter_version())
         return {};
-    return std::max(newest_of(*target), worker.adapters.version(*target));
+    return copy >= oldest ? copy : newest_of(*target);
 }
 
 double service_scheduler::average_taken() const
@@ -260,9 +255,9 @@
             return worker.adapters.has_model(target.model);
         if (worker.adapters.stage(target) != adapter_stage::resident)
             return false;
-        return !worker.adapters.outdated(target) ||
-               !past_grace(target,
-                           now + worker.reading.ahead(now) * begin_slack);
+        return worker.adapters.version(target) >=
+               releases_.oldest_allowed(
+                   target, now + worker.reading.ahead(now) * begin_slack);
     }
     for (held_model const& held : worker.entry.models)
     {
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -212,8 +212,9 @@
     served_versions to = versions_at(reader, target);
     // The worker refuses a request that names a version which it lacks.
     if (!target.adapter.empty())
-        to.adapter =
-            std::max(to.adapter, required_version(reader, target, now));
+        to.adapter = std::max(
+            to.adapter,
+            required_version(target, believed_version(reader, target), now));
     newest_versions const newest{
         newest_weights,
         std::max({newest_of(target), from.adapter, to.adapter})};
@@ -300,17 +301,22 @@
         ++on.granted;
         ++counts_.granted;
         on.reading.add(pace_.time_for(item.prompt_tokens), now);
-        actions_.push_back(grant_ask{item.ticket, on.entry.id, load_of(on)});
+        actions_.push_back(
+            grant_ask{item.ticket,
+                      {on.entry.id, believed_version(on, *item.target)},
+                      load_of(on)});
         sent_.emplace(item.ticket, std::move(sent));
         return;
     }
     ++(on.owned ? loaded ? counts_.placed_after_load : counts_.placed_resident
                 : counts_.placed_elsewhere);
+    adapter_version const copy =
+        item.target ? believed_version(on, *item.target) : adapter_version();
     actions_.push_back(place_request{
         item.ticket, on.entry.id, on.entry,
         on.owned ? loaded ? "loaded" : "resident" : "listed",
-        required_version(on, item.target, now), prefix_source(item, on, now),
-        replaced_at(on, item.target)});
+        required_version(item.target, copy, now), prefix_source(item, on, now),
+        replaced(item.target, copy)});
     note_send(on, item, std::move(sent), now);
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -192,7 +192,7 @@
 }
 
 bool service_scheduler::on_owner(ticket_id ticket, ask_outcome outcome,
-                                 worker_id const& granted, time_point now)
+                                 granted_copy const& granted, time_point now)
 {
     auto const found = asked_.find(ticket);
     if (found == asked_.end())
@@ -206,12 +206,17 @@
                                   ? send_outcome::silent
                                   : send_outcome::unreachable,
                               asked.asked_at, now);
-    worker_state* const worker = find(granted.empty() ? asked.worker : granted);
+    worker_state* const worker =
+        find(granted.worker.empty() ? asked.worker : granted.worker);
     work_item const& item = asked.waiting.item;
     // Failure: the owner hears later than this VM that a worker leaves, and
-    // its grant sends a request there after the bound.
+    // its grant sends a request there after the bound. So with a version.
+    bool const too_old =
+        granted.version != adapter_version() &&
+        granted.version < releases_.oldest_allowed(*item.target, now);
     bool const usable_grant = outcome == ask_outcome::granted &&
-                              worker != nullptr && !worker->entry.draining;
+                              worker != nullptr && !worker->entry.draining &&
+                              !too_old;
     if (usable_grant)
     {
         ++counts_.placed_granted;
@@ -219,10 +224,10 @@
         worker->adapters.remember(*item.target);
         actions_.push_back(place_request{
             item.ticket, worker->entry.id, worker->entry, "granted",
-            required_version(*worker, item.target, now)});
+            required_version(item.target, granted.version, now)});
         auto& placed = std::get<place_request>(actions_.back());
         placed.prefix_source = prefix_source(item, *worker, now);
-        placed.replaced = replaced_at(*worker, item.target);
+        placed.replaced = replaced(item.target, granted.version);
         sent_item sent;
         sent.worker = worker->entry.id;
         sent.target = item.target;
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -58,6 +58,15 @@
     time_point begins_elsewhere_at = never;
 };
 
+/// A copy of an adapter that a request may be sent to. Value.
+struct granted_copy
+{
+    worker_id worker;
+    /// 0 where that is not known.
+    adapter_version version;
+    friend bool operator==(granted_copy const&, granted_copy const&) = default;
+};
+
 /// What is believed of a copy of an adapter whose version is not the newest.
 /// Value.
 struct replaced_copy
@@ -111,7 +120,7 @@
 struct grant_ask
 {
     ticket_id ticket;
-    worker_id worker;
+    granted_copy copy;
     double load = 0;
 };
 
@@ -215,7 +224,7 @@
     /// Another VM answered a question, or did not. Whether its grant is used;
     /// one that is not is to be given back.
     bool on_owner(ticket_id ticket, ask_outcome outcome,
-                  worker_id const& granted, time_point now);
+                  granted_copy const& granted, time_point now);
     /// Another VM began to answer a question.
     void on_owner_heard(ticket_id ticket, time_point now);
     /// When a question to another VM is to be given up, as of now.
@@ -226,8 +235,9 @@
         known_as_of_ = known_as_of;
     }
     void set_members(std::size_t vms) { vms_ = std::max<std::size_t>(vms, 1); }
+    /// `heard_at`: when this VM heard of the version.
     void on_release(model_target const& target, adapter_version version,
-                    time_point now);
+                    time_point heard_at);
 
     void submit(work_item item, time_point now);
     /// The caller is gone or has been answered. Does nothing once sent.
@@ -370,11 +380,10 @@
     adapter_version believed_version(worker_state const& worker,
                                      model_target const& target) const;
     std::optional<replaced_copy>
-    replaced_at(worker_state const& worker,
-                std::optional<model_target> const& target) const;
-    bool past_grace(model_target const& target, time_point now) const;
-    adapter_version required_version(worker_state const& worker,
-                                     std::optional<model_target> const& target,
+    replaced(std::optional<model_target> const& target,
+             adapter_version copy) const;
+    adapter_version required_version(std::optional<model_target> const& target,
+                                     adapter_version copy,
                                      time_point now) const;
     worker_state* best_holder(waiting_item const& waiting, time_point now);
     /// Until so many requests more have found one of the slots free.
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -129,7 +129,7 @@
 /// the new version, and callers of the model itself are turned away. Weights
 /// come into use as workers load the model; no request waits for them.
 void service_scheduler::on_release(model_target const& target,
-                                   adapter_version version, time_point now)
+                                   adapter_version version, time_point heard_at)
 {
     if (target.adapter.empty())
     {
@@ -137,8 +137,8 @@
         newest = std::max(newest, weights_version(version.value()));
         return;
     }
-    if (!releases_.declare(target,
-                           {version, now, now + settings_.release_grace}))
+    if (!releases_.declare(
+            target, {version, heard_at, heard_at + settings_.release_grace}))
         return;
     for (auto& [id, worker] : workers_)
         worker->adapters.outdate(target, version);
@@ -169,9 +169,9 @@
     if (report)
         known->health.reached(now);
     known->adapters.on_report(report, now);
-    releases_.for_each_newest(
-        [known](model_target const& target, adapter_version newest)
-        { known->adapters.outdate(target, newest); });
+    releases_.for_each(
+        [known](model_target const& target, declared_version const& declared)
+        { known->adapters.outdate(target, declared.version); });
 }
 
 /// Failure: a worker starts again where it cannot reach the registry, and loads
--- a/tests/adapter_releases_test.cpp
+++ b/tests/adapter_releases_test.cpp
@@ -49,4 +49,37 @@
     CHECK(releases.replaced_at(target, adapter_version(5)) == never);
 }
 
+TEST_CASE("each version has a deadline of its own for older ones",
+          "[adapter_releases]")
+{
+    adapter_releases releases;
+    releases.declare(target, heard(2, 0s));
+    releases.declare(target, heard(3, 900ms));
+    CHECK(releases.oldest_allowed(target, start + 999ms) == adapter_version());
+    CHECK(releases.oldest_allowed(target, start + 1s) == adapter_version(2));
+    CHECK(releases.oldest_allowed(target, start + 1899ms) ==
+          adapter_version(2));
+    CHECK(releases.oldest_allowed(target, start + 1900ms) ==
+          adapter_version(3));
+}
+
+// Guards against a deadline that is forgotten when many versions follow.
+TEST_CASE("a deadline stands however many versions follow within it",
+          "[adapter_releases]")
+{
+    adapter_releases releases;
+    std::uint64_t version = 1;
+    for (duration after{}; after < 3s; after += 20ms)
+    {
+        releases.declare(target, heard(++version, after));
+        CHECK(releases.newest(target) == adapter_version(version));
+        bool const used_up = after >= 1s;
+        adapter_version const oldest =
+            releases.oldest_allowed(target, start + after);
+        CHECK((oldest > adapter_version(1)) == used_up);
+    }
+    // Versions that share a deadline differ by a few steps at most.
+    CHECK(releases.oldest_allowed(target, start + 3s) >= adapter_version(50));
+}
+
 } // namespace mulberry
--- a/tests/peer_ask_test.cpp
+++ b/tests/peer_ask_test.cpp
@@ -53,7 +53,7 @@
 
 TEST_CASE("a reply comes back as it was", "[peer_ask]")
 {
-    peer_reply const reply{true, 41, worker_id("w2")};
+    peer_reply const reply{true, 41, worker_id("w2"), adapter_version(3)};
     CHECK(decode_peer_reply(encode_peer_reply(reply)) == reply);
 }
 
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -239,7 +239,7 @@
             scheduler.first_byte(placed->ticket, now);
     }
     else if (auto const* granted = std::get_if<grant_ask>(&action))
-        granted_.emplace(granted->ticket, granted->worker);
+        granted_.emplace(granted->ticket, granted->copy);
     else if (auto const* refused = std::get_if<refuse_request>(&action))
         refused_.emplace(refused->ticket, *refused);
     else if (auto const* ask = std::get_if<ask_owner>(&action))
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -83,7 +83,11 @@
     bool granted(ticket_id ticket) const { return granted_.count(ticket) > 0; }
     worker_id granted_worker(ticket_id ticket) const
     {
-        return granted_.at(ticket);
+        return granted_.at(ticket).worker;
+    }
+    adapter_version granted_version(ticket_id ticket) const
+    {
+        return granted_.at(ticket).version;
     }
     worker_id worker_of(ticket_id ticket) const { return placed_.at(ticket); }
     refuse_request const& refusal(ticket_id ticket) const
@@ -135,7 +139,7 @@
     std::uint64_t last_ticket_ = 0;
     std::map<ticket_id, worker_id> placed_;
     /// Of other VMs' requests.
-    std::map<ticket_id, worker_id> granted_;
+    std::map<ticket_id, granted_copy> granted_;
     std::map<ticket_id, time_point> times_;
     std::map<ticket_id, adapter_version> versions_;
     std::map<ticket_id, std::optional<backend_entry>> sources_;
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -560,7 +560,7 @@
     CHECK(world.asks().front().owner == vm_id("vm-2"));
     CHECK_FALSE(world.placed(ticket));
     world.scheduler.on_owner(ticket, ask_outcome::granted,
-                             scheduler_world::name(0), world.now);
+                             {scheduler_world::name(0), {}}, world.now);
     world.run(0ms);
     CHECK(world.placed(ticket));
 }
@@ -577,7 +577,8 @@
     world.draining.insert(scheduler_world::name(0));
     world.list_all();
     CHECK_FALSE(world.scheduler.on_owner(ticket, ask_outcome::granted,
-                                         scheduler_world::name(0), world.now));
+                                         {scheduler_world::name(0), {}},
+                                         world.now));
     world.run(5ms);
     CHECK_FALSE(world.placed(ticket));
     CHECK(world.refused(ticket));
--- a/tests/service_version_test.cpp
+++ b/tests/service_version_test.cpp
@@ -41,7 +41,7 @@
 
 // Guards against a further version that gives replaced copies another grace.
 TEST_CASE("a copy is not used again when the next version is declared",
-          "[scheduler][replaced]")
+          "[scheduler]")
 {
     copy_in_use old;
     old.declare(2);
@@ -54,7 +54,7 @@
 
 // Guards against a grace that never ends while versions follow each other.
 TEST_CASE("versions in quick succession do not prolong the use of an old one",
-          "[scheduler][replaced]")
+          "[scheduler]")
 {
     copy_in_use old;
     for (std::uint64_t version = 2; version < 8; ++version)
@@ -69,7 +69,7 @@
 // believed of the worker may be wrong.
 TEST_CASE(
     "a request names a version that is in force though a newer one is not",
-    "[scheduler][replaced]")
+    "[scheduler]")
 {
     scheduler_world world(1);
     ticket_id const first = world.ask("a1");
@@ -87,4 +87,37 @@
     CHECK(world.version_of(third) == adapter_version(2));
 }
 
+TEST_CASE("a grant tells the version of the copy", "[scheduler]")
+{
+    scheduler_world world(1);
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    ticket_id const asked = world.ask_for_peer("a1", 0);
+    world.run(300ms);
+    REQUIRE(world.granted(asked));
+    CHECK(world.granted_version(asked) == adapter_version(2));
+}
+
+// Guards against a grant by a VM that hears of versions later than this one.
+TEST_CASE("a grant for a copy that was replaced is not used", "[scheduler]")
+{
+    scheduler_world world(1);
+    world.grants.clear();
+    world.scheduler.set_grants({});
+    world.scheduler.set_owners({{scheduler_world::name(0), vm_id("vm-2")}});
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    world.scheduler.on_release(target, adapter_version(3), world.now + 1s);
+    world.run(2500ms);
+    auto const used = [&world](std::uint64_t version)
+    {
+        ticket_id const asked = world.ask("a1");
+        world.run(5ms);
+        return world.scheduler.on_owner(
+            asked, ask_outcome::granted,
+            {scheduler_world::name(0), adapter_version(version)}, world.now);
+    };
+    CHECK_FALSE(used(1));
+    CHECK(used(2));
+    CHECK(used(3));
+}
+
 } // namespace mulberry::test
