--- a/bench/trial_fleet.cpp
+++ b/bench/trial_fleet.cpp
@@ -114,7 +114,7 @@
     void ask(std::size_t index, ask_owner const& question);
     void watch_ask(std::size_t index, ticket_id ticket, ticket_id at_owner,
                    std::size_t owner);
-    void answer(ticket_id at_owner, bool granted, worker_id const& on);
+    void answer(ticket_id at_owner, bool granted, granted_copy const& on);
     void order(std::size_t index, give_order const& given);
     void report(std::size_t index, ask_report const& question);
     void step(std::size_t index);
@@ -538,7 +538,7 @@
                 return;
             if (request != open_.end())
                 request->second.grant.reset();
-            std::size_t const owner = workers_.at(index_of(on)).owner;
+            std::size_t const owner = workers_.at(index_of(on.worker)).owner;
             vms_.at(owner).scheduler->ended(at_owner, send_outcome::abandoned,
                                             now());
             post_run(owner);
