Tell which workers ask for rest, and what is sent within it

What a worker asks for with `Retry-After` was read nowhere, so that no log told whether a request was placed within its rest, by which decision, or was only on its way.

The codec reads the time of a 503; the scheduler keeps it for each worker's id (worker_notices), beside the registry's entry, which may lapse and come back; `worker asks for rest` and `sent within rest` are logged and counted. What is decided is unchanged.

--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -8,7 +8,7 @@
           service_estimate.cpp service_placing.cpp
           service_scheduler.cpp service_workers.cpp start_hold.cpp
           team_directory.cpp token_bucket.cpp
-          worker_adapters.cpp worker_health.cpp worker_reading.cpp
+          worker_adapters.cpp worker_health.cpp worker_notices.cpp worker_reading.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
   SOURCES adapter_releases_test.cpp adapter_sightings_test.cpp allotment_pool_test.cpp crash_keeper_test.cpp crash_record_test.cpp crash_world.cpp reader_choice_test.cpp reading_pace_test.cpp
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -176,6 +176,39 @@
     log_.notable("sent to replaced version", fields, at);
 }
 
+void relay::asked_for_rest(relay_exchange const& exchange, time_point until)
+{
+    time_point const at = now();
+    worker_id const worker = exchange.worker();
+    if (!find(exchange.terms().service)->scheduler.on_rest(worker, until, at))
+        return;
+    ++counts_.rests;
+    log_.notable("worker asks for rest",
+                 log_fields()
+                     .add("request", exchange.request().id.str())
+                     .add("worker", worker.str())
+                     .add("service", exchange.terms().service.str())
+                     .add("rest_ms", until - at),
+                 at);
+}
+
+/// Tells a request that was placed at a worker in spite of its rest from one
+/// that was on its way there.
+void relay::note_rest(relay_exchange const& exchange,
+                      place_request const& placed)
+{
+    ++counts_.sent_within_rest;
+    time_point const at = now();
+    log_.notable("sent within rest",
+                 log_fields()
+                     .add("request", exchange.request().id.str())
+                     .add("worker", placed.worker.str())
+                     .add("decided", placed.reason)
+                     .add("sends", exchange.sends())
+                     .add("rest_left_ms", placed.rests_until - at),
+                 at);
+}
+
 void relay::set_backends(std::vector<backend_entry> entries)
 {
     for (backend_entry const& entry : entries)
@@ -480,6 +513,8 @@
         note_copy(*exchange, placed);
     if (placed.replaced && placed.version == adapter_version())
         note_replaced(*exchange, placed);
+    if (placed.rests_until > now())
+        note_rest(*exchange, placed);
     exchange->on_placed(placed);
 }
 
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -63,6 +63,10 @@
     std::uint64_t retries = 0;
     /// Sends that may begin on a version that is not the newest.
     std::uint64_t sent_to_replaced = 0;
+    /// Times that a worker asked for rest.
+    std::uint64_t rests = 0;
+    /// Sends to a worker within it.
+    std::uint64_t sent_within_rest = 0;
     std::uint64_t orders = 0;
     std::uint64_t orders_unknown = 0;
     std::uint64_t orders_conflict = 0;
@@ -133,6 +137,8 @@
     void first_byte(relay_exchange& exchange) override;
     void stream_went_on(duration gap) override { stream_gaps_.add(gap); }
     void send_ended(relay_exchange& exchange, send_outcome outcome) override;
+    void asked_for_rest(relay_exchange const& exchange,
+                        time_point until) override;
     void broke_off(relay_exchange const& exchange) override;
     duration patience(relay_exchange const& exchange) const override;
     bool take_retry(relay_exchange const& exchange) override;
@@ -232,6 +238,7 @@
     void note_copy(relay_exchange const& exchange, place_request const& placed);
     void note_replaced(relay_exchange const& exchange,
                        place_request const& placed);
+    void note_rest(relay_exchange const& exchange, place_request const& placed);
     void share_backends();
     void run_soon();
     void run();
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -47,6 +47,10 @@
     virtual void stream_went_on(duration gap) = 0;
     /// The send to the worker is over.
     virtual void send_ended(relay_exchange& exchange, send_outcome outcome) = 0;
+    /// The worker turned the request away, and wants none from this VM until
+    /// then.
+    virtual void asked_for_rest(relay_exchange const& exchange,
+                                time_point until) = 0;
     /// The connection closed before the worker's answer was whole.
     virtual void broke_off(relay_exchange const& exchange) = 0;
     virtual duration patience(relay_exchange const& exchange) const = 0;
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -147,6 +147,8 @@
     bool event_stream = false;
     /// The body was encoded on the way and is not the worker's.
     bool encoded = false;
+    /// It turned the request away, and wants none from this VM for so long.
+    std::optional<duration> rest;
 };
 
 /// An order about an adapter or a model of a worker.
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -316,7 +316,7 @@
         item.ticket, on.entry.id, on.entry,
         on.owned ? loaded ? "loaded" : "resident" : "listed",
         required_version(item.target, copy, now), prefix_source(item, on, now),
-        replaced(item.target, copy)});
+        replaced(item.target, copy), notices_.rests_until(on.entry.id)});
     note_send(on, item, std::move(sent), now);
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -228,6 +228,7 @@
         auto& placed = std::get<place_request>(actions_.back());
         placed.prefix_source = prefix_source(item, *worker, now);
         placed.replaced = replaced(item.target, granted.version);
+        placed.rests_until = notices_.rests_until(worker->entry.id);
         sent_item sent;
         sent.worker = worker->entry.id;
         sent.target = item.target;
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -14,6 +14,7 @@
 #include "routing_config.hpp"
 #include "worker_adapters.hpp"
 #include "worker_health.hpp"
+#include "worker_notices.hpp"
 #include "worker_reading.hpp"
 
 #include <array>
@@ -95,6 +96,8 @@
     std::optional<backend_entry> prefix_source = std::nullopt;
     /// Of the copy that it is sent to, where a newer version was declared.
     std::optional<replaced_copy> replaced = std::nullopt;
+    /// Until then the worker wants no requests from this VM.
+    time_point rests_until{};
 };
 
 /// Ask the VM that gives the worker its orders to have the adapter there.
@@ -242,6 +245,12 @@
     void submit(work_item item, time_point now);
     /// The caller is gone or has been answered. Does nothing once sent.
     void withdraw(ticket_id ticket, time_point now);
+    /// The worker wants no requests from this VM until then. Whether it had not
+    /// asked for that before.
+    bool on_rest(worker_id const& worker, time_point until, time_point now)
+    {
+        return notices_.ask_rest(worker, until, now);
+    }
     /// The worker began to answer.
     void first_byte(ticket_id ticket, time_point now);
     /// A request that was sent is over at its worker.
@@ -490,6 +499,7 @@
     std::map<worker_id, vm_id> owners_;
     std::map<worker_id, order_grant> grants_;
     std::map<vm_id, worker_health> peers_;
+    worker_notices notices_;
     adapter_releases releases_;
     std::map<base_model_id, weights_version> declared_weights_;
     registry_moment known_as_of_;
--- /dev/null
+++ b/src/worker_notices.cpp
@@ -0,0 +1,39 @@
+#include "worker_notices.hpp"
+
+#include <algorithm>
+
+namespace mulberry
+{
+namespace
+{
+
+constexpr std::chrono::seconds sweep_interval{10};
+
+} // namespace
+
+bool worker_notices::ask_rest(worker_id const& worker, time_point until,
+                              time_point now)
+{
+    forget_past(now);
+    time_point& known = rests_until_[worker];
+    bool const news = known <= now;
+    known = std::max(known, until);
+    return news;
+}
+
+time_point worker_notices::rests_until(worker_id const& worker) const
+{
+    auto const known = rests_until_.find(worker);
+    return known == rests_until_.end() ? time_point() : known->second;
+}
+
+void worker_notices::forget_past(time_point now)
+{
+    if (now < sweep_at_)
+        return;
+    sweep_at_ = now + sweep_interval;
+    std::erase_if(rests_until_,
+                  [now](auto const& each) { return each.second <= now; });
+}
+
+} // namespace mulberry
