Judge a copied prompt by the version that the request names

In the grace of version 3 a request that names version 2 was told to read its prompt from a worker with version 3, and would have gone on from that memory: an answer of neither version.

Change: the version that the request names is what its worker will run, and is passed on to where sources are judged; where none is named, the listed one counts as before.

--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -158,16 +158,17 @@
 
 std::optional<backend_entry>
 service_scheduler::prefix_source(work_item const& item, worker_state const& on,
-                                 time_point now)
+                                 adapter_version named, time_point now)
 {
     worker_state const* source = prefix_home(item, now);
     if (source == nullptr || source == &on)
         return std::nullopt;
     weights_version const newest = newest_weights(item.target->model);
-    copy_verdict verdict = judge_source(*source, on, *item.target, newest, now);
+    copy_verdict verdict =
+        judge_source(*source, on, *item.target, named, newest, now);
     if (verdict == copy_verdict::weights_differ)
     {
-        source = home_beside(item, on, newest, now);
+        source = home_beside(item, on, named, newest, now);
         if (source == &on)
             return std::nullopt;
         if (source != nullptr)
@@ -184,7 +185,8 @@
 /// memory is of use there.
 service_scheduler::worker_state const*
 service_scheduler::home_beside(work_item const& item, worker_state const& on,
-                               weights_version newest, time_point now) const
+                               adapter_version named, weights_version newest,
+                               time_point now) const
 {
     worker_state const* first = nullptr;
     std::uint64_t highest = 0;
@@ -193,7 +195,7 @@
         auto const rank = prefix_rank(item, *worker, now);
         if (!rank || (first != nullptr && *rank <= highest) ||
             (worker.get() != &on &&
-             judge_source(*worker, on, *item.target, newest, now) !=
+             judge_source(*worker, on, *item.target, named, newest, now) !=
                  copy_verdict::allowed))
             continue;
         highest = *rank;
@@ -205,16 +207,15 @@
 copy_verdict service_scheduler::judge_source(worker_state const& source,
                                              worker_state const& reader,
                                              model_target const& target,
+                                             adapter_version named,
                                              weights_version newest_weights,
                                              time_point now) const
 {
     served_versions const from = versions_at(source, target);
     served_versions to = versions_at(reader, target);
     // The worker refuses a request that names a version which it lacks.
-    if (!target.adapter.empty())
-        to.adapter = std::max(
-            to.adapter,
-            required_version(target, believed_version(reader, target), now));
+    if (named != adapter_version())
+        to.adapter = named;
     newest_versions const newest{
         newest_weights,
         std::max({newest_of(target), from.adapter, to.adapter})};
@@ -312,11 +313,12 @@
                 : counts_.placed_elsewhere);
     adapter_version const copy =
         item.target ? believed_version(on, *item.target) : adapter_version();
+    adapter_version const named = required_version(item.target, copy, now);
     actions_.push_back(place_request{
         item.ticket, on.entry.id, on.entry,
-        on.owned ? loaded ? "loaded" : "resident" : "listed",
-        required_version(item.target, copy, now), prefix_source(item, on, now),
-        replaced(item.target, copy), notices_.rests_until(on.entry.id)});
+        on.owned ? loaded ? "loaded" : "resident" : "listed", named,
+        prefix_source(item, on, named, now), replaced(item.target, copy),
+        notices_.rests_until(on.entry.id)});
     note_send(on, item, std::move(sent), now);
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -226,7 +226,8 @@
             item.ticket, worker->entry.id, worker->entry, "granted",
             required_version(item.target, granted.version, now)});
         auto& placed = std::get<place_request>(actions_.back());
-        placed.prefix_source = prefix_source(item, *worker, now);
+        placed.prefix_source =
+            prefix_source(item, *worker, placed.version, now);
         placed.replaced = replaced(item.target, granted.version);
         placed.rests_until = notices_.rests_until(worker->entry.id);
         sent_item sent;
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -436,16 +436,19 @@
     /// beginning of a prompt go to first; null if there is none.
     worker_state const* prefix_home(work_item const& item,
                                     time_point now) const;
+    /// `named`: the version that the request names; 0 where it names none.
     std::optional<backend_entry> prefix_source(work_item const& item,
                                                worker_state const& on,
+                                               adapter_version named,
                                                time_point now);
     worker_state const* home_beside(work_item const& item,
                                     worker_state const& on,
+                                    adapter_version named,
                                     weights_version newest,
                                     time_point now) const;
     copy_verdict judge_source(worker_state const& source,
                               worker_state const& reader,
-                              model_target const& target,
+                              model_target const& target, adapter_version named,
                               weights_version newest_weights,
                               time_point now) const;
     served_versions versions_at(worker_state const& worker,
--- a/tests/service_version_test.cpp
+++ b/tests/service_version_test.cpp
@@ -120,4 +120,39 @@
     CHECK(used(3));
 }
 
+// Guards against memory of a newer version's that an older one goes on from.
+TEST_CASE("a granted older copy does not read a newer one's prompt",
+          "[scheduler]")
+{
+    for (std::uint64_t key = 1; key < 9; ++key)
+    {
+        scheduler_world world(2);
+        worker_id const theirs = scheduler_world::name(0);
+        worker_id const ours = scheduler_world::name(1);
+        world.grants.erase(theirs);
+        world.scheduler.set_grants(world.grants);
+        world.scheduler.set_owners({{theirs, vm_id("vm-2")}});
+        world.scheduler.on_release(target, adapter_version(2), world.now);
+        world.run(3s);
+        world.scheduler.on_release(target, adapter_version(3), world.now);
+        work_item at_ours;
+        at_ours.excluded = {theirs};
+        ticket_id const newer = world.submit(at_ours, "a1");
+        world.run(400ms);
+        REQUIRE(world.placed(newer));
+        work_item at_theirs;
+        at_theirs.prompt_tokens = 2000;
+        at_theirs.prefix = {key, 1900};
+        at_theirs.excluded = {ours};
+        ticket_id const older = world.submit(at_theirs, "a1");
+        world.run(5ms);
+        REQUIRE(world.scheduler.on_owner(older, ask_outcome::granted,
+                                         {theirs, adapter_version(2)},
+                                         world.now));
+        world.run(0ms);
+        REQUIRE(world.version_of(older) == adapter_version(2));
+        CHECK(world.prefix_source(older).id.empty());
+    }
+}
+
 } // namespace mulberry::test
