Log a send to a replaced version also where it names one

Since a request names the version of its copy in the grace of a further one, such sends were neither logged nor counted: the line was written only for requests that name none. The line tells which one is named.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -168,6 +168,7 @@
         .add("worker", placed.worker.str())
         .add("decided", placed.reason)
         .add("copy", copy.version.value())
+        .add("named", placed.version.value())
         .add("newest", copy.newest.value())
         .add("replaced_ms_ago", at - copy.replaced_at)
         .add("newest_ms_ago", at - copy.newest_heard_at);
@@ -511,7 +512,7 @@
         waits_.add(now() - exchange->terms().arrived_at);
     if (placed.prefix_source)
         note_copy(*exchange, placed);
-    if (placed.replaced && placed.version == adapter_version())
+    if (placed.replaced && placed.version != placed.replaced->newest)
         note_replaced(*exchange, placed);
     if (placed.rests_until > now())
         note_rest(*exchange, placed);
