Ask how far a load is under the version that it was ordered with

A load that names version 2 is on its way as version 3 is declared, and its answer comes after that. The next question how far it is named version 3; the worker takes that for another order, accepts and counts it, the two orders after it conflict, and the VM loses track of the worker for 0.4 s and longer.

The version of the order that was accepted is kept. The new case failed in its last check (version 3 for 2) and passes.

--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -529,7 +529,7 @@
     ++(warm ? warm_loads_ : cold_loads_);
     remember(target);
     state.stage = adapter_stage::loading;
-    state.ordered = state.newest;
+    state.ordered = order.version;
     state.ordered_at = now;
     state.cold = !warm;
     state.due = now + (warm ? settings_.warm_load : fetch_time_);
--- a/tests/worker_adapters_test.cpp
+++ b/tests/worker_adapters_test.cpp
@@ -228,3 +228,31 @@
     CHECK(load->kind == order_kind::load);
     CHECK(load->expected_sequence == unload->expected_sequence + 1);
 }
+
+// Guards against a question for a version that was declared after the order.
+TEST_CASE("a load on its way is asked about under the version it names",
+          "[worker_adapters]")
+{
+    worker_adapters adapters({});
+    time_point now{std::chrono::hours(1)};
+    adapters.grant(vm_id("vm"), fencing_number(1), now);
+    worker_report report;
+    report.models[model] = {};
+    adapters.on_report(report, now);
+    adapters.want(target("a1"), adapter_version(2), now);
+    adapters.begin_wait(target("a1"));
+    auto const next = [&]
+    {
+        return adapters.next_order(
+            worker, [](model_target const&) { return 0.0; }, now);
+    };
+    auto const load = next();
+    REQUIRE(load);
+    REQUIRE(load->version == adapter_version(2));
+    adapters.outdate(target("a1"), adapter_version(3));
+    adapters.on_outcome(order_outcome::accepted, now);
+    now += 300ms;
+    auto const question = next();
+    REQUIRE(question);
+    CHECK(question->version == adapter_version(2));
+}
