Leave a worker alone for as long as it asks this VM for rest

Cause: the time was read nowhere. A 503 kept a worker from new requests for 60 ms, in that VM's choice of a worker; a grant by its owner passed even that by, and a worker that was listed anew began without it. Class: a back end's own word on its load is replaced by a guess of ours, kept where only some of the paths to it look.

Change: what workers ask for is kept by id (worker_notices) in the scheduler of their service, where every request of the VM is placed: first sends, repeats, streams that are resumed, plain calls, grants of other VMs. An owner is told which workers asked this VM for rest, and its grant for one is given back. Orders and questions for reports wait too. Where all workers rest, the caller is refused at once with the time until the first takes requests again, or waits if that is within 250 ms; the same time is told when a request's repeats are used up. Requests of other VMs may use a copy at a worker that asked this VM only.

`sent within rest` is gone: nothing is placed within a rest any more, so that the line could not be written.

Ruled out: requests that were on their way; the failing cases count from half a second after the answer.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -193,23 +193,6 @@
                  at);
 }
 
-/// Tells a request that was placed at a worker in spite of its rest from one
-/// that was on its way there.
-void relay::note_rest(relay_exchange const& exchange,
-                      place_request const& placed)
-{
-    ++counts_.sent_within_rest;
-    time_point const at = now();
-    log_.notable("sent within rest",
-                 log_fields()
-                     .add("request", exchange.request().id.str())
-                     .add("worker", placed.worker.str())
-                     .add("decided", placed.reason)
-                     .add("sends", exchange.sends())
-                     .add("rest_left_ms", placed.rests_until - at),
-                 at);
-}
-
 void relay::set_backends(std::vector<backend_entry> entries)
 {
     for (backend_entry const& entry : entries)
@@ -368,6 +351,12 @@
     return service->second.scheduler.patience(exchange.worker());
 }
 
+duration relay::rest_left(relay_exchange const& exchange) const
+{
+    auto const service = services_.find(exchange.terms().service);
+    return service->second.scheduler.rest_left(now());
+}
+
 bool relay::take_retry(relay_exchange const& exchange)
 {
     bool const taken =
@@ -514,8 +503,7 @@
         note_copy(*exchange, placed);
     if (placed.replaced && placed.version != placed.replaced->newest)
         note_replaced(*exchange, placed);
-    if (placed.rests_until > now())
-        note_rest(*exchange, placed);
+
     exchange->on_placed(placed);
 }
 
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -65,8 +65,7 @@
     std::uint64_t sent_to_replaced = 0;
     /// Times that a worker asked for rest.
     std::uint64_t rests = 0;
-    /// Sends to a worker within it.
-    std::uint64_t sent_within_rest = 0;
+
     std::uint64_t orders = 0;
     std::uint64_t orders_unknown = 0;
     std::uint64_t orders_conflict = 0;
@@ -141,6 +140,7 @@
                         time_point until) override;
     void broke_off(relay_exchange const& exchange) override;
     duration patience(relay_exchange const& exchange) const override;
+    duration rest_left(relay_exchange const& exchange) const override;
     bool take_retry(relay_exchange const& exchange) override;
     void wake_at(relay_exchange& exchange, time_point when) override;
     void note(relay_exchange const& exchange, std::string_view event,
@@ -238,7 +238,7 @@
     void note_copy(relay_exchange const& exchange, place_request const& placed);
     void note_replaced(relay_exchange const& exchange,
                        place_request const& placed);
-    void note_rest(relay_exchange const& exchange, place_request const& placed);
+
     void share_backends();
     void run_soon();
     void run();
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -341,8 +341,8 @@
     if (sends_ < most_sends && host_.take_retry(*this))
         return resubmit("rejected by the worker");
     stage_ = stage::waiting;
-    on_refused(
-        error(error_kind::overloaded, "workers rejected it", ran::no, soon));
+    on_refused(error(error_kind::overloaded, "workers rejected it", ran::no,
+                     std::max<duration>(soon, host_.rest_left(*this))));
 }
 
 void relay_exchange::finish_answer()
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -32,7 +32,7 @@
     add("retries_total", "", counts_.retries);
     add("sent_to_replaced_version_total", "", counts_.sent_to_replaced);
     add("worker_rests_total", "", counts_.rests);
-    add("sent_within_rest_total", "", counts_.sent_within_rest);
+
     add("orders_total", "", counts_.orders);
     add("orders_unknown_total", "", counts_.orders_unknown);
     add("orders_conflict_total", "", counts_.orders_conflict);
--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -95,11 +95,26 @@
                                work_item const& item, time_point now) const
 {
     if (worker.entry.draining || item.excluded.count(worker.entry.id) > 0 ||
-        worker.health.full(now) || taken(worker) >= limit_of(worker))
+        rests_for(worker, item, now) || worker.health.full(now) ||
+        taken(worker) >= limit_of(worker))
         return false;
     return !worker.health.avoided(now) || worker.health.may_probe(now);
 }
 
+bool service_scheduler::rests(worker_state const& worker, time_point now) const
+{
+    return notices_.rests(worker.entry.id, now);
+}
+
+/// A request that another VM sends is that VM's matter: it names the workers
+/// that asked it for rest, and those that asked this one may be well disposed
+/// to it.
+bool service_scheduler::rests_for(worker_state const& worker,
+                                  work_item const& item, time_point now) const
+{
+    return !item.asked_for && rests(worker, now);
+}
+
 bool service_scheduler::ready_at(worker_state const& worker,
                                  work_item const& item, time_point now) const
 {
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -37,6 +37,9 @@
 /// a fetch of its adapter takes; the workers of a VM that is lost have no owner
 /// for much longer, and nobody waits for these.
 constexpr milliseconds owner_wait{250};
+/// Where all workers rest, a caller is told to come back unless the first of
+/// them takes requests again within this.
+constexpr milliseconds longest_rest_wait{250};
 
 } // namespace
 
@@ -98,6 +101,9 @@
     if (worker.entry.draining || waiting.item.excluded.count(id) > 0 ||
         refused_by(id, waiting, now) || sick(worker, now))
         return false;
+    // A load would need orders of this VM, or a request of it.
+    if (rests(worker, now))
+        return false;
     // Another VM's worker may be asked for now and then though this VM could
     // not reach it: its owner says no if it cannot either.
     if (worker.health.avoided(now) &&
@@ -317,8 +323,7 @@
     actions_.push_back(place_request{
         item.ticket, on.entry.id, on.entry,
         on.owned ? loaded ? "loaded" : "resident" : "listed", named,
-        prefix_source(item, on, named, now), replaced(item.target, copy),
-        notices_.rests_until(on.entry.id)});
+        prefix_source(item, on, named, now), replaced(item.target, copy)});
     note_send(on, item, std::move(sent), now);
 }
 
@@ -328,6 +333,8 @@
 {
     if (waiting.item.asked_for)
         return decide_asked(waiting, now);
+    if (auto const until = all_rest_until(waiting.item, now))
+        return wait_for_rest(waiting, *until, now);
     if (waiting.item.target && !waiting.item.target->adapter.empty())
         return decide_adapter(waiting, key, now);
     if (worker_state* const holder = best_holder(waiting, now))
@@ -345,6 +352,35 @@
     return all_tried ? verdict::hopeless : verdict::waits;
 }
 
+/// When the first of the workers that the request may go to is over its rest;
+/// nothing unless all of them rest.
+std::optional<time_point>
+service_scheduler::all_rest_until(work_item const& item, time_point now) const
+{
+    std::optional<time_point> first;
+    for (auto const& [id, worker] : workers_)
+    {
+        if (worker->entry.draining || item.excluded.count(id) > 0)
+            continue;
+        if (!rests(*worker, now))
+            return std::nullopt;
+        time_point const until = notices_.rests_until(id);
+        first = std::min(first.value_or(until), until);
+    }
+    return first;
+}
+
+service_scheduler::verdict
+service_scheduler::wait_for_rest(waiting_item& waiting, time_point until,
+                                 time_point now)
+{
+    leave_wait(waiting);
+    if (until > now + duration(longest_rest_wait))
+        return verdict::hopeless;
+    waiting.review_at = until;
+    return verdict::waits;
+}
+
 /// Another VM's request for one worker of this one's. Load it answers: an owner
 /// has several workers and the one that was asked for is full, fails or leaves.
 /// The others are as good; a no stands for all of them, so that nobody asks the
@@ -476,8 +512,9 @@
                                         time_point now) const
 {
     return worker.adapters.stage(*waiting.item.target) &&
-           !worker.entry.draining && !worker.health.avoided(now) &&
-           !sick(worker, now) && worth_waiting(worker, waiting.item, now);
+           !worker.entry.draining && !rests(worker, now) &&
+           !worker.health.avoided(now) && !sick(worker, now) &&
+           worth_waiting(worker, waiting.item, now);
 }
 
 service_scheduler::verdict
@@ -527,6 +564,7 @@
                     {
                         return each.second->owned &&
                                !each.second->entry.draining &&
+                               !rests(*each.second, now) &&
                                each.second->adapters.may_order(now) &&
                                !each.second->health.avoided(now) &&
                                waiting.item.excluded.count(each.first) == 0;
@@ -547,6 +585,7 @@
                        {
                            worker_state const& worker = *each.second;
                            return !worker.owned && !worker.entry.draining &&
+                                  !rests(worker, now) &&
                                   owners_.count(each.first) == 0 &&
                                   waiting.item.excluded.count(each.first) ==
                                       0 &&
@@ -562,6 +601,7 @@
                        {
                            return refused_by(each.first, waiting, now) &&
                                   !each.second->entry.draining &&
+                                  !rests(*each.second, now) &&
                                   has_reachable_owner(*each.second, now);
                        });
 }
@@ -582,8 +622,12 @@
     time_point const elsewhere = first_ask && best.next_delay != duration::max()
                                      ? now + best.next_delay
                                      : never;
+    std::set<worker_id> excluded = item.excluded;
+    for (auto const& [id, each] : workers_)
+        if (rests(*each, now))
+            excluded.insert(id);
     actions_.push_back(ask_owner{item.ticket, owner, worker, *item.target,
-                                 item.priority, item.give_up_at, item.excluded,
+                                 item.priority, item.give_up_at, excluded,
                                  item.prompt_tokens, item.prefix,
                                  item.objective_at, elsewhere});
     asked_.insert_or_assign(item.ticket,
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -216,7 +216,7 @@
         granted.version < releases_.oldest_allowed(*item.target, now);
     bool const usable_grant = outcome == ask_outcome::granted &&
                               worker != nullptr && !worker->entry.draining &&
-                              !too_old;
+                              !rests(*worker, now) && !too_old;
     if (usable_grant)
     {
         ++counts_.placed_granted;
@@ -229,7 +229,7 @@
         placed.prefix_source =
             prefix_source(item, *worker, placed.version, now);
         placed.replaced = replaced(item.target, granted.version);
-        placed.rests_until = notices_.rests_until(worker->entry.id);
+
         sent_item sent;
         sent.worker = worker->entry.id;
         sent.target = item.target;
@@ -255,11 +255,12 @@
 }
 
 /// Little's law over what this VM's workers run at a time.
-duration service_scheduler::expected_wait(std::size_t ahead) const
+duration service_scheduler::expected_wait(std::size_t ahead,
+                                          time_point now) const
 {
     std::size_t room = 0;
     for (auto const& [id, worker] : workers_)
-        if (!worker->entry.draining)
+        if (!worker->entry.draining && !rests(*worker, now))
             room += limit_of(*worker);
     if (room == 0)
         return longest_retry;
@@ -271,12 +272,29 @@
                                  time_point now) const
 {
     auto const left = waiting.item.give_up_at - now;
-    return double(expected_wait(ahead).count()) >
+    return double(expected_wait(ahead, now).count()) >
                wait_share * double(left.count()) ||
            now - waiting.item.arrived_at >
                (waiting.item.give_up_at - waiting.item.arrived_at) / 2;
 }
 
+duration service_scheduler::rest_left(time_point now) const
+{
+    std::optional<time_point> const until = all_rest_until(work_item(), now);
+    return until ? *until - now : duration(0);
+}
+
+void service_scheduler::refuse_hopeless(waiting_item const& waiting,
+                                        time_point now)
+{
+    duration const left = rest_left(now);
+    if (left > duration(elsewhere_retry))
+        return refuse(waiting, error_kind::overloaded, left,
+                      "all workers want rest", now);
+    refuse(waiting, error_kind::back_end_unavailable, elsewhere_retry,
+           "no worker can serve it here", now);
+}
+
 /// Load it answers: more arrives than the workers can run, for seconds. The
 /// most urgent first, within a rank the oldest; whoever cannot be served in
 /// time is told so at once, with the time after which the queue that there is
@@ -308,8 +326,7 @@
         }
         if (decided == verdict::hopeless)
         {
-            refuse(waiting, error_kind::back_end_unavailable, elsewhere_retry,
-                   "no worker can serve it here", now);
+            refuse_hopeless(waiting, now);
             done.push_back(key);
             continue;
         }
@@ -319,7 +336,7 @@
         if (ahead > settings_.max_waiting || too_late(waiting, ahead, now))
         {
             refuse(waiting, error_kind::overloaded,
-                   std::clamp<duration>(expected_wait(ahead), least_retry,
+                   std::clamp<duration>(expected_wait(ahead, now), least_retry,
                                         longest_retry),
                    "the queue is too long for its deadline", now);
             done.push_back(key);
@@ -371,7 +388,7 @@
     {
         if (now >= worker->entry_lapses_at)
             forget_life_before(*worker);
-        if (!worker->owned)
+        if (!worker->owned || rests(*worker, now))
             continue;
         bool const unsynced = worker->adapters.wants_report(now);
         if (unsynced)
@@ -396,6 +413,7 @@
 
 std::vector<placement_action> service_scheduler::run(time_point now)
 {
+    decided_at_ = now;
     run_queue(now);
     run_workers(now);
     return std::exchange(actions_, {});
@@ -403,11 +421,12 @@
 
 time_point service_scheduler::next_due() const
 {
-    time_point next = never;
+    time_point next = queue_.empty() ? never : notices_.next_end(decided_at_);
     for (auto const& [id, worker] : workers_)
         if (worker->owned)
         {
-            next = std::min(next, worker->adapters.next_due());
+            next = std::min(next, std::max(worker->adapters.next_due(),
+                                           notices_.rests_until(id)));
             if (!worker->held_before.empty())
                 next = std::min(next, worker->entry_lapses_at);
         }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -96,8 +96,6 @@
     std::optional<backend_entry> prefix_source = std::nullopt;
     /// Of the copy that it is sent to, where a newer version was declared.
     std::optional<replaced_copy> replaced = std::nullopt;
-    /// Until then the worker wants no requests from this VM.
-    time_point rests_until{};
 };
 
 /// Ask the VM that gives the worker its orders to have the adapter there.
@@ -270,6 +268,8 @@
 
     scheduler_counts counts() const;
     bool has_backends() const { return !workers_.empty(); }
+    /// Until some worker takes requests of this VM again; 0 while one does.
+    duration rest_left(time_point now) const;
     /// How long a worker may leave a request without a first byte.
     duration patience(worker_id const& worker) const;
 
@@ -376,6 +376,14 @@
                          worker_state const* prefix_home, time_point now) const;
     bool usable(worker_state const& worker, work_item const& item,
                 time_point now) const;
+    /// The worker asked this VM for rest, and it is not over.
+    bool rests(worker_state const& worker, time_point now) const;
+    bool rests_for(worker_state const& worker, work_item const& item,
+                   time_point now) const;
+    std::optional<time_point> all_rest_until(work_item const& item,
+                                             time_point now) const;
+    verdict wait_for_rest(waiting_item& waiting, time_point until,
+                          time_point now);
     /// A worker of this VM that has the adapter and room.
     bool ready_at(worker_state const& worker, work_item const& item,
                   time_point now) const;
@@ -483,8 +491,9 @@
     void place(waiting_item& waiting, worker_state& on, time_point now);
     void refuse(waiting_item const& waiting, error_kind kind,
                 duration retry_after, std::string_view reason, time_point now);
+    void refuse_hopeless(waiting_item const& waiting, time_point now);
     void leave_wait(waiting_item& waiting);
-    duration expected_wait(std::size_t ahead) const;
+    duration expected_wait(std::size_t ahead, time_point now) const;
     bool too_late(waiting_item const& waiting, std::size_t ahead,
                   time_point now) const;
     void run_queue(time_point now);
@@ -512,6 +521,8 @@
     std::vector<placement_action> actions_;
     std::vector<time_point> weight_loads_;
     std::uint64_t last_number_ = 0;
+    /// When run() was called last.
+    time_point decided_at_{};
     std::size_t vms_ = 1;
     reading_pace pace_;
     duration mean_service_ = std::chrono::milliseconds(500);
--- a/src/worker_notices.cpp
+++ b/src/worker_notices.cpp
@@ -27,6 +27,15 @@
     return known == rests_until_.end() ? time_point() : known->second;
 }
 
+time_point worker_notices::next_end(time_point after) const
+{
+    time_point next = never;
+    for (auto const& [worker, until] : rests_until_)
+        if (until > after)
+            next = std::min(next, until);
+    return next;
+}
+
 void worker_notices::forget_past(time_point now)
 {
     if (now < sweep_at_)
--- a/src/worker_notices.hpp
+++ b/src/worker_notices.hpp
@@ -21,6 +21,8 @@
     bool ask_rest(worker_id const& worker, time_point until, time_point now);
     /// In the past, or the epoch, where it wants none.
     time_point rests_until(worker_id const& worker) const;
+    /// The first end of a rest after that moment; `never` if there is none.
+    time_point next_end(time_point after) const;
     bool rests(worker_id const& worker, time_point now) const
     {
         return now < rests_until(worker);
