Remember all lives that a worker's entry may still tell of

Found by the review of the deadlines, beside them: a worker that starts again waits with newer weights until its entry in the registry tells of the start. A second start within that time replaced what the entry says by nothing, the wait was over at once, and newer weights were loaded while other VMs took the worker for a holder of the weights before: prompts could be copied from it that newer weights read.

What was held in the lives before the last one is kept until the entry tells of a start or has lapsed. The new case failed in its second check (one load) and passes.

--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -158,6 +158,8 @@
         backend_entry entry = known->entry;
         entry.started = report->started;
         std::vector<held_model> held_before = std::exchange(entry.models, {});
+        held_before.insert(held_before.end(), known->held_before.begin(),
+                           known->held_before.end());
         begin_life(*known, entry);
         worker_state& begun = *find(worker);
         begun.held_before = std::move(held_before);
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -841,3 +841,38 @@
     world.run(700ms);
     CHECK(world.placed(after));
 }
+
+// Guards against a worker that starts twice before its entry tells of a start.
+TEST_CASE("a second start waits for the entry as the first did", "[scheduler]")
+{
+    scheduler_world world(1);
+    worker_id const worker = scheduler_world::name(0);
+    world.lives[worker] = worker_start(1);
+    world.list_all();
+    world.declarations_age = 10s;
+    world.scheduler.on_release({base_model_id("base"), {}}, adapter_version(2),
+                               world.now);
+    worker_report begun;
+    auto const model_loads = [&](duration span)
+    {
+        std::size_t loads = 0;
+        for (time_point const until = world.now + span; world.now < until;
+             world.now += 5ms)
+        {
+            world.scheduler.set_registry_moment(
+                {world.now - world.declarations_age, world.now});
+            for (placement_action const& each : world.scheduler.run(world.now))
+                if (auto const* order = std::get_if<give_order>(&each))
+                    loads += order->order.adapter.empty();
+                else if (std::holds_alternative<ask_report>(each))
+                    world.scheduler.on_report(worker, begun, world.now);
+        }
+        return loads;
+    };
+    for (std::uint64_t const start : {2U, 3U})
+    {
+        begun.started = worker_start(start);
+        world.scheduler.on_report(worker, begun, world.now);
+        CHECK(model_loads(1s) == 0);
+    }
+}
