Take a worker's own word that it leaves

Seen in tests, from the users' new rule: a worker that says in its answers that it leaves went on to get every request that it would have got before, for as long as the registry listed it as ready: all 50 that clients sent 2 s to 3.5 s after such an answer had been passed on.

Cause: the field was read nowhere; only the registry's list tells that a worker leaves, seconds late, and of some workers never. Class: as with rests, a back end's own word is passed over for what another source says later.

Change: an answer that says so marks the worker as draining at this VM, for the life that said it and by its id (worker_notices), whatever is listed later: an entry that says ready, lapses or comes back changes nothing, a later start begins anew. It is remembered for ten minutes.

Left: answers to orders and reports say it too and are not looked at, so that an owner without callers' requests hears of it from the registry.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -177,6 +177,21 @@
     log_.notable("sent to replaced version", fields, at);
 }
 
+void relay::said_leaving(relay_exchange const& exchange)
+{
+    backend_entry const& worker = exchange.worker_entry();
+    if (!find(exchange.terms().service)->scheduler.on_leaving(worker, now()))
+        return;
+    ++counts_.leaving_heard;
+    log_.notable("worker says it leaves",
+                 log_fields()
+                     .add("request", exchange.request().id.str())
+                     .add("worker", worker.id.str())
+                     .add("service", worker.service.str()),
+                 now());
+    run_soon();
+}
+
 void relay::asked_for_rest(relay_exchange const& exchange, time_point until)
 {
     time_point const at = now();
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -63,6 +63,8 @@
     std::uint64_t retries = 0;
     /// Sends that may begin on a version that is not the newest.
     std::uint64_t sent_to_replaced = 0;
+    /// Workers that said that they leave before the registry listed it.
+    std::uint64_t leaving_heard = 0;
     /// Times that a worker asked for rest.
     std::uint64_t rests = 0;
 
@@ -136,6 +138,7 @@
     void first_byte(relay_exchange& exchange) override;
     void stream_went_on(duration gap) override { stream_gaps_.add(gap); }
     void send_ended(relay_exchange& exchange, send_outcome outcome) override;
+    void said_leaving(relay_exchange const& exchange) override;
     void asked_for_rest(relay_exchange const& exchange,
                         time_point until) override;
     void broke_off(relay_exchange const& exchange) override;
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -47,6 +47,8 @@
     virtual void stream_went_on(duration gap) = 0;
     /// The send to the worker is over.
     virtual void send_ended(relay_exchange& exchange, send_outcome outcome) = 0;
+    /// The worker said that it leaves.
+    virtual void said_leaving(relay_exchange const& exchange) = 0;
     /// The worker turned the request away, and wants none from this VM until
     /// then.
     virtual void asked_for_rest(relay_exchange const& exchange,
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -31,6 +31,7 @@
     rejected("allotment_unknown", counts_.allotment_unknown);
     add("retries_total", "", counts_.retries);
     add("sent_to_replaced_version_total", "", counts_.sent_to_replaced);
+    add("workers_leaving_heard_total", "", counts_.leaving_heard);
     add("worker_rests_total", "", counts_.rests);
 
     add("orders_total", "", counts_.orders);
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -149,6 +149,8 @@
     bool encoded = false;
     /// It turned the request away, and wants none from this VM for so long.
     std::optional<duration> rest;
+    /// It leaves, whatever the registry lists.
+    bool leaving = false;
 };
 
 /// An order about an adapter or a model of a worker.
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -624,7 +624,7 @@
                                      : never;
     std::set<worker_id> excluded = item.excluded;
     for (auto const& [id, each] : workers_)
-        if (rests(*each, now))
+        if (each->entry.draining || rests(*each, now))
             excluded.insert(id);
     actions_.push_back(ask_owner{item.ticket, owner, worker, *item.target,
                                  item.priority, item.give_up_at, excluded,
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -243,6 +243,9 @@
     void submit(work_item item, time_point now);
     /// The caller is gone or has been answered. Does nothing once sent.
     void withdraw(ticket_id ticket, time_point now);
+    /// The worker, in the life of that entry, said that it leaves. Whether this
+    /// VM did not know it.
+    bool on_leaving(backend_entry const& entry, time_point now);
     /// The worker wants no requests from this VM until then. Whether it had not
     /// asked for that before.
     bool on_rest(worker_id const& worker, time_point until, time_point now)
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -35,13 +35,29 @@
             waiting.loads_at = {};
 }
 
+/// Failure: a worker that leaves is listed as ready for seconds more, or never
+/// as leaving, and requests go on to it until it is gone. Its own word counts
+/// for this life, whatever is listed later.
+bool service_scheduler::on_leaving(backend_entry const& entry, time_point now)
+{
+    notices_.leave(entry.id, entry.started, now);
+    worker_state* const known = find(entry.id);
+    if (known == nullptr || known->entry.draining ||
+        !notices_.leaves(entry.id, known->entry.started))
+        return false;
+    known->entry.draining = true;
+    return true;
+}
+
 void service_scheduler::add_worker(backend_entry const& entry)
 {
     worker_adapters_settings shelf;
     shelf.adapter_slots = config_.engine ? config_.engine->adapter_slots : 0;
     auto const made = workers_.emplace(
         entry.id, std::make_unique<worker_state>(entry, shelf));
-    remember_listed(*made.first->second);
+    worker_state& added = *made.first->second;
+    added.entry.draining |= notices_.leaves(entry.id, entry.started);
+    remember_listed(added);
 }
 
 /// An entry that does not say when the worker started is of the life that is
@@ -60,6 +76,8 @@
     known.entry = entry;
     if (!told)
         known.entry.started = before;
+    known.entry.draining |=
+        notices_.leaves(known.entry.id, known.entry.started);
     remember_listed(known);
 }
 
--- a/src/worker_notices.cpp
+++ b/src/worker_notices.cpp
@@ -8,6 +8,8 @@
 {
 
 constexpr std::chrono::seconds sweep_interval{10};
+/// A worker that said that it leaves is gone long before.
+constexpr std::chrono::minutes departure_remembered{10};
 
 } // namespace
 
@@ -36,6 +38,25 @@
     return next;
 }
 
+void worker_notices::leave(worker_id const& worker, worker_start life,
+                           time_point now)
+{
+    forget_past(now);
+    departure& known = leaving_[worker];
+    known.life = std::max(known.life, life);
+    known.forget_at = now + departure_remembered;
+}
+
+bool worker_notices::leaves(worker_id const& worker, worker_start life) const
+{
+    auto const known = leaving_.find(worker);
+    if (known == leaving_.end())
+        return false;
+    bool const told = life != worker_start();
+    return !told || known->second.life == worker_start() ||
+           life <= known->second.life;
+}
+
 void worker_notices::forget_past(time_point now)
 {
     if (now < sweep_at_)
@@ -43,6 +64,8 @@
     sweep_at_ = now + sweep_interval;
     std::erase_if(rests_until_,
                   [now](auto const& each) { return each.second <= now; });
+    std::erase_if(leaving_, [now](auto const& each)
+                  { return each.second.forget_at <= now; });
 }
 
 } // namespace mulberry
--- a/src/worker_notices.hpp
+++ b/src/worker_notices.hpp
@@ -2,6 +2,7 @@
 #ifndef MULBERRY_WORKER_NOTICES_HPP
 #define MULBERRY_WORKER_NOTICES_HPP
 
+#include "backend_entry.hpp"
 #include "ids.hpp"
 #include "time_point.hpp"
 
@@ -28,10 +29,23 @@
         return now < rests_until(worker);
     }
 
+    /// The worker leaves, in the life that began then; the epoch where that is
+    /// not known.
+    void leave(worker_id const& worker, worker_start life, time_point now);
+    /// Whether that life of the worker said that it leaves.
+    bool leaves(worker_id const& worker, worker_start life) const;
+
 private:
+    struct departure
+    {
+        worker_start life;
+        time_point forget_at{};
+    };
+
     void forget_past(time_point now);
 
     std::map<worker_id, time_point> rests_until_;
+    std::map<worker_id, departure> leaving_;
     time_point sweep_at_{};
 };
 
