Withdraw a stream that has not begun on a replaced version in time

Suspected, not seen since the grace is a fifth of the bound: a request that was sent to an old copy in time, or before the new version was heard of, waits at a silent, full or preempting worker and begins on the old version after the bound. The bound was kept at the sending only, with an estimate; a stream that may not be repeated stays at a silent worker until its deadline.

Change: a stream that is sent carries the version that it will begin on and the moment by which it has to begin, three quarters of the bound after the first newer version was heard of; a version that is heard of later sets it for those that were sent. What has not begun by then is taken back: the connection is closed and, where the route allows it, the request is sent to another worker; otherwise the caller is told that the outcome is not known (502). A plain answer has no first byte before its end, so that only streams are withdrawn.

Cases in virtual time for the moment, for a further version, for what has begun and for what is no stream.

--- a/bench/trial_fleet.cpp
+++ b/bench/trial_fleet.cpp
@@ -357,6 +357,9 @@
         return answer(granted->ticket, true, granted->copy);
     if (auto const* given = std::get_if<give_order>(&action))
         return order(index, *given);
+    // No version is declared in a trial.
+    if (std::holds_alternative<withdraw_request>(action))
+        return;
     report(index, std::get<ask_report>(action));
 }
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -91,6 +91,7 @@
     settings.vm = options_.vm;
     settings.domain = options_.domain;
     settings.release_grace = options_.release_grace;
+    settings.release_begin = options_.release_begin;
     auto const made =
         services_.try_emplace(config.name, settings, config, options_.retries)
             .first;
@@ -287,6 +288,7 @@
         item.prefix = prefix_of(exchange.request().prompt);
     }
     item.priority = terms.priority;
+    item.streams = terms.matched->repeats == repeat_rule::stream;
     item.arrived_at = terms.arrived_at;
     item.give_up_at = terms.give_up_at;
     item.objective_at = terms.arrived_at + terms.matched->latency_objective;
@@ -544,6 +546,16 @@
                                           std::string(refused->reason), ran::no,
                                           spread(refused->retry_after)));
     }
+    if (auto const* late = std::get_if<withdraw_request>(&action))
+    {
+        if (auto const found = exchanges_.find(late->ticket);
+            found != exchanges_.end())
+        {
+            auto const exchange = found->second;
+            exchange->on_withdrawn();
+        }
+        return;
+    }
     if (auto const* ask = std::get_if<ask_owner>(&action))
         return send_ask(service, *ask);
     if (auto const* granted = std::get_if<grant_ask>(&action))
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -36,6 +36,7 @@
     retry_limits retries;
     /// How long an older version of an adapter may be used.
     duration release_grace = std::chrono::milliseconds(2000);
+    duration release_begin = std::chrono::milliseconds(7500);
     /// Orders are sent only while this holds, asked right before each.
     std::function<bool(worker_id const&)> may_order;
     /// As of when configuration, versions and workers are known; asked before
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -69,6 +69,9 @@
 /// for hearing of the version, a second at most, and for such a wait; the new
 /// copy is there after a quarter of a second.
 constexpr int grace_share = 5;
+/// By so many quarters of that bound a request has begun that was sent to an
+/// older version; what is left is for hearing of the new one.
+constexpr int begin_quarters = 3;
 /// Callers keep connections as long as the operator's limits say; nothing is
 /// gained by closing sooner.
 constexpr std::chrono::seconds idle_timeout{60};
@@ -221,6 +224,7 @@
     options.domain = value.domain;
     options.retries = value.retries;
     options.release_grace = value.release_bound / grace_share;
+    options.release_begin = value.release_bound / 4 * begin_quarters;
     options.may_order = std::move(may_order);
     options.seed = seed;
     return options;
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -216,6 +216,12 @@
                relay_outcome::failed, "deadline");
 }
 
+void relay_exchange::on_withdrawn()
+{
+    if (stage_ == stage::sent)
+        recover(send_outcome::silent, "its version was replaced");
+}
+
 void relay_exchange::on_caller_gone()
 {
     if (stage_ == stage::over)
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -101,6 +101,8 @@
     void on_placed(place_request const& placed);
     void on_refused(error const& why);
     void on_due();
+    /// It may not begin at its worker any more.
+    void on_withdrawn();
     void on_caller_gone();
 
     exchange_terms const& terms() const { return terms_; }
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -324,6 +324,7 @@
         item.ticket, on.entry.id, on.entry,
         on.owned ? loaded ? "loaded" : "resident" : "listed", named,
         prefix_source(item, on, named, now), replaced(item.target, copy)});
+    sent.copy = std::max(named, copy);
     note_send(on, item, std::move(sent), now);
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -233,6 +233,7 @@
         sent_item sent;
         sent.worker = worker->entry.id;
         sent.target = item.target;
+        sent.copy = std::max(placed.version, granted.version);
         note_send(*worker, item, std::move(sent), now);
         return true;
     }
@@ -250,10 +251,43 @@
     sent.prompt_tokens = item.prompt_tokens;
     worker.reading.add(pace_.time_for(item.prompt_tokens), now);
     sent.expected_at = worker.reading.until();
+    sent.streams = item.streams;
+    if (item.target)
+        limit_begin(sent, releases_.replaced_at(*item.target, sent.copy));
     worker.health.sent(now, worker.reading.ahead(now));
     sent_.emplace(item.ticket, std::move(sent));
 }
 
+void service_scheduler::limit_begin(sent_item& sent, time_point heard_at)
+{
+    if (heard_at == never || sent.begun || sent.by_peer || !sent.streams)
+        return;
+    sent.begin_by = std::min(sent.begin_by, heard_at + settings_.release_begin);
+    begin_by_ = std::min(begin_by_, sent.begin_by);
+}
+
+/// Failure: a request is sent to an old copy in time, or before the new version
+/// was heard of, and waits at a worker that is silent or full for longer than
+/// was expected; it begins on the old version after the bound.
+void service_scheduler::withdraw_unbegun(time_point now)
+{
+    if (now < begin_by_)
+        return;
+    begin_by_ = never;
+    for (auto& [ticket, sent] : sent_)
+    {
+        if (sent.begun || sent.begin_by == never)
+            continue;
+        if (sent.begin_by > now)
+        {
+            begin_by_ = std::min(begin_by_, sent.begin_by);
+            continue;
+        }
+        sent.begin_by = never;
+        actions_.push_back(withdraw_request{ticket});
+    }
+}
+
 /// Little's law over what this VM's workers run at a time.
 duration service_scheduler::expected_wait(std::size_t ahead,
                                           time_point now) const
@@ -414,6 +448,7 @@
 std::vector<placement_action> service_scheduler::run(time_point now)
 {
     decided_at_ = now;
+    withdraw_unbegun(now);
     run_queue(now);
     run_workers(now);
     return std::exchange(actions_, {});
@@ -421,7 +456,9 @@
 
 time_point service_scheduler::next_due() const
 {
-    time_point next = queue_.empty() ? never : notices_.next_end(decided_at_);
+    time_point next = begin_by_;
+    if (!queue_.empty())
+        next = std::min(next, notices_.next_end(decided_at_));
     for (auto const& [id, worker] : workers_)
         if (worker->owned)
         {
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -53,6 +53,8 @@
     shared_prefix prefix;
     /// Workers that are not to be used: tried before.
     std::set<worker_id> excluded;
+    /// Its answer is a stream, whose first byte shows that it has begun.
+    bool streams = false;
     /// Another VM asks for room at that worker; the request itself is there.
     std::optional<worker_id> asked_for = std::nullopt;
     /// That VM knows of another worker where it would begin by then.
@@ -137,6 +139,13 @@
     double load = 1;
 };
 
+/// Take the request back from its worker: it has not begun, and may not begin
+/// there any more.
+struct withdraw_request
+{
+    ticket_id ticket;
+};
+
 /// Send the order now.
 struct give_order
 {
@@ -151,8 +160,9 @@
     backend_entry entry;
 };
 
-using placement_action = std::variant<place_request, ask_owner, grant_ask,
-                                      refuse_request, give_order, ask_report>;
+using placement_action =
+    std::variant<place_request, ask_owner, grant_ask, refuse_request,
+                 withdraw_request, give_order, ask_report>;
 
 /// What became of a question to another VM.
 enum class ask_outcome
@@ -180,6 +190,8 @@
     std::size_t max_waiting = 512;
     /// How long an older copy may be used after a newer version was heard of.
     duration release_grace = std::chrono::milliseconds(2000);
+    /// How long after that a request that was sent to one may begin.
+    duration release_begin = std::chrono::milliseconds(7500);
 };
 
 /// Why a scheduler decided so, summed up for metrics. Value.
@@ -341,6 +353,11 @@
         std::uint32_t prompt_tokens = 0;
         /// When it was to begin, as of its sending.
         time_point expected_at{};
+        bool streams = false;
+        /// The version that it will begin on; 0 where that is not known.
+        adapter_version copy;
+        /// It is withdrawn if it has not begun by then.
+        time_point begin_by = never;
     };
     enum class verdict
     {
@@ -499,6 +516,9 @@
     duration expected_wait(std::size_t ahead, time_point now) const;
     bool too_late(waiting_item const& waiting, std::size_t ahead,
                   time_point now) const;
+    /// A newer version than the request's was heard of then.
+    void limit_begin(sent_item& sent, time_point heard_at);
+    void withdraw_unbegun(time_point now);
     void run_queue(time_point now);
     void run_workers(time_point now);
     void want_model(worker_state& worker, time_point now);
@@ -526,6 +546,8 @@
     std::uint64_t last_number_ = 0;
     /// When run() was called last.
     time_point decided_at_{};
+    /// The first moment by which a request that was sent has to begin.
+    time_point begin_by_ = never;
     std::size_t vms_ = 1;
     reading_pace pace_;
     duration mean_service_ = std::chrono::milliseconds(500);
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -160,6 +160,9 @@
         return;
     for (auto& [id, worker] : workers_)
         worker->adapters.outdate(target, version);
+    for (auto& [ticket, sent] : sent_)
+        if (sent.target == target && sent.copy < version)
+            limit_begin(sent, heard_at);
 }
 
 void service_scheduler::on_report(worker_id const& worker,
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -242,6 +242,8 @@
         granted_.emplace(granted->ticket, granted->copy);
     else if (auto const* refused = std::get_if<refuse_request>(&action))
         refused_.emplace(refused->ticket, *refused);
+    else if (auto const* late = std::get_if<withdraw_request>(&action))
+        withdrawn_.insert(late->ticket);
     else if (auto const* ask = std::get_if<ask_owner>(&action))
         asks_.push_back(*ask);
     else if (auto const* report = std::get_if<ask_report>(&action))
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -81,6 +81,10 @@
     bool placed(ticket_id ticket) const { return placed_.count(ticket) > 0; }
     bool refused(ticket_id ticket) const { return refused_.count(ticket) > 0; }
     bool granted(ticket_id ticket) const { return granted_.count(ticket) > 0; }
+    bool withdrawn(ticket_id ticket) const
+    {
+        return withdrawn_.count(ticket) > 0;
+    }
     worker_id granted_worker(ticket_id ticket) const
     {
         return granted_.at(ticket).worker;
@@ -144,6 +148,7 @@
     std::map<ticket_id, adapter_version> versions_;
     std::map<ticket_id, std::optional<backend_entry>> sources_;
     std::map<ticket_id, refuse_request> refused_;
+    std::set<ticket_id> withdrawn_;
     std::vector<ticket_id> order_;
     std::vector<ask_owner> asks_;
     std::vector<std::pair<time_point, worker_order>> unanswered_;
--- a/tests/service_version_test.cpp
+++ b/tests/service_version_test.cpp
@@ -155,4 +155,72 @@
     }
 }
 
+/// A stream that was sent to the first version and has not begun.
+struct unbegun_stream
+{
+    explicit unbegun_stream(bool streams = true)
+    {
+        old.world.begins_at_once = false;
+        work_item item;
+        item.streams = streams;
+        ticket = old.world.submit(item, "a1", 60s);
+        old.world.run(5ms);
+        REQUIRE(old.world.placed(ticket));
+    }
+    copy_in_use old;
+    ticket_id ticket;
+};
+
+// Guards against a request that begins long after it was sent.
+TEST_CASE("a stream that has not begun is withdrawn from a replaced version",
+          "[scheduler]")
+{
+    unbegun_stream late;
+    scheduler_world& world = late.old.world;
+    late.old.declare(2);
+    world.run(7s);
+    CHECK_FALSE(world.withdrawn(late.ticket));
+    CHECK(world.scheduler.next_due() <= world.now + 500ms);
+    world.run(500ms);
+    CHECK(world.withdrawn(late.ticket));
+}
+
+// Guards against a deadline that moves on with each further version.
+TEST_CASE("a further version gives a stream no more time to begin",
+          "[scheduler]")
+{
+    unbegun_stream late;
+    late.old.declare(2);
+    late.old.world.run(4s);
+    late.old.declare(3);
+    late.old.world.run(3500ms);
+    CHECK(late.old.world.withdrawn(late.ticket));
+}
+
+TEST_CASE("only what has not begun is withdrawn", "[scheduler]")
+{
+    bool const streams = GENERATE(true, false);
+    unbegun_stream late(streams);
+    scheduler_world& world = late.old.world;
+    if (streams)
+        world.scheduler.first_byte(late.ticket, world.now);
+    late.old.declare(2);
+    world.run(10s);
+    CHECK_FALSE(world.withdrawn(late.ticket));
+}
+
+TEST_CASE("a stream on the newest version is not withdrawn", "[scheduler]")
+{
+    scheduler_world world(1);
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    world.begins_at_once = false;
+    work_item item;
+    item.streams = true;
+    ticket_id const sent = world.submit(item, "a1", 60s);
+    world.run(300ms);
+    REQUIRE(world.placed(sent));
+    world.run(10s);
+    CHECK_FALSE(world.withdrawn(sent));
+}
+
 } // namespace mulberry::test
