Let mulberryctl tell which team holds a key

Why: logs name a key by its fingerprint only, and operators had no way from a fingerprint, or from a customer's key, to the team.

What: `mulberryctl team FILE...` reads versions of the platform's configuration and a key from standard input or a file, never from the command line, or takes a fingerprint. The key is read as the VMs read it from a request and is never written, also not in what is said of wrong input. Status 0 found, 1 no team has it (with the team that had it) or several keys have the fingerprint, 2 usage, 4 a file or the key cannot be read.

The command takes a decoder; the program binds it to the platform's codec, as mulberryd does, so that wire names stay under platform/.

--- a/src/ctl_commands.hpp
+++ b/src/ctl_commands.hpp
@@ -5,8 +5,11 @@
 #include "ctl_exit.hpp"
 #include "ctl_options.hpp"
 #include "operator_client.hpp"
+#include "routing_config.hpp"
 
+#include <functional>
 #include <iosfwd>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +47,17 @@
 ctl_exit run_explain(ctl_options const& options, std::ostream& out,
                      std::ostream& err);
 
+/// Nothing, with the fault filled in, when the text is malformed.
+using configuration_decoder = std::function<std::optional<routing_config>(
+    std::string const& text, std::string& fault)>;
+
+/// `team`: whose a key is. The key is read from `in` unless the options name a
+/// file or a fingerprint; it is never written. Needs no client. Throws
+/// file_failure.
+ctl_exit run_team(ctl_options const& options,
+                  configuration_decoder const& decode, std::istream& in,
+                  std::ostream& out, std::ostream& err);
+
 /// `confirm`: sends the plan once; when the answer is lost, reads the
 /// configuration back until it tells whether the plan is in force. Throws
 /// operator_call_failure, file_failure.
--- a/src/ctl_options.cpp
+++ b/src/ctl_options.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cctype>
 #include <cstdint>
 #include <sstream>
 #include <string_view>
@@ -18,6 +19,9 @@
 namespace po = boost::program_options;
 
 constexpr std::size_t any_number = SIZE_MAX;
+/// A whole SHA-256.
+constexpr std::size_t longest_fingerprint = 64;
+constexpr std::string_view hexadecimal_digits = "0123456789abcdef";
 
 /// One command as the help and the checks see it.
 struct command_form
@@ -48,6 +52,19 @@
         "status 1 when no line names it.\n\n"
         "Example:\n"
         "  mulberryctl explain 9c41d07be2a35f68 vm-1.log vm-2.log\n"},
+    command_form{
+        "team", "FILE...", 1, any_number, true,
+        "tell which team holds a key, and since when",
+        "Reads a key from standard input, and one or more versions of the "
+        "platform's\nconfiguration, each FILE the text of its row in the "
+        "store. Prints the team that\nholds the key in the newest of them, "
+        "since which of them, and the team's limit.\nThe key is never "
+        "printed, only its fingerprint, as logs write it (`key refused`).\n"
+        "Exit status 1 when no team holds it, or when several keys have the "
+        "fingerprint.\n\n"
+        "Example:\n"
+        "  mulberryctl team config-8.json config-9.json < customer.key\n"
+        "  mulberryctl team config-9.json --fingerprint 5f70bf18\n"},
     command_form{
         "plan", "FILE", 1, 1, false,
         "show what confirming a declaration would change",
@@ -164,6 +181,11 @@
         add("follow", "go on with new events until stopped")(
             "limit", po::value<std::int64_t>(),
             "show only this many of the newest events (default 200)");
+    if (command == "team")
+        add("fingerprint", po::value<std::string>(),
+            "the first digits of the key's SHA-256, instead of the key")(
+            "team-key-file", po::value<std::string>(),
+            "read the key from this file, not from standard input");
     return options;
 }
 
@@ -213,6 +235,14 @@
     return found.count(name) == 0 ? "" : found[name].as<std::string>();
 }
 
+std::string lower_case(std::string text)
+{
+    std::transform(text.begin(), text.end(), text.begin(),
+                   [](unsigned char each)
+                   { return static_cast<char>(std::tolower(each)); });
+    return text;
+}
+
 ctl_options options_from(po::variables_map const& found)
 {
     constexpr std::int64_t day_ms = 86'400'000;
@@ -236,9 +266,33 @@
     options.follow = found.count("follow") != 0;
     options.limit = static_cast<std::size_t>(positive(
         found, "limit", static_cast<std::int64_t>(options.limit), max_events));
+    if (found.count("fingerprint") != 0)
+        options.fingerprint = lower_case(text_of(found, "fingerprint"));
+    options.team_key_file = text_of(found, "team-key-file");
     return options;
 }
 
+// A key given in the wrong place is not quoted: terminals and their logs are
+// read by others.
+void check_team(ctl_options const& options)
+{
+    if (!options.key_file.empty())
+        throw usage_failure("team reads a team's key with --team-key-file; "
+                            "--key-file is of the operators' listener");
+    if (!options.fingerprint)
+        return;
+    if (!options.team_key_file.empty())
+        throw usage_failure("team takes --fingerprint or --team-key-file, not "
+                            "both");
+    if (options.fingerprint->empty() ||
+        options.fingerprint->size() > longest_fingerprint ||
+        options.fingerprint->find_first_not_of(hexadecimal_digits) !=
+            std::string::npos)
+        throw usage_failure(fmt::format("--fingerprint must be 1 to {} "
+                                        "hexadecimal digits",
+                                        longest_fingerprint));
+}
+
 void check(ctl_options const& options, command_form const& form)
 {
     if (options.arguments.size() < form.least)
@@ -254,6 +308,8 @@
             throw usage_failure(fmt::format(
                 "--operators \"{}\" is not IP:PORT with a numeric IP",
                 address));
+    if (form.name == "team")
+        check_team(options);
     if (form.offline)
         return;
     if (options.operators.empty())
--- a/src/ctl_options.hpp
+++ b/src/ctl_options.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -44,6 +45,11 @@
     /// timeline: go on showing new events.
     bool follow = false;
     std::size_t limit = 200;
+    /// team: the first digits of the key's digest, in lower case; without them
+    /// the key itself is read.
+    std::optional<std::string> fingerprint;
+    /// team: the file with the key; empty: standard input.
+    std::string team_key_file;
 
     friend bool operator==(ctl_options const&, ctl_options const&) = default;
 };
--- a/src/mulberryctl.cpp
+++ b/src/mulberryctl.cpp
@@ -2,9 +2,11 @@
 #include "ctl_commands.hpp"
 #include "ctl_options.hpp"
 #include "http_client.hpp"
+#include "wire_codec.hpp"
 
 #include <exception>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,22 @@
     return key;
 }
 
+std::optional<routing_config> decode_configuration(std::string const& text,
+                                                   std::string& fault)
+{
+    return platform::wire_codec().decode_config(text, fault);
+}
+
+ctl_exit run_offline(ctl_options const& options)
+{
+    if (options.command == "explain")
+        return run_explain(options, std::cout, std::cerr);
+    if (options.command == "team")
+        return run_team(options, decode_configuration, std::cin, std::cout,
+                        std::cerr);
+    return run_check(options, std::cout, std::cerr);
+}
+
 ctl_exit run_online(ctl_options const& options)
 {
     http_client client;
@@ -42,11 +60,8 @@
             std::cout << ctl_help(options.command);
             return ctl_exit::ok;
         }
-        if (options.command == "explain")
-            return run_explain(options, std::cout, std::cerr);
-        return works_offline(options.command)
-                   ? run_check(options, std::cout, std::cerr)
-                   : run_online(options);
+        return works_offline(options.command) ? run_offline(options)
+                                              : run_online(options);
     }
     catch (usage_failure const& failure)
     {
--- /dev/null
+++ b/tests/ctl_team_test.cpp
@@ -0,0 +1,321 @@
+#include "ctl_commands.hpp"
+#include "team_key.hpp"
+
+#include <catch2/catch.hpp>
+#include <json/reader.h>
+
+#include <algorithm>
+#include <cctype>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include <unistd.h>
+
+using namespace mulberry;
+
+namespace
+{
+
+using words = std::vector<std::string>;
+
+std::string print_of(std::string const& key)
+{
+    return fingerprint(digest_of_key(key));
+}
+
+routing_config version(std::uint64_t number, std::set<std::string> const& pits)
+{
+    routing_config made;
+    made.version = config_version(number);
+    team first;
+    first.name = team_id("pits");
+    first.priority = 1;
+    first.limit = allotment{allotment_unit::tokens, 305115, 1000, 200};
+    for (std::string const& key : pits)
+        first.keys.insert(digest_of_key(key));
+    team second;
+    second.name = team_id("mills");
+    second.keys.insert(digest_of_key("k-mill"));
+    made.teams = {first, second};
+    return made;
+}
+
+/// Files whose text names what they hold.
+struct team_world
+{
+    team_world()
+        : folder(std::filesystem::temp_directory_path() /
+                 ("ctl_team_test_" + std::to_string(getpid())))
+    {
+        std::filesystem::create_directories(folder);
+        add("seven", version(7, {"k-old"}));
+        add("eight", version(8, {"k-old", "k-one"}));
+        add("nine", version(9, {"k-one"}));
+        add("ten", version(10, {"k-one"}));
+        add("twin", version(9, {}));
+        add("no-version", version(0, {"k-one"}));
+        routing_config open;
+        open.version = config_version(4);
+        add("open", open);
+        write("broken", "broken");
+    }
+    team_world(team_world const&) = delete;
+    team_world& operator=(team_world const&) = delete;
+    ~team_world() { std::filesystem::remove_all(folder); }
+
+    void add(std::string const& name, routing_config config)
+    {
+        known.emplace(name, std::move(config));
+        write(name, name);
+    }
+
+    std::string write(std::string const& name, std::string const& text) const
+    {
+        std::string const path = folder / name;
+        std::ofstream(path, std::ios::binary) << text;
+        return path;
+    }
+
+    ctl_exit run(words const& files, std::string const& key,
+                 words const& more = {})
+    {
+        out.str("");
+        err.str("");
+        words arguments{"team"};
+        for (std::string const& file : files)
+            arguments.push_back(folder / file);
+        arguments.insert(arguments.end(), more.begin(), more.end());
+        std::istringstream in(key);
+        return run_team(
+            parse_ctl_options(arguments),
+            [this](std::string const& text, std::string& fault)
+            {
+                auto const found = known.find(text);
+                if (found != known.end())
+                    return std::optional(found->second);
+                fault = "not understood";
+                return std::optional<routing_config>();
+            },
+            in, out, err);
+    }
+
+    std::string failure(words const& files, std::string const& key)
+    {
+        try
+        {
+            run(files, key);
+            return "";
+        }
+        catch (file_failure const& failure)
+        {
+            return failure.what();
+        }
+    }
+
+    bool told(std::string const& text) const
+    {
+        return (out.str() + err.str()).find(text) != std::string::npos;
+    }
+
+    Json::Value told_json() const
+    {
+        Json::Value value;
+        std::istringstream(out.str()) >> value;
+        return value;
+    }
+
+    std::filesystem::path folder;
+    std::map<std::string, routing_config> known;
+    std::ostringstream out;
+    std::ostringstream err;
+};
+
+std::string usage_fault(words const& arguments)
+{
+    try
+    {
+        parse_ctl_options(arguments);
+        return "";
+    }
+    catch (usage_failure const& failure)
+    {
+        return failure.what();
+    }
+}
+
+} // namespace
+
+TEST_CASE("the team of a key on standard input is told", "[ctl][team]")
+{
+    team_world world;
+    CHECK(world.run({"nine", "seven", "eight"}, "k-one\n") == ctl_exit::ok);
+    CHECK(world.out.str() ==
+          "team      pits\n"
+          "key       " +
+              print_of("k-one") +
+              "\n"
+              "version   9\n"
+              "since     version 8; not yet in version 7\n"
+              "priority  1\n"
+              "limit     305115 tokens a second, 1000 more at once; 200 for a "
+              "request that tells no number\n");
+    CHECK(world.run({"nine"}, "k-mill\r\n") == ctl_exit::ok);
+    CHECK(world.told("team      mills\n"));
+    CHECK(world.told("since     version 9 or before; an older version tells "
+                     "more\n"));
+    CHECK(world.told("limit     none\n"));
+}
+
+TEST_CASE("a key's team is told by a file and by a fingerprint too",
+          "[ctl][team]")
+{
+    team_world world;
+    std::string const file = world.write("key", "k-one\n");
+    CHECK(world.run({"nine"}, "k-mill", {"--team-key-file", file}) ==
+          ctl_exit::ok);
+    CHECK(world.told("team      pits\n"));
+    std::string digits = print_of("k-mill");
+    std::transform(digits.begin(), digits.end(), digits.begin(),
+                   [](unsigned char each) { return std::toupper(each); });
+    CHECK(world.run({"nine"}, "", {"--fingerprint", digits}) == ctl_exit::ok);
+    CHECK(world.told("team      mills\n"));
+    CHECK(world.run({"nine"}, "",
+                    {"--fingerprint", digest_of_key("k-mill").str()}) ==
+          ctl_exit::ok);
+}
+
+TEST_CASE("a key's team is told in JSON to programs", "[ctl][team]")
+{
+    team_world world;
+    CHECK(world.run({"seven", "eight"}, "k-one", {"--json"}) == ctl_exit::ok);
+    Json::Value const told = world.told_json();
+    CHECK(told["team"].asString() == "pits");
+    CHECK(told["key"].asString() == print_of("k-one"));
+    CHECK(told["version"].asInt() == 8);
+    CHECK(told["since"].asInt() == 8);
+    CHECK(told["not_yet"].asInt() == 7);
+    CHECK(told["limit"]["unit"].asString() == "tokens");
+    CHECK(told["limit"]["per_second"].asDouble() == 305115);
+    CHECK(world.run({"nine"}, "k-none", {"--json"}) == ctl_exit::refused);
+    CHECK(world.told_json()["error"]["kind"].asString() == "key_unknown");
+}
+
+// Guards against a customer who is told that a key works which was taken away.
+TEST_CASE("a key without a team is told with what became of it", "[ctl][team]")
+{
+    team_world world;
+    CHECK(world.run({"nine"}, "k-none") == ctl_exit::refused);
+    CHECK(world.err.str() ==
+          "no team has the key " + print_of("k-none") + " in version 9\n");
+    for (words const& more :
+         {words{}, words{"--fingerprint", print_of("k-old")}})
+    {
+        CHECK(world.run({"eight", "nine", "ten"}, "k-old", more) ==
+              ctl_exit::refused);
+        CHECK(world.err.str() == "no team has the key " + print_of("k-old") +
+                                     " in version 10: pits had it in version "
+                                     "8, it is gone in version 9\n");
+        CHECK(world.out.str().empty());
+    }
+    CHECK(world.run({"open"}, "k-one") == ctl_exit::refused);
+    CHECK(world.told("has no teams: callers need no key"));
+    CHECK(world.run({"nine"}, "", {"--fingerprint", "00000000"}) ==
+          ctl_exit::refused);
+    CHECK(world.told("no team has a key whose fingerprint begins with "
+                     "00000000"));
+}
+
+// Guards against a team that is told for another one's key.
+TEST_CASE("a fingerprint of several keys tells all of their teams",
+          "[ctl][team]")
+{
+    team_world world;
+    routing_config many = version(11, {});
+    for (int at = 0; at < 40; ++at)
+        many.teams[static_cast<std::size_t>(at % 2)].keys.insert(
+            digest_of_key("k-" + std::to_string(at)));
+    std::map<char, std::set<team_id>> holders;
+    for (team const& each : many.teams)
+        for (key_digest const& key : each.keys)
+            holders[key.str().front()].insert(each.name);
+    auto const shared =
+        std::find_if(holders.begin(), holders.end(),
+                     [](auto const& each) { return each.second.size() == 2; });
+    REQUIRE(shared != holders.end());
+    world.add("many", many);
+    std::string const digit(1, shared->first);
+    CHECK(world.run({"many"}, "", {"--fingerprint", digit, "--json"}) ==
+          ctl_exit::refused);
+    CHECK(world.told("several keys have fingerprints that begin with " + digit +
+                     ": " + digit));
+    CHECK(world.told(" of pits"));
+    CHECK(world.told(" of mills"));
+    CHECK(world.told_json()["error"]["kind"].asString() == "key_ambiguous");
+}
+
+TEST_CASE("unreadable input is told and named", "[ctl][team]")
+{
+    team_world world;
+    CHECK(world.failure({"broken"}, "k") ==
+          (world.folder / "broken").string() +
+              ": is no configuration: not understood");
+    CHECK(world.failure({"no-version"}, "k") ==
+          (world.folder / "no-version").string() +
+              ": is no configuration: has no version");
+    CHECK(world.failure({"nine", "twin"}, "k") ==
+          (world.folder / "twin").string() +
+              ": is version 9, as is another file");
+    CHECK(world.failure({"none"}, "k") ==
+          (world.folder / "none").string() + ": cannot be read");
+}
+
+// Guards against a key that is looked up in another form than callers show it,
+// and against one that gets into a terminal's record.
+TEST_CASE("a text that is no key is refused and not quoted", "[ctl][team]")
+{
+    team_world world;
+    for (std::string const& text :
+         {std::string(), std::string("\n"), std::string("Bearer k-one"),
+          std::string("k-one\nk-mill\n"), std::string("k-one,k-mill"),
+          std::string("k-\xc3\xa9"), std::string(5000, 'k')})
+    {
+        std::string const failure = world.failure({"nine"}, text);
+        CHECK(failure.starts_with("the key: is no single word"));
+        CHECK(failure.find("k-") == std::string::npos);
+    }
+}
+
+TEST_CASE("the key itself is never written", "[ctl][team]")
+{
+    team_world world;
+    for (char const* key : {"k-one", "k-old", "k-none"})
+        for (words const& more : {words{}, words{"--json"}})
+        {
+            world.run({"eight", "nine"}, key, more);
+            CHECK(world.told(print_of(key)));
+            CHECK_FALSE(world.told(key));
+            CHECK_FALSE(world.told(digest_of_key(key).str()));
+        }
+}
+
+// Guards against a key on the command line, which other users of the machine
+// see, and against a wrong option that leaves the tool waiting for input.
+TEST_CASE("a wrong way to name a key is refused and not quoted", "[ctl][team]")
+{
+    CHECK(usage_fault({"team"}) == "team needs FILE...");
+    std::string const digits = "--fingerprint must be 1 to 64 hexadecimal "
+                               "digits";
+    for (std::string const& wrong : {std::string("k-one"), std::string(65, 'a'),
+                                     std::string(" ab"), std::string()})
+        CHECK(usage_fault({"team", "f", "--fingerprint", wrong}) == digits);
+    CHECK(usage_fault({"team", "f", "--key-file", "k"}) ==
+          "team reads a team's key with --team-key-file; --key-file is of the "
+          "operators' listener");
+    CHECK_FALSE(usage_fault({"team", "f", "--fingerprint", "ab",
+                             "--team-key-file", "k"})
+                    .empty());
+    CHECK_FALSE(usage_fault({"check", "f", "--fingerprint", "ab"}).empty());
+    CHECK(works_offline("team"));
+}
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -183,8 +183,8 @@
 TEST_CASE("the help of each command has an example", "[ctl]")
 {
     for (char const* command :
-         {"", "check", "plan", "confirm", "status", "configuration", "targets",
-          "drain", "timeline"})
+         {"", "check", "team", "plan", "confirm", "status", "configuration",
+          "targets", "drain", "timeline"})
     {
         CAPTURE(command);
         std::string const help = ctl_help(command);
