Name the newest version at once, and withdraw without blame

Within the grace a request named no version, also where its copy is believed to be the newest; were that belief wrong, neither the worker nor the withdrawal would stop it from beginning on the old version. It names the newest version then from the first moment. And a withdrawn stream counted as silence of its worker, so that several at once would put a worker that is only full on the longest pause; it counts as given up by this VM.

*a request to the newest copy names it from the first moment* is new and fails without the change (by its first line: nothing was named within the grace).

--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -36,6 +36,8 @@
     retry_limits retries;
     /// How long an older version of an adapter may be used.
     duration release_grace = std::chrono::milliseconds(2000);
+    /// How long after a newer version was heard of a stream that was sent to an
+    /// older copy may begin; one that has not is withdrawn.
     duration release_begin = std::chrono::milliseconds(7500);
     /// Orders are sent only while this holds, asked right before each.
     std::function<bool(worker_id const&)> may_order;
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -219,7 +219,7 @@
 void relay_exchange::on_withdrawn()
 {
     if (stage_ == stage::sent)
-        recover(send_outcome::silent, "its version was replaced");
+        recover(send_outcome::abandoned, "its version was replaced");
 }
 
 void relay_exchange::on_caller_gone()
--- a/src/service_versions.cpp
+++ b/src/service_versions.cpp
@@ -62,10 +62,13 @@
 {
     if (!target)
         return {};
+    adapter_version const newest = newest_of(*target);
+    if (newest != adapter_version() && copy >= newest)
+        return copy;
     adapter_version const oldest = releases_.oldest_allowed(*target, now);
     if (oldest == adapter_version())
         return {};
-    return copy >= oldest ? copy : newest_of(*target);
+    return copy >= oldest ? copy : newest;
 }
 
 std::optional<replaced_copy>
--- a/tests/service_version_test.cpp
+++ b/tests/service_version_test.cpp
@@ -202,6 +202,18 @@
     CHECK(world.version_of(third) == adapter_version(2));
 }
 
+// Guards against a copy that is wrongly believed to be the newest.
+TEST_CASE("a request to the newest copy names it from the first moment",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    world.scheduler.on_release(target, adapter_version(2), world.now);
+    ticket_id const asked = world.ask("a1");
+    world.run(300ms);
+    REQUIRE(world.placed(asked));
+    CHECK(world.version_of(asked) == adapter_version(2));
+}
+
 TEST_CASE("a grant tells the version of the copy", "[scheduler]")
 {
     scheduler_world world(1);
