Keep a departure to the life that told it, and for its time only

A report that told of a worker's next life took over that the life before had said it leaves, until the registry's entry was written anew. A departure whose life is not known was looked at for age only when another worker said something, and so could hold for ever. A 421 from another worker at the address that says it leaves was held against the one that was meant. And a load that was under way as its worker began to leave, by its own word or the list's, stayed due: the VM decided every millisecond until the entry was gone.

What the registry lists is kept beside what the worker said; what is past is forgotten with each decision; a foreign 421 tells nothing of the worker that was meant; nothing is due at a worker that gets no orders.

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -244,7 +244,7 @@
         return recover(send_outcome::broken, "an answer to another request");
     }
     last_byte_at_ = host_.now();
-    if (reply_.leaving)
+    if (reply_.leaving && !reply_.other_worker)
         host_.said_leaving(*this);
     if (reply_.rest)
         host_.asked_for_rest(*this, last_byte_at_ + *reply_.rest);
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -398,6 +398,7 @@
 std::vector<placement_action> service_scheduler::run(time_point now)
 {
     decided_at_ = now;
+    notices_.forget_past(now);
     withdraw_unbegun(now);
     run_queue(now);
     run_workers(now);
@@ -412,8 +413,10 @@
     for (auto const& [id, worker] : workers_)
         if (worker->owned)
         {
-            next = std::min(next, std::max(worker->adapters.next_due(),
-                                           notices_.rests_until(id)));
+            // One that leaves is given no order.
+            if (!worker->entry.draining)
+                next = std::min(next, std::max(worker->adapters.next_due(),
+                                               notices_.rests_until(id)));
             if (!worker->held_before.empty())
                 next = std::min(next, worker->entry_lapses_at);
         }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -297,7 +297,10 @@
     };
     struct worker_state
     {
+        /// Draining also where the worker itself said so.
         backend_entry entry;
+        /// As the registry lists it.
+        bool listed_draining = false;
         worker_health health;
         worker_adapters adapters;
         /// This VM gives it orders.
@@ -314,7 +317,8 @@
         time_point entry_lapses_at = never;
 
         worker_state(backend_entry listed, worker_adapters_settings settings)
-            : entry(std::move(listed)), adapters(settings)
+            : entry(std::move(listed)), listed_draining(entry.draining),
+              adapters(settings)
         {
         }
     };
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -60,6 +60,7 @@
     if (told)
         forget_life_before(known);
     known.entry = entry;
+    known.listed_draining = entry.draining;
     if (!told)
         known.entry.started = before;
     known.entry.draining |=
@@ -141,6 +142,8 @@
         // Its entry in the registry still tells of the life before.
         backend_entry entry = known->entry;
         entry.started = report->started;
+        // What the life before said of its leaving is not this one's.
+        entry.draining = known->listed_draining;
         std::vector<held_model> held_before = std::exchange(entry.models, {});
         held_before.insert(held_before.end(), known->held_before.begin(),
                            known->held_before.end());
--- a/src/worker_notices.hpp
+++ b/src/worker_notices.hpp
@@ -17,8 +17,8 @@
 class worker_notices
 {
 public:
-    /// The worker wants no requests from this VM until then. Whether it had
-    /// not asked for that before, as of now.
+    /// The worker wants no requests from this VM until then, in whatever life.
+    /// True if it was not resting before.
     bool ask_rest(worker_id const& worker, time_point until, time_point now);
     /// In the past, or the epoch, where it wants none.
     time_point rests_until(worker_id const& worker) const;
@@ -35,6 +35,9 @@
     /// Whether that life of the worker said that it leaves.
     bool leaves(worker_id const& worker, worker_start life) const;
 
+    /// Forgets rests that are over and departures of long ago.
+    void forget_past(time_point now);
+
 private:
     struct departure
     {
@@ -42,8 +45,6 @@
         time_point forget_at{};
     };
 
-    void forget_past(time_point now);
-
     std::map<worker_id, time_point> rests_until_;
     std::map<worker_id, departure> leaving_;
     time_point sweep_at_{};
--- a/tests/service_leaving_test.cpp
+++ b/tests/service_leaving_test.cpp
@@ -76,4 +76,47 @@
     CHECK(placed(world));
 }
 
+// Guards against a departure that a worker's next life inherits.
+TEST_CASE("a report of the next life ends the departure",
+          "[scheduler][leaving]")
+{
+    scheduler_world world(1);
+    world.lives[first] = worker_start(1);
+    world.list_all();
+    REQUIRE(placed(world));
+    world.scheduler.on_leaving(world.entry(0), world.now);
+    worker_report report;
+    report.started = worker_start(2);
+    world.workers[first] = {};
+    world.scheduler.on_report(first, report, world.now);
+    world.run(600ms);
+    CHECK(placed(world));
+}
+
+TEST_CASE("a departure of an unknown life is forgotten", "[scheduler][leaving]")
+{
+    scheduler_world world(1);
+    world.scheduler.on_leaving(world.entry(0), world.now);
+    world.now += 15min;
+    world.run(5ms);
+    world.scheduler.set_backends({});
+    world.list_all();
+    world.own_all();
+    world.run(600ms);
+    CHECK(placed(world));
+}
+
+TEST_CASE("nothing is due at a worker that leaves in the middle of a load",
+          "[scheduler][leaving]")
+{
+    scheduler_world world(2);
+    ticket_id const asked = world.ask("a1");
+    world.run(20ms);
+    std::size_t const home = world.workers.at(first).held() > 0 ? 0 : 1;
+    world.scheduler.on_leaving(world.entry(home), world.now);
+    world.run(2s);
+    CHECK(world.placed(asked));
+    CHECK(world.scheduler.next_due() > world.now);
+}
+
 } // namespace mulberry::test
