Tell a true time to come back while workers rest, and decide in time

A request that waited for the end of a short rest stayed due after it, and the VM decided every millisecond until a place was free; so did an owner's no that had lapsed. A request with less than three seconds left was refused with a time of 1.5 s though a rest ended within 250 ms. Workers that cannot be reached or hold another model counted as ready to serve, so that callers were told 50 ms where all that could serve them rested, or waited. The time of a request whose repeats were used up was not spread over the callers.

Due moments that have passed are not due again; the wait is estimated by what is left of the rest where all rest; only workers that may serve the request count.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -368,10 +368,13 @@
     return service->second.scheduler.patience(exchange.worker());
 }
 
-duration relay::rest_left(relay_exchange const& exchange) const
+duration relay::retry_after(relay_exchange const& exchange, duration least)
 {
-    auto const service = services_.find(exchange.terms().service);
-    return service->second.scheduler.rest_left(now());
+    std::optional<model_target> const target =
+        exchange.terms().engine ? exchange.request().model : std::nullopt;
+    return spread(std::max(
+        least,
+        find(exchange.terms().service)->scheduler.rest_left(target, now())));
 }
 
 bool relay::take_retry(relay_exchange const& exchange)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -146,7 +146,8 @@
                         time_point until) override;
     void broke_off(relay_exchange const& exchange) override;
     duration patience(relay_exchange const& exchange) const override;
-    duration rest_left(relay_exchange const& exchange) const override;
+    duration retry_after(relay_exchange const& exchange,
+                         duration least) override;
     bool take_retry(relay_exchange const& exchange) override;
     void wake_at(relay_exchange& exchange, time_point when) override;
     void note(relay_exchange const& exchange, std::string_view event,
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -350,7 +350,7 @@
         return resubmit("rejected by the worker");
     stage_ = stage::waiting;
     on_refused(error(error_kind::overloaded, "workers rejected it", ran::no,
-                     std::max<duration>(soon, host_.rest_left(*this))));
+                     host_.retry_after(*this, soon)));
 }
 
 void relay_exchange::finish_answer()
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -56,9 +56,10 @@
     /// The connection closed before the worker's answer was whole.
     virtual void broke_off(relay_exchange const& exchange) = 0;
     virtual duration patience(relay_exchange const& exchange) const = 0;
-    /// Until some worker of its service takes requests of this VM again; 0
-    /// while one does.
-    virtual duration rest_left(relay_exchange const& exchange) const = 0;
+    /// When its caller is to come back: when some worker of its service takes
+    /// requests of this VM again, after `least` at the earliest.
+    virtual duration retry_after(relay_exchange const& exchange,
+                                 duration least) = 0;
     /// Takes one repeated send of the service, if the limit allows.
     virtual bool take_retry(relay_exchange const& exchange) = 0;
     /// Calls back on_due() at that moment; `never` for not at all.
--- a/src/service_notices.cpp
+++ b/src/service_notices.cpp
@@ -39,15 +39,33 @@
     return notices_.rests(worker.entry.id, now);
 }
 
-/// A request that another VM sends is that VM's matter: it names the workers
-/// that asked it for rest, and those that asked this one may be well disposed
-/// to it.
+/// A rest holds for this VM's requests; a VM that asks names the workers that
+/// asked it.
 bool service_scheduler::rests_for(worker_state const& worker,
                                   work_item const& item, time_point now) const
 {
     return !item.asked_for && rests(worker, now);
 }
 
+/// Whether orders and requests of this VM may go there.
+bool service_scheduler::accepts(worker_state const& worker,
+                                time_point now) const
+{
+    return !worker.entry.draining && !rests(worker, now);
+}
+
+bool service_scheduler::has_model(
+    worker_state const& worker, std::optional<model_target> const& target) const
+{
+    if (!target)
+        return true;
+    if (worker.owned && worker.adapters.known())
+        return worker.adapters.has_model(target->model);
+    return std::any_of(worker.entry.models.begin(), worker.entry.models.end(),
+                       [&target](held_model const& held)
+                       { return held.model == target->model; });
+}
+
 /// When the first of the workers that the request may go to is over its rest;
 /// nothing unless all of them rest.
 std::optional<time_point>
@@ -56,7 +74,9 @@
     std::optional<time_point> first;
     for (auto const& [id, worker] : workers_)
     {
-        if (worker->entry.draining || item.excluded.count(id) > 0)
+        if (worker->entry.draining || item.excluded.count(id) > 0 ||
+            !has_model(*worker, item.target) ||
+            (worker->health.avoided(now) && !worker->health.may_probe(now)))
             continue;
         if (!rests(*worker, now))
             return std::nullopt;
@@ -77,16 +97,19 @@
     return verdict::waits;
 }
 
-duration service_scheduler::rest_left(time_point now) const
+duration service_scheduler::rest_left(std::optional<model_target> const& target,
+                                      time_point now) const
 {
-    std::optional<time_point> const until = all_rest_until(work_item(), now);
+    work_item any;
+    any.target = target;
+    std::optional<time_point> const until = all_rest_until(any, now);
     return until ? *until - now : duration(0);
 }
 
 void service_scheduler::refuse_hopeless(waiting_item const& waiting,
                                         time_point now)
 {
-    duration const left = rest_left(now);
+    duration const left = rest_left(waiting.item.target, now);
     if (left > duration(elsewhere_retry))
         return refuse(waiting, error_kind::overloaded, left,
                       "all workers want rest", now);
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -481,9 +481,8 @@
                                         time_point now) const
 {
     return worker.adapters.stage(*waiting.item.target) &&
-           !worker.entry.draining && !rests(worker, now) &&
-           !worker.health.avoided(now) && !sick(worker, now) &&
-           worth_waiting(worker, waiting.item, now);
+           accepts(worker, now) && !worker.health.avoided(now) &&
+           !sick(worker, now) && worth_waiting(worker, waiting.item, now);
 }
 
 service_scheduler::verdict
@@ -532,8 +531,7 @@
                     [&](auto const& each)
                     {
                         return each.second->owned &&
-                               !each.second->entry.draining &&
-                               !rests(*each.second, now) &&
+                               accepts(*each.second, now) &&
                                each.second->adapters.may_order(now) &&
                                !each.second->health.avoided(now) &&
                                waiting.item.excluded.count(each.first) == 0;
@@ -553,8 +551,7 @@
                        [&](auto const& each)
                        {
                            worker_state const& worker = *each.second;
-                           return !worker.owned && !worker.entry.draining &&
-                                  !rests(worker, now) &&
+                           return !worker.owned && accepts(worker, now) &&
                                   owners_.count(each.first) == 0 &&
                                   waiting.item.excluded.count(each.first) ==
                                       0 &&
@@ -569,8 +566,7 @@
                        [&](auto const& each)
                        {
                            return refused_by(each.first, waiting, now) &&
-                                  !each.second->entry.draining &&
-                                  !rests(*each.second, now) &&
+                                  accepts(*each.second, now) &&
                                   has_reachable_owner(*each.second, now);
                        });
 }
@@ -593,7 +589,7 @@
                                      : never;
     std::set<worker_id> excluded = item.excluded;
     for (auto const& [id, each] : workers_)
-        if (each->entry.draining || rests(*each, now))
+        if (!accepts(*each, now))
             excluded.insert(id);
     actions_.push_back(ask_owner{item.ticket, owner, worker, *item.target,
                                  item.priority, item.give_up_at, excluded,
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -264,7 +264,10 @@
         if (!worker->entry.draining && !rests(*worker, now))
             room += limit_of(*worker);
     if (room == 0)
-        return longest_retry;
+    {
+        duration const rest = rest_left(std::nullopt, now);
+        return rest > duration(0) ? rest : longest_retry;
+    }
     return duration(static_cast<duration::rep>(double(mean_service_.count()) *
                                                double(ahead) / double(room)));
 }
@@ -425,9 +428,12 @@
         time_point const review =
             waiting.item.arrived_at +
             (waiting.item.give_up_at - waiting.item.arrived_at) / 2;
-        next = std::min({next, review, waiting.review_at});
+        next = std::min(next, review);
+        if (waiting.review_at > decided_at_)
+            next = std::min(next, waiting.review_at);
         for (auto const& [owner, until] : waiting.said_no)
-            next = std::min(next, until);
+            if (until > decided_at_)
+                next = std::min(next, until);
     }
     return next;
 }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -258,8 +258,8 @@
     /// The worker, in the life of that entry, said that it leaves. Whether this
     /// VM did not know it.
     bool on_leaving(backend_entry const& entry, time_point now);
-    /// The worker wants no requests from this VM until then. Whether it had not
-    /// asked for that before.
+    /// The worker wants no requests from this VM until then. True if it was not
+    /// resting before.
     bool on_rest(worker_id const& worker, time_point until, time_point now)
     {
         return notices_.ask_rest(worker, until, now);
@@ -283,8 +283,10 @@
 
     scheduler_counts counts() const;
     bool has_backends() const { return !workers_.empty(); }
-    /// Until some worker takes requests of this VM again; 0 while one does.
-    duration rest_left(time_point now) const;
+    /// Until some worker with that model, or any, takes requests of this VM
+    /// again; 0 while one does.
+    duration rest_left(std::optional<model_target> const& target,
+                       time_point now) const;
     /// How long a worker may leave a request without a first byte.
     duration patience(worker_id const& worker) const;
 
@@ -402,10 +404,14 @@
                 time_point now) const;
     /// The worker asked this VM for rest, and it is not over.
     bool rests(worker_state const& worker, time_point now) const;
+    bool accepts(worker_state const& worker, time_point now) const;
     bool rests_for(worker_state const& worker, work_item const& item,
                    time_point now) const;
+    bool has_model(worker_state const& worker,
+                   std::optional<model_target> const& target) const;
     std::optional<time_point> all_rest_until(work_item const& item,
                                              time_point now) const;
+    /// Waits for the end of a rest that is near, or is to be refused.
     verdict wait_for_rest(waiting_item& waiting, time_point until,
                           time_point now);
     /// A worker of this VM that has the adapter and room.
--- a/tests/service_rest_test.cpp
+++ b/tests/service_rest_test.cpp
@@ -156,4 +156,84 @@
     CHECK(world.granted(theirs));
 }
 
+// Guards against a loop that decides every millisecond until a slot is free.
+TEST_CASE("nothing is due at once after a rest that was waited for",
+          "[scheduler][rest]")
+{
+    scheduler_world world(1, 4, 1);
+    ask_rest(world, first, 200ms);
+    ticket_id const served = world.ask("");
+    ticket_id const waits = world.ask("");
+    world.run(300ms);
+    REQUIRE(world.placed(served));
+    REQUIRE_FALSE(world.placed(waits));
+    REQUIRE_FALSE(world.refused(waits));
+    CHECK(world.scheduler.next_due() > world.now);
+}
+
+TEST_CASE("an owner's no that is over is not due while all workers rest",
+          "[scheduler][rest]")
+{
+    foreign_pair pair;
+    scheduler_world& world = pair.world;
+    ticket_id const asked = world.ask("a1");
+    world.run(5ms);
+    REQUIRE(world.asks().size() == 1);
+    world.scheduler.on_owner(asked, ask_outcome::refused, {}, world.now);
+    world.run(350ms);
+    ask_rest(world, first, 240ms);
+    ask_rest(world, second, 240ms);
+    world.run(200ms);
+    REQUIRE_FALSE(world.refused(asked));
+    CHECK(world.scheduler.next_due() > world.now);
+}
+
+// Guards against a refusal with a time that has nothing to do with the rest.
+TEST_CASE("a request with little time left waits for a short rest",
+          "[scheduler][rest]")
+{
+    scheduler_world world(1);
+    ticket_id const before = world.ask("a1");
+    world.run(300ms);
+    REQUIRE(world.placed(before));
+    ask_rest(world, first, 100ms);
+    ticket_id const during = world.ask("a1", 0, 2s);
+    world.run(5ms);
+    CHECK_FALSE(world.refused(during));
+    world.run(200ms);
+    CHECK(world.placed(during));
+}
+
+// Guards against waiting because a worker of another model does not rest.
+TEST_CASE("only workers with the request's model count", "[scheduler][rest]")
+{
+    scheduler_world world(2);
+    world.scheduler.set_grants({});
+    backend_entry other = world.entry(1);
+    other.models.front().model = base_model_id("other");
+    world.scheduler.set_backends({world.entry(0), other});
+    ask_rest(world, first, 3s);
+    ticket_id const during = world.ask("");
+    world.run(0ms);
+    REQUIRE(world.refused(during));
+    CHECK(world.refusal(during).retry_after == 3s);
+}
+
+// Guards against a time to come back at which nobody can serve.
+TEST_CASE("a worker that cannot be reached does not end the wait for one that "
+          "rests",
+          "[scheduler][rest]")
+{
+    scheduler_world world(2);
+    ticket_id const lost = world.ask("");
+    world.run(5ms);
+    worker_id const dead = world.worker_of(lost);
+    world.end(lost, send_outcome::unreachable);
+    ask_rest(world, dead == first ? second : first, 3s);
+    ticket_id const during = world.ask("");
+    world.run(0ms);
+    REQUIRE(world.refused(during));
+    CHECK(world.refusal(during).retry_after == 3s);
+}
+
 } // namespace mulberry::test
