--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -196,7 +196,7 @@
 void relay::asked_for_rest(relay_exchange const& exchange, time_point until)
 {
     time_point const at = now();
-    worker_id const worker = exchange.worker();
+    worker_id const& worker = exchange.worker();
     if (!find(exchange.terms().service)->scheduler.on_rest(worker, until, at))
         return;
     ++counts_.rests;
