Log what limit a worker names, and when it ends

Each VM now notes what its own answers say and logs each change; nothing is decided by it. Several limits in one answer: the lowest counts; negative ones, NaN and text are neither a limit nor the end of one; more than a million a second is none; 0 counts as one request in ten seconds, since only an answer can end a limit.

Answers overtake each other: a limit is lowered at once, but raised or ended only by the answer to a request that was sent after it was last named.

--- a/src/ids.hpp
+++ b/src/ids.hpp
@@ -22,6 +22,8 @@
 using application_id = text_id<struct application_tag>;
 /// A team: a part of a customer that has keys, a priority and an allotment.
 using team_id = text_id<struct team_tag>;
+/// An allotment: a rate that all VMs share, of a team or of a worker.
+using allotment_id = text_id<struct allotment_tag>;
 /// SHA-256 of a team's key, in hexadecimal; the key itself is not stored.
 using key_digest = text_id<struct key_digest_tag>;
 /// A base model shared by many adapters.
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -8,7 +8,7 @@
           service_estimate.cpp service_notices.cpp service_placing.cpp
           service_scheduler.cpp service_versions.cpp service_workers.cpp startup_hold.cpp
           team_directory.cpp token_bucket.cpp
-          worker_adapters.cpp worker_health.cpp worker_notices.cpp prefill_backlog.cpp
+          worker_adapters.cpp worker_health.cpp worker_limits.cpp worker_notices.cpp prefill_backlog.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
   SOURCES adapter_version_history_test.cpp adapter_locations_test.cpp allotment_pool_test.cpp crash_replicator_test.cpp crash_record_test.cpp crash_world.cpp reader_selector_test.cpp prefill_rate_test.cpp
@@ -16,7 +16,7 @@
           remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_replica_test.cpp scheduler_world.cpp
           service_leaving_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_version_test.cpp startup_hold_test.cpp team_directory_test.cpp token_bucket_test.cpp
-          worker_adapters_test.cpp worker_health_test.cpp worker_notices_test.cpp
+          worker_adapters_test.cpp worker_health_test.cpp worker_limits_test.cpp worker_notices_test.cpp
           prefill_backlog_test.cpp
   LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
+#include <fmt/format.h>
 #include <string>
 #include <utility>
 
@@ -214,6 +215,28 @@
                  at);
 }
 
+void relay::on_limit_stated(relay_exchange const& exchange,
+                            std::optional<double> per_second)
+{
+    if (!per_second && limits_.empty())
+        return;
+    worker_id const& worker = exchange.worker();
+    time_point const at = now();
+    if (limits_.on_answer(worker, per_second, exchange.sent_at(), at))
+        log_limit(worker, per_second, at);
+}
+
+void relay::log_limit(worker_id const& worker, std::optional<double> per_second,
+                      time_point at)
+{
+    log_fields fields;
+    fields.add("worker", worker.str());
+    if (per_second)
+        fields.add("per_second", fmt::format("{}", *per_second));
+    log_.notable(per_second ? "worker names a limit" : "worker limit ended",
+                 fields, at);
+}
+
 void relay::set_backends(std::vector<backend_entry> entries)
 {
     for (backend_entry const& entry : entries)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -15,6 +15,7 @@
 #include "route_table.hpp"
 #include "startup_hold.hpp"
 #include "team_directory.hpp"
+#include "worker_limits.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -163,6 +164,8 @@
     void on_worker_leaving(relay_exchange const& exchange) override;
     void on_backoff_requested(relay_exchange const& exchange,
                               time_point until) override;
+    void on_limit_stated(relay_exchange const& exchange,
+                         std::optional<double> per_second) override;
     void on_connection_lost(relay_exchange const& exchange) override;
     duration first_byte_timeout(relay_exchange const& exchange) const override;
     duration retry_after(relay_exchange const& exchange,
@@ -276,6 +279,8 @@
     service_state* find(service_id const& service);
     void add_service(service_config const& config);
     void log_worker(std::string_view event, backend_entry const& worker);
+    void log_limit(worker_id const& worker, std::optional<double> per_second,
+                   time_point at);
     void log_prompt_copy(relay_exchange const& exchange,
                          place_request const& placed);
     void log_superseded_send(relay_exchange const& exchange,
@@ -339,6 +344,7 @@
     std::unique_ptr<allotment_limiter> allotments_;
     /// Units taken by the requests in progress.
     std::unordered_map<ticket_id, metered_request> metered_requests_;
+    worker_limits limits_;
     std::map<worker_id, vm_id> owners_;
     std::map<vm_id, peer_state> peers_;
     std::unordered_map<ticket_id, peer_request> peer_requests_;
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -257,6 +257,8 @@
         host_.on_worker_leaving(*this);
     if (reply_.backoff)
         host_.on_backoff_requested(*this, last_byte_at_ + *reply_.backoff);
+    if (!reply_.limit.malformed && !reply_.other_worker)
+        host_.on_limit_stated(*this, reply_.limit.per_second);
     headers_ = host_.codec().answer_headers(headers);
     stage_ = stage::buffering;
     if (!reply_.not_run)
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -58,6 +58,9 @@
     /// `until`.
     virtual void on_backoff_requested(relay_exchange const& exchange,
                                       time_point until) = 0;
+    /// The worker named a limit in its answer, or none.
+    virtual void on_limit_stated(relay_exchange const& exchange,
+                                 std::optional<double> per_second) = 0;
     /// The connection closed before the worker's answer was complete.
     virtual void on_connection_lost(relay_exchange const& exchange) = 0;
     /// How long to wait for the first byte of an answer from the exchange's
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -133,6 +133,18 @@
     std::optional<std::uint64_t> resume_after;
 };
 
+/// What an answer says of the worker's limit on requests per second. Value.
+struct limit_statement
+{
+    /// Requests per second, of all VMs together; nullopt: no limit is named.
+    std::optional<double> per_second;
+    /// The answer names something that is no limit; it neither sets nor ends
+    /// one.
+    bool malformed = false;
+    friend bool operator==(limit_statement const&,
+                           limit_statement const&) = default;
+};
+
 /// What the status line and headers of a worker's answer state.
 struct worker_reply
 {
@@ -158,6 +170,7 @@
     /// The worker states that it shuts down, even if the registry does not list
     /// it as draining.
     bool leaving = false;
+    limit_statement limit;
 };
 
 /// What an order tells a worker to do with an adapter or a model.
--- a/tests/registry_watch_test.cpp
+++ b/tests/registry_watch_test.cpp
@@ -78,6 +78,10 @@
     {
         throw unused;
     }
+    limit_statement decode_limit(http_headers const&) const override
+    {
+        throw unused;
+    }
     http_headers answer_headers(http_headers const&) const override
     {
         throw unused;
--- a/tests/relay_callers.hpp
+++ b/tests/relay_callers.hpp
@@ -39,6 +39,10 @@
     {
         return {};
     }
+    limit_statement decode_limit(http_headers const&) const override
+    {
+        return {};
+    }
     http_headers answer_headers(http_headers const& received) const override
     {
         return received;
