--- a/bench/allotment_fleet.cpp
+++ b/bench/allotment_fleet.cpp
@@ -3,6 +3,7 @@
 #include "counter_allotment.hpp"
 #include "equal_share_limiter.hpp"
 #include "pooled_limiter.hpp"
+#include "worker_limiter.hpp"
 
 #include <fmt/format.h>
 
@@ -133,12 +134,48 @@
 
 allotment_fleet::~allotment_fleet() = default;
 
+allotment_plan plan_of_limits(std::size_t vms, limit_plan limits)
+{
+    allotment_terms const terms = worker_limit_terms();
+    allotment_plan plan;
+    plan.vms = vms;
+    plan.teams = 12;
+    plan.hot = 1;
+    plan.callers = vms * plan.teams;
+    plan.over = terms.overshoot_ratio;
+    plan.window = terms.window;
+    plan.limits = limits;
+    return plan;
+}
+
+allotment_terms allotment_fleet::terms() const
+{
+    allotment_terms made =
+        plan_.limits ? worker_limit_terms() : allotment_terms();
+    made.window = plan_.window;
+    made.overshoot_ratio = plan_.over;
+    return made;
+}
+
 void allotment_fleet::add_teams()
 {
     for (std::size_t index = 0; index < plan_.teams; ++index)
     {
         auto made = std::make_unique<fleet_team>();
         made->name = allotment_id(fmt::format("team-{}", index));
+        if (plan_.limits)
+        {
+            worker_limits named;
+            named.on_answer(worker_id(made->name.str()),
+                            plan_.limits->per_second, queue_.now(),
+                            queue_.now());
+            made->limit = named.allotments().begin()->second;
+            made->usual = made->limit.per_second * plan_.limits->demand;
+            made->reference.set_rate(made->limit.per_second, made->limit.burst,
+                                     queue_.now());
+            teams_.push_back(std::move(made));
+            continue;
+        }
         made->usual = plan_.largest_use / std::pow(double(index) + 1, 0.9);
         made->limit.unit = allotment_unit::tokens;
         made->limit.per_second = made->usual * plan_.allotted;
@@ -153,13 +190,12 @@
 allotment_fleet::make_keeper(std::size_t index)
 {
     vm_id const self = vms_.at(index)->name;
-    allotment_terms const terms{plan_.window, plan_.over};
     switch (way_)
     {
     case allotment_way::equal:
-        return std::make_unique<equal_share_limiter>(terms);
+        return std::make_unique<equal_share_limiter>(terms());
     case allotment_way::pooled:
-        return std::make_unique<pooled_limiter>(self, terms);
+        return std::make_unique<pooled_limiter>(self, terms());
     case allotment_way::counters:
         break;
     }
@@ -218,10 +254,12 @@
     std::uniform_int_distribution<std::size_t> any_vm(0, plan_.vms - 1);
     for (std::size_t caller = 0; caller < plan_.callers; ++caller)
     {
-        caller_at_.push_back(any_vm(random_));
+        caller_at_.push_back(
+            plan_.limits && plan_.limits->one_vm ? 0 : any_vm(random_));
         // The larger a team the more callers, one at least.
         std::size_t const team =
-            caller < plan_.teams
+            plan_.limits ? caller % plan_.teams
+            : caller < plan_.teams
                 ? caller
                 : std::size_t(
                       double(plan_.teams) *
@@ -236,6 +274,8 @@
         queue_.at(at,
                   [this]
                   {
+                      if (plan_.limits && plan_.limits->one_vm)
+                          return;
                       std::uniform_int_distribution<std::size_t> anywhere(
                           0, plan_.vms - 1);
                       for (std::size_t& each : caller_at_)
@@ -303,6 +343,8 @@
 
 double allotment_fleet::draw_units()
 {
+    if (plan_.limits)
+        return 1;
     double const drawn = std::uniform_real_distribution<double>()(random_);
     if (drawn < plain_share)
         return plain_units;
@@ -318,8 +360,9 @@
     double const mean_of_all = plain_share * plain_units +
                                (1 - plain_share - large_share) * mean_units +
                                large_share * large_units;
+    double const units_per_request = plan_.limits ? 1 : mean_of_all;
     double const per_second =
-        of.usual * of.times / mean_of_all / double(of.callers.size());
+        of.usual * of.times / units_per_request / double(of.callers.size());
     double const gap =
         std::exponential_distribution<double>(per_second)(random_);
     // A change of the team's use is noticed soon.
@@ -479,6 +522,15 @@
     return worst;
 }
 
+double allotment_fleet::used_share(fleet_team const& team) const
+{
+    double used = 0;
+    for (use const& each : team.used)
+        if (each.at >= time_point(warm_up))
+            used += each.units;
+    return used / (team.limit.per_second * seconds_of(plan_.length - warm_up));
+}
+
 void allotment_fleet::judge_hot(allotment_result& result) const
 {
     double owed = 0;
@@ -500,6 +552,7 @@
 allotment_result allotment_fleet::judge() const
 {
     allotment_result result;
+    result.least_used = used_share(*teams_.front());
     double owed = 0;
     double refused = 0;
     double owed_in_trouble = 0;
@@ -508,6 +561,7 @@
     {
         result.worst_window =
             std::max(result.worst_window, worst_window(*team));
+        result.least_used = std::min(result.least_used, used_share(*team));
         owed += team->owed;
         refused += team->refused;
         owed_in_trouble += team->owed_in_trouble;
--- a/bench/allotment_fleet.hpp
+++ b/bench/allotment_fleet.hpp
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,17 @@
 
 std::string_view to_string(allotment_trouble trouble);
 
+/// Limits of workers in place of teams' allotments: each request is one unit.
+struct limit_plan
+{
+    /// Requests per second of each worker.
+    double per_second = 2.8;
+    /// Requests that callers send, in multiples of the limit.
+    double demand = 4;
+    /// All callers are at one VM; otherwise they are spread.
+    bool one_vm = false;
+};
+
 struct allotment_plan
 {
     std::size_t vms = 74;
@@ -59,8 +71,14 @@
     duration length = std::chrono::seconds(40);
     allotment_trouble trouble = allotment_trouble::none;
     std::uint64_t seed = 1;
+    /// Set: `teams` is the number of workers, and the use, the allotment, the
+    /// window and the overshoot above do not count.
+    std::optional<limit_plan> limits;
 };
 
+/// A plan for the limits of twelve workers, each with requests of its own.
+allotment_plan plan_of_limits(std::size_t vms, limit_plan limits);
+
 /// Value.
 struct allotment_result
 {
@@ -75,6 +93,9 @@
     /// What the team that asks for more got, as a share of what that bucket
     /// would have let pass.
     double hot_used = 0;
+    /// The least that a team used after the warm-up, as a share of what its
+    /// rate allows.
+    double least_used = 0;
     /// The same for requests that came within three seconds of the trouble's
     /// beginning.
     double refused_in_trouble = 0;
@@ -123,6 +144,8 @@
     std::size_t number_of(vm_id const& vm) const;
     allotment_result judge() const;
     double worst_window(fleet_team const& team) const;
+    double used_share(fleet_team const& team) const;
+    allotment_terms terms() const;
     void judge_hot(allotment_result& result) const;
 
     allotment_plan const plan_;
--- a/bench/mulberry_trial.cpp
+++ b/bench/mulberry_trial.cpp
@@ -27,10 +27,12 @@
 char const* const usage =
     "mulberry-trial run PLAN [--seeds N] [--first-seed S] [--json FILE]\n"
     "mulberry-trial compare BEFORE.json AFTER.json\n"
-    "mulberry-trial allotments [--vms N] [--seeds N] [--first-seed S]\n\n"
+    "mulberry-trial allotments [--vms N] [--seeds N] [--first-seed S]\n"
+    "mulberry-trial limits     [--vms N] [--seeds N] [--first-seed S]\n\n"
     "run plays the plan once for each seed; compare gives what the same seeds\n"
     "differ by, with an interval that covers 95 in 100; allotments compares\n"
-    "the ways of keeping teams' allotments under each trouble.\n";
+    "the ways of keeping teams' allotments under each trouble, and limits\n"
+    "those of keeping workers' limits.\n";
 
 std::string read_file(std::string const& path)
 {
@@ -125,6 +127,9 @@
     {
         allotment_result const one = allotment_fleet(plan, way).play();
         all.worst_window = std::max(all.worst_window, one.worst_window);
+        all.least_used = plan.seed == first
+                             ? one.least_used
+                             : std::min(all.least_used, one.least_used);
         all.refused_below += one.refused_below / double(seeds);
         all.refused_of_usual += one.refused_of_usual / double(seeds);
         all.hot_used += one.hot_used / double(seeds);
@@ -137,6 +142,39 @@
     return all;
 }
 
+/// Compares the ways of keeping workers' limits.
+int compare_limits(options::variables_map const& given)
+{
+    std::size_t const vms = given["vms"].as<std::size_t>();
+    std::cout << fmt::format("{} VMs\n{:16} {:14} {:>8} {:>7} {:>12} {:>10} "
+                             "{:>9}\n",
+                             vms, "trouble", "way", "limit", "one VM",
+                             "worst window", "least used", "msg/VM/s");
+    for (allotment_trouble const trouble :
+         {allotment_trouble::none, allotment_trouble::cut,
+          allotment_trouble::pool_lost, allotment_trouble::herd_killed})
+        for (double const per_second : {1.0, 2.8, 6.5, 40.0})
+            for (bool const one_vm : {false, true})
+                for (allotment_way const way :
+                     {allotment_way::equal, allotment_way::counters,
+                      allotment_way::pooled})
+                {
+                    allotment_plan plan =
+                        plan_of_limits(vms, {per_second, 3, one_vm});
+                    plan.trouble = trouble;
+                    plan.seed = given["first-seed"].as<std::uint64_t>();
+                    allotment_result const seen = play_allotments(
+                        plan, way, given["seeds"].as<std::uint64_t>());
+                    std::cout << fmt::format(
+                        "{:16} {:14} {:8.1f} {:>7} {:12.3f} {:10.3f} "
+                        "{:9.2f}\n",
+                        to_string(trouble), to_string(way), per_second,
+                        one_vm ? "yes" : "no", seen.worst_window,
+                        seen.least_used, seen.messages_per_vm_second);
+                }
+    return 0;
+}
+
 int compare_allotments(options::variables_map const& given)
 {
     allotment_plan plan;
@@ -212,6 +250,8 @@
         return run(given, named);
     if (verb == "allotments")
         return compare_allotments(given);
+    if (verb == "limits")
+        return compare_limits(given);
     if (verb == "compare")
         return compare_files(named);
     throw options::error("no verb is named " + verb);
--- a/tests/allotment_fleet_test.cpp
+++ b/tests/allotment_fleet_test.cpp
@@ -53,3 +53,42 @@
     auto const pooled = allotment_fleet(plan, allotment_way::pooled).play();
     CHECK(pooled.refused_below < equal.refused_below / 5);
 }
+
+// Guards against a fleet that sends a worker more than the limit that it named:
+// in each window at most a tenth over rate and burst.
+TEST_CASE("no trouble lets a worker get more than its limit",
+          "[allotment_fleet]")
+{
+    for (double const per_second : {0.3, 2.8, 40.0})
+        for (allotment_trouble const trouble : all_troubles)
+            for (std::uint64_t seed = 1; seed <= 3; ++seed)
+            {
+                allotment_plan plan = plan_of_limits(12, {per_second, 4});
+                plan.trouble = trouble;
+                plan.seed = seed;
+                CAPTURE(per_second, to_string(trouble), seed);
+                auto const result =
+                    allotment_fleet(plan, allotment_way::pooled).play();
+                CHECK(result.worst_window <= 1 + plan.over);
+            }
+}
+
+// Guards against equal parts: limits of a few requests a second are left unused
+// when callers are at one VM, or ask less often than a VM's part allows.
+TEST_CASE("a worker gets what its limit allows where there is demand",
+          "[allotment_fleet]")
+{
+    constexpr double min_use = 0.9;
+    for (double const per_second : {1.0, 2.8, 6.5, 40.0})
+        for (bool const one_vm : {false, true})
+            for (std::uint64_t seed = 1; seed <= 3; ++seed)
+            {
+                allotment_plan plan =
+                    plan_of_limits(7, {per_second, 3, one_vm});
+                plan.seed = seed;
+                CAPTURE(per_second, one_vm, seed);
+                auto const result =
+                    allotment_fleet(plan, allotment_way::pooled).play();
+                CHECK(result.least_used >= min_use);
+            }
+}
