--- a/src/request_trace.cpp
+++ b/src/request_trace.cpp
@@ -33,6 +33,8 @@
         {"worker listed", "worker"},
         {"worker drains", "worker"},
         {"worker gone", "worker"},
+        {"worker names a limit", "limit"},
+        {"worker limit ended", "limit"},
         {"worker owned", "owner"},
         {"worker given up", "owner"}};
     auto const group = groups.find(line.event);
