--- a/src/relay_codec.hpp
+++ b/src/relay_codec.hpp
@@ -38,8 +38,7 @@
                                       relay_request const& request) const = 0;
     /// Reads the limit that an answer to any call of a worker names. Of several
     /// limits the lowest counts.
-    virtual limit_statement
-    decode_limit(http_headers const& headers) const = 0;
+    virtual limit_statement decode_limit(http_headers const& headers) const = 0;
     /// Returns the header fields of a worker's answer that are forwarded to the
     /// caller.
     virtual http_headers answer_headers(http_headers const& received) const = 0;
