--- a/src/allotment_limiter.hpp
+++ b/src/allotment_limiter.hpp
@@ -20,7 +20,8 @@
 namespace mulberry
 {
 
-/// How far a team's use may exceed its allotment. Value.
+/// How far use may exceed an allotment. "Team" in this file is whatever has the
+/// allotment, a team or a worker. Value.
 struct allotment_terms
 {
     /// In every window of this length the units of a team's requests on all VMs
--- a/src/pooled_limiter.hpp
+++ b/src/pooled_limiter.hpp
@@ -1,5 +1,6 @@
-/// Limits teams by pools: VMs delegate their equal shares of each allotment to
-/// pools, and query the pools for the units that their requests need.
+/// Keeps allotments of teams and workers by pools: VMs delegate their equal
+/// shares of each allotment to pools, and query the pools for the units that
+/// their requests need.
 #ifndef MULBERRY_POOLED_LIMITER_HPP
 #define MULBERRY_POOLED_LIMITER_HPP
 
@@ -15,8 +16,9 @@
 namespace mulberry
 {
 
-/// Lets a team use its whole allotment although its callers use only a few of
-/// many VMs, and change these VMs often. Each VM has an equal share of each
+/// "Team" below is whatever has the allotment, a team or a worker. Lets a team
+/// use its whole allotment although its callers use only a few of many VMs, and
+/// change these VMs often. Each VM has an equal share of each
 /// allotment. It delegates one half of the share to each of two VMs that keep
 /// pools for the team, for a short time at a time; a half is never delegated to
 /// two VMs at once. Units that a pool gives expire soon if they are not used.
--- a/src/relay_limits.cpp
+++ b/src/relay_limits.cpp
@@ -59,7 +59,7 @@
         log_.notable(limit ? "worker names a limit" : "worker limit ended",
                      fields, at);
         for (auto& [name, service] : services_)
-            service.scheduler.on_limit_relaxed(worker);
+            service.scheduler.on_limit_changed(worker);
     }
     schedule_run();
 }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -309,8 +309,9 @@
     {
         notices_.record_limit_reached(worker, until, retry_at, now);
     }
-    /// Handles that the worker's limit was raised or has ended.
-    void on_limit_relaxed(worker_id const& worker)
+    /// Handles that the worker's limit changed or has ended: whether it has
+    /// room is asked again.
+    void on_limit_changed(worker_id const& worker)
     {
         notices_.clear_limit_reached(worker);
     }
--- a/src/worker_notices.hpp
+++ b/src/worker_notices.hpp
@@ -41,7 +41,7 @@
     /// before `until`, and that callers should return at `retry_at`.
     void record_limit_reached(worker_id const& worker, time_point until,
                               time_point retry_at, time_point now);
-    /// The worker's limit was raised or has ended.
+    /// Whether the worker's limit has room is not known any more.
     void clear_limit_reached(worker_id const& worker);
 
     /// The worker's backoff or full limit, whichever ends later; `until` is in
