--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -347,6 +347,9 @@
 
 void relay_exchange::finish_stream()
 {
+    if (!answer_framed_)
+        host_.log_request_event(*this, "stream ended with its connection",
+                                "no length and no chunks");
     end_send(send_outcome::served);
     if (events_.incomplete_bytes() > 0)
     {
