Take no VM's answer for whole that ends with its connection

collected_exchange dropped whether an answer was framed. VMs frame every answer to each other, so one that is delimited by the end of its connection was cut: a VM that dies, or a proxy that closes, hands over half a body with status 200. Grants, rows, shares and notices now count such an answer as none.

--- a/src/collected_exchange.cpp
+++ b/src/collected_exchange.cpp
@@ -42,7 +42,11 @@
             call_.on_head(status);
     }
     void on_body(std::string_view bytes) override { answer_.body += bytes; }
-    void on_end(bool) override { complete(std::move(answer_)); }
+    void on_end(bool framed) override
+    {
+        complete(framed || !call_.framed_only ? std::move(answer_)
+                                              : collected_answer());
+    }
     void on_failure(call_stage, std::string const&) override { complete({}); }
 
 private:
--- a/src/collected_exchange.hpp
+++ b/src/collected_exchange.hpp
@@ -32,6 +32,9 @@
     /// The encoded request, head and body.
     std::string bytes;
     exchange_options options;
+    /// An answer that is delimited only by the end of its connection counts as
+    /// none. Set for VMs, which frame all their answers: such a one was cut.
+    bool framed_only = false;
     /// Returns the deadline of the call. Called at the start and again when
     /// that time has come, so that the deadline may move. Steady clock.
     std::function<std::chrono::steady_clock::time_point()> current_deadline;
--- a/src/relay_limits.cpp
+++ b/src/relay_limits.cpp
@@ -183,6 +183,7 @@
     call.bytes = encode_worker_limit_query(ask.message, call.to.ip, now());
     call.options.connect_timeout = pool_connect_timeout;
     call.options.max_idle = pool_connection_max_idle;
+    call.framed_only = true;
     call.current_deadline = [ends = std::chrono::steady_clock::now() +
                                     pool_request_timeout] { return ends; };
     call.on_end = [this, on_reply](collected_answer const& answer)
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -54,6 +54,7 @@
     call.bytes = encode_peer_call(message, to.ip, boot_clock::now());
     call.options.connect_timeout = peer_connect_timeout;
     call.options.max_idle = peer_max_idle;
+    call.framed_only = true;
     return call;
 }
 
--- a/src/relay_teams.cpp
+++ b/src/relay_teams.cpp
@@ -164,6 +164,7 @@
     call.bytes = encode_allotment_query(ask.query, call.to.ip);
     call.options.connect_timeout = pool_connect_timeout;
     call.options.max_idle = pool_connection_max_idle;
+    call.framed_only = true;
     call.current_deadline = [ends = std::chrono::steady_clock::now() +
                                     pool_request_timeout] { return ends; };
     call.on_end = [on_reply](collected_answer const& answer)
--- a/src/row_mirror_peers.cpp
+++ b/src/row_mirror_peers.cpp
@@ -70,6 +70,7 @@
     call.bytes = encode_rows_query(query, call.to.ip);
     call.options.connect_timeout = reader_connect_timeout;
     call.options.max_idle = reader_max_idle;
+    call.framed_only = true;
     call.current_deadline =
         [ends = std::chrono::steady_clock::now() + query.wait +
                 options_.worker_interval / reader_answer_part] { return ends; };
