Read every stream for where it ends

Cause: only streams that may be resumed passed through event_splitter, so the end of another stream found nothing incomplete (hypothesis 1); where the worker frames the cut itself, nothing but the content can tell (4). Ruled out: resets taken for an end (2), calls by way of another VM (3).

Class: who may say that an answer is complete, on what proof. Every stream is now read, events are passed on whole, and a stream is complete only at the end of an event; one that is delimited by its connection must have brought an event. A stream that was broken off counts as broken for the worker's health and no longer clears a suspicion that the request crashes workers. Line ends of a lone carriage return end events, too, comments and empty lines behind the last event are no part of one, and an event of over a megabyte ends its stream: a worker that never ends one would fill the VM's memory.

Left: a worker that ends at the end of an event and closes its connection properly cannot be told from one that has finished.

--- a/src/event_splitter.hpp
+++ b/src/event_splitter.hpp
@@ -19,21 +19,43 @@
 {
 public:
     /// Appends received bytes. Returns the bytes of the events that are now
-    /// complete; may be empty.
+    /// complete; may be empty. Takes time linear in `bytes`.
     std::string feed(std::string_view bytes);
-    /// Discards the bytes of an incomplete event, before a stream is resumed at
-    /// another worker.
-    void discard_incomplete() { incomplete_.clear(); }
-    /// Bytes received of an incomplete event.
+    /// Starts to read another worker's answer: discards the bytes of an
+    /// incomplete event.
+    void begin_answer();
+    /// Returns the bytes behind the last event and forgets them. Precondition:
+    /// not is_within_event().
+    std::string take_rest();
+
+    /// Whether an event has begun and not ended. Empty lines and comments
+    /// between events belong to none.
+    bool is_within_event() const;
+    /// Bytes received behind the last complete event.
     std::size_t incomplete_bytes() const { return incomplete_.size(); }
+    /// Whether an event was completed since begin_answer().
+    bool answer_has_events() const { return answer_has_events_; }
     /// Id of the last complete event that had a numeric id.
     std::optional<std::uint64_t> last_id() const { return last_id_; }
+    /// Whether last_id() tells all events that were returned: the last one
+    /// had an id, or there was none.
+    bool can_resume() const { return !ends_without_id_; }
 
 private:
-    void read_ids(std::string_view events);
+    void read_line(std::string_view line);
+    void end_event();
 
     std::string incomplete_;
+    /// Offset in incomplete_ of the line that is being received.
+    std::size_t line_begin_ = 0;
+    bool after_carriage_return_ = false;
+    /// The current event has a line that is no comment.
+    bool event_begun_ = false;
+    bool event_has_data_ = false;
+    std::optional<std::uint64_t> event_id_;
     std::optional<std::uint64_t> last_id_;
+    bool ends_without_id_ = false;
+    bool answer_has_events_ = false;
 };
 
 } // namespace mulberry
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -27,6 +27,8 @@
 /// Limit on the bytes of a stream that its caller has not read; a caller that
 /// lags further behind is disconnected.
 constexpr std::size_t max_unsent_bytes = 1UL * 1024 * 1024;
+/// Limit on the bytes of one event, which are held until it is complete.
+constexpr std::size_t max_event_bytes = 1UL * 1024 * 1024;
 
 /// Within a region, connecting takes milliseconds; a connection that is not
 /// open after this time will not open.
@@ -301,7 +303,7 @@
     if (!stream_begun_)
         answer_->start_stream(reply_.status, headers_);
     stream_begun_ = true;
-    events_.discard_incomplete();
+    events_.begin_answer();
     schedule_wake();
 }
 
@@ -321,10 +323,10 @@
 {
     time_point const at = host_.now();
     host_.on_stream_bytes(at - std::exchange(last_byte_at_, at));
-    if (!is_retryable())
-        answer_->write(std::string(bytes));
-    else if (std::string complete = events_.feed(bytes); !complete.empty())
+    if (std::string complete = events_.feed(bytes); !complete.empty())
         answer_->write(std::move(complete));
+    if (events_.incomplete_bytes() > max_event_bytes)
+        return retry_or_fail(send_outcome::broken, "an event is too large");
     if (answer_->unsent_bytes() > max_unsent_bytes)
     {
         host_.log_request_event(*this, "stream cut",
@@ -337,27 +339,37 @@
 
 void relay_exchange::on_end(bool framed)
 {
-    answer_framed_ = framed;
     if (stage_ == stage::streaming)
-        return finish_stream();
+        return finish_stream(framed);
+    answer_framed_ = framed;
     if (reply_.not_run)
         return finish_rejected();
     finish_answer();
 }
 
-void relay_exchange::finish_stream()
+/// Failure: a worker that ends closes its connection like one that has finished
+/// its answer, or frames what it has sent, and a caller gets the first half of
+/// an event as the end of a complete stream. So a stream is complete only at
+/// the end of an event.
+void relay_exchange::finish_stream(bool framed)
 {
-    if (!answer_framed_)
-        host_.log_request_event(*this, "stream ended with its connection",
-                                "no length and no chunks");
-    end_send(send_outcome::served);
-    if (events_.incomplete_bytes() > 0)
+    bool const proven = framed || events_.answer_has_events();
+    if (!proven || events_.is_within_event())
     {
+        if (!framed)
+            host_.on_connection_lost(*this);
+        end_send(send_outcome::broken);
         host_.log_request_event(*this, "stream cut",
-                                "it ended within an event");
+                                !proven ? "it ended without an event"
+                                : framed
+                                    ? "its framing ended within an event"
+                                    : "its connection ended within an event");
         answer_->abort();
         return end(relay_outcome::failed);
     }
+    answer_framed_ = framed;
+    end_send(send_outcome::served);
+    answer_->write(events_.take_rest());
     answer_->finish();
     end(relay_outcome::served);
 }
@@ -428,8 +440,10 @@
 
 bool relay_exchange::try_reserve_retry()
 {
-    return is_retryable() && runs_ < terms_.matched->worker_limit &&
-           sends_ < max_sends && reserve_retry();
+    bool const can_resume = !stream_begun_ || events_.can_resume();
+    return is_retryable() && can_resume &&
+           runs_ < terms_.matched->worker_limit && sends_ < max_sends &&
+           reserve_retry();
 }
 
 bool relay_exchange::reserve_retry()
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -195,7 +195,7 @@
     bool reserve_retry();
     void begin_stream();
     void forward_stream(std::string_view bytes);
-    void finish_stream();
+    void finish_stream(bool framed);
     void finish_rejected();
     void finish_answer();
     void end_send(send_outcome outcome);
