Resume a stream elsewhere that ended inside an event

Cause: finish_stream ended the request by itself in place of the way that a lost connection takes. It takes that way now: another worker is asked for the events behind the last whole one, within the limits on retries.

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -358,14 +358,10 @@
     {
         if (!framed)
             host_.on_connection_lost(*this);
-        end_send(send_outcome::broken);
-        host_.log_request_event(*this, "stream cut",
-                                !proven ? "it ended without an event"
-                                : framed
-                                    ? "its framing ended within an event"
-                                    : "its connection ended within an event");
-        answer_->abort();
-        return end(relay_outcome::failed);
+        return retry_or_fail(send_outcome::broken,
+                             !proven  ? "it ended without an event"
+                             : framed ? "its framing ended within an event"
+                                      : "its connection ended within an event");
     }
     answer_framed_ = framed;
     end_send(send_outcome::served);
