--- a/src/backend_entry.hpp
+++ b/src/backend_entry.hpp
@@ -30,6 +30,7 @@
     /// Distinguishes incarnations: a worker may restart under the same id.
     worker_start started;
     service_id service;
+    software_version software;
     std::string address;
     std::uint16_t port = 0;
     domain_id domain;
--- a/src/ids.hpp
+++ b/src/ids.hpp
@@ -54,6 +54,9 @@
 using worker_start = number_id<struct worker_start_tag>;
 /// One run of a VM's process; increases with each registration.
 using incarnation = number_id<struct incarnation_tag>;
+/// The version of a worker's software; empty if the worker states none. What
+/// workers of two versions write of one stream does not fit together.
+using software_version = text_id<struct software_version_tag>;
 /// A fencing token; increases each time that the owner of a worker changes.
 using fencing_number = number_id<struct fencing_tag>;
 /// The version of a model's weights, from 1; 0 if unknown. A worker that loads
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -146,6 +146,7 @@
                      .add("service", worker.service.str())
                      .add("domain", worker.domain.str())
                      .add("started", worker.started.value())
+                     .add("software", worker.software.str())
                      .add("weights", weights_text(worker)),
                  now());
 }
@@ -236,7 +237,8 @@
         if (before == backends_.end() || before->draining != entry.draining)
             log_worker(entry.draining ? "worker drains" : "worker listed",
                        entry);
-        else if (before->started != entry.started)
+        else if (before->started != entry.started ||
+                 before->software != entry.software)
             log_worker("worker started again", entry);
         else if (weights_text(*before) != weights_text(entry))
             log_worker("worker weights listed", entry);
@@ -416,6 +418,7 @@
             .add("request", exchange.request().id.str())
             .add("route", exchange.terms().matched->name)
             .add("worker", exchange.worker().str())
+            .add("software", exchange.worker_entry().software.str())
             .add("status", exchange.status())
             .add("reason", reason)
             .add("sends", exchange.sends())
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -100,6 +100,9 @@
     /// Number of the last event that the caller received of a stream that it
     /// resumes.
     std::optional<std::uint64_t> last_event;
+    /// The caller's try that brought the first event of a stream that it
+    /// resumes.
+    std::optional<request_id> resumes;
     /// The caller's address; empty if unknown.
     std::string caller;
 };
--- a/src/request_trace.cpp
+++ b/src/request_trace.cpp
@@ -59,6 +59,7 @@
     line.request = text_or(json, "request", "");
     line.worker = text_or(json, "worker", "");
     line.content = text_or(json, "content", "");
+    line.stream = text_or(json, "stream", "");
     for (std::string const& name : json.getMemberNames())
         if (std::find(common_members.begin(), common_members.end(), name) ==
             common_members.end())
@@ -86,6 +87,25 @@
             line.event == "request quarantined");
 }
 
+/// The streams that the request began or took up.
+std::set<std::string> streams_of(std::string const& request,
+                                 std::vector<log_line> const& lines)
+{
+    std::set<std::string> streams{request};
+    for (log_line const& line : lines)
+        if (line.request == request && !line.stream.empty())
+            streams.insert(line.stream);
+    return streams;
+}
+
+/// Whether the line tells at which version of the software one of the streams
+/// began or went on.
+bool is_related_stream(log_line const& line,
+                       std::set<std::string> const& streams)
+{
+    return streams.count(line.stream) > 0;
+}
+
 log_line with_request_id(log_line line)
 {
     if (!line.request.empty())
@@ -119,6 +139,7 @@
                      [](log_line const& a, log_line const& b)
                      { return a.time < b.time; });
     std::set<std::string> const contents = quarantined_contents(request, lines);
+    std::set<std::string> const streams = streams_of(request, lines);
     std::map<std::string, std::map<std::string, log_line>> latest_states;
     std::set<std::pair<std::string, std::string>> shown;
     std::vector<log_line> trace;
@@ -131,7 +152,8 @@
         }
         if (line.request != request)
         {
-            if (is_related_crash(line, contents))
+            if (is_related_crash(line, contents) ||
+                is_related_stream(line, streams))
                 trace.push_back(with_request_id(line));
             continue;
         }
--- a/src/request_trace.hpp
+++ b/src/request_trace.hpp
@@ -22,6 +22,8 @@
     /// Identifies the request's content, the same in all attempts with that
     /// content; empty where the line does not name it.
     std::string content;
+    /// The caller's try that began the stream that the line is about.
+    std::string stream;
     /// The members that are specific to the event, including `content`, as
     /// NAME=VALUE.
     std::vector<std::string> details;
