Keep streams at the version of the software that began them

Within one answer the version of the first worker holds. For a caller's next try, weighed: asking all VMs (320 messages), a row a stream in the store (more writes than it takes), the version by a hash of the id (changes with each listing), and what is built: a record at three VMs by the id's hash, kept in memory, bounded, for as long as the stream can last. Records are made only while several versions are known; streams that run when a second appears are recorded then.

A service that had one version all along needs no record: every VM begins streams at a version only after it was listed for three seconds as of the VM's own news, and trusts its list for as long, so a VM that trusts its list knows every version at which a running stream can have begun. That holds without a message, also at VMs that hear nobody: they take up nothing. A VM that has just started asks the others which versions they have established. What cannot be told is rejected at once with 503.

The scheduler leaves out workers of other versions, grants name the versions that are allowed and are given back for others, and before each send the worker's entry is looked up again: same start, same version.

Not proved: a VM that starts begins at once at the first version that it sees, if it sees one. If all workers of a service are replaced by another version between two reads of a second VM, within three seconds and without an overlap, that VM can take such a stream up at the old one.

--- a/src/peer_grant_request.cpp
+++ b/src/peer_grant_request.cpp
@@ -51,6 +51,12 @@
         json["elsewhere_ms"] = whole_ms(*ask.start_delay_elsewhere);
     for (worker_id const& each : ask.excluded)
         json["excluded"].append(each.str());
+    if (ask.software)
+    {
+        json["software"] = Json::arrayValue;
+        for (software_version const& each : *ask.software)
+            json["software"].append(each.str());
+    }
     return json;
 }
 
@@ -73,7 +79,8 @@
     return std::nullopt;
 }
 
-bool parse_excluded(Json::Value const& json, std::set<worker_id>& excluded)
+template <class Id>
+bool parse_ids(Json::Value const& json, std::set<Id>& ids)
 {
     if (!json.isNull() && !json.isArray())
         return false;
@@ -81,7 +88,7 @@
     {
         if (!each.isString())
             return false;
-        excluded.insert(worker_id(each.asString()));
+        ids.insert(Id(each.asString()));
     }
     return true;
 }
@@ -107,7 +114,10 @@
     if (json.isMember("elsewhere_ms"))
         ask.start_delay_elsewhere = parse_ms(json["elsewhere_ms"]);
     ask.request = request_id(text_or(json, "request", ""));
-    if (!parse_excluded(json["excluded"], ask.excluded))
+    if (!parse_ids(json["excluded"], ask.excluded))
+        return std::nullopt;
+    if (json.isMember("software") &&
+        !parse_ids(json["software"], ask.software.emplace()))
         return std::nullopt;
     if (ask.service.empty() || ask.target.model.empty() ||
         ask.target.adapter.empty())
--- a/src/peer_grant_request.hpp
+++ b/src/peer_grant_request.hpp
@@ -5,7 +5,7 @@
 ///   POST /peer   {"service", "worker", "model", "adapter", "priority",
 ///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190,
 ///                 "prefix": [KEY, TOKENS], "elsewhere_ms": 320,
-///                 "objective_ms": 540,
+///                 "objective_ms": 540, "software": [VERSION, ...],
 ///                 "done": [[GRANT, OUTCOME], ...],
 ///                 "crashes": [[DIGEST, WORKER, STARTED,
 ///                               SENT_MS_AGO, SEEN_MS_AGO], ...],
@@ -58,6 +58,9 @@
     /// Estimated delay until the request could start at another worker that the
     /// sender knows of; absent if there is none.
     std::optional<duration> start_delay_elsewhere;
+    /// Versions of the workers' software that the request may run at; absent:
+    /// any.
+    std::optional<std::set<software_version>> software;
     friend bool operator==(peer_grant_request const&,
                            peer_grant_request const&) = default;
 };
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -6,7 +6,7 @@
           prefill_rate.cpp relay_request.cpp remote_clock.cpp
           retry_allowance.cpp route_table.cpp row_replica.cpp
           service_estimate.cpp service_notices.cpp service_placing.cpp
-          service_scheduler.cpp service_versions.cpp service_workers.cpp startup_hold.cpp
+          service_scheduler.cpp service_versions.cpp service_workers.cpp software_versions.cpp startup_hold.cpp stream_records.cpp
           team_directory.cpp token_bucket.cpp
           worker_adapters.cpp worker_health.cpp worker_limiter.cpp worker_limits.cpp worker_notices.cpp worker_reachability.cpp prefill_backlog.cpp
   LINK mulberry_policy)
@@ -15,17 +15,17 @@
           pooled_limiter_test.cpp prompt_copy_test.cpp relay_request_test.cpp
           remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_replica_test.cpp scheduler_world.cpp
-          service_leaving_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_version_test.cpp startup_hold_test.cpp team_directory_test.cpp token_bucket_test.cpp
+          service_leaving_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_software_test.cpp service_version_test.cpp software_versions_test.cpp startup_hold_test.cpp team_directory_test.cpp token_bucket_test.cpp
           worker_adapters_test.cpp worker_health_test.cpp worker_limiter_test.cpp worker_limits_test.cpp worker_notices_test.cpp worker_reachability_test.cpp forwarder_selector_test.cpp
           prefill_backlog_test.cpp
   LINK mulberry_scheduling)
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp collected_exchange.cpp connect_check.cpp crash_row.cpp crash_detector.cpp event_log.cpp event_splitter.cpp forwarded_call.cpp
-          ownership_runner.cpp peer_allotment.cpp peer_grant_request.cpp peer_rows.cpp registry_watch.cpp relay.cpp relay_admission.cpp
+          ownership_runner.cpp peer_allotment.cpp peer_grant_request.cpp peer_rows.cpp peer_streams.cpp registry_watch.cpp relay.cpp relay_admission.cpp
           relay_daemon.cpp
           relay_exchange.cpp relay_forwarding.cpp relay_limits.cpp relay_metrics.cpp relay_orders.cpp
-          relay_peers.cpp relay_retries.cpp relay_settings.cpp relay_teams.cpp row_mirror.cpp
+          relay_peers.cpp relay_retries.cpp relay_settings.cpp relay_streams.cpp relay_teams.cpp row_mirror.cpp
           row_mirror_peers.cpp store_meter.cpp team_key.cpp
           worker_row_projection.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
@@ -35,6 +35,6 @@
           memory_row_store.cpp ownership_runner_test.cpp peer_allotment_test.cpp
           peer_grant_request_test.cpp peer_rows_test.cpp
           registry_watch_test.cpp relay_settings_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp
-          store_meter_test.cpp team_key_test.cpp
+          store_meter_test.cpp stream_records_test.cpp team_key_test.cpp
   LINK mulberry_relay
   ENVIRONMENT "RC_PARAMS=seed=1")
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -25,6 +25,10 @@
 /// represents exactly.
 constexpr std::uint64_t max_first_ticket = std::uint64_t{1} << 52U;
 
+/// Some hundred bytes each; a VM keeps three times as many streams as it has
+/// callers, for a few seconds longer than they last.
+constexpr std::size_t max_stream_records = 8192;
+
 std::string_view outcome_name(relay_outcome outcome)
 {
     switch (outcome)
@@ -64,7 +68,7 @@
       forwarders_(options_.domain), start_hold_(options_.start, started_at_),
       limits_(options_.vm, std::make_unique<pooled_limiter>(
                                options_.vm, worker_limit_terms())),
-      random_(options_.seed)
+      streams_(max_stream_records), random_(options_.seed)
 {
     // Failure: a VM restarts, and another VM reports that a grant of the
     // earlier process has ended; a grant of the new process with the same
@@ -103,10 +107,11 @@
     settings.domain = options_.domain;
     settings.release_grace = options_.release_grace;
     settings.release_begin = options_.release_begin;
-    auto const added = services_
-                           .try_emplace(config.name, settings, config,
-                                        options_.retries, started_at_)
-                           .first;
+    auto const added =
+        services_
+            .try_emplace(config.name, settings, config, options_.retries,
+                         started_at_, options_.software_validity)
+            .first;
     added->second.scheduler.set_members(members_);
     added->second.retries.set_vms(members_, now());
     if (is_first_process_)
@@ -127,6 +132,8 @@
     for (auto const& [name, service] : config_->services)
         add_service(service);
     routes_ = std::make_unique<route_table>(config_);
+    for (auto& [name, service] : services_)
+        update_longest_stream(service);
     update_teams();
     log_fields taken;
     taken.add("version", config_->version.value())
@@ -267,6 +274,8 @@
     for (auto& [name, service] : services_)
     {
         service.scheduler.set_backends(by_service[name]);
+        if (backends_known_)
+            update_software(name, service, by_service[name]);
         service.scheduler.set_owned_workers(owned_workers_);
         service.scheduler.set_owners(owners_);
     }
@@ -317,6 +326,7 @@
     item.give_up_at = terms.give_up_at;
     item.objective_at = terms.arrived_at + terms.matched->latency_objective;
     item.excluded = excluded;
+    item.software = allowed_software(exchange);
     find(terms.service)->scheduler.submit(std::move(item), now());
     schedule_run();
 }
@@ -511,6 +521,7 @@
 void relay::run_service(service_state& service)
 {
     update_registry_moment(service);
+    update_software_known(service);
     for (placement_action const& action : service.scheduler.run(now()))
         execute(service, action);
 }
@@ -544,11 +555,18 @@
     auto refused = check_quarantine(*exchange);
     if (!refused)
         refused = check_key(*exchange);
+    if (!refused)
+        refused = check_software_known(*exchange);
     if (refused)
     {
         release_worker_slot(*exchange, send_outcome::abandoned);
         return exchange->on_refused(*refused);
     }
+    if (!has_allowed_software(*exchange, placed.entry))
+    {
+        release_worker_slot(*exchange, send_outcome::abandoned);
+        return exchange->on_postponed();
+    }
     if (exchange->sends() == 0)
         queueing_delays_.add(now() - exchange->terms().arrived_at);
     if (placed.prefix_source)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -14,10 +14,13 @@
 #include "latency_meter.hpp"
 #include "ownership_keeper.hpp"
 #include "peer_grant_request.hpp"
+#include "peer_streams.hpp"
 #include "relay_exchange.hpp"
 #include "retry_allowance.hpp"
 #include "route_table.hpp"
+#include "software_versions.hpp"
 #include "startup_hold.hpp"
+#include "stream_records.hpp"
 #include "team_directory.hpp"
 #include "worker_limiter.hpp"
 #include "worker_reachability.hpp"
@@ -63,6 +66,10 @@
     allotment_terms allotments;
     std::uint64_t seed = 1;
     startup_limits start;
+    /// How long this VM goes by the versions of their software that workers
+    /// were listed with, and how long a version is listed before streams begin
+    /// at it. The same at all VMs.
+    duration software_validity = std::chrono::milliseconds(3000);
     /// Detection of requests that crash workers.
     crash_detector_options crashes;
     /// Local IP address of connections to workers and other VMs; empty: any.
@@ -94,6 +101,11 @@
     /// Sends by way of another VM, and calls made for other VMs.
     std::uint64_t sent_through = 0;
     std::uint64_t calls_forwarded = 0;
+    /// Records of what began a stream that were sent to other VMs, questions
+    /// for such records, and streams that nobody knew.
+    std::uint64_t stream_records_sent = 0;
+    std::uint64_t stream_questions = 0;
+    std::uint64_t streams_unknown = 0;
 
     std::uint64_t orders = 0;
     std::uint64_t orders_unknown = 0;
@@ -158,6 +170,9 @@
     void handle_worker_limits(http_request const& received,
                               http_answer& answer);
 
+    /// Handles another VM's message about streams; see peer_streams.hpp.
+    void handle_streams(http_request const& received, http_answer& answer);
+
     /// Makes a call to a worker for another VM; see forwarded_call.hpp.
     void handle_forwarded_call(http_request const& received,
                                std::shared_ptr<http_answer> answer);
@@ -201,6 +216,7 @@
                          std::set<worker_id> const& excluded) override;
     void stop_waiting(relay_exchange& exchange) override;
     void on_first_byte(relay_exchange& exchange) override;
+    void on_stream_begun(relay_exchange const& exchange) override;
     void on_stream_bytes(duration gap) override { stream_gaps_.add(gap); }
     void on_send_ended(relay_exchange& exchange, send_outcome outcome) override;
     void on_worker_leaving(relay_exchange const& exchange) override;
@@ -270,6 +286,7 @@
     };
     class forwarded_send;
     class call_forwarder;
+    struct stream_question;
     /// A call to a worker, as the scheduler decided it.
     using pending_send =
         std::variant<place_request, issue_order, request_report>;
@@ -277,13 +294,17 @@
     {
         service_scheduler scheduler;
         retry_allowance retries;
+        software_versions software;
+        time_point ask_established_at{};
         time_point budget_log_due{};
         bool engine = false;
 
         service_state(scheduler_settings settings, service_config const& config,
-                      retry_limits const& limits, time_point started_at)
+                      retry_limits const& limits, time_point started_at,
+                      duration software_validity)
             : scheduler(std::move(settings), config),
-              retries(limits, started_at), engine(config.engine.has_value())
+              retries(limits, started_at), software(software_validity),
+              engine(config.engine.has_value())
         {
         }
     };
@@ -311,6 +332,40 @@
     /// request, at once or when the units are granted.
     void acquire_allotment(std::shared_ptr<relay_exchange> const& exchange,
                            team const* holder);
+    /// Starts the request. A stream that it takes up first needs the version
+    /// that began the stream, which other VMs are asked for; if nobody knows,
+    /// the request is rejected.
+    void start_exchange(std::shared_ptr<relay_exchange> const& exchange);
+    void ask_for_stream(std::shared_ptr<relay_exchange> const& exchange);
+    void on_stream_reply(stream_question& question, vm_id const& from,
+                         std::optional<stream_reply> const& reply);
+    void take_up_stream(relay_exchange& exchange,
+                        software_version const& software,
+                        std::string const& known_from, time_point asked_at);
+    void reject_unknown_stream(relay_exchange& exchange, time_point asked_at);
+    /// Keeps at a few VMs which version began the stream.
+    void record_stream(relay_exchange const& exchange);
+    void record_running_streams(service_id const& service);
+    void send_stream_message(
+        backend_address const& to, stream_message const& message,
+        duration timeout,
+        std::function<void(std::optional<stream_reply> const&)> done);
+    void update_longest_stream(service_state& service);
+    void update_software(service_id const& name, service_state& service,
+                         std::vector<backend_entry> const& workers);
+    void update_software_known(service_state& service);
+    /// Asks other VMs which versions they have established, if this VM has not
+    /// established all.
+    void ask_for_established(service_id const& name, service_state& service);
+    /// The versions at which the request may run; nullopt: any.
+    std::optional<std::set<software_version>>
+    allowed_software(relay_exchange const& exchange);
+    /// Returns an error if the request goes on with a stream and this VM does
+    /// not know the workers' versions.
+    std::optional<error> check_software_known(relay_exchange const& exchange);
+    /// Whether the worker, as listed now, may run the request.
+    bool has_allowed_software(relay_exchange const& exchange,
+                              backend_entry const& worker);
     void on_allotment_decision(allotment_decision const& settled);
     void run_allotments();
     /// Passes the configuration's teams and limits to the team directory and
@@ -455,6 +510,9 @@
     std::unordered_map<ticket_id, pending_send> pending_sends_;
     std::map<worker_id, vm_id> owners_;
     std::map<vm_id, peer_state> peers_;
+    /// All VMs that are live, this one included.
+    std::vector<vm_id> live_vms_;
+    stream_records streams_;
     std::unordered_map<ticket_id, peer_request> peer_requests_;
     std::unordered_map<ticket_id, held_grant> held_grants_;
     std::unordered_map<ticket_id, std::shared_ptr<backend_exchange>>
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -236,6 +236,7 @@
     options.vm = value.vm;
     options.domain = value.domain;
     options.retries = value.retries;
+    options.software_validity = value.software_validity;
     options.release_grace = value.release_bound / release_grace_divisor;
     options.release_begin = value.release_bound / 4 * release_begin_quarters;
     options.may_order = std::move(may_order);
@@ -537,6 +538,8 @@
                 return relay_.handle_allotment(request, *answer);
             if (request.path == worker_limits_path)
                 return relay_.handle_worker_limits(request, *answer);
+            if (request.path == streams_path)
+                return relay_.handle_streams(request, *answer);
             if (request.path == forwarded_call_path)
                 return relay_.handle_forwarded_call(request, std::move(answer));
             relay_.handle_peer(request, std::move(answer));
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -84,6 +84,17 @@
     std::uint64_t number_;
 };
 
+bool relay_exchange::begins_resumable_stream() const
+{
+    return terms_.matched->repeats == repeat_rule::stream &&
+           terms_.matched->resumable;
+}
+
+request_id const& relay_exchange::stream() const
+{
+    return request_.resumes ? *request_.resumes : request_.id;
+}
+
 relay_exchange::relay_exchange(exchange_host& host, exchange_terms terms,
                                relay_request request,
                                std::shared_ptr<http_answer> answer)
@@ -300,9 +311,12 @@
 void relay_exchange::begin_stream()
 {
     stage_ = stage::streaming;
-    if (!stream_begun_)
+    if (!std::exchange(stream_begun_, true))
+    {
         answer_->start_stream(reply_.status, headers_);
-    stream_begun_ = true;
+        stream_version_ = worker_.software;
+        host_.on_stream_begun(*this);
+    }
     events_.begin_answer();
     schedule_wake();
 }
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -51,6 +51,8 @@
     virtual void stop_waiting(relay_exchange& exchange) = 0;
     /// The worker has begun to answer a request that it runs.
     virtual void on_first_byte(relay_exchange& exchange) = 0;
+    /// The head of a stream's answer arrived, and stream_version() is set.
+    virtual void on_stream_begun(relay_exchange const& exchange) = 0;
     /// More bytes of a stream arrived; `gap` is the time since the previous
     /// bytes.
     virtual void on_stream_bytes(duration gap) = 0;
@@ -142,6 +144,12 @@
     /// the send is ended, and the request is sent again if it is retryable.
     void on_withdrawn();
     void on_caller_gone();
+    /// The stream that the request takes up began at workers with this version
+    /// of their software. Called before start().
+    void keep_to_version(software_version const& software)
+    {
+        stream_version_ = software;
+    }
 
     exchange_terms const& terms() const { return terms_; }
     relay_request const& request() const { return request_; }
@@ -160,6 +168,19 @@
     /// answer. An answer that is delimited only by the end of its connection
     /// does not count, since it may have been cut short.
     bool answer_complete() const { return answer_framed_ && !reply_.not_run; }
+    bool is_over() const { return stage_ == stage::over; }
+    /// Whether the answer is a stream that other workers and VMs may go on
+    /// with.
+    bool begins_resumable_stream() const;
+    /// The caller's try that began the stream: this one, or the one that it
+    /// resumes.
+    request_id const& stream() const;
+    /// The version of the workers' software that began the stream; nullopt if
+    /// none has.
+    std::optional<software_version> const& stream_version() const
+    {
+        return stream_version_;
+    }
     time_point sent_at() const { return sent_at_; }
     /// Time from the request's arrival to its last send; 0 if the request was
     /// never sent.
@@ -238,6 +259,7 @@
     std::string body_;
     event_splitter events_;
     bool stream_begun_ = false;
+    std::optional<software_version> stream_version_;
 };
 
 } // namespace mulberry
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -46,6 +46,10 @@
     }
 
     add("cut_off_from_workers", "", std::uint64_t{reachability_.is_cut_off()});
+    add("stream_records_sent_total", "", counts_.stream_records_sent);
+    add("stream_questions_total", "", counts_.stream_questions);
+    add("streams_unknown_total", "", counts_.streams_unknown);
+    add("stream_records", "", std::uint64_t{streams_.size()});
     add("sent_through_total", "", counts_.sent_through);
     add("calls_forwarded_total", "", counts_.calls_forwarded);
     add("calls_forwarded_now", "", std::uint64_t{calls_forwarded_now_});
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -103,6 +103,12 @@
     }
     peers_ = std::move(states);
     forwarders_.set_vms(forwarders);
+    live_vms_.clear();
+    for (member_view const& member : members)
+        if (member.state == member_state::live)
+            live_vms_.push_back(member.vm);
+    for (auto& [name, service] : services_)
+        ask_for_established(name, service);
 }
 
 void relay::set_owners(std::map<worker_id, vm_id> owners)
@@ -143,6 +149,7 @@
     item.give_up_at = at + ask.time_left;
     item.requested_worker = ask.worker;
     item.excluded = ask.excluded;
+    item.software = ask.software;
     item.prompt_tokens = ask.prompt_tokens;
     item.prefix = ask.prefix;
     if (ask.objective_left)
@@ -237,7 +244,8 @@
                                      ask.prompt_tokens,
                                      ask.prefix,
                                      std::nullopt,
-                                     std::nullopt};
+                                     std::nullopt,
+                                     ask.software};
     if (ask.objective_at != never)
         message.ask->objective_left =
             std::max<duration>(ask.objective_at - now(), duration(0));
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -41,6 +41,9 @@
     duration release_bound = std::chrono::milliseconds(5000);
     /// Within this time, a worker that leaves gets no more requests.
     duration drain_bound = std::chrono::milliseconds(2000);
+    /// How long a VM goes by the versions of their software that workers were
+    /// listed with; the same at all VMs.
+    duration software_validity = std::chrono::milliseconds(3000);
     /// Within this time, a new configuration takes effect.
     duration configuration_bound = std::chrono::milliseconds(2000);
     /// How long knowledge of the teams' keys may be used.
--- /dev/null
+++ b/src/relay_streams.cpp
@@ -0,0 +1,321 @@
+// Keeps streams at the version of the workers' software that began them.
+#include "collected_exchange.hpp"
+#include "peer_streams.hpp"
+#include "relay.hpp"
+
+#include <asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+/// A VM answers from memory.
+constexpr milliseconds question_timeout{150};
+constexpr milliseconds record_timeout{500};
+constexpr milliseconds peer_connect_timeout{100};
+constexpr milliseconds peer_max_idle{3000};
+/// Retry-After of a stream that cannot be taken up here: another VM may know
+/// what began it.
+constexpr milliseconds unknown_stream_retry_delay{100};
+/// Interval at which a VM asks others which versions they have established.
+constexpr milliseconds established_query_interval{500};
+constexpr std::size_t max_vms_asked = 3;
+/// A stream may outlast its route's timeout by what its caller's clock and the
+/// network take.
+constexpr milliseconds stream_end_margin{1000};
+
+bool takes_up_stream(relay_exchange const& exchange)
+{
+    relay_request const& request = exchange.request();
+    return exchange.terms().matched->resumable &&
+           (request.last_event || request.resumes);
+}
+
+} // namespace
+
+/// A question that is open at several VMs.
+struct relay::stream_question
+{
+    std::shared_ptr<relay_exchange> exchange;
+    std::size_t open = 0;
+    time_point asked_at{};
+};
+
+void relay::update_longest_stream(service_state& service)
+{
+    for (route const& each : config_->routes)
+        if (each.resumable)
+            service.software.set_longest_stream(each.timeout +
+                                                stream_end_margin);
+}
+
+void relay::update_software(service_id const& name, service_state& service,
+                            std::vector<backend_entry> const& workers)
+{
+    time_point const at = now();
+    bool const had_several = service.software.has_several(at);
+    std::set<software_version> listed;
+    for (backend_entry const& each : workers)
+        listed.insert(each.software);
+    service.software.set_listed(listed, at);
+    if (!had_several && service.software.has_several(at))
+        record_running_streams(name);
+    ask_for_established(name, service);
+}
+
+void relay::update_software_known(service_state& service)
+{
+    service.software.set_known_as_of(
+        options_.registry_as_of ? options_.registry_as_of().workers : now(),
+        now());
+}
+
+/// Streams that began while one version was listed have no record.
+void relay::record_running_streams(service_id const& service)
+{
+    for (auto const& [ticket, exchange] : exchanges_)
+        if (exchange->terms().service == service &&
+            exchange->begins_resumable_stream() && exchange->stream_version())
+            record_stream(*exchange);
+}
+
+void relay::on_stream_begun(relay_exchange const& exchange)
+{
+    service_state const& service = *find(exchange.terms().service);
+    if (!exchange.begins_resumable_stream() ||
+        !service.software.has_several(now()))
+        return;
+    log_.routine("stream began",
+                 log_fields()
+                     .add("request", exchange.request().id.str())
+                     .add("stream", exchange.stream().str())
+                     .add("worker", exchange.worker().str())
+                     .add("software", exchange.stream_version()->str()),
+                 now());
+    record_stream(exchange);
+}
+
+void relay::record_stream(relay_exchange const& exchange)
+{
+    time_point const at = now();
+    stream_record const record{exchange.stream(), exchange.terms().service,
+                               *exchange.stream_version(),
+                               exchange.terms().give_up_at + stream_end_margin};
+    streams_.add(record, at);
+    stream_message const message{record.service, {record}, std::nullopt};
+    for (vm_id const& keeper : record_keepers(record.stream, live_vms_))
+    {
+        auto const peer = peers_.find(keeper);
+        if (peer == peers_.end())
+            continue;
+        ++counts_.stream_records_sent;
+        send_stream_message(peer->second.address, message, record_timeout,
+                            [](std::optional<stream_reply> const&) {});
+    }
+}
+
+void relay::send_stream_message(
+    backend_address const& to, stream_message const& message, duration timeout,
+    std::function<void(std::optional<stream_reply> const&)> done)
+{
+    collected_call call;
+    call.to = to;
+    call.bytes = encode_stream_message(message, to.ip, now());
+    call.options.connect_timeout = peer_connect_timeout;
+    call.options.max_idle = peer_max_idle;
+    call.framed_only = true;
+    call.current_deadline = [ends = std::chrono::steady_clock::now() + timeout]
+    { return ends; };
+    call.on_end = [done = std::move(done)](collected_answer const& answer)
+    {
+        done(answer.status == status_ok ? decode_stream_reply(answer.body)
+                                        : std::nullopt);
+    };
+    start_collected(io_, pool_, std::move(call));
+}
+
+void relay::handle_streams(http_request const& received, http_answer& answer)
+{
+    time_point const at = now();
+    auto const message = decode_stream_message(received.body, at);
+    if (!message)
+        return answer.respond({status_bad_request, {}, {}});
+    for (stream_record const& each : message->began)
+        streams_.add(each, at);
+    stream_reply reply;
+    if (message->asks_for)
+        reply.software =
+            streams_.find(*message->asks_for, message->service, at);
+    if (service_state* const service = find(message->service))
+    {
+        update_software_known(*service);
+        reply.only = service->software.only_version(at);
+        reply.established = service->software.established();
+    }
+    answer.respond(json_response(status_ok, encode_stream_reply(reply)));
+}
+
+/// A VM that has just started does not know for how long versions were listed.
+void relay::ask_for_established(service_id const& name, service_state& service)
+{
+    time_point const at = now();
+    if (at < service.ask_established_at ||
+        service.software.are_all_established())
+        return;
+    service.ask_established_at = at + established_query_interval;
+    std::vector<vm_id> vms;
+    for (auto const& [vm, peer] : peers_)
+        vms.push_back(vm);
+    std::shuffle(vms.begin(), vms.end(), random_);
+    vms.resize(std::min(vms.size(), max_vms_asked));
+    for (vm_id const& vm : vms)
+        send_stream_message(
+            peers_.at(vm).address, {name, {}, std::nullopt}, record_timeout,
+            [this, name](std::optional<stream_reply> const& reply)
+            {
+                if (reply)
+                    find(name)->software.learn_established(reply->established);
+            });
+}
+
+void relay::start_exchange(std::shared_ptr<relay_exchange> const& exchange)
+{
+    if (!takes_up_stream(*exchange))
+        return exchange->start();
+    service_state& service = *find(exchange->terms().service);
+    update_software_known(service);
+    time_point const at = now();
+    if (auto const known =
+            streams_.find(exchange->stream(), exchange->terms().service, at))
+        return take_up_stream(*exchange, *known, "a record here", at);
+    if (auto const only = service.software.only_version(at))
+        return take_up_stream(*exchange, *only, "one version is listed", at);
+    ask_for_stream(exchange);
+}
+
+void relay::ask_for_stream(std::shared_ptr<relay_exchange> const& exchange)
+{
+    auto const question = std::make_shared<stream_question>();
+    question->exchange = exchange;
+    question->asked_at = now();
+    std::vector<vm_id> keepers = record_keepers(exchange->stream(), live_vms_);
+    std::erase_if(keepers,
+                  [this](vm_id const& vm) { return peers_.count(vm) == 0; });
+    if (keepers.empty() || !exchange->request().resumes)
+        return reject_unknown_stream(*exchange, question->asked_at);
+    question->open = keepers.size();
+    stream_message const message{
+        exchange->terms().service, {}, exchange->stream()};
+    for (vm_id const& keeper : keepers)
+    {
+        ++counts_.stream_questions;
+        send_stream_message(
+            peers_.at(keeper).address, message, question_timeout,
+            [this, question, keeper](std::optional<stream_reply> const& reply)
+            { on_stream_reply(*question, keeper, reply); });
+    }
+}
+
+void relay::on_stream_reply(stream_question& question, vm_id const& from,
+                            std::optional<stream_reply> const& reply)
+{
+    --question.open;
+    if (!question.exchange)
+        return;
+    auto const version = !reply            ? std::nullopt
+                         : reply->software ? reply->software
+                                           : reply->only;
+    if (!version && question.open > 0)
+        return;
+    auto const exchange = std::exchange(question.exchange, nullptr);
+    if (exchange->is_over())
+        return;
+    if (!version)
+        return reject_unknown_stream(*exchange, question.asked_at);
+    take_up_stream(*exchange, *version,
+                   (reply->software ? "a record at " : "one version at ") +
+                       from.str(),
+                   question.asked_at);
+}
+
+void relay::take_up_stream(relay_exchange& exchange,
+                           software_version const& software,
+                           std::string const& known_from, time_point asked_at)
+{
+    log_.routine("stream taken up",
+                 log_fields()
+                     .add("request", exchange.request().id.str())
+                     .add("stream", exchange.stream().str())
+                     .add("software", software.str())
+                     .add("known_from", known_from)
+                     .add("took_ms", now() - asked_at),
+                 now());
+    exchange.keep_to_version(software);
+    exchange.start();
+}
+
+void relay::reject_unknown_stream(relay_exchange& exchange, time_point asked_at)
+{
+    ++counts_.streams_unknown;
+    log_.notable("stream unknown",
+                 log_fields()
+                     .add("request", exchange.request().id.str())
+                     .add("stream", exchange.stream().str())
+                     .add("took_ms", now() - asked_at),
+                 now());
+    exchange.on_refused(error(error_kind::back_end_unavailable,
+                              "nobody knows at which version the stream began",
+                              ran::no, add_jitter(unknown_stream_retry_delay)));
+}
+
+std::optional<std::set<software_version>>
+relay::allowed_software(relay_exchange const& exchange)
+{
+    if (!exchange.begins_resumable_stream())
+        return std::nullopt;
+    if (auto const& version = exchange.stream_version())
+        return std::set{*version};
+    service_state& service = *find(exchange.terms().service);
+    update_software_known(service);
+    if (service.software.are_all_established())
+        return std::nullopt;
+    ask_for_established(exchange.terms().service, service);
+    return service.software.established();
+}
+
+/// Without news of the registry a worker may have started again under its id
+/// with another version.
+std::optional<error> relay::check_software_known(relay_exchange const& exchange)
+{
+    if (!exchange.begins_resumable_stream() || !exchange.stream_version())
+        return std::nullopt;
+    service_state& service = *find(exchange.terms().service);
+    update_software_known(service);
+    if (service.software.is_current(now()))
+        return std::nullopt;
+    return error(error_kind::back_end_unavailable,
+                 "it is not known which versions the workers have", ran::no,
+                 add_jitter(unknown_stream_retry_delay));
+}
+
+/// The worker may have started again since it was chosen.
+bool relay::has_allowed_software(relay_exchange const& exchange,
+                                 backend_entry const& worker)
+{
+    auto const allowed = allowed_software(exchange);
+    if (!allowed)
+        return true;
+    backend_entry const* const listed = find_backend(worker.id);
+    return listed != nullptr && listed->started == worker.started &&
+           allowed->count(listed->software) > 0;
+}
+
+} // namespace mulberry
--- a/src/relay_teams.cpp
+++ b/src/relay_teams.cpp
@@ -89,7 +89,7 @@
                               team const* holder)
 {
     if (holder == nullptr || !holder->limit)
-        return exchange->start();
+        return start_exchange(exchange);
     exchange_terms const& terms = exchange->terms();
     double const units = allotment_cost(exchange->request(), *holder->limit);
     metered_requests_[terms.ticket] = {holder->name, units};
@@ -118,7 +118,7 @@
     if (!decision.refused)
     {
         metered->second.pending = false;
-        return exchange->start();
+        return start_exchange(exchange);
     }
     error const& why = *decision.refused;
     ++(why.kind() == error_kind::over_allotment ? counts_.over_allotment
--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -98,11 +98,18 @@
                : duration(other_domain_penalty);
 }
 
+bool service_scheduler::is_excluded(worker_state const& worker,
+                                    work_item const& item)
+{
+    return item.excluded.count(worker.entry.id) > 0 ||
+           (item.software && item.software->count(worker.entry.software) == 0);
+}
+
 bool service_scheduler::accepts_request(worker_state const& worker,
                                         work_item const& item,
                                         time_point now) const
 {
-    if (worker.entry.draining || item.excluded.count(worker.entry.id) > 0 ||
+    if (worker.entry.draining || is_excluded(worker, item) ||
         is_paused_for(worker, item, now) || worker.health.is_full(now) ||
         outstanding_requests(worker) >= request_limit(worker))
         return false;
--- a/src/service_notices.cpp
+++ b/src/service_notices.cpp
@@ -87,7 +87,7 @@
     std::optional<worker_pause> first;
     for (auto const& [id, worker] : workers_)
     {
-        if (worker->entry.draining || item.excluded.count(id) > 0 ||
+        if (worker->entry.draining || is_excluded(*worker, item) ||
             !has_model(*worker, item.target) ||
             (worker->health.is_avoided(now) && !worker->health.may_probe(now)))
             continue;
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -99,7 +99,7 @@
                                     time_point now) const
 {
     worker_id const& id = worker.entry.id;
-    if (worker.entry.draining || waiting.item.excluded.count(id) > 0 ||
+    if (worker.entry.draining || is_excluded(worker, waiting.item) ||
         owner_refused(id, waiting, now) || is_failure_outlier(worker, now))
         return false;
     // A load needs orders or a request of this VM; a worker in backoff wants
@@ -358,7 +358,7 @@
                     [&waiting](auto const& each)
                     {
                         return each.second->entry.draining ||
-                               waiting.item.excluded.count(each.first) > 0;
+                               is_excluded(*each.second, waiting.item);
                     });
     return all_tried ? decision::unservable : decision::waits;
 }
@@ -497,8 +497,8 @@
                                             time_point now) const
 {
     return worker.adapters.stage(*waiting.item.target) &&
-           is_available(worker, now) && !worker.health.is_avoided(now) &&
-           !is_failure_outlier(worker, now) &&
+           !is_excluded(worker, waiting.item) && is_available(worker, now) &&
+           !worker.health.is_avoided(now) && !is_failure_outlier(worker, now) &&
            worth_waiting(worker, waiting.item, now);
 }
 
@@ -555,7 +555,7 @@
                                is_available(*each.second, now) &&
                                each.second->adapters.may_order(now) &&
                                !each.second->health.is_avoided(now) &&
-                               waiting.item.excluded.count(each.first) == 0;
+                               !is_excluded(*each.second, waiting.item);
                     });
     return own_may_later ? decision::waits : decision::unservable;
 }
@@ -574,8 +574,7 @@
                            worker_state const& worker = *each.second;
                            return !worker.owned && is_available(worker, now) &&
                                   owners_.count(each.first) == 0 &&
-                                  waiting.item.excluded.count(each.first) ==
-                                      0 &&
+                                  !is_excluded(worker, waiting.item) &&
                                   !worker.health.is_avoided(now);
                        });
 }
@@ -618,7 +617,7 @@
     actions_.push_back(request_owner_grant{
         item.ticket, owner, worker, *item.target, item.priority,
         item.give_up_at, excluded, item.prompt_tokens, item.prefix,
-        item.objective_at, elsewhere});
+        item.objective_at, elsewhere, item.software});
     pending_grants_.insert_or_assign(
         item.ticket, pending_grant{waiting, key, owner, worker, now});
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -236,6 +236,7 @@
         granted.version < version_history_.oldest_allowed(*item.target, now);
     bool const usable_grant = outcome == grant_outcome::granted &&
                               worker != nullptr && !worker->entry.draining &&
+                              !is_excluded(*worker, item) &&
                               !is_paused(*worker, now) && !too_old;
     if (usable_grant)
     {
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -54,6 +54,9 @@
     /// Workers that must not be used, for example because the request was
     /// tried there.
     std::set<worker_id> excluded;
+    /// Versions of the workers' software that the request may run at; absent:
+    /// any.
+    std::optional<std::set<software_version>> software = std::nullopt;
     /// The answer is a stream, whose first byte shows that the request has
     /// started.
     bool streams = false;
@@ -121,6 +124,8 @@
     time_point objective_at = never;
     /// When the request would start at the next best worker.
     time_point begins_elsewhere_at = never;
+    /// As in work_item.
+    std::optional<std::set<software_version>> software = std::nullopt;
 };
 
 /// Action: grant another VM's request. That VM may send the request now, to the
@@ -477,6 +482,8 @@
     duration placement_cost(worker_state const& worker, work_item const& item,
                             worker_state const* prefix_home,
                             time_point now) const;
+    /// Whether the request must not run at the worker, whatever its state.
+    static bool is_excluded(worker_state const& worker, work_item const& item);
     /// Whether the worker may be sent the request now: not draining, excluded,
     /// in backoff, full or unreachable (except for one probe).
     bool accepts_request(worker_state const& worker, work_item const& item,
--- /dev/null
+++ b/src/software_versions.hpp
@@ -0,0 +1,77 @@
+/// The versions of their software that the workers of one service have been
+/// listed with.
+#ifndef MULBERRY_SOFTWARE_VERSIONS_HPP
+#define MULBERRY_SOFTWARE_VERSIONS_HPP
+
+#include "ids.hpp"
+#include "time_point.hpp"
+
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace mulberry
+{
+
+/// Says at which versions streams may begin, and whether a stream that is still
+/// running can have begun at one version only.
+///
+/// A version is established once it was listed for `validity`, as of which time
+/// the registry is known. Every VM begins streams at established versions only,
+/// and trusts its list for `validity`: so a VM that trusts its list knows each
+/// version at which a stream has begun, although no VM tells another.
+///
+/// Thread safety: none. Pure: no clock.
+class software_versions
+{
+public:
+    explicit software_versions(duration validity) : validity_(validity) {}
+
+    /// Streams last at most the longest time that was set.
+    void set_longest_stream(duration time);
+    /// Sets the versions of all listed workers.
+    void set_listed(std::set<software_version> const& listed, time_point now);
+    /// Sets as of when the list is known; an earlier time than before is
+    /// ignored.
+    void set_known_as_of(time_point as_of, time_point now);
+    /// Another VM has established these versions.
+    void learn_established(std::set<software_version> const& versions);
+
+    /// Whether the list is recent enough to go by.
+    bool is_current(time_point now) const { return now < as_of_ + validity_; }
+    /// Whether a running stream may have begun at one of several versions.
+    bool has_several(time_point now) const;
+    /// The only version that a running stream can have begun at; nullopt if
+    /// there may be another.
+    std::optional<software_version> only_version(time_point now) const;
+    /// Whether streams may begin at every listed version.
+    bool are_all_established() const;
+    bool is_established(software_version const& version) const;
+    std::set<software_version> established() const;
+
+private:
+    struct state
+    {
+        time_point listed_since{};
+        /// `never` while the version is listed.
+        time_point unlisted_at = never;
+        bool established = false;
+    };
+
+    void forget_old(time_point now);
+    std::size_t count_remembered(time_point now) const;
+    bool is_remembered(state const& known, time_point now) const;
+
+    duration const validity_;
+    duration longest_stream_{std::chrono::seconds(1)};
+    std::map<software_version, state> known_;
+    /// All versions that were listed since then are known; `never` before the
+    /// first list.
+    time_point complete_since_ = never;
+    time_point as_of_{};
+};
+
+} // namespace mulberry
+
+#endif
--- /dev/null
+++ b/src/stream_records.cpp
@@ -0,0 +1,60 @@
+#include "stream_records.hpp"
+
+#include "placement.hpp"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+/// One of them may be the VM that began the stream, and another may be lost
+/// with it.
+constexpr std::size_t keepers_of_stream = 3;
+
+} // namespace
+
+void stream_records::add(stream_record record, time_point now)
+{
+    if (record.stream.empty() || record.until <= now)
+        return;
+    while (!order_.empty() && (records_.size() >= capacity_ ||
+                               records_.at(order_.front()).until <= now))
+    {
+        records_.erase(order_.front());
+        order_.pop_front();
+    }
+    auto const [found, added] = records_.try_emplace(record.stream, record);
+    if (added)
+        order_.push_back(record.stream);
+    else if (found->second.until <= now)
+        found->second = std::move(record);
+}
+
+std::optional<software_version> stream_records::find(request_id const& stream,
+                                                     service_id const& service,
+                                                     time_point now) const
+{
+    auto const found = records_.find(stream);
+    if (found == records_.end() || found->second.service != service ||
+        found->second.until <= now)
+        return std::nullopt;
+    return found->second.software;
+}
+
+std::vector<vm_id> record_keepers(request_id const& stream,
+                                  std::vector<vm_id> vms)
+{
+    auto const rank = [&stream](vm_id const& vm)
+    { return stable_hash(stream.str() + "@" + vm.str()); };
+    std::sort(vms.begin(), vms.end(),
+              [&rank](vm_id const& a, vm_id const& b)
+              { return std::pair(rank(a), a) > std::pair(rank(b), b); });
+    vms.resize(std::min(vms.size(), keepers_of_stream));
+    return vms;
+}
+
+} // namespace mulberry
--- a/tests/peer_grant_request_test.cpp
+++ b/tests/peer_grant_request_test.cpp
@@ -28,7 +28,8 @@
                                   9190,
                                   {77, 6300},
                                   540ms,
-                                  320ms};
+                                  320ms,
+                                  std::set{software_version("v1")}};
     call.done = {{7, send_outcome::served}, {8, send_outcome::silent}};
     time_point const now{1h};
     call.crashes.seen = {{request_digest("d1"),
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -143,6 +143,8 @@
     if (auto const start_time = start_times.find(made.id);
         start_time != start_times.end())
         made.started = start_time->second;
+    if (auto const version = software.find(made.id); version != software.end())
+        made.software = version->second;
     auto const held = weights.find(made.id);
     made.models.push_back(
         {base_model_id(model),
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -132,6 +132,8 @@
     std::map<worker_id, worker_start> start_times;
     /// Versions of the weights that workers list; 1 if none is given.
     std::map<worker_id, weights_version> weights;
+    /// Versions of their software that workers list.
+    std::map<worker_id, software_version> software;
     /// All workers list one address.
     bool same_address = false;
     /// Age of the registry data known to the scheduler.
--- /dev/null
+++ b/tests/software_versions_test.cpp
@@ -0,0 +1,141 @@
+#include "software_versions.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+software_version const v1("v1");
+software_version const v2("v2");
+constexpr duration validity = 3s;
+constexpr duration longest = 10s;
+
+/// The list that one VM knows, kept current while time passes.
+struct known_list
+{
+    known_list()
+    {
+        versions.set_longest_stream(longest);
+        versions.set_known_as_of(now, now);
+    }
+    void list(std::set<software_version> const& listed)
+    {
+        versions.set_listed(listed, now);
+    }
+    void pass(duration time)
+    {
+        for (duration const end = now.time_since_epoch() + time;
+             now.time_since_epoch() < end;)
+        {
+            now += 1s;
+            versions.set_known_as_of(now, now);
+        }
+    }
+
+    time_point now{1000s};
+    software_versions versions{validity};
+};
+
+} // namespace
+
+TEST_CASE("a first version is established at once", "[software_versions]")
+{
+    known_list known;
+    known.list({v1});
+    CHECK(known.versions.is_established(v1));
+    CHECK(known.versions.are_all_established());
+    CHECK_FALSE(known.versions.has_several(known.now));
+}
+
+// Guards against beginning streams at a version that other VMs do not know.
+TEST_CASE("a further version is established after it was listed for a while",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1});
+    known.pass(20s);
+    known.list({v1, v2});
+    CHECK(known.versions.has_several(known.now));
+    CHECK(known.versions.established() == std::set{v1});
+    known.now += 60s;
+    CHECK_FALSE(known.versions.is_established(v2));
+    known.pass(validity);
+    CHECK(known.versions.established() == std::set{v1, v2});
+}
+
+TEST_CASE("of several versions none is established at the start",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1, v2});
+    CHECK(known.versions.established().empty());
+    known.versions.learn_established({v1, software_version("v9")});
+    CHECK(known.versions.established() == std::set{v1});
+    known.pass(validity);
+    CHECK(known.versions.are_all_established());
+}
+
+// Guards against taking a version for the only one that streams may have begun
+// at.
+TEST_CASE("one version is the only one after the longest stream",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.pass(longest);
+    CHECK(known.versions.only_version(known.now) == v1);
+    known.list({v1, v2});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.list({v1});
+    known.pass(longest - 1s);
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.pass(2s);
+    CHECK(known.versions.only_version(known.now) == v1);
+}
+
+TEST_CASE("an old list tells no only version", "[software_versions]")
+{
+    known_list known;
+    known.list({v1});
+    known.pass(longest);
+    known.now += validity;
+    CHECK_FALSE(known.versions.is_current(known.now));
+    CHECK_FALSE(known.versions.only_version(known.now));
+}
+
+// Guards against missing a version that was listed while this VM had no news.
+TEST_CASE("a gap in the news restarts the wait for an only version",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1});
+    known.pass(longest);
+    known.now += validity + 1s;
+    known.versions.set_known_as_of(known.now, known.now);
+    CHECK(known.versions.is_current(known.now));
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.pass(longest);
+    CHECK(known.versions.only_version(known.now) == v1);
+}
+
+TEST_CASE("a version that was away for long is established anew",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1});
+    known.pass(20s);
+    known.list({v1, v2});
+    known.pass(validity);
+    known.list({v1});
+    known.pass(longest / 2);
+    known.list({v1, v2});
+    CHECK(known.versions.is_established(v2));
+    known.list({v1});
+    known.pass(longest / 2 + 1s);
+    known.list({v1, v2});
+    CHECK_FALSE(known.versions.is_established(v2));
+}
