Know the versions of a service through starts and outages

A VM went by its list of versions only after it had watched it for the longest stream without a gap. So it rejected streams that callers took up for thirteen seconds after its start and after each outage of the store, in services of one version, too.

--- a/src/peer_rows.cpp
+++ b/src/peer_rows.cpp
@@ -68,6 +68,8 @@
         json["proven_before_ms"] = Json::Int64(
             std::chrono::ceil<std::chrono::milliseconds>(*changes.proven_before)
                 .count());
+    if (changes.missed > 0)
+        json["missed"] = Json::UInt64(changes.missed);
     json["whole"] = changes.is_snapshot;
     json["incomplete"] = changes.incomplete;
     json["rows"] = Json::arrayValue;
@@ -91,6 +93,7 @@
         changes.proven_before = std::chrono::milliseconds(
             std::clamp(json["proven_before_ms"].asInt64(), -max_proof_age_ms,
                        max_proof_age_ms));
+    changes.missed = number_or(json, "missed", 0);
     changes.is_snapshot = json["whole"].asBool();
     changes.incomplete = json.get("incomplete", false) == true;
     for (Json::Value const& each : json["rows"])
--- a/src/peer_rows.hpp
+++ b/src/peer_rows.hpp
@@ -2,7 +2,7 @@
 ///
 ///   POST /rows  {"after": [V, V, V], "wait_ms": N, "large_rows": false}
 ///   200         {"sets": [{"read": true, "version": V, "age_ms": N,
-///                          "proven_before_ms": N,
+///                          "proven_before_ms": N, "missed": N,
 ///                          "whole": false, "incomplete": false,
 ///                          "rows": [[KIND, KEY, VERSION, VALUE or null]]},
 ///                         ...]}
@@ -17,6 +17,7 @@
 #include "time_point.hpp"
 
 #include <array>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -54,6 +55,8 @@
     /// `version`; the large rows must be read from the store.
     bool incomplete = false;
     std::vector<stored_row> rows;
+    /// As row_replica::missed(), of the answering VM.
+    std::uint64_t missed = 0;
     /// How long before the query's arrival the rows were last proven to match
     /// the store (see row_mirror::proven_as_of()); negative if that was after
     /// the arrival, absent if unknown.
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -59,6 +59,8 @@
     /// The time as of which configuration, versions and workers are known;
     /// called before requests are placed.
     std::function<registry_timestamps()> registry_as_of;
+    /// How often rows of workers may have come and gone unseen. Empty: never.
+    std::function<std::uint64_t()> missed_worker_rows;
     /// The time as of which the declarations are known. Empty: they are always
     /// current.
     std::function<declarations_known()> declarations_as_of;
@@ -295,7 +297,7 @@
         service_scheduler scheduler;
         retry_allowance retries;
         software_versions software;
-        time_point ask_established_at{};
+        time_point ask_versions_at{};
         time_point budget_log_due{};
         bool engine = false;
 
@@ -354,9 +356,10 @@
     void update_software(service_id const& name, service_state& service,
                          std::vector<backend_entry> const& workers);
     void update_software_known(service_state& service);
-    /// Asks other VMs which versions they have established, if this VM has not
-    /// established all.
-    void ask_for_established(service_id const& name, service_state& service);
+    /// Asks other VMs what they know of the service's versions, if this VM does
+    /// not know all.
+    void ask_for_versions(service_id const& name, service_state& service);
+    void learn_versions(service_state& service, stream_reply const& reply);
     /// The versions at which the request may run; nullopt: any.
     std::optional<std::set<software_version>>
     allowed_software(relay_exchange const& exchange);
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -218,6 +218,7 @@
 make_relay_options(relay_settings const& value, std::uint64_t seed,
                    std::function<bool(worker_id const&)> may_order,
                    std::function<registry_timestamps()> registry_as_of,
+                   std::function<std::uint64_t()> missed_worker_rows,
                    std::function<declarations_known()> declarations_as_of,
                    crash_row_writer write_rows,
                    std::function<void(bool)> on_cut_off)
@@ -230,6 +231,7 @@
     options.crashes.source_address = value.source_address;
     options.source_address = value.source_address;
     options.registry_as_of = std::move(registry_as_of);
+    options.missed_worker_rows = std::move(missed_worker_rows);
     options.declarations_as_of = std::move(declarations_as_of);
     options.keys = value.keys;
     options.allotments = value.allotments;
@@ -261,6 +263,7 @@
               [this](worker_id const& worker)
               { return ownership_ && ownership_->may_order(worker); },
               [this] { return registry_as_of(); },
+              [this] { return mirror_.missed(row_set::workers); },
               [this]
               {
                   return declarations_known{
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -108,7 +108,7 @@
         if (member.state == member_state::live)
             live_vms_.push_back(member.vm);
     for (auto& [name, service] : services_)
-        ask_for_established(name, service);
+        ask_for_versions(name, service);
 }
 
 void relay::set_owners(std::map<worker_id, vm_id> owners)
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -25,8 +25,8 @@
 /// Retry-After of a stream that cannot be taken up here: another VM may know
 /// what began it.
 constexpr milliseconds unknown_stream_retry_delay{100};
-/// Interval at which a VM asks others which versions they have established.
-constexpr milliseconds established_query_interval{500};
+/// Interval at which a VM asks others what they know of a service's versions.
+constexpr milliseconds version_query_interval{500};
 constexpr std::size_t max_vms_asked = 3;
 /// A stream may outlast its route's timeout by what its caller's clock and the
 /// network take.
@@ -61,24 +61,25 @@
                             std::vector<backend_entry> const& workers)
 {
     time_point const at = now();
-    bool const had_several = service.software.has_several(at);
+    bool const had_one = service.software.only_version(at).has_value();
     std::set<software_version> listed;
     for (backend_entry const& each : workers)
         listed.insert(each.software);
     service.software.set_listed(listed, at);
-    if (!had_several && service.software.has_several(at))
+    if (had_one && !service.software.only_version(at))
         record_running_streams(name);
-    ask_for_established(name, service);
+    ask_for_versions(name, service);
 }
 
 void relay::update_software_known(service_state& service)
 {
     service.software.set_known_as_of(
         options_.registry_as_of ? options_.registry_as_of().workers : now(),
-        now());
+        options_.missed_worker_rows ? options_.missed_worker_rows() : 0, now());
 }
 
-/// Streams that began while one version was listed have no record.
+/// Streams that began while only one version could have begun them have no
+/// record.
 void relay::record_running_streams(service_id const& service)
 {
     for (auto const& [ticket, exchange] : exchanges_)
@@ -89,9 +90,8 @@
 
 void relay::on_stream_begun(relay_exchange const& exchange)
 {
-    service_state const& service = *find(exchange.terms().service);
     if (!exchange.begins_resumable_stream() ||
-        !service.software.has_several(now()))
+        find(exchange.terms().service)->software.only_version(now()))
         return;
     log_.routine("stream began",
                  log_fields()
@@ -163,14 +163,14 @@
     answer.respond(json_response(status_ok, encode_stream_reply(reply)));
 }
 
-/// A VM that has just started does not know for how long versions were listed.
-void relay::ask_for_established(service_id const& name, service_state& service)
+/// A VM that has just started does not know for how long versions were listed,
+/// and which ones were listed before.
+void relay::ask_for_versions(service_id const& name, service_state& service)
 {
     time_point const at = now();
-    if (at < service.ask_established_at ||
-        service.software.are_all_established())
+    if (at < service.ask_versions_at || service.software.knows_history(at))
         return;
-    service.ask_established_at = at + established_query_interval;
+    service.ask_versions_at = at + version_query_interval;
     std::vector<vm_id> vms;
     for (auto const& [vm, peer] : peers_)
         vms.push_back(vm);
@@ -182,10 +182,17 @@
             [this, name](std::optional<stream_reply> const& reply)
             {
                 if (reply)
-                    find(name)->software.learn_established(reply->established);
+                    learn_versions(*find(name), *reply);
             });
 }
 
+void relay::learn_versions(service_state& service, stream_reply const& reply)
+{
+    service.software.learn_established(reply.established);
+    if (reply.only)
+        service.software.learn_only(*reply.only, now());
+}
+
 void relay::start_exchange(std::shared_ptr<relay_exchange> const& exchange)
 {
     if (!takes_up_stream(*exchange))
@@ -230,6 +237,8 @@
     --question.open;
     if (!question.exchange)
         return;
+    if (reply)
+        learn_versions(*find(question.exchange->terms().service), *reply);
     auto const version = !reply            ? std::nullopt
                          : reply->software ? reply->software
                                            : reply->only;
@@ -287,7 +296,7 @@
     update_software_known(service);
     if (service.software.are_all_established())
         return std::nullopt;
-    ask_for_established(exchange.terms().service, service);
+    ask_for_versions(exchange.terms().service, service);
     return service.software.established();
 }
 
--- a/src/row_mirror.hpp
+++ b/src/row_mirror.hpp
@@ -114,6 +114,8 @@
     /// on the clocks of this VM and of the store, however many VMs passed the
     /// rows on.
     time_point proven_as_of(row_set set) const { return at(set).proven_at; }
+    /// How often rows of the set may have come and gone unseen.
+    std::uint64_t missed(row_set set) const { return at(set).copy.missed(); }
     /// Whether the store answers neither this VM nor its reader.
     bool is_store_lost() const { return store_lost_; }
     /// When the store last answered again after an outage.
@@ -156,6 +158,8 @@
         /// The version after which the last query to the reader requested
         /// changes.
         row_version requested_after;
+        /// What the last answer of a reader said that it missed.
+        std::uint64_t reader_missed = 0;
         /// Rows collected during a complete read, which goes page by page.
         std::vector<stored_row> pages;
         row_version first_page;
--- a/src/row_mirror_peers.cpp
+++ b/src/row_mirror_peers.cpp
@@ -180,6 +180,9 @@
         changes.is_snapshot
             ? which.copy.apply_snapshot(changes.rows, changes.version)
             : which.copy.apply(changes.rows, changes.version);
+    // Another reader may have missed other rows.
+    if (std::exchange(which.reader_missed, changes.missed) != changes.missed)
+        which.copy.note_missed();
     which.as_of = std::max(which.as_of, now - changes.age);
     if (changes.proven_before)
         which.proven_at = std::max(
@@ -245,6 +248,7 @@
         if (which.proven_at != time_point())
             changes.proven_before = arrived_at - which.proven_at;
         auto changed = which.copy.changes_since(query.after.at(index));
+        changes.missed = which.copy.missed();
         changes.is_snapshot = !changed;
         changes.rows = changed ? std::move(*changed) : which.copy.rows();
         if (!query.large_rows)
--- a/src/row_replica.cpp
+++ b/src/row_replica.cpp
@@ -29,7 +29,9 @@
     for (auto const& [key, known] : entries_)
         if (!known.row.deleted && present.count(key) == 0)
             rows.push_back({known.row.kind, key, version, {}, true});
-    if (!is_loaded_)
+    if (is_loaded_)
+        ++missed_;
+    else
         complete_since_ = version;
     is_loaded_ = true;
     return apply(std::move(rows), version);
@@ -56,8 +58,6 @@
 bool row_replica::apply_row(stored_row row)
 {
     auto const known = entries_.find(row.key);
-    if (known == entries_.end() && row.deleted)
-        return false;
     if (known != entries_.end() && row.version <= known->second.row.version)
         return false;
     std::string projected = row.deleted ? std::string()
@@ -65,6 +65,8 @@
                                         : std::to_string(row.version.value());
     if (known == entries_.end())
     {
+        missed_ += row.deleted ? 1 : 0;
+        tombstones_ += row.deleted ? 1 : 0;
         changed_at_ = std::max(changed_at_, row.version);
         std::string const key = row.key;
         row_version const version = row.version;
--- a/src/row_replica.hpp
+++ b/src/row_replica.hpp
@@ -5,6 +5,7 @@
 #include "row_store.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -49,6 +50,11 @@
     std::vector<stored_row> rows() const;
     /// The version at which the relevant part of any row last changed.
     row_version changed_at() const { return changed_at_; }
+    /// How often rows may have come and gone unseen: by rows that were heard of
+    /// only when they were deleted, and by snapshots after the first.
+    std::uint64_t missed() const { return missed_; }
+    /// The replica whose changes are applied here has missed rows.
+    void note_missed() { ++missed_; }
 
 private:
     struct entry
@@ -70,6 +76,7 @@
     row_version complete_since_;
     std::map<std::string, entry> entries_;
     std::size_t tombstones_ = 0;
+    std::uint64_t missed_ = 0;
 };
 
 } // namespace mulberry
--- a/src/software_versions.cpp
+++ b/src/software_versions.cpp
@@ -35,13 +35,16 @@
     }
 }
 
-void software_versions::set_known_as_of(time_point as_of, time_point now)
+void software_versions::set_known_as_of(time_point as_of, std::uint64_t missed,
+                                        time_point now)
 {
     if (as_of <= as_of_)
         return;
     // Within so long a gap a version may have been established and given up.
-    if (as_of_ != time_point() && as_of >= as_of_ + validity_)
+    bool const is_gap = as_of_ != time_point() && as_of >= as_of_ + validity_;
+    if (is_gap && missed != missed_)
         complete_since_ = now;
+    missed_ = missed;
     as_of_ = as_of;
     for (auto& [version, known] : known_)
         if (known.unlisted_at == never &&
@@ -57,6 +60,15 @@
             known.established = true;
 }
 
+void software_versions::learn_only(software_version const& version,
+                                   time_point now)
+{
+    if (complete_since_ != never && count_remembered(now) == 1 &&
+        is_remembered(known_.begin()->second, now) &&
+        known_.begin()->first == version)
+        complete_since_ = std::min(complete_since_, now - longest_stream_);
+}
+
 bool software_versions::is_remembered(state const& known, time_point now) const
 {
     return known.unlisted_at == never ||
@@ -77,11 +89,6 @@
                       { return is_remembered(each.second, now); }));
 }
 
-bool software_versions::has_several(time_point now) const
-{
-    return count_remembered(now) > 1;
-}
-
 std::optional<software_version>
 software_versions::only_version(time_point now) const
 {
@@ -103,6 +110,13 @@
                        });
 }
 
+bool software_versions::knows_history(time_point now) const
+{
+    return are_all_established() && complete_since_ != never &&
+           (now >= complete_since_ + longest_stream_ ||
+            count_remembered(now) != 1);
+}
+
 bool software_versions::is_established(software_version const& version) const
 {
     auto const found = known_.find(version);
--- a/src/software_versions.hpp
+++ b/src/software_versions.hpp
@@ -7,6 +7,7 @@
 #include "time_point.hpp"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
@@ -33,20 +34,26 @@
     /// Sets the versions of all listed workers.
     void set_listed(std::set<software_version> const& listed, time_point now);
     /// Sets as of when the list is known; an earlier time than before is
-    /// ignored.
-    void set_known_as_of(time_point as_of, time_point now);
+    /// ignored. `missed`: how often workers may have been listed and removed
+    /// without this VM's notice.
+    void set_known_as_of(time_point as_of, std::uint64_t missed,
+                         time_point now);
     /// Another VM has established these versions.
     void learn_established(std::set<software_version> const& versions);
+    /// Another VM knows, as of less than `validity` ago, that running streams
+    /// can have begun at this version only.
+    void learn_only(software_version const& version, time_point now);
 
     /// Whether the list is recent enough to go by.
     bool is_current(time_point now) const { return now < as_of_ + validity_; }
-    /// Whether a running stream may have begun at one of several versions.
-    bool has_several(time_point now) const;
     /// The only version that a running stream can have begun at; nullopt if
     /// there may be another.
     std::optional<software_version> only_version(time_point now) const;
     /// Whether streams may begin at every listed version.
     bool are_all_established() const;
+    /// Whether another VM has nothing to add: one version can have begun
+    /// streams, or several are established.
+    bool knows_history(time_point now) const;
     bool is_established(software_version const& version) const;
     std::set<software_version> established() const;
 
@@ -70,6 +77,7 @@
     /// first list.
     time_point complete_since_ = never;
     time_point as_of_{};
+    std::uint64_t missed_ = 0;
 };
 
 } // namespace mulberry
--- a/tests/row_replica_test.cpp
+++ b/tests/row_replica_test.cpp
@@ -124,3 +124,24 @@
     REQUIRE(late);
     CHECK(late->size() == 1);
 }
+
+// Guards against taking a replica for complete that never heard of a row
+// before it was deleted.
+TEST_CASE("rows that came and went unseen are counted and passed on",
+          "[row_copy]")
+{
+    row_replica replica;
+    replica.apply_snapshot({row("a", 3, "1")}, row_version(6));
+    CHECK(replica.missed() == 0);
+    replica.apply({deleted_row("a", 7)}, row_version(7));
+    CHECK(replica.missed() == 0);
+    CHECK(replica.apply({deleted_row("b", 8)}, row_version(8)).size() == 1);
+    CHECK(replica.missed() == 1);
+    replica.apply({deleted_row("b", 8)}, row_version(9));
+    CHECK(replica.missed() == 1);
+    CHECK(*replica.changes_since(row_version(7)) ==
+          std::vector<stored_row>{deleted_row("b", 8)});
+    replica.apply_snapshot({}, row_version(12));
+    CHECK(replica.missed() == 2);
+    CHECK(replica.rows().empty());
+}
