Take a stream up at the service that began it

A route may lead to several services by weight. A caller's next try of a stream drew its service anew, so it could reach workers of another service, which has no record of the stream. All tries of a stream now draw the same number, from the id of the try that began it. Found while reading; not seen in a run. Running streams are recorded in one message a VM when a second version appears, and services without resumable streams ask nothing. platform_version_test and platform_test pass.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -133,7 +133,7 @@
         add_service(service);
     routes_ = std::make_unique<route_table>(config_);
     for (auto& [name, service] : services_)
-        update_longest_stream(service);
+        update_longest_stream(name, service);
     update_teams();
     log_fields taken;
     taken.add("version", config_->version.value())
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -298,6 +298,8 @@
         retry_allowance retries;
         software_versions software;
         time_point ask_versions_at{};
+        /// Streams that other workers and VMs may go on with come here.
+        bool has_resumable_streams = false;
         time_point budget_log_due{};
         bool engine = false;
 
@@ -313,6 +315,8 @@
 
     void admit(relay_request request, std::shared_ptr<http_answer> answer,
                time_point arrived_at);
+    /// Draws the number that decides among the services of a route.
+    double draw_share(relay_request const& request, route const& matched);
     /// Keeps a request until routes and workers are known, or rejects it; see
     /// startup_hold.hpp.
     void hold_early_request(relay_request request,
@@ -345,14 +349,15 @@
                         software_version const& software,
                         std::string const& known_from, time_point asked_at);
     void reject_unknown_stream(relay_exchange& exchange, time_point asked_at);
-    /// Keeps at a few VMs which version began the stream.
-    void record_stream(relay_exchange const& exchange);
+    /// Keeps the records here and at a few VMs each.
+    void keep_records(service_id const& service,
+                      std::vector<stream_record> const& records);
     void record_running_streams(service_id const& service);
     void send_stream_message(
         backend_address const& to, stream_message const& message,
         duration timeout,
         std::function<void(std::optional<stream_reply> const&)> done);
-    void update_longest_stream(service_state& service);
+    void update_longest_stream(service_id const& name, service_state& service);
     void update_software(service_id const& name, service_state& service,
                          std::vector<backend_entry> const& workers);
     void update_software_known(service_state& service);
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -1,8 +1,11 @@
 // Admission control: which callers' requests the relay accepts, and the errors
 // for the others.
+#include "placement.hpp"
 #include "relay.hpp"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -27,6 +30,17 @@
 
 } // namespace
 
+/// All tries of a stream draw the same, at every VM: it goes on at the service
+/// that began it.
+double relay::draw_share(relay_request const& request, route const& matched)
+{
+    if (!matched.resumable)
+        return std::uniform_real_distribution<double>()(random_);
+    request_id const stream = request.resumes.value_or(request.id);
+    return double(stable_hash(stream.str()) >> 1U) /
+           double(std::numeric_limits<std::int64_t>::max());
+}
+
 void relay::reject_immediately(relay_request const& request,
                                http_answer& answer, error const& problem)
 {
@@ -116,8 +130,8 @@
         terms.team = holder != nullptr ? holder->name : team_id();
     terms.priority = routes_->effective_priority(*matched, holder);
     terms.ticket = ticket_id(++last_ticket_);
-    terms.service = route_table::choose_service(
-        *matched, std::uniform_real_distribution<double>()(random_));
+    terms.service =
+        route_table::choose_service(*matched, draw_share(request, *matched));
     terms.matched = matched;
     terms.config = config_;
     terms.arrived_at = arrived_at;
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -39,6 +39,13 @@
            (request.last_event || request.resumes);
 }
 
+stream_record record_of(relay_exchange const& exchange)
+{
+    return {exchange.stream(), exchange.terms().service,
+            *exchange.stream_version(),
+            exchange.terms().give_up_at + stream_end_margin};
+}
+
 } // namespace
 
 /// A question that is open at several VMs.
@@ -49,12 +56,20 @@
     time_point asked_at{};
 };
 
-void relay::update_longest_stream(service_state& service)
+void relay::update_longest_stream(service_id const& name,
+                                  service_state& service)
 {
     for (route const& each : config_->routes)
-        if (each.resumable)
-            service.software.set_longest_stream(each.timeout +
-                                                stream_end_margin);
+    {
+        bool const leads_here =
+            std::any_of(each.services.begin(), each.services.end(),
+                        [&name](weighted_service const& target)
+                        { return target.service == name; });
+        if (!each.resumable || !leads_here)
+            continue;
+        service.has_resumable_streams = true;
+        service.software.set_longest_stream(each.timeout + stream_end_margin);
+    }
 }
 
 void relay::update_software(service_id const& name, service_state& service,
@@ -82,10 +97,12 @@
 /// record.
 void relay::record_running_streams(service_id const& service)
 {
+    std::vector<stream_record> records;
     for (auto const& [ticket, exchange] : exchanges_)
         if (exchange->terms().service == service &&
             exchange->begins_resumable_stream() && exchange->stream_version())
-            record_stream(*exchange);
+            records.push_back(record_of(*exchange));
+    keep_records(service, records);
 }
 
 void relay::on_stream_begun(relay_exchange const& exchange)
@@ -100,25 +117,28 @@
                      .add("worker", exchange.worker().str())
                      .add("software", exchange.stream_version()->str()),
                  now());
-    record_stream(exchange);
+    keep_records(exchange.terms().service, {record_of(exchange)});
 }
 
-void relay::record_stream(relay_exchange const& exchange)
+void relay::keep_records(service_id const& service,
+                         std::vector<stream_record> const& records)
 {
-    time_point const at = now();
-    stream_record const record{exchange.stream(), exchange.terms().service,
-                               *exchange.stream_version(),
-                               exchange.terms().give_up_at + stream_end_margin};
-    streams_.add(record, at);
-    stream_message const message{record.service, {record}, std::nullopt};
-    for (vm_id const& keeper : record_keepers(record.stream, live_vms_))
+    std::map<vm_id, std::vector<stream_record>> by_keeper;
+    for (stream_record const& each : records)
+    {
+        streams_.add(each, now());
+        for (vm_id const& keeper : record_keepers(each.stream, live_vms_))
+            by_keeper[keeper].push_back(each);
+    }
+    for (auto& [keeper, kept] : by_keeper)
     {
         auto const peer = peers_.find(keeper);
         if (peer == peers_.end())
             continue;
-        ++counts_.stream_records_sent;
-        send_stream_message(peer->second.address, message, record_timeout,
-                            [](std::optional<stream_reply> const&) {});
+        counts_.stream_records_sent += kept.size();
+        send_stream_message(
+            peer->second.address, {service, std::move(kept), std::nullopt},
+            record_timeout, [](std::optional<stream_reply> const&) {});
     }
 }
 
@@ -168,7 +188,8 @@
 void relay::ask_for_versions(service_id const& name, service_state& service)
 {
     time_point const at = now();
-    if (at < service.ask_versions_at || service.software.knows_history(at))
+    if (at < service.ask_versions_at || !service.has_resumable_streams ||
+        service.software.knows_history(at))
         return;
     service.ask_versions_at = at + version_query_interval;
     std::vector<vm_id> vms;
