Record a stream's version only where it is certain

And a request for a worker whose new start its owner knew from a report, before the registry listed it, was queued for the same worker again at once, over and over.

A stream's version now counts only if the registry is known well enough and lists the incarnation that the request was sent to; otherwise the stream is neither resumed nor recorded, and rejected where it is taken up. A worker of another incarnation is left out for the request.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -565,7 +565,7 @@
     if (!has_allowed_software(*exchange, placed.entry))
     {
         release_worker_slot(*exchange, send_outcome::abandoned);
-        return exchange->on_postponed();
+        return exchange->on_unsuitable(placed.worker);
     }
     if (exchange->sends() == 0)
         queueing_delays_.add(now() - exchange->terms().arrived_at);
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -218,7 +218,8 @@
                          std::set<worker_id> const& excluded) override;
     void stop_waiting(relay_exchange& exchange) override;
     void on_first_byte(relay_exchange& exchange) override;
-    void on_stream_begun(relay_exchange const& exchange) override;
+    std::optional<software_version>
+    on_stream_begun(relay_exchange const& exchange) override;
     void on_stream_bytes(duration gap) override { stream_gaps_.add(gap); }
     void on_send_ended(relay_exchange& exchange, send_outcome outcome) override;
     void on_worker_leaving(relay_exchange const& exchange) override;
@@ -371,6 +372,10 @@
     /// Returns an error if the request goes on with a stream and this VM does
     /// not know the workers' versions.
     std::optional<error> check_software_known(relay_exchange const& exchange);
+    /// The worker's version if this VM is certain of it: the registry is known
+    /// well enough, and lists this incarnation of the worker.
+    std::optional<software_version>
+    certain_software(service_state& service, backend_entry const& worker);
     /// Whether the worker, as listed now, may run the request.
     bool has_allowed_software(relay_exchange const& exchange,
                               backend_entry const& worker);
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -183,6 +183,14 @@
         host_.wait_for_worker(*this, excluded_workers_);
 }
 
+void relay_exchange::on_unsuitable(worker_id const& worker)
+{
+    if (stage_ != stage::waiting)
+        return;
+    excluded_workers_.insert(worker);
+    host_.wait_for_worker(*this, excluded_workers_);
+}
+
 void relay_exchange::on_refused(error const& why)
 {
     if (stream_begun_)
@@ -314,8 +322,7 @@
     if (!std::exchange(stream_begun_, true))
     {
         answer_->start_stream(reply_.status, headers_);
-        stream_version_ = worker_.software;
-        host_.on_stream_begun(*this);
+        stream_version_ = host_.on_stream_begun(*this);
     }
     events_.begin_answer();
     schedule_wake();
@@ -450,7 +457,8 @@
 
 bool relay_exchange::try_reserve_retry()
 {
-    bool const can_resume = !stream_begun_ || events_.can_resume();
+    bool const can_resume =
+        !stream_begun_ || (events_.can_resume() && stream_version_);
     return is_retryable() && can_resume &&
            runs_ < terms_.matched->worker_limit && sends_ < max_sends &&
            reserve_retry();
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -51,8 +51,11 @@
     virtual void stop_waiting(relay_exchange& exchange) = 0;
     /// The worker has begun to answer a request that it runs.
     virtual void on_first_byte(relay_exchange& exchange) = 0;
-    /// The head of a stream's answer arrived, and stream_version() is set.
-    virtual void on_stream_begun(relay_exchange const& exchange) = 0;
+    /// The head of a stream's answer arrived. Returns the version of the
+    /// software that runs the stream; nullopt if it is not certain, as the
+    /// worker may have started again since it was listed.
+    virtual std::optional<software_version>
+    on_stream_begun(relay_exchange const& exchange) = 0;
     /// More bytes of a stream arrived; `gap` is the time since the previous
     /// bytes.
     virtual void on_stream_bytes(duration gap) = 0;
@@ -135,6 +138,8 @@
     void on_placed(place_request const& placed);
     /// The chosen worker's limit has no room: queues the request again.
     void on_postponed();
+    /// The chosen worker must not run the request: queues it for another one.
+    void on_unsuitable(worker_id const& worker);
     /// No worker will be chosen; ends the request with `why`, or with
     /// error_kind::outcome_unknown if an earlier send may have run.
     void on_refused(error const& why);
@@ -176,7 +181,7 @@
     /// resumes.
     request_id const& stream() const;
     /// The version of the workers' software that began the stream; nullopt if
-    /// none has.
+    /// none has, or if it is not certain.
     std::optional<software_version> const& stream_version() const
     {
         return stream_version_;
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -39,10 +39,10 @@
            (request.last_event || request.resumes);
 }
 
-stream_record record_of(relay_exchange const& exchange)
+stream_record record_of(relay_exchange const& exchange,
+                        software_version const& software)
 {
-    return {exchange.stream(), exchange.terms().service,
-            *exchange.stream_version(),
+    return {exchange.stream(), exchange.terms().service, software,
             exchange.terms().give_up_at + stream_end_margin};
 }
 
@@ -101,23 +101,41 @@
     for (auto const& [ticket, exchange] : exchanges_)
         if (exchange->terms().service == service &&
             exchange->begins_resumable_stream() && exchange->stream_version())
-            records.push_back(record_of(*exchange));
+            records.push_back(
+                record_of(*exchange, *exchange->stream_version()));
     keep_records(service, records);
 }
 
-void relay::on_stream_begun(relay_exchange const& exchange)
+std::optional<software_version>
+relay::certain_software(service_state& service, backend_entry const& worker)
 {
-    if (!exchange.begins_resumable_stream() ||
-        find(exchange.terms().service)->software.only_version(now()))
-        return;
+    update_software_known(service);
+    backend_entry const* const listed = find_backend(worker.id);
+    bool const is_listed =
+        listed != nullptr && listed->started == worker.started;
+    if (!is_listed || !service.software.is_current(now()))
+        return std::nullopt;
+    return listed->software;
+}
+
+std::optional<software_version>
+relay::on_stream_begun(relay_exchange const& exchange)
+{
+    if (!exchange.begins_resumable_stream())
+        return std::nullopt;
+    service_state& service = *find(exchange.terms().service);
+    auto version = certain_software(service, exchange.worker_entry());
+    if (!version || service.software.only_version(now()))
+        return version;
     log_.routine("stream began",
                  log_fields()
                      .add("request", exchange.request().id.str())
                      .add("stream", exchange.stream().str())
                      .add("worker", exchange.worker().str())
-                     .add("software", exchange.stream_version()->str()),
+                     .add("software", version->str()),
                  now());
-    keep_records(exchange.terms().service, {record_of(exchange)});
+    keep_records(exchange.terms().service, {record_of(exchange, *version)});
+    return version;
 }
 
 void relay::keep_records(service_id const& service,
@@ -343,9 +361,9 @@
     auto const allowed = allowed_software(exchange);
     if (!allowed)
         return true;
-    backend_entry const* const listed = find_backend(worker.id);
-    return listed != nullptr && listed->started == worker.started &&
-           allowed->count(listed->software) > 0;
+    auto const version =
+        certain_software(*find(exchange.terms().service), worker);
+    return version && allowed->count(*version) > 0;
 }
 
 } // namespace mulberry
