Reproduce a worker that is overfilled by orders to its earlier incarnation

A simulated worker leaves orders unanswered and carries them out 2 s to 60 s later, and starts again under its id. What makes the numbers meet with all slots taken is the load of the model: a worker that was listed with its model has its slots full at even numbers, and orders loads at odd ones; one that has started again loads the model first, and is full at odd numbers.

--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -43,10 +43,53 @@
 order_outcome scripted_worker::handle_order(worker_order const& order,
                                             time_point now)
 {
+    carry_out_late(now);
+    if (delay_rule_)
+        if (auto const delay = delay_rule_(order))
+        {
+            delayed_.emplace_back(now + *delay, order);
+            return order_outcome::unknown;
+        }
     order_outcome const outcome = carry_out(order, now);
     return loses_answers_ ? order_outcome::unknown : outcome;
 }
 
+void scripted_worker::carry_out_late(time_point now)
+{
+    std::vector<worker_order> due;
+    std::erase_if(delayed_,
+                  [&](auto const& each)
+                  {
+                      if (each.first > now)
+                          return false;
+                      due.push_back(each.second);
+                      return true;
+                  });
+    for (worker_order const& order : due)
+        carry_out(order, now);
+}
+
+void scripted_worker::restart()
+{
+    sequence_ = 0;
+    resident_.clear();
+    loading_.clear();
+    used_.clear();
+    unloading_.clear();
+    model_from_.reset();
+}
+
+order_outcome scripted_worker::load_model(time_point now)
+{
+    if (!std::exchange(model_from_, model_from_.value_or(now + load_time)))
+    {
+        ++sequence_;
+        return order_outcome::accepted;
+    }
+    return now < *model_from_ ? order_outcome::accepted
+                              : order_outcome::already_applied;
+}
+
 order_outcome scripted_worker::carry_out(worker_order const& order,
                                          time_point now)
 {
@@ -73,8 +116,15 @@
     // number.
     if (order.kind == order_kind::load && loading_.count(adapter) > 0)
         return order_outcome::accepted;
+    bool const model_loads = model_from_ && now < *model_from_;
+    if (adapter.empty() && model_loads)
+        return order_outcome::accepted;
     if (order.expected_sequence != sequence_)
         return order_outcome::conflict;
+    if (adapter.empty())
+        return load_model(now);
+    if (!model_from_ || model_loads)
+        return order_outcome::refused;
     if (order.kind == order_kind::load)
     {
         if (resident_.count(adapter) > 0)
@@ -104,6 +154,8 @@
 {
     worker_report report;
     report.sequence = sequence_;
+    if (!model_from_)
+        return report;
     auto& held = report.models[base_model_id(model)];
     for (std::string const& adapter : resident_)
         held.emplace(adapter_id(adapter), adapter_version(1));
@@ -221,6 +273,8 @@
                       });
         for (auto const& [at, order] : due)
             scheduler.on_order(order, order_outcome::unknown, now);
+        for (auto& [id, worker] : workers)
+            worker.carry_out_late(now);
         scheduler.set_registry_timestamps(
             {now - declarations_age, now - workers_age});
         // A worker's answer may allow the next order at once.
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -4,6 +4,7 @@
 
 #include "service_scheduler.hpp"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -20,6 +21,16 @@
 public:
     order_outcome handle_order(worker_order const& order, time_point now);
     void lose_answers(bool lost) { loses_answers_ = lost; }
+    /// Decides for each order whether it gets no answer and how much later it
+    /// is carried out instead; nullopt: it is answered. Empty: all are.
+    using delay_rule =
+        std::function<std::optional<duration>(worker_order const&)>;
+    void delay_orders(delay_rule rule) { delay_rule_ = std::move(rule); }
+    /// Carries out the delayed orders that are due.
+    void carry_out_late(time_point now);
+    /// Begins another incarnation, which holds nothing. Delayed orders are
+    /// still carried out.
+    void restart();
     worker_report report() const;
     std::size_t held() const { return resident_.size() + loading_.size(); }
     std::size_t max_held() const { return max_held_; }
@@ -45,8 +56,11 @@
 
 private:
     order_outcome carry_out(worker_order const& order, time_point now);
+    order_outcome load_model(time_point now);
 
     std::uint64_t sequence_ = 0;
+    /// When the load of the model is complete; nullopt: not ordered.
+    std::optional<time_point> model_from_ = time_point::min();
     std::set<std::string> resident_;
     std::map<std::string, time_point> loading_;
     std::set<std::string> used_;
@@ -55,6 +69,8 @@
     std::map<std::string, adapter_version> ordered_;
     std::size_t max_held_ = 0;
     bool loses_answers_ = false;
+    delay_rule delay_rule_;
+    std::vector<std::pair<time_point, worker_order>> delayed_;
 };
 
 /// Thread safety: none.
