--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <asio/io_context.hpp>
 #include <fcntl.h>
 
 #include <atomic>
@@ -299,6 +300,65 @@
     CHECK(late.count == 1);
 }
 
+// Guards against handling a request whose caller gave up while it was unread.
+TEST_CASE("a request that was read together with its caller's close is closed",
+          "[http_server]")
+{
+    asio::io_context io;
+    http_server_options options;
+    options.shared_io = &io;
+    int handled = 0;
+    int closed = 0;
+    std::shared_ptr<http_answer> kept;
+    http_server server(
+        options,
+        [&](http_request const&, std::shared_ptr<http_answer> answer)
+        {
+            ++handled;
+            kept = std::move(answer);
+            kept->on_closed([&closed] { ++closed; });
+            CHECK(closed == handled);
+        });
+    for (int number = 0; number < 3; ++number)
+    {
+        auto caller = raw_socket::connected(server.port());
+        caller.send(get("/"));
+        caller.close();
+    }
+    auto const limit = std::chrono::steady_clock::now() + 5s;
+    while (closed < 3 && std::chrono::steady_clock::now() < limit)
+        io.run_one_for(10ms);
+    CHECK(handled == 3);
+    CHECK(closed == 3);
+}
+
+// Guards against a close that nothing reads because another request waits.
+TEST_CASE("a disconnect is noticed while a second request waits",
+          "[http_server]")
+{
+    recording_handler held;
+    http_server server({}, held.handler());
+    auto caller = raw_socket::connected(server.port());
+    caller.send(get("/1"));
+    auto const answer = held.wait_for(0);
+    close_counter watch;
+    watch.watch(*answer);
+    caller.send(get("/2") + get("/3") + "GET /4");
+    SECTION("closed at once")
+    {
+        caller.close();
+    }
+    SECTION("closed once the bytes were read")
+    {
+        answer->start_stream(200, {});
+        answer->write("piece");
+        caller.read_until("piece");
+        caller.close();
+    }
+    CHECK(watch.wait());
+    CHECK(held.count() == 1);
+}
+
 TEST_CASE("an aborted stream is truncated after the bytes written",
           "[http_server]")
 {
