Take a conflict for an accepted order only if no other took its number

A repeated order that conflicts counted as carried out the first time. If an unanswered order of an earlier incarnation was carried out under its number instead, the owner believed that its own adapter was loading, and its polls for that load were carried out as a load later, when all slots were taken. Now the owner reads a report first if another unanswered order has that number.

--- a/src/unanswered_orders.cpp
+++ b/src/unanswered_orders.cpp
@@ -88,6 +88,15 @@
     }
 }
 
+bool unanswered_orders::may_be_displaced(worker_order const& order) const
+{
+    auto const same_number = orders_.find(order.expected_sequence);
+    return same_number != orders_.end() &&
+           std::any_of(same_number->second.begin(), same_number->second.end(),
+                       [&order](entry const& each)
+                       { return each.order != order; });
+}
+
 time_point unanswered_orders::next_change(time_point now) const
 {
     time_point next = never;
--- a/src/unanswered_orders.hpp
+++ b/src/unanswered_orders.hpp
@@ -52,6 +52,9 @@
     /// Number of slots that unanswered loads may take if the worker has
     /// accepted `sequence` orders and gets no other order.
     std::size_t reserved_slots(std::uint64_t sequence, time_point now) const;
+    /// Whether another order with the same sequence number is unanswered, and
+    /// so may have been carried out in this order's place.
+    bool may_be_displaced(worker_order const& order) const;
     /// When the result of reserved_slots() may next change without an order;
     /// `never` if nothing is reserved.
     time_point next_change(time_point now) const;
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -539,9 +539,14 @@
         return true;
     case order_outcome::conflict:
         // A repeated order whose sequence number the worker is past was carried
-        // out the first time.
+        // out the first time, unless another one was in its place.
         if (order_repeated_ && order.expected_sequence == *sequence_)
-            return on_accepted(order, now);
+        {
+            if (!unanswered_.may_be_displaced(order))
+                return on_accepted(order, now);
+            mark_out_of_sync(now);
+            return false;
+        }
         on_conflict(order, now);
         return false;
     case order_outcome::refused:
