Keep slots free for late orders of earlier owners

A new owner of a worker that has started again under its id did not know which orders the owners before it had left unanswered, so it filled all slots, and a late load of theirs crashed the worker.

Within one incarnation such an order is harmless: it has the worker's current number or an earlier one, so it excludes the next order of the new owner or is refused. Only an incarnation that starts from zero meets earlier numbers again. So a worker's row says in which incarnation its first owner took it. An owner that finds another one there keeps half of the slots free for fifteen seconds, and takes no conflict for an accepted order, unless it has owned the worker for as long before the restart.

Weighed: telling the successor each unanswered order (a message an order, and an owner that is killed tells nothing), a row an order (more writes than the store takes), no loads for fifteen seconds (callers wait). Cost: no write, some bytes a row; rows without the field are taken as before.

--- a/src/dispatcher_limits.hpp
+++ b/src/dispatcher_limits.hpp
@@ -55,6 +55,9 @@
     /// Names whose unload an earlier owner recorded and may still order. No
     /// request is routed to these names until that is ruled out.
     std::vector<engine_name> open_intents;
+    /// The worker's incarnation when its first owner took it; 0 if unknown.
+    /// Earlier owners may have sent orders to this one and any later one.
+    worker_start first_incarnation;
 };
 
 } // namespace mulberry
--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -68,6 +68,10 @@
                         action_list& actions);
     void forget_intent(mulberry::forget_intent const& intent, time_point now,
                        action_list& actions);
+    void set_incarnations(std::map<worker_id, worker_start> const& started)
+    {
+        workers_.set_incarnations(started);
+    }
     void set_domains(std::map<worker_id, domain_id> domains)
     {
         workers_.set_domains(std::move(domains));
@@ -422,6 +426,12 @@
     implementation_->set_workers(std::move(workers), now, actions);
 }
 
+void ownership_keeper::set_incarnations(
+    std::map<worker_id, worker_start> const& started)
+{
+    implementation_->set_incarnations(started);
+}
+
 void ownership_keeper::set_domains(std::map<worker_id, domain_id> domains)
 {
     implementation_->set_domains(std::move(domains));
--- a/src/ownership_keeper.hpp
+++ b/src/ownership_keeper.hpp
@@ -173,6 +173,8 @@
                      action_list& actions);
     /// Sets the failure domains of workers; see worker_assignment.
     void set_domains(std::map<worker_id, domain_id> domains);
+    /// Sets the incarnations of workers, as the registry lists them.
+    void set_incarnations(std::map<worker_id, worker_start> const& started);
     /// Sets whether this VM reaches no worker. Its workers are then handed over
     /// to other VMs, if there are any that reach workers.
     void set_cut_off(bool cut_off, time_point now, action_list& actions);
--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -83,11 +83,14 @@
 {
     std::set<worker_id> listed;
     std::map<worker_id, domain_id> domains;
+    std::map<worker_id, worker_start> incarnations;
     for (backend_entry const& each : workers)
     {
         listed.insert(each.id);
+        incarnations.emplace(each.id, each.started);
         domains.emplace(each.id, each.domain);
     }
+    keeper_.set_incarnations(incarnations);
     time_point const now = boot_clock::now();
     if (listed != declared_ || !keeper_started_)
     {
@@ -208,15 +211,18 @@
         {
             owned_worker const grant{
                 gained->grant.fence,
-                orders_from(gained->worker, gained->grant.fence, now)};
+                orders_from(gained->worker, gained->grant.fence, now),
+                gained->grant.first_incarnation};
             grants_[gained->worker] = grant;
             changed = true;
-            log_.notable("worker owned",
-                         log_fields()
-                             .add("worker", gained->worker.str())
-                             .add("fence", grant.fence.value())
-                             .add("orders_in_ms", grant.orders_from - now),
-                         now);
+            log_.notable(
+                "worker owned",
+                log_fields()
+                    .add("worker", gained->worker.str())
+                    .add("fence", grant.fence.value())
+                    .add("first_started", grant.first_incarnation.value())
+                    .add("orders_in_ms", grant.orders_from - now),
+                now);
         }
         else if (auto const* lost = std::get_if<worker_lost>(&event))
         {
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -407,7 +407,10 @@
     {
         if (now >= worker->old_entry_expires_at)
             forget_previous_incarnation(*worker);
-        if (!worker->owned || is_paused(*worker, now))
+        if (!worker->owned)
+            continue;
+        worker->owned_since = std::min(worker->owned_since, now);
+        if (is_paused(*worker, now))
             continue;
         bool const unsynced = worker->adapters.needs_report(now);
         if (unsynced)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -190,6 +190,8 @@
 {
     fencing_number fence;
     time_point orders_from{};
+    /// The worker's incarnation when its first owner took it; 0 if unknown.
+    worker_start first_incarnation;
     friend bool operator==(owned_worker const&, owned_worker const&) = default;
 };
 
@@ -376,6 +378,11 @@
         worker_adapters adapters;
         /// This VM owns the worker.
         bool owned = false;
+        /// Since when this VM has owned the worker, in this and earlier
+        /// incarnations; `never` if it does not or has not decided on it yet.
+        time_point owned_since = never;
+        /// This VM has owned an earlier incarnation long enough.
+        bool ordered_earlier = false;
         /// Granted requests of other VMs that have not ended.
         std::size_t granted = 0;
         /// Requests that wait for a batch slot or an adapter slot of this
@@ -453,6 +460,9 @@
     /// `earlier`: the orders that the worker's earlier incarnations left
     /// unanswered.
     void add_worker(backend_entry const& entry, unanswered_orders earlier);
+    /// Whether this VM knows all orders that the worker's earlier incarnations
+    /// may have left unanswered a short while ago.
+    bool knows_unanswered_orders(worker_state const& worker) const;
     /// Keeps the unanswered orders of workers that are no longer listed, since
     /// a worker may return under its id.
     void keep_unanswered_orders(std::set<worker_id> const& listed);
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -106,15 +106,32 @@
 {
     worker_id const id = entry.id;
     bool const owned = known.owned;
+    time_point const owned_since = known.owned_since;
     clear_load_waits(id);
     adapter_locations_.remove_worker(id);
     unanswered_orders unanswered = known.adapters.take_unanswered();
     workers_.erase(id);
     add_worker(entry, std::move(unanswered));
+    worker_state& begun = *find(id);
+    begun.owned_since = owned_since;
+    begun.ordered_earlier =
+        owned_since <= decided_at_ - late_order_limits().burst_window;
     if (owned && owned_workers_.count(id) > 0)
         set_owned_workers(owned_workers_);
 }
 
+/// Failure: an owner does not know which orders earlier owners left unanswered.
+/// They are harmless in the incarnation that they were sent to, since its
+/// sequence has passed their numbers, or passes them with the next order.
+bool service_scheduler::knows_unanswered_orders(
+    worker_state const& worker) const
+{
+    worker_start const first =
+        owned_workers_.at(worker.entry.id).first_incarnation;
+    return worker.ordered_earlier || first == worker_start() ||
+           first == worker.entry.started;
+}
+
 void service_scheduler::clear_load_waits(worker_id const& worker)
 {
     for (auto& [key, waiting] : queue_)
@@ -141,9 +158,12 @@
     {
         auto const found = owned_workers.find(id);
         bool const is_owned = found != owned_workers.end();
+        if (!is_owned)
+            worker->owned_since = never;
         if (is_owned)
             worker->adapters.on_ownership_acquired(
-                settings_.vm, found->second.fence, found->second.orders_from);
+                settings_.vm, found->second.fence, found->second.orders_from,
+                knows_unanswered_orders(*worker));
         else if (worker->adapters.is_owned())
         {
             worker->adapters.on_ownership_lost();
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -49,13 +49,15 @@
 }
 
 void worker_adapters::on_ownership_acquired(vm_id holder, fencing_number fence,
-                                            time_point orders_from)
+                                            time_point orders_from,
+                                            bool knows_unanswered)
 {
     if (holder_ && fence_ == fence)
     {
         orders_from_ = orders_from;
         return;
     }
+    has_unknown_orders_ = !knows_unanswered;
     state_known_ = false;
     holder_ = std::move(holder);
     fence_ = fence;
@@ -116,6 +118,8 @@
     sequence_ = report->sequence;
     state_known_ = true;
     unanswered_.expire(now);
+    if (std::exchange(has_unknown_orders_, false))
+        unknown_orders_until_ = now + late_order_limits().burst_window;
     models_.clear();
     std::map<model_target, entry> known = std::exchange(adapters_, {});
     auto const adopt = [&](model_target const& target, adapter_stage stage)
@@ -313,11 +317,22 @@
 
 void worker_adapters::update_reserved_slots(time_point now)
 {
-    reserved_slots_ = unanswered_.empty()
-                          ? 0
-                          : unanswered_.reserved_slots(*sequence_ + 1, now);
-    reserved_until_ =
-        reserved_slots_ == 0 ? never : unanswered_.next_change(now);
+    reserved_slots_ = 0;
+    reserved_until_ = never;
+    if (!unanswered_.empty())
+    {
+        reserved_slots_ = unanswered_.reserved_slots(*sequence_ + 1, now);
+        reserved_until_ = unanswered_.next_change(now);
+    }
+    if (now >= unknown_orders_until_)
+        return;
+    reserved_slots_ = std::max(reserved_slots_, unknown_order_slots());
+    reserved_until_ = std::min(reserved_until_, unknown_orders_until_);
+}
+
+std::size_t worker_adapters::unknown_order_slots() const
+{
+    return (settings_.adapter_slots + 1) / 2;
 }
 
 bool worker_adapters::fits_unanswered_loads(std::size_t occupied,
@@ -491,8 +506,10 @@
     // An unload also makes the worker refuse the unanswered loads that have
     // its number.
     bool const overcommitted = occupied + reserved_now > slots;
-    bool const improves = reserved_slots_ <= reserved_now;
-    if (occupied == 0 || (occupied - 1 + reserved_slots_ > slots && !improves))
+    bool const improves =
+        fits_unanswered_loads(occupied - 1, now) ||
+        unanswered_.reserved_slots(*sequence_ + 1, now) <= reserved_now;
+    if (occupied == 0 || !improves)
         return std::nullopt;
     bool const full = overcommitted || (occupied + reserved_slots_ >= slots &&
                                         occupied < adapters_.size());
@@ -561,7 +578,8 @@
         // out the first time, unless another one was in its place.
         if (order_repeated_ && order.expected_sequence == *sequence_)
         {
-            if (!unanswered_.may_be_displaced(order))
+            if (!unanswered_.may_be_displaced(order) &&
+                now >= unknown_orders_until_)
                 return on_accepted(order, now);
             mark_out_of_sync(now);
             return false;
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -80,9 +80,11 @@
     /// Allows orders from `orders_from` on, under fencing token `fence`.
     /// `orders_from` is `never` while the holder's lease has lapsed and no
     /// other VM holds the worker. A new token makes the worker's state unknown
-    /// until the next report.
+    /// until the next report. `knows_unanswered`: whether this object has all
+    /// orders that the worker's earlier incarnations left unanswered.
     void on_ownership_acquired(vm_id holder, fencing_number fence,
-                               time_point orders_from);
+                               time_point orders_from,
+                               bool knows_unanswered = true);
     /// Forbids further orders and forgets adapters whose load or unload is not
     /// complete. Resident adapters may still be used.
     void on_ownership_lost();
@@ -219,6 +221,8 @@
     std::size_t occupied_slots() const;
     /// Updates reserved_slots_ for the state after the next order.
     void update_reserved_slots(time_point now);
+    /// Slots that are kept free for orders that another VM left unanswered.
+    std::size_t unknown_order_slots() const;
     /// Whether unanswered loads still fit after an order that leaves
     /// `occupied` slots occupied.
     bool fits_unanswered_loads(std::size_t occupied, time_point now) const;
@@ -268,6 +272,10 @@
     /// worker is assumed to keep copies of.
     std::list<model_target> recently_resident_;
     unanswered_orders unanswered_;
+    /// Orders that another VM left unanswered may be carried out.
+    bool has_unknown_orders_ = false;
+    /// Until then slots are kept free for them; counted from the next report.
+    time_point unknown_orders_until_{};
     std::size_t reserved_slots_ = 0;
     time_point reserved_until_ = never;
     std::optional<worker_order> order_;
--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -42,6 +42,13 @@
     assigned_generation_ = 0;
 }
 
+void worker_assignment::set_incarnations(
+    std::map<worker_id, worker_start> const& started)
+{
+    for (auto const& [worker, incarnation] : started)
+        find_or_add(worker).set_incarnation(incarnation);
+}
+
 worker_ownership& worker_assignment::find_or_add(worker_id const& worker)
 {
     return workers_.try_emplace(worker, worker, context_).first->second;
--- a/src/worker_assignment.hpp
+++ b/src/worker_assignment.hpp
@@ -32,6 +32,8 @@
     /// assigned to a VM of that domain, so that the owner's traffic to the
     /// worker stays within the domain.
     void set_domains(std::map<worker_id, domain_id> domains);
+    /// Sets the incarnations of workers, as the registry lists them.
+    void set_incarnations(std::map<worker_id, worker_start> const& started);
     /// Stores a row that was read, if it is newer than the known one. Returns
     /// false when the text cannot be parsed. Precondition: the key has
     /// worker_prefix.
--- a/src/worker_ownership.cpp
+++ b/src/worker_ownership.cpp
@@ -87,7 +87,8 @@
     owned_fence_ = row_->fence;
     suspects_cleared_ = row_->suspects.empty();
     inherited_intents_ = {row_->intents.begin(), row_->intents.end()};
-    ownership_grant const grant{row_->fence, !suspects_cleared_, row_->intents};
+    ownership_grant const grant{row_->fence, !suspects_cleared_, row_->intents,
+                                row_->first_incarnation};
     context_.events.push_back(worker_gained{worker_, grant});
     log_event(actions, "worker-gained", fence_text(row_->fence));
 }
@@ -221,6 +222,8 @@
 worker_row worker_ownership::takeover_row() const
 {
     worker_row row = row_ ? *row_ : worker_row{};
+    if (!row_)
+        row.first_incarnation = incarnation_;
     if (!row.owner.vm.empty() && !context_.members.closed_cleanly(row.owner))
         add_suspect(row, row.owner);
     row.token = context_.random.next_token();
--- a/src/worker_ownership.hpp
+++ b/src/worker_ownership.hpp
@@ -53,6 +53,8 @@
     /// Sets whether the worker is in the current configuration.
     void set_declared(bool declared) { declared_ = declared; }
     bool declared() const { return declared_; }
+    /// Records the worker's incarnation, as the registry lists it.
+    void set_incarnation(worker_start started) { incarnation_ = started; }
     /// Records which VM should own the worker, and since when.
     void set_assignee(vm_id const& vm, time_point now);
     vm_id const& assignee() const { return assignee_; }
@@ -147,6 +149,7 @@
     row_version version_;
     std::optional<worker_row> row_;
     bool declared_ = false;
+    worker_start incarnation_;
     vm_id assignee_;
     time_point assignee_stable_at_ = never;
 
--- a/src/worker_row.cpp
+++ b/src/worker_row.cpp
@@ -80,6 +80,8 @@
     for (engine_name const& name : row.intents)
         intents.append(name.str());
     object["intents"] = intents;
+    if (row.first_incarnation != worker_start())
+        object["started"] = Json::UInt64(row.first_incarnation.value());
     return to_row_text(object);
 }
 
@@ -94,14 +96,18 @@
     auto const fence = number_member(*object, "fence");
     auto const suspects = parse_suspects((*object)["suspects"]);
     auto const intents = parse_intents((*object)["intents"]);
+    auto const started = object->isMember("started")
+                             ? number_member(*object, "started")
+                             : std::optional(std::uint64_t{0});
     if (!token || !owner || !incarnation_number || !fence || !suspects ||
-        !intents)
+        !intents || !started)
         return std::nullopt;
     return worker_row{*token,
                       {vm_id(*owner), incarnation(*incarnation_number)},
                       fencing_number(*fence),
                       *suspects,
-                      *intents};
+                      *intents,
+                      worker_start(*started)};
 }
 
 void add_suspect(worker_row& row, incarnation_id const& suspect)
--- a/src/worker_row.hpp
+++ b/src/worker_row.hpp
@@ -35,6 +35,8 @@
     std::vector<incarnation_id> suspects;
     /// Adapters, by engine name, for which an unload order may still be sent.
     std::vector<engine_name> intents;
+    /// The worker's incarnation when its first owner took it; 0 if unknown.
+    worker_start first_incarnation;
     friend bool operator==(worker_row const&, worker_row const&) = default;
 };
 
--- a/tests/late_order_test.cpp
+++ b/tests/late_order_test.cpp
@@ -21,6 +21,13 @@
 {
     restarting_world() : scheduler_world(1, slots) { begin_incarnation(); }
 
+    /// Another VM takes the worker over; requests that wait are lost.
+    void replace_owner()
+    {
+        asked_.clear();
+        scheduler_world::replace_owner(worker_start(first_incarnation));
+    }
+
     scripted_worker& worker() { return workers.at(id); }
 
     /// The next incarnation is in the registry at once.
@@ -67,7 +74,8 @@
         list_all();
     }
 
-    std::uint64_t incarnation_ = 1000;
+    static constexpr std::uint64_t first_incarnation = 1001;
+    std::uint64_t incarnation_ = first_incarnation - 1;
     std::vector<ticket_id> asked_;
 };
 
@@ -147,3 +155,46 @@
         CHECK(world.worker().holds("last1"));
     }
 }
+
+// Guards against the same by orders of an earlier owner, which the new owner
+// does not know.
+TEST_CASE("an earlier owner's late orders do not overfill a restarted worker",
+          "[late_orders]")
+{
+    for (unsigned seed = 1; seed <= 60; ++seed)
+    {
+        INFO("seed " << seed);
+        std::mt19937 random(seed);
+        auto const draw = [&random](int first, int last)
+        { return std::uniform_int_distribution(first, last)(random); };
+        restarting_world world;
+        world.use("a", int(slots));
+        world.run_requests(1s);
+        world.worker().delay_orders(
+            delay_loads(std::chrono::milliseconds(draw(2000, 12000))));
+        for (int round = draw(1, 3); round > 0; --round)
+        {
+            world.use("late" + std::to_string(round) + "-", 1);
+            world.run_requests(300ms);
+        }
+        world.worker().delay_orders({});
+        world.withdraw_requests();
+        bool const restarts_first = draw(1, 2) == 1;
+        if (restarts_first)
+            world.restart();
+        world.replace_owner();
+        if (!restarts_first)
+        {
+            world.run_requests(std::chrono::milliseconds(draw(0, 1000)));
+            world.restart();
+        }
+        world.use("b", int(slots));
+        world.run_requests(14s);
+        CHECK(world.worker().max_held() <= slots);
+        world.run_requests(10s);
+        world.use("c", int(slots) - 1);
+        world.run_requests(5s);
+        for (int number = 1; number < int(slots); ++number)
+            CHECK(world.worker().holds("c" + std::to_string(number)));
+    }
+}
--- a/tests/ownership_keeper_test.cpp
+++ b/tests/ownership_keeper_test.cpp
@@ -67,6 +67,9 @@
                             {{vm_id("b"), incarnation(1)}},
                             {engine_name("x@1#3")}};
     CHECK(parse_worker_row(to_text(worker)) == worker);
+    worker_row restarted = worker;
+    restarted.first_incarnation = worker_start(17);
+    CHECK(parse_worker_row(to_text(restarted)) == restarted);
     for (char const* text : {"", "[]", "{}", "{\"token\":1}", "nonsense"})
     {
         CHECK_FALSE(parse_vm_row(text));
--- a/tests/ownership_runner_test.cpp
+++ b/tests/ownership_runner_test.cpp
@@ -66,7 +66,18 @@
         store.close();
         vm_.reset();
     }
-    void list() { vm_->runner.set_workers({listed_worker()}); }
+    void list()
+    {
+        backend_entry entry = listed_worker();
+        entry.started = worker_started;
+        vm_->runner.set_workers({entry});
+    }
+    /// The worker's incarnation when its first owner took it.
+    worker_start first_incarnation()
+    {
+        REQUIRE(until([this] { return grant_.has_value(); }));
+        return grant_->first_incarnation;
+    }
     /// How long after the worker was acquired orders may be issued.
     duration order_delay()
     {
@@ -101,6 +112,7 @@
     }
 
     memory_row_store store;
+    worker_start worker_started;
 
 private:
     struct vm_process
@@ -187,6 +199,23 @@
     CHECK(world.order_delay() <= 0ms);
 }
 
+// Guards against an owner that does not know that earlier owners sent orders to
+// another incarnation of its worker.
+TEST_CASE("an owner learns of the worker's earlier incarnation",
+          "[ownership_runner]")
+{
+    runner_simulation world;
+    world.worker_started = worker_start(1001);
+    world.start();
+    world.list();
+    CHECK(world.first_incarnation() == worker_start(1001));
+    world.kill();
+    world.worker_started = worker_start(1002);
+    world.start();
+    world.list();
+    CHECK(world.first_incarnation() == worker_start(1001));
+}
+
 // A VM restarts. Another VM, which has not learned of the restart yet, hands a
 // worker over to the previous incarnation. The worker's row names the restarted
 // VM, but the other VM issued its last order a moment ago, so no order may be
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -1,6 +1,7 @@
 #include "scheduler_world.hpp"
 
 #include <algorithm>
+#include <memory>
 
 namespace mulberry::test
 {
@@ -216,7 +217,19 @@
 void scheduler_world::own_all()
 {
     for (auto const& [id, worker] : workers)
-        owned_workers[id] = {fencing_number(1), now};
+        owned_workers[id] = {fencing_number(1), now, {}};
+    scheduler.set_owned_workers(owned_workers);
+}
+
+void scheduler_world::replace_owner(worker_start first_incarnation)
+{
+    std::destroy_at(&scheduler);
+    std::construct_at(&scheduler, settings_of(), config);
+    unanswered_.clear();
+    list_all();
+    ++owners_;
+    for (auto& [id, grant] : owned_workers)
+        grant = {fencing_number(owners_), now, first_incarnation};
     scheduler.set_owned_workers(owned_workers);
 }
 
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -135,6 +135,9 @@
     backend_entry entry(std::size_t number) const;
     void list_all();
     void own_all();
+    /// Another VM takes over all workers, and their first owners took them in
+    /// the given incarnation.
+    void replace_owner(worker_start first_incarnation);
 
     time_point now{std::chrono::hours(1)};
     /// Whether a placed request starts its answer at once.
@@ -162,6 +165,7 @@
     void carry_out(placement_action const& action);
 
     std::size_t batch_slots_;
+    std::uint64_t owners_ = 1;
     std::uint64_t last_ticket_ = 0;
     std::map<ticket_id, worker_id> placed_;
     /// Grants of other VMs' requests.
