Count the memory that weights and adapters share

A worker that is ordered to load more than its memory holds crashes, as one with too many adapters does, but only slots were counted: the sizes of weights and adapters were read nowhere. Now an owner loads as many adapters as fit beside the weights, at most as many as there are slots, and no weights that do not fit. Found by reading; on the deployments at hand the slots are the smaller bound (66,600 MB beside 65,100 MB of weights: 125 adapters of 12 MB, 16 slots).

--- a/src/routing_config.hpp
+++ b/src/routing_config.hpp
@@ -69,6 +69,9 @@
     std::size_t adapter_count = 0;
     /// Time to load the weights at full speed.
     duration load_time = std::chrono::seconds(1);
+    /// Memory that the weights and one adapter take; 0 if unknown.
+    double weights_mb = 0;
+    double adapter_mb = 0;
     friend bool operator==(base_model const&, base_model const&) = default;
 };
 
@@ -77,6 +80,8 @@
 {
     std::size_t batch_slots = 1;
     std::size_t adapter_slots = 0;
+    /// Memory for weights and adapters together; 0 if unknown.
+    double weight_memory_mb = 0;
     double weight_loads_per_second = 1;
     std::vector<base_model> models;
     friend bool operator==(engine_limits const&,
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -383,10 +383,13 @@
     for (auto const& [id, each] : workers_)
         for (held_model const& held : each->entry.models)
             ++copies[held.model];
-    base_model const* best = &config_.engine->models.front();
+    base_model const* best = nullptr;
     for (base_model const& each : config_.engine->models)
-        if (copies[each.name] < copies[best->name])
+        if (worker.adapters.fits_model(each.name) &&
+            (best == nullptr || copies[each.name] < copies[best->name]))
             best = &each;
+    if (best == nullptr)
+        return;
     weight_loads_.push_back(now);
     worker.adapters.request_model(best->name);
 }
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -61,6 +61,11 @@
     worker_adapters_settings adapter_settings;
     adapter_settings.adapter_slots =
         config_.engine ? config_.engine->adapter_slots : 0;
+    if (config_.engine)
+    {
+        adapter_settings.weight_memory_mb = config_.engine->weight_memory_mb;
+        adapter_settings.models = config_.engine->models;
+    }
     auto const made = workers_.emplace(
         entry.id, std::make_unique<worker_state>(entry, adapter_settings,
                                                  std::move(earlier)));
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -38,6 +38,8 @@
 /// are ranked: adapters with many waiting requests are fetched first, and no
 /// adapter starves.
 constexpr std::chrono::milliseconds wait_per_waiting_request{100};
+/// Sizes are stated as decimal fractions, whose sums are inexact.
+constexpr double rounding_mb = 0.001;
 
 } // namespace
 
@@ -166,6 +168,39 @@
            now < lost_at_ + max_report_lag;
 }
 
+double worker_adapters::free_weight_memory() const
+{
+    double free = settings_.weight_memory_mb;
+    for (base_model const& each : settings_.models)
+        if (has_model(each.name) || loading_model_ == each.name)
+            free -= each.weights_mb;
+    return free;
+}
+
+bool worker_adapters::fits_model(base_model_id const& model) const
+{
+    auto const known = std::find_if(
+        settings_.models.begin(), settings_.models.end(),
+        [&model](base_model const& each) { return each.name == model; });
+    return settings_.weight_memory_mb <= 0 || known == settings_.models.end() ||
+           known->weights_mb <= free_weight_memory();
+}
+
+std::size_t worker_adapters::slot_count() const
+{
+    double adapter_mb = 0;
+    for (base_model const& each : settings_.models)
+        if (has_model(each.name))
+            adapter_mb = std::max(adapter_mb, each.adapter_mb);
+    if (settings_.weight_memory_mb <= 0 || adapter_mb <= 0)
+        return settings_.adapter_slots;
+    double const fitting =
+        std::max(free_weight_memory() + rounding_mb, 0.0) / adapter_mb;
+    return std::min(settings_.adapter_slots,
+                    static_cast<std::size_t>(
+                        std::min(fitting, double(settings_.adapter_slots))));
+}
+
 bool worker_adapters::has_model(base_model_id const& model) const
 {
     auto const held = models_.find(model);
@@ -220,7 +255,7 @@
     for (auto const& [each, state] : adapters_)
         fixed += state.stage != adapter_stage::resident ||
                  state.requests_in_progress > 0 || state.requests_waiting > 0;
-    return fixed + reserved_slots_ < settings_.adapter_slots;
+    return fixed + reserved_slots_ < slot_count();
 }
 
 void worker_adapters::request_load(model_target const& target,
@@ -332,7 +367,7 @@
 
 std::size_t worker_adapters::unknown_order_slots() const
 {
-    return (settings_.adapter_slots + 1) / 2;
+    return (slot_count() + 1) / 2;
 }
 
 bool worker_adapters::fits_unanswered_loads(std::size_t occupied,
@@ -340,7 +375,7 @@
 {
     return unanswered_.empty() ||
            occupied + unanswered_.reserved_slots(*sequence_ + 1, now) <=
-               settings_.adapter_slots;
+               slot_count();
 }
 
 std::size_t worker_adapters::loads_in_progress() const
@@ -468,7 +503,7 @@
 
 std::optional<worker_order> worker_adapters::load_order(time_point now) const
 {
-    if (occupied_slots() + reserved_slots_ >= settings_.adapter_slots ||
+    if (occupied_slots() + reserved_slots_ >= slot_count() ||
         loads_in_progress() >= max_loads_in_progress())
         return std::nullopt;
     std::pair<model_target const, entry> const* first = nullptr;
@@ -500,7 +535,7 @@
 worker_adapters::evict_order(score const& retention_priority, time_point now)
 {
     std::size_t const occupied = occupied_slots();
-    std::size_t const slots = settings_.adapter_slots;
+    std::size_t const slots = slot_count();
     std::size_t const reserved_now =
         unanswered_.empty() ? 0 : unanswered_.reserved_slots(*sequence_, now);
     // An unload also makes the worker refuse the unanswered loads that have
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -5,6 +5,7 @@
 
 #include "ids.hpp"
 #include "relay_request.hpp"
+#include "routing_config.hpp"
 #include "time_point.hpp"
 #include "unanswered_orders.hpp"
 
@@ -24,6 +25,9 @@
 struct worker_adapters_settings
 {
     std::size_t adapter_slots = 1;
+    /// Memory of the worker that weights and adapters share; 0 if unknown.
+    double weight_memory_mb = 0;
+    std::vector<base_model> models;
     /// Limit on concurrent adapter loads at a worker; the worker refuses more.
     std::size_t max_concurrent_loads = 4;
     /// Expected time of a load from the weight store.
@@ -106,8 +110,12 @@
     bool is_state_known() const { return state_known_; }
 
     bool has_model(base_model_id const& model) const;
+    /// Whether the weights fit beside those that the worker holds.
+    bool fits_model(base_model_id const& model) const;
+    /// Number of adapters that fit beside the weights that the worker holds.
+    std::size_t slot_count() const;
     /// Requests a load of a base model. Precondition: the worker holds no
-    /// model.
+    /// model, and fits_model().
     void request_model(base_model_id const& model) { requested_model_ = model; }
     bool holds_any_model() const { return !models_.empty(); }
     bool is_model_requested() const
@@ -219,6 +227,7 @@
         return which.newest > which.version;
     }
     std::size_t occupied_slots() const;
+    double free_weight_memory() const;
     /// Updates reserved_slots_ for the state after the next order.
     void update_reserved_slots(time_point now);
     /// Slots that are kept free for orders that another VM left unanswered.
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -26,7 +26,7 @@
     engine.batch_slots = batch_slots;
     engine.adapter_slots = adapter_slots;
     engine.weight_loads_per_second = 9;
-    engine.models.push_back({base_model_id(model), 3000, load_time});
+    engine.models.push_back({base_model_id(model), 3000, load_time, 0, 0});
     config.engine = engine;
     return config;
 }
--- a/tests/worker_adapters_test.cpp
+++ b/tests/worker_adapters_test.cpp
@@ -256,3 +256,58 @@
     REQUIRE(question);
     CHECK(question->version == adapter_version(2));
 }
+
+// Guards against a worker that is ordered to load more than its memory holds
+// although it has slots left.
+TEST_CASE("adapters are loaded only as far as they fit beside the weights",
+          "[worker_adapters]")
+{
+    worker_adapters_settings settings;
+    settings.adapter_slots = 8;
+    settings.weight_memory_mb = 100;
+    settings.models = {{model, 10, 1s, 90, 4}};
+    worker_adapters adapters(settings);
+    CHECK(adapters.slot_count() == 8);
+    CHECK(adapters.fits_model(model));
+    time_point now{std::chrono::hours(1)};
+    adapters.on_ownership_acquired(vm_id("vm"), fencing_number(1), now);
+    worker_report report;
+    report.models[model] = {};
+    adapters.on_report(report, now);
+    CHECK(adapters.slot_count() == 2);
+    CHECK_FALSE(adapters.fits_model(model));
+    for (char const* name : {"a1", "a2", "a3", "a4"})
+    {
+        adapters.request_load(target(name), {}, now);
+        adapters.begin_wait(target(name));
+    }
+    std::size_t loads = 0;
+    while (auto const order = adapters.next_order(
+               worker, [](model_target const&) { return 0.0; }, now))
+    {
+        loads += order->kind == order_kind::load;
+        adapters.on_outcome(order_outcome::accepted, now);
+    }
+    CHECK(loads == 2);
+    CHECK_FALSE(adapters.has_available_slot());
+}
+
+TEST_CASE("weights that do not fit are not loaded", "[worker_adapters]")
+{
+    worker_adapters_settings settings;
+    settings.adapter_slots = 8;
+    settings.weight_memory_mb = 100;
+    settings.models = {{model, 10, 1s, 100.5, 4},
+                       {base_model_id("small"), 10, 1s, 60, 4},
+                       {base_model_id("other"), 10, 1s, 50, 4}};
+    worker_adapters adapters(settings);
+    CHECK_FALSE(adapters.fits_model(model));
+    CHECK(adapters.fits_model(base_model_id("small")));
+    adapters.on_ownership_acquired(vm_id("vm"), fencing_number(1),
+                                   time_point{});
+    worker_report report;
+    report.models[base_model_id("small")] = {};
+    adapters.on_report(report, time_point{});
+    CHECK_FALSE(adapters.fits_model(base_model_id("other")));
+    CHECK(adapters.slot_count() == 8);
+}
