Read a caller's close before the request that it came with

Callers gave up because their requests were not read, and the requests reached workers all the same, up to any time later.

Cause: the request and the end of its connection wait in the VM's socket together. The VM read the request, handled it, and sent it in the same turn of the event loop, before the next read told it of the end. The same holds for a VM that makes calls for another one, and for requests on a connection that wait for the one before. Class: a decision on news that is older than what lies unread beside it.

Change: a request is handled two turns of the event loop after it was read; the first one starts the next read, the second one reports a close. A closed request is not admitted, and a closed call of another VM is not made. A timer that fires late, since the process was frozen or had no processor, lets waiting closes be read before it places requests.

Ruled out: a system call a request to look for the close (paid by each request), comparing the time of arrival (the kernel does not tell it).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -335,14 +335,14 @@
         refuse(received, status);
         return restinio::request_accepted();
     }
-    auto connection = std::static_pointer_cast<server_connection>(
+    auto const connection = std::static_pointer_cast<server_connection>(
         restinio::impl::access_req_connection(*received));
-    connection_number const number = connection->connection_id();
     ++state->unanswered_requests;
     auto answer = std::make_shared<server_answer>(
-        table_, std::move(connection), state, received->request_id(),
+        table_, connection, state, received->request_id(),
         format_of(received->header()));
-    table_->handle_in_order(number, {to_request(*received), std::move(answer)});
+    table_->handle_in_order(*connection,
+                            {to_request(*received), std::move(answer)});
     return restinio::request_accepted();
 }
 
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -187,12 +187,12 @@
     return connections;
 }
 
-void connection_table::handle_in_order(connection_number number,
+void connection_table::handle_in_order(server_connection& connection,
                                        pending_request pending)
 {
     {
         std::lock_guard const lock(mutex_);
-        auto const found = entries_.find(number);
+        auto const found = entries_.find(connection.connection_id());
         if (found == entries_.end())
             return;
         entry& entry = found->second;
@@ -207,7 +207,25 @@
         entry.busy = true;
         entry.current = pending.answer;
     }
-    handle(std::move(pending));
+    handle_after_close(connection, std::move(pending));
+}
+
+/// Failure: a caller gives up because its request is not read, and both the
+/// request and the close wait in the socket. The request would be handled, and
+/// sent to a worker, before the close is read. The first turn of the event loop
+/// starts the next read, the second one reports its result.
+void connection_table::handle_after_close(server_connection& connection,
+                                          pending_request pending) const
+{
+    auto const executor = connection.get_executor();
+    restinio::asio_ns::post(
+        executor,
+        [this, executor, pending = std::move(pending)]() mutable
+        {
+            restinio::asio_ns::post(
+                executor, [this, pending = std::move(pending)]() mutable
+                { handle(std::move(pending)); });
+        });
 }
 
 void connection_table::on_answer_complete(server_connection& connection)
@@ -223,11 +241,8 @@
         entry.busy = next.has_value();
         entry.current = next ? next->answer : std::shared_ptr<server_answer>();
     }
-    if (!next)
-        return;
-    restinio::asio_ns::post(connection.get_executor(),
-                            [this, pending = std::move(*next)]() mutable
-                            { handle(std::move(pending)); });
+    if (next)
+        handle_after_close(connection, std::move(*next));
 }
 
 void connection_table::handle(pending_request pending) const
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -78,7 +78,8 @@
 
     /// Handles a request, or queues it until the previous request on the same
     /// connection is answered.
-    void handle_in_order(connection_number number, pending_request pending);
+    void handle_in_order(server_connection& connection,
+                         pending_request pending);
     /// Called when the answer in progress on that connection is complete.
     void on_answer_complete(server_connection& connection);
 
@@ -109,6 +110,9 @@
     };
 
     void handle(pending_request pending) const;
+    /// Handles the request once a close that was received with it is known.
+    void handle_after_close(server_connection& connection,
+                            pending_request pending) const;
 
     http_handler handler_;
     std::function<void()> on_removed_;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -648,9 +648,12 @@
             if (cancelled)
                 return;
             timer_at_ = never;
-            if (time_point const at = now(); at > due + max_loop_lag)
-                overloaded_until_ = at + overload_time;
-            run();
+            time_point const at = now();
+            if (at <= due + max_loop_lag)
+                return run();
+            overloaded_until_ = at + overload_time;
+            // Callers may have left meanwhile; their closes are read first.
+            schedule_run();
         });
 }
 
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -159,7 +159,8 @@
             if (auto const open = weak.lock())
                 open->on_caller_gone();
         });
-    acquire_allotment(exchange, holder);
+    if (!exchange->is_over())
+        acquire_allotment(exchange, holder);
 }
 
 std::optional<error> relay::check_quarantine(relay_exchange const& exchange)
--- a/src/relay_forwarding.cpp
+++ b/src/relay_forwarding.cpp
@@ -377,6 +377,7 @@
         if (call_)
             call_->cancel();
     }
+    bool is_over() const { return answer_ == nullptr; }
     void set_call(std::shared_ptr<backend_exchange> call)
     {
         call_ = std::move(call);
@@ -434,12 +435,14 @@
                      .add("worker", call->worker.str())
                      .add("for", call->from.str()),
                  now());
+    auto const forwarder = std::make_shared<call_forwarder>(*this, answer);
+    answer->on_closed([forwarder] { forwarder->end(); });
+    if (forwarder->is_over())
+        return;
     // The head shows the other VM that this one is at work.
     answer->start_stream(status_ok, {});
-    auto const forwarder = std::make_shared<call_forwarder>(*this, answer);
     forwarder->set_call(pool_.start(call->to, std::move(call->bytes),
                                     call->options, forwarder));
-    answer->on_closed([forwarder] { forwarder->end(); });
 }
 
 } // namespace mulberry
