Notice a caller's close while a second request waits on its connection

A caller that had sent a second request on its connection and left kept its first one running until that ended, and the second one was sent on then.

Cause: RESTinio reads nothing from a connection on which two requests are pending, so nothing reported the close before the next write. Raising the number of pending requests only moves the limit.

Change: while a request waits for the one before it, the server asks the kernel every 100 ms whether the peer has closed the connection; POLLRDHUP tells it behind unread bytes, too. Connections with one request cost nothing.

--- a/src/http_caller_socket.hpp
+++ b/src/http_caller_socket.hpp
@@ -20,6 +20,8 @@
 /// used on the connection's strand only, except unsent_bytes.
 struct caller_state
 {
+    /// The socket's descriptor; valid while the connection is open.
+    int descriptor = -1;
     /// A request was received in part.
     bool receiving = false;
     /// Complete requests received whose answers were not yet handed to
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -3,6 +3,8 @@
 #include "http_request_limits.hpp"
 #include "http_server_answer.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <limits>
 #include <stdexcept>
@@ -31,6 +33,8 @@
 /// An upper bound only: the handler enforces the deadlines of requests.
 constexpr std::chrono::hours handling_timeout{1};
 constexpr std::chrono::milliseconds accept_retry_delay{100};
+/// Interval at which connections are checked from which nothing is read.
+constexpr std::chrono::milliseconds close_check_interval{100};
 /// Limit for the destructor to send complete answers and close connections.
 constexpr std::chrono::seconds shutdown_timeout{1};
 
@@ -82,6 +86,14 @@
     return header.request_target().starts_with('/') ? 0 : bad_request;
 }
 
+/// Whether the peer has closed the connection, or its sending half. Finds the
+/// close also behind unread bytes.
+bool is_closed_by_peer(int descriptor)
+{
+    pollfd entry{descriptor, POLLRDHUP, 0};
+    return ::poll(&entry, 1, 0) > 0;
+}
+
 } // namespace
 
 class http_server::implementation
@@ -106,6 +118,9 @@
     void on_accept(asio::error_code const& failure, tcp::socket socket);
     void retry_accept();
     void on_connection_removed();
+    /// Starts the checks of connections on which a request waits.
+    void check_queued_later();
+    void check_queued();
     void open_connection(tcp::socket socket);
     std::string closing_error_response(int status) const;
     void set_closing_responses(caller_state& state, connection_number number);
@@ -122,6 +137,8 @@
     asio::strand<asio::io_context::executor_type> accept_strand_;
     tcp::acceptor acceptor_;
     asio::steady_timer accept_timer_;
+    asio::steady_timer close_check_timer_;
+    std::atomic<bool> close_check_pending_{false};
     std::atomic<bool> accept_paused_{false};
     std::uint16_t port_ = 0;
     std::shared_ptr<connection_table> table_;
@@ -137,9 +154,10 @@
                   : nullptr),
       io_(own_io_ ? *own_io_ : *options_.shared_io), work_(io_.get_executor()),
       accept_strand_(io_.get_executor()), acceptor_(accept_strand_),
-      accept_timer_(accept_strand_),
-      table_(std::make_shared<connection_table>(std::move(handler), [this]
-                                                { on_connection_removed(); })),
+      accept_timer_(accept_strand_), close_check_timer_(accept_strand_),
+      table_(std::make_shared<connection_table>(
+          std::move(handler), [this] { on_connection_removed(); },
+          [this] { check_queued_later(); })),
       factory_(make_factory())
 {
     listen();
@@ -282,6 +300,37 @@
         asio::post(accept_strand_, [this] { accept_next(); });
 }
 
+void http_server::implementation::check_queued_later()
+{
+    if (close_check_pending_.exchange(true))
+        return;
+    asio::post(accept_strand_,
+               [this]
+               {
+                   close_check_timer_.expires_after(close_check_interval);
+                   close_check_timer_.async_wait(
+                       [this](asio::error_code const& cancelled)
+                       {
+                           if (!cancelled)
+                               check_queued();
+                       });
+               });
+}
+
+/// Nothing is read from a connection on which two requests are pending, so a
+/// close would be noticed at the next write only.
+void http_server::implementation::check_queued()
+{
+    close_check_pending_ = false;
+    auto const queued = table_->queued_connections();
+    for (auto const& connection : queued)
+        if (auto const state = table_->state_of(connection->connection_id());
+            state && is_closed_by_peer(state->descriptor))
+            close(connection);
+    if (!queued.empty())
+        check_queued_later();
+}
+
 void http_server::implementation::open_connection(tcp::socket socket)
 {
     asio::error_code failure;
@@ -289,6 +338,7 @@
     if (failure)
         return;
     auto const state = std::make_shared<caller_state>();
+    state->descriptor = socket.native_handle();
     auto const connection = factory_->create_new_connection(
         caller_socket(std::move(socket), state), remote,
         server_connection::lifetime_monitor_t{nullptr});
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -98,8 +98,10 @@
 }
 
 connection_table::connection_table(http_handler handler,
-                                   std::function<void()> on_removed)
-    : handler_(std::move(handler)), on_removed_(std::move(on_removed))
+                                   std::function<void()> on_removed,
+                                   std::function<void()> on_queued)
+    : handler_(std::move(handler)), on_removed_(std::move(on_removed)),
+      on_queued_(std::move(on_queued))
 {
 }
 
@@ -187,6 +189,18 @@
     return connections;
 }
 
+std::vector<std::shared_ptr<server_connection>>
+connection_table::queued_connections() const
+{
+    std::lock_guard const lock(mutex_);
+    std::vector<std::shared_ptr<server_connection>> connections;
+    for (auto const& [number, entry] : entries_)
+        if (entry.queued)
+            if (auto connection = entry.connection.lock())
+                connections.push_back(std::move(connection));
+    return connections;
+}
+
 void connection_table::handle_in_order(server_connection& connection,
                                        pending_request pending)
 {
@@ -199,14 +213,19 @@
         // Requests of one connection are handled one at a time, in the order
         // received. Handled concurrently, a caller that pipelines a write and a
         // read of the same object could read the old state.
-        if (entry.busy)
+        if (!entry.busy)
+        {
+            entry.busy = true;
+            entry.current = pending.answer;
+        }
+        else
         {
             entry.queued = std::move(pending);
-            return;
+            pending.answer.reset();
         }
-        entry.busy = true;
-        entry.current = pending.answer;
     }
+    if (!pending.answer)
+        return on_queued_();
     handle_after_close(connection, std::move(pending));
 }
 
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -59,7 +59,10 @@
 class connection_table
 {
 public:
-    connection_table(http_handler handler, std::function<void()> on_removed);
+    /// `on_queued` is called when a request waits for the one before it on its
+    /// connection.
+    connection_table(http_handler handler, std::function<void()> on_removed,
+                     std::function<void()> on_queued);
 
     void add(std::shared_ptr<server_connection> const& connection,
              std::shared_ptr<caller_state> state);
@@ -76,6 +79,10 @@
     /// last answer was sent completely.
     std::vector<std::shared_ptr<server_connection>> idle_connections() const;
 
+    /// Connections on which a request waits for the one before it. RESTinio
+    /// reads nothing from them.
+    std::vector<std::shared_ptr<server_connection>> queued_connections() const;
+
     /// Handles a request, or queues it until the previous request on the same
     /// connection is answered.
     void handle_in_order(server_connection& connection,
@@ -116,6 +123,7 @@
 
     http_handler handler_;
     std::function<void()> on_removed_;
+    std::function<void()> on_queued_;
     std::atomic<bool> draining_{false};
     std::atomic<bool> closing_{false};
     mutable std::mutex mutex_;
