Close connections of VMs behind a cut link

What a VM does for another one ended with the other's connection, but behind a cut link no close arrives: a call to a worker went on until its deadline. Connections between VMs are now probed by the kernel and closed two seconds after the last sign of life. Found by reading; loopback cannot lose packets here, so the test reads the sockets' options.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "http_request_limits.hpp"
 #include "http_server_answer.hpp"
 
+#include <netinet/tcp.h>
 #include <poll.h>
 
 #include <algorithm>
@@ -42,6 +43,24 @@
     restinio::impl::connection_settings_t<server_traits>;
 using connection_factory = restinio::impl::connection_factory_t<server_traits>;
 
+using keep_alive_idle =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+using keep_alive_interval =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/// The user timeout also decides after how many probes a connection is closed.
+void set_dead_peer_timeout(restinio::socket_options_t& options,
+                           std::chrono::milliseconds timeout)
+{
+    asio::error_code ignored;
+    options.set_option(keep_alive_idle(1), ignored);
+    options.set_option(keep_alive_interval(1), ignored);
+    options.set_option(user_timeout(static_cast<int>(timeout.count())),
+                       ignored);
+}
+
 std::chrono::milliseconds timer_period(std::chrono::milliseconds timeout)
 {
     using std::chrono::milliseconds;
@@ -245,11 +264,14 @@
 std::shared_ptr<connection_factory> http_server::implementation::make_factory()
 {
     auto set_options = std::make_unique<restinio::socket_options_setter_t>(
-        [](restinio::socket_options_t& options)
+        [timeout =
+             options_.dead_peer_timeout](restinio::socket_options_t& options)
         {
             asio::error_code ignored;
             options.set_option(tcp::no_delay(true), ignored);
             options.set_option(asio::socket_base::keep_alive(true), ignored);
+            if (timeout.count() > 0)
+                set_dead_peer_timeout(options, timeout);
         });
     return std::make_shared<connection_factory>(make_settings(),
                                                 std::move(set_options));
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -74,6 +74,10 @@
     std::chrono::milliseconds read_timeout{15000};
     /// Limit for the caller to read what was written to its connection.
     std::chrono::milliseconds write_timeout{30000};
+    /// Closes connections whose peer has not answered the kernel's probes, or
+    /// acknowledged what was written, for this long: a peer behind a cut link
+    /// closes nothing. 0: no limit of the server's own.
+    std::chrono::milliseconds dead_peer_timeout{0};
     /// Makes the server's own error responses. For 400, 413, 414 and 431, the
     /// response has no body if this function is not set. For 408 (a request
     /// that does not arrive in time) and 502 (the caller closed its sending
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -80,6 +80,9 @@
 /// Callers keep connections open as long as the operator's limits allow;
 /// closing them sooner has no benefit.
 constexpr std::chrono::seconds idle_timeout{60};
+/// What a VM does for another one ends this long after the link between them
+/// was cut.
+constexpr milliseconds dead_peer_timeout{2000};
 
 std::uint64_t random_seed()
 {
@@ -531,8 +534,10 @@
         server_options(settings_.callers),
         [this](http_request request, std::shared_ptr<http_answer> answer)
         { relay_.handle(std::move(request), std::move(answer)); });
+    http_server_options peer_options = server_options(settings_.peers);
+    peer_options.dead_peer_timeout = dead_peer_timeout;
     peers_.emplace(
-        server_options(settings_.peers),
+        std::move(peer_options),
         [this](http_request const& request, std::shared_ptr<http_answer> answer)
         {
             if (request.path == rows_path)
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -6,6 +6,7 @@
 
 #include <asio/io_context.hpp>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 
 #include <atomic>
 #include <chrono>
@@ -359,6 +360,40 @@
     CHECK(held.count() == 1);
 }
 
+// Guards against work for a peer behind a cut link, whose close never arrives.
+TEST_CASE("connections of dead peers time out", "[http_server]")
+{
+    recording_handler held;
+    http_server_options options;
+    options.dead_peer_timeout = 2000ms;
+    http_server server(options, held.handler());
+    auto const caller = raw_socket::connected(server.port());
+    caller.send(get("/"));
+    held.wait_for(0);
+    std::vector<int> timeouts;
+    for (int descriptor = 3; descriptor < 256; ++descriptor)
+    {
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        if (::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer),
+                          &size) != 0 ||
+            ntohs(peer.sin_port) != caller.port())
+            continue;
+        int timeout = 0;
+        int probes = 0;
+        int idle = 0;
+        socklen_t length = sizeof timeout;
+        ::getsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                     &length);
+        ::getsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &probes, &length);
+        ::getsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle, &length);
+        CHECK(probes != 0);
+        CHECK(idle == 1);
+        timeouts.push_back(timeout);
+    }
+    CHECK(timeouts == std::vector{2000});
+}
+
 TEST_CASE("an aborted stream is truncated after the bytes written",
           "[http_server]")
 {
