Quarantine parts of prompts that crash workers

Callers saw streams cut as one worker after the other crashed under requests that shared one part of their prompts; sound requests beside them were served a third less often.

Cause: the record of crashes knows requests by digests of the whole, so each of these requests was new to it. Class: a query of death told by a feature that many requests share, where only exact repeats are known.

Change: the parts of a prompt but the last are recorded like requests. A part that nobody has seen answered since is confirmed: told to all VMs with its crashes, and written to the store for VMs that start or hear nobody. A part that was answered within the minute before needs six crashes. A complete answer ends it at all VMs; without one it ends after two minutes. Parts that are not confirmed have no rows, so a VM that starts refuses no common part.

Weighed: each VM by itself (one with few answers refuses what all share), counting requests beside each crash (the numbers of several VMs cannot be merged), telling all VMs each clearing (a message for each crash and VM).

In virtual time 2, 7 and 195 VMs, a common part, VMs that start, that reach only the store, workers that crash together, answers before and after, bounds.

--- a/src/crash_detector.cpp
+++ b/src/crash_detector.cpp
@@ -24,6 +24,14 @@
     return {boot_clock::now(), std::chrono::system_clock::now()};
 }
 
+std::string joined(std::vector<request_digest> const& digests)
+{
+    std::string text;
+    for (request_digest const& each : digests)
+        text += (text.empty() ? "" : " ") + each.str();
+    return text;
+}
+
 } // namespace
 
 crash_detector::crash_detector(asio::io_context& io, crash_peers& peers,
@@ -100,16 +108,56 @@
     ++counts_.crashes;
     std::vector<crash_observation> seen;
     worker_incarnation const crashed{crash.worker.id, crash.worker.started};
+    std::map<request_digest, time_point> parts;
     for (interrupted_request const& each : crash.requests)
+    {
         for (request_digest const& digest :
              {each.identity.content, each.identity.content_and_caller})
             seen.push_back({digest, crashed, each.sent_at, crash.at});
+        for (request_digest const& part : each.identity.parts)
+        {
+            time_point& sent_at = parts.try_emplace(part).first->second;
+            sent_at = std::max(sent_at, each.sent_at);
+        }
+    }
+    for (auto const& [part, sent_at] : parts)
+        seen.push_back({part, crashed, sent_at, crash.at});
+    note_part_answers(seen);
     replicator_.on_crash(seen, boot_clock::now());
     log_crash(crash);
     log_quarantines(seen, "this VM");
     run();
 }
 
+void crash_detector::note_part_answers(
+    std::vector<crash_observation> const& seen)
+{
+    for (crash_observation const& each : seen)
+        if (is_part(each.request))
+            if (auto const at = answered_.answered_at(each.request))
+                replicator_.note_answer(each.request, *at);
+}
+
+void crash_detector::on_prompt_answered(prompt_shape const& prompt)
+{
+    time_point const now = boot_clock::now();
+    std::vector<request_digest> const parts = shared_parts(prompt);
+    for (request_digest const& part : parts)
+        answered_.add(part, now);
+    if (!has_no_suspects())
+        clear(parts);
+}
+
+std::vector<part_answer>
+crash_detector::part_answers(std::vector<request_digest> const& parts) const
+{
+    std::vector<part_answer> known;
+    for (request_digest const& part : parts)
+        if (auto const at = answered_.answered_at(part))
+            known.push_back({part, *at});
+    return known;
+}
+
 void crash_detector::log_crash(suspected_crash const& crash)
 {
     time_point const now = boot_clock::now();
@@ -119,6 +167,7 @@
             log_fields()
                 .add("request", each.request.str())
                 .add("content", each.identity.content.str())
+                .add("parts", joined(each.identity.parts))
                 .add("worker", crash.worker.id.str())
                 .add("started", crash.worker.started.value())
                 .add("domain", crash.worker.domain.str())
@@ -128,6 +177,12 @@
             now);
 }
 
+void crash_detector::log_confirmed(std::vector<request_digest> const& parts)
+{
+    for (request_digest const& part : parts)
+        log_quarantines(replicator_.record().observations(part), "this VM");
+}
+
 void crash_detector::log_quarantines(
     std::vector<crash_observation> const& update, std::string_view source)
 {
@@ -152,11 +207,15 @@
 }
 
 void crash_detector::on_answered(request_identity const& identity)
+{
+    clear({identity.content, identity.content_and_caller});
+}
+
+void crash_detector::clear(std::vector<request_digest> const& answered)
 {
     time_point const now = boot_clock::now();
     bool cleared = false;
-    for (request_digest const& each :
-         {identity.content, identity.content_and_caller})
+    for (request_digest const& each : answered)
     {
         if (!replicator_.record().is_suspect(each))
             continue;
@@ -172,8 +231,10 @@
 crash_detector::find_quarantine(request_identity const& identity) const
 {
     time_point const now = boot_clock::now();
-    for (request_digest const& each :
-         {identity.content_and_caller, identity.content})
+    std::vector<request_digest> digests{identity.content_and_caller,
+                                        identity.content};
+    digests.insert(digests.end(), identity.parts.begin(), identity.parts.end());
+    for (request_digest const& each : digests)
     {
         auto const until = replicator_.record().quarantined_until(each, now);
         if (!until)
@@ -196,6 +257,7 @@
 
 void crash_detector::on_crash_update(crash_update const& update)
 {
+    note_part_answers(update.seen);
     replicator_.on_crash_update(update, boot_clock::now());
     for (request_digest const& each : update.answered)
         logged_quarantines_.erase(each);
@@ -250,6 +312,17 @@
                                         update, by_all, boot_clock::now());
                                     run();
                                 });
+    if (auto const* question = std::get_if<ask_part_answers>(&action))
+        return peers_.ask_part_answers(
+            question->parts,
+            [this, asked = *question](std::vector<part_answer> answers)
+            {
+                for (part_answer const& own : part_answers(asked.parts))
+                    answers.push_back(own);
+                replicator_.on_part_answers(asked, answers, boot_clock::now());
+                log_confirmed(asked.parts);
+                run();
+            });
     if (!options_.write_rows)
         return;
     auto const& write = std::get<write_crash_rows>(action);
--- a/src/crash_detector.hpp
+++ b/src/crash_detector.hpp
@@ -3,6 +3,7 @@
 #ifndef MULBERRY_CRASH_DETECTOR_HPP
 #define MULBERRY_CRASH_DETECTOR_HPP
 
+#include "answered_parts.hpp"
 #include "backend_entry.hpp"
 #include "connect_check.hpp"
 #include "crash_replicator.hpp"
@@ -33,6 +34,12 @@
     /// is at least one other VM.
     virtual void broadcast(crash_update const& update,
                            std::function<void(bool by_all)> done) = 0;
+    /// Asks all other VMs when workers last answered requests with the parts.
+    /// Calls `done` later, never within this call, with what those know that
+    /// answered in time.
+    virtual void
+    ask_part_answers(std::vector<request_digest> const& parts,
+                     std::function<void(std::vector<part_answer>)> done) = 0;
     /// Checks whether this VM reaches any worker but `except`, of other failure
     /// domains first. Calls `done` later, never within this call; true also if
     /// there is no other worker.
@@ -104,6 +111,11 @@
                             backend_entry const& worker, time_point sent_at);
     /// A worker answered the request completely.
     void on_answered(request_identity const& identity);
+    /// A worker answered a request with the prompt completely and with success.
+    void on_prompt_answered(prompt_shape const& prompt);
+    /// When workers last answered requests with the parts, as far as known.
+    std::vector<part_answer>
+    part_answers(std::vector<request_digest> const& parts) const;
     /// True if nothing is recorded about any request; callers then need not
     /// compute a request's identity.
     bool has_no_suspects() const { return replicator_.record().empty(); }
@@ -137,7 +149,12 @@
 
     void on_checked(worker_incarnation const& checked_worker, bool reachable);
     void on_crash(suspected_crash const& crash);
+    /// Ends the suspicion against requests and parts that were answered.
+    void clear(std::vector<request_digest> const& answered);
+    /// Passes on what is known of answers to the parts among the digests.
+    void note_part_answers(std::vector<crash_observation> const& seen);
     void log_crash(suspected_crash const& crash);
+    void log_confirmed(std::vector<request_digest> const& parts);
     void log_quarantines(std::vector<crash_observation> const& update,
                          std::string_view source);
     /// Ids of the workers that crashed while they ran the request, separated by
@@ -152,6 +169,7 @@
     crash_detector_options options_;
     event_log& log_;
     crash_replicator replicator_;
+    answered_parts answered_;
     /// Workers that are being checked.
     std::map<worker_incarnation, suspected_crash> crashes_to_check_;
     /// Quarantines that have been logged, each with its end.
--- a/src/crash_record.cpp
+++ b/src/crash_record.cpp
@@ -1,6 +1,10 @@
 #include "crash_record.hpp"
 
+#include "relay_request.hpp"
+
 #include <algorithm>
+#include <set>
+#include <tuple>
 
 namespace mulberry
 {
@@ -21,7 +25,7 @@
 
 bool crash_record::add(crash_observation const& seen, time_point now)
 {
-    if (seen.at + limits_.retention <= now)
+    if (seen.at + retention_of(seen.request) <= now)
         return false;
     evict_if_full(now);
     suspect& known = suspects_[seen.request];
@@ -47,8 +51,55 @@
     if (known == suspects_.end())
         return false;
     known->second.cleared_at = std::max(known->second.cleared_at, at);
-    return std::erase_if(known->second.crashes, [&](auto const& each)
-                         { return crashes_.at(each.first) <= at; }) > 0;
+    bool const removed =
+        std::erase_if(known->second.crashes, [&](auto const& each)
+                      { return crashes_.at(each.first) <= at; }) > 0;
+    known->second.confirmed &= !known->second.crashes.empty();
+    return removed;
+}
+
+void crash_record::note_answer(request_digest const& part, time_point at)
+{
+    suspects_[part];
+    clear(part, at);
+}
+
+bool crash_record::should_confirm(request_digest const& part,
+                                  time_point now) const
+{
+    auto const known = suspects_.find(part);
+    return known != suspects_.end() &&
+           counted_crash_times(part, known->second, now).size() >=
+               threshold(part, known->second, now);
+}
+
+void crash_record::confirm(request_digest const& part)
+{
+    if (is_suspect(part))
+        suspects_.at(part).confirmed = true;
+}
+
+bool crash_record::is_confirmed(request_digest const& part) const
+{
+    auto const known = suspects_.find(part);
+    return known != suspects_.end() && known->second.confirmed;
+}
+
+duration crash_record::retention_of(request_digest const& request) const
+{
+    return is_part(request) ? limits_.part_retention : limits_.retention;
+}
+
+std::size_t crash_record::threshold(request_digest const& request,
+                                    suspect const& of, time_point now) const
+{
+    bool const answered_lately =
+        is_part(request) && !of.confirmed &&
+        of.cleared_at != time_point::min() &&
+        now < of.cleared_at + limits_.answered_part_memory;
+    return answered_lately
+               ? std::max(limits_.answered_part_crashes, limits_.crashes)
+               : limits_.crashes;
 }
 
 void crash_record::remove(request_digest const& request,
@@ -86,9 +137,16 @@
     expire(now);
     if (crashes_.size() >= limits_.max_entries)
     {
+        std::set<worker_incarnation> confirmed;
+        for (auto const& [request, suspect] : suspects_)
+            if (suspect.confirmed)
+                for (auto const& [crashed_worker, sent_at] : suspect.crashes)
+                    confirmed.insert(crashed_worker);
+        auto const rank = [&confirmed](auto const& each)
+        { return std::pair(confirmed.count(each.first), each.second); };
         auto const oldest = std::min_element(crashes_.begin(), crashes_.end(),
-                                             [](auto const& a, auto const& b)
-                                             { return a.second < b.second; });
+                                             [&](auto const& a, auto const& b)
+                                             { return rank(a) < rank(b); });
         for (auto& [request, suspect] : suspects_)
             suspect.crashes.erase(oldest->first);
         crashes_.erase(oldest);
@@ -106,8 +164,10 @@
         suspects_.begin(), suspects_.end(),
         [&](auto const& a, auto const& b)
         {
-            auto const rank = [&](suspect const& each)
-            { return std::pair(each.crashes.size(), newest_crash(each)); };
+            auto const rank = [&](suspect const& each) {
+                return std::tuple(each.confirmed, each.crashes.size(),
+                                  newest_crash(each));
+            };
             return rank(a.second) < rank(b.second);
         }));
 }
@@ -118,8 +178,9 @@
     return known != suspects_.end() && !known->second.crashes.empty();
 }
 
-std::vector<time_point> crash_record::counted_crash_times(suspect const& of,
-                                                          time_point now) const
+std::vector<time_point>
+crash_record::counted_crash_times(request_digest const& request,
+                                  suspect const& of, time_point now) const
 {
     struct crash
     {
@@ -129,7 +190,7 @@
     std::vector<crash> all;
     for (auto const& [crashed_worker, sent_at] : of.crashes)
         if (time_point const at = crashes_.at(crashed_worker);
-            at + limits_.retention > now)
+            at + retention_of(request) > now)
             all.push_back({at, sent_at});
     std::sort(all.begin(), all.end(),
               [](crash const& a, crash const& b) { return a.at < b.at; });
@@ -156,7 +217,7 @@
     auto const known = suspects_.find(request);
     return known == suspects_.end()
                ? 0
-               : counted_crash_times(known->second, now).size();
+               : counted_crash_times(request, known->second, now).size();
 }
 
 std::optional<time_point>
@@ -164,13 +225,14 @@
                                 time_point now) const
 {
     auto const known = suspects_.find(request);
-    if (known == suspects_.end())
+    if (known == suspects_.end() ||
+        (is_part(request) && !known->second.confirmed))
         return std::nullopt;
     std::vector<time_point> const moments =
-        counted_crash_times(known->second, now);
+        counted_crash_times(request, known->second, now);
     if (moments.size() < limits_.crashes)
         return std::nullopt;
-    return moments[moments.size() - limits_.crashes] + limits_.retention;
+    return moments[moments.size() - limits_.crashes] + retention_of(request);
 }
 
 std::optional<crash_observation>
@@ -212,12 +274,10 @@
 
 std::size_t crash_record::quarantined_count(time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(suspects_.begin(), suspects_.end(),
-                      [&](auto const& each) {
-                          return counted_crash_times(each.second, now).size() >=
-                                 limits_.crashes;
-                      }));
+    return static_cast<std::size_t>(std::count_if(
+        suspects_.begin(), suspects_.end(),
+        [&](auto const& each)
+        { return quarantined_until(each.first, now).has_value(); }));
 }
 
 } // namespace mulberry
--- a/src/crash_record.hpp
+++ b/src/crash_record.hpp
@@ -46,6 +46,13 @@
     duration retention = std::chrono::minutes(10);
     /// Maximum number of requests kept, and of crashes kept.
     std::size_t max_entries = 4096;
+    /// How long a crash counts against a part of prompts: shorter, since no
+    /// answer can clear a sound part once all requests with it are refused.
+    duration part_retention = std::chrono::minutes(2);
+    /// Number of crashes after which a part is quarantined that workers have
+    /// answered within `answered_part_memory`.
+    std::size_t answered_part_crashes = 6;
+    duration answered_part_memory = std::chrono::minutes(1);
     friend bool operator==(crash_limits const&, crash_limits const&) = default;
 };
 
@@ -60,8 +67,12 @@
 /// Crashes within a short time may have a common cause, such as a power loss in
 /// a failure domain, and count once; a worker that outlived another crash and
 /// was sent the request after that crash counts separately. Observations of
-/// several VMs may be merged in any order. Thread safety: none. No I/O, no
-/// clock.
+/// several VMs may be merged in any order.
+///
+/// A part of a prompt is recorded like a request (see part_digest()). Common
+/// parts are in progress at every crash, so a part is quarantined only once it
+/// is confirmed: no VM knows of a complete answer to a request with it since
+/// the crashes that count. Thread safety: none. No I/O, no clock.
 class crash_record
 {
 public:
@@ -76,6 +87,16 @@
     /// answered it completely; later add() calls for such crashes are ignored.
     /// Returns whether any observation was removed.
     bool clear(request_digest const& request, time_point at);
+    /// Records when a worker last answered a request with the part completely,
+    /// before or after crashes. Precondition: is_part(part).
+    void note_answer(request_digest const& part, time_point at);
+    /// Whether enough crashes count against the part to quarantine it once it
+    /// is confirmed. Precondition: is_part(part).
+    bool should_confirm(request_digest const& part, time_point now) const;
+    void confirm(request_digest const& part);
+    bool is_confirmed(request_digest const& part) const;
+    /// How long a crash counts against the request or part.
+    duration retention_of(request_digest const& request) const;
     /// Removes one observation.
     void remove(request_digest const& request,
                 worker_incarnation const& crashed);
@@ -111,11 +132,17 @@
         std::map<worker_incarnation, time_point> crashes;
         /// When a worker last answered the request.
         time_point cleared_at = time_point::min();
+        /// A part that is quarantined.
+        bool confirmed = false;
     };
 
     /// Times of the crashes that count, in ascending order.
-    std::vector<time_point> counted_crash_times(suspect const& of,
+    std::vector<time_point> counted_crash_times(request_digest const& request,
+                                                suspect const& of,
                                                 time_point now) const;
+    /// Number of crashes after which the request is quarantined.
+    std::size_t threshold(request_digest const& request, suspect const& of,
+                          time_point now) const;
     /// If a limit is reached, evicts the least important entries.
     void evict_if_full(time_point now);
 
--- a/src/crash_replicator.cpp
+++ b/src/crash_replicator.cpp
@@ -1,5 +1,7 @@
 #include "crash_replicator.hpp"
 
+#include "relay_request.hpp"
+
 #include <algorithm>
 
 namespace mulberry
@@ -40,6 +42,46 @@
     schedule_write_if_repeated(seen.request, now);
 }
 
+bool crash_replicator::is_published(request_digest const& request) const
+{
+    return is_part(request)
+               ? record_.is_confirmed(request)
+               : record_.observations(request).size() >= write_threshold;
+}
+
+void crash_replicator::review_part(request_digest const& part, time_point now)
+{
+    if (record_.is_confirmed(part) || asked_.count(part) > 0 ||
+        observed_here_.count(part) == 0 || !record_.should_confirm(part, now))
+        return;
+    asked_.insert(part);
+    questions_.push_back(part);
+}
+
+void crash_replicator::on_part_answers(ask_part_answers const& asked,
+                                       std::vector<part_answer> const& answers,
+                                       time_point now)
+{
+    for (part_answer const& each : answers)
+        record_.note_answer(each.part, each.at);
+    for (request_digest const& part : asked.parts)
+    {
+        asked_.erase(part);
+        if (record_.should_confirm(part, now))
+            confirm(part, now);
+    }
+}
+
+void crash_replicator::confirm(request_digest const& part, time_point now)
+{
+    record_.confirm(part);
+    schedule_write_if_repeated(part, now);
+    outbox_.confirmed.push_back(part);
+    for (crash_observation const& each : record_.observations(part))
+        outbox_.seen.push_back(each);
+    send_at_ = std::min(send_at_, now);
+}
+
 void crash_replicator::on_crash(std::vector<crash_observation> const& seen,
                                 time_point now)
 {
@@ -49,6 +91,9 @@
         outbox_.seen.push_back(each);
         add_observation(each, now);
     }
+    for (crash_observation const& each : seen)
+        if (is_part(each.request))
+            review_part(each.request, now);
     if (!outbox_.empty())
         send_at_ = std::min(send_at_, now + send_delay);
 }
@@ -65,7 +110,7 @@
                                                   time_point now)
 {
     std::vector<crash_observation> const seen = record_.observations(request);
-    if (seen.size() < write_threshold)
+    if (!is_published(request))
         return;
     time_point const at =
         observed_here_.count(request) > 0
@@ -89,8 +134,7 @@
 {
     if (!record_.is_suspect(request))
         return;
-    bool const known_to_others =
-        record_.observations(request).size() >= write_threshold;
+    bool const known_to_others = is_published(request);
     record_.clear(request, now);
     discard_pending(request);
     for (auto row = stored_rows_.lower_bound({request, {}});
@@ -107,6 +151,14 @@
 {
     for (crash_observation const& each : update.seen)
         add_observation(each, now);
+    for (request_digest const& each : update.confirmed)
+    {
+        record_.confirm(each);
+        schedule_write_if_repeated(each, now);
+    }
+    for (crash_observation const& each : update.seen)
+        if (is_part(each.request))
+            review_part(each.request, now);
     for (request_digest const& each : update.answered)
     {
         record_.clear(each, now);
@@ -120,7 +172,8 @@
     if (by_all)
         return;
     for (crash_observation const& each : update.seen)
-        if (record_.is_suspect(each.request))
+        if (record_.is_suspect(each.request) &&
+            (!is_part(each.request) || is_published(each.request)))
             schedule_write({each.request, each.crashed}, now);
 }
 
@@ -132,10 +185,12 @@
         stored_rows_.size() >= limits_.max_entries)
         return;
     add_observation(seen, now);
+    if (is_part(seen.request))
+        record_.confirm(seen.request);
     expire_at_ = std::min(expire_at_, now + expire_interval);
     bool const counts = record_.is_suspect(seen.request);
     stored_rows_[key] =
-        counts ? seen.at + limits_.retention +
+        counts ? seen.at + record_.retention_of(seen.request) +
                      jitter_.equal_jitter(expired_row_delete_delay)
                : now + jitter_.equal_jitter(cleared_row_delete_delay);
 }
@@ -158,7 +213,7 @@
     {
         crash_key const key{each.request, each.crashed};
         pending_rows_.erase(key);
-        stored_rows_[key] = each.at + limits_.retention +
+        stored_rows_[key] = each.at + record_.retention_of(each.request) +
                             jitter_.equal_jitter(expired_row_delete_delay);
     }
     for (crash_key const& each : current_write_.drop)
@@ -198,6 +253,8 @@
         if (!outbox_.empty())
             actions.push_back(send_crash_update{std::exchange(outbox_, {})});
     }
+    if (!questions_.empty())
+        actions.push_back(ask_part_answers{std::exchange(questions_, {})});
     if (write_in_progress_ || now < write_at_)
         return actions;
     std::erase_if(
--- a/src/crash_replicator.hpp
+++ b/src/crash_replicator.hpp
@@ -22,8 +22,13 @@
     /// Requests that a worker answered completely although crashes counted
     /// against them.
     std::vector<request_digest> answered;
+    /// Parts of prompts that are quarantined; `seen` has their crashes.
+    std::vector<request_digest> confirmed;
 
-    bool empty() const { return seen.empty() && answered.empty(); }
+    bool empty() const
+    {
+        return seen.empty() && answered.empty() && confirmed.empty();
+    }
     friend bool operator==(crash_update const&, crash_update const&) = default;
 };
 
@@ -41,6 +46,21 @@
     crash_update update;
 };
 
+/// When a worker last answered a request with a part completely. Value.
+struct part_answer
+{
+    request_digest part;
+    time_point at{};
+    friend bool operator==(part_answer const&, part_answer const&) = default;
+};
+
+/// Ask every other VM when workers last answered requests with the parts, and
+/// report the outcome to on_part_answers().
+struct ask_part_answers
+{
+    std::vector<request_digest> parts;
+};
+
 /// Change rows of the store in one transaction and report the outcome to
 /// on_written(). At most one is pending at a time.
 struct write_crash_rows
@@ -49,14 +69,20 @@
     std::vector<crash_key> drop;
 };
 
-using crash_action = std::variant<send_crash_update, write_crash_rows>;
+using crash_action =
+    std::variant<send_crash_update, ask_part_answers, write_crash_rows>;
 
 /// An observation is sent to the other VMs at once. It is written to the store
 /// when a second crash counts against its request, so that restarted VMs learn
 /// of it, and when a VM could not be reached, since that VM may still reach the
 /// store. A VM that only received the observation writes it later, and only if
 /// no other VM has written it by then. Requests that were in progress at no
-/// crash cause no messages. Thread safety: none. No I/O, no clock.
+/// crash cause no messages.
+///
+/// A part of prompts against which enough crashes count is confirmed by a VM
+/// that saw one of the crashes, after the other VMs have told when workers last
+/// answered requests with it. That VM tells the others, and writes rows; parts
+/// that are not confirmed have none. Thread safety: none. No I/O, no clock.
 class crash_replicator
 {
 public:
@@ -67,6 +93,16 @@
 
     /// A worker crashed with requests of this VM in progress.
     void on_crash(std::vector<crash_observation> const& seen, time_point now);
+    /// A worker answered a request with the part completely, before any crash
+    /// that is reported later.
+    void note_answer(request_digest const& part, time_point at)
+    {
+        record_.note_answer(part, at);
+    }
+    /// Outcome of ask_part_answers: what all VMs that answered in time know.
+    void on_part_answers(ask_part_answers const& asked,
+                         std::vector<part_answer> const& answers,
+                         time_point now);
     /// A worker answered a request of this VM completely.
     void on_answered(request_digest const& request, time_point now);
     /// Another VM sent `update`.
@@ -93,6 +129,11 @@
 
 private:
     void add_observation(crash_observation const& seen, time_point now);
+    /// Whether other VMs and the store know of the request's crashes.
+    bool is_published(request_digest const& request) const;
+    /// Asks the other VMs about the part if it may have to be quarantined.
+    void review_part(request_digest const& part, time_point now);
+    void confirm(request_digest const& part, time_point now);
     void schedule_write_if_repeated(request_digest const& request,
                                     time_point now);
     /// Schedules a write of the row, at `at` or earlier.
@@ -106,6 +147,9 @@
     crash_limits const limits_;
     jitter jitter_;
     crash_update outbox_;
+    /// Parts to ask about, and those that the other VMs were asked about.
+    std::vector<request_digest> questions_;
+    std::set<request_digest> asked_;
     time_point send_at_ = never;
     /// Requests of this VM that were in progress at a crash.
     std::set<request_digest> observed_here_;
--- a/src/peer_grant_request.cpp
+++ b/src/peer_grant_request.cpp
@@ -150,13 +150,24 @@
         now - parse_ms(json[4])};
 }
 
+bool parse_digests(Json::Value const& json, std::vector<request_digest>& into)
+{
+    if (!json.isNull() && (!json.isArray() || json.size() > max_crashes))
+        return false;
+    for (Json::Value const& each : json)
+    {
+        if (!each.isString())
+            return false;
+        into.emplace_back(each.asString());
+    }
+    return true;
+}
+
 bool parse_crashes(Json::Value const& json, time_point now, crash_update& into)
 {
     Json::Value const& seen = json["crashes"];
-    Json::Value const& answered = json["answered"];
-    for (Json::Value const* list : {&seen, &answered})
-        if (!list->isNull() && (!list->isArray() || list->size() > max_crashes))
-            return false;
+    if (!seen.isNull() && (!seen.isArray() || seen.size() > max_crashes))
+        return false;
     for (Json::Value const& each : seen)
     {
         auto const crash = parse_crash(each, now);
@@ -164,13 +175,8 @@
             return false;
         into.seen.push_back(*crash);
     }
-    for (Json::Value const& each : answered)
-    {
-        if (!each.isString())
-            return false;
-        into.answered.emplace_back(each.asString());
-    }
-    return true;
+    return parse_digests(json["answered"], into.answered) &&
+           parse_digests(json["confirmed"], into.confirmed);
 }
 
 } // namespace
@@ -192,6 +198,10 @@
         json["crashes"].append(crash_json(each, now));
     for (request_digest const& each : message.crashes.answered)
         json["answered"].append(each.str());
+    for (request_digest const& each : message.crashes.confirmed)
+        json["confirmed"].append(each.str());
+    for (request_digest const& each : message.asked_parts)
+        json["asked"].append(each.str());
     std::string const body = to_text(json);
     return fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\n"
                        "Content-Length: {}\r\n\r\n{}",
@@ -223,12 +233,13 @@
             return std::nullopt;
         message.done.push_back({pair[0].asUInt64(), *outcome});
     }
-    if (!parse_crashes(*json, now, message.crashes))
+    if (!parse_crashes(*json, now, message.crashes) ||
+        !parse_digests((*json)["asked"], message.asked_parts))
         return std::nullopt;
     return message;
 }
 
-std::string encode_peer_reply(peer_reply const& reply)
+std::string encode_peer_reply(peer_reply const& reply, time_point now)
 {
     Json::Value json;
     json["granted"] = reply.granted;
@@ -236,18 +247,40 @@
     json["worker"] = reply.worker.str();
     if (reply.version != adapter_version())
         json["version"] = Json::UInt64(reply.version.value());
+    for (part_answer const& each : reply.part_answers)
+    {
+        Json::Value pair(Json::arrayValue);
+        pair.append(each.part.str());
+        pair.append(whole_ms(std::max<duration>(now - each.at, duration(0))));
+        json["parts"].append(std::move(pair));
+    }
     return to_text(json);
 }
 
-std::optional<peer_reply> decode_peer_reply(std::string const& body)
+std::optional<peer_reply> decode_peer_reply(std::string const& body,
+                                            time_point now)
 {
     auto const json = from_text(body);
     if (!json || !json->isObject() || !(*json)["granted"].isBool() ||
         !(*json)["worker"].isString())
         return std::nullopt;
-    return peer_reply{(*json)["granted"].asBool(), number_or(*json, "grant", 0),
-                      worker_id((*json)["worker"].asString()),
-                      adapter_version(number_or(*json, "version", 0))};
+    peer_reply reply{(*json)["granted"].asBool(),
+                     number_or(*json, "grant", 0),
+                     worker_id((*json)["worker"].asString()),
+                     adapter_version(number_or(*json, "version", 0)),
+                     {}};
+    Json::Value const& parts = (*json)["parts"];
+    if (!parts.isNull() && (!parts.isArray() || parts.size() > max_crashes))
+        return std::nullopt;
+    for (Json::Value const& pair : parts)
+    {
+        if (!pair.isArray() || pair.size() != 2 || !pair[0].isString() ||
+            !pair[1].isUInt64())
+            return std::nullopt;
+        reply.part_answers.push_back(
+            {request_digest(pair[0].asString()), now - parse_ms(pair[1])});
+    }
+    return reply;
 }
 
 } // namespace mulberry
--- a/src/peer_grant_request.hpp
+++ b/src/peer_grant_request.hpp
@@ -9,8 +9,10 @@
 ///                 "done": [[GRANT, OUTCOME], ...],
 ///                 "crashes": [[DIGEST, WORKER, STARTED,
 ///                               SENT_MS_AGO, SEEN_MS_AGO], ...],
-///                 "answered": [DIGEST, ...]}
-///   200          {"granted": true, "grant": N, "worker": ID, "version": N}
+///                 "answered": [DIGEST, ...], "confirmed": [DIGEST, ...],
+///                 "asked": [DIGEST, ...]}
+///   200          {"granted": true, "grant": N, "worker": ID, "version": N,
+///                 "parts": [[DIGEST, ANSWERED_MS_AGO], ...]}
 ///
 /// The head of the answer is sent at once, the body when the adapter is loaded
 /// and the worker has capacity, or when the grant is refused. A call without a
@@ -82,6 +84,9 @@
     /// Times are sent as ages, because the clocks of two VMs have different
     /// epochs.
     crash_update crashes;
+    /// Parts of prompts of which the sender wants to know when workers last
+    /// answered requests with them.
+    std::vector<request_digest> asked_parts;
     friend bool operator==(peer_call const&, peer_call const&) = default;
 };
 
@@ -93,6 +98,7 @@
     worker_id worker;
     /// Version of the adapter's copy at the worker; 0 if unknown.
     adapter_version version;
+    std::vector<part_answer> part_answers;
     friend bool operator==(peer_reply const&, peer_reply const&) = default;
 };
 
@@ -103,8 +109,9 @@
 /// Returns nullopt if the text is malformed. Ages are subtracted from `now`.
 std::optional<peer_call> decode_peer_call(std::string const& body,
                                           time_point now);
-std::string encode_peer_reply(peer_reply const& reply);
-std::optional<peer_reply> decode_peer_reply(std::string const& body);
+std::string encode_peer_reply(peer_reply const& reply, time_point now);
+std::optional<peer_reply> decode_peer_reply(std::string const& body,
+                                            time_point now);
 
 } // namespace mulberry
 
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -18,6 +18,7 @@
 /// A VM whose timers are later than this has no processor time to spare, and
 /// forwards no calls of other VMs for a while.
 constexpr milliseconds max_loop_lag{50};
+constexpr int first_non_success_status = 300;
 constexpr milliseconds overload_time{200};
 /// Interval at which idle pooled connections are closed.
 constexpr milliseconds sweep_interval{500};
@@ -356,6 +357,9 @@
 
 void relay::on_send_ended(relay_exchange& exchange, send_outcome outcome)
 {
+    if (exchange.answer_complete() &&
+        exchange.status() < first_non_success_status)
+        crashes_.on_prompt_answered(exchange.request().prompt);
     if (exchange.answer_complete() && !crashes_.has_no_suspects())
         crashes_.on_answered(exchange.identity());
     bool const direct = sent_through_.erase(exchange.terms().ticket) == 0;
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -242,6 +242,9 @@
     void on_finished(relay_exchange& exchange, relay_outcome outcome) override;
     void broadcast(crash_update const& news,
                    std::function<void(bool by_all)> done) override;
+    void ask_part_answers(
+        std::vector<request_digest> const& parts,
+        std::function<void(std::vector<part_answer>)> done) override;
     void check_other_workers(backend_entry const& except,
                              std::function<void(bool reached)> done) override;
 
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -23,6 +23,8 @@
 /// this delay. Until then the owner counts the worker's slot as in use.
 constexpr milliseconds ended_grants_delay{30};
 constexpr milliseconds peer_update_timeout{500};
+/// A VM answers from memory.
+constexpr milliseconds part_answer_timeout{300};
 constexpr milliseconds peer_connect_timeout{250};
 constexpr milliseconds peer_max_idle{3000};
 /// A grant whose end was never reported expires this long after its deadline.
@@ -132,11 +134,17 @@
     if (!message->crashes.empty())
         crashes_.on_crash_update(message->crashes);
     if (!message->ask)
-        return answer->respond(json_response(status_ok, encode_peer_reply({})));
+    {
+        peer_reply reply;
+        reply.part_answers = crashes_.part_answers(message->asked_parts);
+        return answer->respond(
+            json_response(status_ok, encode_peer_reply(reply, now())));
+    }
     peer_grant_request const& ask = *message->ask;
     service_state* const service = find(ask.service);
     if (service == nullptr || !service->engine)
-        return answer->respond(json_response(status_ok, encode_peer_reply({})));
+        return answer->respond(
+            json_response(status_ok, encode_peer_reply({}, now())));
     // The head of the answer is sent at once, the decision when it is made: the
     // requesting VM can then tell a slow load from an owner that is gone.
     answer->start_stream(status_ok, {});
@@ -205,7 +213,7 @@
     if (answer)
     {
         answer->write(encode_peer_reply(
-            {granted, ticket.value(), copy.worker, copy.version}));
+            {granted, ticket.value(), copy.worker, copy.version, {}}, at));
         answer->finish();
     }
     if (granted)
@@ -266,7 +274,7 @@
         [this, name, ask, asked_at = now()](collected_answer const& answer)
     {
         auto const reply = answer.status == status_ok
-                               ? decode_peer_reply(answer.body)
+                               ? decode_peer_reply(answer.body, now())
                                : std::nullopt;
         grant_outcome const outcome = answer.timed_out ? grant_outcome::silent
                                       : !reply ? grant_outcome::unreachable
@@ -360,6 +368,44 @@
     }
 }
 
+void relay::ask_part_answers(std::vector<request_digest> const& parts,
+                             std::function<void(std::vector<part_answer>)> done)
+{
+    struct open_question
+    {
+        std::size_t open = 0;
+        std::vector<part_answer> answers;
+        std::function<void(std::vector<part_answer>)> done;
+    };
+    if (peers_.empty())
+        return asio::post(io_, [done = std::move(done)] { done({}); });
+    auto const question = std::make_shared<open_question>();
+    question->open = peers_.size();
+    question->done = std::move(done);
+    for (auto const& [vm, peer] : peers_)
+    {
+        peer_call message;
+        message.asked_parts = parts;
+        collected_call call = call_to(peer.address, message);
+        call.current_deadline =
+            [deadline = std::chrono::steady_clock::now() + part_answer_timeout]
+        { return deadline; };
+        call.on_end = [this, question](collected_answer const& answer)
+        {
+            auto const reply = answer.status == status_ok
+                                   ? decode_peer_reply(answer.body, now())
+                                   : std::nullopt;
+            if (reply)
+                question->answers.insert(question->answers.end(),
+                                         reply->part_answers.begin(),
+                                         reply->part_answers.end());
+            if (--question->open == 0)
+                question->done(std::move(question->answers));
+        };
+        start_collected(io_, pool_, std::move(call));
+    }
+}
+
 void relay::return_grant(held_grant const& grant, send_outcome outcome)
 {
     auto const peer = peers_.find(grant.owner);
--- a/src/relay_request.cpp
+++ b/src/relay_request.cpp
@@ -4,6 +4,10 @@
 #include "placement.hpp"
 #include "route_table.hpp"
 
+#include <algorithm>
+#include <cctype>
+#include <string_view>
+
 namespace mulberry
 {
 namespace
@@ -11,6 +15,10 @@
 
 /// Hexadecimal digits of 128 bits.
 constexpr std::size_t digest_digits = 32;
+/// Starts the digest of a part; no digest of a request starts so.
+constexpr std::string_view part_prefix = "part-";
+/// Ids of parts that are longer are hashed.
+constexpr std::size_t max_part_id = 64;
 
 request_digest short_digest(std::string const& text)
 {
@@ -19,6 +27,29 @@
 
 } // namespace
 
+request_digest part_digest(std::string const& part)
+{
+    bool const plain =
+        part.size() <= max_part_id &&
+        std::all_of(part.begin(), part.end(),
+                    [](unsigned char each) { return std::isalnum(each) != 0; });
+    return request_digest(std::string(part_prefix) +
+                          (plain ? part : short_digest(part).str()));
+}
+
+bool is_part(request_digest const& digest)
+{
+    return digest.str().starts_with(part_prefix);
+}
+
+std::vector<request_digest> shared_parts(prompt_shape const& prompt)
+{
+    std::vector<request_digest> digests;
+    for (std::size_t at = 0; at + 1 < prompt.parts.size(); ++at)
+        digests.push_back(part_digest(prompt.parts[at].id));
+    return digests;
+}
+
 request_identity identity_of(relay_request const& request)
 {
     std::string text;
@@ -35,6 +66,7 @@
     request_identity made;
     made.content = short_digest(text);
     made.content_and_caller = short_digest(made.content.str() + request.caller);
+    made.parts = shared_parts(request.prompt);
     return made;
 }
 
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -69,10 +69,19 @@
     request_digest content;
     /// Digest of `content` together with the caller's address.
     request_digest content_and_caller;
+    /// The parts of the prompt that other requests may share.
+    std::vector<request_digest> parts;
     friend bool operator==(request_identity const&,
                            request_identity const&) = default;
 };
 
+/// The digest under which crashes are recorded for a part of a prompt.
+request_digest part_digest(std::string const& part);
+/// Whether the digest is one of part_digest().
+bool is_part(request_digest const& digest);
+/// The digests of all parts but the last, which is not shared.
+std::vector<request_digest> shared_parts(prompt_shape const& prompt);
+
 /// The parts of a caller's request that the relay bases decisions on; the rest
 /// is forwarded unchanged.
 struct relay_request
--- a/tests/crash_replicator_test.cpp
+++ b/tests/crash_replicator_test.cpp
@@ -259,3 +259,175 @@
     for (std::size_t vm = 0; vm < 3; ++vm)
         CHECK(world.record(vm).empty());
 }
+
+namespace
+{
+
+std::string const deadly = "part-dead";
+std::string const common = "part-c0de";
+
+/// A worker crashes with requests of one VM in progress, which all have the
+/// common part.
+void crash_with_common(crash_world& world, std::size_t vm, int worker,
+                       std::vector<std::string> parts = {deadly})
+{
+    parts.push_back(common);
+    world.crash(vm, worker, parts);
+}
+
+} // namespace
+
+// Guards against quarantining a part that all requests share: it is in progress
+// at each crash, also of VMs that get no answer themselves.
+TEST_CASE("a common part is not quarantined beside a deadly one",
+          "[crash_keeper]")
+{
+    crash_world world(7);
+    for (int number = 0; number < 12; ++number)
+    {
+        // Only one VM gets complete answers.
+        world.answer_part(6, common);
+        world.pass(150ms);
+        crash_with_common(world, static_cast<std::size_t>(number) % 6, number);
+        world.pass(150ms);
+        CHECK_FALSE(world.is_refused_by_any(common));
+    }
+    CHECK(world.is_refused_by_all(deadly));
+}
+
+TEST_CASE("a deadly part is known at all VMs right after its third crash",
+          "[crash_keeper]")
+{
+    std::size_t const vms = GENERATE(2U, 7U, 195U);
+    crash_world world(vms);
+    world.answer_part(0, common);
+    for (int number = 0; number < 3; ++number)
+    {
+        CHECK_FALSE(world.is_refused_by_any(deadly));
+        crash_with_common(world, static_cast<std::size_t>(number) % vms,
+                          number);
+        world.pass(250ms);
+    }
+    CHECK(world.is_refused_by_all(deadly));
+    CHECK_FALSE(world.is_refused_by_any(common));
+    CHECK(world.questions() <= 3);
+}
+
+// Guards against VMs that start again, or that reach only the store, and do not
+// know of the part.
+TEST_CASE("VMs that start again or reach only the store know a deadly part",
+          "[crash_keeper]")
+{
+    crash_world world(5);
+    world.isolate(4);
+    world.answer_part(0, common);
+    for (int number = 0; number < 3; ++number)
+    {
+        crash_with_common(world, 0, number);
+        world.pass(250ms);
+    }
+    world.pass(detection_bound);
+    CHECK(world.is_refused_by_all(deadly));
+    for (std::size_t vm = 0; vm < 5; ++vm)
+        world.restart(vm);
+    CHECK(world.is_refused_by_all(deadly));
+    CHECK_FALSE(world.is_refused_by_any(common));
+}
+
+// Guards against rows of a common part: a VM that starts would read them and
+// refuse all requests.
+TEST_CASE("a part that is not confirmed has no rows", "[crash_keeper]")
+{
+    crash_world world(4);
+    for (int number = 0; number < 8; ++number)
+    {
+        world.answer_part(3, common);
+        world.crash(0, number, {common});
+        world.pass(1s);
+    }
+    world.pass(12s);
+    CHECK(world.rows() == 0);
+    world.restart(1);
+    CHECK_FALSE(world.is_refused_by_any(common));
+}
+
+TEST_CASE("workers that crash together count once against a part",
+          "[crash_keeper]")
+{
+    crash_world world(4);
+    for (int number = 0; number < 15; ++number)
+        world.crash(static_cast<std::size_t>(number) % 4, number,
+                    {"part-rare", common});
+    world.pass(detection_bound);
+    CHECK_FALSE(world.is_refused_by_any("part-rare"));
+    CHECK_FALSE(world.is_refused_by_any(common));
+}
+
+TEST_CASE("a part that was answered before is quarantined after more crashes",
+          "[crash_keeper]")
+{
+    crash_world world(3);
+    world.answer_part(2, deadly);
+    world.pass(100ms);
+    for (int number = 0; number < 6; ++number)
+    {
+        CHECK_FALSE(world.is_refused_by_any(deadly));
+        world.crash(0, number, {deadly});
+        world.pass(300ms);
+    }
+    CHECK(world.is_refused_by_all(deadly));
+}
+
+TEST_CASE("an answer ends the quarantine of a part at all VMs",
+          "[crash_keeper]")
+{
+    crash_world world(4);
+    for (int number = 0; number < 3; ++number)
+    {
+        world.crash(0, number, {deadly});
+        world.pass(300ms);
+    }
+    REQUIRE(world.is_refused_by_all(deadly));
+    world.pass(3s);
+    world.answer_part(2, deadly);
+    world.pass(1s);
+    CHECK_FALSE(world.is_refused_by_any(deadly));
+    world.pass(20s);
+    CHECK(world.rows() == 0);
+    world.restart(1);
+    CHECK_FALSE(world.is_refused_by_any(deadly));
+}
+
+TEST_CASE("the quarantine of a part ends after its retention", "[crash_keeper]")
+{
+    crash_limits limits;
+    limits.part_retention = 20s;
+    crash_world world(3, limits);
+    for (int number = 0; number < 3; ++number)
+    {
+        world.crash(0, number, {deadly});
+        world.pass(300ms);
+    }
+    CHECK(world.is_refused_by_all(deadly));
+    world.pass(20s);
+    CHECK_FALSE(world.is_refused_by_any(deadly));
+}
+
+// Guards against forgetting a deadly part when workers crash under ever new
+// ones.
+TEST_CASE("a confirmed part outlives many others", "[crash_keeper]")
+{
+    crash_limits limits;
+    limits.max_entries = 50;
+    crash_world world(2, limits);
+    for (int number = 0; number < 3; ++number)
+    {
+        world.crash(0, number, {deadly});
+        world.pass(300ms);
+    }
+    for (int number = 3; number < 200; ++number)
+        world.crash(0, number, {"part-" + std::to_string(number)});
+    world.pass(100ms);
+    CHECK(world.record(0).suspect_count() <= 50);
+    CHECK(world.is_refused_by_all(deadly));
+}
--- a/tests/crash_world.cpp
+++ b/tests/crash_world.cpp
@@ -21,7 +21,7 @@
 } // namespace
 
 crash_world::crash_world(std::size_t vms, crash_limits limits)
-    : limits_(limits), seen_rows_(vms)
+    : limits_(limits), answered_(vms), seen_rows_(vms)
 {
     for (std::size_t vm = 0; vm < vms; ++vm)
     {
@@ -65,6 +65,7 @@
              {worker_id("w" + std::to_string(worker)), worker_start(1)},
              now_ - run_time,
              now_});
+    note_answers(vm, seen);
     vms_.at(vm)->on_crash(seen, now_);
     run(vm);
 }
@@ -75,6 +76,42 @@
     run(vm);
 }
 
+void crash_world::answer_part(std::size_t vm, std::string const& part)
+{
+    answered_.at(vm).add(request_digest(part), now_);
+    answer(vm, part);
+}
+
+void crash_world::note_answers(std::size_t vm,
+                               std::vector<crash_observation> const& seen)
+{
+    for (crash_observation const& each : seen)
+        if (auto const at = answered_.at(vm).answered_at(each.request))
+            vms_.at(vm)->note_answer(each.request, *at);
+}
+
+void crash_world::ask(std::size_t from, ask_part_answers const& question)
+{
+    ++questions_;
+    auto const answers = std::make_shared<std::vector<part_answer>>();
+    for (std::size_t to = 0; to < vms_.size(); ++to)
+        if (to == from || isolated_.count(from) + isolated_.count(to) == 0)
+            schedule(message_time,
+                     [this, to, question, answers]
+                     {
+                         for (request_digest const& part : question.parts)
+                             if (auto const at =
+                                     answered_[to].answered_at(part))
+                                 answers->push_back({part, *at});
+                     });
+    schedule(isolated_.empty() ? message_time * 2 : peer_timeout,
+             [this, from, question, answers]
+             {
+                 vms_[from]->on_part_answers(question, *answers, now_);
+                 run(from);
+             });
+}
+
 bool crash_world::is_refused(std::size_t vm, std::string const& request) const
 {
     return vms_.at(vm)
@@ -102,6 +139,7 @@
 void crash_world::restart(std::size_t vm)
 {
     vms_.at(vm) = std::make_unique<crash_replicator>(limits_, vm + 100);
+    answered_.at(vm) = answered_parts();
     seen_rows_.at(vm).clear();
     if (reaches_store(vm))
         for (auto const& [key, seen] : rows_)
@@ -123,6 +161,8 @@
     {
         if (auto const* sent = std::get_if<send_crash_update>(&action))
             send_update(vm, sent->update);
+        else if (auto const* question = std::get_if<ask_part_answers>(&action))
+            ask(vm, *question);
         else
             write(vm, std::get<write_crash_rows>(action));
     }
@@ -144,6 +184,7 @@
         schedule(message_time,
                  [this, to, update]
                  {
+                     note_answers(to, update.seen);
                      vms_[to]->on_crash_update(update, now_);
                      run(to);
                  });
--- a/tests/crash_world.hpp
+++ b/tests/crash_world.hpp
@@ -3,6 +3,7 @@
 #ifndef MULBERRY_TESTS_CRASH_WORLD_HPP
 #define MULBERRY_TESTS_CRASH_WORLD_HPP
 
+#include "answered_parts.hpp"
 #include "crash_replicator.hpp"
 
 #include <cstddef>
@@ -33,6 +34,9 @@
     /// A worker answers a request that the VM sent to it.
     void answer(std::size_t vm, std::string const& request);
 
+    /// A worker answers a request of the VM with the part of a prompt.
+    void answer_part(std::size_t vm, std::string const& part);
+
     /// Whether the request is quarantined at the VM.
     bool is_refused(std::size_t vm, std::string const& request) const;
     bool is_refused_by_all(std::string const& request) const;
@@ -50,6 +54,8 @@
     void cut_from_store(std::size_t vm) { cut_from_store_.insert(vm); }
 
     std::size_t messages() const { return messages_; }
+    /// Questions about parts, each to all other VMs.
+    std::size_t questions() const { return questions_; }
     std::size_t writes() const { return writes_; }
     std::size_t rows() const { return rows_.size(); }
     mulberry::crash_record const& record(std::size_t vm) const
@@ -67,6 +73,9 @@
     void schedule(mulberry::duration delay, std::function<void()> callback);
     void run(std::size_t vm);
     void send_update(std::size_t from, mulberry::crash_update const& update);
+    void note_answers(std::size_t vm,
+                      std::vector<mulberry::crash_observation> const& seen);
+    void ask(std::size_t from, mulberry::ask_part_answers const& question);
     void write(std::size_t vm, mulberry::write_crash_rows const& changes);
     /// The periodic read of the crash rows by a VM.
     void read_rows(std::size_t vm);
@@ -75,6 +84,7 @@
     mulberry::crash_limits const limits_;
     mulberry::time_point now_{std::chrono::hours(1)};
     std::vector<std::unique_ptr<mulberry::crash_replicator>> vms_;
+    std::vector<mulberry::answered_parts> answered_;
     /// The rows that each VM found at its last read.
     std::vector<std::set<mulberry::crash_key>> seen_rows_;
     std::vector<event> events_;
@@ -83,6 +93,7 @@
     std::set<std::size_t> cut_from_store_;
     bool store_unavailable_ = false;
     std::size_t messages_ = 0;
+    std::size_t questions_ = 0;
     std::size_t writes_ = 0;
 };
 
--- a/tests/peer_grant_request_test.cpp
+++ b/tests/peer_grant_request_test.cpp
@@ -37,6 +37,8 @@
                           now - 90ms,
                           now - 30ms}};
     call.crashes.answered = {request_digest("d2")};
+    call.crashes.confirmed = {request_digest("part-1")};
+    call.asked_parts = {request_digest("part-2"), request_digest("part-3")};
     auto const sent = [&](peer_call const& each) {
         return decode_peer_call(body_of(encode_peer_call(each, "vm", now)),
                                 now);
@@ -54,8 +56,13 @@
 
 TEST_CASE("a peer reply round-trips through its encoding", "[peer_ask]")
 {
-    peer_reply const reply{true, 41, worker_id("w2"), adapter_version(3)};
-    CHECK(decode_peer_reply(encode_peer_reply(reply)) == reply);
+    time_point const now{1h};
+    peer_reply const reply{true,
+                           41,
+                           worker_id("w2"),
+                           adapter_version(3),
+                           {{request_digest("part-1"), now - 70ms}}};
+    CHECK(decode_peer_reply(encode_peer_reply(reply, now), now) == reply);
 }
 
 TEST_CASE("malformed peer calls and replies are rejected", "[peer_ask]")
@@ -64,10 +71,13 @@
          {"", "[]", "{\"worker\":\"w\"}", "{\"done\":1}", "{\"done\":[1]}",
           "{\"done\":[[1]]}", "{\"done\":[[-1,0]]}", "{\"done\":[[1,99]]}",
           "{\"crashes\":1}", "{\"crashes\":[[\"d\",\"w\",1,-1,0]]}",
-          "{\"crashes\":[[\"d\"]]}", "{\"answered\":[1]}", "nonsense"})
+          "{\"crashes\":[[\"d\"]]}", "{\"answered\":[1]}",
+          "{\"confirmed\":[1]}", "{\"asked\":{}}", "nonsense"})
         CHECK_FALSE(decode_peer_call(text, time_point()));
     for (char const* text : {"", "{}", "{\"granted\":1}", "{\"granted\":true}",
                              "{\"granted\":true,\"worker\":1}",
-                             "{\"granted\":1,\"worker\":\"w\"}"})
-        CHECK_FALSE(decode_peer_reply(text));
+                             "{\"granted\":1,\"worker\":\"w\"}",
+                             "{\"granted\":true,\"worker\":\"w\","
+                             "\"parts\":[[\"part-1\"]]}"})
+        CHECK_FALSE(decode_peer_reply(text, time_point{1h}));
 }
--- a/tests/relay_request_test.cpp
+++ b/tests/relay_request_test.cpp
@@ -66,3 +66,23 @@
             other.body = "7note";
         }));
 }
+
+TEST_CASE("shared parts of a prompt are told by their ids", "[relay_request]")
+{
+    prompt_shape prompt;
+    CHECK(shared_parts(prompt).empty());
+    prompt.parts = {{"c0de", 155}, {"dead", 30}, {"e1", 30}};
+    auto const parts = shared_parts(prompt);
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[1] == part_digest("dead"));
+    CHECK(is_part(parts[1]));
+    for (std::string const& unusual :
+         {std::string("a/b"), std::string(1000, 'x'), std::string("a b")})
+    {
+        std::string const digest = part_digest(unusual).str();
+        CHECK(digest.size() < 80);
+        CHECK(digest.find_first_of("/ ") == std::string::npos);
+        CHECK(is_part(part_digest(unusual)));
+    }
+    CHECK_FALSE(is_part(identity_of({}).content));
+}
