Close new connections unread while a VM is overloaded

Most new connections of a failure domain may come to one VM. It read all requests and answered none in time; a connection beyond the number that it holds waited in the kernel's queue until its caller gave up.

Change: while the event loop runs more than 250 ms late, and for 200 ms after, new connections of callers are reset at once with their requests unread, and so are those beyond max_connections. Callers then try another VM. One connection is taken each half second all the same, so that a VM which says that it is ready is never without any. What is read is served as before.

net_test: connections beyond the maximum, or while the gate is closed, are closed at once and reach no handler (before, they waited). scheduling_test: the gate in virtual time.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -136,6 +136,8 @@
     void accept_next();
     void on_accept(asio::error_code const& failure, tcp::socket socket);
     void retry_accept();
+    bool is_full() const;
+    static void reset(tcp::socket& socket);
     void on_connection_removed();
     /// Starts the checks of connections on which a request waits.
     void check_queued_later();
@@ -282,7 +284,7 @@
     if (!acceptor_.is_open())
         return;
     accept_paused_ = true;
-    if (table_->size() >= options_.max_connections)
+    if (!options_.closes_excess_connections && is_full())
         return;
     if (!accept_paused_.exchange(false))
         return;
@@ -301,10 +303,30 @@
         retry_accept();
         return;
     }
-    open_connection(std::move(socket));
+    // A socket that is not opened is closed with its request unread, and the
+    // caller may try another server at once.
+    if (!(options_.closes_excess_connections && is_full()) &&
+        (!options_.may_open || options_.may_open()))
+        open_connection(std::move(socket));
+    else
+        reset(socket);
     accept_next();
 }
 
+bool http_server::implementation::is_full() const
+{
+    return table_->size() >= options_.max_connections;
+}
+
+/// A plain close would leave the caller's request, which arrives later,
+/// unanswered until the kernel resets the connection.
+void http_server::implementation::reset(tcp::socket& socket)
+{
+    asio::error_code ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
 void http_server::implementation::retry_accept()
 {
     accept_timer_.expires_after(accept_retry_delay);
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -69,6 +69,12 @@
     std::size_t max_body_bytes = 4UL * 1024 * 1024;
     std::size_t max_header_bytes = 32UL * 1024;
     std::size_t max_connections = 4096;
+    /// What happens to connections beyond max_connections: they are closed at
+    /// once, unread; or they wait until another one closes.
+    bool closes_excess_connections = false;
+    /// Whether to take a new connection; one that is not taken is closed
+    /// unread. Empty: all are taken.
+    std::function<bool()> may_open;
     /// Limit for receiving a request, and for the idle time of a connection
     /// between requests.
     std::chrono::milliseconds read_timeout{15000};
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -1,7 +1,7 @@
 # The relay's decisions: routes, waiting, placing, turning away, orders,
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
-  SOURCES adapter_version_history.cpp adapter_locations.cpp allotment_pool.cpp answered_parts.cpp crash_replicator.cpp crash_record.cpp equal_share_limiter.cpp forwarder_selector.cpp
+  SOURCES adapter_version_history.cpp adapter_locations.cpp allotment_pool.cpp answered_parts.cpp connection_gate.cpp crash_replicator.cpp crash_record.cpp equal_share_limiter.cpp forwarder_selector.cpp
           pooled_limiter.cpp prompt_copy.cpp reader_selector.cpp
           prefill_rate.cpp relay_request.cpp remote_clock.cpp
           retry_allowance.cpp route_table.cpp row_replica.cpp
@@ -11,7 +11,7 @@
           unanswered_orders.cpp worker_adapters.cpp worker_health.cpp worker_limiter.cpp worker_limits.cpp worker_notices.cpp worker_reachability.cpp prefill_backlog.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
-  SOURCES adapter_version_history_test.cpp adapter_locations_test.cpp allotment_pool_test.cpp answered_parts_test.cpp crash_replicator_test.cpp crash_record_test.cpp crash_world.cpp reader_selector_test.cpp prefill_rate_test.cpp
+  SOURCES adapter_version_history_test.cpp adapter_locations_test.cpp allotment_pool_test.cpp answered_parts_test.cpp connection_gate_test.cpp crash_replicator_test.cpp crash_record_test.cpp crash_world.cpp reader_selector_test.cpp prefill_rate_test.cpp
           pooled_limiter_test.cpp prompt_copy_test.cpp relay_request_test.cpp
           remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_replica_test.cpp scheduler_world.cpp
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -656,6 +656,7 @@
             if (at <= due + max_loop_lag)
                 return run();
             overloaded_until_ = at + overload_time;
+            gate_.on_loop_lag(at - due, at);
             // Callers may have left meanwhile; their closes are read first.
             schedule_run();
         });
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -5,6 +5,7 @@
 
 #include "allotment_limiter.hpp"
 #include "collected_exchange.hpp"
+#include "connection_gate.hpp"
 #include "connect_check.hpp"
 #include "crash_detector.hpp"
 #include "due_index.hpp"
@@ -183,6 +184,9 @@
     /// one.
     void set_first_process();
 
+    /// Whether to take a new connection of a caller.
+    bool may_open_connection() { return gate_.may_open(now()); }
+
     /// Rejects all further requests of callers, since this VM is about to exit.
     /// Requests in progress continue.
     void reject_new_requests() { rejects_new_requests_ = true; }
@@ -509,6 +513,7 @@
     std::size_t calls_forwarded_now_ = 0;
     /// Until then this VM has too much to do to forward calls.
     time_point overloaded_until_{};
+    connection_gate gate_;
     bool backends_known_ = false;
     startup_hold const start_hold_;
     std::vector<early_request> early_requests_;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -530,8 +530,11 @@
         server_options(settings_.readiness),
         [this](http_request request, std::shared_ptr<http_answer> answer)
         { answer_readiness(request, *answer); });
+    http_server_options caller_options = server_options(settings_.callers);
+    caller_options.closes_excess_connections = true;
+    caller_options.may_open = [this] { return relay_.may_open_connection(); };
     callers_.emplace(
-        server_options(settings_.callers),
+        std::move(caller_options),
         [this](http_request request, std::shared_ptr<http_answer> answer)
         { relay_.handle(std::move(request), std::move(answer)); });
     http_server_options peer_options = server_options(settings_.peers);
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -45,6 +45,7 @@
         add("worker_limit_refused_total", label, usage.refused);
     }
 
+    add("caller_connections_closed_total", "", gate_.closed());
     add("cut_off_from_workers", "", std::uint64_t{reachability_.is_cut_off()});
     add("stream_records_sent_total", "", counts_.stream_records_sent);
     add("stream_questions_total", "", counts_.stream_questions);
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -462,6 +462,44 @@
     CHECK(second.read_until("/second").ends_with("/second"));
 }
 
+// Guards against callers that wait for a server which takes more connections
+// than it can serve.
+TEST_CASE("a connection that is not taken is closed at once and unread",
+          "[http_server]")
+{
+    recording_handler held;
+    http_server_options options;
+    options.max_connections = 1;
+    options.closes_excess_connections = true;
+    std::atomic<bool> open{true};
+    options.may_open = [&open] { return open.load(); };
+    http_server server(options, held.handler());
+    auto const is_taken = [&]
+    {
+        auto const caller = raw_socket::connected(server.port());
+        caller.send(get("/"));
+        return caller.read_some().find("200") != std::string::npos;
+    };
+    {
+        auto const first = raw_socket::connected(server.port());
+        first.send(get("/"));
+        auto const answer = held.wait_for(0);
+        CHECK_FALSE(is_taken());
+        answer->respond({200, {}, "done"});
+        CHECK(first.read_until("done").find("200") != std::string::npos);
+    }
+    CHECK(held.count() == 1);
+    open = false;
+    CHECK_FALSE(is_taken());
+    CHECK_FALSE(is_taken());
+    CHECK(held.count() == 1);
+    open = true;
+    auto const again = raw_socket::connected(server.port());
+    again.send(get("/"));
+    held.wait_for(1)->respond({200, {}, "done"});
+    CHECK(again.read_until("done").find("200") != std::string::npos);
+}
+
 TEST_CASE("a server that ran out of file descriptors accepts again",
           "[http_server]")
 {
