--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -204,6 +204,7 @@
 void connection_table::handle_in_order(server_connection& connection,
                                        pending_request pending)
 {
+    bool waits = false;
     {
         std::lock_guard const lock(mutex_);
         auto const found = entries_.find(connection.connection_id());
@@ -213,18 +214,13 @@
         // Requests of one connection are handled one at a time, in the order
         // received. Handled concurrently, a caller that pipelines a write and a
         // read of the same object could read the old state.
-        if (!entry.busy)
-        {
-            entry.busy = true;
-            entry.current = pending.answer;
-        }
+        waits = std::exchange(entry.busy, true);
+        if (waits)
+            entry.queued = pending;
         else
-        {
-            entry.queued = std::move(pending);
-            pending.answer.reset();
-        }
+            entry.current = pending.answer;
     }
-    if (!pending.answer)
+    if (waits)
         return on_queued_();
     handle_after_close(connection, std::move(pending));
 }
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -5,8 +5,8 @@
 
 #include "allotment_limiter.hpp"
 #include "collected_exchange.hpp"
-#include "connection_gate.hpp"
 #include "connect_check.hpp"
+#include "connection_gate.hpp"
 #include "crash_detector.hpp"
 #include "due_index.hpp"
 #include "event_log.hpp"
--- a/tests/peer_grant_request_test.cpp
+++ b/tests/peer_grant_request_test.cpp
@@ -74,10 +74,10 @@
           "{\"crashes\":[[\"d\"]]}", "{\"answered\":[1]}",
           "{\"confirmed\":[1]}", "{\"asked\":{}}", "nonsense"})
         CHECK_FALSE(decode_peer_call(text, time_point()));
-    for (char const* text : {"", "{}", "{\"granted\":1}", "{\"granted\":true}",
-                             "{\"granted\":true,\"worker\":1}",
-                             "{\"granted\":1,\"worker\":\"w\"}",
-                             "{\"granted\":true,\"worker\":\"w\","
-                             "\"parts\":[[\"part-1\"]]}"})
+    for (char const* text :
+         {"", "{}", "{\"granted\":1}", "{\"granted\":true}",
+          "{\"granted\":true,\"worker\":1}", "{\"granted\":1,\"worker\":\"w\"}",
+          "{\"granted\":true,\"worker\":\"w\","
+          "\"parts\":[[\"part-1\"]]}"})
         CHECK_FALSE(decode_peer_reply(text, time_point{1h}));
 }
