Wake for no slots that are kept free for late orders

Found by reading the diff: a scheduler told the moment at which such slots are free again as its next due time, and that moment was not renewed while a worker drains or its owner may not order, so that the VM would have run its decisions each millisecond. They are made twice a second in any case, which is soon enough. scheduling_test passes as before; not seen in a run.

--- a/src/unanswered_orders.cpp
+++ b/src/unanswered_orders.cpp
@@ -97,14 +97,4 @@
                        { return each.order != order; });
 }
 
-time_point unanswered_orders::next_change(time_point now) const
-{
-    time_point next = never;
-    for (auto const& [number, entries] : orders_)
-        for (entry const& each : entries)
-            if (is_recent(each, now))
-                next = std::min(next, each.sent_at + limits_.burst_window);
-    return next;
-}
-
 } // namespace mulberry
--- a/src/unanswered_orders.hpp
+++ b/src/unanswered_orders.hpp
@@ -55,9 +55,6 @@
     /// Whether another order with the same sequence number is unanswered, and
     /// so may have been carried out in this order's place.
     bool may_be_displaced(worker_order const& order) const;
-    /// When the result of reserved_slots() may next change without an order;
-    /// `never` if nothing is reserved.
-    time_point next_change(time_point now) const;
     bool empty() const { return orders_.empty(); }
 
 private:
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -352,17 +352,11 @@
 
 void worker_adapters::update_reserved_slots(time_point now)
 {
-    reserved_slots_ = 0;
-    reserved_until_ = never;
-    if (!unanswered_.empty())
-    {
-        reserved_slots_ = unanswered_.reserved_slots(*sequence_ + 1, now);
-        reserved_until_ = unanswered_.next_change(now);
-    }
-    if (now >= unknown_orders_until_)
-        return;
-    reserved_slots_ = std::max(reserved_slots_, unknown_order_slots());
-    reserved_until_ = std::min(reserved_until_, unknown_orders_until_);
+    reserved_slots_ = unanswered_.empty()
+                          ? 0
+                          : unanswered_.reserved_slots(*sequence_ + 1, now);
+    if (now < unknown_orders_until_)
+        reserved_slots_ = std::max(reserved_slots_, unknown_order_slots());
 }
 
 std::size_t worker_adapters::unknown_order_slots() const
@@ -789,9 +783,8 @@
         return never;
     if (order_)
         return retry_at_;
-    next = reserved_until_;
     if (loading_model_)
-        next = std::min(next, model_poll_at_);
+        next = model_poll_at_;
     for (auto const& [target, state] : adapters_)
         if (state.stage == adapter_stage::loading ||
             state.stage == adapter_stage::unloading)
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -286,7 +286,6 @@
     /// Until then slots are kept free for them; counted from the next report.
     time_point unknown_orders_until_{};
     std::size_t reserved_slots_ = 0;
-    time_point reserved_until_ = never;
     std::optional<worker_order> order_;
     /// The order was sent and has no outcome yet.
     bool in_flight_ = false;
