Tell other VMs of an answer that came after a single crash

Callers saw: after a restart of VMs, all requests with the content of one that had been in progress at three crashes were refused for ten minutes (503, quarantined), though workers answered it between the crashes.

Cause: an answer was told to other VMs only if the VM that had it counted two crashes or more. It clears its own count with each answer, so it never does, while the VM that sees the crashes goes on counting. And rows whose request was answered while they were written stayed for the whole retention.

Ruled out: confirmation of the common part (no row or log line of one).

Change: an answer after a crash that nobody counts yet is kept; when a further crash follows, the others are told up to which crash the request was answered ('cleared' in /peer), so harmless requests at a single crash still cost no message. A row whose crash no longer counts when its write ends is deleted at once.

--- a/src/crash_replicator.cpp
+++ b/src/crash_replicator.cpp
@@ -39,9 +39,36 @@
     if (!record_.add(seen, now))
         return;
     expire_at_ = std::min(expire_at_, now + expire_interval);
+    send_kept_answer(seen.request, now);
     schedule_write_if_repeated(seen.request, now);
 }
 
+void crash_replicator::keep_answer(crash_observation const& last)
+{
+    if (!is_part(last.request) && kept_answers_.size() < limits_.max_entries)
+        kept_answers_.insert_or_assign(last.request, last);
+}
+
+void crash_replicator::send_kept_answer(request_digest const& request,
+                                        time_point now)
+{
+    auto const kept = kept_answers_.extract(request);
+    if (kept.empty())
+        return;
+    outbox_.cleared.push_back(kept.mapped());
+    send_at_ = std::min(send_at_, now + send_delay);
+}
+
+/// The crash's time as known here tells which crashes the answer followed: the
+/// times of messages are later by the time of their transport.
+void crash_replicator::on_cleared(crash_observation const& last)
+{
+    auto const known = record_.find(last.request, last.crashed);
+    record_.clear(last.request, known ? known->at : last.at);
+    if (!record_.is_suspect(last.request))
+        discard_pending(last.request);
+}
+
 bool crash_replicator::is_published(request_digest const& request) const
 {
     return is_part(request)
@@ -135,6 +162,8 @@
     if (!record_.is_suspect(request))
         return;
     bool const known_to_others = is_published(request);
+    if (!known_to_others)
+        keep_answer(record_.observations(request).back());
     record_.clear(request, now);
     discard_pending(request);
     for (auto row = stored_rows_.lower_bound({request, {}});
@@ -164,6 +193,8 @@
         record_.clear(each, now);
         discard_pending(each);
     }
+    for (crash_observation const& each : update.cleared)
+        on_cleared(each);
 }
 
 void crash_replicator::on_update_sent(crash_update const& update, bool by_all,
@@ -188,7 +219,7 @@
     if (is_part(seen.request))
         record_.confirm(seen.request);
     expire_at_ = std::min(expire_at_, now + expire_interval);
-    bool const counts = record_.is_suspect(seen.request);
+    bool const counts = record_.find(seen.request, seen.crashed).has_value();
     stored_rows_[key] =
         counts ? seen.at + record_.retention_of(seen.request) +
                      jitter_.equal_jitter(expired_row_delete_delay)
@@ -213,8 +244,12 @@
     {
         crash_key const key{each.request, each.crashed};
         pending_rows_.erase(key);
-        stored_rows_[key] = each.at + record_.retention_of(each.request) +
-                            jitter_.equal_jitter(expired_row_delete_delay);
+        // A worker may have answered the request during the write.
+        stored_rows_[key] =
+            record_.find(each.request, each.crashed)
+                ? each.at + record_.retention_of(each.request) +
+                      jitter_.equal_jitter(expired_row_delete_delay)
+                : now;
     }
     for (crash_key const& each : current_write_.drop)
         stored_rows_.erase(each);
@@ -243,6 +278,8 @@
         { return record_.is_suspect(request); };
         std::erase_if(observed_here_,
                       [&](auto const& each) { return !counts(each); });
+        std::erase_if(kept_answers_, [&](auto const& each)
+                      { return each.second.at + limits_.retention <= now; });
         expire_at_ = record_.empty() && stored_rows_.empty()
                          ? never
                          : now + expire_interval;
--- a/src/crash_replicator.hpp
+++ b/src/crash_replicator.hpp
@@ -24,10 +24,14 @@
     std::vector<request_digest> answered;
     /// Parts of prompts that are quarantined; `seen` has their crashes.
     std::vector<request_digest> confirmed;
+    /// Crashes after which a worker answered the request completely, each the
+    /// last one before that answer.
+    std::vector<crash_observation> cleared;
 
     bool empty() const
     {
-        return seen.empty() && answered.empty() && confirmed.empty();
+        return seen.empty() && answered.empty() && confirmed.empty() &&
+               cleared.empty();
     }
     friend bool operator==(crash_update const&, crash_update const&) = default;
 };
@@ -76,8 +80,9 @@
 /// when a second crash counts against its request, so that restarted VMs learn
 /// of it, and when a VM could not be reached, since that VM may still reach the
 /// store. A VM that only received the observation writes it later, and only if
-/// no other VM has written it by then. Requests that were in progress at no
-/// crash cause no messages.
+/// no other VM has written it by then. An answer after a single crash is told
+/// to the others when a second crash follows it. Requests that were in progress
+/// at no crash cause no messages.
 ///
 /// A part of prompts against which enough crashes count is confirmed by a VM
 /// that saw one of the crashes, after the other VMs have told when workers last
@@ -129,6 +134,12 @@
 
 private:
     void add_observation(crash_observation const& seen, time_point now);
+    /// Keeps an answer that no other VM is told of yet; `last` is the last
+    /// crash before it.
+    void keep_answer(crash_observation const& last);
+    /// Tells the other VMs of an answer that preceded a further crash.
+    void send_kept_answer(request_digest const& request, time_point now);
+    void on_cleared(crash_observation const& last);
     /// Whether other VMs and the store know of the request's crashes.
     bool is_published(request_digest const& request) const;
     /// Asks the other VMs about the part if it may have to be quarantined.
@@ -153,6 +164,9 @@
     time_point send_at_ = never;
     /// Requests of this VM that were in progress at a crash.
     std::set<request_digest> observed_here_;
+    /// Requests that were answered after crashes that no VM counted yet, each
+    /// with the last of these crashes.
+    std::map<request_digest, crash_observation> kept_answers_;
     /// Rows to be written, each with the earliest time of the write.
     std::map<crash_key, time_point> pending_rows_;
     /// Rows in the store, each with the time at which this VM deletes it.
--- a/src/peer_grant_request.cpp
+++ b/src/peer_grant_request.cpp
@@ -163,19 +163,26 @@
     return true;
 }
 
-bool parse_crashes(Json::Value const& json, time_point now, crash_update& into)
+bool parse_observations(Json::Value const& json, time_point now,
+                        std::vector<crash_observation>& into)
 {
-    Json::Value const& seen = json["crashes"];
-    if (!seen.isNull() && (!seen.isArray() || seen.size() > max_crashes))
+    if (!json.isNull() && (!json.isArray() || json.size() > max_crashes))
         return false;
-    for (Json::Value const& each : seen)
+    for (Json::Value const& each : json)
     {
         auto const crash = parse_crash(each, now);
         if (!crash)
             return false;
-        into.seen.push_back(*crash);
+        into.push_back(*crash);
     }
-    return parse_digests(json["answered"], into.answered) &&
+    return true;
+}
+
+bool parse_crashes(Json::Value const& json, time_point now, crash_update& into)
+{
+    return parse_observations(json["crashes"], now, into.seen) &&
+           parse_observations(json["cleared"], now, into.cleared) &&
+           parse_digests(json["answered"], into.answered) &&
            parse_digests(json["confirmed"], into.confirmed);
 }
 
@@ -198,6 +205,8 @@
         json["crashes"].append(crash_json(each, now));
     for (request_digest const& each : message.crashes.answered)
         json["answered"].append(each.str());
+    for (crash_observation const& each : message.crashes.cleared)
+        json["cleared"].append(crash_json(each, now));
     for (request_digest const& each : message.crashes.confirmed)
         json["confirmed"].append(each.str());
     for (request_digest const& each : message.asked_parts)
--- a/src/peer_grant_request.hpp
+++ b/src/peer_grant_request.hpp
@@ -10,7 +10,7 @@
 ///                 "crashes": [[DIGEST, WORKER, STARTED,
 ///                               SENT_MS_AGO, SEEN_MS_AGO], ...],
 ///                 "answered": [DIGEST, ...], "confirmed": [DIGEST, ...],
-///                 "asked": [DIGEST, ...]}
+///                 "cleared": [as "crashes"], "asked": [DIGEST, ...]}
 ///   200          {"granted": true, "grant": N, "worker": ID, "version": N,
 ///                 "parts": [[DIGEST, ANSWERED_MS_AGO], ...]}
 ///
--- a/tests/crash_replicator_test.cpp
+++ b/tests/crash_replicator_test.cpp
@@ -221,6 +221,50 @@
     CHECK_FALSE(world.is_refused_by_any("read"));
 }
 
+// Guards against counting crashes of a request at VMs that were not told of
+// the answers in between, since each answer came after a single crash.
+TEST_CASE("a request that is answered after each crash is not refused",
+          "[crash_keeper]")
+{
+    crash_world world(4);
+    for (int number = 0; number < 6; ++number)
+    {
+        world.crash(0, number, {"read"});
+        world.pass(100ms);
+        world.answer(1, "read");
+        world.pass(400ms);
+        CHECK_FALSE(world.is_refused_by_any("read"));
+    }
+    world.pass(5s);
+    for (std::size_t vm = 0; vm < 4; ++vm)
+        world.restart(vm);
+    CHECK_FALSE(world.is_refused_by_any("read"));
+    // Three crashes without an answer count as before.
+    for (int number = 10; number < 13; ++number)
+    {
+        world.crash(0, number, {"read"});
+        world.pass(500ms);
+    }
+    CHECK(world.is_refused_by_all("read"));
+}
+
+// Guards against rows of a request that was answered while they were written:
+// a VM that starts later would refuse the request.
+TEST_CASE("rows whose request is answered during their write are dropped",
+          "[crash_keeper]")
+{
+    crash_world world(3);
+    for (int number = 0; number < 3; ++number)
+    {
+        world.crash(0, number, {"read"});
+        if (number < 2)
+            world.pass(500ms);
+    }
+    world.answer(0, "read");
+    world.pass(1s);
+    CHECK(world.rows() == 0);
+}
+
 TEST_CASE("requests that are in progress at no crash cause no messages",
           "[crash_keeper]")
 {
--- a/tests/peer_grant_request_test.cpp
+++ b/tests/peer_grant_request_test.cpp
@@ -38,6 +38,10 @@
                           now - 30ms}};
     call.crashes.answered = {request_digest("d2")};
     call.crashes.confirmed = {request_digest("part-1")};
+    call.crashes.cleared = {{request_digest("d3"),
+                             {worker_id("w2"), worker_start(1)},
+                             now - 60ms,
+                             now - 20ms}};
     call.asked_parts = {request_digest("part-2"), request_digest("part-3")};
     auto const sent = [&](peer_call const& each) {
         return decode_peer_call(body_of(encode_peer_call(each, "vm", now)),
@@ -71,8 +75,9 @@
          {"", "[]", "{\"worker\":\"w\"}", "{\"done\":1}", "{\"done\":[1]}",
           "{\"done\":[[1]]}", "{\"done\":[[-1,0]]}", "{\"done\":[[1,99]]}",
           "{\"crashes\":1}", "{\"crashes\":[[\"d\",\"w\",1,-1,0]]}",
-          "{\"crashes\":[[\"d\"]]}", "{\"answered\":[1]}",
-          "{\"confirmed\":[1]}", "{\"asked\":{}}", "nonsense"})
+          "{\"crashes\":[[\"d\"]]}", "{\"cleared\":[[\"d\"]]}",
+          "{\"answered\":[1]}", "{\"confirmed\":[1]}", "{\"asked\":{}}",
+          "nonsense"})
         CHECK_FALSE(decode_peer_call(text, time_point()));
     for (char const* text :
          {"", "{}", "{\"granted\":1}", "{\"granted\":true}",
