Keep the rejections of brittle workers within what they tolerate

A worker that says it crashes when it has to reject more than N requests in a second, whoever sent them; a VM backed off for 60 ms, for itself, so that a few VMs with waiting requests exceed any N.

Class: a back end's own word is read nowhere, as with limits and backoff.

Change: rejection_guard. VMs divide the slots by rank; beyond its share a VM tries one request now and then, keeps what was accepted a moment ago, and tells the others of each rejection. Workers that turn out to have less room than slots get half. Nothing is sent or counted while no worker is brittle.

--- a/src/ids.hpp
+++ b/src/ids.hpp
@@ -44,6 +44,8 @@
 
 /// One try of a request at one backend; unique within a process.
 using attempt_id = number_id<struct attempt_tag>;
+/// Identifies a request of a relay within a process.
+using ticket_id = number_id<struct ticket_tag>;
 /// One load or unload order; unique within a process.
 using order_id = number_id<struct order_tag>;
 /// One call of the table service; unique within a process.
--- a/src/peer_grant_request.cpp
+++ b/src/peer_grant_request.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t max_wait_ms = 600'000;
 constexpr std::size_t max_completions = 100'000;
 constexpr std::size_t max_crashes = 10'000;
+constexpr std::size_t max_rejections = 10'000;
 constexpr Json::ArrayIndex crash_fields = 5;
 /// Bound on the tokens of one prompt; more than fits in any engine's memory.
 constexpr std::uint64_t max_prompt_tokens = 100'000'000;
@@ -163,6 +164,22 @@
     return true;
 }
 
+bool parse_rejections(Json::Value const& json,
+                      std::vector<rejection_notice>& into)
+{
+    if (!json.isNull() && (!json.isArray() || json.size() > max_rejections))
+        return false;
+    for (Json::Value const& pair : json)
+    {
+        if (!pair.isArray() || pair.size() != 3 || !pair[0].isString() ||
+            !pair[1].isUInt() || !pair[2].isBool())
+            return false;
+        into.push_back({worker_id(pair[0].asString()), pair[1].asUInt(),
+                        pair[2].asBool()});
+    }
+    return true;
+}
+
 bool parse_observations(Json::Value const& json, time_point now,
                         std::vector<crash_observation>& into)
 {
@@ -211,6 +228,14 @@
         json["confirmed"].append(each.str());
     for (request_digest const& each : message.asked_parts)
         json["asked"].append(each.str());
+    for (rejection_notice const& each : message.rejections)
+    {
+        Json::Value pair(Json::arrayValue);
+        pair.append(each.worker.str());
+        pair.append(each.tolerated);
+        pair.append(each.within_share);
+        json["rejected"].append(std::move(pair));
+    }
     std::string const body = to_text(json);
     return fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\n"
                        "Content-Length: {}\r\n\r\n{}",
@@ -243,7 +268,8 @@
         message.done.push_back({pair[0].asUInt64(), *outcome});
     }
     if (!parse_crashes(*json, now, message.crashes) ||
-        !parse_digests((*json)["asked"], message.asked_parts))
+        !parse_digests((*json)["asked"], message.asked_parts) ||
+        !parse_rejections((*json)["rejected"], message.rejections))
         return std::nullopt;
     return message;
 }
--- a/src/peer_grant_request.hpp
+++ b/src/peer_grant_request.hpp
@@ -10,7 +10,8 @@
 ///                 "crashes": [[DIGEST, WORKER, STARTED,
 ///                               SENT_MS_AGO, SEEN_MS_AGO], ...],
 ///                 "answered": [DIGEST, ...], "confirmed": [DIGEST, ...],
-///                 "cleared": [as "crashes"], "asked": [DIGEST, ...]}
+///                 "cleared": [as "crashes"], "asked": [DIGEST, ...],
+///                 "rejected": [[WORKER, TOLERATED, WITHIN_SHARE], ...]}
 ///   200          {"granted": true, "grant": N, "worker": ID, "version": N,
 ///                 "parts": [[DIGEST, ANSWERED_MS_AGO], ...]}
 ///
@@ -23,6 +24,7 @@
 
 #include "crash_replicator.hpp"
 #include "ids.hpp"
+#include "rejection_guard.hpp"
 #include "relay_request.hpp"
 #include "time_point.hpp"
 #include "worker_health.hpp"
@@ -87,6 +89,8 @@
     /// Parts of prompts of which the sender wants to know when workers last
     /// answered requests with them.
     std::vector<request_digest> asked_parts;
+    /// Rejections of the sender's requests by brittle workers.
+    std::vector<rejection_notice> rejections;
     friend bool operator==(peer_call const&, peer_call const&) = default;
 };
 
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -2,7 +2,7 @@
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
   SOURCES adapter_version_history.cpp adapter_locations.cpp allotment_pool.cpp answered_parts.cpp connection_gate.cpp crash_replicator.cpp crash_record.cpp equal_share_limiter.cpp forwarder_selector.cpp
-          pooled_limiter.cpp prompt_copy.cpp reader_selector.cpp
+          pooled_limiter.cpp prompt_copy.cpp reader_selector.cpp rejection_guard.cpp
           prefill_rate.cpp relay_request.cpp remote_clock.cpp
           retry_allowance.cpp route_table.cpp row_replica.cpp
           service_estimate.cpp service_notices.cpp service_placing.cpp
@@ -13,7 +13,7 @@
 mulberry_test(scheduling_test
   SOURCES adapter_version_history_test.cpp adapter_locations_test.cpp allotment_pool_test.cpp answered_parts_test.cpp connection_gate_test.cpp crash_replicator_test.cpp crash_record_test.cpp crash_world.cpp reader_selector_test.cpp prefill_rate_test.cpp
           pooled_limiter_test.cpp prompt_copy_test.cpp relay_request_test.cpp
-          remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
+          rejection_guard_test.cpp remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_replica_test.cpp scheduler_world.cpp
           service_leaving_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_software_test.cpp service_version_test.cpp software_versions_test.cpp startup_hold_test.cpp team_directory_test.cpp token_bucket_test.cpp
           worker_adapters_test.cpp worker_health_test.cpp worker_limiter_test.cpp worker_limits_test.cpp worker_notices_test.cpp worker_reachability_test.cpp late_order_test.cpp forwarder_selector_test.cpp
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -79,6 +79,7 @@
     last_ticket_ = ticket_distribution(random_);
     allotments_ =
         std::make_unique<pooled_limiter>(options_.vm, options_.allotments);
+    sending_vms_ = {options_.vm};
 }
 
 relay::~relay() = default;
@@ -114,6 +115,7 @@
                          started_at_, options_.software_validity)
             .first;
     added->second.scheduler.set_members(members_);
+    added->second.scheduler.set_vms(sending_vms_);
     added->second.retries.set_vms(members_, now());
     if (is_first_process_)
         added->second.retries.set_first_process();
@@ -528,6 +530,7 @@
     update_software_known(service);
     for (placement_action const& action : service.scheduler.run(now()))
         execute(service, action);
+    send_rejection_notices(service);
 }
 
 void relay::update_registry_moment(service_state& service) const
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -231,6 +231,9 @@
                               time_point until) override;
     void on_limit_stated(relay_exchange const& exchange,
                          std::optional<double> per_second) override;
+    void on_tolerance_stated(service_id const& service, worker_id const& worker,
+                             time_point sent_at,
+                             std::optional<std::uint32_t> per_second) override;
     void on_connection_lost(relay_exchange const& exchange) override;
     duration first_byte_timeout(relay_exchange const& exchange) const override;
     duration retry_after(relay_exchange const& exchange,
@@ -432,6 +435,14 @@
     /// worker's limit.
     void on_limit_stated(worker_id const& worker, time_point sent_at,
                          collected_answer const& answer);
+    /// Handles what such an answer says of the rejections that the worker
+    /// tolerates.
+    void on_tolerance_stated(service_id const& service, worker_id const& worker,
+                             time_point sent_at,
+                             collected_answer const& answer);
+    /// Tells other VMs of rejections by brittle workers.
+    void send_rejection_notices(service_state& service);
+    void on_rejection_notice(rejection_notice const& notice);
     void log_limit_changes();
     /// Sends now, or when the worker's limit has room, or reports that it was
     /// not sent.
@@ -533,6 +544,8 @@
     std::map<vm_id, peer_state> peers_;
     /// All VMs that are live, this one included.
     std::vector<vm_id> live_vms_;
+    /// VMs that reach workers, this VM included.
+    std::vector<vm_id> sending_vms_;
     stream_records streams_;
     std::unordered_map<ticket_id, peer_request> peer_requests_;
     std::unordered_map<ticket_id, held_grant> held_grants_;
--- a/src/relay_codec.hpp
+++ b/src/relay_codec.hpp
@@ -39,6 +39,10 @@
     /// Reads the limit that an answer to any call of a worker names. Of several
     /// limits the lowest counts.
     virtual limit_statement decode_limit(http_headers const& headers) const = 0;
+    /// Reads the number of rejections that an answer to any call states the
+    /// worker to tolerate. Of several the lowest counts.
+    virtual tolerance_statement
+    decode_tolerance(http_headers const& headers) const = 0;
     /// Returns the header fields of a worker's answer that are forwarded to the
     /// caller.
     virtual http_headers answer_headers(http_headers const& received) const = 0;
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -288,6 +288,9 @@
         host_.on_backoff_requested(*this, last_byte_at_ + *reply_.backoff);
     if (!reply_.limit.malformed && !reply_.other_worker)
         host_.on_limit_stated(*this, reply_.limit.per_second);
+    if (!reply_.tolerance.malformed && !reply_.other_worker)
+        host_.on_tolerance_stated(terms_.service, worker_.id, sent_at_,
+                                  reply_.tolerance.per_second);
     headers_ = host_.codec().answer_headers(headers);
     stage_ = stage::buffering;
     if (!reply_.not_run)
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -71,6 +71,12 @@
     /// The worker named a limit in its answer, or none.
     virtual void on_limit_stated(relay_exchange const& exchange,
                                  std::optional<double> per_second) = 0;
+    /// The worker stated in its answer how many rejections in a second it
+    /// tolerates; nullopt: any number.
+    virtual void
+    on_tolerance_stated(service_id const& service, worker_id const& worker,
+                        time_point sent_at,
+                        std::optional<std::uint32_t> per_second) = 0;
     /// The connection closed before the worker's answer was complete.
     virtual void on_connection_lost(relay_exchange const& exchange) = 0;
     /// How long to wait for the first byte of an answer from the exchange's
--- a/src/relay_limits.cpp
+++ b/src/relay_limits.cpp
@@ -46,6 +46,35 @@
         log_limit_changes();
 }
 
+void relay::on_tolerance_stated(service_id const& service,
+                                worker_id const& worker, time_point sent_at,
+                                std::optional<std::uint32_t> per_second)
+{
+    time_point const at = now();
+    service_state* const known = find(service);
+    if (known == nullptr ||
+        !known->scheduler.on_tolerance(worker, per_second, sent_at, at))
+        return;
+    log_fields fields;
+    fields.add("worker", worker.str()).add("service", service.str());
+    if (per_second)
+        fields.add("rejections_per_second", std::uint64_t{*per_second});
+    log_.notable(per_second ? "worker is brittle" : "worker no longer brittle",
+                 fields, at);
+    schedule_run();
+}
+
+void relay::on_tolerance_stated(service_id const& service,
+                                worker_id const& worker, time_point sent_at,
+                                collected_answer const& answer)
+{
+    if (answer.status == 0)
+        return;
+    tolerance_statement const stated = codec_.decode_tolerance(answer.headers);
+    if (!stated.malformed)
+        on_tolerance_stated(service, worker, sent_at, stated.per_second);
+}
+
 void relay::log_limit_changes()
 {
     time_point const at = now();
--- a/src/relay_orders.cpp
+++ b/src/relay_orders.cpp
@@ -73,6 +73,7 @@
                    sent_at = now()](collected_answer const& answer)
     {
         on_limit_stated(order.worker, sent_at, answer);
+        on_tolerance_stated(service, order.worker, sent_at, answer);
         on_order(service, order, codec_.decode_order_reply(answer.status));
     };
     start_collected(io_, pool_, std::move(call));
@@ -88,6 +89,7 @@
                    sent_at = now()](collected_answer const& answer)
     {
         on_limit_stated(worker, sent_at, answer);
+        on_tolerance_stated(service, worker, sent_at, answer);
         on_report(service, worker,
                   answer.status == status_ok ? codec_.decode_report(answer.body)
                                              : std::nullopt);
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -109,8 +109,16 @@
     for (member_view const& member : members)
         if (member.state == member_state::live)
             live_vms_.push_back(member.vm);
+    std::vector<vm_id> senders{options_.vm};
+    for (auto const& [vm, domain] : forwarders)
+        senders.push_back(vm);
+    std::sort(senders.begin(), senders.end());
+    sending_vms_ = std::move(senders);
     for (auto& [name, service] : services_)
+    {
+        service.scheduler.set_vms(sending_vms_);
         ask_for_versions(name, service);
+    }
 }
 
 void relay::set_owners(std::map<worker_id, vm_id> owners)
@@ -133,6 +141,8 @@
         end_peer_request(ticket_id(done.grant), done.outcome);
     if (!message->crashes.empty())
         crashes_.on_crash_update(message->crashes);
+    for (rejection_notice const& notice : message->rejections)
+        on_rejection_notice(notice);
     if (!message->ask)
     {
         peer_reply reply;
@@ -406,6 +416,44 @@
     }
 }
 
+void relay::on_rejection_notice(rejection_notice const& notice)
+{
+    auto const known = std::find_if(backends_.begin(), backends_.end(),
+                                    [&](backend_entry const& each)
+                                    { return each.id == notice.worker; });
+    if (known == backends_.end())
+        return;
+    if (service_state* const service = find(known->service))
+        service->scheduler.on_rejection_notice(notice, now());
+}
+
+void relay::send_rejection_notices(service_state& service)
+{
+    std::map<vm_id, std::vector<rejection_notice>> by_vm;
+    for (auto const& [notice, vms] : service.scheduler.take_rejection_notices())
+    {
+        log_.notable("brittle worker rejected a request",
+                     log_fields().add("worker", notice.worker.str()), now());
+        for (vm_id const& vm : vms)
+            by_vm[vm].push_back(notice);
+    }
+    for (auto& [vm, notices] : by_vm)
+    {
+        auto const peer = peers_.find(vm);
+        if (peer == peers_.end())
+            continue;
+        peer_call message;
+        message.rejections = std::move(notices);
+        collected_call call = call_to(peer->second.address, message);
+        call.current_deadline =
+            [deadline = std::chrono::steady_clock::now() + peer_update_timeout]
+        { return deadline; };
+        // The result is ignored: a VM that was not told is rejected itself.
+        call.on_end = [](collected_answer const&) {};
+        start_collected(io_, pool_, std::move(call));
+    }
+}
+
 void relay::return_grant(held_grant const& grant, send_outcome outcome)
 {
     auto const peer = peers_.find(grant.owner);
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -157,6 +157,18 @@
                            limit_statement const&) = default;
 };
 
+/// What an answer says of the rejections that the worker tolerates. Value.
+struct tolerance_statement
+{
+    /// Rejections for want of room in a second, of all VMs' requests together;
+    /// nullopt: any number.
+    std::optional<std::uint32_t> per_second;
+    /// The answer states something that is no number; it changes nothing.
+    bool malformed = false;
+    friend bool operator==(tolerance_statement const&,
+                           tolerance_statement const&) = default;
+};
+
 /// What the status line and headers of a worker's answer state.
 struct worker_reply
 {
@@ -183,6 +195,7 @@
     /// it as draining.
     bool leaving = false;
     limit_statement limit;
+    tolerance_statement tolerance;
 };
 
 /// What an order tells a worker to do with an adapter or a model.
--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -76,6 +76,12 @@
     return worker.health.outstanding() + worker.granted;
 }
 
+worker_room service_scheduler::room_of(worker_state const& worker) const
+{
+    return {worker.entry.id, worker.entry.slots, outstanding_requests(worker),
+            worker.owned};
+}
+
 double service_scheduler::batch_utilization(worker_state const& worker) const
 {
     return double(outstanding_requests(worker)) / double(worker.entry.slots);
@@ -111,7 +117,8 @@
 {
     if (worker.entry.draining || is_excluded(worker, item) ||
         is_paused_for(worker, item, now) || worker.health.is_full(now) ||
-        outstanding_requests(worker) >= request_limit(worker))
+        outstanding_requests(worker) >= request_limit(worker) ||
+        !rejections_.may_send(room_of(worker), now))
         return false;
     return !worker.health.is_avoided(now) || worker.health.may_probe(now);
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "service_scheduler.hpp"
 
+#include "placement.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -32,7 +34,8 @@
 
 service_scheduler::service_scheduler(scheduler_settings settings,
                                      service_config config)
-    : settings_(std::move(settings)), config_(std::move(config))
+    : settings_(std::move(settings)), config_(std::move(config)),
+      rejections_(settings_.vm, stable_hash(settings_.vm.str()))
 {
 }
 
@@ -101,6 +104,7 @@
     if (sent == sent_.end() || sent->second.begun || sent->second.by_peer)
         return;
     sent->second.begun = true;
+    rejections_.on_accepted(ticket, now);
     sent_item const& begun = sent->second;
     prefill_rate_.observe(begun.prompt_tokens,
                           begun.expected_at - begun.sent_at,
@@ -112,6 +116,35 @@
     worker->health.first_byte(begun.sent_at, now);
 }
 
+/// Of a granted request, the owner of the worker keeps account.
+void service_scheduler::record_room(sent_item const& sent, ticket_id ticket,
+                                    send_outcome outcome, time_point now)
+{
+    worker_state const* const worker = find(sent.worker);
+    if (outcome == send_outcome::full && worker != nullptr && !sent.granted)
+        rejections_.on_rejected(ticket, room_of(*worker), now);
+    else if (outcome == send_outcome::served)
+        rejections_.on_accepted(ticket, now);
+    else
+        rejections_.on_given_up(ticket);
+}
+
+void service_scheduler::on_rejection_notice(rejection_notice const& notice,
+                                            time_point now)
+{
+    if (worker_state const* const worker = find(notice.worker))
+        rejections_.on_notice(notice, room_of(*worker), now);
+}
+
+std::vector<std::pair<rejection_notice, std::vector<vm_id>>>
+service_scheduler::take_rejection_notices()
+{
+    std::vector<std::pair<rejection_notice, std::vector<vm_id>>> addressed;
+    for (rejection_notice const& each : rejections_.take_notices())
+        addressed.emplace_back(each, rejections_.others_at(each.worker));
+    return addressed;
+}
+
 void service_scheduler::ended(ticket_id ticket, send_outcome outcome,
                               time_point now)
 {
@@ -124,6 +157,7 @@
         mean_service_time_ += duration(static_cast<duration::rep>(
             service_time_smoothing *
             double((now - sent.sent_at - mean_service_time_).count())));
+    record_room(sent, ticket, outcome, now);
     worker_state* const worker = find(sent.worker);
     if (worker == nullptr || worker->entry.started != sent.started)
         return;
@@ -255,6 +289,7 @@
         sent.worker = worker->entry.id;
         sent.target = item.target;
         sent.copy_version = std::max(placed.version, granted.version);
+        sent.granted = true;
         record_send(*worker, item, std::move(sent), now);
         return true;
     }
@@ -267,6 +302,8 @@
 void service_scheduler::record_send(worker_state& worker, work_item const& item,
                                     sent_item sent, time_point now)
 {
+    if (!sent.granted)
+        rejections_.on_sent(item.ticket, room_of(worker), now);
     sent.sent_at = now;
     sent.started = worker.entry.started;
     sent.prompt_tokens = item.prompt_tokens;
@@ -440,6 +477,7 @@
 {
     decided_at_ = now;
     notices_.forget_past(now);
+    rejections_.update(now);
     withdraw_overdue(now);
     run_queue(now);
     run_workers(now);
@@ -450,7 +488,8 @@
 {
     time_point next = next_start_deadline_;
     if (!queue_.empty())
-        next = std::min(next, notices_.next_pause_end(decided_at_));
+        next = std::min({next, notices_.next_pause_end(decided_at_),
+                         rejections_.next_change(decided_at_)});
     for (auto const& [id, worker] : workers_)
         if (worker->owned)
         {
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -11,6 +11,7 @@
 #include "prefill_backlog.hpp"
 #include "prefill_rate.hpp"
 #include "prompt_copy.hpp"
+#include "rejection_guard.hpp"
 #include "relay_request.hpp"
 #include "routing_config.hpp"
 #include "worker_adapters.hpp"
@@ -32,9 +33,6 @@
 namespace mulberry
 {
 
-/// Identifies a request within a process.
-using ticket_id = number_id<struct ticket_tag>;
-
 /// A request that waits for a worker.
 struct work_item
 {
@@ -322,6 +320,24 @@
     {
         notices_.clear_limit_reached(worker);
     }
+    /// Sets the VMs that send requests to workers, this VM included.
+    void set_vms(std::vector<vm_id> vms)
+    {
+        rejections_.set_vms(std::move(vms));
+    }
+    /// Handles what an answer states of the rejections that the worker
+    /// tolerates; see rejection_guard::on_answer().
+    bool on_tolerance(worker_id const& worker,
+                      std::optional<std::uint32_t> tolerated,
+                      time_point sent_at, time_point now)
+    {
+        return rejections_.on_answer(worker, tolerated, sent_at, now);
+    }
+    /// A brittle worker rejected a request of another VM.
+    void on_rejection_notice(rejection_notice const& notice, time_point now);
+    /// Rejections to be told to other VMs, with these VMs.
+    std::vector<std::pair<rejection_notice, std::vector<vm_id>>>
+    take_rejection_notices();
     /// Calls to workers take another way from now on: what was believed of
     /// workers that could not be reached does not hold any more.
     void on_path_changed(time_point now);
@@ -432,6 +448,8 @@
         bool begun = false;
         /// Another VM sent the request, with a grant of this VM.
         bool by_peer = false;
+        /// The owner of the worker granted the request.
+        bool granted = false;
         /// The worker's incarnation that the request was sent to.
         worker_start started;
         std::uint32_t prompt_tokens = 0;
@@ -474,6 +492,9 @@
     /// Makes requests stop waiting for loads at the worker.
     void clear_load_waits(worker_id const& worker);
     /// Records that this VM sends a request to the worker now.
+    /// Tells `rejections_` how a request ended.
+    void record_room(sent_item const& sent, ticket_id ticket,
+                     send_outcome outcome, time_point now);
     void record_send(worker_state& worker, work_item const& item,
                      sent_item sent, time_point now);
     /// Maximum number of requests that this VM may have at the worker.
@@ -531,6 +552,7 @@
     bool is_failure_outlier(worker_state const& worker, time_point now) const;
     double batch_utilization(worker_state const& worker) const;
     std::size_t outstanding_requests(worker_state const& worker) const;
+    worker_room room_of(worker_state const& worker) const;
     bool has_usable_copy(worker_state const& worker, model_target const& target,
                          time_point now) const;
     adapter_version newest_version(model_target const& target) const;
@@ -679,6 +701,7 @@
     std::map<worker_id, unanswered_orders> unlisted_orders_;
     std::map<vm_id, worker_health> peers_;
     worker_notices notices_;
+    rejection_guard rejections_;
     adapter_version_history version_history_;
     std::map<base_model_id, weights_version> declared_weights_;
     registry_timestamps known_as_of_;
--- a/tests/peer_grant_request_test.cpp
+++ b/tests/peer_grant_request_test.cpp
@@ -43,6 +43,7 @@
                              now - 60ms,
                              now - 20ms}};
     call.asked_parts = {request_digest("part-2"), request_digest("part-3")};
+    call.rejections = {{worker_id("w5"), 4, true}};
     auto const sent = [&](peer_call const& each) {
         return decode_peer_call(body_of(encode_peer_call(each, "vm", now)),
                                 now);
@@ -71,13 +72,26 @@
 
 TEST_CASE("malformed peer calls and replies are rejected", "[peer_ask]")
 {
-    for (char const* text :
-         {"", "[]", "{\"worker\":\"w\"}", "{\"done\":1}", "{\"done\":[1]}",
-          "{\"done\":[[1]]}", "{\"done\":[[-1,0]]}", "{\"done\":[[1,99]]}",
-          "{\"crashes\":1}", "{\"crashes\":[[\"d\",\"w\",1,-1,0]]}",
-          "{\"crashes\":[[\"d\"]]}", "{\"cleared\":[[\"d\"]]}",
-          "{\"answered\":[1]}", "{\"confirmed\":[1]}", "{\"asked\":{}}",
-          "nonsense"})
+    for (char const* text : {"",
+                             "[]",
+                             "{\"worker\":\"w\"}",
+                             "{\"done\":1}",
+                             "{\"done\":[1]}",
+                             "{\"done\":[[1]]}",
+                             "{\"done\":[[-1,0]]}",
+                             "{\"done\":[[1,99]]}",
+                             "{\"crashes\":1}",
+                             "{\"crashes\":[[\"d\",\"w\",1,-1,0]]}",
+                             "{\"crashes\":[[\"d\"]]}",
+                             "{\"cleared\":[[\"d\"]]}",
+                             "{\"rejected\":1}",
+                             "{\"rejected\":[[\"w\"]]}",
+                             "{\"rejected\":[[\"w\",-1,true]]}",
+                             "{\"rejected\":[[\"w\",1,0]]}",
+                             "{\"answered\":[1]}",
+                             "{\"confirmed\":[1]}",
+                             "{\"asked\":{}}",
+                             "nonsense"})
         CHECK_FALSE(decode_peer_call(text, time_point()));
     for (char const* text :
          {"", "{}", "{\"granted\":1}", "{\"granted\":true}",
--- a/tests/registry_watch_test.cpp
+++ b/tests/registry_watch_test.cpp
@@ -78,6 +78,10 @@
     {
         throw unused;
     }
+    tolerance_statement decode_tolerance(http_headers const&) const override
+    {
+        return {};
+    }
     limit_statement decode_limit(http_headers const&) const override
     {
         throw unused;
--- a/tests/relay_callers.hpp
+++ b/tests/relay_callers.hpp
@@ -39,6 +39,10 @@
     {
         return {};
     }
+    tolerance_statement decode_tolerance(http_headers const&) const override
+    {
+        return {};
+    }
     limit_statement decode_limit(http_headers const&) const override
     {
         return {};
