Record the newest version of each adapter that any VM read

Cause: a write of 7 without an answer is carried out after 8. VMs that run keep to the newest they know; VMs that start know the operator's row only.

Ruled out by reading: stale rows of another VM (a VM that starts knows no other, and reads the store).

Change: the newest version is kept in a row of the product's own, one for each adapter, written once a version, under the condition that the row is as it was read; VMs read these rows before they are ready. A number that is more than a million ahead is forgotten when it is corrected. VMs log it when the operator's row went back.

--- a/src/adapter_version_history.cpp
+++ b/src/adapter_version_history.cpp
@@ -9,9 +9,17 @@
 
 /// Maximum number of versions stored for one adapter.
 constexpr std::size_t max_versions = 16;
+/// Operators count up by a few at a time.
+constexpr std::uint64_t max_version_lead = 1'000'000;
 
 } // namespace
 
+bool is_far_ahead(adapter_version version, adapter_version other)
+{
+    return version > other &&
+           version.value() - other.value() > max_version_lead;
+}
+
 adapter_version_history::history const*
 adapter_version_history::find(model_target const& target) const
 {
@@ -23,6 +31,8 @@
                                       declared_version const& declared)
 {
     history& known = declared_[target];
+    std::erase_if(known, [&declared](auto const& each)
+                  { return is_far_ahead(each.version, declared.version); });
     if (!known.empty() && declared.version <= known.back().version)
         return false;
     drop_expired(known, declared.learned_at);
--- a/src/adapter_version_history.hpp
+++ b/src/adapter_version_history.hpp
@@ -24,6 +24,10 @@
                            declared_version const&) = default;
 };
 
+/// Whether `version` exceeds `other` by more than versions do that are declared
+/// one after the other: one of them is a wrong number.
+bool is_far_ahead(adapter_version version, adapter_version other);
+
 /// Each version sets its own deadline for all older versions. Failure: with a
 /// single deadline for each adapter, every further version extends the time for
 /// copies that were replaced long ago.
@@ -33,7 +37,8 @@
 {
 public:
     /// Records a declared version. Returns false if it is not newer than the
-    /// newest known version. The history is bounded: when it is full, a further
+    /// newest known version, unless that is a wrong number (is_far_ahead()),
+    /// which is forgotten. The history is bounded: when it is full, a further
     /// version replaces the newest one and takes over its earlier deadline.
     bool declare(model_target const& target, declared_version const& declared);
     /// The newest declared version; 0 if none was declared.
--- a/src/registry_watch.cpp
+++ b/src/registry_watch.cpp
@@ -40,12 +40,15 @@
 void registry_watch::on_declaration(stored_row const& row, time_point now)
 {
     if (row.deleted)
-        return;
+        return on_declaration_deleted(row.key);
     std::string fault;
     if (row.kind == row_kind::adapter_release)
     {
         if (auto const release = codec_.decode_release(row.value, fault))
+        {
+            declared_[row.key] = release->target;
             return listener_.on_release(*release);
+        }
     }
     else if (auto config = codec_.decode_config(row.value, fault))
     {
@@ -60,6 +63,13 @@
     on_malformed_row("malformed declaration", row, fault, now);
 }
 
+void registry_watch::on_declaration_deleted(std::string const& key)
+{
+    auto const declared = declared_.extract(key);
+    if (!declared.empty() && listener_.on_withdrawn)
+        listener_.on_withdrawn(declared.mapped());
+}
+
 /// Failure: during a store outage the entries of live workers lapse. On the
 /// store's return every worker looks gone for the seconds until it has written
 /// its entry again, and requests are refused. So entries that are missing then
--- a/src/registry_watch.hpp
+++ b/src/registry_watch.hpp
@@ -23,6 +23,8 @@
 {
     std::function<void(std::shared_ptr<routing_config const>)> on_config;
     std::function<void(adapter_release const&)> on_release;
+    /// The declaration of the adapter's version was deleted.
+    std::function<void(model_target const&)> on_withdrawn;
     std::function<void(std::vector<backend_entry>)> on_backends;
 };
 
@@ -67,6 +69,7 @@
     void on_worker_deleted(std::string const& key, time_point now,
                            time_point trusted_at);
     void on_declaration(stored_row const& row, time_point now);
+    void on_declaration_deleted(std::string const& key);
     void publish_workers(time_point now);
 
     relay_codec const& codec_;
@@ -74,6 +77,8 @@
     registry_listener listener_;
     std::map<std::string, listed_worker> listed_;
     config_version config_version_;
+    /// What the rows declare versions of.
+    std::map<std::string, model_target> declared_;
     bool workers_changed_ = false;
     /// The last malformed version of each row, so that each version is logged
     /// once however often it is read.
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -10,6 +10,8 @@
 #include "relay.hpp"
 #include "row_mirror.hpp"
 #include "store_meter.hpp"
+#include "version_records.hpp"
+#include "vm_rank.hpp"
 #include "vm_row.hpp"
 #include "worker_row_projection.hpp"
 
@@ -186,6 +188,11 @@
     void write_rows(table_transaction const& transaction,
                     std::function<void(bool)> const& done);
     void on_rows(row_set set, std::vector<stored_row> const& rows);
+    void on_declared(adapter_release const& release);
+    void on_version_records(std::vector<stored_row> const& rows);
+    /// Passes on versions that are newly in force, and records them.
+    void update_versions();
+    void set_members(std::vector<member_view> members);
     void update_ownership_workers();
     void start_ownership();
     void print_addresses() const;
@@ -198,8 +205,10 @@
     asio::io_context io_{1};
     asio::signal_set signals_;
     asio::steady_timer stop_timer_;
+    asio::steady_timer versions_timer_;
     event_log log_;
     relay relay_;
+    version_records versions_;
     registry_watch registry_;
     row_mirror mirror_;
     std::optional<ownership_runner> ownership_;
@@ -255,6 +264,7 @@
     : settings_(value), codec_(codec), store_(store),
       reload_settings_(reload_settings), seed_(random_seed()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), stop_timer_(io_),
+      versions_timer_(io_),
       log_("relay", value.log_lines_per_second,
            [](log_level level, std::string_view part, std::string_view event,
               std::string const& fields)
@@ -290,7 +300,9 @@
                      update_ownership_workers();
                  },
                  [this](adapter_release const& release)
-                 { relay_.on_release(release); },
+                 { on_declared(release); },
+                 [this](model_target const& target)
+                 { versions_.on_withdrawn(target, boot_clock::now()); },
                  [this](std::vector<backend_entry> entries)
                  {
                      backends_ = std::move(entries);
@@ -344,11 +356,77 @@
         if (!std::exchange(own_rows_read_, true) && !known_before)
             relay_.set_first_process();
         relay_.on_own_rows(rows);
+        on_version_records(rows);
     }
     time_point const now = boot_clock::now();
     bool const store_lost = mirror_.is_store_lost();
     registry_.on_rows(set, rows, now,
                       (store_lost ? now : mirror_.returned_at()) + lapse_grace);
+    update_versions();
+}
+
+void relay_process::on_declared(adapter_release const& release)
+{
+    time_point const now = boot_clock::now();
+    if (release.version < versions_.declared(release.target))
+        log_.notable(
+            "adapter version went back",
+            log_fields()
+                .add("model", release.target.model.str())
+                .add("adapter", release.target.adapter.str())
+                .add("version", release.version.value())
+                .add("newest", versions_.newest(release.target).value()),
+            now);
+    versions_.on_declared(release, now);
+}
+
+void relay_process::on_version_records(std::vector<stored_row> const& rows)
+{
+    time_point const now = boot_clock::now();
+    for (stored_row const& row : rows)
+        if (!versions_.on_row(row, now))
+            log_.notable("malformed version record",
+                         log_fields().add("key", row.key), now);
+}
+
+void relay_process::update_versions()
+{
+    for (adapter_release const& release : versions_.take_changes())
+        relay_.on_release(release);
+    // Before both sets are read, a version may seem unrecorded.
+    if (!mirror_.has_read(row_set::own))
+        return;
+    if (auto const transaction = versions_.take_write(boot_clock::now()))
+        write_rows(*transaction,
+                   [this](bool)
+                   {
+                       versions_.on_written();
+                       update_versions();
+                   });
+    time_point const due = versions_.next_due();
+    if (due == never)
+        return;
+    versions_timer_.expires_after(due - boot_clock::now());
+    versions_timer_.async_wait(
+        [this](asio::error_code const& cancelled)
+        {
+            if (!cancelled)
+                update_versions();
+        });
+}
+
+/// The VM with the most processor capacity records versions first.
+void relay_process::set_members(std::vector<member_view> members)
+{
+    std::vector<ranked_vm> live;
+    for (member_view const& member : members)
+        if (member.state == member_state::live)
+            live.push_back({member.vm, member.millicores});
+    std::vector<vm_id> const ranked = by_rank(std::move(live));
+    auto const own = std::find(ranked.begin(), ranked.end(), settings_.vm);
+    versions_.set_rank(static_cast<std::size_t>(own - ranked.begin()));
+    mirror_.set_members(members);
+    relay_.set_members(std::move(members), ownership_->registered());
 }
 
 void relay_process::update_ownership_workers()
@@ -371,7 +449,7 @@
 bool relay_process::ready() const
 {
     return !stopping_ && relay_.has_config() && registry_known() &&
-           relay_.can_reach_workers();
+           mirror_.has_read(row_set::own) && relay_.can_reach_workers();
 }
 
 void relay_process::answer_readiness(http_request const& request,
@@ -500,11 +578,7 @@
         ownership_listener{[this](std::map<worker_id, owned_worker> grants)
                            { relay_.set_owned_workers(std::move(grants)); },
                            [this](std::vector<member_view> members)
-                           {
-                               mirror_.set_members(members);
-                               relay_.set_members(std::move(members),
-                                                  ownership_->registered());
-                           },
+                           { set_members(std::move(members)); },
                            [this](std::map<worker_id, vm_id> owners)
                            { relay_.set_owners(std::move(owners)); }});
     ownership_->start();
--- a/tests/registry_watch_test.cpp
+++ b/tests/registry_watch_test.cpp
@@ -124,6 +124,7 @@
                          std::string const&) { lines.emplace_back(event); }};
     std::vector<std::uint64_t> configs;
     std::vector<adapter_release> releases;
+    std::vector<model_target> withdrawn;
     std::optional<std::vector<backend_entry>> workers;
     registry_watch registry{
         codec,
@@ -132,6 +133,7 @@
          { configs.push_back(config->version.value()); },
          [this](adapter_release const& release)
          { releases.push_back(release); },
+         [this](model_target const& target) { withdrawn.push_back(target); },
          [this](std::vector<backend_entry> entries)
          { workers = std::move(entries); }}};
     std::uint64_t version = 0;
@@ -165,6 +167,20 @@
     CHECK(world.releases.size() == 1);
 }
 
+TEST_CASE("a deleted declaration of a version is published", "[registry_watch]")
+{
+    registry_fixture world;
+    stored_row row{row_kind::adapter_release, "version/m.a", row_version(1),
+                   "2"};
+    world.registry.on_rows(row_set::declarations, {row}, start, start);
+    CHECK(world.withdrawn.empty());
+    row.deleted = true;
+    for (int times = 0; times < 2; ++times)
+        world.registry.on_rows(row_set::declarations, {row}, start, start);
+    CHECK(world.withdrawn ==
+          std::vector<model_target>{{base_model_id("m"), adapter_id("a")}});
+}
+
 TEST_CASE("a worker entry is published when it changes", "[registry_watch]")
 {
     registry_fixture world;
