--- a/src/rejection_guard.cpp
+++ b/src/rejection_guard.cpp
@@ -276,8 +276,10 @@
             grow_cap(worker, known, now);
     std::erase_if(statements_, [now](auto const& each)
                   { return now >= each.second.heard_at + statement_memory; });
-    std::erase_if(rooms_, [&](auto const& each)
-                  { return !tolerated_by(each.first, now); });
+    auto const is_sound = [&](auto const& each)
+    { return !tolerated_by(each.first, now); };
+    std::erase_if(rooms_, is_sound);
+    std::erase_if(rankings_, is_sound);
 }
 
 } // namespace mulberry
