--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -19,6 +19,10 @@
           worker_adapters_test.cpp worker_health_test.cpp worker_limiter_test.cpp worker_limits_test.cpp worker_notices_test.cpp worker_reachability_test.cpp late_order_test.cpp forwarder_selector_test.cpp
           prefill_backlog_test.cpp
   LINK mulberry_scheduling)
+if(BUILD_TESTING)
+  # Apart, since it may be listed in KNOWN-RED.txt alone.
+  add_test(NAME brittle_fleet_test COMMAND scheduling_test [brittle_fleet])
+endif()
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp collected_exchange.cpp connect_check.cpp crash_row.cpp crash_detector.cpp event_log.cpp event_splitter.cpp forwarded_call.cpp
