Delete rows of crashes soon after the request was answered

Cause: rows of a request's crashes stayed after a worker had answered it, when the answer came at a VM that was not told of the crash or during the write; VMs that start again read them, and refuse a request that all others see answered.

Ruled out: shorter retention of all crashes, which would forget deadly requests.

Change: an answer deletes the rows that it clears, first at a VM that saw the crash or the answer, at the others a second later; VMs that counted crashes are told of answers to requests that were cleared before.

--- a/src/crash_record.cpp
+++ b/src/crash_record.cpp
@@ -178,6 +178,13 @@
     return known != suspects_.end() && !known->second.crashes.empty();
 }
 
+bool crash_record::was_cleared(request_digest const& request) const
+{
+    auto const known = suspects_.find(request);
+    return known != suspects_.end() &&
+           known->second.cleared_at != time_point::min();
+}
+
 std::vector<time_point>
 crash_record::counted_crash_times(request_digest const& request,
                                   suspect const& of, time_point now) const
--- a/src/crash_record.hpp
+++ b/src/crash_record.hpp
@@ -107,6 +107,9 @@
     bool empty() const { return suspects_.empty(); }
     /// Whether any crash counts against the request.
     bool is_suspect(request_digest const& request) const;
+    /// Whether an answer has cleared crashes of the request within the
+    /// retention time.
+    bool was_cleared(request_digest const& request) const;
     /// Number of crashes that count against the request; crashes that may have
     /// a common cause count once.
     std::size_t crashes(request_digest const& request, time_point now) const;
--- a/src/crash_replicator.cpp
+++ b/src/crash_replicator.cpp
@@ -19,7 +19,7 @@
 /// deletes each: rows of expired crashes, and rows of crashes that an answer
 /// cleared.
 constexpr std::chrono::seconds expired_row_delete_delay{60};
-constexpr std::chrono::seconds cleared_row_delete_delay{5};
+constexpr std::chrono::seconds cleared_row_delete_delay{1};
 /// Delay before a VM writes an observation that it only received. By then the
 /// VM that made the observation has normally written it and the others have
 /// read the row.
@@ -61,12 +61,32 @@
 
 /// The crash's time as known here tells which crashes the answer followed: the
 /// times of messages are later by the time of their transport.
-void crash_replicator::on_cleared(crash_observation const& last)
+void crash_replicator::on_cleared(crash_observation const& last, time_point now)
 {
     auto const known = record_.find(last.request, last.crashed);
-    record_.clear(last.request, known ? known->at : last.at);
-    if (!record_.is_suspect(last.request))
-        discard_pending(last.request);
+    clear(last.request, known ? known->at : last.at, now);
+}
+
+void crash_replicator::clear(request_digest const& request, time_point at,
+                             time_point now)
+{
+    bool const seen_here = observed_here_.count(request) > 0;
+    record_.clear(request, at);
+    if (!record_.is_suspect(request))
+        discard_pending(request);
+    for (auto row = stored_rows_.lower_bound({request, {}});
+         row != stored_rows_.end() && row->first.request == request; ++row)
+        if (!record_.find(request, row->first.crashed))
+            drop_row_at(row->second, seen_here
+                                         ? now
+                                         : now + jitter_.equal_jitter(
+                                                     cleared_row_delete_delay));
+}
+
+void crash_replicator::drop_row_at(time_point& drop_at, time_point at)
+{
+    drop_at = std::min(drop_at, at);
+    next_drop_at_ = std::min(next_drop_at_, drop_at);
 }
 
 bool crash_replicator::is_published(request_digest const& request) const
@@ -161,14 +181,15 @@
 {
     if (!record_.is_suspect(request))
         return;
-    bool const known_to_others = is_published(request);
+    // Other VMs may have counted crashes whose answers they are not told of.
+    bool const known_to_others =
+        is_published(request) ||
+        (!is_part(request) && record_.was_cleared(request));
     if (!known_to_others)
         keep_answer(record_.observations(request).back());
-    record_.clear(request, now);
-    discard_pending(request);
-    for (auto row = stored_rows_.lower_bound({request, {}});
-         row != stored_rows_.end() && row->first.request == request; ++row)
-        row->second = now;
+    // The VM that has the answer deletes the rows.
+    observed_here_.insert(request);
+    clear(request, now, now);
     if (!known_to_others)
         return;
     outbox_.answered.push_back(request);
@@ -189,12 +210,9 @@
         if (is_part(each.request))
             review_part(each.request, now);
     for (request_digest const& each : update.answered)
-    {
-        record_.clear(each, now);
-        discard_pending(each);
-    }
+        clear(each, now, now);
     for (crash_observation const& each : update.cleared)
-        on_cleared(each);
+        on_cleared(each, now);
 }
 
 void crash_replicator::on_update_sent(crash_update const& update, bool by_all,
@@ -220,10 +238,10 @@
         record_.confirm(seen.request);
     expire_at_ = std::min(expire_at_, now + expire_interval);
     bool const counts = record_.find(seen.request, seen.crashed).has_value();
-    stored_rows_[key] =
-        counts ? seen.at + record_.retention_of(seen.request) +
-                     jitter_.equal_jitter(expired_row_delete_delay)
-               : now + jitter_.equal_jitter(cleared_row_delete_delay);
+    drop_row_at(stored_rows_.emplace(key, never).first->second,
+                counts ? seen.at + record_.retention_of(seen.request) +
+                             jitter_.equal_jitter(expired_row_delete_delay)
+                       : now + jitter_.equal_jitter(cleared_row_delete_delay));
 }
 
 void crash_replicator::on_row_deleted(crash_key const& key)
@@ -245,11 +263,11 @@
         crash_key const key{each.request, each.crashed};
         pending_rows_.erase(key);
         // A worker may have answered the request during the write.
-        stored_rows_[key] =
-            record_.find(each.request, each.crashed)
-                ? each.at + record_.retention_of(each.request) +
-                      jitter_.equal_jitter(expired_row_delete_delay)
-                : now;
+        drop_row_at(stored_rows_.emplace(key, never).first->second,
+                    record_.find(each.request, each.crashed)
+                        ? each.at + record_.retention_of(each.request) +
+                              jitter_.equal_jitter(expired_row_delete_delay)
+                        : now);
     }
     for (crash_key const& each : current_write_.drop)
         stored_rows_.erase(each);
@@ -268,6 +286,16 @@
     return made;
 }
 
+/// Rows that are due and remain, beyond the size of a transaction or since it
+/// fails, are due again.
+time_point crash_replicator::next_drop_after(time_point now) const
+{
+    time_point next = never;
+    for (auto const& [key, drop_at] : stored_rows_)
+        next = std::min(next, std::max(drop_at, now + duration(write_retry)));
+    return next;
+}
+
 std::vector<crash_action> crash_replicator::run(time_point now)
 {
     std::vector<crash_action> actions;
@@ -298,6 +326,8 @@
         pending_rows_, [this](auto const& each)
         { return !record_.find(each.first.request, each.first.crashed); });
     current_write_ = due_changes(now);
+    if (now >= next_drop_at_)
+        next_drop_at_ = next_drop_after(now);
     write_in_progress_ =
         !current_write_.put.empty() || !current_write_.drop.empty();
     if (write_in_progress_)
@@ -310,6 +340,8 @@
     time_point next = std::min(send_at_, expire_at_);
     if (write_in_progress_)
         return next;
+    if (next_drop_at_ != never)
+        next = std::min(next, std::max(next_drop_at_, write_at_));
     for (auto const& [key, write_at] : pending_rows_)
         next = std::min(next, std::max(write_at, write_at_));
     return next;
--- a/src/crash_replicator.hpp
+++ b/src/crash_replicator.hpp
@@ -139,7 +139,14 @@
     void keep_answer(crash_observation const& last);
     /// Tells the other VMs of an answer that preceded a further crash.
     void send_kept_answer(request_digest const& request, time_point now);
-    void on_cleared(crash_observation const& last);
+    void on_cleared(crash_observation const& last, time_point now);
+    /// Ends the suspicion by crashes up to `at` and schedules the deletion of
+    /// their rows: at once if this VM saw one of the crashes or the answer,
+    /// otherwise later, if they are still there.
+    void clear(request_digest const& request, time_point at, time_point now);
+    /// Schedules the deletion of a row, or makes it earlier.
+    void drop_row_at(time_point& drop_at, time_point at);
+    time_point next_drop_after(time_point now) const;
     /// Whether other VMs and the store know of the request's crashes.
     bool is_published(request_digest const& request) const;
     /// Asks the other VMs about the part if it may have to be quarantined.
@@ -171,6 +178,8 @@
     std::map<crash_key, time_point> pending_rows_;
     /// Rows in the store, each with the time at which this VM deletes it.
     std::map<crash_key, time_point> stored_rows_;
+    /// Not after the first deletion of a row.
+    time_point next_drop_at_ = never;
     /// The transaction in progress, if `write_in_progress_`.
     write_crash_rows current_write_;
     bool write_in_progress_ = false;
--- a/tests/crash_replicator_test.cpp
+++ b/tests/crash_replicator_test.cpp
@@ -265,6 +265,28 @@
     CHECK(world.rows() == 0);
 }
 
+// Guards against rows that outlive the answers after their crashes: VMs that
+// start again would refuse requests that other VMs see answered all the time.
+TEST_CASE("rows of requests that were answered are gone soon", "[crash_keeper]")
+{
+    auto const until_answer = GENERATE(5ms, 20ms, 60ms, 150ms);
+    CAPTURE(until_answer.count());
+    crash_world world(2);
+    for (int number = 0; number < 3; ++number)
+    {
+        world.crash(0, number, {"read"});
+        world.pass(until_answer);
+        world.answer(1, "read");
+        world.pass(200ms);
+    }
+    world.pass(detection_bound);
+    // An answer at a VM that knows of no crash yet clears none.
+    CHECK(world.rows() < crash_limits().crashes);
+    for (std::size_t vm = 0; vm < 2; ++vm)
+        world.restart(vm);
+    CHECK_FALSE(world.is_refused_by_any("read"));
+}
+
 TEST_CASE("requests that are in progress at no crash cause no messages",
           "[crash_keeper]")
 {
--- a/tests/crash_world.cpp
+++ b/tests/crash_world.cpp
@@ -222,16 +222,23 @@
     if (!reaches_store(vm))
         return;
     std::set<crash_key> present;
+    bool changed = false;
     for (auto const& [key, seen] : rows_)
     {
         present.insert(key);
+        changed |= seen_rows_[vm].count(key) == 0;
         vms_[vm]->on_row(seen, now_);
     }
     for (crash_key const& each : seen_rows_[vm])
         if (present.count(each) == 0)
+        {
             vms_[vm]->on_row_deleted(each);
+            changed = true;
+        }
     seen_rows_[vm] = std::move(present);
-    run(vm);
+    // A VM is told of changes only, and does nothing without one.
+    if (changed)
+        run(vm);
 }
 
 } // namespace mulberry_test
