Bound the wait for units of an allotment by the routes' objectives

Cause: a team that asks for several times its allotment keeps a standing queue at each VM: the head asks its pool until its 600 ms are over, all behind it wait as long, and are refused as if no pool had answered.

Ruled out: refusal by the pool alone, which knows no queue of a VM; longer waits for routes with longer objectives, which would reserve all units.

--- a/bench/allotment_fleet.cpp
+++ b/bench/allotment_fleet.cpp
@@ -102,6 +102,7 @@
         std::size_t team = 0;
         double units = 0;
         bool owed = false;
+        time_point asked_at{};
     };
     std::map<ticket_id, pending> pending_requests;
 };
@@ -228,6 +229,7 @@
     started.up = true;
     ++started.life;
     started.keeper = make_keeper(vm);
+    started.keeper->refuse_early(plan_.early_wait);
     std::map<allotment_id, allotment> limits;
     for (auto const& team : teams_)
         limits.emplace(team->name, team->limit);
@@ -393,8 +395,8 @@
     if (owed && in_trouble)
         of.owed_in_trouble += units;
     ticket_id const ticket(++last_ticket_);
-    at.pending_requests[ticket] = {team, units, owed};
-    at.keeper->request(ticket, of.name, units, queue_.now() + seconds(5),
+    at.pending_requests[ticket] = {team, units, owed, queue_.now()};
+    at.keeper->request({ticket, of.name, units, queue_.now() + seconds(5)},
                        queue_.now());
     act(vm);
 }
@@ -414,6 +416,9 @@
         if (found == acting.pending_requests.end())
             continue;
         fleet_team& of = *teams_.at(found->second.team);
+        if (queue_.now() >= time_point(warm_up))
+            longest_wait_ =
+                std::max(longest_wait_, queue_.now() - found->second.asked_at);
         if (!settled.refused)
             of.used.push_back({queue_.now(), found->second.units});
         else if (found->second.owed)
@@ -567,6 +572,7 @@
         owed_in_trouble += team->owed_in_trouble;
         refused_in_trouble += team->refused_in_trouble;
     }
+    result.longest_wait = longest_wait_;
     result.refused_below = owed > 0 ? refused / owed : 0;
     result.refused_in_trouble =
         owed_in_trouble > 0 ? refused_in_trouble / owed_in_trouble : 0;
--- a/bench/allotment_fleet.hpp
+++ b/bench/allotment_fleet.hpp
@@ -71,6 +71,8 @@
     duration length = std::chrono::seconds(40);
     allotment_trouble trouble = allotment_trouble::none;
     std::uint64_t seed = 1;
+    /// Passed to allotment_limiter::refuse_early().
+    std::optional<duration> early_wait;
     /// Set: `teams` is the number of workers, and the use, the allotment, the
     /// window and the overshoot above do not count.
     std::optional<limit_plan> limits;
@@ -93,6 +95,8 @@
     /// What the team that asks for more got, as a share of what that bucket
     /// would have let pass.
     double hot_used = 0;
+    /// The longest that a request waited for a decision after the warm-up.
+    duration longest_wait{};
     /// The least that a team used after the warm-up, as a share of what its
     /// rate allows.
     double least_used = 0;
@@ -157,6 +161,7 @@
     std::vector<std::size_t> caller_at_;
     std::map<vm_id, std::size_t> numbers_;
     std::uint64_t last_ticket_ = 0;
+    duration longest_wait_{};
     std::uint64_t messages_ = 0;
     std::uint64_t bytes_ = 0;
     time_point trouble_at_ = never;
--- a/bench/counter_allotment.cpp
+++ b/bench/counter_allotment.cpp
@@ -56,10 +56,9 @@
     state.as_of = now;
 }
 
-void counter_allotment::request(ticket_id ticket, allotment_id const& team,
-                                double units, time_point /*give_up_at*/,
-                                time_point now)
+void counter_allotment::request(unit_request const& asked, time_point now)
 {
+    auto const& [ticket, team, units, give_up_at, objective_at] = asked;
     auto const found = teams_.find(team);
     if (found == teams_.end())
     {
--- a/src/allotment_limiter.hpp
+++ b/src/allotment_limiter.hpp
@@ -99,6 +99,20 @@
 
 using allotment_reply = std::vector<allotted_units>;
 
+/// A request that needs units of a team. Value.
+struct unit_request
+{
+    ticket_id ticket;
+    allotment_id team;
+    double units = 0;
+    /// When the caller gives up.
+    time_point give_up_at{};
+    /// A later answer has little worth to the caller; `never` if unknown. It is
+    /// past for a caller that was refused before and has returned.
+    time_point objective_at = never;
+    friend bool operator==(unit_request const&, unit_request const&) = default;
+};
+
 /// Send `query` to the pool of another VM or of this one and pass the reply to
 /// on_reply().
 struct query_pool
@@ -119,6 +133,21 @@
     time_point available_at = never;
 };
 
+/// Counters since the start of the process. Value.
+struct allotment_counts
+{
+    /// Refused on arrival, since units were not expected in time.
+    std::uint64_t refused_early = 0;
+    /// Refused after a pool refused the units.
+    std::uint64_t refused_by_pool = 0;
+    /// Refused since no pool had answered in time.
+    std::uint64_t unanswered = 0;
+    /// Queries to a second pool while the first was silent.
+    std::uint64_t second_queries = 0;
+    friend bool operator==(allotment_counts const&,
+                           allotment_counts const&) = default;
+};
+
 using allotment_action = std::variant<query_pool, allotment_decision>;
 
 /// Implementations that never let requests wait and never query pools need not
@@ -134,13 +163,15 @@
     virtual void set_allotments(std::map<allotment_id, allotment> const& teams,
                                 time_point now) = 0;
     virtual void set_members(allotment_members members, time_point now) = 0;
-    /// Requests a decision on a request that costs `units`. run() returns
-    /// exactly one allotment_decision for the ticket, at `give_up_at` at the
-    /// latest, unless the request is withdrawn. Precondition: the ticket is
-    /// new.
-    virtual void request(ticket_id ticket, allotment_id const& team,
-                         double units, time_point give_up_at,
-                         time_point now) = 0;
+    /// With `max_wait`: requests wait no longer than that for units, and those
+    /// whose units are not expected by then are refused at once. Without:
+    /// requests wait as allotment_terms say.
+    virtual void refuse_early(std::optional<duration> /*max_wait*/) {}
+    virtual allotment_counts counts() const { return {}; }
+    /// Requests a decision. run() returns exactly one allotment_decision for
+    /// the ticket, at `give_up_at` at the latest, unless the request is
+    /// withdrawn. Precondition: the ticket is new.
+    virtual void request(unit_request const& asked, time_point now) = 0;
     /// The request is cancelled; no decision follows.
     virtual void withdraw(ticket_id /*ticket*/) {}
     /// Returns the units of a request that was admitted but did not run.
--- a/src/allotment_pool.cpp
+++ b/src/allotment_pool.cpp
@@ -1,6 +1,7 @@
 #include "allotment_pool.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace mulberry
 {
@@ -14,6 +15,8 @@
 /// this pool, or delegate them to another one.
 constexpr double min_settled_share = 0.2;
 constexpr std::chrono::milliseconds unsettled_retry{100};
+/// How long a VM that asked for units, and a pool's refusal, count.
+constexpr std::chrono::milliseconds contention_lifetime{500};
 
 duration seconds_for(double units, double per_second)
 {
@@ -52,6 +55,8 @@
             pool.shares[query.from] = {each.share, now + query.delegated_for};
             update_rate(pool, now);
         }
+        if (each.min_units > 0 && even_wait_)
+            record_asker(pool, query.from, now);
         if (each.min_units > 0)
             reply.push_back(allot(pool, each, now));
     }
@@ -89,6 +94,24 @@
     }
 }
 
+void allotment_pool::record_asker(team_pool& pool, vm_id const& vm,
+                                  time_point now)
+{
+    std::erase_if(pool.asked_at, [now](auto const& each)
+                  { return each.second + contention_lifetime <= now; });
+    pool.asked_at[vm] = now;
+}
+
+/// Otherwise the VM that asks first reserves all units that come in within the
+/// wait, and the other VMs are refused.
+double allotment_pool::part_of(team_pool& pool, time_point now) const
+{
+    if (!even_wait_ || now >= pool.short_until)
+        return std::numeric_limits<double>::max();
+    return pool.bucket.max_reservable(max_wait(), now) /
+           double(std::max<std::size_t>(pool.asked_at.size(), 1));
+}
+
 allotted_units allotment_pool::allot(team_pool& pool,
                                      allotment_need const& query,
                                      time_point now) const
@@ -96,8 +119,9 @@
     allotted_units allotted{query.team, 0, {}, {}};
     token_bucket& bucket = pool.bucket;
     double const level = bucket.level(now);
+    double const part = part_of(pool, now);
     double const units =
-        std::max(query.min_units, std::min(query.max_units, level));
+        std::max(query.min_units, std::min({query.max_units, level, part}));
     if (bucket.try_take(units, now))
     {
         allotted.units = units;
@@ -105,10 +129,11 @@
     }
     // Reserves units for all requests that wait at the VM; otherwise each of
     // them would wait for a query of its own.
-    double const ahead = std::max(
-        query.min_units,
-        std::min(query.max_units, bucket.max_reservable(max_wait_, now)));
-    if (auto const wait = bucket.reserve(ahead, max_wait_, now))
+    double const ahead =
+        std::max(query.min_units,
+                 std::min({query.max_units,
+                           bucket.max_reservable(max_wait(), now), part}));
+    if (auto const wait = bucket.reserve(ahead, max_wait(), now))
     {
         allotted.units = ahead;
         allotted.available_in = *wait;
@@ -120,6 +145,7 @@
         allotted.retry_in = unsettled_retry;
         return allotted;
     }
+    pool.short_until = now + duration(contention_lifetime);
     allotted.available_in = std::min<duration>(
         bucket.time_until_available(query.min_units, now), max_retry_delay);
     pool.queue_ends_at = std::max(pool.queue_ends_at, now) +
--- a/src/allotment_pool.hpp
+++ b/src/allotment_pool.hpp
@@ -23,6 +23,13 @@
     {
     }
 
+    /// With `max_wait`: units are given at most that long before they come in,
+    /// and a VM gets no more than an equal part of them while VMs are refused.
+    /// Without: as constructed.
+    void divide_evenly(std::optional<duration> max_wait)
+    {
+        even_wait_ = max_wait;
+    }
     /// Sets the allotments of all teams that have one. A lowered allotment
     /// applies at once, also to units saved up before.
     void set_allotments(std::map<allotment_id, allotment> const& teams,
@@ -48,6 +55,10 @@
         /// When the units are available for all callers that were refused and
         /// are expected to retry.
         time_point queue_ends_at{};
+        /// When each VM last asked for units, and until when the pool counts as
+        /// short of units.
+        std::map<vm_id, time_point> asked_at;
+        time_point short_until{};
     };
 
     /// Fills the bucket up to `now`, and counts each share until its expiry.
@@ -56,9 +67,14 @@
     void update_rate(team_pool& pool, time_point now) const;
     allotted_units allot(team_pool& pool, allotment_need const& query,
                          time_point now) const;
+    static void record_asker(team_pool& pool, vm_id const& vm, time_point now);
+    /// The most that one VM may take now.
+    double part_of(team_pool& pool, time_point now) const;
+    duration max_wait() const { return even_wait_.value_or(max_wait_); }
 
     duration headroom_;
     duration max_wait_;
+    std::optional<duration> even_wait_;
     std::map<allotment_id, team_pool> teams_;
 };
 
--- a/src/equal_share_limiter.cpp
+++ b/src/equal_share_limiter.cpp
@@ -32,21 +32,19 @@
             (limit.burst + limit.per_second * headroom) / double(count_), now);
 }
 
-void equal_share_limiter::request(ticket_id ticket, allotment_id const& team,
-                                  double units, time_point /*give_up_at*/,
-                                  time_point now)
+void equal_share_limiter::request(unit_request const& asked, time_point now)
 {
-    auto const found = buckets_.find(team);
-    if (found == buckets_.end() || found->second.try_take(units, now))
+    auto const found = buckets_.find(asked.team);
+    if (found == buckets_.end() || found->second.try_take(asked.units, now))
     {
-        decisions_.emplace_back(allotment_decision{ticket, std::nullopt});
+        decisions_.emplace_back(allotment_decision{asked.ticket, std::nullopt});
         return;
     }
     decisions_.emplace_back(allotment_decision{
-        ticket,
+        asked.ticket,
         error(error_kind::over_allotment,
               "this VM's share of the team's allotment is used up", ran::no,
-              found->second.time_until_available(units, now))});
+              found->second.time_until_available(asked.units, now))});
 }
 
 void equal_share_limiter::give_back(allotment_id const& team, double units,
--- a/src/equal_share_limiter.hpp
+++ b/src/equal_share_limiter.hpp
@@ -18,8 +18,7 @@
     void set_allotments(std::map<allotment_id, allotment> const& teams,
                         time_point now) override;
     void set_members(allotment_members members, time_point now) override;
-    void request(ticket_id ticket, allotment_id const& team, double units,
-                 time_point give_up_at, time_point now) override;
+    void request(unit_request const& asked, time_point now) override;
     void give_back(allotment_id const& team, double units,
                    time_point now) override;
     std::vector<allotment_action> run(time_point now) override;
--- a/src/pooled_limiter.cpp
+++ b/src/pooled_limiter.cpp
@@ -37,6 +37,14 @@
 constexpr double usable_overshoot_share = 0.75;
 constexpr double saved_overshoot_share = 0.25;
 constexpr milliseconds unknown_retry{500};
+/// A pool answers from memory within a few milliseconds; one that takes this
+/// long may be out of reach.
+constexpr milliseconds max_silence{60};
+/// A pool that answered so recently is in reach: what is not available from it
+/// is used up.
+constexpr milliseconds answer_lifetime{500};
+/// Least time between queries for units that a pool has just refused.
+constexpr milliseconds min_shortage{10};
 
 duration overshoot_span(allotment_terms const& terms, double share)
 {
@@ -102,6 +110,17 @@
             state.review_at = now;
 }
 
+void pooled_limiter::refuse_early(std::optional<duration> max_wait)
+{
+    early_wait_ = max_wait;
+    if (!max_wait)
+        for (auto& [name, state] : teams_)
+            state.second_query_at = never;
+    // A request has waited for its turn and for the pool's reply by the time
+    // that its units are reserved.
+    pool_.divide_evenly(max_wait ? std::optional(*max_wait / 2) : max_wait);
+}
+
 void pooled_limiter::choose_pools()
 {
     pools_ = by_rank(members_.candidates);
@@ -209,20 +228,27 @@
     actions_.emplace_back(query_pool{pool, number, std::move(query)});
 }
 
-void pooled_limiter::request(ticket_id ticket, allotment_id const& team,
-                             double units, time_point give_up_at,
-                             time_point now)
+void pooled_limiter::request(unit_request const& asked, time_point now)
 {
-    auto const found = teams_.find(team);
+    auto const found = teams_.find(asked.team);
     if (found == teams_.end())
     {
-        actions_.emplace_back(allotment_decision{ticket, std::nullopt});
+        actions_.emplace_back(allotment_decision{asked.ticket, std::nullopt});
         return;
     }
-    found->second.waiting.push_back(
-        {ticket, units,
-         std::min<time_point>(give_up_at, now + max_request_wait)});
-    settle_waiting(team, now);
+    team_state& state = found->second;
+    duration const wait = early_wait_.value_or(max_request_wait);
+    state.waiting.push_back({asked.ticket, asked.units,
+                             std::min<time_point>(asked.give_up_at, now + wait),
+                             asked.give_up_at, asked.objective_at});
+    if (is_hopeless(state, now))
+    {
+        ++counts_.refused_early;
+        waiting_request const newest = state.waiting.back();
+        state.waiting.pop_back();
+        return refuse(state, newest, never, now, now);
+    }
+    settle_waiting(asked.team, now);
 }
 
 void pooled_limiter::withdraw(ticket_id ticket)
@@ -296,11 +322,31 @@
                 allotment_decision{first.ticket, std::nullopt});
             state.waiting.pop_front();
         }
-        else if (state.query_open || query_pools(team, state, now))
+        else if (state.open_queries > 0)
+            return schedule_second_query(team, state, now);
+        else if (query_pools(team, state, now))
             return;
     }
 }
 
+bool pooled_limiter::is_hopeless(team_state& state, time_point now) const
+{
+    if (!early_wait_)
+        return false;
+    // While the team is refused units, those that there are go to requests
+    // whose answers can still be in time.
+    if (state.waiting.back().objective_at <= now &&
+        state.forecast.was_short(now))
+        return true;
+    if (state.waiting.size() < 2 || !state.forecast.is_short(now))
+        return false;
+    double ahead = -usable_sum(state, true, now);
+    for (waiting_request const& each : state.waiting)
+        ahead += each.units;
+    auto const expected = state.forecast.available_at(ahead, now);
+    return ahead > 0 && expected && *expected > state.waiting.back().give_up_at;
+}
+
 bool pooled_limiter::exceeds_pool_capacity(allotment_id const& team,
                                            double units) const
 {
@@ -346,6 +392,7 @@
         if (!known_short(state, pool, min_units, now))
         {
             query_pool_for(pool, team, state, min_units, now);
+            schedule_second_query(team, state, now);
             return true;
         }
         available_at = std::min(available_at, state.shortages[pool].until);
@@ -369,36 +416,114 @@
     double sum = -usable_sum(state, true, now);
     for (waiting_request const& each : state.waiting)
         sum += each.units;
-    // Units for less than one request would expire unused.
-    double const beyond = state.use * prefetch_span.count();
-    if (beyond >= state.waiting.front().units)
+    // Units for less than one request would expire unused, and so might units
+    // that other VMs need now.
+    double const beyond = early_wait_ && state.forecast.is_short(now)
+                              ? 0
+                              : state.use * prefetch_span.count();
+    if (beyond > 0 && beyond >= state.waiting.front().units)
         sum += beyond;
-    state.query_open = true;
+    ++state.open_queries;
+    state.second_query_at = never;
     allotment_query query{self_, {}, {}};
     query.teams.push_back({team, 0, min_units, sum});
     send(pool, {pool, now, team, min_units}, std::move(query));
 }
 
+duration pooled_limiter::second_query_delay() const
+{
+    return std::min<duration>(max_silence, *early_wait_ / 2);
+}
+
+void pooled_limiter::schedule_second_query(allotment_id const& team,
+                                           team_state& state, time_point now)
+{
+    if (!early_wait_ || state.open_queries != 1 ||
+        state.second_query_at != never)
+        return;
+    for (auto const& [number, query] : open_queries_)
+        if (query.team == team)
+            state.second_query_at =
+                std::max(now, query.asked_at + second_query_delay());
+}
+
+void pooled_limiter::query_second_pool(allotment_id const& team,
+                                       team_state& state, time_point now)
+{
+    state.second_query_at = never;
+    if (state.open_queries != 1 || state.waiting.empty())
+        return;
+    double const min_units =
+        state.waiting.front().units - usable_sum(state, true, now);
+    if (min_units <= 0 || exceeds_pool_capacity(team, min_units))
+        return;
+    for (vm_id const& pool : pools_to_query(team, state, now))
+    {
+        bool const asked = std::any_of(
+            open_queries_.begin(), open_queries_.end(),
+            [&](auto const& each)
+            { return each.second.pool == pool && each.second.team == team; });
+        if (asked || known_short(state, pool, min_units, now))
+            continue;
+        ++counts_.second_queries;
+        return query_pool_for(pool, team, state, min_units, now);
+    }
+}
+
+/// A caller that cannot be served in time loses little by a later return, and
+/// by then the load may have passed.
+time_point pooled_limiter::return_time(waiting_request const& refused,
+                                       time_point available_at, time_point now)
+{
+    if (available_at < refused.objective_at || refused.objective_at == never ||
+        refused.caller_gives_up_at <= now)
+        return available_at;
+    duration const left = refused.caller_gives_up_at - now;
+    return std::clamp<time_point>(available_at, now + left / 2,
+                                  now + left * 3 / 4);
+}
+
+void pooled_limiter::refuse(team_state& state, waiting_request const& refused,
+                            time_point available_at, time_point retry_at,
+                            time_point now)
+{
+    if (early_wait_ && retry_at != never)
+        retry_at = return_time(refused,
+                               std::max(retry_at, state.forecast.reserve_return(
+                                                      refused.units, now)),
+                               now);
+    actions_.emplace_back(allotment_decision{
+        refused.ticket,
+        retry_at == never ? unknown_allotment("no pool can be asked")
+                          : exceeded_allotment(retry_at - now),
+        available_at});
+}
+
 /// Handles the first waiting request when no pool has enough units: waits for
 /// the units if they are available soon, otherwise refuses the request and
 /// returns false. Later requests may need fewer units.
 bool pooled_limiter::wait_or_refuse(team_state& state, time_point available_at,
                                     time_point retry_at, time_point now)
 {
-    waiting_request const first = state.waiting.front();
-    bool const soon =
-        retry_at <= now + max_unit_wait_ && retry_at < first.give_up_at;
-    if (soon)
+    waiting_request& front = state.waiting.front();
+    time_point const until = early_wait_ ? available_at : retry_at;
+    duration const max_wait = early_wait_.value_or(max_unit_wait_);
+    if (early_wait_ && front.ask_again_at == never)
+        front.ask_again_at = until;
+    bool const final = early_wait_ && now >= front.ask_again_at;
+    if (until <= now + max_wait && until < front.give_up_at && !final)
     {
-        state.review_at = retry_at;
+        state.review_at = until;
         return true;
     }
+    waiting_request const first = front;
     state.waiting.pop_front();
-    actions_.emplace_back(allotment_decision{
-        first.ticket,
-        retry_at == never ? unknown_allotment("no pool can be asked")
-                          : exceeded_allotment(retry_at - now),
-        available_at});
+    if (retry_at != never)
+    {
+        state.forecast.on_short(retry_at, now);
+        ++counts_.refused_by_pool;
+    }
+    refuse(state, first, available_at, retry_at, now);
     return false;
 }
 
@@ -425,7 +550,11 @@
     if (asked == teams_.end())
         return;
     team_state& state = asked->second;
-    state.query_open = false;
+    state.open_queries -= state.open_queries > 0;
+    if (reply && !reply->empty())
+        state.answered_at = now;
+    if (state.open_queries == 0)
+        state.second_query_at = never;
     if (reply && reply->empty())
         // The pool does not know the team, so its configuration differs.
         next_probe_at_[about.pool] = now + duration(unresponsive_retry);
@@ -441,11 +570,18 @@
                 {allotted.units, now + allotted.available_in,
                  about.asked_at + allotted.available_in + unit_lifetime_});
             state.shortages.erase(about.pool);
+            state.forecast.on_units(allotted.units, now);
         }
         else
-            state.shortages[about.pool] = {about.min_units,
-                                           now + allotted.available_in,
-                                           now + allotted.retry_in};
+        {
+            duration const wait = early_wait_.value_or(duration(0));
+            state.shortages[about.pool] = {
+                about.min_units,
+                now + std::max<duration>(allotted.available_in - wait,
+                                         early_wait_ ? min_shortage
+                                                     : milliseconds(0)),
+                now + allotted.retry_in};
+        }
     }
     settle_waiting(about.team, now);
 }
@@ -457,9 +593,20 @@
         auto const over = [now](waiting_request const& each)
         { return each.give_up_at <= now; };
         for (waiting_request const& each : state.waiting)
-            if (over(each))
-                actions_.emplace_back(allotment_decision{
-                    each.ticket, unknown_allotment("the pool did not answer")});
+        {
+            if (!over(each))
+                continue;
+            if (early_wait_ &&
+                now < state.answered_at + duration(answer_lifetime))
+            {
+                ++counts_.refused_by_pool;
+                refuse(state, each, never, now, now);
+                continue;
+            }
+            ++counts_.unanswered;
+            actions_.emplace_back(allotment_decision{
+                each.ticket, unknown_allotment("the pool did not answer")});
+        }
         std::erase_if(state.waiting, over);
     }
 }
@@ -468,13 +615,18 @@
 {
     if (now >= delegate_at_)
         delegate_shares(now);
+    for (auto& [name, state] : teams_)
+        if (now >= state.second_query_at)
+            query_second_pool(name, state, now);
     expire_waiting(now);
     for (auto& [name, state] : teams_)
+    {
         if (now >= state.review_at)
         {
             state.review_at = never;
             settle_waiting(name, now);
         }
+    }
     return std::exchange(actions_, {});
 }
 
@@ -483,7 +635,7 @@
     time_point next = delegate_at_;
     for (auto const& [name, state] : teams_)
     {
-        next = std::min(next, state.review_at);
+        next = std::min({next, state.review_at, state.second_query_at});
         for (waiting_request const& each : state.waiting)
             next = std::min(next, each.give_up_at);
     }
--- a/src/pooled_limiter.hpp
+++ b/src/pooled_limiter.hpp
@@ -6,6 +6,7 @@
 
 #include "allotment_limiter.hpp"
 #include "allotment_pool.hpp"
+#include "unit_forecast.hpp"
 
 #include <array>
 #include <deque>
@@ -36,8 +37,9 @@
     void set_allotments(std::map<allotment_id, allotment> const& teams,
                         time_point now) override;
     void set_members(allotment_members members, time_point now) override;
-    void request(ticket_id ticket, allotment_id const& team, double units,
-                 time_point give_up_at, time_point now) override;
+    void refuse_early(std::optional<duration> max_wait) override;
+    allotment_counts counts() const override { return counts_; }
+    void request(unit_request const& asked, time_point now) override;
     void withdraw(ticket_id ticket) override;
     void give_back(allotment_id const& team, double units,
                    time_point now) override;
@@ -56,7 +58,12 @@
     {
         ticket_id ticket;
         double units = 0;
+        /// When it waits no longer.
         time_point give_up_at{};
+        time_point caller_gives_up_at{};
+        time_point objective_at = never;
+        /// When pools that refused its units are asked once more.
+        time_point ask_again_at = never;
     };
     /// Units of one reply, with the time span in which they may be used.
     struct usable_units
@@ -85,7 +92,13 @@
         std::deque<usable_units> usable;
         std::deque<waiting_request> waiting;
         std::map<vm_id, shortage> shortages;
-        bool query_open = false;
+        /// Pools that were queried for waiting requests and have not answered.
+        std::size_t open_queries = 0;
+        /// When a pool last answered a query for units.
+        time_point answered_at{};
+        /// When another pool is queried unless the first answers before.
+        time_point second_query_at = never;
+        unit_forecast forecast;
         /// When the waiting requests are examined again.
         time_point review_at = never;
         /// Recent use at this VM in units per second, as an exponentially
@@ -139,6 +152,23 @@
     static void schedule_review(team_state& state, time_point now);
     void query_pool_for(vm_id const& pool, allotment_id const& team,
                         team_state& state, double min_units, time_point now);
+    /// How long a pool may be silent before another one is queried.
+    duration second_query_delay() const;
+    /// Schedules the query of another pool if the only open query is late.
+    void schedule_second_query(allotment_id const& team, team_state& state,
+                               time_point now);
+    /// Queries another pool for the waiting requests.
+    void query_second_pool(allotment_id const& team, team_state& state,
+                           time_point now);
+    /// Whether the units of the newest waiting request are expected only after
+    /// its wait is over.
+    bool is_hopeless(team_state& state, time_point now) const;
+    /// When a refused caller should retry. `available_at`: when there may be
+    /// units for it.
+    static time_point return_time(waiting_request const& refused,
+                                  time_point available_at, time_point now);
+    void refuse(team_state& state, waiting_request const& refused,
+                time_point available_at, time_point retry_at, time_point now);
     bool wait_or_refuse(team_state& state, time_point available_at,
                         time_point retry_at, time_point now);
     /// Refuses the waiting requests that have reached their `give_up_at`.
@@ -159,6 +189,9 @@
     /// Units that one pool may be in debt for.
     double const max_debt_per_pool_;
     duration const max_unit_wait_;
+    /// Set by refuse_early().
+    std::optional<duration> early_wait_;
+    allotment_counts counts_;
     allotment_pool pool_;
     allotment_members members_;
     /// When this VM may begin to delegate its shares.
--- a/tests/allotment_fleet_test.cpp
+++ b/tests/allotment_fleet_test.cpp
@@ -54,6 +54,34 @@
     CHECK(pooled.refused_below < equal.refused_below / 5);
 }
 
+// Guards against a standing queue: while a team asks for several times its
+// allotment, each of its requests waits as long as any may before it is
+// admitted or refused.
+TEST_CASE("a team beyond its allotment waits no longer than its bound",
+          "[allotment_fleet]")
+{
+    allotment_plan plan;
+    plan.vms = 58;
+    plan.hot = 5;
+    plan.early_wait = std::chrono::milliseconds(75);
+    // Callers come on after the bound within a turn of the event loop.
+    auto const bound = *plan.early_wait + std::chrono::milliseconds(2);
+    constexpr double min_use = 0.9;
+    for (allotment_trouble const trouble : all_troubles)
+        for (std::uint64_t seed = 1; seed <= 3; ++seed)
+        {
+            plan.trouble = trouble;
+            plan.seed = seed;
+            CAPTURE(to_string(trouble), seed);
+            auto const result =
+                allotment_fleet(plan, allotment_way::pooled).play();
+            CHECK(result.worst_window <= 1 + plan.over);
+            CHECK(result.longest_wait <= bound);
+            if (trouble == allotment_trouble::none)
+                CHECK(result.hot_used >= min_use);
+        }
+}
+
 // Guards against a fleet that sends a worker more than the limit that it named:
 // in each window at most a tenth over rate and burst.
 TEST_CASE("no trouble lets a worker get more than its limit",
