--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -24,6 +24,8 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::size_t read_buffer_bytes = 8UL * 1024;
+/// Workers send one or two; a faulty one may send them without end.
+constexpr int max_interim_answers = 16;
 /// Workers close idle connections after a timeout of their own, which is
 /// unknown without a Keep-Alive header field. So idle connections are kept only
 /// for a short time.
@@ -154,6 +156,7 @@
         value_.clear();
         complete_ = false;
         head_seen_ = false;
+        interim_answers_ = 0;
     }
 
     void on_connected(asio::error_code const& refused)
@@ -369,7 +372,7 @@
         if (!self.head_seen_)
         {
             self.headers_ = {};
-            return 0;
+            return ++self.interim_answers_ > max_interim_answers ? 1 : 0;
         }
         self.complete_ = true;
         http_parser_pause(parser, 1);
@@ -394,6 +397,7 @@
     bool sent_ = false;
     bool written_ = false;
     bool head_seen_ = false;
+    int interim_answers_ = 0;
     bool complete_ = false;
     bool keep_alive_ = false;
     std::chrono::milliseconds idle_limit_{0};
--- a/src/collected_exchange.cpp
+++ b/src/collected_exchange.cpp
@@ -41,7 +41,17 @@
         if (call_.on_head)
             call_.on_head(status);
     }
-    void on_body(std::string_view bytes) override { answer_.body += bytes; }
+    void on_body(std::string_view bytes) override
+    {
+        if (answer_.body.size() + bytes.size() > call_.max_body_bytes)
+        {
+            // The pool may hold the last other reference.
+            auto const self = shared_from_this();
+            backend_exchange_->cancel();
+            return complete({});
+        }
+        answer_.body += bytes;
+    }
     void on_end(bool framed) override
     {
         complete(framed || !call_.framed_only ? std::move(answer_)
--- a/src/collected_exchange.hpp
+++ b/src/collected_exchange.hpp
@@ -8,6 +8,7 @@
 #include <asio/io_context.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,6 +36,9 @@
     /// An answer that is delimited only by the end of its connection counts as
     /// none. Set for VMs, which frame all their answers: such a one was cut.
     bool framed_only = false;
+    /// An answer with a larger body counts as none. More than reports of
+    /// workers and messages between VMs have.
+    std::size_t max_body_bytes = 1024UL * 1024;
     /// Returns the deadline of the call. Called at the start and again when
     /// that time has come, so that the deadline may move. Steady clock.
     std::function<std::chrono::steady_clock::time_point()> current_deadline;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -126,7 +126,7 @@
     std::uint16_t port() const { return port_; }
     void close_after_answers() { table_->drain(); }
     void close_idle();
-    bool has_unsent() const { return table_->has_unsent(); }
+    std::size_t unsent_bytes() const { return table_->unsent_bytes(); }
     void stop_accepting();
 
 private:
@@ -514,9 +514,9 @@
     implementation_->close_after_answers();
 }
 
-bool http_server::has_unsent() const
+std::size_t http_server::unsent_bytes() const
 {
-    return implementation_->has_unsent();
+    return implementation_->unsent_bytes();
 }
 
 void http_server::close_idle()
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -115,7 +115,9 @@
     /// Closes the connections on which no request is being answered.
     void close_idle();
     /// Whether bytes of an answer are not yet written to a socket.
-    bool has_unsent() const;
+    bool has_unsent() const { return unsent_bytes() > 0; }
+    /// Bytes of all answers that are not yet written to a socket.
+    std::size_t unsent_bytes() const;
     /// Stops accepting connections. Each open connection is closed by its next
     /// answer, which carries `Connection: close`.
     void stop_accepting();
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -288,10 +288,10 @@
     changed_.notify_all();
 }
 
-bool connection_table::has_unsent() const
+std::size_t connection_table::unsent_bytes() const
 {
     std::lock_guard const lock(mutex_);
-    return unsent_bytes_ > 0;
+    return unsent_bytes_;
 }
 
 void connection_table::wait_until_sent(
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -100,7 +100,7 @@
     void add_unsent(std::size_t bytes);
     void remove_unsent(std::size_t bytes);
     /// Whether bytes of answers are not yet written to a socket.
-    bool has_unsent() const;
+    std::size_t unsent_bytes() const;
     /// Waits until all bytes of answers are written to their sockets.
     void wait_until_sent(std::chrono::steady_clock::time_point deadline) const;
     void wait_until_empty(std::chrono::steady_clock::time_point deadline) const;
--- a/src/row_mirror_peers.cpp
+++ b/src/row_mirror_peers.cpp
@@ -24,6 +24,9 @@
 constexpr milliseconds serving_duration{5000};
 /// Changes within this time of each other are reported in one answer.
 constexpr milliseconds answer_batch_delay{20};
+/// About twice what rows of 5,800 workers (4 KB) and 18,000 adapters (300
+/// bytes) take.
+constexpr std::size_t max_rows_bytes = 64UL * 1024 * 1024;
 /// Minimum interval between queries to a reader.
 constexpr milliseconds min_query_interval{50};
 /// Rows larger than this are reported by version only and read from the store,
@@ -71,6 +74,7 @@
     call.options.connect_timeout = reader_connect_timeout;
     call.options.max_idle = reader_max_idle;
     call.framed_only = true;
+    call.max_body_bytes = max_rows_bytes;
     call.current_deadline =
         [ends = std::chrono::steady_clock::now() + query.wait +
                 options_.worker_interval / reader_answer_part] { return ends; };
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -296,3 +296,31 @@
     CHECK(answer.timed_out);
     CHECK(answer.status == 0);
 }
+
+// Guards against a VM whose memory an endless answer to an order uses up.
+TEST_CASE("a collected answer that is too large counts as none",
+          "[backend_pool]")
+{
+    pool_fixture world;
+    std::promise<collected_answer> promise;
+    world.on_loop(
+        [&]
+        {
+            collected_call call;
+            call.to = {"127.0.0.1", world.listener.port()};
+            call.bytes = "GET / HTTP/1.1\r\nHost: w\r\n\r\n";
+            call.max_body_bytes = 1000;
+            call.current_deadline = [ends = std::chrono::steady_clock::now() +
+                                            20s] { return ends; };
+            call.on_end = [&promise](collected_answer answer)
+            { promise.set_value(std::move(answer)); };
+            start_collected(world.io, world.pool, std::move(call));
+        });
+    raw_socket const worker = world.accept();
+    worker.send("HTTP/1.1 200 OK\r\n\r\n" + std::string(1001, 'a'));
+    collected_answer const answer = promise.get_future().get();
+    CHECK(answer.status == 0);
+    CHECK(answer.body.empty());
+    CHECK_FALSE(answer.timed_out);
+    CHECK(worker.read_some().empty());
+}
--- a/tests/process_child.cpp
+++ b/tests/process_child.cpp
@@ -161,6 +161,15 @@
     return read_file(out_);
 }
 
+std::size_t child_process::peak_memory() const
+{
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with("VmHWM:"))
+            return std::stoul(line.substr(line.find(':') + 1)) * 1024;
+    throw std::runtime_error("the memory of " + name_ + " is not known");
+}
+
 std::string child_process::log() const
 {
     return read_file(log_);
--- a/tests/process_child.hpp
+++ b/tests/process_child.hpp
@@ -50,6 +50,8 @@
 
     std::string output() const;
     std::string log() const;
+    /// The most memory that the process has used so far, in bytes.
+    std::size_t peak_memory() const;
 
 private:
     void send(int signal) const;
--- a/tests/raw_socket.hpp
+++ b/tests/raw_socket.hpp
@@ -9,9 +9,12 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace mulberry
@@ -90,7 +93,11 @@
                      sizeof timeout);
     }
 
-    void send(std::string const& text) const
+    void send(std::string const& text) const { try_send(text); }
+
+    /// Returns false if the peer has closed the connection before it took all
+    /// bytes.
+    bool try_send(std::string const& text) const
     {
         std::size_t sent = 0;
         while (sent < text.size())
@@ -98,9 +105,31 @@
             ssize_t const count = ::send(descriptor_, text.data() + sent,
                                          text.size() - sent, MSG_NOSIGNAL);
             if (count <= 0)
-                return;
+                return false;
             sent += static_cast<std::size_t>(count);
         }
+        return true;
+    }
+
+    /// Sends that take longer than this fail.
+    void limit_sends(int milliseconds) const
+    {
+        timeval const timeout{milliseconds / 1000, milliseconds % 1000 * 1000};
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_SNDTIMEO, &timeout,
+                     sizeof timeout);
+    }
+
+    /// Sends a part of the text within the limit of limit_sends(). Returns how
+    /// many bytes the peer took; nullopt if it has closed the connection.
+    std::optional<std::size_t> send_some(std::string_view text) const
+    {
+        ssize_t const count =
+            ::send(descriptor_, text.data(), text.size(), MSG_NOSIGNAL);
+        if (count > 0)
+            return static_cast<std::size_t>(count);
+        if (errno == EAGAIN || errno == EWOULDBLOCK)
+            return 0;
+        return std::nullopt;
     }
 
     /// Whether the socket becomes readable, or has a connection to accept,
