Wire waits, admission and memory for answers into the relay

Ruled out: switching these on for all deployments; they follow the configuration's ranks and objectives, or the setting.

--- a/src/peer_grant_request.cpp
+++ b/src/peer_grant_request.cpp
@@ -58,6 +58,10 @@
         for (software_version const& each : *ask.software)
             json["software"].append(each.str());
     }
+    if (!ask.team.empty())
+        json["team"] = ask.team.str();
+    if (ask.answer_tokens > 0)
+        json["answer_tokens"] = ask.answer_tokens;
     return json;
 }
 
@@ -120,6 +124,9 @@
     if (json.isMember("software") &&
         !parse_ids(json["software"], ask.software.emplace()))
         return std::nullopt;
+    ask.team = team_id(text_or(json, "team", ""));
+    ask.answer_tokens = static_cast<std::uint32_t>(
+        std::min(number_or(json, "answer_tokens", 0), max_prompt_tokens));
     if (ask.service.empty() || ask.target.model.empty() ||
         ask.target.adapter.empty())
         return std::nullopt;
--- a/src/peer_grant_request.hpp
+++ b/src/peer_grant_request.hpp
@@ -6,6 +6,7 @@
 ///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190,
 ///                 "prefix": [KEY, TOKENS], "elsewhere_ms": 320,
 ///                 "objective_ms": 540, "software": [VERSION, ...],
+///                 "team": TEAM, "answer_tokens": 70,
 ///                 "done": [[GRANT, OUTCOME], ...],
 ///                 "crashes": [[DIGEST, WORKER, STARTED,
 ///                               SENT_MS_AGO, SEEN_MS_AGO], ...],
@@ -65,6 +66,10 @@
     /// Versions of the workers' software that the request may run at; absent:
     /// any.
     std::optional<std::set<software_version>> software;
+    /// The team that sent the request; empty without teams.
+    team_id team;
+    /// Maximum number of tokens of the answer; 0 if unknown.
+    std::uint32_t answer_tokens = 0;
     friend bool operator==(peer_grant_request const&,
                            peer_grant_request const&) = default;
 };
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -1,27 +1,28 @@
 # The relay's decisions: routes, waiting, placing, turning away, orders,
 # health, repeats. No I/O.
 mulberry_library(mulberry_scheduling
-  SOURCES adapter_version_history.cpp adapter_locations.cpp allotment_pool.cpp answered_parts.cpp connection_gate.cpp crash_replicator.cpp crash_record.cpp equal_share_limiter.cpp forwarder_selector.cpp
+  SOURCES adapter_version_history.cpp adapter_locations.cpp allotment_pool.cpp answer_memory.cpp answered_parts.cpp connection_gate.cpp crash_replicator.cpp crash_record.cpp equal_share_limiter.cpp forwarder_selector.cpp objective_scheduling.cpp
           pooled_limiter.cpp prompt_copy.cpp reader_selector.cpp rejection_guard.cpp
           prefill_rate.cpp relay_request.cpp remote_clock.cpp
           retry_allowance.cpp route_table.cpp row_replica.cpp
           service_estimate.cpp service_notices.cpp service_placing.cpp
           service_scheduler.cpp service_versions.cpp service_workers.cpp software_versions.cpp startup_hold.cpp stream_records.cpp
-          team_directory.cpp token_bucket.cpp
-          unanswered_orders.cpp worker_adapters.cpp worker_health.cpp worker_limiter.cpp worker_limits.cpp worker_notices.cpp worker_reachability.cpp prefill_backlog.cpp
+          team_directory.cpp token_bucket.cpp unit_forecast.cpp delay_admission.cpp fair_shares.cpp
+          unanswered_orders.cpp wait_breakdown.cpp worker_adapters.cpp worker_health.cpp worker_limiter.cpp worker_limits.cpp worker_notices.cpp worker_reachability.cpp prefill_backlog.cpp
   LINK mulberry_policy)
 mulberry_test(scheduling_test
-  SOURCES adapter_version_history_test.cpp adapter_locations_test.cpp allotment_pool_test.cpp answered_parts_test.cpp connection_gate_test.cpp crash_replicator_test.cpp crash_record_test.cpp crash_world.cpp reader_selector_test.cpp prefill_rate_test.cpp
+  SOURCES adapter_version_history_test.cpp adapter_locations_test.cpp allotment_pool_test.cpp answer_memory_test.cpp answered_parts_test.cpp connection_gate_test.cpp crash_replicator_test.cpp crash_record_test.cpp crash_world.cpp reader_selector_test.cpp prefill_rate_test.cpp
           pooled_limiter_test.cpp prompt_copy_test.cpp relay_request_test.cpp
           rejection_guard_test.cpp remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_replica_test.cpp scheduler_world.cpp
-          service_leaving_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_software_test.cpp service_version_test.cpp software_versions_test.cpp startup_hold_test.cpp team_directory_test.cpp token_bucket_test.cpp
-          worker_adapters_test.cpp worker_health_test.cpp worker_limiter_test.cpp worker_limits_test.cpp worker_notices_test.cpp worker_reachability_test.cpp late_order_test.cpp forwarder_selector_test.cpp
+          service_leaving_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_software_test.cpp service_version_test.cpp software_versions_test.cpp startup_hold_test.cpp team_directory_test.cpp token_bucket_test.cpp unit_forecast_test.cpp
+          wait_breakdown_test.cpp worker_adapters_test.cpp worker_health_test.cpp worker_limiter_test.cpp worker_limits_test.cpp worker_notices_test.cpp worker_reachability_test.cpp late_order_test.cpp forwarder_selector_test.cpp objective_scheduling_test.cpp delay_admission_test.cpp fair_shares_test.cpp
           prefill_backlog_test.cpp
   LINK mulberry_scheduling)
 if(BUILD_TESTING)
   # Apart, since it may be listed in KNOWN-RED.txt alone.
   add_test(NAME brittle_fleet_test COMMAND scheduling_test [brittle_fleet])
+  add_test(NAME calm_admission_test COMMAND scheduling_test [calm_admission])
 endif()
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
@@ -35,7 +36,7 @@
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
 mulberry_test(relay_test
-  SOURCES backend_pool_test.cpp crash_row_test.cpp event_log_test.cpp event_splitter_test.cpp forwarded_call_test.cpp
+  SOURCES backend_pool_test.cpp crash_row_test.cpp endless_answer_test.cpp event_log_test.cpp event_splitter_test.cpp forwarded_call_test.cpp
           memory_row_store.cpp version_records_test.cpp ownership_runner_test.cpp peer_allotment_test.cpp
           peer_grant_request_test.cpp peer_rows_test.cpp
           registry_watch_test.cpp relay_settings_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -65,8 +65,9 @@
              relay_options options, event_log& log)
     : io_(io), codec_(codec), options_(std::move(options)), log_(log),
       started_at_(boot_clock::now()), pool_(io, options_.source_address),
-      timer_(io), crashes_(io, *this, options_.crashes, log),
-      forwarders_(options_.domain), start_hold_(options_.start, started_at_),
+      answers_(options_.answer_bytes), timer_(io),
+      crashes_(io, *this, options_.crashes, log), forwarders_(options_.domain),
+      start_hold_(options_.start, started_at_),
       limits_(options_.vm, std::make_unique<pooled_limiter>(
                                options_.vm, worker_limit_terms())),
       streams_(max_stream_records), random_(options_.seed)
@@ -136,7 +137,13 @@
         add_service(service);
     routes_ = std::make_unique<route_table>(config_);
     for (auto& [name, service] : services_)
+    {
         update_longest_stream(name, service);
+        service.scheduler.schedule_by_objective(
+            uses_objectives(options_.objectives, *config_, name));
+        service.scheduler.admit_by_delay(
+            delay_objective(options_.objectives, *config_, name));
+    }
     update_teams();
     log_fields taken;
     taken.add("version", config_->version.value())
@@ -144,10 +151,25 @@
     if (!config_->teams.empty())
         taken.add("teams", std::uint64_t{config_->teams.size()});
     log_.notable("configuration taken", taken, now());
+    if (std::string const names = services_by_objective(); !names.empty())
+        log_.notable("scheduled by objective",
+                     log_fields()
+                         .add("services", names)
+                         .add("config", config_->version.value()),
+                     now());
     update_schedulers();
     process_early_requests();
 }
 
+std::string relay::services_by_objective() const
+{
+    std::string names;
+    for (auto const& [name, service] : services_)
+        if (service.scheduler.by_objective())
+            names += (names.empty() ? "" : ",") + name.str();
+    return names;
+}
+
 void relay::log_worker(std::string_view event, backend_entry const& worker)
 {
     log_.notable(event,
@@ -317,17 +339,21 @@
     exchange_terms const& terms = exchange.terms();
     work_item item;
     item.ticket = terms.ticket;
+    exchange.waits().begin(wait_cause::batch_slot, now());
     if (terms.engine)
     {
         item.target = exchange.request().model;
         item.prompt_tokens = exchange.request().prompt.tokens;
+        item.answer_tokens = exchange.request().prompt.answer_tokens;
         item.prefix = prefix_of(exchange.request().prompt);
     }
     item.priority = terms.priority;
+    item.team = terms.team.value_or(team_id());
+    item.team_weight = terms.team_weight;
     item.streams = terms.matched->repeats == repeat_rule::stream;
     item.arrived_at = terms.arrived_at;
     item.give_up_at = terms.give_up_at;
-    item.objective_at = terms.arrived_at + terms.matched->latency_objective;
+    item.objective_at = terms.objective_at;
     item.excluded = excluded;
     item.software = allowed_software(exchange);
     find(terms.service)->scheduler.submit(std::move(item), now());
@@ -439,6 +465,7 @@
             .add("reason", reason)
             .add("sends", exchange.sends())
             .add("waited_ms", exchange.queueing_delay())
+            .add("waits", exchange.waits().text(at))
             .add("adapter", exchange.request().model
                                 ? exchange.request().model->adapter.str()
                                 : "")
@@ -468,6 +495,7 @@
         ++counts_.caller_gone;
         break;
     }
+    waits_.add(exchange.waits(), now());
     if (outcome == relay_outcome::caller_gone)
         log_request_event(exchange, outcome_name(outcome),
                           "the connection closed");
@@ -528,11 +556,25 @@
 {
     update_registry_moment(service);
     update_software_known(service);
-    for (placement_action const& action : service.scheduler.run(now()))
+    std::vector<placement_action> const actions = service.scheduler.run(now());
+    update_waits(service);
+    for (placement_action const& action : actions)
         execute(service, action);
     send_rejection_notices(service);
 }
 
+void relay::update_waits(service_state& service)
+{
+    time_point const at = now();
+    for (auto const& [ticket, cause] : service.scheduler.take_wait_changes())
+        if (auto const found = exchanges_.find(ticket);
+            found != exchanges_.end())
+            found->second->waits().begin(cause, at);
+        else if (auto const peer = peer_requests_.find(ticket);
+                 peer != peer_requests_.end())
+            peer->second.waits.begin(cause, at);
+}
+
 void relay::update_registry_moment(service_state& service) const
 {
     if (options_.registry_as_of)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -13,6 +13,7 @@
 #include "forwarded_call.hpp"
 #include "forwarder_selector.hpp"
 #include "latency_meter.hpp"
+#include "objective_scheduling.hpp"
 #include "ownership_keeper.hpp"
 #include "peer_grant_request.hpp"
 #include "peer_streams.hpp"
@@ -67,6 +68,7 @@
     std::function<declarations_known()> declarations_as_of;
     key_bounds keys;
     allotment_terms allotments;
+    objective_mode objectives = objective_mode::automatic;
     std::uint64_t seed = 1;
     startup_limits start;
     /// How long this VM goes by the versions of their software that workers
@@ -77,6 +79,8 @@
     crash_detector_options crashes;
     /// Local IP address of connections to workers and other VMs; empty: any.
     std::string source_address;
+    /// Bytes of answers that this VM may hold; nullopt: any number.
+    std::optional<std::size_t> answer_bytes;
     /// Called when this VM has been cut off from all workers for a while, and
     /// when it reaches them again. May be empty.
     std::function<void(bool cut_off)> on_cut_off;
@@ -101,6 +105,8 @@
     std::uint64_t backoffs = 0;
     /// Requests that found no room in their worker's limit.
     std::uint64_t limit_reached = 0;
+    /// Streams that were cut since their callers did not read them.
+    std::uint64_t slow_callers_closed = 0;
     /// Sends by way of another VM, and calls made for other VMs.
     std::uint64_t sent_through = 0;
     std::uint64_t calls_forwarded = 0;
@@ -186,6 +192,12 @@
 
     /// Whether to take a new connection of a caller.
     bool may_open_connection() { return gate_.may_open(now()); }
+    /// Sets what returns the bytes that connections of callers and other VMs
+    /// have not taken yet.
+    void set_unsent(std::function<std::size_t()> unsent)
+    {
+        answers_.set_unsent(std::move(unsent));
+    }
 
     /// Rejects all further requests of callers, since this VM is about to exit.
     /// Requests in progress continue.
@@ -225,6 +237,8 @@
     std::optional<software_version>
     on_stream_begun(relay_exchange const& exchange) override;
     void on_stream_bytes(duration gap) override { stream_gaps_.add(gap); }
+    answer_memory& answers() override { return answers_; }
+    void on_slow_caller() override { ++counts_.slow_callers_closed; }
     void on_send_ended(relay_exchange& exchange, send_outcome outcome) override;
     void on_worker_leaving(relay_exchange const& exchange) override;
     void on_backoff_requested(relay_exchange const& exchange,
@@ -265,6 +279,7 @@
         request_id request;
         worker_id worker;
         time_point arrived_at{};
+        wait_breakdown waits;
     };
     /// Another VM, and the grants of that VM that have ended and are still to
     /// be reported to it.
@@ -324,8 +339,14 @@
         }
     };
 
+    /// When the answer should begin.
+    time_point objective_of(route const& matched, relay_request const& request,
+                            time_point arrived_at) const;
     void admit(relay_request request, std::shared_ptr<http_answer> answer,
                time_point arrived_at);
+    /// Names of the services that are scheduled by objective, separated by
+    /// commas.
+    std::string services_by_objective() const;
     /// Draws the number that decides among the services of a route.
     double draw_share(relay_request const& request, route const& matched);
     /// Keeps a request until routes and workers are known, or rejects it; see
@@ -345,6 +366,9 @@
     /// Returns an error if the request's key no longer belongs to its team;
     /// logged.
     std::optional<error> check_key(relay_exchange const& exchange);
+    /// As in work_item. A caller without an allotment weighs as much as the
+    /// team with the largest. `holder`: null without a team.
+    double team_weight(team const* holder) const;
     /// Takes the request's units from its team's allotment and starts the
     /// request, at once or when the units are granted.
     void acquire_allotment(std::shared_ptr<relay_exchange> const& exchange,
@@ -468,6 +492,8 @@
     /// Handles what is due and makes the pending decisions of all services.
     void run();
     void run_service(service_state& service);
+    /// Passes on what the service's requests wait for.
+    void update_waits(service_state& service);
     void update_registry_moment(service_state& service) const;
     void execute(service_state& service, placement_action const& action);
     void send_order(issue_order const& order);
@@ -506,6 +532,7 @@
     event_log& log_;
     time_point const started_at_;
     backend_pool pool_;
+    answer_memory answers_;
     asio::steady_timer timer_;
     time_point timer_at_ = never;
     std::unique_ptr<route_table> routes_;
@@ -533,6 +560,10 @@
     std::size_t members_ = 1;
     /// See set_first_process().
     bool is_first_process_ = false;
+    /// The weight of the team with the largest allotment; 1 if none has one.
+    double largest_team_weight_ = 1;
+    /// limits_by_objective() of the configuration.
+    bool by_objective_ = false;
     std::unique_ptr<team_directory> teams_;
     std::unique_ptr<allotment_limiter> allotments_;
     /// Units taken by the requests in progress.
@@ -563,6 +594,9 @@
     latency_meter first_byte_latency_;
     /// Time from a request's arrival to its first send.
     latency_meter queueing_delays_;
+    /// Of callers' requests, and of grant requests of other VMs.
+    wait_histograms waits_;
+    wait_histograms grant_waits_;
     latency_meter stream_gaps_;
 };
 
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -21,6 +21,10 @@
 /// Retry-After when a route names a service that is not known yet: a newer
 /// configuration is about to arrive.
 constexpr milliseconds unknown_service_retry_delay{200};
+/// Callers that spent more than this part of their route's timeout were refused
+/// before; they are told to return after half of their time. Callers may set
+/// somewhat shorter limits of their own.
+constexpr int returned_divisor = 4;
 /// Limit on the requests held while a VM starts; at a few kilobytes each they
 /// take little of its memory.
 constexpr std::size_t max_early_requests = 512;
@@ -113,6 +117,20 @@
     }
 }
 
+/// Where objectives decide, a caller with far less time left than its route
+/// allows is taken to have spent the rest elsewhere: it was refused, and has
+/// returned.
+time_point relay::objective_of(route const& matched,
+                               relay_request const& request,
+                               time_point arrived_at) const
+{
+    time_point const fresh = arrived_at + matched.latency_objective;
+    if (!request.time_left || !by_objective_)
+        return fresh;
+    duration const spent = matched.timeout - *request.time_left;
+    return spent > matched.timeout / returned_divisor ? fresh - spent : fresh;
+}
+
 void relay::admit(relay_request request, std::shared_ptr<http_answer> answer,
                   time_point arrived_at)
 {
@@ -128,6 +146,7 @@
     exchange_terms terms;
     if (!teams_->empty())
         terms.team = holder != nullptr ? holder->name : team_id();
+    terms.team_weight = team_weight(holder);
     terms.priority = routes_->effective_priority(*matched, holder);
     terms.ticket = ticket_id(++last_ticket_);
     terms.service =
@@ -139,6 +158,7 @@
         terms.arrived_at +
         std::min<duration>(matched->timeout,
                            request.time_left.value_or(default_time_left));
+    terms.objective_at = objective_of(*matched, request, arrived_at);
     service_state* const service = find(terms.service);
     if (service == nullptr)
         return reject_immediately(request, *answer,
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -62,6 +62,10 @@
 /// workers.
 constexpr owner_limits relay_owners{4, 4};
 constexpr double millicores_per_core = 1000;
+/// The part of a VM's memory that may hold answers. Bytes that were received
+/// and not yet read count as well as its tables and connections.
+constexpr double answer_memory_part = 0.25;
+constexpr double bytes_per_megabyte = 1024.0 * 1024;
 /// Until its workers have an owner, a VM retries this many times per heartbeat,
 /// that is every one or two tenths of a second.
 constexpr int first_retry_divisor = 10;
@@ -242,11 +246,15 @@
     options.on_cut_off = std::move(on_cut_off);
     options.crashes.source_address = value.source_address;
     options.source_address = value.source_address;
+    if (value.memory_mb > 0)
+        options.answer_bytes = static_cast<std::size_t>(
+            value.memory_mb * answer_memory_part * bytes_per_megabyte);
     options.registry_as_of = std::move(registry_as_of);
     options.missed_worker_rows = std::move(missed_worker_rows);
     options.declarations_as_of = std::move(declarations_as_of);
     options.keys = value.keys;
     options.allotments = value.allotments;
+    options.objectives = value.objectives;
     options.vm = value.vm;
     options.domain = value.domain;
     options.retries = value.retries;
@@ -629,6 +637,8 @@
                 return relay_.handle_forwarded_call(request, std::move(answer));
             relay_.handle_peer(request, std::move(answer));
         });
+    relay_.set_unsent(
+        [this] { return callers_->unsent_bytes() + peers_->unsent_bytes(); });
     if (settings_.serves_metrics)
         metrics_.emplace(
             server_options(settings_.metrics),
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -99,7 +99,7 @@
                                relay_request request,
                                std::shared_ptr<http_answer> answer)
     : host_(host), terms_(std::move(terms)), request_(std::move(request)),
-      answer_(std::move(answer))
+      answer_(std::move(answer)), held_bytes_(host.answers())
 {
 }
 
@@ -140,11 +140,13 @@
     worker_ = worker;
     stage_ = stage::sent;
     sent_at_ = host_.now();
+    waits_.end(sent_at_);
     placement_reason_ = placed.reason;
     reply_ = {};
     answer_framed_ = false;
     headers_ = {};
     body_.clear();
+    held_bytes_.set(0);
     ++sends_;
     ++runs_;
     retry_sent_ = std::exchange(retry_reserved_, false);
@@ -335,12 +337,13 @@
 {
     if (stage_ == stage::streaming)
         return forward_stream(bytes);
-    if (body_.size() + bytes.size() > max_buffered_bytes)
+    if (body_.size() + bytes.size() > host_.answers().limit(max_buffered_bytes))
     {
         backend_exchange_->cancel();
         return retry_or_fail(send_outcome::broken, "the answer is too large");
     }
-    body_ += bytes;
+    body_.append(bytes);
+    held_bytes_.set(body_.size());
 }
 
 void relay_exchange::forward_stream(std::string_view bytes)
@@ -349,10 +352,13 @@
     host_.on_stream_bytes(at - std::exchange(last_byte_at_, at));
     if (std::string complete = events_.feed(bytes); !complete.empty())
         answer_->write(std::move(complete));
-    if (events_.incomplete_bytes() > max_event_bytes)
+    held_bytes_.set(0);
+    if (events_.incomplete_bytes() > host_.answers().limit(max_event_bytes))
         return retry_or_fail(send_outcome::broken, "an event is too large");
-    if (answer_->unsent_bytes() > max_unsent_bytes)
+    held_bytes_.set(events_.incomplete_bytes());
+    if (answer_->unsent_bytes() > host_.answers().limit(max_unsent_bytes))
     {
+        host_.on_slow_caller();
         host_.log_request_event(*this, "stream cut",
                                 "the caller does not read");
         end_send(send_outcome::abandoned);
@@ -436,7 +442,8 @@
     if (failed)
         host_.log_request_event(*this, "worker failed",
                                 "its own answer is passed on");
-    answer_->respond({reply_.status, std::move(headers_), std::move(body_)});
+    held_bytes_.set(0);
+    answer_->respond({reply_.status, std::move(headers_), body_.take()});
     end(failed ? relay_outcome::worker_failed : relay_outcome::served);
 }
 
@@ -500,6 +507,8 @@
 
 void relay_exchange::resubmit(std::string_view reason)
 {
+    if (sent_at_ != time_point() && !stream_begun_)
+        waits_.add(wait_cause::retry, host_.now() - sent_at_);
     host_.log_request_event(*this, "tries again", reason);
     excluded_workers_.insert(worker_.id);
     stage_ = stage::waiting;
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -2,6 +2,8 @@
 #ifndef MULBERRY_RELAY_EXCHANGE_HPP
 #define MULBERRY_RELAY_EXCHANGE_HPP
 
+#include "answer_body.hpp"
+#include "answer_memory.hpp"
 #include "backend_pool.hpp"
 #include "event_splitter.hpp"
 #include "http_server.hpp"
@@ -59,6 +61,10 @@
     /// More bytes of a stream arrived; `gap` is the time since the previous
     /// bytes.
     virtual void on_stream_bytes(duration gap) = 0;
+    /// Bounds what the exchanges hold of their answers.
+    virtual answer_memory& answers() = 0;
+    /// A stream was cut since its caller does not read it.
+    virtual void on_slow_caller() = 0;
     /// The current send to the worker has ended.
     virtual void on_send_ended(relay_exchange& exchange,
                                send_outcome outcome) = 0;
@@ -118,7 +124,11 @@
     route const* matched = nullptr;
     std::shared_ptr<routing_config const> config;
     time_point arrived_at{};
+    /// As in work_item.
+    double team_weight = 1;
     time_point give_up_at = never;
+    /// When the answer should begin.
+    time_point objective_at = never;
     bool engine = false;
     /// As in forward_options.
     std::optional<team_id> team;
@@ -192,6 +202,9 @@
     {
         return stream_version_;
     }
+    /// What the request has waited for since it arrived.
+    wait_breakdown& waits() { return waits_; }
+    wait_breakdown const& waits() const { return waits_; }
     time_point sent_at() const { return sent_at_; }
     /// Time from the request's arrival to its last send; 0 if the request was
     /// never sent.
@@ -262,12 +275,15 @@
     /// The last send was a retry.
     bool retry_sent_ = false;
     time_point sent_at_{};
+    wait_breakdown waits_;
     std::string placement_reason_;
     time_point last_byte_at_{};
     worker_reply reply_;
     bool answer_framed_ = false;
     http_headers headers_;
-    std::string body_;
+    answer_body body_;
+    /// Of `body_` or, in a stream, of the event that is incomplete.
+    buffered_bytes held_bytes_;
     event_splitter events_;
     bool stream_begun_ = false;
     std::optional<software_version> stream_version_;
--- a/src/relay_forwarding.cpp
+++ b/src/relay_forwarding.cpp
@@ -356,7 +356,8 @@
     void on_body(std::string_view bytes) override
     {
         write(encode_body_frame(bytes));
-        if (answer_ && answer_->unsent_bytes() > max_unsent_bytes)
+        if (answer_ &&
+            answer_->unsent_bytes() > owner_.answers_.limit(max_unsent_bytes))
         {
             answer_->abort();
             end();
--- a/src/relay_limits.cpp
+++ b/src/relay_limits.cpp
@@ -99,6 +99,8 @@
     if (!limits_.is_limited(worker))
         return send_pending(worker, send);
     time_point const at = now();
+    if (auto const found = exchanges_.find(ticket); found != exchanges_.end())
+        found->second->waits().begin(wait_cause::worker_limit, at);
     pending_sends_.emplace(ticket, std::move(send));
     limits_.request(ticket, worker,
                     std::min<time_point>(give_up_at, at + max_admission_wait),
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -29,6 +29,11 @@
     rejected("key_in_doubt", counts_.key_unverified);
     rejected("over_allotment", counts_.over_allotment);
     rejected("allotment_unknown", counts_.allotment_unknown);
+    allotment_counts const allotments = allotments_->counts();
+    add("allotment_refused_early_total", "", allotments.refused_early);
+    add("allotment_refused_by_pool_total", "", allotments.refused_by_pool);
+    add("allotment_unanswered_total", "", allotments.unanswered);
+    add("allotment_second_queries_total", "", allotments.second_queries);
     add("retries_total", "", counts_.retries);
     add("sent_to_replaced_version_total", "", counts_.sent_to_superseded);
     add("workers_leaving_heard_total", "", counts_.leaving_reported);
@@ -46,6 +51,9 @@
     }
 
     add("caller_connections_closed_total", "", gate_.closed());
+    add("slow_callers_closed_total", "", counts_.slow_callers_closed);
+    add("unsent_bytes", "", std::uint64_t{answers_.unsent()});
+    add("buffered_answer_bytes", "", std::uint64_t{answers_.buffered()});
     add("cut_off_from_workers", "", std::uint64_t{reachability_.is_cut_off()});
     add("stream_records_sent_total", "", counts_.stream_records_sent);
     add("stream_questions_total", "", counts_.stream_questions);
@@ -80,6 +88,10 @@
     {
         scheduler_counts const counts = service.scheduler.counts();
         std::string const label = fmt::format("{{service=\"{}\"}}", name.str());
+        add("objective_scheduling", label,
+            int{service.scheduler.by_objective()});
+        add("refused_by_delay_total", label, counts.refused_by_delay);
+        add("refused_by_delay_share", label, counts.refused_by_delay_share);
         add("waiting", label, counts.waiting);
         add("sent", label, counts.sent);
         add("placed_resident_total", label, counts.placed_resident);
@@ -97,7 +109,9 @@
                             to_string(verdict)),
                 counts.prompt_copies.at(static_cast<std::size_t>(verdict)));
     }
-    return text + crashes_.metrics();
+    return text + waits_.text("mulberry_wait_seconds") +
+           grant_waits_.text("mulberry_grant_wait_seconds") +
+           crashes_.metrics();
 }
 
 } // namespace mulberry
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -169,6 +169,8 @@
     item.excluded = ask.excluded;
     item.software = ask.software;
     item.prompt_tokens = ask.prompt_tokens;
+    item.answer_tokens = ask.answer_tokens;
+    item.team = ask.team;
     item.prefix = ask.prefix;
     if (ask.objective_left)
         item.objective_at = at + *ask.objective_left;
@@ -176,7 +178,9 @@
         item.begins_elsewhere_at = at + *ask.start_delay_elsewhere;
     ticket_id const ticket = item.ticket;
     due_.set(ticket, item.give_up_at + grant_expiry_margin);
-    peer_requests_[ticket] = {ask.service, answer, ask.request, ask.worker, at};
+    peer_request waiting{ask.service, answer, ask.request, ask.worker, at, {}};
+    waiting.waits.begin(wait_cause::batch_slot, at);
+    peer_requests_[ticket] = std::move(waiting);
     service->scheduler.submit(std::move(item), at);
     answer->on_closed([this, ticket]
                       { end_peer_request(ticket, send_outcome::abandoned); });
@@ -193,6 +197,8 @@
         service->scheduler.withdraw(ticket, now());
         service->scheduler.ended(ticket, outcome, now());
     }
+    if (found->second.answer)
+        grant_waits_.add(found->second.waits, now());
     due_.erase(ticket);
     peer_requests_.erase(found);
     schedule_run();
@@ -207,6 +213,8 @@
     auto const answer = std::exchange(found->second.answer, nullptr);
     time_point const at = now();
     auto const waited = at - found->second.arrived_at;
+    found->second.waits.end(at);
+    grant_waits_.add(found->second.waits, at);
     auto const fields = [&]
     {
         return log_fields()
@@ -214,6 +222,7 @@
             .add("worker", (granted ? copy.worker : found->second.worker).str())
             .add("outcome", granted ? "granted" : "refused")
             .add("waited_ms", waited)
+            .add("waits", found->second.waits.text(at))
             .add("load_percent", static_cast<int>(load * 100));
     };
     if (!granted || waited >= slow_answer_threshold)
@@ -263,7 +272,9 @@
                                      ask.prefix,
                                      std::nullopt,
                                      std::nullopt,
-                                     ask.software};
+                                     ask.software,
+                                     ask.team,
+                                     ask.answer_tokens};
     if (ask.objective_at != never)
         message.ask->objective_left =
             std::max<duration>(ask.objective_at - now(), duration(0));
--- a/src/relay_request.cpp
+++ b/src/relay_request.cpp
@@ -70,6 +70,13 @@
     return made;
 }
 
+double plain_requests_per_second(allotment const& limit)
+{
+    return limit.unit == allotment_unit::requests
+               ? limit.per_second
+               : limit.per_second / std::max(limit.plain_tokens, 1.0);
+}
+
 double allotment_cost(relay_request const& request, allotment const& limit)
 {
     if (limit.unit == allotment_unit::requests)
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -120,6 +120,10 @@
 /// of prompt and answer; `plain_tokens` if no token counts are stated.
 double allotment_cost(relay_request const& request, allotment const& limit);
 
+/// Requests that state no number of tokens, a second, that the allotment
+/// allows; above 0. Thread safety: any.
+double plain_requests_per_second(allotment const& limit);
+
 /// Computes both digests (SHA-256, truncated to 128 bits). Linear in the size
 /// of the body.
 request_identity identity_of(relay_request const& request);
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -120,8 +120,14 @@
     read_retries(root, value);
     read_allotments(root, value.allotments);
     read_crashes(root, value.crashes);
+    std::string objectives = "auto";
+    root.read_choice("objective_scheduling", objectives, {"auto", "on", "off"},
+                     optional);
+    value.objectives =
+        parse_objective_mode(objectives).value_or(objective_mode::automatic);
     root.read_number("processor_share", value.processor_share, {0.001, 1000.0},
                      optional);
+    root.read_number("memory_mb", value.memory_mb, {1.0, 1e7}, optional);
     root.read_count("max_connections", value.max_connections, {1, 1'000'000},
                     optional);
     root.read_choice("log_level", value.log_level,
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -4,6 +4,7 @@
 
 #include "allotment_limiter.hpp"
 #include "crash_record.hpp"
+#include "objective_scheduling.hpp"
 #include "retry_allowance.hpp"
 #include "settings.hpp"
 #include "team_directory.hpp"
@@ -50,6 +51,8 @@
     key_bounds keys;
     /// How the teams' allotments are distributed among VMs.
     allotment_terms allotments;
+    /// Which services are scheduled by the objectives of their routes.
+    objective_mode objectives = objective_mode::automatic;
     /// Time from the stop signal until the process is killed.
     duration stop_bound = std::chrono::seconds(8);
     retry_limits retries;
@@ -59,6 +62,9 @@
     /// Processor cores that this VM has (may be a fraction). The VMs with the
     /// most own workers and read the store for the others.
     double processor_share = 1;
+    /// Memory of this VM in megabytes; a process that uses more is killed.
+    /// 0: not known, and what is held of answers has no total bound.
+    double memory_mb = 0;
     std::size_t max_connections = 4096;
     std::string log_level = "info";
     std::string log_format = "json";
--- a/src/relay_teams.cpp
+++ b/src/relay_teams.cpp
@@ -7,6 +7,7 @@
 
 #include <asio/post.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberry
@@ -22,6 +23,22 @@
 constexpr milliseconds pool_request_timeout{300};
 constexpr milliseconds pool_connect_timeout{150};
 constexpr milliseconds pool_connection_max_idle{3000};
+/// A request may spend one part in this many of its objective on waiting for
+/// its team's units; the rest is for its worker.
+constexpr int allotment_wait_divisor = 4;
+constexpr milliseconds min_allotment_wait{20};
+constexpr milliseconds max_allotment_wait{200};
+
+/// The same for all routes: a route whose requests wait longer would reserve
+/// all units before those of the others.
+duration early_refusal_wait(routing_config const& config)
+{
+    duration shortest = duration::max();
+    for (route const& each : config.routes)
+        shortest = std::min(shortest, each.latency_objective);
+    return std::clamp<duration>(shortest / allotment_wait_divisor,
+                                min_allotment_wait, max_allotment_wait);
+}
 
 std::uint64_t& refusal_counter(relay_counts& counts,
                                relay_request const& request, error_kind kind)
@@ -78,13 +95,31 @@
 {
     teams_ = std::make_unique<team_directory>(config_);
     std::map<allotment_id, allotment> limits;
+    largest_team_weight_ = 0;
     for (team const& each : config_->teams)
         if (each.limit)
+        {
             limits.emplace(allotment_key(each.name), *each.limit);
+            largest_team_weight_ = std::max(
+                largest_team_weight_, plain_requests_per_second(*each.limit));
+        }
+    if (largest_team_weight_ <= 0)
+        largest_team_weight_ = 1;
+    by_objective_ = limits_by_objective(options_.objectives, *config_);
+    allotments_->refuse_early(by_objective_
+                                  ? std::optional(early_refusal_wait(*config_))
+                                  : std::nullopt);
     allotments_->set_allotments(limits, now());
     schedule_run();
 }
 
+double relay::team_weight(team const* holder) const
+{
+    return holder != nullptr && holder->limit
+               ? plain_requests_per_second(*holder->limit)
+               : largest_team_weight_;
+}
+
 void relay::acquire_allotment(std::shared_ptr<relay_exchange> const& exchange,
                               team const* holder)
 {
@@ -93,8 +128,10 @@
     exchange_terms const& terms = exchange->terms();
     double const units = allotment_cost(exchange->request(), *holder->limit);
     metered_requests_[terms.ticket] = {holder->name, units};
-    allotments_->request(terms.ticket, allotment_key(holder->name), units,
-                         terms.give_up_at, now());
+    exchange->waits().begin(wait_cause::allotment, now());
+    allotments_->request({terms.ticket, allotment_key(holder->name), units,
+                          terms.give_up_at, terms.objective_at},
+                         now());
     run_allotments();
     schedule_run();
 }
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -57,6 +57,8 @@
             continue;
         duration score = queueing_delay(*worker, now);
         score += cross_domain_penalty(*worker);
+        if (admission_)
+            score += admission_->placement_delay(id, now);
         if (config_.engine && !worker->owned)
             score += other_owner_penalty;
         if (worker->health.is_avoided(now) || is_failure_outlier(*worker, now))
@@ -596,6 +598,7 @@
                                       placement_choice const& best,
                                       time_point now)
 {
+    set_wait_cause(waiting, wait_cause::owner_grant);
     work_item const& item = waiting.item;
     worker_id const worker = best.worker->entry.id;
     vm_id const owner = owners_.at(worker);
@@ -617,7 +620,8 @@
     actions_.push_back(request_owner_grant{
         item.ticket, owner, worker, *item.target, item.priority,
         item.give_up_at, excluded, item.prompt_tokens, item.prefix,
-        item.objective_at, elsewhere, item.software});
+        item.objective_at, elsewhere, item.software, item.team,
+        item.answer_tokens});
     pending_grants_.insert_or_assign(
         item.ticket, pending_grant{waiting, key, owner, worker, now});
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -46,6 +46,16 @@
     config_ = std::move(config);
 }
 
+void service_scheduler::admit_by_delay(std::optional<duration> objective)
+{
+    if (!objective)
+        admission_.reset();
+    else if (admission_)
+        admission_->set_objective(*objective);
+    else
+        admission_.emplace(*objective, stable_hash(settings_.vm.str()));
+}
+
 service_scheduler::worker_state*
 service_scheduler::find(worker_id const& worker)
 {
@@ -65,7 +75,9 @@
         demand_.observe(demand_key(*item.target), now);
     queue_key const key{item.priority, ++last_number_};
     waiting_.emplace(item.ticket, key);
-    queue_.emplace(key, waiting_item{std::move(item), {}, {}});
+    waiting_item waiting;
+    waiting.item = std::move(item);
+    queue_.emplace(key, std::move(waiting));
 }
 
 void service_scheduler::stop_waiting_for_load(waiting_item& waiting)
@@ -77,6 +89,20 @@
     waiting.loading_worker = {};
 }
 
+void service_scheduler::set_wait_cause(waiting_item& waiting, wait_cause cause)
+{
+    if (std::exchange(waiting.cause, cause) != cause)
+        wait_changes_.emplace_back(waiting.item.ticket, cause);
+}
+
+void service_scheduler::update_wait_cause(waiting_item& waiting)
+{
+    set_wait_cause(waiting,
+                   !waiting.loading_worker.empty()  ? wait_cause::adapter_load
+                   : !waiting.refused_until.empty() ? wait_cause::owner_grant
+                                                    : wait_cause::batch_slot);
+}
+
 void service_scheduler::withdraw(ticket_id ticket, time_point now)
 {
     // Ends the grant request in the owner's health record as well. Otherwise
@@ -112,6 +138,8 @@
     worker_state* const worker = find(begun.worker);
     if (worker == nullptr)
         return;
+    if (admission_)
+        admission_->on_answer(begun.worker, now - begun.sent_at, now);
     worker->backlog.on_first_byte(begun.sent_at, now);
     worker->health.first_byte(begun.sent_at, now);
 }
@@ -157,6 +185,8 @@
         mean_service_time_ += duration(static_cast<duration::rep>(
             service_time_smoothing *
             double((now - sent.sent_at - mean_service_time_).count())));
+    if (admission_ && outcome == send_outcome::full)
+        admission_->on_full(sent.worker, now);
     record_room(sent, ticket, outcome, now);
     worker_state* const worker = find(sent.worker);
     if (worker == nullptr || worker->entry.started != sent.started)
@@ -345,6 +375,19 @@
                (waiting.item.give_up_at - waiting.item.arrived_at) / 2;
 }
 
+/// A request that was sent before has used its place already.
+bool service_scheduler::admit(waiting_item& waiting, time_point now)
+{
+    if (!admission_ || std::exchange(waiting.admitted, true) ||
+        !waiting.item.excluded.empty() ||
+        admission_->admit(waiting.item.team, waiting.item.team_weight, now))
+        return true;
+    reject(waiting, error_kind::overloaded,
+           admission_->retry_after(waiting.item.give_up_at, now),
+           "the workers answer too late", now);
+    return false;
+}
+
 /// Decides on all waiting requests, by priority and then by age. When more
 /// requests arrive than the workers can run, requests that cannot be served in
 /// time are rejected at once, with the expected time to drain the current queue
@@ -359,6 +402,11 @@
     for (auto& [key, waiting] : queue_)
     {
         work_item const& item = waiting.item;
+        if (!admit(waiting, now))
+        {
+            done.push_back(key);
+            continue;
+        }
         worker_state* const loading =
             item.target && item.excluded.empty() &&
                     blocked_targets.count(*item.target) > 0
@@ -381,6 +429,7 @@
             done.push_back(key);
             continue;
         }
+        update_wait_cause(waiting);
         if (item.target)
             blocked_targets.insert(*item.target);
         ++ahead;
@@ -476,6 +525,7 @@
 std::vector<placement_action> service_scheduler::run(time_point now)
 {
     decided_at_ = now;
+    wait_changes_.clear();
     notices_.forget_past(now);
     rejections_.update(now);
     withdraw_overdue(now);
@@ -521,6 +571,11 @@
     counts.waiting = queue_.size();
     counts.sent = sent_.size();
     counts.asked = pending_grants_.size();
+    if (admission_)
+    {
+        counts.refused_by_delay = admission_->refused();
+        counts.refused_by_delay_share = admission_->refused_share();
+    }
     for (auto const& [id, worker] : workers_)
     {
         counts.cold_loads += worker->adapters.cold_loads();
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -7,6 +7,7 @@
 #include "adapter_locations.hpp"
 #include "adapter_version_history.hpp"
 #include "backend_entry.hpp"
+#include "delay_admission.hpp"
 #include "error_kind.hpp"
 #include "prefill_backlog.hpp"
 #include "prefill_rate.hpp"
@@ -14,6 +15,7 @@
 #include "rejection_guard.hpp"
 #include "relay_request.hpp"
 #include "routing_config.hpp"
+#include "wait_breakdown.hpp"
 #include "worker_adapters.hpp"
 #include "worker_health.hpp"
 #include "worker_notices.hpp"
@@ -58,6 +60,12 @@
     /// The answer is a stream, whose first byte shows that the request has
     /// started.
     bool streams = false;
+    /// The team that sent the request; empty without teams.
+    team_id team;
+    /// Requests of a plain service a second that the team's allotment allows.
+    double team_weight = 1;
+    /// Maximum number of tokens of the answer; 0 if unknown.
+    std::uint32_t answer_tokens = 0;
     /// Set if another VM holds the request and asks for a grant to send it to
     /// this worker.
     std::optional<worker_id> requested_worker = std::nullopt;
@@ -124,6 +132,8 @@
     time_point begins_elsewhere_at = never;
     /// As in work_item.
     std::optional<std::set<software_version>> software = std::nullopt;
+    team_id team;
+    std::uint32_t answer_tokens = 0;
 };
 
 /// Action: grant another VM's request. That VM may send the request now, to the
@@ -235,6 +245,10 @@
     std::size_t sent = 0;
     /// Pending grant requests to other VMs.
     std::size_t asked = 0;
+    /// Requests refused since the workers answer too late, and the share of new
+    /// requests that is refused for it now.
+    std::uint64_t refused_by_delay = 0;
+    double refused_by_delay_share = 0;
     friend bool operator==(scheduler_counts const&,
                            scheduler_counts const&) = default;
 };
@@ -257,6 +271,14 @@
     service_scheduler& operator=(service_scheduler const&) = delete;
 
     void configure(service_config config);
+    /// Sets whether requests are scheduled by the objectives of their routes;
+    /// see objective_scheduling.hpp.
+    void schedule_by_objective(bool enabled) { by_objective_ = enabled; }
+    /// Refuses part of the requests while the workers answer too late for
+    /// `objective`; nullopt: never. See delay_admission.hpp. Precondition: the
+    /// service is plain.
+    void admit_by_delay(std::optional<duration> objective);
+    bool by_objective() const { return by_objective_ || admission_; }
     /// Sets the complete list of the service's workers; workers that are
     /// missing in the list are removed.
     void set_backends(std::vector<backend_entry> const& entries);
@@ -367,6 +389,14 @@
     /// if no time is due.
     time_point next_due() const;
 
+    /// Returns the requests whose cause of waiting has changed since the last
+    /// call, with their new causes. Requests begin with
+    /// wait_cause::batch_slot.
+    std::vector<std::pair<ticket_id, wait_cause>> take_wait_changes()
+    {
+        return std::exchange(wait_changes_, {});
+    }
+
     scheduler_counts counts() const;
     bool has_backends() const { return !workers_.empty(); }
     /// Returns the time until the first worker with the model (any worker
@@ -428,6 +458,9 @@
         std::map<vm_id, time_point> refused_until;
         /// When to decide on the request again even without an event.
         time_point review_at = never;
+        wait_cause cause = wait_cause::batch_slot;
+        /// `admission_` has decided on it.
+        bool admitted = false;
     };
     struct pending_grant
     {
@@ -676,7 +709,12 @@
                 duration retry_after, std::string_view reason, time_point now);
     void reject_unservable(waiting_item const& waiting, time_point now);
     void stop_waiting_for_load(waiting_item& waiting);
+    /// Records what the request waits for after a pass over the queue.
+    void update_wait_cause(waiting_item& waiting);
+    void set_wait_cause(waiting_item& waiting, wait_cause cause);
     duration expected_wait(std::size_t ahead, time_point now) const;
+    /// Whether a new request may be sent to a worker; if not, it is rejected.
+    bool admit(waiting_item& waiting, time_point now);
     bool too_late(waiting_item const& waiting, std::size_t ahead,
                   time_point now) const;
     /// Sets the deadline by which a request on a superseded version must start.
@@ -690,6 +728,8 @@
 
     scheduler_settings settings_;
     service_config config_;
+    bool by_objective_ = false;
+    std::optional<delay_admission> admission_;
     std::map<worker_id, std::unique_ptr<worker_state>> workers_;
     std::map<queue_key, waiting_item> queue_;
     std::map<ticket_id, queue_key> waiting_;
@@ -709,6 +749,7 @@
     adapter_demand demand_;
     adapter_locations adapter_locations_;
     std::vector<placement_action> actions_;
+    std::vector<std::pair<ticket_id, wait_cause>> wait_changes_;
     std::vector<time_point> weight_loads_;
     std::uint64_t last_number_ = 0;
     /// Time of the last call of run().
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -72,6 +72,7 @@
     worker_state& added = *made.first->second;
     added.entry.draining |= notices_.is_leaving(entry.id, entry.started);
     record_listed_adapters(added);
+    rejections_.on_started(entry.id, decided_at_);
 }
 
 /// An entry without a start time belongs to the known incarnation. A late entry
--- a/src/worker_limiter.cpp
+++ b/src/worker_limiter.cpp
@@ -79,7 +79,7 @@
                              time_point give_up_at, time_point now)
 {
     pending_.emplace(ticket, worker);
-    units_->request(ticket, allotment_key(worker), 1, give_up_at, now);
+    units_->request({ticket, allotment_key(worker), 1, give_up_at}, now);
 }
 
 void worker_limiter::withdraw(ticket_id ticket)
--- a/tests/relay_settings_test.cpp
+++ b/tests/relay_settings_test.cpp
@@ -42,6 +42,10 @@
     CHECK(value.stop_bound == 4500ms);
     CHECK(value.drain_bound == 2000ms);
     CHECK_FALSE(value.serves_metrics);
+    CHECK(value.memory_mb == 0);
+    auto const sized =
+        parse_relay_settings(settings_with(R"(, "memory_mb": 260)"), "file");
+    CHECK(std::get<relay_settings>(sized).memory_mb == 260);
 }
 
 TEST_CASE("every fault is reported", "[relay_settings]")
@@ -50,6 +54,7 @@
     CHECK(fault_count("{}") == 6);
     CHECK(fault_count(settings_with(R"(, "colour": 1)")) == 1);
     CHECK(fault_count(settings_with(R"(, "metrics": "here")")) == 1);
+    CHECK(fault_count(settings_with(R"(, "memory_mb": 0)")) == 1);
     CHECK(fault_count(settings_with(R"(, "metrics": "10.0.0.1:99999")")) == 1);
     CHECK(fault_count(settings_with(
               R"(, "retry_ratio": 2, "drain_bound_ms": 0)")) == 2);
