Probe workers that are up when a crash is checked

Cause: to tell a crash from a cut, a VM probes three other workers. After a request has crashed several, all three may be down; the VM then takes itself for cut off and reports no crash, and the request is sent on.

Ruled out: a stand-in that still accepts connections after its crash (its listening socket closes before its answers are cut, on one thread).

Change: workers of which a crash is known or suspected are probed last.

--- a/src/crash_detector.cpp
+++ b/src/crash_detector.cpp
@@ -227,6 +227,13 @@
         run();
 }
 
+bool crash_detector::may_be_down(backend_entry const& worker) const
+{
+    worker_incarnation const listed{worker.id, worker.started};
+    return crashes_to_check_.count(listed) > 0 ||
+           replicator_.record().has_crashed(listed);
+}
+
 std::optional<quarantine>
 crash_detector::find_quarantine(request_identity const& identity) const
 {
--- a/src/crash_detector.hpp
+++ b/src/crash_detector.hpp
@@ -119,6 +119,9 @@
     /// True if nothing is recorded about any request; callers then need not
     /// compute a request's identity.
     bool has_no_suspects() const { return replicator_.record().empty(); }
+    /// Whether the worker has crashed under a request, as far as this VM knows,
+    /// or its connections broke and it is being checked.
+    bool may_be_down(backend_entry const& worker) const;
     /// Returns nullopt if the request may be sent.
     std::optional<quarantine>
     find_quarantine(request_identity const& identity) const;
--- a/src/crash_record.hpp
+++ b/src/crash_record.hpp
@@ -105,6 +105,11 @@
 
     /// Whether nothing is recorded, neither observations nor answers.
     bool empty() const { return suspects_.empty(); }
+    /// Whether a crash of the worker is recorded.
+    bool has_crashed(worker_incarnation const& worker) const
+    {
+        return crashes_.count(worker) > 0;
+    }
     /// Whether any crash counts against the request.
     bool is_suspect(request_digest const& request) const;
     /// Whether an answer has cleared crashes of the request within the
--- a/src/relay_forwarding.cpp
+++ b/src/relay_forwarding.cpp
@@ -139,6 +139,11 @@
     std::stable_partition(others.begin(), others.end(),
                           [&except](backend_entry const* each)
                           { return each->domain != except.domain; });
+    // A request that crashes worker after worker leaves many that would not
+    // answer; this VM would take itself for cut off and report no crash.
+    std::stable_partition(others.begin(), others.end(),
+                          [this](backend_entry const* each)
+                          { return !crashes_.may_be_down(*each); });
     others.resize(std::min(others.size(), workers_per_check));
     struct open_check
     {
