Queue requests to engines by objective under load

Cause: requests wait in the order of rank and arrival, and loads of adapters by age, until half of their time is over.

Change: where objective_scheduling is on, requests past their objectives go behind those that can be in time; loads that the latter need come first, the earliest objective first; no fetch begins for a late request while fetches slow each other; a late request is rejected at once when the rate of the last second says that it would begin in the last half of its time (start_forecast). Plans of trials take by_objective.

--- a/bench/trial_fleet.cpp
+++ b/bench/trial_fleet.cpp
@@ -190,6 +190,7 @@
             domain_id("domain-" + std::to_string(number % plan_.domains));
         made.scheduler = std::make_unique<service_scheduler>(settings, config_);
         made.scheduler->set_members(plan_.vms);
+        made.scheduler->schedule_by_objective(plan_.by_objective);
         made.scheduler->set_registry_timestamps(
             {always_current, always_current});
         vm_places_.emplace(made.name, number);
--- a/bench/trial_plan.cpp
+++ b/bench/trial_plan.cpp
@@ -155,6 +155,7 @@
     root.read_count("adapters", plan.adapters, {1, 1'000'000}, required);
     root.read_number("zipf", plan.zipf, {0.0, 5.0}, optional);
     read_span(root, "length_ms", plan.length, optional);
+    root.read_flag("by_objective", plan.by_objective, optional);
     read_engine(document, root, plan.engine);
     read_kinds(document, root, plan);
     read_disturbances(document, root, plan);
--- a/bench/trial_plan.hpp
+++ b/bench/trial_plan.hpp
@@ -82,6 +82,8 @@
     /// Exponent of the adapters' popularity.
     double zipf = 1.2;
     duration length = std::chrono::seconds(30);
+    /// See service_scheduler::schedule_by_objective().
+    bool by_objective = false;
     engine_settings engine;
     std::vector<request_kind> kinds;
     std::vector<disturbance> disturbances;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -92,6 +92,8 @@
             int{service.scheduler.by_objective()});
         add("refused_by_delay_total", label, counts.refused_by_delay);
         add("refused_by_delay_share", label, counts.refused_by_delay_share);
+        add("demoted_late_total", label, counts.demoted_late);
+        add("rejected_late_total", label, counts.rejected_late);
         add("waiting", label, counts.waiting);
         add("sent", label, counts.sent);
         add("placed_resident_total", label, counts.placed_resident);
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -117,10 +117,21 @@
     if (worker.owned)
         return worker.adapters.may_order(now) &&
                worker.adapters.has_model(waiting.item.target->model) &&
+               !must_not_fetch(worker, waiting) &&
                worth_waiting(worker, waiting.item, now);
     return has_reachable_owner(worker, now);
 }
 
+/// While fetches from the weight store slow each other down, one for a request
+/// that is late already makes others late, too.
+bool service_scheduler::must_not_fetch(worker_state const& worker,
+                                       waiting_item const& waiting)
+{
+    return waiting.late && worker.adapters.are_fetches_slow() &&
+           !worker.adapters.stage(*waiting.item.target) &&
+           !worker.adapters.was_recently_resident(*waiting.item.target);
+}
+
 /// Keeps workers in use whose owner is gone or cut off (up to a third of all
 /// workers). Resident adapters are still used; only loads have to wait for a
 /// new owner.
@@ -300,6 +311,7 @@
 {
     work_item const& item = waiting.item;
     bool const loaded = !waiting.loading_worker.empty();
+    starts_.on_start(now);
     if (on.health.is_avoided(now))
         on.health.on_probe_sent(now);
     sent_item sent;
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -73,7 +73,7 @@
 {
     if (item.target && !item.target->adapter.empty() && item.excluded.empty())
         demand_.observe(demand_key(*item.target), now);
-    queue_key const key{item.priority, ++last_number_};
+    queue_key const key{false, item.priority, ++last_number_};
     waiting_.emplace(item.ticket, key);
     waiting_item waiting;
     waiting.item = std::move(item);
@@ -305,6 +305,7 @@
     if (usable_grant)
     {
         ++counts_.placed_granted;
+        starts_.on_start(now);
         adapter_locations_.record(*item.target, worker->entry.id, now);
         worker->adapters.record_resident(*item.target);
         actions_.push_back(place_request{
@@ -365,10 +366,16 @@
         double(mean_service_time_.count()) * double(ahead) / double(capacity)));
 }
 
+/// A request past its objective that would begin in the last half of its time
+/// is rejected at once: what begins within its objective goes before it.
 bool service_scheduler::too_late(waiting_item const& waiting, std::size_t ahead,
                                  time_point now) const
 {
     auto const left = waiting.item.give_up_at - now;
+    if (auto const wait = starts_.wait(ahead, now);
+        waiting.late && wait &&
+        double(wait->count()) > max_wait_share * double(left.count()))
+        return true;
     return double(expected_wait(ahead, now).count()) >
                max_wait_share * double(left.count()) ||
            now - waiting.item.arrived_at >
@@ -388,12 +395,66 @@
     return false;
 }
 
-/// Decides on all waiting requests, by priority and then by age. When more
+duration service_scheduler::queue_retry_after(std::size_t ahead,
+                                              time_point now) const
+{
+    duration wait = expected_wait(ahead, now);
+    if (by_objective_)
+        wait = std::max(wait, starts_.wait(ahead, now).value_or(wait));
+    return std::clamp<duration>(wait, min_retry_after, max_retry_after);
+}
+
+/// Load it answers: more requests than the workers can begin within their
+/// objectives. In the order of arrival, each waits for those before it, and all
+/// begin late; those that are late already lose little by waiting longer.
+void service_scheduler::demote_late_requests(time_point now)
+{
+    if (!by_objective_)
+        return;
+    std::vector<queue_key> late;
+    for (auto const& [key, waiting] : queue_)
+    {
+        if (key.late)
+            break;
+        if (now + prefill_rate_.prefill_time(waiting.item.prompt_tokens) >
+            waiting.item.objective_at)
+            late.push_back(key);
+    }
+    for (queue_key const& key : late)
+    {
+        auto demoted = queue_.extract(key);
+        demoted.key().late = true;
+        demoted.mapped().late = true;
+        waiting_.at(demoted.mapped().item.ticket) = demoted.key();
+        queue_.insert(std::move(demoted));
+    }
+    counts_.demoted_late += late.size();
+}
+
+void service_scheduler::rank_loads()
+{
+    if (!by_objective_)
+        return;
+    for (auto& [id, worker] : workers_)
+        if (worker->owned)
+            worker->adapters.clear_load_deadlines();
+    for (auto const& [key, waiting] : queue_)
+        if (worker_state* const worker =
+                key.late || waiting.loading_worker.empty()
+                    ? nullptr
+                    : find(waiting.loading_worker))
+            worker->adapters.add_load_deadline(*waiting.item.target,
+                                               waiting.item.objective_at);
+}
+
+/// Decides on all waiting requests, by priority and then by age; those that are
+/// past their objectives come last where objectives count. When more
 /// requests arrive than the workers can run, requests that cannot be served in
 /// time are rejected at once, with the expected time to drain the current queue
 /// as Retry-After.
 void service_scheduler::run_queue(time_point now)
 {
+    demote_late_requests(now);
     for (auto& [id, worker] : workers_)
         worker->queued = 0;
     std::set<model_target> blocked_targets;
@@ -435,9 +496,9 @@
         ++ahead;
         if (ahead > settings_.max_waiting || too_late(waiting, ahead, now))
         {
+            counts_.rejected_late += waiting.late ? 1 : 0;
             reject(waiting, error_kind::overloaded,
-                   std::clamp<duration>(expected_wait(ahead, now),
-                                        min_retry_after, max_retry_after),
+                   queue_retry_after(ahead, now),
                    "the queue is too long for its deadline", now);
             done.push_back(key);
         }
@@ -449,6 +510,7 @@
         waiting_.erase(queued->second.item.ticket);
         queue_.erase(queued);
     }
+    rank_loads();
 }
 
 /// Gives a worker that holds no model the one with the fewest copies, within
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -15,6 +15,7 @@
 #include "rejection_guard.hpp"
 #include "relay_request.hpp"
 #include "routing_config.hpp"
+#include "start_forecast.hpp"
 #include "wait_breakdown.hpp"
 #include "worker_adapters.hpp"
 #include "worker_health.hpp"
@@ -245,6 +246,10 @@
     std::size_t sent = 0;
     /// Pending grant requests to other VMs.
     std::size_t asked = 0;
+    /// Requests that waited past their objective, and those of them that were
+    /// rejected since the forecast was past half of their time.
+    std::uint64_t demoted_late = 0;
+    std::uint64_t rejected_late = 0;
     /// Requests refused since the workers answer too late, and the share of new
     /// requests that is refused for it now.
     std::uint64_t refused_by_delay = 0;
@@ -410,6 +415,8 @@
 private:
     struct queue_key
     {
+        /// The request cannot begin within its objective any more.
+        bool late = false;
         int priority = 0;
         std::uint64_t number = 0;
         friend auto operator<=>(queue_key const&, queue_key const&) = default;
@@ -461,6 +468,8 @@
         wait_cause cause = wait_cause::batch_slot;
         /// `admission_` has decided on it.
         bool admitted = false;
+        /// queue_key::late of its place in the queue.
+        bool late = false;
     };
     struct pending_grant
     {
@@ -717,6 +726,18 @@
     bool admit(waiting_item& waiting, time_point now);
     bool too_late(waiting_item const& waiting, std::size_t ahead,
                   time_point now) const;
+    /// Whether the request must leave fetches to those that can begin within
+    /// their objectives.
+    static bool must_not_fetch(worker_state const& worker,
+                               waiting_item const& waiting);
+    /// When to tell the caller of a rejected request to return, with `ahead`
+    /// requests ahead of it.
+    duration queue_retry_after(std::size_t ahead, time_point now) const;
+    /// Moves requests that cannot begin within their objectives any more behind
+    /// those that can.
+    void demote_late_requests(time_point now);
+    /// Tells the workers' loads until when they are needed.
+    void rank_loads();
     /// Sets the deadline by which a request on a superseded version must start.
     /// `learned_at`: when this VM learned of the newer version.
     void limit_start(sent_item& sent, time_point learned_at);
@@ -758,6 +779,7 @@
     time_point next_start_deadline_ = never;
     std::size_t vm_count_ = 1;
     prefill_rate prefill_rate_;
+    start_forecast starts_;
     duration mean_service_time_ = std::chrono::milliseconds(500);
     scheduler_counts counts_;
 };
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -308,6 +308,24 @@
         adapters_.erase(known);
 }
 
+void worker_adapters::clear_load_deadlines()
+{
+    for (auto& [target, state] : adapters_)
+        state.deadline = never;
+}
+
+void worker_adapters::add_load_deadline(model_target const& target,
+                                        time_point deadline)
+{
+    auto const known = adapters_.find(target);
+    if (known == adapters_.end() || deadline == never)
+        return;
+    time_point& earliest = known->second.deadline;
+    earliest = earliest == never
+                   ? deadline
+                   : std::min(earliest, deadline) - wait_per_waiting_request;
+}
+
 void worker_adapters::on_adapter_missing(model_target const& target,
                                          time_point now)
 {
@@ -487,6 +505,11 @@
                                    settings_.max_concurrent_loads);
 }
 
+bool worker_adapters::are_fetches_slow() const
+{
+    return fetch_time_ * 2 > settings_.cold_load_time * 3;
+}
+
 void worker_adapters::record_fetch_time(entry const& state, time_point now)
 {
     auto const took =
@@ -501,20 +524,22 @@
         loads_in_progress() >= max_loads_in_progress())
         return std::nullopt;
     std::pair<model_target const, entry> const* first = nullptr;
-    duration highest_priority{};
+    // Ascending.
+    std::pair<time_point, duration> first_order;
     for (auto const& each : adapters_)
     {
         entry const& state = each.second;
         if (state.stage != adapter_stage::requested ||
             !has_model(each.first.model))
             continue;
-        duration const priority =
-            now - state.requested_at +
-            wait_per_waiting_request * state.requests_waiting;
-        if (first != nullptr && priority <= highest_priority)
+        std::pair<time_point, duration> const order{
+            state.deadline,
+            state.requested_at - now -
+                wait_per_waiting_request * state.requests_waiting};
+        if (first != nullptr && order >= first_order)
             continue;
         first = &each;
-        highest_priority = priority;
+        first_order = order;
     }
     if (first == nullptr)
         return std::nullopt;
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -148,6 +148,9 @@
         return was_recently_resident(target) ? settings_.warm_load_time
                                              : fetch_time_;
     }
+    /// Whether recent fetches took much longer than one that runs alone: more
+    /// run over all workers than the weight store sends at full speed.
+    bool are_fetches_slow() const;
     /// Requests a load of the adapter in version `newest`, the last declared
     /// one; 0 stands for whichever is newest. No effect if the adapter is known
     /// here already. Precondition: can_load().
@@ -161,6 +164,11 @@
     /// a request waits, unless its copy is outdated.
     void begin_wait(model_target const& target);
     void end_wait(model_target const& target);
+    /// Loads that have a deadline are ordered before those without one, the
+    /// earliest first: forgets all deadlines, and tells that a waiting request
+    /// needs the adapter until then.
+    void clear_load_deadlines();
+    void add_load_deadline(model_target const& target, time_point deadline);
     /// Handles an answer by which the worker does not hold the adapter: the
     /// worker's state is unknown until its next report.
     void on_adapter_missing(model_target const& target, time_point now);
@@ -212,6 +220,9 @@
         std::size_t requests_in_progress = 0;
         std::size_t requests_waiting = 0;
         time_point requested_at{};
+        /// The earliest of the waiting requests' deadlines, earlier for each
+        /// further one; `never` if there is none.
+        time_point deadline = never;
         time_point ordered_at{};
         /// Whether the load is taken to come from the weight store.
         bool cold = false;
