Forget slow fetches of an adapter store after a second

Cause: the mean time of fetches changes only when one ends; a worker whose last fetches were slow would have refused fetches for late requests from then on.

Ruled out: decay of the mean itself, by which loads in flight are limited too.

Change: the mean counts as slow for a second after the last fetch.

Conclusion: found by reading; no run showed it.

--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -117,7 +117,7 @@
     if (worker.owned)
         return worker.adapters.may_order(now) &&
                worker.adapters.has_model(waiting.item.target->model) &&
-               !must_not_fetch(worker, waiting) &&
+               !must_not_fetch(worker, waiting, now) &&
                worth_waiting(worker, waiting.item, now);
     return has_reachable_owner(worker, now);
 }
@@ -125,9 +125,10 @@
 /// While fetches from the weight store slow each other down, one for a request
 /// that is late already makes others late, too.
 bool service_scheduler::must_not_fetch(worker_state const& worker,
-                                       waiting_item const& waiting)
+                                       waiting_item const& waiting,
+                                       time_point now)
 {
-    return waiting.late && worker.adapters.are_fetches_slow() &&
+    return waiting.late && worker.adapters.are_fetches_slow(now) &&
            !worker.adapters.stage(*waiting.item.target) &&
            !worker.adapters.was_recently_resident(*waiting.item.target);
 }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -729,7 +729,7 @@
     /// Whether the request must leave fetches to those that can begin within
     /// their objectives.
     static bool must_not_fetch(worker_state const& worker,
-                               waiting_item const& waiting);
+                               waiting_item const& waiting, time_point now);
     /// When to tell the caller of a rejected request to return, with `ahead`
     /// requests ahead of it.
     duration queue_retry_after(std::size_t ahead, time_point now) const;
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -34,6 +34,8 @@
 /// Weight of the newest fetch in the moving average of fetch times. Only the
 /// last few fetches should count, since a burst is over within seconds.
 constexpr double fetch_time_smoothing = 0.25;
+/// Fetches that ended longer ago tell nothing of the weight store now.
+constexpr std::chrono::milliseconds fetch_time_lifetime{1000};
 /// Time in the queue that counts as much as one more waiting request when loads
 /// are ranked: adapters with many waiting requests are fetched first, and no
 /// adapter starves.
@@ -505,15 +507,17 @@
                                    settings_.max_concurrent_loads);
 }
 
-bool worker_adapters::are_fetches_slow() const
+bool worker_adapters::are_fetches_slow(time_point now) const
 {
-    return fetch_time_ * 2 > settings_.cold_load_time * 3;
+    return fetch_time_ * 2 > settings_.cold_load_time * 3 &&
+           now < fetched_at_ + fetch_time_lifetime;
 }
 
 void worker_adapters::record_fetch_time(entry const& state, time_point now)
 {
     auto const took =
         std::max<duration>(now - state.ordered_at, settings_.cold_load_time);
+    fetched_at_ = now;
     fetch_time_ += duration(static_cast<duration::rep>(
         fetch_time_smoothing * double((took - fetch_time_).count())));
 }
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -150,7 +150,7 @@
     }
     /// Whether recent fetches took much longer than one that runs alone: more
     /// run over all workers than the weight store sends at full speed.
-    bool are_fetches_slow() const;
+    bool are_fetches_slow(time_point now) const;
     /// Requests a load of the adapter in version `newest`, the last declared
     /// one; 0 stands for whichever is newest. No effect if the adapter is known
     /// here already. Precondition: can_load().
@@ -288,6 +288,8 @@
     std::map<model_target, entry> adapters_;
     /// Moving average of the time that fetches from the weight store take.
     duration fetch_time_;
+    /// When the last fetch ended.
+    time_point fetched_at_{};
     /// Adapters that were loaded here, least recent first; as many as the
     /// worker is assumed to keep copies of.
     std::list<model_target> recently_resident_;
