Limit requests to engine workers by their memory

Cause: an owner counts batch slots only. With 24 slots and memory for 212,302 tokens, 24 requests of 9,190 tokens do not fit, and a worker that runs out of memory crashes with all its requests.

Ruled out: the sum as part of the scheduler's record of a worker, which is lost whenever the worker is not listed for a moment. Letting smaller requests pass a large one that waits for memory: the large one starves. One cached prefix for all adapters: a cache is valid only for the adapter that computed it. Reading kv_used of reports: how long the excess counts is not settled.

Change: worker_memory counts prompt, half of the longest answer and each shared prefix once, from send or grant until the end. Where objectives decide, a request that does not fit into nine tenths of an owned worker's memory waits as if the batch were full; one larger than that needs a worker without other requests. A request that waits for memory alone claims it for the pass over the queue. kv_capacity of the configuration's engine is read as memory_tokens; 0 means no limit. Metric worker_tokens_held by service.

The new tests fail without each of: the check, the claim, the release at the end, the reset at a restart, the reservation of a grant, and the switch.

Requests that a previous owner sent or granted are not counted by the next one until they have ended.

--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -94,6 +94,7 @@
         add("refused_by_delay_share", label, counts.refused_by_delay_share);
         add("demoted_late_total", label, counts.demoted_late);
         add("rejected_late_total", label, counts.rejected_late);
+        add("worker_tokens_held", label, counts.worker_tokens_held);
         add("waiting", label, counts.waiting);
         add("sent", label, counts.sent);
         add("placed_resident_total", label, counts.placed_resident);
--- a/src/routing_config.hpp
+++ b/src/routing_config.hpp
@@ -82,6 +82,9 @@
     std::size_t adapter_slots = 0;
     /// Memory for weights and adapters together; 0 if unknown.
     double weight_memory_mb = 0;
+    /// Tokens that the worker's memory for running requests holds; 0 if
+    /// unknown.
+    std::uint64_t memory_tokens = 0;
     double weight_loads_per_second = 1;
     std::vector<base_model> models;
     friend bool operator==(engine_limits const&,
--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -60,6 +60,12 @@
 /// it is evicted.
 constexpr double hot_requests_per_second = 0.3;
 
+memory_need need_of(work_item const& item)
+{
+    return expected_need(item.target, item.prompt_tokens, item.answer_tokens,
+                         item.prefix);
+}
+
 } // namespace
 
 std::size_t service_scheduler::request_limit(worker_state const& worker) const
@@ -82,6 +88,42 @@
             worker.owned};
 }
 
+bool service_scheduler::has_memory(worker_state const& worker,
+                                   work_item const& item) const
+{
+    return !by_objective_ || !worker.owned || !config_.engine ||
+           config_.engine->memory_tokens == 0 ||
+           memory_.fits(worker.entry.id, need_of(item),
+                        config_.engine->memory_tokens);
+}
+
+/// Requests at other owners' workers are counted too, since this VM may become
+/// the owner before they end.
+void service_scheduler::reserve_memory(worker_state const& worker,
+                                       work_item const& item)
+{
+    if (by_objective_ && config_.engine)
+        memory_.reserve(worker.entry.id, item.ticket, need_of(item));
+}
+
+/// Guards against starvation: otherwise smaller requests that arrive later
+/// would take all memory that becomes free.
+void service_scheduler::claim_memory(worker_state const& worker,
+                                     work_item const& item, time_point now)
+{
+    if (!has_memory(worker, item) && has_usable_copy(worker, *item.target, now))
+        memory_.claim(worker.entry.id, need_of(item));
+}
+
+std::size_t service_scheduler::occupied_slots(worker_state const& worker,
+                                              work_item const& item) const
+{
+    std::size_t const outstanding = outstanding_requests(worker);
+    return has_memory(worker, item)
+               ? outstanding
+               : std::max(outstanding, request_limit(worker));
+}
+
 double service_scheduler::batch_utilization(worker_state const& worker) const
 {
     return double(outstanding_requests(worker)) / double(worker.entry.slots);
@@ -117,7 +159,7 @@
 {
     if (worker.entry.draining || is_excluded(worker, item) ||
         is_paused_for(worker, item, now) || worker.health.is_full(now) ||
-        outstanding_requests(worker) >= request_limit(worker) ||
+        occupied_slots(worker, item) >= request_limit(worker) ||
         !rejections_.may_send(room_of(worker), now))
         return false;
     return !worker.health.is_avoided(now) || worker.health.may_probe(now);
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -86,7 +86,7 @@
         return false;
     std::size_t const slots = request_limit(worker);
     std::size_t const with_this =
-        outstanding_requests(worker) + worker.queued + 1;
+        occupied_slots(worker, item) + worker.queued + 1;
     if (with_this > slots &&
         slot_wait(with_this - slots, slots) > max_slot_wait)
         return false;
@@ -331,6 +331,7 @@
         ++on.granted;
         ++counts_.granted;
         on.backlog.add(prefill_rate_.prefill_time(item.prompt_tokens), now);
+        reserve_memory(on, item);
         actions_.push_back(grant_peer_request{
             item.ticket,
             {on.entry.id, believed_version(on, *item.target)},
@@ -403,6 +404,7 @@
         return place_at_holder(waiting, *best.worker, now);
     if (has_usable_copy(*best.worker, target, now))
     {
+        claim_memory(*best.worker, waiting.item, now);
         ++best.worker->queued;
         return decision::waits;
     }
@@ -430,6 +432,7 @@
         placement_cost(*holder, waiting.item, home, now) <=
             placement_cost(*loading, waiting.item, home, now))
         return place_at_holder(waiting, *holder, now);
+    claim_memory(*loading, waiting.item, now);
     ++loading->queued;
     return decision::waits;
 }
@@ -448,6 +451,7 @@
 service_scheduler::wait_for_load_at(waiting_item& waiting, worker_state& worker,
                                     time_point now)
 {
+    claim_memory(worker, waiting.item, now);
     ++worker.queued;
     if (!worker.adapters.can_load(*waiting.item.target))
         return decision::waits;
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -181,6 +181,7 @@
         return;
     sent_item const sent = found->second;
     sent_.erase(found);
+    memory_.release(ticket);
     if (outcome == send_outcome::served)
         mean_service_time_ += duration(static_cast<duration::rep>(
             service_time_smoothing *
@@ -345,6 +346,7 @@
         limit_start(sent, version_history_.superseded_at(*item.target,
                                                          sent.copy_version));
     worker.health.sent(now, worker.backlog.ahead(now));
+    reserve_memory(worker, item);
     sent_.emplace(item.ticket, std::move(sent));
 }
 
@@ -455,6 +457,7 @@
 void service_scheduler::run_queue(time_point now)
 {
     demote_late_requests(now);
+    memory_.clear_claims();
     for (auto& [id, worker] : workers_)
         worker->queued = 0;
     std::set<model_target> blocked_targets;
@@ -643,6 +646,8 @@
         counts.cold_loads += worker->adapters.cold_loads();
         counts.warm_loads += worker->adapters.warm_loads();
         counts.evictions += worker->adapters.evictions();
+        if (worker->owned)
+            counts.worker_tokens_held += memory_.held(id);
     }
     return counts;
 }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -19,6 +19,7 @@
 #include "wait_breakdown.hpp"
 #include "worker_adapters.hpp"
 #include "worker_health.hpp"
+#include "worker_memory.hpp"
 #include "worker_notices.hpp"
 
 #include <array>
@@ -254,6 +255,8 @@
     /// requests that is refused for it now.
     std::uint64_t refused_by_delay = 0;
     double refused_by_delay_share = 0;
+    /// Tokens that requests hold at the workers of this VM.
+    std::uint64_t worker_tokens_held = 0;
     friend bool operator==(scheduler_counts const&,
                            scheduler_counts const&) = default;
 };
@@ -593,6 +596,19 @@
                      time_point now) const;
     bool is_failure_outlier(worker_state const& worker, time_point now) const;
     double batch_utilization(worker_state const& worker) const;
+    /// Whether the worker has memory for the request; true for workers of other
+    /// owners.
+    bool has_memory(worker_state const& worker, work_item const& item) const;
+    /// Counts the request's memory at the worker until it ends.
+    void reserve_memory(worker_state const& worker, work_item const& item);
+    /// Keeps memory of the worker free for a request that waits there and lacks
+    /// nothing else.
+    void claim_memory(worker_state const& worker, work_item const& item,
+                      time_point now);
+    /// Outstanding requests of the worker; the whole batch while the worker has
+    /// no memory for the request.
+    std::size_t occupied_slots(worker_state const& worker,
+                               work_item const& item) const;
     std::size_t outstanding_requests(worker_state const& worker) const;
     worker_room room_of(worker_state const& worker) const;
     bool has_usable_copy(worker_state const& worker, model_target const& target,
@@ -763,6 +779,7 @@
     std::map<vm_id, worker_health> peers_;
     worker_notices notices_;
     rejection_guard rejections_;
+    worker_memory memory_;
     adapter_version_history version_history_;
     std::map<base_model_id, weights_version> declared_weights_;
     registry_timestamps known_as_of_;
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -117,6 +117,7 @@
     adapter_locations_.remove_worker(id);
     unanswered_orders unanswered = known.adapters.take_unanswered();
     workers_.erase(id);
+    memory_.reset(id);
     add_worker(entry, std::move(unanswered));
     worker_state& begun = *find(id);
     begun.owned_since = owned_since;
