Order queued requests of teams by their shares

Cause: at a service scheduled by objective, requests of one rank were served in the order of arrival, so two teams at five times their usual load took the places of the others.

Ruled out: a weight of 1 for another VM's request, whose team would then rank far behind the same team's requests at the owner; the owner takes the team's allotment from its own configuration. Charging requests that are rejected or withdrawn: their team would go last after its load has ended.

Change: queue_key has the tag of fair_queue after the rank; a request that is placed or granted advances virtual time, one that leaves the queue is dropped from its team's charge. Only where requests are scheduled by objective and name a team; the tag is 0 otherwise. Metric mulberry_team_tokens_started_total, by the VM that holds the caller's request.

--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -369,6 +369,9 @@
     /// As in work_item. A caller without an allotment weighs as much as the
     /// team with the largest. `holder`: null without a team.
     double team_weight(team const* holder) const;
+    /// As above, by this VM's configuration, of a team whose request another VM
+    /// holds; 1 if the configuration has no such team.
+    double team_weight(team_id const& name) const;
     /// Takes the request's units from its team's allotment and starts the
     /// request, at once or when the units are granted.
     void acquire_allotment(std::shared_ptr<relay_exchange> const& exchange,
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -94,6 +94,11 @@
         add("refused_by_delay_share", label, counts.refused_by_delay_share);
         add("demoted_late_total", label, counts.demoted_late);
         add("rejected_late_total", label, counts.rejected_late);
+        for (auto const& [team, tokens] : counts.team_tokens_started)
+            add("team_tokens_started_total",
+                fmt::format("{{service=\"{}\",team=\"{}\"}}", name.str(),
+                            team.str()),
+                tokens);
         add("waiting", label, counts.waiting);
         add("sent", label, counts.sent);
         add("placed_resident_total", label, counts.placed_resident);
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -171,6 +171,7 @@
     item.prompt_tokens = ask.prompt_tokens;
     item.answer_tokens = ask.answer_tokens;
     item.team = ask.team;
+    item.team_weight = team_weight(ask.team);
     item.prefix = ask.prefix;
     if (ask.objective_left)
         item.objective_at = at + *ask.objective_left;
--- a/src/relay_teams.cpp
+++ b/src/relay_teams.cpp
@@ -120,6 +120,14 @@
                : largest_team_weight_;
 }
 
+double relay::team_weight(team_id const& name) const
+{
+    auto const known =
+        std::find_if(config_->teams.begin(), config_->teams.end(),
+                     [&name](team const& each) { return each.name == name; });
+    return known == config_->teams.end() ? 1 : team_weight(&*known);
+}
+
 void relay::acquire_allotment(std::shared_ptr<relay_exchange> const& exchange,
                               team const* holder)
 {
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -313,6 +313,7 @@
     work_item const& item = waiting.item;
     bool const loaded = !waiting.loading_worker.empty();
     starts_.on_start(now);
+    count_share(waiting);
     if (on.health.is_avoided(now))
         on.health.on_probe_sent(now);
     sent_item sent;
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -73,10 +73,12 @@
 {
     if (item.target && !item.target->adapter.empty() && item.excluded.empty())
         demand_.observe(demand_key(*item.target), now);
-    queue_key const key{false, item.priority, ++last_number_};
-    waiting_.emplace(item.ticket, key);
     waiting_item waiting;
     waiting.item = std::move(item);
+    tag_by_share(waiting);
+    queue_key const key{false, waiting.item.priority, waiting.tag,
+                        ++last_number_};
+    waiting_.emplace(waiting.item.ticket, key);
     queue_.emplace(key, std::move(waiting));
 }
 
@@ -113,6 +115,7 @@
     {
         peers_[asked->second.owner].ended(send_outcome::abandoned,
                                           asked->second.asked_at, now);
+        drop_share(asked->second.waiting);
         pending_grants_.erase(asked);
     }
     auto const known = waiting_.find(ticket);
@@ -120,6 +123,7 @@
         return;
     auto const queued = queue_.find(known->second);
     stop_waiting_for_load(queued->second);
+    drop_share(queued->second);
     queue_.erase(queued);
     waiting_.erase(known);
 }
@@ -234,6 +238,7 @@
                                time_point now)
 {
     ++counts_.refused;
+    drop_share(waiting);
     worker_state* const asked = waiting.item.requested_worker
                                     ? find(*waiting.item.requested_worker)
                                     : nullptr;
@@ -306,6 +311,7 @@
     {
         ++counts_.placed_granted;
         starts_.on_start(now);
+        count_share(asked.waiting);
         adapter_locations_.record(*item.target, worker->entry.id, now);
         worker->adapters.record_resident(*item.target);
         actions_.push_back(place_request{
@@ -447,8 +453,9 @@
                                                waiting.item.objective_at);
 }
 
-/// Decides on all waiting requests, by priority and then by age; those that are
-/// past their objectives come last where objectives count. When more
+/// Decides on all waiting requests, by priority and then by age; where
+/// objectives count, those past their objectives come last, and the requests of
+/// teams are ordered by their shares instead of their age. When more
 /// requests arrive than the workers can run, requests that cannot be served in
 /// time are rejected at once, with the expected time to drain the current queue
 /// as Retry-After.
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -9,6 +9,7 @@
 #include "backend_entry.hpp"
 #include "delay_admission.hpp"
 #include "error_kind.hpp"
+#include "fair_queue.hpp"
 #include "prefill_backlog.hpp"
 #include "prefill_rate.hpp"
 #include "prompt_copy.hpp"
@@ -254,6 +255,10 @@
     /// requests that is refused for it now.
     std::uint64_t refused_by_delay = 0;
     double refused_by_delay_share = 0;
+    /// Tokens of prompts and answers, the latter at their maximum, of this VM's
+    /// callers' requests that began. Counted where teams' shares order
+    /// requests.
+    std::map<team_id, std::uint64_t> team_tokens_started;
     friend bool operator==(scheduler_counts const&,
                            scheduler_counts const&) = default;
 };
@@ -418,6 +423,8 @@
         /// The request cannot begin within its objective any more.
         bool late = false;
         int priority = 0;
+        /// Virtual start time in `shares_`; 0 where shares do not count.
+        double tag = 0;
         std::uint64_t number = 0;
         friend auto operator<=>(queue_key const&, queue_key const&) = default;
     };
@@ -470,6 +477,10 @@
         bool admitted = false;
         /// queue_key::late of its place in the queue.
         bool late = false;
+        /// Virtual start and finish time in `shares_`; 0 where shares do not
+        /// count.
+        double tag = 0;
+        double finish = 0;
     };
     struct pending_grant
     {
@@ -738,6 +749,12 @@
     void demote_late_requests(time_point now);
     /// Tells the workers' loads until when they are needed.
     void rank_loads();
+    /// Sets the request's virtual times; see fair_queue.hpp.
+    void tag_by_share(waiting_item& waiting);
+    /// The request starts at a worker, or another VM may start it.
+    void count_share(waiting_item const& waiting);
+    /// The request leaves the queue and will not start through this VM.
+    void drop_share(waiting_item const& waiting);
     /// Sets the deadline by which a request on a superseded version must start.
     /// `learned_at`: when this VM learned of the newer version.
     void limit_start(sent_item& sent, time_point learned_at);
@@ -780,6 +797,7 @@
     std::size_t vm_count_ = 1;
     prefill_rate prefill_rate_;
     start_forecast starts_;
+    fair_queue shares_;
     duration mean_service_time_ = std::chrono::milliseconds(500);
     scheduler_counts counts_;
 };
