--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -95,6 +95,11 @@
         add("demoted_late_total", label, counts.demoted_late);
         add("rejected_late_total", label, counts.rejected_late);
         add("worker_tokens_held", label, counts.worker_tokens_held);
+        for (auto const& [team, tokens] : counts.team_tokens_started)
+            add("team_tokens_started_total",
+                fmt::format("{{service=\"{}\",team=\"{}\"}}", name.str(),
+                            team.str()),
+                tokens);
         add("waiting", label, counts.waiting);
         add("sent", label, counts.sent);
         add("placed_resident_total", label, counts.placed_resident);
