Count requests without a team as one team

Cause: requests without a team had no tag, so that at a service with teams they went before all others of their rank.

Ruled out: tags at services without teams, where the order of arrival is the share.

Change: once a team has sent a request, those without a team get tags as one team, with the weight that the relay gives them.

Figures: the new case of team_shares_test passes; 349 cases of scheduling_test pass.

Conclusion: an open route cannot take the teams' places.

--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -815,6 +815,8 @@
     prefill_rate prefill_rate_;
     start_forecast starts_;
     fair_queue shares_;
+    /// A request of a team has been submitted.
+    bool has_teams_ = false;
     duration mean_service_time_ = std::chrono::milliseconds(500);
     scheduler_counts counts_;
 };
--- a/src/service_shares.cpp
+++ b/src/service_shares.cpp
@@ -4,10 +4,13 @@
 namespace mulberry
 {
 
+/// Requests without a team count as one team beside the others. At a service
+/// without teams the order of arrival remains.
 void service_scheduler::tag_by_share(waiting_item& waiting)
 {
     work_item const& item = waiting.item;
-    if (!by_objective_ || item.team.empty())
+    has_teams_ |= !item.team.empty();
+    if (!by_objective_ || !has_teams_)
         return;
     waiting.tag = shares_.start_tag(
         item.team, item.team_weight,
@@ -20,10 +23,10 @@
 void service_scheduler::count_share(waiting_item const& waiting)
 {
     work_item const& item = waiting.item;
-    if (!by_objective_ || item.team.empty())
+    if (!by_objective_)
         return;
     shares_.on_begun(waiting.tag);
-    if (!item.requested_worker)
+    if (!item.team.empty() && !item.requested_worker)
         counts_.team_tokens_started[item.team] +=
             std::uint64_t{item.prompt_tokens} + item.answer_tokens;
 }
--- a/tests/team_shares_test.cpp
+++ b/tests/team_shares_test.cpp
@@ -326,6 +326,21 @@
     CHECK(run.tokens_started("quiet") == 110);
 }
 
+// Guards against requests without a team, such as those of routes that need no
+// key, that take the places of all teams.
+TEST_CASE("requests without a team count as one team", "[team_shares]")
+{
+    one_slot run;
+    CHECK(run.start({run.submit("quiet")}).size() == 1);
+    run.hold_slot();
+    ticket_id const first = run.submit("");
+    ticket_id const second = run.submit("");
+    ticket_id const quiet = run.submit("quiet");
+    CHECK(run.start({first, second, quiet}) ==
+          std::vector{first, quiet, second});
+    CHECK(run.tokens_started("") == 0);
+}
+
 // Guards against owners that serve other VMs' requests out of their teams'
 // order, and against tokens that both VMs count.
 TEST_CASE("other VMs' requests are ordered by their teams' shares",
