Examine late requests when fetches are not slow any more

Cause: a request past its objective may not begin a fetch while fetches are slow, and the scheduler named no time at which that ends. Without other events the request was examined next at half of its time, and rejected there.

Ruled out: an event that comes anyway; an owned worker without loads or orders in progress has no due time.

Change: next_due() names the end of the second in which slow fetches count, while a late request waits.

Conclusion: found by reading; how often no other event comes was not measured.

--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -602,9 +602,14 @@
     if (!queue_.empty())
         next = std::min({next, notices_.next_pause_end(decided_at_),
                          rejections_.next_change(decided_at_)});
+    bool const late_waits = !queue_.empty() && queue_.rbegin()->first.late;
     for (auto const& [id, worker] : workers_)
         if (worker->owned)
         {
+            // See must_not_fetch().
+            if (time_point const until = worker->adapters.fetches_slow_until();
+                late_waits && until > decided_at_)
+                next = std::min(next, until);
             // A draining worker gets no orders.
             if (!worker->entry.draining)
                 next = std::min(next, std::max(worker->adapters.next_due(),
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -507,10 +507,11 @@
                                    settings_.max_concurrent_loads);
 }
 
-bool worker_adapters::are_fetches_slow(time_point now) const
+time_point worker_adapters::fetches_slow_until() const
 {
-    return fetch_time_ * 2 > settings_.cold_load_time * 3 &&
-           now < fetched_at_ + fetch_time_lifetime;
+    return fetch_time_ * 2 > settings_.cold_load_time * 3
+               ? fetched_at_ + fetch_time_lifetime
+               : time_point::min();
 }
 
 void worker_adapters::record_fetch_time(entry const& state, time_point now)
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -150,7 +150,13 @@
     }
     /// Whether recent fetches took much longer than one that runs alone: more
     /// run over all workers than the weight store sends at full speed.
-    bool are_fetches_slow(time_point now) const;
+    bool are_fetches_slow(time_point now) const
+    {
+        return now < fetches_slow_until();
+    }
+    /// When are_fetches_slow() ends unless further fetches end before; in the
+    /// past if they are not slow.
+    time_point fetches_slow_until() const;
     /// Requests a load of the adapter in version `newest`, the last declared
     /// one; 0 stands for whichever is newest. No effect if the adapter is known
     /// here already. Precondition: can_load().
