Restore the queue when scheduling by objective is turned off

Cause: requests that were moved behind others, and the deadlines of loads that were not ordered yet, stayed as they were when a configuration turned the scheduling off. They kept their places behind all later requests, and were denied fetches.

Ruled out: that the next pass over the queue restores them; it only demotes, and only while the scheduling is on.

Change: schedule_by_objective(false) restores the order by rank and arrival and forgets the loads' deadlines.

Figures: the new test fails before the change and passes after it.

Conclusion: affects only requests that wait at the moment of the change.

--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace mulberry
 {
@@ -46,6 +47,12 @@
     config_ = std::move(config);
 }
 
+void service_scheduler::schedule_by_objective(bool enabled)
+{
+    if (std::exchange(by_objective_, enabled) && !enabled)
+        forget_lateness();
+}
+
 void service_scheduler::admit_by_delay(std::optional<duration> objective)
 {
     if (!objective)
@@ -431,6 +438,25 @@
     counts_.demoted_late += late.size();
 }
 
+void service_scheduler::forget_lateness()
+{
+    while (!queue_.empty() && queue_.rbegin()->first.late)
+    {
+        auto restored = queue_.extract(std::prev(queue_.end()));
+        restored.key().late = false;
+        restored.mapped().late = false;
+        waiting_.at(restored.mapped().item.ticket) = restored.key();
+        queue_.insert(std::move(restored));
+    }
+    for (auto& [ticket, asked] : pending_grants_)
+    {
+        asked.key.late = false;
+        asked.waiting.late = false;
+    }
+    for (auto& [id, worker] : workers_)
+        worker->adapters.clear_load_deadlines();
+}
+
 void service_scheduler::rank_loads()
 {
     if (!by_objective_)
--- a/tests/objective_queue_test.cpp
+++ b/tests/objective_queue_test.cpp
@@ -49,3 +49,26 @@
     CHECK(worker.loads_of("a2") == 1);
     CHECK_FALSE(world.refused(late));
 }
+
+// Guards against requests that stay behind others after the operator has turned
+// scheduling by objective off.
+TEST_CASE("requests wait in their order after objectives are turned off",
+          "[objective_queue]")
+{
+    scheduler_world world(1, 4, 1);
+    world.scheduler.schedule_by_objective(true);
+    ticket_id const running = world.submit_request("");
+    world.run(5ms);
+    REQUIRE(world.placed(running));
+    ticket_id const late =
+        world.submit(item_with_objective(world.now - 1ms), "");
+    ticket_id const timely =
+        world.submit(item_with_objective(world.now + 1h), "");
+    world.run(5ms);
+    REQUIRE(world.scheduler.counts().demoted_late == 1);
+    world.scheduler.schedule_by_objective(false);
+    world.end(running);
+    world.run(5ms);
+    CHECK(world.placed(late));
+    CHECK_FALSE(world.placed(timely));
+}
