Decide once on the admission of a request that a worker's limit postpones

Cause: a request that was admitted, but found no room in the limit that its worker names, was submitted again as a new one. Admission by delay decided on it anew each time, so that it was refused more often than others and up to 0.4 s later, and counted again in its team's rate.

Ruled out: the rule for requests that were sent before; it goes by the workers that a request excludes, and a postponed one excludes none.

Change: the relay marks such requests as admitted.

Conclusion: the test covers the scheduler; the relay's mark was read, not run.

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -181,6 +181,7 @@
 
 void relay_exchange::on_postponed()
 {
+    postponed_ = true;
     if (stage_ == stage::waiting)
         host_.wait_for_worker(*this, excluded_workers_);
 }
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -202,6 +202,8 @@
     {
         return stream_version_;
     }
+    /// The request was placed, and its worker's limit had no room for it.
+    bool was_postponed() const { return postponed_; }
     /// What the request has waited for since it arrived.
     wait_breakdown& waits() { return waits_; }
     wait_breakdown const& waits() const { return waits_; }
@@ -274,6 +276,7 @@
     bool retry_reserved_ = false;
     /// The last send was a retry.
     bool retry_sent_ = false;
+    bool postponed_ = false;
     time_point sent_at_{};
     wait_breakdown waits_;
     std::string placement_reason_;
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -84,6 +84,7 @@
     waiting_.emplace(item.ticket, key);
     waiting_item waiting;
     waiting.item = std::move(item);
+    waiting.admitted = waiting.item.admitted;
     queue_.emplace(key, std::move(waiting));
 }
 
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -67,6 +67,8 @@
     double team_weight = 1;
     /// Maximum number of tokens of the answer; 0 if unknown.
     std::uint32_t answer_tokens = 0;
+    /// The request was submitted before and left the queue for a worker.
+    bool admitted = false;
     /// Set if another VM holds the request and asks for a grant to send it to
     /// this worker.
     std::optional<worker_id> requested_worker = std::nullopt;
--- a/tests/delay_admission_test.cpp
+++ b/tests/delay_admission_test.cpp
@@ -1,4 +1,5 @@
 #include "delay_admission.hpp"
+#include "service_scheduler.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -370,3 +371,77 @@
     CHECK(double(result.in_time) >= 0.9 * 6 * fleet.capacity());
     CHECK(double(result.late) <= double(result.in_time) / 3);
 }
+
+namespace
+{
+
+/// A scheduler of a plain service, whose one worker answers so late that most
+/// new requests are refused.
+struct late_service
+{
+    late_service() : scheduler({}, config())
+    {
+        backend_entry entry;
+        entry.id = worker_id("w");
+        entry.service = service_id("plain");
+        entry.slots = 1000;
+        scheduler.set_backends({entry});
+        scheduler.admit_by_delay(objective);
+        for (int sent = 0; sent < 100; ++sent)
+            answer(work);
+        for (int sent = 0; sent < 100; ++sent)
+            answer(objective);
+    }
+    static service_config config()
+    {
+        service_config config;
+        config.name = service_id("plain");
+        return config;
+    }
+    /// Returns whether the request is rejected.
+    bool send(bool admitted)
+    {
+        work_item item;
+        item.ticket = ticket_id(++last_ticket);
+        item.arrived_at = now;
+        item.give_up_at = now + 5s;
+        item.admitted = admitted;
+        scheduler.submit(std::move(item), now);
+        auto const actions = scheduler.run(now);
+        return std::any_of(
+            actions.begin(), actions.end(),
+            [](placement_action const& each)
+            { return std::holds_alternative<reject_request>(each); });
+    }
+    void answer(duration took)
+    {
+        bool const rejected = send(false);
+        now += took;
+        if (rejected)
+            return;
+        scheduler.first_byte(ticket_id(last_ticket), now);
+        scheduler.ended(ticket_id(last_ticket), send_outcome::served, now);
+    }
+
+    time_point now{1000s};
+    std::uint64_t last_ticket = 0;
+    service_scheduler scheduler;
+};
+
+} // namespace
+
+// Guards against a request that finds no room in its worker's limit, is decided
+// on anew each time, and in the end is refused late.
+TEST_CASE("an admitted request is not refused when it is submitted again",
+          "[delay_admission]")
+{
+    late_service service;
+    int refused_new = 0;
+    int refused_admitted = 0;
+    for (int sent = 0; sent < 20; ++sent)
+        refused_new += service.send(false) ? 1 : 0;
+    for (int sent = 0; sent < 20; ++sent)
+        refused_admitted += service.send(true) ? 1 : 0;
+    CHECK(refused_new > 5);
+    CHECK(refused_admitted == 0);
+}
