Count a caller's return only at services scheduled by objective

Cause: the objective of a caller that has less than three quarters of its route's timeout left counts from its first call, if any service of the configuration is scheduled by objective. The scheduler got it for all services, and placed requests of the others, and asked their workers' owners, by objectives that were past.

Ruled out: leaving the objective as the route has it everywhere; the allotments of teams, which are on for the whole configuration, need the earlier one.

Change: a service that is not scheduled by objective gets the route's objective, counted from the request's arrival.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -354,10 +354,14 @@
     item.streams = terms.matched->repeats == repeat_rule::stream;
     item.arrived_at = terms.arrived_at;
     item.give_up_at = terms.give_up_at;
-    item.objective_at = terms.objective_at;
+    service_scheduler& scheduler = find(terms.service)->scheduler;
+    item.objective_at =
+        scheduler.by_objective()
+            ? terms.objective_at
+            : terms.arrived_at + terms.matched->latency_objective;
     item.excluded = excluded;
     item.software = allowed_software(exchange);
-    find(terms.service)->scheduler.submit(std::move(item), now());
+    scheduler.submit(std::move(item), now());
     schedule_run();
 }
 
