Count an event's own bytes against the memory for answers

Cause: the bytes of an incomplete event were taken out of the sum before its limit was computed from what is left.

Ruled out: a bound by the largest event; 32 events of 1 MB fill the quarter of 128 MB.

Change: the event's bytes are counted before they are compared.

Conclusion: events below 16 KB are taken as before.

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -353,10 +353,9 @@
     host_.on_stream_bytes(at - std::exchange(last_byte_at_, at));
     if (std::string complete = events_.feed(bytes); !complete.empty())
         answer_->write(std::move(complete));
-    held_bytes_.set(0);
+    held_bytes_.set(events_.incomplete_bytes());
     if (events_.incomplete_bytes() > host_.answers().limit(max_event_bytes))
         return retry_or_fail(send_outcome::broken, "an event is too large");
-    held_bytes_.set(events_.incomplete_bytes());
     if (answer_->unsent_bytes() > host_.answers().limit(max_unsent_bytes))
     {
         host_.on_slow_caller();
