--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -350,13 +350,18 @@
     item.priority = terms.priority;
     item.team = terms.team.value_or(team_id());
     item.team_weight = terms.team_weight;
+    item.admitted = exchange.was_postponed();
     item.streams = terms.matched->repeats == repeat_rule::stream;
     item.arrived_at = terms.arrived_at;
     item.give_up_at = terms.give_up_at;
-    item.objective_at = terms.objective_at;
+    service_scheduler& scheduler = find(terms.service)->scheduler;
+    item.objective_at =
+        scheduler.by_objective()
+            ? terms.objective_at
+            : terms.arrived_at + terms.matched->latency_objective;
     item.excluded = excluded;
     item.software = allowed_software(exchange);
-    find(terms.service)->scheduler.submit(std::move(item), now());
+    scheduler.submit(std::move(item), now());
     schedule_run();
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace mulberry
 {
@@ -46,6 +47,12 @@
     config_ = std::move(config);
 }
 
+void service_scheduler::schedule_by_objective(bool enabled)
+{
+    if (std::exchange(by_objective_, enabled) && !enabled)
+        forget_lateness();
+}
+
 void service_scheduler::admit_by_delay(std::optional<duration> objective)
 {
     if (!objective)
@@ -75,6 +82,7 @@
         demand_.observe(demand_key(*item.target), now);
     waiting_item waiting;
     waiting.item = std::move(item);
+    waiting.admitted = waiting.item.admitted;
     tag_by_share(waiting);
     queue_key const key{false, waiting.item.priority, waiting.tag,
                         ++last_number_};
@@ -439,6 +447,25 @@
     counts_.demoted_late += late.size();
 }
 
+void service_scheduler::forget_lateness()
+{
+    while (!queue_.empty() && queue_.rbegin()->first.late)
+    {
+        auto restored = queue_.extract(std::prev(queue_.end()));
+        restored.key().late = false;
+        restored.mapped().late = false;
+        waiting_.at(restored.mapped().item.ticket) = restored.key();
+        queue_.insert(std::move(restored));
+    }
+    for (auto& [ticket, asked] : pending_grants_)
+    {
+        asked.key.late = false;
+        asked.waiting.late = false;
+    }
+    for (auto& [id, worker] : workers_)
+        worker->adapters.clear_load_deadlines();
+}
+
 void service_scheduler::rank_loads()
 {
     if (!by_objective_)
@@ -612,9 +639,14 @@
     if (!queue_.empty())
         next = std::min({next, notices_.next_pause_end(decided_at_),
                          rejections_.next_change(decided_at_)});
+    bool const late_waits = !queue_.empty() && queue_.rbegin()->first.late;
     for (auto const& [id, worker] : workers_)
         if (worker->owned)
         {
+            // See must_not_fetch().
+            if (time_point const until = worker->adapters.fetches_slow_until();
+                late_waits && until > decided_at_)
+                next = std::min(next, until);
             // A draining worker gets no orders.
             if (!worker->entry.draining)
                 next = std::min(next, std::max(worker->adapters.next_due(),
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -69,6 +69,8 @@
     double team_weight = 1;
     /// Maximum number of tokens of the answer; 0 if unknown.
     std::uint32_t answer_tokens = 0;
+    /// The request was submitted before and left the queue for a worker.
+    bool admitted = false;
     /// Set if another VM holds the request and asks for a grant to send it to
     /// this worker.
     std::optional<worker_id> requested_worker = std::nullopt;
@@ -286,7 +288,7 @@
     void configure(service_config config);
     /// Sets whether requests are scheduled by the objectives of their routes;
     /// see objective_scheduling.hpp.
-    void schedule_by_objective(bool enabled) { by_objective_ = enabled; }
+    void schedule_by_objective(bool enabled);
     /// Refuses part of the requests while the workers answer too late for
     /// `objective`; nullopt: never. See delay_admission.hpp. Precondition: the
     /// service is plain.
@@ -763,6 +765,9 @@
     /// Moves requests that cannot begin within their objectives any more behind
     /// those that can.
     void demote_late_requests(time_point now);
+    /// Puts all requests back where rank and arrival place them, and forgets
+    /// until when loads are needed.
+    void forget_lateness();
     /// Tells the workers' loads until when they are needed.
     void rank_loads();
     /// Sets the request's virtual times; see fair_queue.hpp.
