Count each further request of a load regardless of its place in the queue

Cause: the deadline of a load was min(earliest, deadline) - 100 ms at each further request. A request with a much earlier objective that came last in the queue, which is ordered by rank, discarded the 100 ms of those before it.

Ruled out: passing the requests in order of objective: needs a sort per run.

Change: the earliest deadline and the number of deadlines are kept apart; loads are ranked by the deadline less 100 ms for each further request.

Figures: "each further request counts as 100 ms earlier" of objective_queue_test failed with the earliest objective last, and passes.

Conclusion: the rank of a load is now what docs/design/objective-queue.md says.

--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -313,7 +313,10 @@
 void worker_adapters::clear_load_deadlines()
 {
     for (auto& [target, state] : adapters_)
+    {
         state.deadline = never;
+        state.deadlines = 0;
+    }
 }
 
 void worker_adapters::add_load_deadline(model_target const& target,
@@ -322,10 +325,16 @@
     auto const known = adapters_.find(target);
     if (known == adapters_.end() || deadline == never)
         return;
-    time_point& earliest = known->second.deadline;
-    earliest = earliest == never
-                   ? deadline
-                   : std::min(earliest, deadline) - wait_per_waiting_request;
+    known->second.deadline = std::min(known->second.deadline, deadline);
+    ++known->second.deadlines;
+}
+
+time_point worker_adapters::ranked_deadline(entry const& which)
+{
+    if (which.deadline == never)
+        return never;
+    return which.deadline -
+           duration(wait_per_waiting_request * (which.deadlines - 1));
 }
 
 void worker_adapters::on_adapter_missing(model_target const& target,
@@ -537,7 +546,7 @@
             !has_model(each.first.model))
             continue;
         std::pair<time_point, duration> const order{
-            state.deadline,
+            ranked_deadline(state),
             state.requested_at - now -
                 wait_per_waiting_request * state.requests_waiting};
         if (first != nullptr && order >= first_order)
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -220,9 +220,10 @@
         std::size_t requests_in_progress = 0;
         std::size_t requests_waiting = 0;
         time_point requested_at{};
-        /// The earliest of the waiting requests' deadlines, earlier for each
-        /// further one; `never` if there is none.
+        /// The earliest of the waiting requests' deadlines, and their number;
+        /// `never` and 0 if there is none.
         time_point deadline = never;
+        std::size_t deadlines = 0;
         time_point ordered_at{};
         /// Whether the load is taken to come from the weight store.
         bool cold = false;
@@ -249,6 +250,9 @@
     /// Whether unanswered loads may change what the worker holds.
     bool may_change_unseen(time_point now) const;
     worker_order send(worker_order const& order, time_point now);
+    /// The deadline by which loads are ranked: earlier for each further
+    /// request; `never` without one.
+    static time_point ranked_deadline(entry const& which);
     std::size_t loads_in_progress() const;
     std::size_t max_loads_in_progress() const;
     bool unload_in_progress() const;
