State the forecast of starts alone as Retry-After

Cause: Retry-After was the larger one of the forecast by starts and the one by batch slots and mean service time. The latter is too long while requests run shorter than the mean, which changes slowly.

Ruled out: a faster mean service time; it is used elsewhere.

Change: with a forecast by starts, Retry-After is that forecast; otherwise the one by batch slots, as before. Nothing changes without the switch.

Figures: one slot, starts each 125 ms, six requests up to the rejected one: Retry-After was 1,500 ms with a forecast of 857 ms; it is 857 ms now.

Conclusion: Retry-After is what docs/design/objective-queue.md says.

--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -398,9 +398,9 @@
 duration service_scheduler::queue_retry_after(std::size_t ahead,
                                               time_point now) const
 {
-    duration wait = expected_wait(ahead, now);
-    if (by_objective_)
-        wait = std::max(wait, starts_.wait(ahead, now).value_or(wait));
+    std::optional<duration> const forecast =
+        by_objective_ ? starts_.wait(ahead, now) : std::nullopt;
+    duration const wait = forecast ? *forecast : expected_wait(ahead, now);
     return std::clamp<duration>(wait, min_retry_after, max_retry_after);
 }
 
