Forecast starts only after requests waited for a second

Cause: after an idle time, the starts in the last second tell how many requests arrived, not how many the workers can start. A few starts at the begin of a burst gave a forecast of seconds, by which late requests were rejected.

Ruled out: the rate since the idle time: requests that find free slots start at once, and the rate is far too high for a moment.

Change: there is no forecast until requests waited throughout the last second. A request that arrives while none waits and no grant is pending begins it anew.

Conclusion: in the first second of a burst, requests are rejected as without the forecast.

--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -73,6 +73,8 @@
 {
     if (item.target && !item.target->adapter.empty() && item.excluded.empty())
         demand_.observe(demand_key(*item.target), now);
+    if (queue_.empty() && pending_grants_.empty())
+        starts_.on_idle(now);
     queue_key const key{false, item.priority, ++last_number_};
     waiting_.emplace(item.ticket, key);
     waiting_item waiting;
--- a/src/start_forecast.cpp
+++ b/src/start_forecast.cpp
@@ -23,6 +23,8 @@
 std::optional<duration> start_forecast::wait(std::size_t ahead,
                                              time_point now) const
 {
+    if (idle_until_ > now - duration(window))
+        return std::nullopt;
     auto const counted = static_cast<std::size_t>(
         std::distance(std::upper_bound(starts_.begin(), starts_.end(),
                                        now - duration(window)),
--- a/src/start_forecast.hpp
+++ b/src/start_forecast.hpp
@@ -22,12 +22,17 @@
 public:
     /// A request began at a worker. Precondition: times do not go back.
     void on_start(time_point now);
+    /// A request arrived while no other waited: starts before followed the rate
+    /// of arrivals, not what limits them.
+    void on_idle(time_point now) { idle_until_ = now; }
     /// The time in which `ahead` more requests begin; nullopt while too few
-    /// have begun lately to tell.
+    /// have begun lately to tell, or if requests did not wait throughout the
+    /// last second.
     std::optional<duration> wait(std::size_t ahead, time_point now) const;
 
 private:
     std::deque<time_point> starts_;
+    time_point idle_until_ = time_point::min();
 };
 
 } // namespace mulberry
