Order waiting requests by age again when objectives are turned off

Cause: a new configuration may turn scheduling by objective off while requests wait. Late requests kept their places behind all later ones and were still rejected by the forecast, and loads kept their deadlines.

Ruled out: checking the switch at each use of the queue's key.

Change: turning the switch off restores the order of the queue and of pending grants and clears the deadlines of loads.

Conclusion: decisions without the switch depend on no earlier ones with it.

--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -433,6 +433,35 @@
     counts_.demoted_late += late.size();
 }
 
+void service_scheduler::schedule_by_objective(bool enabled)
+{
+    if (by_objective_ && !enabled)
+        forget_objective_order();
+    by_objective_ = enabled;
+}
+
+/// Otherwise the requests that are late when a new configuration turns the
+/// switch off would stay behind all later ones.
+void service_scheduler::forget_objective_order()
+{
+    std::map<queue_key, waiting_item> queue;
+    for (auto& [key, waiting] : queue_)
+    {
+        queue_key const restored{false, key.priority, key.number};
+        waiting.late = false;
+        waiting_.at(waiting.item.ticket) = restored;
+        queue.emplace(restored, std::move(waiting));
+    }
+    queue_ = std::move(queue);
+    for (auto& [ticket, asked] : pending_grants_)
+    {
+        asked.key.late = false;
+        asked.waiting.late = false;
+    }
+    for (auto& [id, worker] : workers_)
+        worker->adapters.clear_load_deadlines();
+}
+
 void service_scheduler::rank_loads()
 {
     if (!by_objective_)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -278,7 +278,7 @@
     void configure(service_config config);
     /// Sets whether requests are scheduled by the objectives of their routes;
     /// see objective_scheduling.hpp.
-    void schedule_by_objective(bool enabled) { by_objective_ = enabled; }
+    void schedule_by_objective(bool enabled);
     /// Refuses part of the requests while the workers answer too late for
     /// `objective`; nullopt: never. See delay_admission.hpp. Precondition: the
     /// service is plain.
@@ -736,6 +736,8 @@
     /// Moves requests that cannot begin within their objectives any more behind
     /// those that can.
     void demote_late_requests(time_point now);
+    /// Orders requests and loads as without objectives again.
+    void forget_objective_order();
     /// Tells the workers' loads until when they are needed.
     void rank_loads();
     /// Sets the deadline by which a request on a superseded version must start.
