--- a/tests/objective_queue_test.cpp
+++ b/tests/objective_queue_test.cpp
@@ -1,12 +1,10 @@
-// Queue by objective under overload and failure: order of requests and adapter
-// loads, rejection by forecast, lost owners, and the switch that turns it off.
-#include "scheduler_world.hpp"
+// Queue by objective under overload: order of requests and adapter loads,
+// rejection by forecast, and the switch that turns it off.
+#include "objective_load.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 #include <memory>
 #include <random>
 
@@ -17,168 +15,8 @@
 namespace
 {
 
-constexpr duration time_limit = 5s;
-constexpr duration step = 5ms;
-constexpr duration mean_run_time = 500ms;
 std::string_view const queue_reason = "the queue is too long for its deadline";
 
-/// Objectives of ranks 0, 1 and 2 of the deployment with teams, and how many of
-/// ten requests have each rank.
-constexpr std::array<duration, 3> objectives{500ms, 1000ms, 2000ms};
-constexpr std::array<double, 3> rank_weights{2, 5, 3};
-
-work_item item_of(int rank, time_point objective_at)
-{
-    work_item item;
-    item.priority = rank;
-    item.objective_at = objective_at;
-    return item;
-}
-
-/// What became of one request.
-struct record
-{
-    ticket_id ticket;
-    time_point arrived_at{};
-    time_point objective_at{};
-    time_point give_up_at{};
-    std::string adapter;
-    bool over = false;
-};
-
-/// Callers with Poisson arrivals in front of a scheduler. Placed requests run
-/// for 300 to 700 ms; callers give up at their time limits.
-class load_run
-{
-public:
-    /// `adapters` adapters are loaded before the load begins.
-    load_run(std::uint64_t seed, std::size_t workers, std::size_t adapter_slots,
-             std::size_t batch_slots, std::size_t adapters)
-        : world(workers, adapter_slots, batch_slots), random_(seed),
-          adapters_(adapters),
-          startable_rate(double(workers * batch_slots) /
-                         std::chrono::duration<double>(mean_run_time).count())
-    {
-        for (std::size_t each = 0; each < adapters; ++each)
-        {
-            ticket_id const ticket = world.submit_request(name(each));
-            world.run(400ms);
-            REQUIRE(world.placed(ticket));
-            world.end(ticket);
-        }
-        world.run(1s);
-        begin_ = world.now;
-    }
-
-    static std::string name(std::size_t adapter)
-    {
-        return "a" + std::to_string(adapter);
-    }
-
-    void submit(int rank, std::string const& adapter)
-    {
-        submit(rank, adapter, objectives.at(static_cast<std::size_t>(rank)));
-    }
-    void submit(int rank, std::string const& adapter, duration objective)
-    {
-        record made;
-        made.arrived_at = world.now;
-        made.objective_at = world.now + objective;
-        made.give_up_at = world.now + time_limit;
-        made.adapter = adapter;
-        made.ticket =
-            world.submit(item_of(rank, made.objective_at), adapter, time_limit);
-        records.push_back(std::move(made));
-    }
-
-    /// Offers `rate` requests a second for `span`.
-    void offer(double rate, duration span)
-    {
-        std::exponential_distribution<double> gap(rate);
-        std::discrete_distribution<int> rank(rank_weights.begin(),
-                                             rank_weights.end());
-        std::uniform_int_distribution<std::size_t> adapter(0, adapters_ - 1);
-        double next = gap(random_);
-        double const seconds = std::chrono::duration<double>(span).count();
-        for (time_point const from = world.now; world.now < from + span;)
-        {
-            double const elapsed =
-                std::chrono::duration<double>(world.now - from).count();
-            for (; next <= elapsed && next < seconds; next += gap(random_))
-                submit(rank(random_), name(adapter(random_)));
-            tick();
-        }
-    }
-
-    void tick()
-    {
-        world.run(step);
-        std::uniform_int_distribution<int> run_ms(300, 700);
-        for (record& each : records)
-        {
-            if (each.over)
-                continue;
-            if (world.placed(each.ticket))
-                ends_.emplace(world.now +
-                                  std::chrono::milliseconds(run_ms(random_)),
-                              each.ticket);
-            else if (!world.refused(each.ticket) && world.now < each.give_up_at)
-                continue;
-            else
-                world.scheduler.withdraw(each.ticket, world.now);
-            each.over = true;
-        }
-        while (!ends_.empty() && ends_.begin()->first <= world.now)
-        {
-            world.end(ends_.begin()->second);
-            ends_.erase(ends_.begin());
-        }
-    }
-
-    /// Lets all requests end.
-    void drain()
-    {
-        for (time_point const from = world.now;
-             world.now < from + time_limit + 1s;)
-            tick();
-    }
-
-    std::size_t started_in_time() const
-    {
-        return count(
-            [&](record const& each)
-            { return world.placed_at(each.ticket) <= each.objective_at; });
-    }
-    std::size_t started_late() const
-    {
-        return count(
-            [&](record const& each)
-            { return world.placed_at(each.ticket) > each.objective_at; });
-    }
-
-    scheduler_world world;
-    std::vector<record> records;
-
-private:
-    template <typename Rule>
-    std::size_t count(Rule rule) const
-    {
-        return static_cast<std::size_t>(
-            std::count_if(records.begin(), records.end(),
-                          [&](record const& each)
-                          { return world.placed(each.ticket) && rule(each); }));
-    }
-
-    std::mt19937_64 random_;
-    std::size_t adapters_;
-    std::multimap<time_point, ticket_id> ends_;
-    time_point begin_{};
-
-public:
-    /// Requests a second that the workers can start.
-    double const startable_rate;
-};
-
 /// One worker with a batch slot and the adapter `a0`.
 struct single_slot : scheduler_world
 {
@@ -594,3 +432,75 @@
         CHECK(double(by_age->started_in_time()) < 0.9 * startable(*by_age));
     }
 }
+
+// Guards against traces of the queue by objective in decisions without it.
+TEST_CASE("without the switch decisions are those of a scheduler without it",
+          "[objective_queue]")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed)
+    {
+        INFO("seed " << seed);
+        load_run untouched(seed, 2, 4, 8, 6);
+        load_run off(seed, 2, 4, 8, 6);
+        off.world.scheduler.schedule_by_objective(true);
+        off.world.scheduler.schedule_by_objective(false);
+        for (load_run* const each : {&untouched, &off})
+        {
+            each->offer(2.6 * each->startable_rate, 3s);
+            each->drain();
+        }
+        CHECK(untouched.world.scheduler.counts().demoted_late == 0);
+        CHECK(untouched.world.scheduler.counts().rejected_late == 0);
+        CHECK(untouched.world.scheduler.counts() ==
+              off.world.scheduler.counts());
+        CHECK(untouched.world.placement_order() == off.world.placement_order());
+        REQUIRE(untouched.records.size() == off.records.size());
+        std::size_t different = 0;
+        for (record const& each : untouched.records)
+            different +=
+                untouched.world.placed(each.ticket)
+                    ? untouched.world.placed_at(each.ticket) !=
+                              off.world.placed_at(each.ticket) ||
+                          untouched.world.worker_of(each.ticket) !=
+                              off.world.worker_of(each.ticket)
+                : untouched.world.refused(each.ticket)
+                    ? untouched.world.refusal(each.ticket).retry_after !=
+                          off.world.refusal(each.ticket).retry_after
+                    : off.world.refused(each.ticket);
+        CHECK(different == 0);
+    }
+}
+
+// Guards against objectives that still decide after a new configuration has
+// turned the switch off: late requests would stay behind all later ones.
+TEST_CASE("requests that wait when the switch is turned off go by age again",
+          "[objective_queue]")
+{
+    single_slot world;
+    ticket_id const running = world.submit(item_of(0, never), "a0");
+    world.run(step);
+    ticket_id const late = world.submit(item_of(0, world.now), "a0");
+    world.run(100ms);
+    ticket_id const in_time = world.submit(item_of(0, world.now + 1s), "a0");
+    world.run(step);
+    REQUIRE(world.scheduler.counts().demoted_late == 1);
+    world.scheduler.schedule_by_objective(false);
+    world.end(running);
+    world.run(step);
+    CHECK(world.placed(late));
+    CHECK_FALSE(world.placed(in_time));
+}
+
+// Guards against deadlines of loads that outlast the switch.
+TEST_CASE("loads that wait when the switch is turned off go by age again",
+          "[objective_queue]")
+{
+    load_queue world;
+    world.submit(item_of(0, world.now + 3s), "n-old");
+    world.run(50ms);
+    world.submit(item_of(0, world.now + 1s), "n-new");
+    world.run(step);
+    world.scheduler.schedule_by_objective(false);
+    world.run(1s);
+    CHECK(world.issued == names{"n-old", "n-new"});
+}
