--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -47,12 +47,6 @@
     config_ = std::move(config);
 }
 
-void service_scheduler::schedule_by_objective(bool enabled)
-{
-    if (std::exchange(by_objective_, enabled) && !enabled)
-        forget_lateness();
-}
-
 void service_scheduler::admit_by_delay(std::optional<duration> objective)
 {
     if (!objective)
@@ -80,6 +74,8 @@
 {
     if (item.target && !item.target->adapter.empty() && item.excluded.empty())
         demand_.observe(demand_key(*item.target), now);
+    if (queue_.empty() && pending_grants_.empty())
+        starts_.on_idle(now);
     waiting_item waiting;
     waiting.item = std::move(item);
     waiting.admitted = waiting.item.admitted;
@@ -414,9 +410,9 @@
 duration service_scheduler::queue_retry_after(std::size_t ahead,
                                               time_point now) const
 {
-    duration wait = expected_wait(ahead, now);
-    if (by_objective_)
-        wait = std::max(wait, starts_.wait(ahead, now).value_or(wait));
+    std::optional<duration> const forecast =
+        by_objective_ ? starts_.wait(ahead, now) : std::nullopt;
+    duration const wait = forecast ? *forecast : expected_wait(ahead, now);
     return std::clamp<duration>(wait, min_retry_after, max_retry_after);
 }
 
@@ -447,19 +443,30 @@
     counts_.demoted_late += late.size();
 }
 
-void service_scheduler::forget_lateness()
+void service_scheduler::schedule_by_objective(bool enabled)
 {
-    while (!queue_.empty() && queue_.rbegin()->first.late)
+    if (by_objective_ && !enabled)
+        forget_objective_order();
+    by_objective_ = enabled;
+}
+
+/// Otherwise the requests that are late when a new configuration turns the
+/// switch off would stay behind all later ones.
+void service_scheduler::forget_objective_order()
+{
+    std::map<queue_key, waiting_item> queue;
+    for (auto& [key, waiting] : queue_)
     {
-        auto restored = queue_.extract(std::prev(queue_.end()));
-        restored.key().late = false;
-        restored.mapped().late = false;
-        waiting_.at(restored.mapped().item.ticket) = restored.key();
-        queue_.insert(std::move(restored));
+        queue_key const restored{false, key.priority, 0, key.number};
+        waiting.late = false;
+        waiting_.at(waiting.item.ticket) = restored;
+        queue.emplace(restored, std::move(waiting));
     }
+    queue_ = std::move(queue);
     for (auto& [ticket, asked] : pending_grants_)
     {
         asked.key.late = false;
+        asked.key.tag = 0;
         asked.waiting.late = false;
     }
     for (auto& [id, worker] : workers_)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -765,9 +765,8 @@
     /// Moves requests that cannot begin within their objectives any more behind
     /// those that can.
     void demote_late_requests(time_point now);
-    /// Puts all requests back where rank and arrival place them, and forgets
-    /// until when loads are needed.
-    void forget_lateness();
+    /// Orders requests and loads as without objectives again.
+    void forget_objective_order();
     /// Tells the workers' loads until when they are needed.
     void rank_loads();
     /// Sets the request's virtual times; see fair_queue.hpp.
