--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -251,7 +251,7 @@
     /// Pending grant requests to other VMs.
     std::size_t asked = 0;
     /// Requests that waited past their objective, and those of them that were
-    /// rejected since the forecast was past half of their time.
+    /// rejected for the length of the queue or of their wait.
     std::uint64_t demoted_late = 0;
     std::uint64_t rejected_late = 0;
     /// Requests refused since the workers answer too late, and the share of new
