Leave a worker that its listed owner does not own

Ruled out: the promises (all VMs go on without the table within the bound), the workers of the killed VM (their requests fail at once, as they should), the test (its target and bound are as they were).

Change: from the third answer that the owner does not own the worker, the worker is excluded, as after any other failure, and another one is chosen.

Figures: the new test of model_entry needs 3 tries instead of 8, and fails without the change.

--- a/src/model_entry.cpp
+++ b/src/model_entry.cpp
@@ -333,6 +333,8 @@
     {
         attempt_count = ++pending.misroutes;
         allowed = attempt_count <= settings_.max_misroutes;
+        if (attempt_count >= settings_.misroutes_before_exclusion)
+            pending.excluded.insert(pending.worker);
     }
     else
     {
--- a/src/model_entry.hpp
+++ b/src/model_entry.hpp
@@ -40,6 +40,10 @@
     /// Maximum tries at VMs that do not own the worker. Such misroutes are
     /// cheap and happen while ownership moves, so they have their own limit.
     int max_misroutes = 8;
+    /// From this misroute on, the workers that were tried are excluded. A
+    /// handover that the table interrupts leaves its worker without an owner
+    /// until the table answers again.
+    int misroutes_before_exclusion = 3;
     int max_resumes = 4;
     std::uint64_t seed = 1;
 };
--- a/tests/model_entry_test.cpp
+++ b/tests/model_entry_test.cpp
@@ -185,3 +185,31 @@
     CHECK(fixture.actions_of<forward_request>()[0].worker ==
           worker_id(expected));
 }
+
+// A handover that a table outage interrupts leaves its worker without an owner.
+// Guards against sending a request only to that worker until it fails, although
+// another worker can serve it.
+TEST_CASE("a worker that its listed owner does not own is left", "[entry]")
+{
+    entry_fixture fixture;
+    fixture.submit();
+    auto const forwarded = [&]
+    { return fixture.actions_of<forward_request>(); };
+    error const refused(error_kind::not_owner,
+                        "this VM does not own the worker", ran::no, 1s);
+    std::size_t misroutes = 0;
+    while (forwarded().back().worker == worker_id("w1") && misroutes < 8)
+    {
+        attempt_id const attempt = forwarded().back().attempt;
+        fixture.entry.on_failure(
+            {attempt, failure_stage::refused, 0, "", "", refused}, fixture.now,
+            fixture.actions);
+        ++misroutes;
+        fixture.now += 1s;
+        fixture.entry.tick(fixture.now, fixture.actions);
+        REQUIRE(fixture.actions_of<deliver_error>().empty());
+        REQUIRE(forwarded().size() == misroutes + 1);
+    }
+    CHECK(forwarded().back().worker == worker_id("w2"));
+    CHECK(misroutes <= 3);
+}
