--- a/src/allotment_pool.cpp
+++ b/src/allotment_pool.cpp
@@ -112,18 +112,6 @@
            double(std::max<std::size_t>(pool.asked_at.size(), 1));
 }
 
-/// Otherwise small requests take all that comes in, and there is never enough
-/// for a large one. What counts is the wait until its first unit comes in; the
-/// pool is in debt for the others.
-duration allotment_pool::max_wait_for(token_bucket const& bucket,
-                                      double units) const
-{
-    if (!even_wait_ || bucket.per_second() <= 0)
-        return max_wait();
-    return max_wait() +
-           seconds_for(std::min(units, max_debt_), bucket.per_second());
-}
-
 allotted_units allotment_pool::allot(team_pool& pool,
                                      allotment_need const& query,
                                      time_point now) const
@@ -145,11 +133,10 @@
         std::max(query.min_units,
                  std::min({query.max_units,
                            bucket.max_reservable(max_wait(), now), part}));
-    if (auto const wait =
-            bucket.reserve(ahead, max_wait_for(bucket, query.min_units), now))
+    if (auto const wait = bucket.reserve(ahead, max_wait(), now))
     {
         allotted.units = ahead;
-        allotted.available_in = std::min(*wait, max_wait());
+        allotted.available_in = *wait;
         return allotted;
     }
     if (pool.total_share < min_settled_share)
--- a/src/allotment_pool.hpp
+++ b/src/allotment_pool.hpp
@@ -25,12 +25,10 @@
 
     /// With `max_wait`: units are given at most that long before they come in,
     /// and a VM gets no more than an equal part of them while VMs are refused.
-    /// A request gets its units as soon as the first one may be given; the pool
-    /// is in debt for the rest, by `max_debt` at most. Without: as constructed.
-    void divide_evenly(std::optional<duration> max_wait, double max_debt)
+    /// Without: as constructed.
+    void divide_evenly(std::optional<duration> max_wait)
     {
         even_wait_ = max_wait;
-        max_debt_ = max_debt;
     }
     /// Sets the allotments of all teams that have one. A lowered allotment
     /// applies at once, also to units saved up before.
@@ -72,14 +70,11 @@
     static void record_asker(team_pool& pool, vm_id const& vm, time_point now);
     /// The most that one VM may take now.
     double part_of(team_pool& pool, time_point now) const;
-    /// How long before the last of them comes in these units may be given.
-    duration max_wait_for(token_bucket const& bucket, double units) const;
     duration max_wait() const { return even_wait_.value_or(max_wait_); }
 
     duration headroom_;
     duration max_wait_;
     std::optional<duration> even_wait_;
-    double max_debt_ = 0;
     std::map<allotment_id, team_pool> teams_;
 };
 
--- a/src/pooled_limiter.cpp
+++ b/src/pooled_limiter.cpp
@@ -118,8 +118,7 @@
             state.second_query_at = never;
     // A request has waited for its turn and for the pool's reply by the time
     // that its units are reserved.
-    pool_.divide_evenly(max_wait ? std::optional(*max_wait / 2) : max_wait,
-                        max_debt_per_pool_);
+    pool_.divide_evenly(max_wait ? std::optional(*max_wait / 2) : max_wait);
 }
 
 void pooled_limiter::choose_pools()
@@ -341,8 +340,7 @@
         return true;
     if (state.waiting.size() < 2 || !state.forecast.is_short(now))
         return false;
-    // Its own units do not count: large requests would hardly ever be admitted.
-    double ahead = -usable_sum(state, true, now) - state.waiting.back().units;
+    double ahead = -usable_sum(state, true, now);
     for (waiting_request const& each : state.waiting)
         ahead += each.units;
     auto const expected = state.forecast.available_at(ahead, now);
