Bound the retry time of tiny allotments; remove unused code

`seconds_for` in the pool converts any number of seconds, and overflows for 1e12 units at less than 0.1 a second. `unit_forecast::was_short` holds for the first 1.5 s of the clock, before any pool refused units. A parameter, a variable and a function are not used.

Ruled out: an effect on deployments; allotments are of thousands of units a second, and the clock begins long before the relay.

Change: the retry time is bounded before it is converted, and a shortage needs a refusal. A test for each.

--- a/src/allotment_pool.cpp
+++ b/src/allotment_pool.cpp
@@ -18,10 +18,12 @@
 /// How long a VM that asked for units, and a pool's refusal, count.
 constexpr std::chrono::milliseconds contention_lifetime{500};
 
-duration seconds_for(double units, double per_second)
+/// At most max_retry_delay, which a small rate would exceed by far.
+duration retry_delay_for(double units, double per_second)
 {
     return std::chrono::ceil<duration>(
-        std::chrono::duration<double>(units / per_second));
+        std::min(std::chrono::duration<double>(units / per_second),
+                 std::chrono::duration<double>(max_retry_delay)));
 }
 
 } // namespace
@@ -149,7 +151,7 @@
     allotted.available_in = std::min<duration>(
         bucket.time_until_available(query.min_units, now), max_retry_delay);
     pool.queue_ends_at = std::max(pool.queue_ends_at, now) +
-                         seconds_for(query.min_units, bucket.per_second());
+                         retry_delay_for(query.min_units, bucket.per_second());
     pool.queue_ends_at =
         std::min<time_point>(pool.queue_ends_at, now + max_retry_delay);
     allotted.retry_in =
--- a/src/service_notices.cpp
+++ b/src/service_notices.cpp
@@ -150,10 +150,9 @@
                   pause->retry_at - now > duration(unservable_retry_after)))
         return reject(waiting, error_kind::overloaded, pause->retry_at - now,
                       pause->by_limit ? "all workers have reached their limits"
-                                      : "all workers want rest",
-                      now);
+                                      : "all workers want rest");
     reject(waiting, error_kind::back_end_unavailable, unservable_retry_after,
-           "no worker can serve it here", now);
+           "no worker can serve it here");
 }
 
 } // namespace mulberry
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -526,7 +526,6 @@
 service_scheduler::decide_adapter(waiting_item& waiting, queue_key const& key,
                                   time_point now)
 {
-    model_target const& target = *waiting.item.target;
     waiting.review_at = never;
     if (auto const decided = continue_waiting(waiting, now))
         return *decided;
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -239,8 +239,7 @@
 }
 
 void service_scheduler::reject(waiting_item const& waiting, error_kind kind,
-                               duration retry_after, std::string_view reason,
-                               time_point now)
+                               duration retry_after, std::string_view reason)
 {
     ++counts_.refused;
     drop_share(waiting);
@@ -404,7 +403,7 @@
         return true;
     reject(waiting, error_kind::overloaded,
            admission_->retry_after(waiting.item.give_up_at, now),
-           "the workers answer too late", now);
+           "the workers answer too late");
     return false;
 }
 
@@ -544,7 +543,7 @@
             counts_.rejected_late += waiting.late ? 1 : 0;
             reject(waiting, error_kind::overloaded,
                    queue_retry_after(ahead, now),
-                   "the queue is too long for its deadline", now);
+                   "the queue is too long for its deadline");
             done.push_back(key);
         }
     }
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -744,7 +744,7 @@
                            waiting_item const& waiting, time_point now);
     void place(waiting_item& waiting, worker_state& on, time_point now);
     void reject(waiting_item const& waiting, error_kind kind,
-                duration retry_after, std::string_view reason, time_point now);
+                duration retry_after, std::string_view reason);
     void reject_unservable(waiting_item const& waiting, time_point now);
     void stop_waiting_for_load(waiting_item& waiting);
     /// Records what the request waits for after a pass over the queue.
--- a/src/unit_forecast.hpp
+++ b/src/unit_forecast.hpp
@@ -29,7 +29,8 @@
     /// go on although it has just given some.
     bool was_short(time_point now) const
     {
-        return now < short_until_ + duration(shortage_memory);
+        return short_until_ != time_point() &&
+               now < short_until_ + duration(shortage_memory);
     }
     /// Units per second that pools gave recently.
     double per_second(time_point now) const;
--- a/src/worker_limiter.cpp
+++ b/src/worker_limiter.cpp
@@ -16,14 +16,6 @@
     return left.worker == right.worker && left.per_second == right.per_second;
 }
 
-bool contains_same(std::vector<worker_limit_notice> const& notices,
-                   worker_limit_notice const& notice)
-{
-    return std::any_of(notices.begin(), notices.end(),
-                       [&notice](auto const& each)
-                       { return same_limit(each, notice); });
-}
-
 } // namespace
 
 allotment_terms worker_limit_terms()
--- a/tests/allotment_pool_test.cpp
+++ b/tests/allotment_pool_test.cpp
@@ -75,3 +75,16 @@
     CHECK(pool.answer({vm_id("c"), {}, {{allotment_id("x"), 0, 1, 1}}}, start)
               .empty());
 }
+
+// Guards against a retry time that does not fit its type.
+TEST_CASE("a team with a tiny allotment is told a bounded retry time",
+          "[allotment_pool]")
+{
+    allotment_pool pool = pool_of(0.01, 1e12);
+    delegate_share(pool, "a", 1, start, 1s);
+    auto const reply =
+        pool.answer({vm_id("c"), {}, {{pits, 0, 1e12, 1e12}}}, start);
+    CHECK(reply.at(0).units == 0);
+    CHECK(reply.at(0).retry_in > duration(0));
+    CHECK(reply.at(0).retry_in <= 5s);
+}
--- a/tests/unit_forecast_test.cpp
+++ b/tests/unit_forecast_test.cpp
@@ -20,6 +20,13 @@
     CHECK_FALSE(forecast.available_at(50, start));
 }
 
+// Guards against a shortage that is assumed right after the machine's start,
+// when the clock begins.
+TEST_CASE("without a refusal there was no shortage", "[unit_forecast]")
+{
+    CHECK_FALSE(unit_forecast().was_short(time_point(500ms)));
+}
+
 TEST_CASE("units are expected at the rate at which pools gave them",
           "[unit_forecast]")
 {
