Keep records of streams in the store as well, so that they outlive all VMs

What callers saw: all VMs lost power while workers of two versions served. Their streams broke off, they took them up again at VMs that were back, and each was refused (503) until the longest stream had ended.

Cause: what began a stream was recorded in the memory of three VMs. All three ended together with the stream's own VM.

Change: the first of a stream's keepers also writes the record as a row of the store, in one transaction each 250 ms at most, which deletes rows of ended streams, too. Streams fall into 16 groups with the same keepers, so that at most 16 VMs write, 64 calls a second, however many VMs there are. If that keeper does not answer, the VM that began the stream writes the record. A VM that finds no record at keepers reads the row. The rows stand in a table and part of their own: they are not mirrored, and do not wait behind ownership.

Weighed: a row a stream (as many calls as streams), a row a VM (each VM that starts reads all), a version by the stream's hash (the choice at the time of the beginning cannot be worked out where the shares have moved since, as in the seconds after a release).

Of a stream that began within 250 ms before the loss nobody knows the version; it is refused as before.

--- a/src/ownership_runner.cpp
+++ b/src/ownership_runner.cpp
@@ -306,7 +306,7 @@
 void ownership_runner::run(transact const& what)
 {
     store_.transact(
-        what.transaction, what.deadline - boot_clock::now(),
+        row_set::own, what.transaction, what.deadline - boot_clock::now(),
         [this, what](store_reply const& reply)
         { asio::post(io_, [this, what, reply] { on_written(what, reply); }); });
 }
--- a/src/peer_streams.cpp
+++ b/src/peer_streams.cpp
@@ -69,6 +69,8 @@
     }
     if (message.asks_for)
         json["stream"] = message.asks_for->str();
+    if (message.to_store)
+        json["store"] = true;
     std::string const body = to_text(json);
     return fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\n"
                        "Content-Length: {}\r\n\r\n{}",
@@ -84,6 +86,7 @@
     Json::Value const& began = (*json)["began"];
     stream_message message;
     message.service = service_id(text_or(*json, "service", ""));
+    message.to_store = flag_or(*json, "store", false);
     if (message.service.empty() || !began.isArray() ||
         began.size() > max_records ||
         !std::all_of(began.begin(), began.end(), is_record) ||
--- a/src/peer_streams.hpp
+++ b/src/peer_streams.hpp
@@ -2,11 +2,12 @@
 /// workers' software a stream began.
 ///
 ///   POST /streams  {"service": S, "began": [[STREAM, VERSION, LEFT_MS], ...],
-///                   "stream": STREAM}
+///                   "store": true, "stream": STREAM}
 ///   200            {"software": VERSION, "only": VERSION,
 ///                   "established": [VERSION, ...]}
 ///
-/// `stream` is absent from a message that asks for no stream. Of the answer
+/// `stream` is absent from a message that asks for no stream, `store` from one
+/// whose records the receiver need not write to the store. Of the answer
 /// `software` is absent if the VM has no record of the stream, and `only` if
 /// running streams may have begun at several versions.
 #ifndef MULBERRY_PEER_STREAMS_HPP
@@ -33,6 +34,8 @@
     /// Records that the receiver keeps.
     std::vector<stream_record> began;
     std::optional<request_id> asks_for;
+    /// The receiver also writes the records to the metadata store.
+    bool to_store = false;
     friend bool operator==(stream_message const&,
                            stream_message const&) = default;
 };
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -70,7 +70,8 @@
       start_hold_(options_.start, started_at_),
       limits_(options_.vm, std::make_unique<pooled_limiter>(
                                options_.vm, worker_limit_terms())),
-      streams_(max_stream_records), random_(options_.seed)
+      streams_(max_stream_records), stream_rows_(options_.stream_rows, log),
+      random_(options_.seed)
 {
     // Failure: a VM restarts, and another VM reports that a grant of the
     // earlier process has ended; a grant of the new process with the same
@@ -544,6 +545,7 @@
     run_allotments();
     run_limits();
     run_probes();
+    stream_rows_.run(at);
     if (at >= send_ended_grants_at_)
         send_ended_grants();
     for (auto& [name, service] : services_)
@@ -681,9 +683,10 @@
 
 void relay::arm_timer()
 {
-    time_point next = std::min({now() + duration(sweep_interval),
-                                send_ended_grants_at_, allotments_->next_due(),
-                                limits_.next_due(), reachability_.next_due()});
+    time_point next =
+        std::min({now() + duration(sweep_interval), send_ended_grants_at_,
+                  allotments_->next_due(), limits_.next_due(),
+                  reachability_.next_due(), stream_rows_.next_due()});
     if (auto const due = due_.next())
         next = std::min(next, *due);
     for (auto const& [name, service] : services_)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -23,6 +23,7 @@
 #include "software_versions.hpp"
 #include "startup_hold.hpp"
 #include "stream_records.hpp"
+#include "stream_row_keeper.hpp"
 #include "team_directory.hpp"
 #include "usual_deadline.hpp"
 #include "worker_limiter.hpp"
@@ -82,6 +83,8 @@
     std::string source_address;
     /// Bytes of answers that this VM may hold; nullopt: any number.
     std::optional<std::size_t> answer_bytes;
+    /// Empty: records of streams are kept in memory only.
+    stream_row_access stream_rows;
     /// Called when this VM has been cut off from all workers for a while, and
     /// when it reaches them again. May be empty.
     std::function<void(bool cut_off)> on_cut_off;
@@ -180,6 +183,11 @@
     void handle_worker_limits(http_request const& received,
                               http_answer& answer);
 
+    /// Whether this VM deletes records of streams that VMs left in the store.
+    void set_sweeps_stream_rows(bool sweeps)
+    {
+        stream_rows_.set_sweeps(sweeps);
+    }
     /// Handles another VM's message about streams; see peer_streams.hpp.
     void handle_streams(http_request const& received, http_answer& answer);
 
@@ -387,11 +395,18 @@
     void take_up_stream(relay_exchange& exchange,
                         software_version const& software,
                         std::string const& known_from, time_point asked_at);
+    /// Looks the stream up in the store, and rejects the request if that has
+    /// no record either.
+    void find_stream_row(std::shared_ptr<relay_exchange> const& exchange,
+                         time_point asked_at);
     void reject_unknown_stream(relay_exchange& exchange, time_point asked_at);
-    /// Keeps the records here and at a few VMs each.
+    /// Keeps the records here, at a few VMs each, and in the store.
     void keep_records(service_id const& service,
                       std::vector<stream_record> const& records);
     void record_running_streams(service_id const& service);
+    void send_records(vm_id const& keeper, stream_message const& message);
+    /// Writes the records to the store soon.
+    void store_records(std::vector<stream_record> const& records);
     void send_stream_message(
         backend_address const& to, stream_message const& message,
         duration timeout,
@@ -584,6 +599,7 @@
     /// VMs that reach workers, this VM included.
     std::vector<vm_id> sending_vms_;
     stream_records streams_;
+    stream_row_keeper stream_rows_;
     std::unordered_map<ticket_id, peer_request> peer_requests_;
     std::unordered_map<ticket_id, held_grant> held_grants_;
     std::unordered_map<ticket_id, std::shared_ptr<backend_exchange>>
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -189,8 +189,10 @@
     bool ready() const;
     bool registry_known() const;
     registry_timestamps registry_as_of() const;
-    void write_rows(table_transaction const& transaction,
+    void write_rows(row_set set, table_transaction const& transaction,
                     std::function<void(bool)> const& done);
+    void read_stream_rows(std::string const& prefix, std::string const& after,
+                          store_callback const& done);
     void on_rows(row_set set, std::vector<stored_row> const& rows);
     void on_declared(adapter_release const& release);
     void on_version_records(std::vector<stored_row> const& rows);
@@ -236,10 +238,11 @@
                    std::function<registry_timestamps()> registry_as_of,
                    std::function<std::uint64_t()> missed_worker_rows,
                    std::function<declarations_known()> declarations_as_of,
-                   crash_row_writer write_rows,
+                   crash_row_writer write_rows, stream_row_access stream_rows,
                    std::function<void(bool)> on_cut_off)
 {
     relay_options options;
+    options.stream_rows = std::move(stream_rows);
     options.crashes.write_rows = std::move(write_rows);
     options.crashes.limits = value.crashes;
     options.crashes.seed = seed;
@@ -293,7 +296,13 @@
               },
               [this](table_transaction const& transaction,
                      std::function<void(bool)> const& done)
-              { write_rows(transaction, done); },
+              { write_rows(row_set::own, transaction, done); },
+              {[this](std::string const& prefix, std::string const& after,
+                      store_callback const& done)
+               { read_stream_rows(prefix, after, done); },
+               [this](table_transaction const& transaction,
+                      std::function<void(bool)> const& done)
+               { write_rows(row_set::streams, transaction, done); }},
               [this](bool cut_off)
               {
                   if (ownership_)
@@ -341,10 +350,11 @@
                             : time_point()};
 }
 
-void relay_process::write_rows(table_transaction const& transaction,
+void relay_process::write_rows(row_set set,
+                               table_transaction const& transaction,
                                std::function<void(bool)> const& done)
 {
-    store_.transact(transaction, settings_.order_gap / order_gap_divisor,
+    store_.transact(set, transaction, settings_.order_gap / order_gap_divisor,
                     [this, done](store_reply const& reply)
                     {
                         bool const written =
@@ -353,6 +363,16 @@
                     });
 }
 
+void relay_process::read_stream_rows(std::string const& prefix,
+                                     std::string const& after,
+                                     store_callback const& done)
+{
+    store_.read(row_set::streams, prefix, after,
+                settings_.order_gap / order_gap_divisor,
+                [this, done](store_reply const& reply)
+                { asio::post(io_, [done, reply] { done(reply); }); });
+}
+
 void relay_process::on_rows(row_set set, std::vector<stored_row> const& rows)
 {
     if (set == row_set::own)
@@ -405,7 +425,7 @@
     if (!mirror_.has_read(row_set::own))
         return;
     if (auto const transaction = versions_.take_write(boot_clock::now()))
-        write_rows(*transaction,
+        write_rows(row_set::own, *transaction,
                    [this](bool)
                    {
                        versions_.on_written();
@@ -433,6 +453,7 @@
     std::vector<vm_id> const ranked = by_rank(std::move(live));
     auto const own = std::find(ranked.begin(), ranked.end(), settings_.vm);
     versions_.set_rank(static_cast<std::size_t>(own - ranked.begin()));
+    relay_.set_sweeps_stream_rows(own == ranked.begin());
     mirror_.set_members(members);
     relay_.set_members(std::move(members), ownership_->registered());
 }
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -119,7 +119,7 @@
     }
     return text + waits_.text("mulberry_wait_seconds") +
            grant_waits_.text("mulberry_grant_wait_seconds") +
-           crashes_.metrics();
+           crashes_.metrics() + stream_rows_.metrics();
 }
 
 } // namespace mulberry
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -141,23 +141,49 @@
 void relay::keep_records(service_id const& service,
                          std::vector<stream_record> const& records)
 {
-    std::map<vm_id, std::vector<stream_record>> by_keeper;
+    std::vector<stream_record> written_here;
+    std::map<std::pair<vm_id, bool>, std::vector<stream_record>> by_keeper;
     for (stream_record const& each : records)
     {
         streams_.add(each, now());
-        for (vm_id const& keeper : record_keepers(each.stream, live_vms_))
-            by_keeper[keeper].push_back(each);
+        std::vector<vm_id> const keepers =
+            record_keepers(each.stream, live_vms_);
+        if (keepers.empty() || peers_.count(keepers.front()) == 0)
+            written_here.push_back(each);
+        for (vm_id const& keeper : keepers)
+            if (peers_.count(keeper) > 0)
+                by_keeper[{keeper, keeper == keepers.front()}].push_back(each);
     }
+    store_records(written_here);
     for (auto& [keeper, kept] : by_keeper)
-    {
-        auto const peer = peers_.find(keeper);
-        if (peer == peers_.end())
-            continue;
-        counts_.stream_records_sent += kept.size();
-        send_stream_message(
-            peer->second.address, {service, std::move(kept), std::nullopt},
-            record_timeout, [](std::optional<stream_reply> const&) {});
-    }
+        send_records(keeper.first,
+                     {service, std::move(kept), std::nullopt, keeper.second});
+}
+
+/// If the VM that is to write the records cannot be reached, this one writes
+/// them.
+void relay::send_records(vm_id const& keeper, stream_message const& message)
+{
+    counts_.stream_records_sent += message.began.size();
+    std::vector<stream_record> to_store;
+    if (message.to_store)
+        to_store = message.began;
+    send_stream_message(
+        peers_.at(keeper).address, message, record_timeout,
+        [this, to_store](std::optional<stream_reply> const& reply)
+        {
+            if (!reply)
+                store_records(to_store);
+        });
+}
+
+void relay::store_records(std::vector<stream_record> const& records)
+{
+    if (records.empty())
+        return;
+    for (stream_record const& each : records)
+        stream_rows_.add(each, now());
+    schedule_run();
 }
 
 void relay::send_stream_message(
@@ -188,6 +214,8 @@
         return answer.respond({status_bad_request, {}, {}});
     for (stream_record const& each : message->began)
         streams_.add(each, at);
+    if (message->to_store)
+        store_records(message->began);
     stream_reply reply;
     if (message->asks_for)
         reply.software =
@@ -255,8 +283,10 @@
     std::vector<vm_id> keepers = record_keepers(exchange->stream(), live_vms_);
     std::erase_if(keepers,
                   [this](vm_id const& vm) { return peers_.count(vm) == 0; });
-    if (keepers.empty() || !exchange->request().resumes)
+    if (!exchange->request().resumes)
         return reject_unknown_stream(*exchange, question->asked_at);
+    if (keepers.empty())
+        return find_stream_row(exchange, question->asked_at);
     question->open = keepers.size();
     stream_message const message{
         exchange->terms().service, {}, exchange->stream()};
@@ -287,7 +317,7 @@
     if (exchange->is_over())
         return;
     if (!version)
-        return reject_unknown_stream(*exchange, question.asked_at);
+        return find_stream_row(exchange, question.asked_at);
     take_up_stream(*exchange, *version,
                    (reply->software ? "a record at " : "one version at ") +
                        from.str(),
@@ -310,6 +340,24 @@
     exchange.start();
 }
 
+void relay::find_stream_row(std::shared_ptr<relay_exchange> const& exchange,
+                            time_point asked_at)
+{
+    if (!stream_rows_.is_enabled())
+        return reject_unknown_stream(*exchange, asked_at);
+    stream_rows_.find(exchange->stream(), exchange->terms().service,
+                      [this, exchange,
+                       asked_at](std::optional<software_version> const& version)
+                      {
+                          if (exchange->is_over())
+                              return;
+                          if (!version)
+                              return reject_unknown_stream(*exchange, asked_at);
+                          take_up_stream(*exchange, *version,
+                                         "a row of the store", asked_at);
+                      });
+}
+
 void relay::reject_unknown_stream(relay_exchange& exchange, time_point asked_at)
 {
     ++counts_.streams_unknown;
--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -69,6 +69,7 @@
     case row_set::workers:
         return options_.worker_interval;
     case row_set::own:
+    case row_set::streams:
         break;
     }
     return options_.own_interval;
--- a/src/row_store.hpp
+++ b/src/row_store.hpp
@@ -22,7 +22,10 @@
     /// The registry of workers.
     workers,
     /// Membership and ownership: the product's own rows.
-    own
+    own,
+    /// The product's own records of streams. They are read one by one, and not
+    /// mirrored.
+    streams
 };
 
 /// Kind of a row, derived from its key.
@@ -95,9 +98,9 @@
     /// change if there is none yet.
     virtual void watch(row_set set, row_version after, duration wait,
                        duration time_limit, store_callback done) = 0;
-    /// Changes rows of the product's own set atomically, if all conditions
-    /// hold.
-    virtual void transact(table_transaction const& transaction,
+    /// Changes rows of a set atomically, if all conditions hold. Precondition:
+    /// the set is one of the product's own.
+    virtual void transact(row_set set, table_transaction const& transaction,
                           duration time_limit, store_callback done) = 0;
     /// Abandons every call without an answer. After the return, no callback is
     /// running and none will run. Must not be called on a callback thread.
--- a/src/store_meter.cpp
+++ b/src/store_meter.cpp
@@ -45,10 +45,10 @@
                  counted(call_kind::watch, std::move(done)));
 }
 
-void store_meter::transact(table_transaction const& transaction,
+void store_meter::transact(row_set set, table_transaction const& transaction,
                            duration time_limit, store_callback done)
 {
-    store_.transact(transaction, time_limit,
+    store_.transact(set, transaction, time_limit,
                     counted(call_kind::transact, std::move(done)));
 }
 
--- a/src/store_meter.hpp
+++ b/src/store_meter.hpp
@@ -25,8 +25,8 @@
               duration time_limit, store_callback done) override;
     void watch(row_set set, row_version after, duration wait,
                duration time_limit, store_callback done) override;
-    void transact(table_transaction const& transaction, duration time_limit,
-                  store_callback done) override;
+    void transact(row_set set, table_transaction const& transaction,
+                  duration time_limit, store_callback done) override;
     void close() override { store_.close(); }
 
     /// Prometheus lines: mulberry_store_calls_total by call and outcome, and
--- a/src/stream_records.cpp
+++ b/src/stream_records.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <string>
 #include <utility>
 
 namespace mulberry
@@ -14,6 +15,10 @@
 /// One of them may be the VM that began the stream, and another may be lost
 /// with it.
 constexpr std::size_t keepers_of_stream = 3;
+/// Streams of one group have the same keepers, of which the first writes their
+/// records to the store: however many VMs there are, no more than this number
+/// write.
+constexpr std::uint64_t keeper_groups = 16;
 
 } // namespace
 
@@ -48,8 +53,10 @@
 std::vector<vm_id> record_keepers(request_id const& stream,
                                   std::vector<vm_id> vms)
 {
-    auto const rank = [&stream](vm_id const& vm)
-    { return stable_hash(stream.str() + "@" + vm.str()); };
+    std::string const group =
+        std::to_string(stable_hash(stream.str()) % keeper_groups);
+    auto const rank = [&group](vm_id const& vm)
+    { return stable_hash(group + "@" + vm.str()); };
     std::sort(vms.begin(), vms.end(),
               [&rank](vm_id const& a, vm_id const& b)
               { return std::pair(rank(a), a) > std::pair(rank(b), b); });
--- a/src/stream_records.hpp
+++ b/src/stream_records.hpp
@@ -48,7 +48,8 @@
 };
 
 /// The VMs that keep the record of a stream, by rendezvous hashing: the same
-/// on every VM that knows the same VMs.
+/// on every VM that knows the same VMs. The first one also writes it to the
+/// metadata store.
 std::vector<vm_id> record_keepers(request_id const& stream,
                                   std::vector<vm_id> vms);
 
--- /dev/null
+++ b/src/stream_row_writer.cpp
@@ -0,0 +1,115 @@
+#include "stream_row_writer.hpp"
+
+#include "stream_row.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// Of a stream that began within this time before all VMs were lost nobody
+/// knows the version. Each VM that has records makes this many calls of the
+/// store at most, unless it fills them.
+constexpr milliseconds write_interval{250};
+constexpr milliseconds retry_interval{500};
+/// Obsolete rows wait this long for a transaction that writes.
+constexpr std::chrono::seconds max_delete_delay{5};
+/// Puts, and as many deletions, in one transaction; the store accepts a hundred
+/// entries.
+constexpr std::size_t max_row_changes = 50;
+constexpr std::size_t max_waiting = 8192;
+
+} // namespace
+
+void stream_row_writer::add(stream_record record, time_point now)
+{
+    if (record.stream.empty() || record.until <= now)
+        return;
+    if (waiting_.size() >= max_waiting)
+        waiting_.pop_front();
+    waiting_.push_back(std::move(record));
+}
+
+void stream_row_writer::forget_ended(time_point now)
+{
+    std::erase_if(waiting_, [now](stream_record const& each)
+                  { return each.until <= now; });
+}
+
+std::optional<table_transaction> stream_row_writer::take_write(time_point now)
+{
+    if (in_progress_ || now < next_due())
+        return std::nullopt;
+    forget_ended(now);
+    table_transaction transaction;
+    // A transaction names a row once: callers may use an id again.
+    std::set<std::string> named;
+    while (!waiting_.empty() && writing_.size() < max_row_changes)
+    {
+        stream_record const record = std::move(waiting_.front());
+        waiting_.pop_front();
+        std::string const key = stream_row_key(record.stream, record.service);
+        if (!named.insert(key).second)
+            continue;
+        transaction.writes.push_back({key, stream_row_text(record, now)});
+        writing_.push_back(record);
+    }
+    while (!written_.empty() && written_.begin()->first <= now &&
+           deleting_.size() < max_row_changes)
+    {
+        std::string const key = written_.extract(written_.begin()).mapped();
+        if (!named.insert(key).second)
+            continue;
+        transaction.writes.push_back({key, std::nullopt});
+        deleting_.push_back(key);
+    }
+    if (transaction.writes.empty())
+        return std::nullopt;
+    in_progress_ = true;
+    write_at_ = now + duration(write_interval);
+    return transaction;
+}
+
+void stream_row_writer::on_written(bool done, time_point now)
+{
+    in_progress_ = false;
+    if (!done)
+        write_at_ = now + duration(retry_interval);
+    for (stream_record& each : writing_)
+    {
+        // A write without an answer may have been carried out, too.
+        written_.emplace(each.until, stream_row_key(each.stream, each.service));
+        if (!done)
+            waiting_.push_front(std::move(each));
+    }
+    for (std::string& each : deleting_)
+        if (!done)
+            written_.emplace(now, std::move(each));
+    writing_.clear();
+    deleting_.clear();
+}
+
+time_point stream_row_writer::next_due() const
+{
+    if (in_progress_)
+        return never;
+    time_point next = never;
+    if (waiting_.size() >= max_row_changes)
+        next = time_point();
+    else if (!waiting_.empty())
+        next = write_at_;
+    if (!written_.empty())
+        next =
+            std::min(next, std::max(write_at_, written_.begin()->first +
+                                                   duration(max_delete_delay)));
+    return next;
+}
+
+} // namespace mulberry
--- /dev/null
+++ b/src/stream_row_writer.hpp
@@ -0,0 +1,59 @@
+/// Collects records of streams for the metadata store into few transactions.
+#ifndef MULBERRY_STREAM_ROW_WRITER_HPP
+#define MULBERRY_STREAM_ROW_WRITER_HPP
+
+#include "stream_records.hpp"
+#include "table.hpp"
+#include "time_point.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mulberry
+{
+
+/// Writes each record once, and deletes its row after the stream has ended, in
+/// the same transactions where possible. One transaction is in progress at a
+/// time. Records that cannot be written for long give way to newer ones.
+/// Thread safety: none. No I/O, no clock.
+class stream_row_writer
+{
+public:
+    /// Queues a record. Records of streams that have ended, or that name none,
+    /// are ignored.
+    void add(stream_record record, time_point now);
+    /// The transaction that is due; nullopt if there is none, or one is in
+    /// progress. The caller reports its outcome to on_written().
+    std::optional<table_transaction> take_write(time_point now);
+    /// The transaction has ended. If it may have failed, its records are
+    /// written again.
+    void on_written(bool done, time_point now);
+    /// When take_write() is to be called next; `never` if nothing is to be
+    /// written.
+    time_point next_due() const;
+    /// The records that are not known to be written.
+    std::size_t unwritten() const { return waiting_.size() + writing_.size(); }
+
+private:
+    using row_ends = std::multimap<time_point, std::string>;
+
+    void forget_ended(time_point now);
+
+    std::deque<stream_record> waiting_;
+    /// Rows of this VM in the store, by the time at which they are obsolete.
+    row_ends written_;
+    /// What the transaction in progress writes and deletes.
+    std::vector<stream_record> writing_;
+    std::vector<std::string> deleting_;
+    bool in_progress_ = false;
+    time_point write_at_{};
+};
+
+} // namespace mulberry
+
+#endif
--- a/tests/memory_row_store.cpp
+++ b/tests/memory_row_store.cpp
@@ -89,7 +89,8 @@
         done(reply);
 }
 
-void memory_row_store::transact(table_transaction const& transaction, duration,
+void memory_row_store::transact(row_set set,
+                                table_transaction const& transaction, duration,
                                 store_callback done)
 {
     ++transactions_;
@@ -98,10 +99,9 @@
     store_reply reply;
     for (table_condition const& condition : transaction.conditions)
     {
-        auto const row = sets_[row_set::own].find(condition.key);
-        row_version const version = row == sets_[row_set::own].end()
-                                        ? row_version()
-                                        : row->second.version;
+        auto const row = sets_[set].find(condition.key);
+        row_version const version =
+            row == sets_[set].end() ? row_version() : row->second.version;
         if (version != condition.version)
             reply.outcome = store_outcome::conflict;
     }
@@ -109,11 +109,11 @@
     {
         reply.outcome = store_outcome::done;
         for (table_write const& each : transaction.writes)
-            write(row_set::own, {row_kind::own,
-                                 each.key,
-                                 {},
-                                 each.value.value_or(""),
-                                 !each.value});
+            write(set, {row_kind::own,
+                        each.key,
+                        {},
+                        each.value.value_or(""),
+                        !each.value});
     }
     reply.newest = row_version(version_);
     done(reply);
--- a/tests/memory_row_store.hpp
+++ b/tests/memory_row_store.hpp
@@ -35,7 +35,8 @@
     void watch(mulberry::row_set set, mulberry::row_version after,
                mulberry::duration wait, mulberry::duration time_limit,
                mulberry::store_callback done) override;
-    void transact(mulberry::table_transaction const& transaction,
+    void transact(mulberry::row_set set,
+                  mulberry::table_transaction const& transaction,
                   mulberry::duration time_limit,
                   mulberry::store_callback done) override;
     void close() override { waiting_.clear(); }
--- a/tests/store_meter_test.cpp
+++ b/tests/store_meter_test.cpp
@@ -27,7 +27,7 @@
     auto const count = [&answered](store_reply const&) { ++answered; };
     meter.read(row_set::workers, "", "", 1s, count);
     meter.watch(row_set::workers, row_version(0), 0s, 1s, count);
-    meter.transact({{{"vm/a", row_version(7)}}, {}}, 1s, count);
+    meter.transact(row_set::own, {{{"vm/a", row_version(7)}}, {}}, 1s, count);
     store.set_down(true);
     meter.read(row_set::workers, "", "", 1s, count);
     CHECK(answered == 4);
