Record at which versions streams may have begun, for VMs that all start

What callers saw: one version of the workers' software had served all along when all VMs were killed.

Cause: that one version began all streams was known to processes only. A VM that starts cannot tell how long a version was listed, nor which ones were listed before, and no other VM could tell it. Such streams have no record of their own, since one version is to cost nothing.

Change: one row a service names the versions at which running streams may have begun. A version is added when a VM lists it, and streams begin only at versions that the row names; it is removed when it was not listed for the longest stream and twice the validity of a list. A VM that starts and reads one version only, in the row and in the list, knows at once. The row also says which versions are established, so that new streams need not wait three seconds at VMs that have all started, and whether it is complete: a row that was just created is not, since older processes may have begun streams.

--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -28,7 +28,7 @@
 mulberry_library(mulberry_relay
   SOURCES backend_pool.cpp collected_exchange.cpp connect_check.cpp crash_row.cpp crash_detector.cpp event_log.cpp event_splitter.cpp forwarded_call.cpp
           ownership_runner.cpp peer_allotment.cpp peer_grant_request.cpp peer_rows.cpp peer_streams.cpp registry_watch.cpp relay.cpp relay_admission.cpp
-          version_records.cpp relay_daemon.cpp stream_row.cpp stream_row_keeper.cpp stream_row_writer.cpp
+          version_records.cpp relay_daemon.cpp software_record.cpp stream_row.cpp stream_row_keeper.cpp stream_row_writer.cpp
           relay_exchange.cpp relay_forwarding.cpp relay_limits.cpp relay_metrics.cpp relay_orders.cpp
           relay_peers.cpp relay_retries.cpp relay_settings.cpp relay_streams.cpp relay_teams.cpp row_mirror.cpp
           row_mirror_peers.cpp store_meter.cpp team_key.cpp
@@ -39,7 +39,7 @@
   SOURCES backend_pool_test.cpp crash_row_test.cpp endless_answer_test.cpp event_log_test.cpp event_splitter_test.cpp forwarded_call_test.cpp
           memory_row_store.cpp version_records_test.cpp ownership_runner_test.cpp peer_allotment_test.cpp
           peer_grant_request_test.cpp peer_rows_test.cpp
-          registry_watch_test.cpp relay_events_test.cpp relay_objective_test.cpp relay_settings_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp
+          registry_watch_test.cpp relay_events_test.cpp relay_objective_test.cpp relay_settings_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp software_record_test.cpp
           store_meter_test.cpp stream_records_test.cpp stream_rows_test.cpp team_key_test.cpp
   LINK mulberry_relay
   ENVIRONMENT "RC_PARAMS=seed=1")
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -114,7 +114,8 @@
     auto const added =
         services_
             .try_emplace(config.name, settings, config, options_.retries,
-                         started_at_, options_.software_validity)
+                         started_at_, options_.software_validity,
+                         options_.write_own_rows != nullptr)
             .first;
     added->second.scheduler.set_members(members_);
     added->second.scheduler.set_vms(sending_vms_);
@@ -546,6 +547,7 @@
     run_limits();
     run_probes();
     stream_rows_.run(at);
+    review_software_records();
     if (at >= send_ended_grants_at_)
         send_ended_grants();
     for (auto& [name, service] : services_)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -20,6 +20,7 @@
 #include "relay_exchange.hpp"
 #include "retry_allowance.hpp"
 #include "route_table.hpp"
+#include "software_record.hpp"
 #include "software_versions.hpp"
 #include "startup_hold.hpp"
 #include "stream_records.hpp"
@@ -85,6 +86,12 @@
     std::optional<std::size_t> answer_bytes;
     /// Empty: records of streams are kept in memory only.
     stream_row_access stream_rows;
+    /// Changes the product's own rows. Empty: the versions of the workers'
+    /// software are not recorded.
+    crash_row_writer write_own_rows;
+    /// The time as of which the product's own rows are known; the default value
+    /// before they were read. Set if `write_own_rows` is.
+    std::function<time_point()> own_rows_as_of;
     /// Called when this VM has been cut off from all workers for a while, and
     /// when it reaches them again. May be empty.
     std::function<void(bool cut_off)> on_cut_off;
@@ -166,12 +173,9 @@
     void set_members(std::vector<member_view> members, bool registered);
     /// Replaces the map from workers to their owners.
     void set_owners(std::map<worker_id, vm_id> owners);
-    /// Applies changed rows of the relay's own row set (requests that crash
-    /// workers).
-    void on_own_rows(std::vector<stored_row> const& rows)
-    {
-        crashes_.on_rows(rows);
-    }
+    /// Applies changed rows of the relay's own row set: requests that crash
+    /// workers, and versions of the workers' software.
+    void on_own_rows(std::vector<stored_row> const& rows);
     /// Handles a call of another VM; see peer_grant_request.hpp.
     void handle_peer(http_request const& received,
                      std::shared_ptr<http_answer> answer);
@@ -183,10 +187,12 @@
     void handle_worker_limits(http_request const& received,
                               http_answer& answer);
 
-    /// Whether this VM deletes records of streams that VMs left in the store.
-    void set_sweeps_stream_rows(bool sweeps)
+    /// Sets the number of VMs whose records of versions and of streams go
+    /// before this one's.
+    void set_rank(std::size_t rank)
     {
-        stream_rows_.set_sweeps(sweeps);
+        software_records_.set_rank(rank);
+        stream_rows_.set_sweeps(rank == 0);
     }
     /// Handles another VM's message about streams; see peer_streams.hpp.
     void handle_streams(http_request const& received, http_answer& answer);
@@ -340,9 +346,10 @@
 
         service_state(scheduler_settings settings, service_config const& config,
                       retry_limits const& limits, time_point started_at,
-                      duration software_validity)
+                      duration software_validity, bool records_software)
             : scheduler(std::move(settings), config),
-              retries(limits, started_at), software(software_validity),
+              retries(limits, started_at),
+              software(software_validity, records_software),
               engine(config.engine.has_value())
         {
         }
@@ -415,6 +422,10 @@
     void update_software(service_id const& name, service_state& service,
                          std::vector<backend_entry> const& workers);
     void update_software_known(service_state& service);
+    /// Compares the records of versions with what this VM knows, and writes
+    /// what is due.
+    void review_software_records();
+    void write_software_records();
     /// Asks other VMs what they know of the service's versions, if this VM does
     /// not know all.
     void ask_for_versions(service_id const& name, service_state& service);
@@ -600,6 +611,8 @@
     std::vector<vm_id> sending_vms_;
     stream_records streams_;
     stream_row_keeper stream_rows_;
+    software_record_writer software_records_;
+    time_point review_software_at_{};
     std::unordered_map<ticket_id, peer_request> peer_requests_;
     std::unordered_map<ticket_id, held_grant> held_grants_;
     std::unordered_map<ticket_id, std::shared_ptr<backend_exchange>>
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -232,17 +232,19 @@
     time_point exit_at_ = never;
 };
 
-relay_options
-make_relay_options(relay_settings const& value, std::uint64_t seed,
-                   std::function<bool(worker_id const&)> may_order,
-                   std::function<registry_timestamps()> registry_as_of,
-                   std::function<std::uint64_t()> missed_worker_rows,
-                   std::function<declarations_known()> declarations_as_of,
-                   crash_row_writer write_rows, stream_row_access stream_rows,
-                   std::function<void(bool)> on_cut_off)
+relay_options make_relay_options(
+    relay_settings const& value, std::uint64_t seed,
+    std::function<bool(worker_id const&)> may_order,
+    std::function<registry_timestamps()> registry_as_of,
+    std::function<std::uint64_t()> missed_worker_rows,
+    std::function<declarations_known()> declarations_as_of,
+    crash_row_writer write_rows, std::function<time_point()> own_rows_as_of,
+    stream_row_access stream_rows, std::function<void(bool)> on_cut_off)
 {
     relay_options options;
     options.stream_rows = std::move(stream_rows);
+    options.own_rows_as_of = std::move(own_rows_as_of);
+    options.write_own_rows = write_rows;
     options.crashes.write_rows = std::move(write_rows);
     options.crashes.limits = value.crashes;
     options.crashes.seed = seed;
@@ -297,6 +299,12 @@
               [this](table_transaction const& transaction,
                      std::function<void(bool)> const& done)
               { write_rows(row_set::own, transaction, done); },
+              [this]
+              {
+                  return mirror_.has_read(row_set::own)
+                             ? mirror_.as_of(row_set::own, boot_clock::now())
+                             : time_point();
+              },
               {[this](std::string const& prefix, std::string const& after,
                       store_callback const& done)
                { read_stream_rows(prefix, after, done); },
@@ -452,8 +460,9 @@
             live.push_back({member.vm, member.millicores});
     std::vector<vm_id> const ranked = by_rank(std::move(live));
     auto const own = std::find(ranked.begin(), ranked.end(), settings_.vm);
-    versions_.set_rank(static_cast<std::size_t>(own - ranked.begin()));
-    relay_.set_sweeps_stream_rows(own == ranked.begin());
+    auto const rank = static_cast<std::size_t>(own - ranked.begin());
+    versions_.set_rank(rank);
+    relay_.set_rank(rank);
     mirror_.set_members(members);
     relay_.set_members(std::move(members), ownership_->registered());
 }
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -25,6 +25,7 @@
 /// Retry-After of a stream that cannot be taken up here: another VM may know
 /// what began it.
 constexpr milliseconds unknown_stream_retry_delay{100};
+constexpr milliseconds software_review_interval{500};
 /// Interval at which a VM asks others what they know of a service's versions.
 constexpr milliseconds version_query_interval{500};
 constexpr std::size_t max_vms_asked = 3;
@@ -68,6 +69,7 @@
         if (!each.resumable || !leads_here)
             continue;
         service.has_resumable_streams = true;
+        review_software_at_ = time_point();
         service.software.set_longest_stream(each.timeout + stream_end_margin);
     }
 }
@@ -83,6 +85,7 @@
     service.software.set_listed(listed, at);
     if (had_one && !service.software.only_version(at))
         record_running_streams(name);
+    review_software_at_ = time_point();
     ask_for_versions(name, service);
 }
 
@@ -93,6 +96,71 @@
         options_.missed_worker_rows ? options_.missed_worker_rows() : 0, now());
 }
 
+void relay::on_own_rows(std::vector<stored_row> const& rows)
+{
+    crashes_.on_rows(rows);
+    time_point const at = now();
+    for (stored_row const& row : rows)
+    {
+        auto const service = parse_software_record_key(row.key);
+        if (!service)
+            continue;
+        std::optional<software_record> record;
+        if (!row.deleted)
+            record = parse_software_record(row.value);
+        if (!row.deleted && !record)
+        {
+            log_.notable("malformed record of software",
+                         log_fields().add("key", row.key), at);
+            record.emplace();
+        }
+        software_records_.on_row(*service, record,
+                                 row.deleted ? row_version() : row.version, at);
+    }
+    review_software_at_ = time_point();
+    schedule_run();
+}
+
+void relay::review_software_records()
+{
+    time_point const at = now();
+    if (!options_.write_own_rows || at < review_software_at_)
+        return;
+    time_point const as_of = options_.own_rows_as_of();
+    if (as_of == time_point())
+        return;
+    review_software_at_ = at + duration(software_review_interval);
+    for (auto& [name, service] : services_)
+    {
+        if (!service.has_resumable_streams)
+            continue;
+        software_record const* const record = software_records_.find(name);
+        service.software.set_record(
+            record != nullptr ? std::optional(*record) : std::nullopt, as_of);
+        software_records_.set_view(name, service.software.view(at), at);
+    }
+    write_software_records();
+}
+
+void relay::write_software_records()
+{
+    auto const transaction = software_records_.take_write(now());
+    if (!transaction)
+        return;
+    options_.write_own_rows(
+        *transaction,
+        [this](bool done)
+        {
+            software_records_.on_written(done);
+            log_.notable(
+                "versions of software recorded",
+                log_fields().add("outcome", done ? "written" : "not written"),
+                now());
+            review_software_at_ = time_point();
+            schedule_run();
+        });
+}
+
 /// Streams that began while only one version could have begun them have no
 /// record.
 void relay::record_running_streams(service_id const& service)
--- /dev/null
+++ b/src/software_record.cpp
@@ -0,0 +1,228 @@
+#include "software_record.hpp"
+
+#include "row_json.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+namespace mulberry
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+/// A version that is new in the list is recorded before streams can begin at
+/// it.
+constexpr milliseconds urgent_rank_delay{300};
+/// By then the other VMs have read what the VM before them in rank wrote.
+constexpr std::chrono::seconds rank_delay{4};
+/// After a write that conflicted or whose outcome is unknown, the row is read
+/// again within this time.
+constexpr std::chrono::seconds reread_time{3};
+
+Json::Value version_list(std::set<software_version> const& versions)
+{
+    Json::Value json(Json::arrayValue);
+    for (software_version const& each : versions)
+        json.append(each.str());
+    return json;
+}
+
+std::optional<std::set<software_version>>
+parse_version_list(Json::Value const& json)
+{
+    if (!json.isArray() ||
+        !std::all_of(json.begin(), json.end(),
+                     [](Json::Value const& each) { return each.isString(); }))
+        return std::nullopt;
+    std::set<software_version> versions;
+    for (Json::Value const& each : json)
+        versions.insert(software_version(each.asString()));
+    return versions;
+}
+
+bool includes(std::set<software_version> const& all,
+              std::set<software_version> const& some)
+{
+    return std::includes(all.begin(), all.end(), some.begin(), some.end());
+}
+
+} // namespace
+
+std::string software_record_key(service_id const& service)
+{
+    return software_record_prefix + service.str();
+}
+
+std::optional<service_id> parse_software_record_key(std::string const& key)
+{
+    std::string_view const prefix(software_record_prefix);
+    if (!std::string_view(key).starts_with(prefix) ||
+        key.size() == prefix.size())
+        return std::nullopt;
+    return service_id(key.substr(prefix.size()));
+}
+
+std::string software_record_text(software_record const& record)
+{
+    Json::Value json;
+    json["complete"] = record.complete;
+    json["established"] = version_list(record.established);
+    json["versions"] = version_list(record.versions);
+    return to_row_text(json);
+}
+
+std::optional<software_record> parse_software_record(std::string const& text)
+{
+    auto const json = parse_row_text(text);
+    if (!json)
+        return std::nullopt;
+    auto const complete = flag_member(*json, "complete");
+    auto const established = parse_version_list((*json)["established"]);
+    auto const versions = parse_version_list((*json)["versions"]);
+    if (!complete || !established || !versions ||
+        !includes(*versions, *established))
+        return std::nullopt;
+    return software_record{*versions, *established, *complete};
+}
+
+void software_record_writer::on_row(service_id const& service,
+                                    std::optional<software_record> record,
+                                    row_version version, time_point now)
+{
+    service_rows& rows = services_[service];
+    rows.record = std::move(record);
+    rows.version = version;
+    review(rows, now);
+}
+
+void software_record_writer::set_view(service_id const& service,
+                                      software_view view, time_point now)
+{
+    service_rows& rows = services_[service];
+    rows.view = std::move(view);
+    review(rows, now);
+}
+
+software_record const*
+software_record_writer::find(service_id const& service) const
+{
+    auto const found = services_.find(service);
+    return found == services_.end() || !found->second.record
+               ? nullptr
+               : &*found->second.record;
+}
+
+software_record software_record_writer::merge(service_rows const& rows,
+                                              time_point now)
+{
+    software_view const& view = *rows.view;
+    software_record merged = rows.record.value_or(software_record{});
+    merged.versions.insert(view.listed.begin(), view.listed.end());
+    for (software_version const& each : view.established)
+        if (merged.versions.count(each) > 0)
+            merged.established.insert(each);
+    merged.complete = merged.complete || view.complete;
+    for (auto const& [version, since] : rows.unlisted_since)
+        if (now >= since + view.retention)
+        {
+            merged.versions.erase(version);
+            merged.established.erase(version);
+        }
+    return merged;
+}
+
+void software_record_writer::review(service_rows& rows, time_point now) const
+{
+    if (!rows.view || rows.view->listed.empty())
+    {
+        rows.write_at = never;
+        return;
+    }
+    time_point const removal_due = note_unlisted(rows, now);
+    bool const is_urgent =
+        !rows.record || !includes(rows.record->versions, rows.view->listed);
+    auto const rank = static_cast<int>(rank_);
+    if (is_urgent)
+        rows.write_at =
+            std::min(rows.write_at, now + duration(urgent_rank_delay) * rank);
+    else if (merge(rows, now) != *rows.record)
+        rows.write_at =
+            std::min(rows.write_at, now + duration(rank_delay) * rank);
+    else
+        rows.write_at = removal_due == never
+                            ? never
+                            : removal_due + duration(rank_delay) * rank;
+}
+
+/// Returns when the next version is to be removed from the record.
+time_point software_record_writer::note_unlisted(service_rows& rows,
+                                                 time_point now)
+{
+    std::set<software_version> const recorded =
+        rows.record ? rows.record->versions : std::set<software_version>();
+    std::erase_if(rows.unlisted_since,
+                  [&](auto const& each)
+                  {
+                      return rows.view->listed.count(each.first) > 0 ||
+                             recorded.count(each.first) == 0;
+                  });
+    time_point next = never;
+    for (software_version const& each : recorded)
+        if (rows.view->listed.count(each) == 0)
+            next = std::min<time_point>(
+                next, rows.unlisted_since.try_emplace(each, now).first->second +
+                          rows.view->retention);
+    return next;
+}
+
+std::optional<table_transaction>
+software_record_writer::take_write(time_point now)
+{
+    if (in_progress_)
+        return std::nullopt;
+    table_transaction transaction;
+    for (auto& [service, rows] : services_)
+    {
+        if (std::max(rows.write_at, rows.not_before) > now)
+            continue;
+        software_record merged = merge(rows, now);
+        rows.write_at = never;
+        rows.not_before = now + duration(reread_time);
+        if (rows.record && merged == *rows.record)
+            continue;
+        std::string const key = software_record_key(service);
+        transaction.conditions.push_back({key, rows.version});
+        transaction.writes.push_back({key, software_record_text(merged)});
+        rows.writing = std::move(merged);
+        break;
+    }
+    if (transaction.writes.empty())
+        return std::nullopt;
+    in_progress_ = true;
+    return transaction;
+}
+
+void software_record_writer::on_written(bool done)
+{
+    in_progress_ = false;
+    for (auto& [service, rows] : services_)
+        if (auto written = std::exchange(rows.writing, std::nullopt);
+            written && done)
+            rows.record = std::move(written);
+}
+
+time_point software_record_writer::next_due() const
+{
+    time_point next = never;
+    if (in_progress_)
+        return next;
+    for (auto const& [service, rows] : services_)
+        next = std::min(next, std::max(rows.write_at, rows.not_before));
+    return next;
+}
+
+} // namespace mulberry
--- a/src/software_versions.cpp
+++ b/src/software_versions.cpp
@@ -1,6 +1,7 @@
 #include "software_versions.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace mulberry
 {
@@ -30,7 +31,7 @@
         bool const returned = known.unlisted_at != never &&
                               now > known.unlisted_at + longest_stream_ / 2;
         if (added || returned)
-            known = {now, never, is_first};
+            known = {now, never, false, is_first};
         known.unlisted_at = never;
     }
 }
@@ -60,12 +61,35 @@
             known.established = true;
 }
 
+void software_versions::set_record(std::optional<software_record> record,
+                                   time_point as_of)
+{
+    record_ = std::move(record);
+    record_as_of_ = std::max(record_as_of_, as_of);
+}
+
+/// Where nothing was recorded, no stream has begun that could be confused with
+/// those of the first version.
+software_view software_versions::view(time_point now) const
+{
+    software_view seen;
+    for (auto const& [version, known] : known_)
+        if (known.unlisted_at == never)
+        {
+            seen.listed.insert(version);
+            if (known.established || (known.is_first && !record_))
+                seen.established.insert(version);
+        }
+    seen.complete =
+        complete_since_ != never && now >= complete_since_ + longest_stream_;
+    seen.retention = longest_stream_ + 2 * validity_;
+    return seen;
+}
+
 void software_versions::learn_only(software_version const& version,
                                    time_point now)
 {
-    if (complete_since_ != never && count_remembered(now) == 1 &&
-        is_remembered(known_.begin()->second, now) &&
-        known_.begin()->first == version)
+    if (complete_since_ != never && remembered(now) == std::set{version})
         complete_since_ = std::min(complete_since_, now - longest_stream_);
 }
 
@@ -81,53 +105,71 @@
                   { return !is_remembered(each.second, now); });
 }
 
-std::size_t software_versions::count_remembered(time_point now) const
+std::set<software_version> software_versions::remembered(time_point now) const
+{
+    std::set<software_version> versions;
+    if (record_)
+        versions = record_->versions;
+    for (auto const& [version, known] : known_)
+        if (is_remembered(known, now))
+            versions.insert(version);
+    return versions;
+}
+
+bool software_versions::is_complete(time_point now) const
 {
-    return static_cast<std::size_t>(
-        std::count_if(known_.begin(), known_.end(),
-                      [this, now](auto const& each)
-                      { return is_remembered(each.second, now); }));
+    bool const is_recorded =
+        record_ && record_->complete && record_as_of_ >= complete_since_;
+    return complete_since_ != never &&
+           (is_recorded || now >= complete_since_ + longest_stream_);
 }
 
 std::optional<software_version>
 software_versions::only_version(time_point now) const
 {
-    if (!is_current(now) || complete_since_ == never ||
-        now < complete_since_ + longest_stream_ || count_remembered(now) != 1)
+    if (!is_current(now) || !is_complete(now))
         return std::nullopt;
-    for (auto const& [version, known] : known_)
-        if (is_remembered(known, now))
-            return version;
-    return std::nullopt;
+    std::set<software_version> const versions = remembered(now);
+    return versions.size() == 1 ? std::optional(*versions.begin())
+                                : std::nullopt;
+}
+
+bool software_versions::may_begin(software_version const& version,
+                                  state const& known) const
+{
+    if (!keeps_records_)
+        return known.established || known.is_first;
+    return record_ && record_->versions.count(version) > 0 &&
+           (known.established || record_->established.count(version) > 0);
 }
 
 bool software_versions::are_all_established() const
 {
     return std::all_of(known_.begin(), known_.end(),
-                       [](auto const& each) {
-                           return each.second.established ||
-                                  each.second.unlisted_at != never;
+                       [this](auto const& each)
+                       {
+                           return each.second.unlisted_at != never ||
+                                  may_begin(each.first, each.second);
                        });
 }
 
 bool software_versions::knows_history(time_point now) const
 {
     return are_all_established() && complete_since_ != never &&
-           (now >= complete_since_ + longest_stream_ ||
-            count_remembered(now) != 1);
+           (is_complete(now) || remembered(now).size() != 1);
 }
 
 bool software_versions::is_established(software_version const& version) const
 {
     auto const found = known_.find(version);
-    return found != known_.end() && found->second.established;
+    return found != known_.end() && may_begin(version, found->second);
 }
 
 std::set<software_version> software_versions::established() const
 {
     std::set<software_version> versions;
     for (auto const& [version, known] : known_)
-        if (known.established && known.unlisted_at == never)
+        if (known.unlisted_at == never && may_begin(version, known))
             versions.insert(version);
     return versions;
 }
--- a/src/software_versions.hpp
+++ b/src/software_versions.hpp
@@ -4,6 +4,7 @@
 #define MULBERRY_SOFTWARE_VERSIONS_HPP
 
 #include "ids.hpp"
+#include "software_record.hpp"
 #include "time_point.hpp"
 
 #include <chrono>
@@ -23,11 +24,18 @@
 /// and trusts its list for `validity`: so a VM that trusts its list knows each
 /// version at which a stream has begun, although no VM tells another.
 ///
+/// Where records are kept, streams begin only at versions that the record
+/// names, so that a VM that has just started knows those of the past, too.
+///
 /// Thread safety: none. Pure: no clock.
 class software_versions
 {
 public:
-    explicit software_versions(duration validity) : validity_(validity) {}
+    /// `keeps_records`: set_record() is called.
+    explicit software_versions(duration validity, bool keeps_records = false)
+        : validity_(validity), keeps_records_(keeps_records)
+    {
+    }
 
     /// Streams last at most the longest time that was set.
     void set_longest_stream(duration time);
@@ -38,6 +46,11 @@
     /// without this VM's notice.
     void set_known_as_of(time_point as_of, std::uint64_t missed,
                          time_point now);
+    /// Sets what the store has recorded, as of `as_of`; nullopt: it has no
+    /// record.
+    void set_record(std::optional<software_record> record, time_point as_of);
+    /// What this VM has to record.
+    software_view view(time_point now) const;
     /// Another VM has established these versions.
     void learn_established(std::set<software_version> const& versions);
     /// Another VM knows, as of less than `validity` ago, that running streams
@@ -63,14 +76,25 @@
         time_point listed_since{};
         /// `never` while the version is listed.
         time_point unlisted_at = never;
+        /// As far as this VM's list tells.
         bool established = false;
+        /// The only version of the first list.
+        bool is_first = false;
     };
 
     void forget_old(time_point now);
-    std::size_t count_remembered(time_point now) const;
     bool is_remembered(state const& known, time_point now) const;
+    std::set<software_version> remembered(time_point now) const;
+    /// Whether every version at which a running stream can have begun is
+    /// remembered.
+    bool is_complete(time_point now) const;
+    bool may_begin(software_version const& version, state const& known) const;
 
     duration const validity_;
+    bool const keeps_records_;
+    std::optional<software_record> record_;
+    /// As of when the record is known; zero before it was read.
+    time_point record_as_of_{};
     duration longest_stream_{std::chrono::seconds(1)};
     std::map<software_version, state> known_;
     /// All versions that were listed since then are known; `never` before the
--- /dev/null
+++ b/tests/software_record_test.cpp
@@ -0,0 +1,141 @@
+#include "software_record.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace mulberry;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+service_id const service("engine");
+software_version const v1("v1");
+software_version const v2("v2");
+constexpr duration retention = 16s;
+constexpr time_point start{1000s};
+
+software_view view(std::set<software_version> const& listed,
+                   std::set<software_version> const& established = {},
+                   bool complete = false)
+{
+    return {listed, established, complete, retention};
+}
+
+/// Carries the write out, as the store does, and returns what was written.
+std::optional<software_record> carry_out(software_record_writer& writer,
+                                         time_point now)
+{
+    auto const transaction = writer.take_write(now);
+    if (!transaction)
+        return std::nullopt;
+    REQUIRE(transaction->writes.size() == 1);
+    REQUIRE(transaction->conditions.size() == 1);
+    writer.on_written(true);
+    return parse_software_record(*transaction->writes.front().value);
+}
+
+} // namespace
+
+TEST_CASE("a record is read as it was written", "[software_record]")
+{
+    for (software_record const& each :
+         {software_record{}, software_record{{v1, v2}, {v1}, true}})
+        CHECK(parse_software_record(software_record_text(each)) == each);
+    CHECK(parse_software_record_key(software_record_key(service)) == service);
+    CHECK_FALSE(parse_software_record_key("software/"));
+    CHECK_FALSE(parse_software_record_key("vm/software/a"));
+}
+
+// Guards against rows of another writer.
+TEST_CASE("malformed records are refused", "[software_record]")
+{
+    for (char const* const text :
+         {"", "[]", "{}", R"({"complete":true,"established":[]})",
+          R"({"complete":1,"established":[],"versions":[]})",
+          R"({"complete":true,"established":["v1"],"versions":[]})",
+          R"({"complete":true,"established":[],"versions":[1]})",
+          R"({"complete":true,"established":{},"versions":["v1"]})"})
+    {
+        CAPTURE(text);
+        CHECK_FALSE(parse_software_record(text));
+    }
+}
+
+TEST_CASE("versions are recorded once they are listed", "[software_record]")
+{
+    software_record_writer writer;
+    writer.set_view(service, view({v1}, {v1}), start);
+    CHECK(carry_out(writer, start) == software_record{{v1}, {v1}, false});
+    writer.on_row(service, software_record{{v1}, {v1}, false}, row_version(7),
+                  start + 3s);
+    CHECK_FALSE(writer.take_write(start + 4s));
+    writer.set_view(service, view({v1, v2}, {v1}), start + 5s);
+    CHECK(carry_out(writer, start + 5s) ==
+          software_record{{v1, v2}, {v1}, false});
+}
+
+TEST_CASE("a version that is established or complete is recorded as such",
+          "[software_record]")
+{
+    software_record_writer writer;
+    writer.on_row(service, software_record{{v1, v2}, {v1}, false},
+                  row_version(7), start);
+    writer.set_view(service, view({v1, v2}, {v1, v2}, true), start);
+    CHECK(carry_out(writer, start) ==
+          software_record{{v1, v2}, {v1, v2}, true});
+}
+
+// Guards against forgetting a version while its streams may be running.
+TEST_CASE("a version is removed long after it has left", "[software_record]")
+{
+    software_record_writer writer;
+    writer.on_row(service, software_record{{v1, v2}, {v1, v2}, true},
+                  row_version(7), start);
+    writer.set_view(service, view({v2}, {v2}, true), start);
+    CHECK_FALSE(writer.take_write(start + retention - 1ms));
+    // A version that returns is kept.
+    writer.set_view(service, view({v1, v2}, {v2}, true), start + 10s);
+    writer.set_view(service, view({v2}, {v2}, true), start + 11s);
+    CHECK_FALSE(writer.take_write(start + retention));
+    CHECK(carry_out(writer, start + 11s + retention) ==
+          software_record{{v2}, {v2}, true});
+}
+
+// Guards against every VM writing the same record at once.
+TEST_CASE("VMs of lower rank write later", "[software_record]")
+{
+    software_record_writer writer;
+    writer.set_rank(2);
+    writer.set_view(service, view({v1}, {v1}), start);
+    CHECK_FALSE(writer.take_write(start));
+    CHECK(writer.next_due() > start);
+    REQUIRE(writer.next_due() <= start + 1s);
+    writer.set_view(service, view({v1}, {v1}), start + 100ms);
+    CHECK(writer.take_write(start + 1s));
+}
+
+// Guards against writing again and again where another VM was faster.
+TEST_CASE("a record that conflicted is read before it is written again",
+          "[software_record]")
+{
+    software_record_writer writer;
+    writer.set_view(service, view({v1}, {v1}), start);
+    REQUIRE(writer.take_write(start));
+    writer.on_written(false);
+    writer.set_view(service, view({v1}, {v1}), start + 1s);
+    CHECK_FALSE(writer.take_write(start + 1s));
+    writer.on_row(service, software_record{{v1}, {v1}, true}, row_version(3),
+                  start + 2s);
+    CHECK(writer.next_due() == never);
+}
+
+// Guards against forgetting versions when this VM has not read the list.
+TEST_CASE("a VM without a list writes nothing", "[software_record]")
+{
+    software_record_writer writer;
+    writer.on_row(service, software_record{{v1}, {v1}, true}, row_version(7),
+                  start);
+    writer.set_view(service, view({}), start);
+    CHECK(writer.next_due() == never);
+    CHECK_FALSE(writer.take_write(start + 1h));
+}
--- a/tests/software_versions_test.cpp
+++ b/tests/software_versions_test.cpp
@@ -182,3 +182,102 @@
     known.versions.learn_only(v1, known.now);
     CHECK_FALSE(known.versions.only_version(known.now));
 }
+
+namespace
+{
+
+/// As known_list, at a VM that keeps records.
+struct recorded_list
+{
+    recorded_list() { versions.set_longest_stream(longest); }
+    void hear(std::set<software_version> const& listed)
+    {
+        versions.set_listed(listed, now);
+        versions.set_known_as_of(now, 0, now);
+    }
+    void record(software_record const& what) { versions.set_record(what, now); }
+
+    time_point now{1000s};
+    software_versions versions{validity, true};
+};
+
+} // namespace
+
+// Guards against rejecting streams at VMs that have all just started.
+TEST_CASE("a VM that starts knows the only version from the record",
+          "[software_versions]")
+{
+    recorded_list known;
+    known.hear({v1});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.record({{v1}, {v1}, true});
+    CHECK(known.versions.only_version(known.now) == v1);
+    CHECK(known.versions.is_established(v1));
+    CHECK(known.versions.knows_history(known.now));
+}
+
+// Guards against taking the version that is listed for the only one, where
+// another one has just left.
+TEST_CASE("a VM that starts knows of a version that has left",
+          "[software_versions]")
+{
+    recorded_list known;
+    known.hear({v2});
+    known.record({{v1, v2}, {v1, v2}, true});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    CHECK(known.versions.is_established(v2));
+}
+
+// Guards against beginning streams at a version of which a VM with an older
+// list does not know, where all workers were replaced at once.
+TEST_CASE("a VM that starts waits before it begins streams at a new version",
+          "[software_versions]")
+{
+    recorded_list known;
+    known.hear({v2});
+    known.record({{v1}, {v1}, true});
+    CHECK(known.versions.established().empty());
+    CHECK(known.versions.view(known.now).established.empty());
+    known.record({{v1, v2}, {v1}, true});
+    CHECK(known.versions.established().empty());
+    known.now += validity;
+    known.hear({v2});
+    CHECK(known.versions.established() == std::set{v2});
+}
+
+// Guards against streams of versions that no record names.
+TEST_CASE("streams begin at recorded versions only", "[software_versions]")
+{
+    recorded_list known;
+    known.hear({v1});
+    known.now += longest + validity;
+    known.hear({v1});
+    CHECK(known.versions.established().empty());
+    CHECK_FALSE(known.versions.are_all_established());
+    known.record({{v1}, {v1}, false});
+    CHECK(known.versions.established() == std::set{v1});
+}
+
+TEST_CASE("a record that may lack versions of the past proves nothing",
+          "[software_versions]")
+{
+    recorded_list known;
+    known.record({{v1}, {v1}, false});
+    known.hear({v1});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.now += longest;
+    known.hear({v1});
+    CHECK(known.versions.only_version(known.now) == v1);
+}
+
+// Guards against a record that was read before the list was lost for a while.
+TEST_CASE("a record older than the list proves nothing", "[software_versions]")
+{
+    recorded_list known;
+    known.record({{v1}, {v1}, true});
+    known.now += 1s;
+    known.hear({v1});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.record({{v1}, {v1}, true});
+    CHECK(known.versions.only_version(known.now) == v1);
+}
