--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -25,6 +25,7 @@
 /// Retry-After of a stream that cannot be taken up here: another VM may know
 /// what began it.
 constexpr milliseconds unknown_stream_retry_delay{100};
+constexpr milliseconds software_review_interval{500};
 /// Interval at which a VM asks others what they know of a service's versions.
 constexpr milliseconds version_query_interval{500};
 constexpr std::size_t max_vms_asked = 3;
@@ -68,6 +69,7 @@
         if (!each.resumable || !leads_here)
             continue;
         service.has_resumable_streams = true;
+        review_software_at_ = time_point();
         service.software.set_longest_stream(each.timeout + stream_end_margin);
     }
 }
@@ -83,6 +85,7 @@
     service.software.set_listed(listed, at);
     if (had_one && !service.software.only_version(at))
         record_running_streams(name);
+    review_software_at_ = time_point();
     ask_for_versions(name, service);
 }
 
@@ -93,6 +96,71 @@
         options_.missed_worker_rows ? options_.missed_worker_rows() : 0, now());
 }
 
+void relay::on_own_rows(std::vector<stored_row> const& rows)
+{
+    crashes_.on_rows(rows);
+    time_point const at = now();
+    for (stored_row const& row : rows)
+    {
+        auto const service = parse_software_record_key(row.key);
+        if (!service)
+            continue;
+        std::optional<software_record> record;
+        if (!row.deleted)
+            record = parse_software_record(row.value);
+        if (!row.deleted && !record)
+        {
+            log_.notable("malformed record of software",
+                         log_fields().add("key", row.key), at);
+            record.emplace();
+        }
+        software_records_.on_row(*service, record,
+                                 row.deleted ? row_version() : row.version, at);
+    }
+    review_software_at_ = time_point();
+    schedule_run();
+}
+
+void relay::review_software_records()
+{
+    time_point const at = now();
+    if (!options_.write_own_rows || at < review_software_at_)
+        return;
+    time_point const as_of = options_.own_rows_as_of();
+    if (as_of == time_point())
+        return;
+    review_software_at_ = at + duration(software_review_interval);
+    for (auto& [name, service] : services_)
+    {
+        if (!service.has_resumable_streams)
+            continue;
+        software_record const* const record = software_records_.find(name);
+        service.software.set_record(
+            record != nullptr ? std::optional(*record) : std::nullopt, as_of);
+        software_records_.set_view(name, service.software.view(at), at);
+    }
+    write_software_records();
+}
+
+void relay::write_software_records()
+{
+    auto const transaction = software_records_.take_write(now());
+    if (!transaction)
+        return;
+    options_.write_own_rows(
+        *transaction,
+        [this](bool done)
+        {
+            software_records_.on_written(done);
+            log_.notable(
+                "versions of software recorded",
+                log_fields().add("outcome", done ? "written" : "not written"),
+                now());
+            review_software_at_ = time_point();
+            schedule_run();
+        });
+}
+
 /// Streams that began while only one version could have begun them have no
 /// record.
 void relay::record_running_streams(service_id const& service)
@@ -141,23 +209,49 @@
 void relay::keep_records(service_id const& service,
                          std::vector<stream_record> const& records)
 {
-    std::map<vm_id, std::vector<stream_record>> by_keeper;
+    std::vector<stream_record> written_here;
+    std::map<std::pair<vm_id, bool>, std::vector<stream_record>> by_keeper;
     for (stream_record const& each : records)
     {
         streams_.add(each, now());
-        for (vm_id const& keeper : record_keepers(each.stream, live_vms_))
-            by_keeper[keeper].push_back(each);
+        std::vector<vm_id> const keepers =
+            record_keepers(each.stream, live_vms_);
+        if (keepers.empty() || peers_.count(keepers.front()) == 0)
+            written_here.push_back(each);
+        for (vm_id const& keeper : keepers)
+            if (peers_.count(keeper) > 0)
+                by_keeper[{keeper, keeper == keepers.front()}].push_back(each);
     }
+    store_records(written_here);
     for (auto& [keeper, kept] : by_keeper)
-    {
-        auto const peer = peers_.find(keeper);
-        if (peer == peers_.end())
-            continue;
-        counts_.stream_records_sent += kept.size();
-        send_stream_message(
-            peer->second.address, {service, std::move(kept), std::nullopt},
-            record_timeout, [](std::optional<stream_reply> const&) {});
-    }
+        send_records(keeper.first,
+                     {service, std::move(kept), std::nullopt, keeper.second});
+}
+
+/// If the VM that is to write the records cannot be reached, this one writes
+/// them.
+void relay::send_records(vm_id const& keeper, stream_message const& message)
+{
+    counts_.stream_records_sent += message.began.size();
+    std::vector<stream_record> to_store;
+    if (message.to_store)
+        to_store = message.began;
+    send_stream_message(
+        peers_.at(keeper).address, message, record_timeout,
+        [this, to_store](std::optional<stream_reply> const& reply)
+        {
+            if (!reply)
+                store_records(to_store);
+        });
+}
+
+void relay::store_records(std::vector<stream_record> const& records)
+{
+    if (records.empty())
+        return;
+    for (stream_record const& each : records)
+        stream_rows_.add(each, now());
+    schedule_run();
 }
 
 void relay::send_stream_message(
@@ -188,6 +282,8 @@
         return answer.respond({status_bad_request, {}, {}});
     for (stream_record const& each : message->began)
         streams_.add(each, at);
+    if (message->to_store)
+        store_records(message->began);
     stream_reply reply;
     if (message->asks_for)
         reply.software =
@@ -255,8 +351,10 @@
     std::vector<vm_id> keepers = record_keepers(exchange->stream(), live_vms_);
     std::erase_if(keepers,
                   [this](vm_id const& vm) { return peers_.count(vm) == 0; });
-    if (keepers.empty() || !exchange->request().resumes)
+    if (!exchange->request().resumes)
         return reject_unknown_stream(*exchange, question->asked_at);
+    if (keepers.empty())
+        return find_stream_row(exchange, question->asked_at);
     question->open = keepers.size();
     stream_message const message{
         exchange->terms().service, {}, exchange->stream()};
@@ -287,7 +385,7 @@
     if (exchange->is_over())
         return;
     if (!version)
-        return reject_unknown_stream(*exchange, question.asked_at);
+        return find_stream_row(exchange, question.asked_at);
     take_up_stream(*exchange, *version,
                    (reply->software ? "a record at " : "one version at ") +
                        from.str(),
@@ -310,6 +408,24 @@
     exchange.start();
 }
 
+void relay::find_stream_row(std::shared_ptr<relay_exchange> const& exchange,
+                            time_point asked_at)
+{
+    if (!stream_rows_.is_enabled())
+        return reject_unknown_stream(*exchange, asked_at);
+    stream_rows_.find(exchange->stream(), exchange->terms().service,
+                      [this, exchange,
+                       asked_at](std::optional<software_version> const& version)
+                      {
+                          if (exchange->is_over())
+                              return;
+                          if (!version)
+                              return reject_unknown_stream(*exchange, asked_at);
+                          take_up_stream(*exchange, *version,
+                                         "a row of the store", asked_at);
+                      });
+}
+
 void relay::reject_unknown_stream(relay_exchange& exchange, time_point asked_at)
 {
     ++counts_.streams_unknown;
