--- a/src/stream_row_writer.cpp
+++ b/src/stream_row_writer.cpp
@@ -17,7 +17,7 @@
 /// Of a stream that began within this time before all VMs were lost nobody
 /// knows the version. Each VM that has records makes this many calls of the
 /// store at most, unless it fills them.
-constexpr milliseconds write_interval{250};
+constexpr milliseconds write_interval{100};
 constexpr milliseconds retry_interval{500};
 /// Obsolete rows wait this long for a transaction that writes.
 constexpr std::chrono::seconds max_delete_delay{5};
