Answer held requests when a VM leaves

Cause: a process that stops waits until no request is in progress, but requests that are held until routes and workers are known did not count, and were rejected only at the relay's next timer. A caller that was held would have seen its connection closed without an answer.

Evidence: the test "a held request is rejected when its VM leaves" failed before: in_progress() was 0 with one request held, and the request had no answer after reject_new_requests().

Change: held requests count as in progress, and reject_new_requests() rejects them at once.

Ruled out: a held request whose caller has left is still dropped and counted (existing test).

--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -214,9 +214,10 @@
         answers_.set_unsent(std::move(unsent));
     }
 
-    /// Rejects all further requests of callers, since this VM is about to exit.
-    /// Requests in progress continue.
-    void reject_new_requests() { rejects_new_requests_ = true; }
+    /// Rejects all further requests of callers, since this VM is about to exit,
+    /// and those held until routes and workers are known. Requests in progress
+    /// continue.
+    void reject_new_requests();
 
     /// Whether requests can reach workers, if need be by way of another VM.
     bool can_reach_workers() const
@@ -229,10 +230,11 @@
     /// Version of the current configuration; the default value if there is
     /// none.
     config_version version() const;
-    /// Requests of callers and calls of other VMs.
+    /// Requests of callers, held ones included, and calls of other VMs.
     std::size_t in_progress() const
     {
-        return exchanges_.size() + calls_forwarded_now_;
+        return exchanges_.size() + early_requests_.size() +
+               calls_forwarded_now_;
     }
     relay_counts const& counts() const { return counts_; }
     /// Returns the metrics in the Prometheus text format.
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -93,6 +93,12 @@
     schedule_run();
 }
 
+void relay::reject_new_requests()
+{
+    if (!std::exchange(rejects_new_requests_, true))
+        process_early_requests();
+}
+
 void relay::reject_early_request(early_request const& early)
 {
     reject_immediately(early.request, *early.answer,
--- a/tests/relay_start_test.cpp
+++ b/tests/relay_start_test.cpp
@@ -115,3 +115,18 @@
     CHECK(vm_under_test.vm.counts().caller_gone == 1);
     CHECK(vm_under_test.vm.in_progress() == 0);
 }
+
+// Guards against a VM that stops while it holds a request, and closes the
+// request's connection without an answer.
+TEST_CASE("a held request is rejected when its VM leaves", "[relay_start]")
+{
+    starting_vm vm_under_test(60s);
+    auto const answer = vm_under_test.send_request();
+    vm_under_test.io.poll();
+    CHECK(vm_under_test.vm.in_progress() == 1);
+    vm_under_test.vm.reject_new_requests();
+    vm_under_test.io.poll();
+    REQUIRE(answer->response);
+    CHECK(answer->response->status == 503);
+    CHECK(vm_under_test.vm.in_progress() == 0);
+}
