Answer the requests that outlast the stop bound

Cause: at the stop bound the process stopped its event loop with requests in progress. Those at a worker, and those that no worker had taken yet, saw their connections close without an answer. A request read within two and a half seconds after SIGTERM may wait for half of its time, so with limits of 12 s some still wait at a bound of 8 s.

"unfinished requests are answered when their VM exits" did not compile before: nothing ended requests; it shows 503 for the one that waited, 502 for the one at its worker, and counters that account for both.

Change: relay::end_requests() ends each request as if no worker were left, which gives 503 only to those that never ran. The process then has a quarter of a second within its stop margin for callers to take the answers. It also waits for answers that other VMs have not taken.

Ruled out: 503 for requests that may have run.

--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -218,6 +218,10 @@
     /// and those held until routes and workers are known. Requests in progress
     /// continue.
     void reject_new_requests();
+    /// Ends all requests of callers that are in progress, each with an answer,
+    /// or, if its stream has begun, by breaking off the stream. Precondition:
+    /// reject_new_requests() was called.
+    void end_requests();
 
     /// Whether requests can reach workers, if need be by way of another VM.
     bool can_reach_workers() const
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -35,6 +35,12 @@
 /// connection at once.
 constexpr milliseconds leaving_retry_delay{20};
 
+error leaving_error()
+{
+    return error(error_kind::draining, "this VM is leaving", ran::no,
+                 leaving_retry_delay);
+}
+
 } // namespace
 
 /// All tries of a stream draw the same, at every VM: it goes on at the service
@@ -68,10 +74,7 @@
     ++counts_.requests;
     relay_request request = codec_.decode_request(std::move(received));
     if (rejects_new_requests_)
-        return reject_immediately(request, *answer,
-                                  error(error_kind::draining,
-                                        "this VM is leaving", ran::no,
-                                        leaving_retry_delay));
+        return reject_immediately(request, *answer, leaving_error());
     if (!is_initialized())
         return hold_early_request(std::move(request), std::move(answer));
     admit(std::move(request), std::move(answer), now());
@@ -99,6 +102,20 @@
         process_early_requests();
 }
 
+void relay::end_requests()
+{
+    error const leaving = leaving_error();
+    // on_finished() erases an exchange in a later turn of the event loop.
+    for (auto const& [ticket, exchange] : exchanges_)
+    {
+        if (exchange->is_over())
+            continue;
+        stop_waiting(*exchange);
+        release_worker_slot(*exchange, send_outcome::abandoned);
+        exchange->on_refused(leaving);
+    }
+}
+
 void relay::reject_early_request(early_request const& early)
 {
     reject_immediately(early.request, *early.answer,
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -41,6 +41,9 @@
 /// Subtracted from the stop bound, so that the process exits before it is
 /// killed.
 constexpr milliseconds stop_margin{700};
+/// How long the callers have to take their last answers when requests are still
+/// in progress at the stop bound.
+constexpr milliseconds last_answers_time{250};
 /// Lease duration in multiples of the order gap. The owner stops sending orders
 /// one gap before others may take over, and before that it survives two gaps
 /// without the store, which is longer than most outages. With three, a VM whose
@@ -582,11 +585,14 @@
         relay_.reject_new_requests();
         callers_->stop_accepting();
         callers_->close_idle();
-        bool const idle = relay_.in_progress() == 0 && !callers_->has_unsent();
+        if (now >= exit_at_)
+            relay_.end_requests();
+        bool const idle = relay_.in_progress() == 0 &&
+                          !callers_->has_unsent() && !peers_->has_unsent();
         // The last answers are handed to the connections in a later turn of the
         // event loop than the one that ends their requests, so the process must
         // be idle twice in a row.
-        if ((idle && was_idle_) || now >= exit_at_)
+        if ((idle && was_idle_) || now >= exit_at_ + last_answers_time)
         {
             log_.notable("stopped",
                          log_fields().add("in_progress",
--- a/tests/relay_teams_test.cpp
+++ b/tests/relay_teams_test.cpp
@@ -197,3 +197,27 @@
     CHECK(waiting->response->status == 503);
     CHECK(world.ran.size() == 1);
 }
+
+// Guards against a VM that exits with requests unfinished and closes their
+// connections without an answer, or that lets a caller repeat one that ran.
+TEST_CASE("unfinished requests are answered when their VM exits",
+          "[relay_teams]")
+{
+    busy_relay world;
+    auto const running = world.ask("/a/first", "k-two");
+    REQUIRE(world.run_until([&] { return world.running.size() == 1; }));
+    auto const waiting = world.ask("/a/second", "k-one");
+    world.io.poll();
+    REQUIRE_FALSE(waiting->response);
+    world.vm.reject_new_requests();
+    world.vm.end_requests();
+    REQUIRE(waiting->response);
+    CHECK(waiting->response->status == 503);
+    REQUIRE(running->response);
+    CHECK(running->response->status == 502);
+    world.io.poll();
+    CHECK(world.vm.in_progress() == 0);
+    CHECK(world.vm.counts().refused == 1);
+    CHECK(world.vm.counts().failed == 1);
+    CHECK(world.ran.size() == 1);
+}
