Drop a request whose connection closes after the answer before it

Cause: the next request of a connection was handled as soon as the answer before it was complete, also if that answer closes the connection (a process that stops, or an answer that breaks off). While a large answer was still being written, the request was passed on, and then its connection closed without an answer.

Evidence: "a request behind an answer that closes its connection is not handled" failed before: two requests were handled, in both sections.

Change: the connection table is told that an answer closes its connection, and drops the queued request.

Ruled out: a small answer closed the connection before the next request was handled, so its caller was counted as gone and nothing was passed on.

--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -243,7 +243,8 @@
         });
 }
 
-void connection_table::on_answer_complete(server_connection& connection)
+void connection_table::on_answer_complete(server_connection& connection,
+                                          bool closes)
 {
     std::optional<pending_request> next;
     {
@@ -253,10 +254,13 @@
             return;
         entry& entry = found->second;
         next = std::exchange(entry.queued, std::nullopt);
-        entry.busy = next.has_value();
-        entry.current = next ? next->answer : std::shared_ptr<server_answer>();
+        entry.busy = closes || next.has_value();
+        entry.current =
+            next && !closes ? next->answer : std::shared_ptr<server_answer>();
     }
-    if (next)
+    if (next && closes)
+        next->answer->connection_closed();
+    else if (next)
         handle_after_close(connection, std::move(*next));
 }
 
@@ -444,7 +448,7 @@
     stage_ = stage::complete;
     on_closed_ = nullptr;
     auto const connection = std::exchange(connection_, nullptr);
-    table_->on_answer_complete(*connection);
+    table_->on_answer_complete(*connection, which == part::last_then_close);
 }
 
 void server_answer::send(part which, std::string bytes, std::string body)
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -88,7 +88,9 @@
     void handle_in_order(server_connection& connection,
                          pending_request pending);
     /// Called when the answer in progress on that connection is complete.
-    void on_answer_complete(server_connection& connection);
+    /// `closes`: the connection closes after it, so that a queued request would
+    /// have no connection for its answer and is dropped.
+    void on_answer_complete(server_connection& connection, bool closes);
 
     /// From now on every answer closes its connection.
     void drain() { draining_ = true; }
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -446,6 +446,34 @@
     CHECK_THROWS(raw_socket::connected(server.port()));
 }
 
+// Guards against handling a request whose connection closes after the answer
+// to the one before it: it would run, and its answer would have no connection.
+TEST_CASE("a request behind an answer that closes its connection is not "
+          "handled",
+          "[http_server]")
+{
+    recording_handler held;
+    http_server server({}, held.handler());
+    auto const caller = raw_socket::connected(server.port());
+    caller.send(get("/1") + get("/2"));
+    auto const answer = held.wait_for(0);
+    std::string body(8UL * 1024 * 1024, 'x');
+    SECTION("the server stops")
+    {
+        server.close_after_answers();
+        answer->respond({200, {}, body + "end"});
+        CHECK(caller.read_all().ends_with("end"));
+    }
+    SECTION("the answer breaks off")
+    {
+        answer->start_stream(200, {});
+        answer->write(body);
+        answer->abort();
+        CHECK(caller.read_all().ends_with("x\r\n"));
+    }
+    CHECK(held.count() == 1);
+}
+
 TEST_CASE("a connection over the maximum waits until another closes",
           "[http_server]")
 {
