Wait at a stop for requests that are still arriving

Cause: a stopping process exited once no request was in progress in the relay. A request whose body still arrived, or that was read in the turns of the event loop before the relay has it, did not count, and its connection closed without an answer.

Evidence: "a body that arrives slowly during shutdown is rejected" failed before: the connection closed within the body, without an answer.

Change: the process also waits, up to its stop bound, until no connection has a request in progress or received in part.

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -126,6 +126,7 @@
     std::uint16_t port() const { return port_; }
     void close_after_answers() { table_->drain(); }
     void close_idle();
+    bool has_requests() const { return table_->has_requests(); }
     std::size_t unsent_bytes() const { return table_->unsent_bytes(); }
     void stop_accepting();
 
@@ -514,6 +515,11 @@
     implementation_->close_after_answers();
 }
 
+bool http_server::has_requests() const
+{
+    return implementation_->has_requests();
+}
+
 std::size_t http_server::unsent_bytes() const
 {
     return implementation_->unsent_bytes();
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -114,6 +114,8 @@
     void close_after_answers();
     /// Closes the connections on which no request is being answered.
     void close_idle();
+    /// Whether a request is being answered, or was received in part.
+    bool has_requests() const;
     /// Whether bytes of an answer are not yet written to a socket.
     bool has_unsent() const { return unsent_bytes() > 0; }
     /// Bytes of all answers that are not yet written to a socket.
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -180,8 +180,7 @@
     std::vector<std::shared_ptr<server_connection>> connections;
     for (auto const& [number, entry] : entries_)
     {
-        if (entry.busy || entry.state->receiving ||
-            entry.state->unsent_bytes > 0)
+        if (entry.has_request() || entry.state->unsent_bytes > 0)
             continue;
         if (auto connection = entry.connection.lock())
             connections.push_back(std::move(connection));
@@ -189,6 +188,14 @@
     return connections;
 }
 
+bool connection_table::has_requests() const
+{
+    std::lock_guard const lock(mutex_);
+    return std::any_of(entries_.begin(), entries_.end(),
+                       [](auto const& each)
+                       { return each.second.has_request(); });
+}
+
 std::vector<std::shared_ptr<server_connection>>
 connection_table::queued_connections() const
 {
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -78,6 +78,9 @@
     /// Connections without a request in progress or received in part, whose
     /// last answer was sent completely.
     std::vector<std::shared_ptr<server_connection>> idle_connections() const;
+    /// Whether a request is in progress, or received in part, on some
+    /// connection.
+    bool has_requests() const;
 
     /// Connections on which a request waits for the one before it. RESTinio
     /// reads nothing from them.
@@ -116,6 +119,8 @@
         std::weak_ptr<server_answer> current;
         bool busy = false;
         std::optional<pending_request> queued;
+
+        bool has_request() const { return busy || state->receiving; }
     };
 
     void handle(pending_request pending) const;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -588,6 +588,7 @@
         if (now >= exit_at_)
             relay_.end_requests();
         bool const idle = relay_.in_progress() == 0 &&
+                          !callers_->has_requests() &&
                           !callers_->has_unsent() && !peers_->has_unsent();
         // The last answers are handed to the connections in a later turn of the
         // event loop than the one that ends their requests, so the process must
