Count each request received, so that one without an outcome shows

Cause: the metrics told outcomes, but not how many requests were received, and requests_in_progress left out held requests and counted those that had just ended. A request that vanished could not be seen.

Evidence: "each request received is counted with one outcome" failed before: requests_in_progress was not 2 with two requests unfinished, and requests_received_total was missing. The counters themselves agreed: 5 received, 1 served, 3 refused, 1 caller gone.

Change: requests_received_total; requests_in_progress counts held requests and leaves out those that are over, so that received = outcomes + in progress at each moment.

Also tests that found nothing, of requests that wait for a worker or for their team's units while a configuration drops or changes their route, service, team, limit, timeout, objective or queue order: each is decided.

--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -100,6 +100,8 @@
 /// Counters since the start of the process; they never decrease. Value.
 struct relay_counts
 {
+    /// Requests received. Each one is in progress or has one of the outcomes
+    /// below.
     std::uint64_t requests = 0;
     std::uint64_t served = 0;
     std::uint64_t worker_failed = 0;
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -3,6 +3,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstddef>
+
 namespace mulberry
 {
 
@@ -14,6 +17,7 @@
     { text += fmt::format("mulberry_{}{} {}\n", name, labels, value); };
     auto const outcome = [&](std::string_view label, std::uint64_t value)
     { add("requests_total", fmt::format("{{outcome=\"{}\"}}", label), value); };
+    add("requests_received_total", "", counts_.requests);
     outcome("served", counts_.served);
     outcome("worker_failed", counts_.worker_failed);
     outcome("rejected", counts_.refused);
@@ -70,7 +74,11 @@
     add("log_lines_left_out_total", "", log_.lines_left_out());
     add("config_version", "", version().value());
     add("members", "", members_);
-    add("requests_in_progress", "", exchanges_.size());
+    auto const unfinished =
+        std::count_if(exchanges_.begin(), exchanges_.end(),
+                      [](auto const& each) { return !each.second->is_over(); });
+    add("requests_in_progress", "",
+        early_requests_.size() + static_cast<std::size_t>(unfinished));
     auto const add_latency =
         [&](std::string const& name, latency_meter const& meter)
     {
--- a/tests/relay_teams_test.cpp
+++ b/tests/relay_teams_test.cpp
@@ -92,7 +92,16 @@
         };
         return options;
     }
+    void configure(routing_config const& config)
+    {
+        vm.set_config(std::make_shared<routing_config const>(config));
+    }
     void configure(std::uint64_t version, std::vector<std::string> const& keys)
+    {
+        configure(config_of(version, keys));
+    }
+    static routing_config config_of(std::uint64_t version,
+                                    std::vector<std::string> const& keys)
     {
         routing_config config;
         config.version = config_version(version);
@@ -111,7 +120,7 @@
         for (std::string const& key : keys)
             pits.keys.insert(digest_of_key(key));
         config.teams.push_back(pits);
-        vm.set_config(std::make_shared<routing_config const>(config));
+        return config;
     }
     std::shared_ptr<recorded_answer> ask(std::string const& path,
                                          std::string const& key)
@@ -221,3 +230,134 @@
     CHECK(world.vm.counts().failed == 1);
     CHECK(world.ran.size() == 1);
 }
+
+// Guards against a request that vanishes from the metrics: each one that was
+// received has an outcome once none is in progress.
+TEST_CASE("each request received is counted with one outcome", "[relay_teams]")
+{
+    busy_relay world;
+    world.ask("/a/first", "k-two");
+    REQUIRE(world.run_until([&] { return world.running.size() == 1; }));
+    auto const unroutable = world.ask("/none/x", "k-two");
+    auto const keyless = world.ask("/a/second", "k-none");
+    auto const left = world.ask("/a/third", "k-one");
+    auto const revoked = world.ask("/a/fourth", "k-one");
+    world.io.poll();
+    left->closed();
+    CHECK(world.vm.metrics().find("mulberry_requests_in_progress 2\n") !=
+          std::string::npos);
+    world.configure(2, {"k-two"});
+    world.finish_first();
+    REQUIRE(world.run_until([&] { return world.vm.in_progress() == 0; }));
+    CHECK(revoked->response);
+    relay_counts const& counts = world.vm.counts();
+    CHECK(counts.requests == 5);
+    CHECK(counts.served == 1);
+    CHECK(counts.refused == 3);
+    CHECK(counts.caller_gone == 1);
+    std::string const metrics = world.vm.metrics();
+    CHECK(metrics.find("mulberry_requests_received_total 5\n") !=
+          std::string::npos);
+    CHECK(metrics.find("mulberry_requests_in_progress 0\n") !=
+          std::string::npos);
+}
+
+// Guards against a request that waits for its worker while a configuration
+// changes what it waits for, and that is neither sent nor refused.
+TEST_CASE("a request that waits is decided after each change of the "
+          "configuration",
+          "[relay_teams]")
+{
+    busy_relay world;
+    auto const waiting = world.request_behind("k-two");
+    routing_config config = world.config_of(2, {"k-two"});
+    SECTION("route dropped")
+    {
+        config.routes.clear();
+    }
+    SECTION("route moved to another service")
+    {
+        config.routes.front().services = {{service_id("other"), 1}};
+    }
+    SECTION("service dropped")
+    {
+        config.routes.clear();
+        config.services.clear();
+    }
+    SECTION("team dropped")
+    {
+        config.teams.clear();
+    }
+    SECTION("team limited")
+    {
+        config.teams.front().limit.emplace();
+        config.teams.front().limit->per_second = 0.001;
+    }
+    SECTION("timeout and objective changed")
+    {
+        config.routes.front().timeout = 1s;
+        config.routes.front().latency_objective = 10ms;
+    }
+    SECTION("scheduled by objective, and no longer")
+    {
+        route urgent = config.routes.front();
+        urgent.prefix = "/b/";
+        urgent.name = "urgent";
+        urgent.priority = config.routes.front().priority + 1;
+        config.routes.push_back(urgent);
+        world.configure(config);
+        config.version = config_version(3);
+        config.routes.pop_back();
+    }
+    world.configure(config);
+    world.finish_first();
+    REQUIRE(world.run_until(
+        [&] { return waiting->response || world.running.size() == 2; }));
+    if (!waiting->response)
+        world.running.back()->respond({200, {}, "done"});
+    REQUIRE(world.run_until([&] { return world.vm.in_progress() == 0; }));
+    CHECK(waiting->response);
+    CHECK(world.vm.counts().failed == 0);
+}
+
+// Guards against a request that waits for its team's units while a
+// configuration drops the team or its limit, and that waits for ever.
+TEST_CASE("a request that waits for units is decided after each change of "
+          "its team",
+          "[relay_teams]")
+{
+    busy_relay world;
+    routing_config config = world.config_of(2, {"k-two"});
+    config.teams.front().limit.emplace();
+    config.teams.front().limit->per_second = 1;
+    world.configure(config);
+    auto const waiting = world.ask("/a/first", "k-two");
+    REQUIRE_FALSE(waiting->response);
+    config.version = config_version(3);
+    SECTION("team dropped")
+    {
+        config.teams.clear();
+    }
+    SECTION("team dropped and back")
+    {
+        auto const teams = std::exchange(config.teams, {});
+        world.configure(config);
+        config.version = config_version(4);
+        config.teams = teams;
+    }
+    SECTION("limit dropped")
+    {
+        config.teams.front().limit.reset();
+    }
+    SECTION("limit lowered")
+    {
+        config.teams.front().limit->per_second = 0.001;
+    }
+    world.configure(config);
+    REQUIRE(world.run_until(
+        [&] { return waiting->response || !world.running.empty(); }));
+    if (!waiting->response)
+        world.running.back()->respond({200, {}, "done"});
+    REQUIRE(world.run_until([&] { return world.vm.in_progress() == 0; }));
+    CHECK(waiting->response);
+}
