--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -180,8 +180,7 @@
     std::vector<std::shared_ptr<server_connection>> connections;
     for (auto const& [number, entry] : entries_)
     {
-        if (entry.busy || entry.state->receiving ||
-            entry.state->unsent_bytes > 0)
+        if (entry.has_request() || entry.state->unsent_bytes > 0)
             continue;
         if (auto connection = entry.connection.lock())
             connections.push_back(std::move(connection));
@@ -189,6 +188,14 @@
     return connections;
 }
 
+bool connection_table::has_requests() const
+{
+    std::lock_guard const lock(mutex_);
+    return std::any_of(entries_.begin(), entries_.end(),
+                       [](auto const& each)
+                       { return each.second.has_request(); });
+}
+
 std::vector<std::shared_ptr<server_connection>>
 connection_table::queued_connections() const
 {
@@ -243,7 +250,8 @@
         });
 }
 
-void connection_table::on_answer_complete(server_connection& connection)
+void connection_table::on_answer_complete(server_connection& connection,
+                                          bool closes)
 {
     std::optional<pending_request> next;
     {
@@ -253,10 +261,13 @@
             return;
         entry& entry = found->second;
         next = std::exchange(entry.queued, std::nullopt);
-        entry.busy = next.has_value();
-        entry.current = next ? next->answer : std::shared_ptr<server_answer>();
+        entry.busy = closes || next.has_value();
+        entry.current =
+            next && !closes ? next->answer : std::shared_ptr<server_answer>();
     }
-    if (next)
+    if (next && closes)
+        next->answer->connection_closed();
+    else if (next)
         handle_after_close(connection, std::move(*next));
 }
 
@@ -444,7 +455,7 @@
     stage_ = stage::complete;
     on_closed_ = nullptr;
     auto const connection = std::exchange(connection_, nullptr);
-    table_->on_answer_complete(*connection);
+    table_->on_answer_complete(*connection, which == part::last_then_close);
 }
 
 void server_answer::send(part which, std::string bytes, std::string body)
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -78,6 +78,9 @@
     /// Connections without a request in progress or received in part, whose
     /// last answer was sent completely.
     std::vector<std::shared_ptr<server_connection>> idle_connections() const;
+    /// Whether a request is in progress, or received in part, on some
+    /// connection.
+    bool has_requests() const;
 
     /// Connections on which a request waits for the one before it. RESTinio
     /// reads nothing from them.
@@ -88,7 +91,9 @@
     void handle_in_order(server_connection& connection,
                          pending_request pending);
     /// Called when the answer in progress on that connection is complete.
-    void on_answer_complete(server_connection& connection);
+    /// `closes`: the connection closes after it, so that a queued request would
+    /// have no connection for its answer and is dropped.
+    void on_answer_complete(server_connection& connection, bool closes);
 
     /// From now on every answer closes its connection.
     void drain() { draining_ = true; }
@@ -114,6 +119,8 @@
         std::weak_ptr<server_answer> current;
         bool busy = false;
         std::optional<pending_request> queued;
+
+        bool has_request() const { return busy || state->receiving; }
     };
 
     void handle(pending_request pending) const;
