Read no crash record as one of a later moment

A number of milliseconds above 2^63 in a crash record overflowed when it was converted to an age. The crash then counted as one of the distant future, which never leaves the memory of crashes.

--- a/src/crash_row.cpp
+++ b/src/crash_row.cpp
@@ -28,9 +28,10 @@
 {
     auto const today =
         std::chrono::floor<milliseconds>(clock.time_of_day.time_since_epoch());
-    auto const age = std::max<std::int64_t>(
-        today.count() - static_cast<std::int64_t>(unix_ms), 0);
-    return clock.now - milliseconds(age);
+    auto const today_ms =
+        static_cast<std::uint64_t>(std::max<std::int64_t>(today.count(), 0));
+    std::uint64_t const age = today_ms - std::min(unix_ms, today_ms);
+    return clock.now - milliseconds(static_cast<std::int64_t>(age));
 }
 
 } // namespace
