Bound the timeouts and the status of a forwarded call

The timeouts of a forwarded call were taken as they came, so that a deadline could overflow, and a status beyond the range of int was cut to another one.

Only VMs of this program send such calls; no caller saw it.

--- a/src/forwarded_call.cpp
+++ b/src/forwarded_call.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdint>
 #include <utility>
@@ -22,6 +23,9 @@
 constexpr std::size_t max_frame_bytes = 1UL * 1024 * 1024;
 constexpr std::string_view framed_text = "framed";
 constexpr unsigned bits_per_byte = 8;
+constexpr milliseconds max_timeout{60'000};
+constexpr std::int64_t min_status = 100;
+constexpr std::int64_t max_status = 999;
 
 std::string frame(char type, std::string_view content)
 {
@@ -52,6 +56,11 @@
     return whole && number >= 0 ? std::optional(number) : std::nullopt;
 }
 
+milliseconds bounded(std::int64_t ms)
+{
+    return milliseconds(std::min<std::int64_t>(ms, max_timeout.count()));
+}
+
 std::string_view take_line(std::string_view& text)
 {
     std::string_view const line = text.substr(0, text.find('\n'));
@@ -63,7 +72,7 @@
 std::optional<std::pair<int, http_headers>> parse_head(std::string_view text)
 {
     auto const status = number_of(take_line(text));
-    if (!status)
+    if (!status || *status < min_status || *status > max_status)
         return std::nullopt;
     http_headers headers;
     while (!text.empty())
@@ -113,13 +122,12 @@
     if (received.method != "POST" || text("Worker").empty() || !address ||
         !connect_timeout || !max_idle || received.body.empty())
         return std::nullopt;
-    return forwarded_call{
-        worker_id(text("Worker")),
-        *address,
-        request_id(text("Request")),
-        vm_id(text("From")),
-        {milliseconds(*connect_timeout), milliseconds(*max_idle)},
-        received.body};
+    return forwarded_call{worker_id(text("Worker")),
+                          *address,
+                          request_id(text("Request")),
+                          vm_id(text("From")),
+                          {bounded(*connect_timeout), bounded(*max_idle)},
+                          received.body};
 }
 
 std::string encode_head_frame(int status, http_headers const& headers)
--- a/tests/odd_input_test.cpp
+++ b/tests/odd_input_test.cpp
@@ -264,3 +264,63 @@
                     [](std::string const& text)
                     { return decode_worker_limit_reply(text, now); });
 }
+
+// Guards against timeouts of a forwarded call that overflow, and against a
+// process that ends at such a call.
+TEST_CASE("the timeouts of a forwarded call are bounded", "[odd_input]")
+{
+    for (char const* number :
+         {"", "-1", "1.5", "1e9", "250", "9223372036854775807",
+          "9223372036854775808", "x"})
+    {
+        CAPTURE(number);
+        http_request call;
+        call.method = "POST";
+        call.headers.add("Worker", "w");
+        call.headers.add("Worker-Address", "127.0.0.1:80");
+        call.headers.add("Connect-Timeout-Ms", number);
+        call.headers.add("Max-Idle-Ms", number);
+        call.body = "GET / HTTP/1.1\r\n\r\n";
+        auto const read = decode_forwarded_call(call);
+        if (!read)
+            continue;
+        CHECK(read->options.connect_timeout <= 1min);
+        CHECK(read->options.max_idle <= 1min);
+    }
+}
+
+// Guards against a status out of range in a frame of a forwarded answer.
+TEST_CASE("malformed frames of a forwarded answer are reported", "[odd_input]")
+{
+    struct ignoring_observer final : exchange_observer
+    {
+        void on_head(int status, http_headers) override
+        {
+            CHECK(status >= 100);
+            CHECK(status <= 999);
+        }
+        void on_body(std::string_view) override {}
+        void on_end(bool) override {}
+        void on_failure(call_stage, std::string const&) override {}
+    };
+    for (char const* head :
+         {"", "\n", "-1\n", "0\n", "99\n", "1000\n", "4294967496\n",
+          "9223372036854775808\n", "2e2\n", "200\nno colon\n", "200\n\n"})
+    {
+        CAPTURE(head);
+        std::string frame = encode_body_frame(head);
+        frame.front() = 'H';
+        answer_frame_reader reader;
+        ignoring_observer observer;
+        CHECK_FALSE(reader.feed(frame, observer));
+    }
+    for (int type = 0; type < 256; ++type)
+    {
+        CAPTURE(type);
+        std::string frame = encode_body_frame("x");
+        frame.front() = static_cast<char>(type);
+        answer_frame_reader reader;
+        ignoring_observer observer;
+        CHECK_FALSE(reader.feed(frame, observer));
+    }
+}
