Follow the store after an answer whose version is far ahead

An answer with a version that the store never reaches moved the mirror to that version. Every later change is older, so a VM that was asked after that version for changes got none until its next start, and its followers with it. Such an answer now counts as a failure, and the store is asked again.

--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -32,6 +32,9 @@
 /// A reader's rows may be older than its query interval by the interval divided
 /// by this, which allows for the duration of a query.
 constexpr int age_slack_part = 2;
+/// An answer whose version is further ahead than this is malformed; no store
+/// makes as many transactions between two answers.
+constexpr std::uint64_t max_version_lead = 1ULL << 40;
 /// In the order of row_set.
 constexpr std::array<char const*, all_row_sets.size()> set_names{
     "declarations", "workers", "own"};
@@ -229,7 +232,8 @@
 bool row_mirror::check_reply(mirrored_set& which, store_reply const& reply)
 {
     time_point const now = boot_clock::now();
-    if (reply.outcome == store_outcome::done)
+    bool const far_ahead = is_far_ahead(which, reply.newest);
+    if (reply.outcome == store_outcome::done && !far_ahead)
     {
         which.failures = 0;
         which.probes = false;
@@ -258,7 +262,8 @@
     if (!std::exchange(store_lost_, true))
         log_.notable("store lost",
                      log_fields()
-                         .add("reason", reply.failure)
+                         .add("reason", far_ahead ? "its version is far ahead"
+                                                  : reply.failure)
                          .add("heard_ms_ago", now - last_contact_at_),
                      now);
     probe_later(which);
@@ -289,6 +294,14 @@
             read_later(each, duration(0));
 }
 
+/// Failure: one answer names a version that the store never reaches. All later
+/// changes are older than that, so none is applied any more.
+bool row_mirror::is_far_ahead(mirrored_set const& which, row_version version)
+{
+    return which.copy.is_loaded() && version > which.copy.version() &&
+           version.value() - which.copy.version().value() > max_version_lead;
+}
+
 void row_mirror::on_page(mirrored_set& which, store_reply const& reply)
 {
     if (!check_reply(which, reply))
--- a/src/row_mirror.hpp
+++ b/src/row_mirror.hpp
@@ -211,6 +211,7 @@
     void read_page(mirrored_set& which, std::string const& after);
     void watch(mirrored_set& which);
     void read_later(mirrored_set& which, duration delay);
+    static bool is_far_ahead(mirrored_set const& which, row_version version);
     bool check_reply(mirrored_set& which, store_reply const& reply);
     void probe_later(mirrored_set& which);
     void resume_others(mirrored_set const& answered);
--- a/src/row_mirror_peers.cpp
+++ b/src/row_mirror_peers.cpp
@@ -172,7 +172,8 @@
                                       row_set_changes const& changes,
                                       time_point asked_at, time_point now)
 {
-    if (!changes.read || changes.age > max_age(which.set))
+    if (!changes.read || changes.age > max_age(which.set) ||
+        is_far_ahead(which, changes.version))
         return false;
     if (changes.incomplete ||
         (which.requested_beyond_copy() && !changes.is_snapshot))
