--- /dev/null
+++ b/tests/relay_software_test.cpp
@@ -0,0 +1,195 @@
+// Records of streams that began while only one version of the workers'
+// software was known.
+#include "boot_clock.hpp"
+#include "relay.hpp"
+#include "relay_callers.hpp"
+
+#include <asio/post.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace mulberry;
+using namespace mulberry_test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::chrono::seconds test_timeout{20};
+service_id const service("s");
+software_version const v1("v1");
+software_version const v2("v2");
+
+class event_codec final : public plain_codec
+{
+public:
+    relay_request decode_request(http_request received) const override
+    {
+        relay_request request = plain_codec::decode_request(received);
+        request.id = request_id("stream");
+        return request;
+    }
+    std::string encode_request(relay_request const&,
+                               forward_options const&) const override
+    {
+        return "GET /a/1 HTTP/1.1\r\nHost: worker\r\n\r\n";
+    }
+    worker_reply decode_reply(int status, http_headers const&,
+                              relay_request const&) const override
+    {
+        worker_reply reply;
+        reply.status = status;
+        reply.sealed = true;
+        reply.event_stream = true;
+        return reply;
+    }
+};
+
+struct streamed_answer final : http_answer
+{
+    void respond(http_response) override {}
+    void start_stream(int, http_headers) override { begun = true; }
+    void write(std::string) override {}
+    void finish() override {}
+    void abort() override {}
+    void on_closed(std::function<void()>) override {}
+    std::size_t unsent_bytes() const override { return 0; }
+
+    bool begun = false;
+};
+
+/// A relay that keeps records, whose only stream has begun at v1.
+struct recording_relay
+{
+    recording_relay()
+        : worker(
+              worker_options(io),
+              [this](http_request const&, std::shared_ptr<http_answer> answer)
+              {
+                  answer->start_stream(200, {});
+                  answer->write("id: 1\ndata: x\n\n");
+                  running = std::move(answer);
+              }),
+          vm(io, codec, options(), log)
+    {
+        routing_config config;
+        config.version = config_version(1);
+        route only;
+        only.host = "host";
+        only.prefix = "/a/";
+        only.timeout = 30s;
+        only.repeats = repeat_rule::stream;
+        only.resumable = true;
+        only.services = {{service, 1}};
+        config.routes.push_back(only);
+        service_config settings;
+        settings.name = service;
+        config.services.emplace(service, settings);
+        vm.set_config(std::make_shared<routing_config const>(config));
+        list({v1});
+        record({{v1}, {v1}, true}, 1);
+        io.run_for(200ms);
+        auto const answer = std::make_shared<streamed_answer>();
+        http_request request;
+        request.path = "/a/1";
+        vm.handle(std::move(request), answer);
+        run_until([&answer] { return answer->begun; });
+        REQUIRE(answer->begun);
+    }
+    static http_server_options worker_options(asio::io_context& io)
+    {
+        http_server_options options;
+        options.shared_io = &io;
+        return options;
+    }
+    relay_options options()
+    {
+        relay_options options;
+        options.vm = vm_id("vm");
+        options.own_rows_as_of = [] { return boot_clock::now(); };
+        options.write_own_rows = [](auto const&, auto const&) {};
+        options.stream_rows.read = [](auto const&, auto const&, auto const&) {};
+        options.stream_rows.write =
+            [this](table_transaction const& written,
+                   std::function<void(bool)> const& done)
+        {
+            rows_written += written.writes.size();
+            asio::post(io, [done] { done(true); });
+        };
+        return options;
+    }
+    void list(std::set<software_version> const& versions)
+    {
+        std::vector<backend_entry> entries;
+        for (software_version const& each : versions)
+        {
+            backend_entry entry;
+            entry.id = worker_id("w-" + each.str());
+            entry.service = service;
+            entry.software = each;
+            entry.address = "127.0.0.1";
+            entry.port = worker.port();
+            entry.slots = 1;
+            entries.push_back(entry);
+        }
+        vm.set_backends(entries);
+    }
+    void record(software_record const& what, std::uint64_t version)
+    {
+        stored_row row;
+        row.key = software_record_key(service);
+        row.value = software_record_text(what);
+        row.version = row_version(version);
+        vm.on_own_rows({row});
+    }
+    template <class Condition>
+    void run_until(Condition const& holds)
+    {
+        auto const limit = std::chrono::steady_clock::now() + test_timeout;
+        while (!holds() && std::chrono::steady_clock::now() < limit)
+            io.run_one_for(10ms);
+    }
+
+    asio::io_context io{1};
+    event_codec codec;
+    event_log log{"test", 1000,
+                  [](log_level, std::string_view, std::string_view,
+                     std::string const&) {}};
+    std::size_t rows_written = 0;
+    std::shared_ptr<http_answer> running;
+    http_server worker;
+    relay vm;
+};
+
+} // namespace
+
+TEST_CASE("running streams are recorded when a second version is listed",
+          "[relay_software]")
+{
+    recording_relay relay;
+    relay.io.run_for(300ms);
+    REQUIRE(relay.rows_written == 0);
+    relay.list({v1, v2});
+    relay.io.run_for(1s);
+    CHECK(relay.rows_written == 1);
+}
+
+// Guards against losing streams that began without a record: another VM has
+// listed the second version first.
+TEST_CASE("running streams are recorded when a second version is recorded",
+          "[relay_software]")
+{
+    recording_relay relay;
+    relay.io.run_for(300ms);
+    REQUIRE(relay.rows_written == 0);
+    relay.record({{v1, v2}, {v1}, true}, 2);
+    relay.io.run_for(300ms);
+    relay.list({v1, v2});
+    relay.io.run_for(1s);
+    CHECK(relay.rows_written == 1);
+}
