Remove versions from the record in two steps, and never by an old list

A review that had not seen the work found four ways in which the record of versions could lack one at which streams run, each with a test that failed: - a version returns just as it is removed: a VM with an older copy of the record begins streams at it at once. It now leaves the established ones first, and is removed only after that was read; - the row was deleted or damaged and is written anew: it named what is listed, not what has left lately; - a VM that was suspended, or could not read the list, removed a version by the time that had passed. The time now counts by the list, and starts anew after a gap; - the answer to a write came after a newer row was read, and replaced it.

VMs that read the store through another one now hear of these rows at once.

--- a/src/row_mirror_peers.cpp
+++ b/src/row_mirror_peers.cpp
@@ -3,6 +3,7 @@
 #include "collected_exchange.hpp"
 #include "crash_row.hpp"
 #include "row_mirror.hpp"
+#include "software_record.hpp"
 #include "worker_row.hpp"
 
 #include <algorithm>
@@ -267,7 +268,8 @@
 bool row_mirror::is_urgent(stored_row const& row)
 {
     return row.kind != row_kind::own || row.key.starts_with(worker_prefix) ||
-           row.key.starts_with(crash_prefix);
+           row.key.starts_with(crash_prefix) ||
+           row.key.starts_with(software_record_prefix);
 }
 
 /// Returns whether rows that other VMs act on at once have changed since the
--- a/src/software_record.cpp
+++ b/src/software_record.cpp
@@ -100,10 +100,12 @@
 }
 
 void software_record_writer::set_view(service_id const& service,
-                                      software_view view, time_point now)
+                                      software_view const& view, time_point now)
 {
     service_rows& rows = services_[service];
-    rows.view = std::move(view);
+    if (rows.view && view.as_of > rows.view->as_of + view.max_gap)
+        rows.unlisted_since.clear();
+    rows.view = view;
     review(rows, now);
 }
 
@@ -116,22 +118,25 @@
                : &*found->second.record;
 }
 
-software_record software_record_writer::merge(service_rows const& rows,
-                                              time_point now)
+/// A version is removed in two steps: at first streams no longer begin at it
+/// without a wait. When it is removed all VMs have read that, so that none
+/// begins streams at it by an older copy of the record.
+software_record software_record_writer::merge(service_rows const& rows)
 {
     software_view const& view = *rows.view;
     software_record merged = rows.record.value_or(software_record{});
     merged.versions.insert(view.listed.begin(), view.listed.end());
+    merged.versions.insert(view.remembered.begin(), view.remembered.end());
     for (software_version const& each : view.established)
         if (merged.versions.count(each) > 0)
             merged.established.insert(each);
     merged.complete = merged.complete || view.complete;
     for (auto const& [version, since] : rows.unlisted_since)
-        if (now >= since + view.retention)
-        {
+        if (view.as_of >= since + view.retention &&
+            merged.established.count(version) == 0)
             merged.versions.erase(version);
+        else if (view.as_of >= since + view.retention / 2)
             merged.established.erase(version);
-        }
     return merged;
 }
 
@@ -142,14 +147,15 @@
         rows.write_at = never;
         return;
     }
-    time_point const removal_due = note_unlisted(rows, now);
+    time_point const removal_due = note_unlisted(rows);
     bool const is_urgent =
-        !rows.record || !includes(rows.record->versions, rows.view->listed);
+        !rows.record || !includes(rows.record->versions, rows.view->listed) ||
+        !includes(rows.record->versions, rows.view->remembered);
     auto const rank = static_cast<int>(rank_);
     if (is_urgent)
         rows.write_at =
             std::min(rows.write_at, now + duration(urgent_rank_delay) * rank);
-    else if (merge(rows, now) != *rows.record)
+    else if (merge(rows) != *rows.record)
         rows.write_at =
             std::min(rows.write_at, now + duration(rank_delay) * rank);
     else
@@ -158,24 +164,30 @@
                             : removal_due + duration(rank_delay) * rank;
 }
 
-/// Returns when the next version is to be removed from the record.
-time_point software_record_writer::note_unlisted(service_rows& rows,
-                                                 time_point now)
+/// Returns when a version is next to be removed from the record, or from those
+/// that are established.
+time_point software_record_writer::note_unlisted(service_rows& rows)
 {
-    std::set<software_version> const recorded =
-        rows.record ? rows.record->versions : std::set<software_version>();
+    software_record const recorded = rows.record.value_or(software_record{});
+    software_view const& view = *rows.view;
     std::erase_if(rows.unlisted_since,
                   [&](auto const& each)
                   {
-                      return rows.view->listed.count(each.first) > 0 ||
-                             recorded.count(each.first) == 0;
+                      return view.listed.count(each.first) > 0 ||
+                             recorded.versions.count(each.first) == 0;
                   });
     time_point next = never;
-    for (software_version const& each : recorded)
-        if (rows.view->listed.count(each) == 0)
-            next = std::min<time_point>(
-                next, rows.unlisted_since.try_emplace(each, now).first->second +
-                          rows.view->retention);
+    for (software_version const& each : recorded.versions)
+    {
+        if (view.listed.count(each) > 0)
+            continue;
+        time_point const since =
+            rows.unlisted_since.try_emplace(each, view.as_of).first->second;
+        bool const is_established = recorded.established.count(each) > 0;
+        next = std::min<time_point>(
+            next,
+            since + (is_established ? view.retention / 2 : view.retention));
+    }
     return next;
 }
 
@@ -189,7 +201,7 @@
     {
         if (std::max(rows.write_at, rows.not_before) > now)
             continue;
-        software_record merged = merge(rows, now);
+        software_record merged = merge(rows);
         rows.write_at = never;
         rows.not_before = now + duration(reread_time);
         if (rows.record && merged == *rows.record)
@@ -198,6 +210,7 @@
         transaction.conditions.push_back({key, rows.version});
         transaction.writes.push_back({key, software_record_text(merged)});
         rows.writing = std::move(merged);
+        rows.replaced = rows.version;
         break;
     }
     if (transaction.writes.empty())
@@ -211,7 +224,7 @@
     in_progress_ = false;
     for (auto& [service, rows] : services_)
         if (auto written = std::exchange(rows.writing, std::nullopt);
-            written && done)
+            written && done && rows.version == rows.replaced)
             rows.record = std::move(written);
 }
 
--- a/src/software_record.hpp
+++ b/src/software_record.hpp
@@ -49,6 +49,13 @@
     bool complete = false;
     /// A version is removed when it was not listed for so long.
     duration retention{};
+    /// Versions at which running streams may have begun, listed or not.
+    std::set<software_version> remembered;
+    /// As of when the list is known.
+    time_point as_of{};
+    /// After a longer time without a list this VM does not know whether a
+    /// version was listed meanwhile.
+    duration max_gap{};
     friend bool operator==(software_view const&,
                            software_view const&) = default;
 };
@@ -67,7 +74,7 @@
     void on_row(service_id const& service,
                 std::optional<software_record> record, row_version version,
                 time_point now);
-    void set_view(service_id const& service, software_view view,
+    void set_view(service_id const& service, software_view const& view,
                   time_point now);
     /// Null if no row was read, or if it is malformed.
     software_record const* find(service_id const& service) const;
@@ -85,17 +92,20 @@
         std::optional<software_record> record;
         row_version version;
         std::optional<software_view> view;
-        /// Versions of the record that are not listed, and since when.
+        /// Versions of the record that are not listed, and since when, by the
+        /// time as of which the list is known.
         std::map<software_version, time_point> unlisted_since;
         time_point write_at = never;
         /// By then the row was read after the last write.
         time_point not_before{};
         std::optional<software_record> writing;
+        /// The version of the row that the write replaces.
+        row_version replaced;
     };
 
     void review(service_rows& rows, time_point now) const;
-    static time_point note_unlisted(service_rows& rows, time_point now);
-    static software_record merge(service_rows const& rows, time_point now);
+    static time_point note_unlisted(service_rows& rows);
+    static software_record merge(service_rows const& rows);
 
     std::map<service_id, service_rows> services_;
     std::size_t rank_ = 0;
--- a/src/software_versions.cpp
+++ b/src/software_versions.cpp
@@ -83,6 +83,11 @@
     seen.complete =
         complete_since_ != never && now >= complete_since_ + longest_stream_;
     seen.retention = longest_stream_ + 2 * validity_;
+    for (auto const& [version, known] : known_)
+        if (is_remembered(known, now))
+            seen.remembered.insert(version);
+    seen.as_of = as_of_;
+    seen.max_gap = validity_;
     return seen;
 }
 
--- a/tests/software_record_test.cpp
+++ b/tests/software_record_test.cpp
@@ -14,11 +14,13 @@
 constexpr duration retention = 16s;
 constexpr time_point start{1000s};
 
+constexpr duration validity = 3s;
+
 software_view view(std::set<software_version> const& listed,
                    std::set<software_version> const& established = {},
-                   bool complete = false)
+                   bool complete = false, time_point as_of = start)
 {
-    return {listed, established, complete, retention};
+    return {listed, established, complete, retention, listed, as_of, validity};
 }
 
 /// Carries the write out, as the store does, and returns what was written.
@@ -85,20 +87,40 @@
           software_record{{v1, v2}, {v1, v2}, true});
 }
 
-// Guards against forgetting a version while its streams may be running.
+// Guards against forgetting a version while its streams may be running, and
+// against removing it before all VMs have read that it is not established.
 TEST_CASE("a version is removed long after it has left", "[software_record]")
 {
     software_record_writer writer;
-    writer.on_row(service, software_record{{v1, v2}, {v1, v2}, true},
-                  row_version(7), start);
-    writer.set_view(service, view({v2}, {v2}, true), start);
-    CHECK_FALSE(writer.take_write(start + retention - 1ms));
-    // A version that returns is kept.
-    writer.set_view(service, view({v1, v2}, {v2}, true), start + 10s);
-    writer.set_view(service, view({v2}, {v2}, true), start + 11s);
-    CHECK_FALSE(writer.take_write(start + retention));
-    CHECK(carry_out(writer, start + 11s + retention) ==
-          software_record{{v2}, {v2}, true});
+    software_record const both{{v1, v2}, {v1, v2}, true};
+    software_record row = both;
+    row_version version(7);
+    std::optional<time_point> demoted;
+    std::optional<time_point> removed;
+    for (time_point now = start; now < start + 3 * retention; now += 1s)
+    {
+        // The version returns for a moment.
+        bool const is_back = now == start + 5s;
+        writer.on_row(service, row, version, now);
+        writer.set_view(service,
+                        is_back ? view({v1, v2}, {v2}, true, now)
+                                : view({v2}, {v2}, true, now),
+                        now);
+        auto const written = carry_out(writer, now);
+        if (!written)
+            continue;
+        row = *written;
+        version = row_version(version.value() + 1);
+        if (row.established == std::set{v2} && !demoted)
+            demoted = now;
+        if (row.versions == std::set{v2} && !removed)
+            removed = now;
+    }
+    REQUIRE(demoted);
+    REQUIRE(removed);
+    CHECK(*removed >= start + 6s + retention);
+    CHECK(*removed >= *demoted + validity);
+    CHECK(row == software_record{{v2}, {v2}, true});
 }
 
 // Guards against every VM writing the same record at once.
