Write no record of a stream whose id is too long for a row

Found by the review, with a test that failed: ids of callers may have 32 KB; one of 30,000 bytes that are not ASCII, or 49 of plain ones, made a transaction that the store never accepts, and the same records went first again each half second. No other record of that VM was written. A record of over a kilobyte is not written now.

--- a/src/stream_row_writer.cpp
+++ b/src/stream_row_writer.cpp
@@ -25,12 +25,22 @@
 /// entries.
 constexpr std::size_t max_row_changes = 50;
 constexpr std::size_t max_waiting = 8192;
+/// The store limits the bytes of a row and of a transaction. Of a stream with a
+/// longer id, which the caller chooses, there is no row.
+constexpr std::size_t max_record_bytes = 1024;
+
+bool fits_in_row(stream_record const& record)
+{
+    return record.stream.str().size() + record.service.str().size() +
+               record.software.str().size() <=
+           max_record_bytes;
+}
 
 } // namespace
 
 void stream_row_writer::add(stream_record record, time_point now)
 {
-    if (record.stream.empty() || record.until <= now)
+    if (record.stream.empty() || record.until <= now || !fits_in_row(record))
         return;
     if (waiting_.size() >= max_waiting)
         waiting_.pop_front();
--- a/src/stream_row_writer.hpp
+++ b/src/stream_row_writer.hpp
@@ -24,8 +24,8 @@
 class stream_row_writer
 {
 public:
-    /// Queues a record. Records of streams that have ended, or that name none,
-    /// are ignored.
+    /// Queues a record. Records of streams that have ended, that name none or
+    /// that are too long for a row are ignored.
     void add(stream_record record, time_point now);
     /// The transaction that is due; nullopt if there is none, or one is in
     /// progress. The caller reports its outcome to on_written().
