Record running streams when the record names a second version first

Lookups in the store are bounded to 32 at a time a VM, so that they leave the store's reads to the lists; beyond, streams are rejected.

--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -135,8 +135,12 @@
         if (!service.has_resumable_streams)
             continue;
         software_record const* const record = software_records_.find(name);
+        bool const had_one = service.software.only_version(at).has_value();
         service.software.set_record(
             record != nullptr ? std::optional(*record) : std::nullopt, as_of);
+        // The record may name a version before this VM reads it in the list.
+        if (had_one && !service.software.only_version(at))
+            record_running_streams(name);
         software_records_.set_view(name, service.software.view(at), at);
     }
     write_software_records();
@@ -411,7 +415,7 @@
 void relay::find_stream_row(std::shared_ptr<relay_exchange> const& exchange,
                             time_point asked_at)
 {
-    if (!stream_rows_.is_enabled())
+    if (!stream_rows_.may_find())
         return reject_unknown_stream(*exchange, asked_at);
     stream_rows_.find(exchange->stream(), exchange->terms().service,
                       [this, exchange,
--- a/src/stream_row_keeper.cpp
+++ b/src/stream_row_keeper.cpp
@@ -35,18 +35,28 @@
         (record ? record->until : now) + duration(own_delete_time);
 }
 
-std::optional<table_transaction> stream_row_sweep::finish(time_point now)
+void stream_row_sweep::finish()
 {
-    table_transaction transaction;
     std::erase_if(rows_, [](auto const& each) { return !each.second.seen; });
     for (auto& [key, row] : rows_)
-    {
         row.seen = false;
-        if (row.obsolete_at > now ||
-            transaction.writes.size() >= max_swept_rows)
+}
+
+std::optional<table_transaction> stream_row_sweep::take_obsolete(time_point now)
+{
+    table_transaction transaction;
+    for (auto each = rows_.begin();
+         each != rows_.end() && transaction.writes.size() < max_swept_rows;)
+    {
+        auto const& [key, row] = *each;
+        if (row.obsolete_at > now)
+        {
+            ++each;
             continue;
+        }
         transaction.conditions.push_back({key, row.version});
         transaction.writes.push_back({key, std::nullopt});
+        each = rows_.erase(each);
     }
     if (transaction.writes.empty())
         return std::nullopt;
@@ -69,11 +79,13 @@
     std::function<void(std::optional<software_version> const&)> done)
 {
     ++lookups_;
+    ++finding_;
     std::string const key = stream_row_key(stream, service);
     access_.read(key, "",
                  [this, key, stream, service,
                   done = std::move(done)](store_reply const& reply)
                  {
+                     --finding_;
                      time_point const now = boot_clock::now();
                      for (stored_row const& row : reply.rows)
                      {
@@ -147,11 +159,24 @@
     sweep_in_progress_ = false;
     if (reply.outcome != store_outcome::done)
         return;
-    auto const transaction = sweep_.finish(now);
+    sweep_.finish();
+    delete_obsolete();
+}
+
+/// If one of the rows has changed meanwhile, all of its transaction are left to
+/// the next sweep.
+void stream_row_keeper::delete_obsolete()
+{
+    auto const transaction = sweep_.take_obsolete(boot_clock::now());
     if (!transaction)
         return;
-    access_.write(*transaction, [this, rows = transaction->writes.size()](
-                                    bool done) { swept_ += done ? rows : 0; });
+    access_.write(*transaction,
+                  [this, rows = transaction->writes.size()](bool done)
+                  {
+                      swept_ += done ? rows : 0;
+                      if (done)
+                          delete_obsolete();
+                  });
 }
 
 time_point stream_row_keeper::next_due() const
--- a/src/stream_row_keeper.hpp
+++ b/src/stream_row_keeper.hpp
@@ -37,9 +37,11 @@
 public:
     /// A row was read.
     void on_row(stored_row const& row, time_point now);
-    /// All rows were read since the last call. Returns what deletes obsolete
-    /// rows; nullopt if there are none.
-    std::optional<table_transaction> finish(time_point now);
+    /// All rows were read since the last call.
+    void finish();
+    /// Returns what deletes some of the obsolete rows; nullopt if there are
+    /// none. To be called until there are none.
+    std::optional<table_transaction> take_obsolete(time_point now);
 
 private:
     struct seen_row
@@ -63,9 +65,12 @@
     bool is_enabled() const { return access_.read != nullptr; }
     /// Queues a record to be written.
     void add(stream_record const& record, time_point now);
+    /// Whether find() may be called: the number of lookups in progress is
+    /// bounded, so that they leave the store's reads to others.
+    bool may_find() const { return is_enabled() && finding_ < max_lookups; }
     /// Calls `done` with the version at which the stream began; nullopt if the
     /// store has no record, or cannot be read. Never called within this call.
-    /// Precondition: is_enabled().
+    /// Precondition: may_find().
     void find(request_id const& stream, service_id const& service,
               std::function<void(std::optional<software_version> const&)> done);
     /// Whether this VM deletes rows that VMs left behind.
@@ -81,6 +86,9 @@
     void write_due(time_point now);
     void read_page(std::string const& after);
     void on_page(store_reply const& reply);
+    void delete_obsolete();
+
+    static constexpr std::size_t max_lookups = 32;
 
     stream_row_access const access_;
     event_log& log_;
@@ -89,6 +97,7 @@
     bool sweeps_ = false;
     bool sweep_in_progress_ = false;
     time_point sweep_at_{};
+    std::size_t finding_ = 0;
     std::uint64_t lookups_ = 0;
     std::uint64_t found_ = 0;
     std::uint64_t written_ = 0;
--- a/tests/stream_rows_test.cpp
+++ b/tests/stream_rows_test.cpp
@@ -176,12 +176,14 @@
     for (; now < start + 40s; now += 20s)
     {
         sweep.on_row(row, now);
-        CHECK_FALSE(sweep.finish(now));
+        sweep.finish();
+        CHECK_FALSE(sweep.take_obsolete(now));
     }
     now = start + 60s;
     sweep.on_row(row, now);
     sweep.on_row(row_of(record("running", 120s), 8, now), now);
-    auto const deleted = sweep.finish(now);
+    sweep.finish();
+    auto const deleted = sweep.take_obsolete(now);
     REQUIRE(deleted);
     REQUIRE(deleted->writes.size() == 1);
     CHECK(deleted->writes.front().key == row.key);
