Test that a cut head fails at every byte

A worker that stops within the head of its answer must not be taken for one that answered without a body. Thirteen heads (with a length, without, chunked, HTTP/1.0, bare line feeds, folded fields, interim answers, 204, 101) are cut at every byte, on new and on reused connections.

--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -324,3 +324,58 @@
     CHECK_FALSE(answer.timed_out);
     CHECK(worker.read_some().empty());
 }
+
+namespace
+{
+
+char const* const cut_heads[] = {
+    "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nServer-Seal: s\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nServer-Seal: s\r\n\r\n",
+    "HTTP/1.1 200\r\nConnection: close\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: a\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n folded\r\n\tagain\r\n\r\n",
+    "HTTP/1.1 200 OK\nServer-Seal: s\nContent-Length: 0\n\n",
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: a\r\n"
+    "Connection: upgrade\r\n\r\n"};
+
+} // namespace
+
+// Guards against taking a head that a worker cut for that of an answer without
+// a body.
+TEST_CASE("an answer whose head is cut fails at every byte", "[backend_pool]")
+{
+    for (std::string const head : cut_heads)
+        for (bool const reused : {false, true})
+            for (std::size_t size = 0; size < head.size(); ++size)
+            {
+                CAPTURE(head, reused, size);
+                pool_fixture world;
+                observed_exchange exchange;
+                std::optional<observed_exchange> first;
+                if (reused)
+                    world.send(first.emplace());
+                else
+                    world.send(exchange);
+                raw_socket worker = world.accept();
+                if (reused)
+                {
+                    worker.send(ok_response);
+                    first->wait();
+                    world.send(exchange);
+                    worker.read_until(end_of_headers);
+                }
+                worker.send(head.substr(0, size));
+                worker.close();
+                exchange.wait();
+                CHECK(exchange.failed == call_stage::sent);
+                CHECK(exchange.status == 0);
+                CHECK_FALSE(exchange.ended);
+            }
+}
--- a/tests/odd_input_test.cpp
+++ b/tests/odd_input_test.cpp
@@ -105,7 +105,9 @@
                 true,
                 false,
                 {{row_kind::worker, "w", row_version(3), "{}", false},
-                 {row_kind::worker, "v", row_version(4), {}, true}}};
+                 {row_kind::worker, "v", row_version(4), {}, true}},
+                0,
+                std::nullopt};
     return encode_rows_answer(answer);
 }
 
