Keep the send to a silent worker until another worker answers

Cause: when a worker had sent nothing for 900 ms within a resumable stream, or no first byte for the first-byte timeout, relay_exchange ended its send and then looked for another worker. If none took the request (none left, all excluded, rejected, crashed), the stream was cut, or the call failed with "outcome unknown", although the silent worker was sound and went on a moment later.

What callers saw: half a stream and a closed connection, or a 502.

Change: the send is kept beside the next one (relay_silence.cpp), accounted for under a ticket of its own in the scheduler, the grants and the sends by way of other VMs. It ends when another worker's acceptable answer head arrives. If it speaks first, the wait for another worker or the newer send ends and it goes on; its stream goes on where it was, since nothing of the newer one was passed on. If the newer send is rejected, breaks off or finds no worker, the request waits for the silent worker again and looks for another one after a further silence. A send that was kept and breaks off counts as a lost connection; one that this VM ends does not.

Ruled out: freeing the slot and the grant at once and keeping only the connection, since all workers that pause together would then count as empty.

--- a/src/rejection_guard.hpp
+++ b/src/rejection_guard.hpp
@@ -5,6 +5,7 @@
 
 #include "ids.hpp"
 #include "jitter.hpp"
+#include "rename_key.hpp"
 #include "time_point.hpp"
 
 #include <cstddef>
@@ -87,6 +88,8 @@
     void on_sent(ticket_id ticket, worker_room const& at, time_point now);
     /// The worker accepted the request.
     void on_accepted(ticket_id ticket, time_point now);
+    /// The request of `from` is known as `to` from now on.
+    void move(ticket_id from, ticket_id to) { rename_key(trials_, from, to); }
     /// The request was given up, or it is not known whether it was accepted.
     void on_given_up(ticket_id ticket) { trials_.erase(ticket); }
     /// The worker rejected a request for want of room; `at` counts it still.
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -30,7 +30,7 @@
           ownership_runner.cpp peer_allotment.cpp peer_grant_request.cpp peer_rows.cpp peer_streams.cpp registry_watch.cpp relay.cpp relay_admission.cpp
           version_records.cpp relay_daemon.cpp software_record.cpp stream_row.cpp stream_row_keeper.cpp stream_row_writer.cpp
           relay_exchange.cpp relay_forwarding.cpp relay_limits.cpp relay_metrics.cpp relay_orders.cpp
-          relay_peers.cpp relay_retries.cpp relay_settings.cpp relay_streams.cpp relay_teams.cpp row_mirror.cpp
+          relay_peers.cpp relay_retries.cpp relay_silence.cpp relay_settings.cpp relay_streams.cpp relay_teams.cpp row_mirror.cpp
           row_mirror_peers.cpp store_meter.cpp team_key.cpp
           worker_row_projection.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -2,6 +2,7 @@
 
 #include "boot_clock.hpp"
 #include "pooled_limiter.hpp"
+#include "rename_key.hpp"
 
 #include <algorithm>
 #include <asio/post.hpp>
@@ -397,22 +398,65 @@
         crashes_.on_prompt_answered(exchange.request().prompt);
     if (exchange.answer_complete() && !crashes_.has_no_suspects())
         crashes_.on_answered(exchange.identity());
-    bool const direct = sent_through_.erase(exchange.terms().ticket) == 0;
+    bool const direct = sent_through_.erase(exchange.send_ticket()) == 0;
     bool const failed = outcome == send_outcome::unreachable ||
                         outcome == send_outcome::broken ||
                         outcome == send_outcome::silent;
     if (direct && failed)
         on_call_failed(exchange.worker());
-    release_worker_slot(exchange, outcome);
+    release_worker_slot(exchange.terms().service, exchange.send_ticket(),
+                        outcome);
+    kept_sends_.erase(exchange.send_ticket());
 }
 
-void relay::release_worker_slot(relay_exchange const& exchange,
+void relay::on_worker_silent(relay_exchange const& exchange)
+{
+    if (sent_through_.count(exchange.send_ticket()) == 0)
+        on_call_failed(exchange.worker());
+}
+
+ticket_id relay::keep_send(relay_exchange const& exchange)
+{
+    ticket_id const request = exchange.terms().ticket;
+    ticket_id const kept(++last_ticket_);
+    move_send(exchange.terms().service, request, kept);
+    kept_sends_.emplace(kept, request);
+    return kept;
+}
+
+void relay::restore_send(relay_exchange const& exchange, ticket_id kept)
+{
+    move_send(exchange.terms().service, kept, exchange.terms().ticket);
+    kept_sends_.erase(kept);
+}
+
+void relay::move_send(service_id const& service, ticket_id from, ticket_id to)
+{
+    find(service)->scheduler.move_sent(from, to);
+    rename_key(held_grants_, from, to);
+    rename_key(sent_through_, from, to);
+}
+
+void relay::withdraw_send(ticket_id send)
+{
+    auto const kept = kept_sends_.find(send);
+    auto const found =
+        exchanges_.find(kept == kept_sends_.end() ? send : kept->second);
+    if (found == exchanges_.end())
+        return;
+    auto const exchange = found->second;
+    if (kept != kept_sends_.end())
+        return exchange->on_kept_send_withdrawn(send);
+    if (cancel_pending_send(*exchange))
+        return exchange->on_postponed();
+    exchange->on_withdrawn();
+}
+
+void relay::release_worker_slot(service_id const& service, ticket_id send,
                                 send_outcome outcome)
 {
-    find(exchange.terms().service)
-        ->scheduler.ended(exchange.terms().ticket, outcome, now());
-    if (auto const grant = held_grants_.find(exchange.terms().ticket);
-        grant != held_grants_.end())
+    find(service)->scheduler.ended(send, outcome, now());
+    if (auto const grant = held_grants_.find(send); grant != held_grants_.end())
     {
         return_grant(grant->second, outcome_for_owner(outcome));
         held_grants_.erase(grant);
@@ -617,12 +661,14 @@
         refused = check_software_known(*exchange);
     if (refused)
     {
-        release_worker_slot(*exchange, send_outcome::abandoned);
+        release_worker_slot(placed.entry.service, placed.ticket,
+                            send_outcome::abandoned);
         return exchange->on_refused(*refused);
     }
     if (!has_allowed_software(*exchange, placed.entry))
     {
-        release_worker_slot(*exchange, send_outcome::abandoned);
+        release_worker_slot(placed.entry.service, placed.ticket,
+                            send_outcome::abandoned);
         return exchange->on_unsuitable(placed.worker);
     }
     if (exchange->sends() == 0)
@@ -659,17 +705,7 @@
                                           add_jitter(refused->retry_after)));
     }
     if (auto const* withdrawn = std::get_if<withdraw_request>(&action))
-    {
-        if (auto const found = exchanges_.find(withdrawn->ticket);
-            found != exchanges_.end())
-        {
-            auto const exchange = found->second;
-            if (cancel_pending_send(*exchange))
-                return exchange->on_postponed();
-            exchange->on_withdrawn();
-        }
-        return;
-    }
+        return withdraw_send(withdrawn->ticket);
     if (auto const* ask = std::get_if<request_owner_grant>(&action))
         return send_grant_request(service, *ask);
     if (auto const* granted = std::get_if<grant_peer_request>(&action))
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -254,6 +254,9 @@
     void on_stream_bytes(duration gap) override { stream_gaps_.add(gap); }
     answer_memory& answers() override { return answers_; }
     void on_slow_caller() override { ++counts_.slow_callers_closed; }
+    void on_worker_silent(relay_exchange const& exchange) override;
+    ticket_id keep_send(relay_exchange const& exchange) override;
+    void restore_send(relay_exchange const& exchange, ticket_id kept) override;
     void on_send_ended(relay_exchange& exchange, send_outcome outcome) override;
     void on_worker_leaving(relay_exchange const& exchange) override;
     void on_backoff_requested(relay_exchange const& exchange,
@@ -458,9 +461,13 @@
     /// again.
     void place(service_state& service, place_request const& placed);
     void send_placed(service_state& service, place_request const& placed);
-    /// Frees the request's slot at its worker and returns its grant.
-    void release_worker_slot(relay_exchange const& exchange,
+    /// Frees the slot of the send at its worker and returns its grant.
+    void release_worker_slot(service_id const& service, ticket_id send,
                              send_outcome outcome);
+    /// Accounts for the send under another ticket.
+    void move_send(service_id const& service, ticket_id from, ticket_id to);
+    /// Withdraws the send from its worker.
+    void withdraw_send(ticket_id send);
     /// A call that this VM made to the worker itself failed, or got no answer
     /// in time.
     void on_call_failed(worker_id const& worker);
@@ -615,6 +622,8 @@
     time_point review_software_at_{};
     std::unordered_map<ticket_id, peer_request> peer_requests_;
     std::unordered_map<ticket_id, held_grant> held_grants_;
+    /// The request of each send that is kept beside the request's current one.
+    std::unordered_map<ticket_id, ticket_id> kept_sends_;
     std::unordered_map<ticket_id, std::shared_ptr<backend_exchange>>
         grant_requests_;
     time_point send_ended_grants_at_ = never;
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-/// Forwards the events of one send; ignores them once another send has started.
+/// Forwards the events of one send; ignores them once the send has ended.
 class relay_exchange::attempt final : public exchange_observer
 {
 public:
@@ -58,27 +58,35 @@
     }
     void on_head(int status, http_headers headers) override
     {
-        if (current())
+        if (is_current())
             exchange_->on_head(status, std::move(headers));
+        else if (exchange_->is_kept(number_))
+            exchange_->on_kept_head(number_, status, std::move(headers));
     }
     void on_body(std::string_view bytes) override
     {
-        if (current())
+        if (is_current())
             exchange_->on_body(bytes);
+        else if (exchange_->is_kept(number_))
+            exchange_->on_kept_body(number_, bytes);
     }
     void on_end(bool framed) override
     {
-        if (current())
+        if (is_current())
             exchange_->on_end(framed);
+        else if (exchange_->is_kept(number_))
+            exchange_->on_kept_end(number_, framed);
     }
     void on_failure(call_stage at, std::string const& reason) override
     {
-        if (current())
+        if (is_current())
             exchange_->on_failure(at, reason);
+        else if (exchange_->is_kept(number_))
+            exchange_->on_kept_failure(number_, at);
     }
 
 private:
-    bool current() const { return exchange_->attempt_number_ == number_; }
+    bool is_current() const { return exchange_->send_.number == number_; }
 
     std::shared_ptr<relay_exchange> exchange_;
     std::uint64_t number_;
@@ -118,13 +126,19 @@
 
 void relay_exchange::schedule_wake()
 {
-    time_point when = terms_.give_up_at;
-    if (stage_ == stage::sent && is_retryable() &&
-        runs_ <= terms_.matched->worker_limit)
-        when = std::min(when, sent_at_ + host_.first_byte_timeout(*this));
-    if (stage_ == stage::streaming && is_retryable())
-        when = std::min(when, last_byte_at_ + max_stream_gap);
-    host_.wake_at(*this, when);
+    host_.wake_at(*this, std::min(terms_.give_up_at, silent_at()));
+}
+
+time_point relay_exchange::silent_at() const
+{
+    if (!is_retryable())
+        return never;
+    if (stage_ == stage::sent && runs_ <= terms_.matched->worker_limit)
+        return std::max(send_.sent_at, listens_since_) +
+               host_.first_byte_timeout(*this);
+    if (stage_ == stage::streaming)
+        return std::max(send_.last_byte_at, listens_since_) + max_stream_gap;
+    return never;
 }
 
 bool relay_exchange::is_retryable() const
@@ -137,20 +151,20 @@
 void relay_exchange::on_placed(place_request const& placed)
 {
     backend_entry const& worker = placed.entry;
-    worker_ = worker;
     stage_ = stage::sent;
-    sent_at_ = host_.now();
-    waits_.end(sent_at_);
-    placement_reason_ = placed.reason;
-    reply_ = {};
-    answer_framed_ = false;
-    headers_ = {};
+    send_ = {};
+    send_.number = ++last_number_;
+    send_.ticket = terms_.ticket;
+    send_.worker = worker;
+    send_.sent_at = host_.now();
+    waits_.end(send_.sent_at);
+    send_.placement_reason = placed.reason;
     body_.clear();
-    held_bytes_.set(0);
+    held_bytes_.set(kept_sends_.empty() ? 0 : events_.incomplete_bytes());
     ++sends_;
     ++runs_;
-    retry_sent_ = std::exchange(retry_reserved_, false);
-    if (retry_sent_)
+    send_.is_retry = std::exchange(retry_reserved_, false);
+    if (send_.is_retry)
         host_.on_retry_sent(*this);
     forward_options terms;
     terms.worker = worker.id;
@@ -159,7 +173,7 @@
         terms.copy_prompt_from = placed.prefix_source->address + ":" +
                                  std::to_string(placed.prefix_source->port);
     terms.time_left =
-        std::max<duration>(terms_.give_up_at - sent_at_, milliseconds(1));
+        std::max<duration>(terms_.give_up_at - send_.sent_at, milliseconds(1));
     terms.team = terms_.team;
     if (terms_.engine)
         terms.priority = terms_.priority;
@@ -170,10 +184,9 @@
     options.connect_timeout = connect_timeout;
     options.max_idle =
         is_retryable() ? max_idle_if_retryable : max_idle_if_not_retryable;
-    ++attempt_number_;
-    backend_exchange_ = host_.start_send(
+    send_.call = host_.start_send(
         *this, host_.codec().encode_request(request_, terms), options,
-        std::make_shared<attempt>(shared_from_this(), attempt_number_));
+        std::make_shared<attempt>(shared_from_this(), send_.number));
     if (sends_ > 1)
         host_.log_request_event(*this, "sent again", placed.reason);
     schedule_wake();
@@ -196,6 +209,8 @@
 
 void relay_exchange::on_refused(error const& why)
 {
+    if (wait_for_silent_worker(why.text()))
+        return;
     if (stream_begun_)
     {
         host_.log_request_event(*this, "stream cut", why.text());
@@ -218,21 +233,15 @@
     time_point const now = host_.now();
     if (now < terms_.give_up_at)
     {
-        bool const silent =
-            (stage_ == stage::sent && is_retryable() &&
-             now >= sent_at_ + host_.first_byte_timeout(*this)) ||
-            (stage_ == stage::streaming &&
-             now >= last_byte_at_ + max_stream_gap);
+        bool const silent = now >= silent_at();
         if (silent && try_reserve_retry())
         {
-            end_send(send_outcome::silent);
+            keep_silent_send();
             return resubmit("the worker is silent");
         }
-        // The worker is not silent, or the request must not be sent again: wait
-        // until the deadline.
-        return host_.wake_at(*this, stage_ == stage::streaming && !silent
-                                        ? last_byte_at_ + max_stream_gap
-                                        : terms_.give_up_at);
+        // If the request must not be sent again, wait until the deadline.
+        return silent ? host_.wake_at(*this, terms_.give_up_at)
+                      : schedule_wake();
     }
     if (stage_ == stage::waiting)
     {
@@ -245,6 +254,7 @@
     }
     else
         end_send(send_outcome::silent);
+    end_kept_sends(send_outcome::silent);
     if (stream_begun_)
     {
         host_.log_request_event(*this, "stream cut", "deadline");
@@ -270,44 +280,39 @@
         host_.stop_waiting(*this);
     else
         end_send(send_outcome::abandoned);
+    end_kept_sends(send_outcome::abandoned);
     end(relay_outcome::caller_gone);
 }
 
 void relay_exchange::on_head(int status, http_headers headers)
 {
-    reply_ = host_.codec().decode_reply(status, headers, request_);
-    if (reply_.mismatched)
+    send_.reply = host_.codec().decode_reply(status, headers, request_);
+    if (send_.reply.mismatched)
     {
         // This connection delivered the late answer to another request. Whether
         // this request ran is unknown.
-        backend_exchange_->cancel();
+        send_.call->cancel();
         return retry_or_fail(send_outcome::broken,
                              "an answer to another request");
     }
-    last_byte_at_ = host_.now();
-    if (reply_.leaving && !reply_.other_worker)
-        host_.on_worker_leaving(*this);
-    if (reply_.backoff)
-        host_.on_backoff_requested(*this, last_byte_at_ + *reply_.backoff);
-    if (!reply_.limit.malformed && !reply_.other_worker)
-        host_.on_limit_stated(*this, reply_.limit.per_second);
-    if (!reply_.tolerance.malformed && !reply_.other_worker)
-        host_.on_tolerance_stated(terms_.service, worker_.id, sent_at_,
-                                  reply_.tolerance.per_second);
-    headers_ = host_.codec().answer_headers(headers);
+    send_.last_byte_at = host_.now();
+    note_statements();
+    if (takes_over(send_.reply))
+        end_kept_sends(send_outcome::silent);
+    send_.headers = host_.codec().answer_headers(headers);
     stage_ = stage::buffering;
-    if (!reply_.not_run)
+    if (!send_.reply.not_run)
     {
         host_.on_first_byte(*this);
-        if (last_byte_at_ - terms_.arrived_at >
+        if (send_.last_byte_at - terms_.arrived_at >
             terms_.matched->latency_objective / 2)
-            host_.log_request_event(*this, "slow", placement_reason_);
+            host_.log_request_event(*this, "slow", send_.placement_reason);
     }
-    if (status < first_non_success_status && reply_.event_stream)
+    if (status < first_non_success_status && send_.reply.event_stream)
     {
         if (!is_answer_acceptable())
         {
-            backend_exchange_->cancel();
+            send_.call->cancel();
             return retry_or_fail(send_outcome::broken,
                                  "the answer has no proof");
         }
@@ -316,18 +321,45 @@
     host_.wake_at(*this, terms_.give_up_at);
 }
 
+void relay_exchange::note_statements()
+{
+    if (send_.reply.leaving && !send_.reply.other_worker)
+        host_.on_worker_leaving(*this);
+    if (send_.reply.backoff)
+        host_.on_backoff_requested(*this,
+                                   send_.last_byte_at + *send_.reply.backoff);
+    if (!send_.reply.limit.malformed && !send_.reply.other_worker)
+        host_.on_limit_stated(*this, send_.reply.limit.per_second);
+    if (!send_.reply.tolerance.malformed && !send_.reply.other_worker)
+        host_.on_tolerance_stated(terms_.service, send_.worker.id,
+                                  send_.sent_at,
+                                  send_.reply.tolerance.per_second);
+}
+
 bool relay_exchange::is_answer_acceptable() const
 {
-    return reply_.status >= first_non_success_status ||
-           (reply_.sealed && !reply_.encoded);
+    return send_.reply.status >= first_non_success_status ||
+           (send_.reply.sealed && !send_.reply.encoded);
+}
+
+bool relay_exchange::takes_over(worker_reply const& reply) const
+{
+    if (reply.mismatched || reply.not_run)
+        return false;
+    if (reply.status >= first_non_success_status)
+        return !stream_begun_ && reply.status < first_server_error &&
+               !implies_not_run(reply.status);
+    return reply.sealed && !reply.encoded &&
+           (!stream_begun_ || reply.event_stream);
 }
 
 void relay_exchange::begin_stream()
 {
     stage_ = stage::streaming;
+    send_.streams = true;
     if (!std::exchange(stream_begun_, true))
     {
-        answer_->start_stream(reply_.status, headers_);
+        answer_->start_stream(send_.reply.status, send_.headers);
         stream_version_ = host_.on_stream_begun(*this);
     }
     events_.begin_answer();
@@ -337,10 +369,13 @@
 void relay_exchange::on_body(std::string_view bytes)
 {
     if (stage_ == stage::streaming)
+    {
+        end_kept_sends(send_outcome::abandoned);
         return forward_stream(bytes);
+    }
     if (body_.size() + bytes.size() > host_.answers().limit(max_buffered_bytes))
     {
-        backend_exchange_->cancel();
+        send_.call->cancel();
         return retry_or_fail(send_outcome::broken, "the answer is too large");
     }
     body_.append(bytes);
@@ -350,7 +385,7 @@
 void relay_exchange::forward_stream(std::string_view bytes)
 {
     time_point const at = host_.now();
-    host_.on_stream_bytes(at - std::exchange(last_byte_at_, at));
+    host_.on_stream_bytes(at - std::exchange(send_.last_byte_at, at));
     if (std::string complete = events_.feed(bytes); !complete.empty())
         answer_->write(std::move(complete));
     held_bytes_.set(events_.incomplete_bytes());
@@ -371,8 +406,8 @@
 {
     if (stage_ == stage::streaming)
         return finish_stream(framed);
-    answer_framed_ = framed;
-    if (reply_.not_run)
+    send_.is_framed = framed;
+    if (send_.reply.not_run)
         return finish_rejected();
     finish_answer();
 }
@@ -393,23 +428,27 @@
                              : framed ? "its framing ended within an event"
                                       : "its connection ended within an event");
     }
-    answer_framed_ = framed;
+    send_.is_framed = framed;
     end_send(send_outcome::served);
     answer_->write(events_.take_rest());
     answer_->finish();
     end(relay_outcome::served);
 }
 
+send_outcome relay_exchange::outcome_of_rejection() const
+{
+    return send_.reply.other_worker  ? send_outcome::unreachable
+           : send_.reply.lacks_model ? send_outcome::not_held
+                                     : send_outcome::full;
+}
+
 /// The worker states that it did not run the request, so another worker may get
 /// the request.
 void relay_exchange::finish_rejected()
 {
     --runs_;
-    send_outcome const outcome = reply_.other_worker ? send_outcome::unreachable
-                                 : reply_.lacks_model ? send_outcome::not_held
-                                                      : send_outcome::full;
-    excluded_workers_.insert(worker_.id);
-    end_send(outcome);
+    excluded_workers_.insert(send_.worker.id);
+    end_send(outcome_of_rejection());
     if (sends_ < max_sends && reserve_retry())
         return resubmit("rejected by the worker");
     stage_ = stage::waiting;
@@ -423,10 +462,12 @@
         return retry_or_fail(send_outcome::broken, "the answer has no proof");
     // Failure: a worker runs the request but answers with a status that callers
     // take for "not run"; the callers send the request again and it runs twice.
-    if (implies_not_run(reply_.status))
+    if (implies_not_run(send_.reply.status))
         return retry_or_fail(send_outcome::failed,
                              "the worker does not state that it did not run");
-    bool const failed = reply_.status >= first_server_error;
+    bool const failed = send_.reply.status >= first_server_error;
+    if (!kept_sends_.empty())
+        return retry_or_fail(send_outcome::failed, "the worker failed");
     if (failed && try_reserve_retry())
     {
         end_send(send_outcome::failed);
@@ -443,7 +484,8 @@
         host_.log_request_event(*this, "worker failed",
                                 "its own answer is passed on");
     held_bytes_.set(0);
-    answer_->respond({reply_.status, std::move(headers_), body_.take()});
+    answer_->respond(
+        {send_.reply.status, std::move(send_.headers), body_.take()});
     end(failed ? relay_outcome::worker_failed : relay_outcome::served);
 }
 
@@ -454,10 +496,10 @@
         // Nothing reached the worker, so neither a run nor a send is counted.
         --runs_;
         --sends_;
-        retry_reserved_ = std::exchange(retry_sent_, false);
+        retry_reserved_ = std::exchange(send_.is_retry, false);
         if (retry_reserved_)
             host_.on_retry_not_sent(*this);
-        excluded_workers_.insert(worker_.id);
+        excluded_workers_.insert(send_.worker.id);
         end_send(send_outcome::unreachable);
         return resubmit(reason);
     }
@@ -486,6 +528,8 @@
     end_send(outcome);
     if (try_reserve_retry())
         return resubmit(reason);
+    if (wait_for_silent_worker(reason))
+        return;
     if (stream_begun_)
     {
         host_.log_request_event(*this, "stream cut", reason);
@@ -498,19 +542,19 @@
 
 void relay_exchange::end_send(send_outcome outcome)
 {
-    ++attempt_number_;
-    if (backend_exchange_)
-        backend_exchange_->cancel();
-    backend_exchange_.reset();
+    send_.number = 0;
+    if (send_.call)
+        send_.call->cancel();
+    send_.call.reset();
     host_.on_send_ended(*this, outcome);
 }
 
 void relay_exchange::resubmit(std::string_view reason)
 {
-    if (sent_at_ != time_point() && !stream_begun_)
-        waits_.add(wait_cause::retry, host_.now() - sent_at_);
+    if (send_.sent_at != time_point() && !stream_begun_)
+        waits_.add(wait_cause::retry, host_.now() - send_.sent_at);
     host_.log_request_event(*this, "tries again", reason);
-    excluded_workers_.insert(worker_.id);
+    excluded_workers_.insert(send_.worker.id);
     stage_ = stage::waiting;
     schedule_wake();
     host_.wait_for_worker(*this, excluded_workers_);
@@ -528,8 +572,9 @@
 
 void relay_exchange::end(relay_outcome outcome)
 {
+    end_kept_sends(send_outcome::abandoned);
     stage_ = stage::over;
-    ++attempt_number_;
+    send_.number = 0;
     if (std::exchange(retry_reserved_, false))
         host_.release_retry(*this);
     host_.wake_at(*this, never);
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -9,12 +9,14 @@
 #include "http_server.hpp"
 #include "relay_codec.hpp"
 #include "service_scheduler.hpp"
+#include "worker_send.hpp"
 
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mulberry
 {
@@ -65,7 +67,16 @@
     virtual answer_memory& answers() = 0;
     /// A stream was cut since its caller does not read it.
     virtual void on_slow_caller() = 0;
-    /// The current send to the worker has ended.
+    /// The worker has sent nothing for long.
+    virtual void on_worker_silent(relay_exchange const& exchange) = 0;
+    /// The current send goes on beside further sends of the request. Returns
+    /// the ticket that it is accounted for under from now on.
+    virtual ticket_id keep_send(relay_exchange const& exchange) = 0;
+    /// The send of keep_send() is the current send again. Precondition: the
+    /// request waits for no worker and has no other current send.
+    virtual void restore_send(relay_exchange const& exchange,
+                              ticket_id kept) = 0;
+    /// The send of exchange.send_ticket() has ended.
     virtual void on_send_ended(relay_exchange& exchange,
                                send_outcome outcome) = 0;
     /// The worker announced in its answer that it is about to leave.
@@ -164,6 +175,8 @@
     /// The request's adapter version was superseded before its answer began:
     /// the send is ended, and the request is sent again if it is retryable.
     void on_withdrawn();
+    /// The same for a send that is kept under `ticket`.
+    void on_kept_send_withdrawn(ticket_id ticket);
     void on_caller_gone();
     /// The stream that the request takes up began at workers with this version
     /// of their software. Called before start().
@@ -176,19 +189,24 @@
     relay_request const& request() const { return request_; }
     /// Computed on the first call.
     request_identity const& identity() const;
-    worker_id const& worker() const { return worker_.id; }
+    worker_id const& worker() const { return send_.worker.id; }
+    /// The ticket that the current send is accounted for under.
+    ticket_id send_ticket() const { return send_.ticket; }
     /// The worker's registry entry as of the last send.
-    backend_entry const& worker_entry() const { return worker_; }
+    backend_entry const& worker_entry() const { return send_.worker; }
     /// Sends that reached a worker, rejected ones included.
     int sends() const { return sends_; }
     /// HTTP status of the current worker's answer.
-    int status() const { return reply_.status; }
+    int status() const { return send_.reply.status; }
     /// True if no worker can have begun to run the request.
     bool never_ran() const { return runs_ == 0; }
     /// True if the worker of the last send ran the request and completed its
     /// answer. An answer that is delimited only by the end of its connection
     /// does not count, since it may have been cut short.
-    bool answer_complete() const { return answer_framed_ && !reply_.not_run; }
+    bool answer_complete() const
+    {
+        return send_.is_framed && !send_.reply.not_run;
+    }
     bool is_over() const { return stage_ == stage::over; }
     /// Whether the answer is a stream that other workers and VMs may go on
     /// with.
@@ -207,13 +225,14 @@
     /// What the request has waited for since it arrived.
     wait_breakdown& waits() { return waits_; }
     wait_breakdown const& waits() const { return waits_; }
-    time_point sent_at() const { return sent_at_; }
+    time_point sent_at() const { return send_.sent_at; }
     /// Time from the request's arrival to its last send; 0 if the request was
     /// never sent.
     duration queueing_delay() const
     {
-        return sent_at_ == time_point() ? duration(0)
-                                        : sent_at_ - terms_.arrived_at;
+        return send_.sent_at == time_point()
+                   ? duration(0)
+                   : send_.sent_at - terms_.arrived_at;
     }
 
 private:
@@ -254,6 +273,35 @@
                             std::string_view reason);
     void end(relay_outcome outcome);
     void schedule_wake();
+    /// When the current send's worker counts as silent; `never` if the request
+    /// must not be sent again.
+    time_point silent_at() const;
+    /// Notes what the answer's head says of the worker.
+    void note_statements();
+    /// What the send's answer without success says of its worker.
+    send_outcome outcome_of_rejection() const;
+
+    // The sends to silent workers; see relay_silence.cpp.
+    void keep_silent_send();
+    /// Whether the answer of `reply` can be passed on in place of what a silent
+    /// worker may still send.
+    bool takes_over(worker_reply const& reply) const;
+    bool is_kept(std::uint64_t number) const;
+    void on_kept_head(std::uint64_t number, int status, http_headers headers);
+    void on_kept_body(std::uint64_t number, std::string_view bytes);
+    void on_kept_end(std::uint64_t number, bool framed);
+    void on_kept_failure(std::uint64_t number, call_stage at);
+    /// Makes the kept send the current one, and ends all others.
+    void go_on_with(std::uint64_t number);
+    /// Makes the kept send the current one. Precondition: the current one has
+    /// ended.
+    void restore(std::uint64_t number);
+    /// Goes on waiting for a silent worker if there is one.
+    bool wait_for_silent_worker(std::string_view reason);
+    worker_send& kept(std::uint64_t number);
+    void end_kept_send(std::uint64_t number, send_outcome outcome);
+    void end_kept_sends(send_outcome outcome);
+    void end_wait();
     /// True for an error status, or if the answer carries the proof that it is
     /// the worker's and is not content-encoded.
     bool is_answer_acceptable() const;
@@ -264,9 +312,15 @@
     mutable std::optional<request_identity> identity_;
     std::shared_ptr<http_answer> answer_;
     stage stage_ = stage::waiting;
-    backend_entry worker_;
-    std::shared_ptr<backend_exchange> backend_exchange_;
-    std::uint64_t attempt_number_ = 0;
+    /// The current send, or the last one.
+    worker_send send_;
+    /// Sends to workers that were silent when the request was sent again or
+    /// queued again. They end when another answer is passed on. At most one has
+    /// begun its answer; its stream is in `events_` until another one begins.
+    std::vector<worker_send> kept_sends_;
+    std::uint64_t last_number_ = 0;
+    /// No send counts as silent for what was before.
+    time_point listens_since_{};
     std::set<worker_id> excluded_workers_;
     /// Sends that reached a worker, rejected ones included.
     int sends_ = 0;
@@ -274,16 +328,8 @@
     int runs_ = 0;
     /// The next send is a retry that is reserved in the service's budget.
     bool retry_reserved_ = false;
-    /// The last send was a retry.
-    bool retry_sent_ = false;
     bool postponed_ = false;
-    time_point sent_at_{};
     wait_breakdown waits_;
-    std::string placement_reason_;
-    time_point last_byte_at_{};
-    worker_reply reply_;
-    bool answer_framed_ = false;
-    http_headers headers_;
     answer_body body_;
     /// Of `body_` or, in a stream, of the event that is incomplete.
     buffered_bytes held_bytes_;
--- a/src/relay_limits.cpp
+++ b/src/relay_limits.cpp
@@ -176,7 +176,8 @@
             .add("free_in_ms", decision.available_at - at)
             .add("age_ms", at - exchange->terms().arrived_at),
         at);
-    release_worker_slot(*exchange, send_outcome::abandoned);
+    release_worker_slot(placed.entry.service, placed.ticket,
+                        send_outcome::abandoned);
     exchange->on_postponed();
 }
 
@@ -187,7 +188,8 @@
         return false;
     limits_.withdraw(ticket);
     find(exchange.terms().service)->scheduler.not_sent(ticket, now());
-    release_worker_slot(exchange, send_outcome::abandoned);
+    release_worker_slot(exchange.terms().service, ticket,
+                        send_outcome::abandoned);
     return true;
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "service_scheduler.hpp"
 
 #include "placement.hpp"
+#include "rename_key.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -181,6 +182,13 @@
     return addressed;
 }
 
+void service_scheduler::move_sent(ticket_id from, ticket_id to)
+{
+    rename_key(sent_, from, to);
+    memory_.move(from, to);
+    rejections_.move(from, to);
+}
+
 void service_scheduler::ended(ticket_id ticket, send_outcome outcome,
                               time_point now)
 {
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -384,6 +384,11 @@
     void not_sent(ticket_id ticket, time_point now);
     /// Reports the first byte of a worker's answer.
     void first_byte(ticket_id ticket, time_point now);
+    /// The send that was accounted for under `from` is known as `to` from now
+    /// on, so that the request of `from` can be submitted again while it is at
+    /// its worker. Does nothing if there is no such send. Precondition: no
+    /// request or send is known as `to`.
+    void move_sent(ticket_id from, ticket_id to);
     /// Reports that a request has ended at its worker.
     void ended(ticket_id ticket, send_outcome outcome, time_point now);
 
--- a/src/worker_memory.cpp
+++ b/src/worker_memory.cpp
@@ -1,6 +1,7 @@
 #include "worker_memory.hpp"
 
 #include "placement.hpp"
+#include "rename_key.hpp"
 
 #include <algorithm>
 
@@ -60,6 +61,11 @@
     shared.tokens = std::max<std::uint64_t>(shared.tokens, need.prefix.tokens);
 }
 
+void worker_memory::move(ticket_id from, ticket_id to)
+{
+    rename_key(reservations_, from, to);
+}
+
 void worker_memory::release(ticket_id ticket)
 {
     auto const found = reservations_.find(ticket);
--- a/src/worker_memory.hpp
+++ b/src/worker_memory.hpp
@@ -44,6 +44,9 @@
     /// release(). Precondition: the ticket is not counted yet.
     void reserve(worker_id const& worker, ticket_id ticket,
                  memory_need const& need);
+    /// Counts under `to` what was counted under `from`. Precondition: `to` is
+    /// not counted.
+    void move(ticket_id from, ticket_id to);
     /// The request has ended or will not be sent. Unknown tickets are ignored.
     void release(ticket_id ticket);
     /// The worker has restarted and holds nothing.
