--- a/tests/service_version_test.cpp
+++ b/tests/service_version_test.cpp
@@ -328,6 +328,18 @@
     CHECK(late.old.world.withdrawn(late.ticket));
 }
 
+// Guards against a silent worker that begins a stream on an old version.
+TEST_CASE("a stream that is kept under another ticket is withdrawn too",
+          "[scheduler][silence]")
+{
+    unstarted_stream late;
+    ticket_id const kept(1U << 20U);
+    late.old.world.scheduler.move_sent(late.ticket, kept);
+    late.old.declare(2);
+    late.old.world.run(7500ms);
+    CHECK(late.old.world.withdrawn(kept));
+}
+
 TEST_CASE("only streams that have not started are withdrawn", "[scheduler]")
 {
     bool const streams = GENERATE(true, false);
