--- /dev/null
+++ b/tests/relay_silence_test.cpp
@@ -0,0 +1,397 @@
+// Silent workers, in virtual time: which of a request's sends is passed on.
+#include "relay_callers.hpp"
+#include "relay_exchange.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace mulberry;
+using namespace mulberry_test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto first_byte = 400ms;
+
+/// The worker states that it did not run what it answers with 503.
+class status_codec final : public plain_codec
+{
+public:
+    worker_reply decode_reply(int status, http_headers const& headers,
+                              relay_request const&) const override
+    {
+        worker_reply reply;
+        reply.status = status;
+        reply.sealed = true;
+        reply.not_run = status == 503;
+        reply.event_stream = headers.find("Stream").has_value();
+        return reply;
+    }
+};
+
+struct caller_answer final : http_answer
+{
+    void respond(http_response response) override
+    {
+        status = response.status;
+        body = response.body;
+    }
+    void start_stream(int started, http_headers) override { status = started; }
+    void write(std::string chunk) override { body += chunk; }
+    void finish() override { finished = true; }
+    void abort() override { aborted = true; }
+    void on_closed(std::function<void()>) override {}
+    std::size_t unsent_bytes() const override { return 0; }
+
+    int status = 0;
+    std::string body;
+    bool finished = false;
+    bool aborted = false;
+};
+
+struct fake_call final : backend_exchange
+{
+    void cancel() override { cancelled = true; }
+    std::shared_ptr<exchange_observer> observer;
+    bool cancelled = false;
+};
+
+/// Counts what must be balanced when a request is over.
+class fake_host final : public exchange_host
+{
+public:
+    time_point now() const override { return at; }
+    relay_codec const& codec() const override { return codec_; }
+    std::shared_ptr<backend_exchange>
+    start_send(relay_exchange const&, std::string, exchange_options const&,
+               std::shared_ptr<exchange_observer> observer) override
+    {
+        calls.push_back(std::make_shared<fake_call>());
+        calls.back()->observer = std::move(observer);
+        return calls.back();
+    }
+    void wait_for_worker(relay_exchange&, std::set<worker_id> const&) override
+    {
+        waits = true;
+    }
+    void stop_waiting(relay_exchange&) override { waits = false; }
+    void on_first_byte(relay_exchange&) override {}
+    std::optional<software_version>
+    on_stream_begun(relay_exchange const&) override
+    {
+        return software_version("v1");
+    }
+    void on_stream_bytes(duration) override {}
+    answer_memory& answers() override { return answers_; }
+    void on_slow_caller() override {}
+    void on_worker_silent(relay_exchange const&) override {}
+    ticket_id keep_send(relay_exchange const& exchange) override
+    {
+        ticket_id const kept(++last_ticket_);
+        CHECK(sends.erase(exchange.terms().ticket) == 1);
+        sends.insert(kept);
+        return kept;
+    }
+    void restore_send(relay_exchange const& exchange, ticket_id kept) override
+    {
+        CHECK(sends.erase(kept) == 1);
+        CHECK(sends.insert(exchange.terms().ticket).second);
+    }
+    void on_send_ended(relay_exchange& exchange, send_outcome) override
+    {
+        CHECK(sends.erase(exchange.send_ticket()) == 1);
+    }
+    void on_worker_leaving(relay_exchange const&) override {}
+    void on_backoff_requested(relay_exchange const&, time_point) override {}
+    void on_limit_stated(relay_exchange const&, std::optional<double>) override
+    {
+    }
+    void on_tolerance_stated(service_id const&, worker_id const&, time_point,
+                             std::optional<std::uint32_t>) override
+    {
+    }
+    void on_connection_lost(relay_exchange const& exchange) override
+    {
+        lost.push_back(exchange.worker().str());
+    }
+    duration first_byte_timeout(relay_exchange const&) const override
+    {
+        return first_byte;
+    }
+    duration retry_after(relay_exchange const&, duration least) override
+    {
+        return least;
+    }
+    bool try_reserve_retry(relay_exchange const&) override
+    {
+        ++reserved;
+        return true;
+    }
+    void on_retry_sent(relay_exchange const&) override { --reserved; }
+    void on_retry_not_sent(relay_exchange const&) override { ++reserved; }
+    void release_retry(relay_exchange const&) override { --reserved; }
+    void wake_at(relay_exchange&, time_point when) override { due = when; }
+    void log_request_event(relay_exchange const&, std::string_view,
+                           std::string_view) override
+    {
+    }
+    void on_finished(relay_exchange&, relay_outcome ended) override
+    {
+        outcome = ended;
+    }
+
+    time_point at{1h};
+    time_point due = never;
+    std::vector<std::shared_ptr<fake_call>> calls;
+    /// Tickets of the sends that have not ended.
+    std::set<ticket_id> sends;
+    std::vector<std::string> lost;
+    bool waits = false;
+    /// Retries that are reserved and not sent.
+    int reserved = 0;
+    std::optional<relay_outcome> outcome;
+
+private:
+    status_codec codec_;
+    answer_memory answers_;
+    std::uint64_t last_ticket_ = 100;
+};
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: x\n\n";
+}
+
+/// A request that may be repeated, at its first worker.
+class silent_request
+{
+public:
+    explicit silent_request(repeat_rule repeats)
+    {
+        matched_.repeats = repeats;
+        matched_.resumable = true;
+        matched_.worker_limit = 2;
+        exchange_terms terms;
+        terms.ticket = ticket_id(1);
+        terms.matched = &matched_;
+        terms.arrived_at = host.at;
+        terms.give_up_at = host.at + 5s;
+        exchange = std::make_shared<relay_exchange>(host, terms,
+                                                    relay_request(), answer);
+        exchange->start();
+        place("w1");
+    }
+    ~silent_request()
+    {
+        for (auto const& each : host.calls)
+            each->observer.reset();
+    }
+    silent_request(silent_request const&) = delete;
+    silent_request& operator=(silent_request const&) = delete;
+
+    void place(std::string const& worker)
+    {
+        REQUIRE(host.waits);
+        host.waits = false;
+        place_request placed;
+        placed.ticket = ticket_id(1);
+        placed.worker = worker_id(worker);
+        placed.entry.id = placed.worker;
+        CHECK(host.sends.insert(placed.ticket).second);
+        exchange->on_placed(placed);
+    }
+    /// Nothing happens until the exchange's next time is due.
+    void fall_silent()
+    {
+        REQUIRE(host.due != never);
+        host.at = host.due;
+        exchange->on_due();
+    }
+    void head(std::size_t call, int status, bool streams = false)
+    {
+        http_headers headers;
+        if (streams)
+            headers.add("Stream", "1");
+        host.calls.at(call)->observer->on_head(status, std::move(headers));
+    }
+    void body(std::size_t call, std::string const& bytes)
+    {
+        host.calls.at(call)->observer->on_body(bytes);
+    }
+    void end(std::size_t call) { host.calls.at(call)->observer->on_end(true); }
+    void check_nothing_left(relay_outcome outcome)
+    {
+        CHECK(host.outcome == outcome);
+        CHECK(host.sends.empty());
+        CHECK(host.reserved == 0);
+        CHECK_FALSE(host.waits);
+    }
+    bool cancelled(std::size_t call) const
+    {
+        return host.calls.at(call)->cancelled;
+    }
+
+    fake_host host;
+    std::shared_ptr<caller_answer> answer = std::make_shared<caller_answer>();
+    std::shared_ptr<relay_exchange> exchange;
+
+private:
+    route matched_;
+};
+
+/// A stream whose worker falls silent after its first event.
+struct silent_stream : silent_request
+{
+    silent_stream() : silent_request(repeat_rule::stream)
+    {
+        head(0, 200, true);
+        body(0, event(1) + "id: 2\nda");
+        fall_silent();
+        REQUIRE(host.waits);
+        REQUIRE_FALSE(cancelled(0));
+    }
+};
+
+} // namespace
+
+// Guards against half an event of one worker that goes on with another's.
+TEST_CASE("a silent stream that goes on first is passed on whole",
+          "[relay_silence]")
+{
+    silent_stream stream;
+    bool const sent_again = GENERATE(true, false);
+    if (sent_again)
+        stream.place("w2");
+    stream.body(0, "ta: x\n\n" + event(3));
+    CHECK_FALSE(stream.host.waits);
+    stream.end(0);
+    CHECK(stream.answer->body == event(1) + event(2) + event(3));
+    CHECK(stream.answer->finished);
+    if (sent_again)
+        CHECK(stream.cancelled(1));
+    stream.check_nothing_left(relay_outcome::served);
+}
+
+// Guards against bytes of a worker whose stream another one has taken over.
+TEST_CASE("a worker that takes a stream over ends the silent send",
+          "[relay_silence]")
+{
+    silent_stream stream;
+    stream.place("w2");
+    stream.head(1, 200, true);
+    CHECK(stream.cancelled(0));
+    stream.body(0, "ta: x\n\n");
+    stream.body(1, event(2));
+    stream.end(1);
+    CHECK(stream.answer->body == event(1) + event(2));
+    stream.check_nothing_left(relay_outcome::served);
+}
+
+// Guards against a stream that is cut since no other worker has room for it.
+TEST_CASE("a rejection leaves a stream with its silent worker",
+          "[relay_silence]")
+{
+    silent_stream stream;
+    stream.place("w2");
+    stream.head(1, 503);
+    stream.end(1);
+    REQUIRE(stream.host.waits);
+    stream.host.waits = false;
+    stream.exchange->on_refused(error(error_kind::overloaded, "no worker"));
+    CHECK_FALSE(stream.answer->aborted);
+    CHECK(stream.host.reserved == 0);
+    stream.body(0, "ta: x\n\n");
+    stream.end(0);
+    CHECK(stream.answer->body == event(1) + event(2));
+    stream.check_nothing_left(relay_outcome::served);
+}
+
+TEST_CASE("a stream whose silent worker breaks off goes on elsewhere",
+          "[relay_silence]")
+{
+    silent_stream stream;
+    stream.host.calls[0]->observer->on_failure(call_stage::answering, "reset");
+    CHECK(stream.host.lost == std::vector<std::string>{"w1"});
+    stream.place("w2");
+    stream.head(1, 200, true);
+    stream.body(1, event(2));
+    stream.end(1);
+    CHECK(stream.answer->body == event(1) + event(2));
+    stream.check_nothing_left(relay_outcome::served);
+}
+
+// Guards against work for a caller that has left, and for one that was
+// answered at its deadline.
+TEST_CASE("all sends of a request end with it", "[relay_silence]")
+{
+    silent_stream stream;
+    if (GENERATE(true, false))
+        stream.place("w2");
+    bool const leaves = GENERATE(true, false);
+    if (leaves)
+        stream.exchange->on_caller_gone();
+    else
+    {
+        stream.host.at += 5s;
+        stream.exchange->on_due();
+        CHECK(stream.answer->aborted);
+    }
+    for (auto const& each : stream.host.calls)
+        CHECK(each->cancelled);
+    CHECK(stream.host.lost.empty());
+    stream.check_nothing_left(leaves ? relay_outcome::caller_gone
+                                     : relay_outcome::failed);
+}
+
+// Guards against a call that fails with its second worker though the first one
+// answers.
+TEST_CASE("a silent worker answers a call that another one fails",
+          "[relay_silence]")
+{
+    silent_request call(repeat_rule::idempotent);
+    call.fall_silent();
+    call.place("w2");
+    call.head(1, 500);
+    call.end(1);
+    CHECK_FALSE(call.host.outcome);
+    call.head(0, 200);
+    call.body(0, "answer");
+    call.end(0);
+    CHECK(call.answer->body == "answer");
+    call.check_nothing_left(relay_outcome::served);
+}
+
+TEST_CASE("a late rejection by a silent worker leaves the other send alone",
+          "[relay_silence]")
+{
+    silent_request call(repeat_rule::idempotent);
+    call.fall_silent();
+    call.place("w2");
+    call.head(0, 503);
+    CHECK(call.cancelled(0));
+    call.head(1, 200);
+    call.body(1, "answer");
+    call.end(1);
+    CHECK(call.answer->body == "answer");
+    call.check_nothing_left(relay_outcome::served);
+}
+
+TEST_CASE("a call that must not run twice stays with its silent worker",
+          "[relay_silence]")
+{
+    silent_request call(repeat_rule::once);
+    CHECK(call.host.due == call.exchange->terms().give_up_at);
+    call.host.at += 1200ms;
+    call.exchange->on_due();
+    CHECK_FALSE(call.host.waits);
+    call.head(0, 200);
+    call.end(0);
+    CHECK(call.answer->status == 200);
+    call.check_nothing_left(relay_outcome::served);
+}
