--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -15,7 +15,7 @@
           pooled_limiter_test.cpp prompt_copy_test.cpp relay_request_test.cpp
           rejection_guard_test.cpp remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
           row_replica_test.cpp scheduler_world.cpp
-          service_leaving_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_software_test.cpp service_version_test.cpp software_versions_test.cpp start_forecast_test.cpp startup_hold_test.cpp team_directory_test.cpp team_shares_test.cpp token_bucket_test.cpp unit_forecast_test.cpp usual_deadline_test.cpp
+          service_leaving_test.cpp service_silence_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_software_test.cpp service_version_test.cpp software_versions_test.cpp start_forecast_test.cpp startup_hold_test.cpp team_directory_test.cpp team_shares_test.cpp token_bucket_test.cpp unit_forecast_test.cpp usual_deadline_test.cpp
           wait_breakdown_test.cpp worker_adapters_test.cpp worker_health_test.cpp worker_limiter_test.cpp worker_limits_test.cpp worker_memory_test.cpp worker_notices_test.cpp worker_reachability_test.cpp late_order_test.cpp late_request_test.cpp forwarder_selector_test.cpp objective_owner_test.cpp objective_queue_test.cpp objective_scheduling_test.cpp delay_admission_test.cpp fair_queue_test.cpp fair_shares_test.cpp
           prefill_backlog_test.cpp
   LINK mulberry_scheduling)
@@ -30,7 +30,7 @@
           ownership_runner.cpp peer_allotment.cpp peer_grant_request.cpp peer_rows.cpp peer_streams.cpp registry_watch.cpp relay.cpp relay_admission.cpp
           version_records.cpp relay_daemon.cpp software_record.cpp stream_row.cpp stream_row_keeper.cpp stream_row_writer.cpp
           relay_exchange.cpp relay_forwarding.cpp relay_limits.cpp relay_metrics.cpp relay_orders.cpp
-          relay_peers.cpp relay_retries.cpp relay_settings.cpp relay_streams.cpp relay_teams.cpp row_mirror.cpp
+          relay_peers.cpp relay_retries.cpp relay_silence.cpp relay_settings.cpp relay_streams.cpp relay_teams.cpp row_mirror.cpp
           row_mirror_peers.cpp store_meter.cpp team_key.cpp
           worker_row_projection.cpp
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
@@ -39,7 +39,7 @@
   SOURCES backend_pool_test.cpp crash_row_test.cpp endless_answer_test.cpp event_log_test.cpp event_splitter_test.cpp forwarded_call_test.cpp
           memory_row_store.cpp version_records_test.cpp ownership_runner_test.cpp peer_allotment_test.cpp
           odd_input_test.cpp peer_grant_request_test.cpp peer_rows_test.cpp
-          registry_watch_test.cpp relay_events_test.cpp relay_objective_test.cpp relay_settings_test.cpp relay_software_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp software_history_test.cpp software_record_test.cpp
+          registry_watch_test.cpp relay_events_test.cpp relay_objective_test.cpp relay_settings_test.cpp relay_silence_test.cpp relay_software_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp software_history_test.cpp software_record_test.cpp
           store_meter_test.cpp stream_records_test.cpp stream_row_size_test.cpp stream_rows_test.cpp team_key_test.cpp
   LINK mulberry_relay
   ENVIRONMENT "RC_PARAMS=seed=1")
