--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -107,13 +107,7 @@
     error const leaving = leaving_error();
     // on_finished() erases an exchange in a later turn of the event loop.
     for (auto const& [ticket, exchange] : exchanges_)
-    {
-        if (exchange->is_over())
-            continue;
-        stop_waiting(*exchange);
-        release_worker_slot(*exchange, send_outcome::abandoned);
-        exchange->on_refused(leaving);
-    }
+        exchange->on_stopped(leaving);
 }
 
 void relay::reject_early_request(early_request const& early)
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -209,8 +209,24 @@
 
 void relay_exchange::on_refused(error const& why)
 {
-    if (wait_for_silent_worker(why.text()))
+    if (!wait_for_silent_worker(why.text()))
+        refuse(why);
+}
+
+void relay_exchange::on_stopped(error const& why)
+{
+    if (stage_ == stage::over)
         return;
+    if (stage_ == stage::waiting)
+        host_.stop_waiting(*this);
+    else
+        end_send(send_outcome::abandoned);
+    end_kept_sends(send_outcome::abandoned);
+    refuse(why);
+}
+
+void relay_exchange::refuse(error const& why)
+{
     if (stream_begun_)
     {
         host_.log_request_event(*this, "stream cut", why.text());
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -170,6 +170,8 @@
     /// No worker will be chosen; ends the request with `why`, or with
     /// error_kind::outcome_unknown if an earlier send may have run.
     void on_refused(error const& why);
+    /// As on_refused, and ends all sends first.
+    void on_stopped(error const& why);
     /// Handles timeouts; called at the time given to exchange_host::wake_at.
     void on_due();
     /// The request's adapter version was superseded before its answer began:
@@ -265,6 +267,7 @@
     void finish_rejected();
     void finish_answer();
     void end_send(send_outcome outcome);
+    void refuse(error const& why);
     /// Sends the request again if that is allowed; otherwise ends it with an
     /// error.
     void retry_or_fail(send_outcome outcome, std::string_view reason);
