Show slow requests and all logs of the process tests

A failure of process_table could not be explained from its output: the VMs log to standard output, which was not shown, and the outcomes did not tell which requests had taken how long. With MULBERRY_SHOW_LOGS the tests now print both.

--- a/tests/process_deployment.cpp
+++ b/tests/process_deployment.cpp
@@ -162,7 +162,8 @@
     if (std::getenv("MULBERRY_SHOW_LOGS") == nullptr)
         return;
     for (entry_vm const& each : vms_)
-        std::cerr << "== " << each.name << "\n" << each.process->log();
+        std::cerr << "== " << each.name << "\n"
+                  << each.process->output() << each.process->log();
 }
 
 void deployment::start_standins()
--- a/tests/process_traffic.cpp
+++ b/tests/process_traffic.cpp
@@ -32,6 +32,17 @@
                                    place * place * static_cast<double>(count)));
 }
 
+std::string outcome(received_answer const& seen)
+{
+    if (!seen.over())
+        return "in progress";
+    if (answered_whole(seen))
+        return "whole";
+    auto const what = error_in(seen);
+    return what.kind.empty() ? "connection lost"
+                             : what.kind + " ran " + what.ran;
+}
+
 } // namespace
 
 template <class Call>
@@ -44,8 +55,9 @@
         call, {}, caller_end::waited, leaving_.contains(call.vm)};
     mulberry::http_call made = to_http(call);
     auto const gives_up_at = made.deadline;
-    list.push_back(
-        {what, request, client_.start(std::move(made), request), gives_up_at});
+    auto const sent_at = std::chrono::steady_clock::now();
+    list.push_back({what, request, client_.start(std::move(made), request),
+                    gives_up_at, sent_at});
     return request;
 }
 
@@ -114,22 +126,32 @@
     std::map<std::string, std::size_t> counts;
     std::lock_guard const lock(mutex_);
     for (auto const& each : model_calls_)
-    {
-        auto const seen = each.request->seen();
-        auto const what = error_in(seen);
-        std::string const text = !seen.over()           ? "in progress"
-                                 : answered_whole(seen) ? "whole"
-                                 : what.kind.empty()
-                                     ? "connection lost"
-                                     : what.kind + " ran " + what.ran;
-        ++counts[each.what.call.vm + " " + text];
-    }
+        ++counts[each.what.call.vm + " " + outcome(each.request->seen())];
     std::string text;
     for (auto const& [what, count] : counts)
         text += fmt::format("{}: {}\n", what, count);
     return text;
 }
 
+std::string caller_registry::slow_requests()
+{
+    using seconds = std::chrono::duration<double>;
+    auto const now = std::chrono::steady_clock::now();
+    std::string text;
+    std::lock_guard const lock(mutex_);
+    for (auto const& each : model_calls_)
+    {
+        auto const seen = each.request->seen();
+        seconds const taken = (seen.over() ? seen.over_at : now) - each.sent_at;
+        if (taken > seconds(1))
+            text += fmt::format(
+                "{:.1f} s, from {:.1f} s on, {} {}: {}\n", taken.count(),
+                seconds(each.sent_at - started_at_).count(), each.what.call.vm,
+                each.what.call.adapter, outcome(seen));
+    }
+    return text;
+}
+
 scenario::scenario(deployment_options const& options) : world_(options)
 {
     std::vector<std::size_t> all;
@@ -142,7 +164,9 @@
 {
     stop_traffic();
     if (std::getenv("MULBERRY_SHOW_LOGS") != nullptr)
-        std::cerr << "== outcomes\n" << outcome_counts();
+        std::cerr << "== outcomes\n"
+                  << outcome_counts() << "== slow requests\n"
+                  << registry_.slow_requests();
 }
 
 void scenario::send_traffic_to(std::vector<std::size_t> const& vms)
--- a/tests/process_traffic.hpp
+++ b/tests/process_traffic.hpp
@@ -38,6 +38,8 @@
     void write_to(process_record& record);
     /// Numbers of model requests by VM and outcome, one line each.
     std::string outcome_counts();
+    /// Model requests that took longer than a second, one line each.
+    std::string slow_requests();
 
 private:
     template <class Call>
@@ -47,6 +49,7 @@
         request_ptr request;
         mulberry::call_handle handle;
         std::chrono::steady_clock::time_point gives_up_at;
+        std::chrono::steady_clock::time_point sent_at;
     };
     template <class Call>
     request_ptr send(Call const& call, std::deque<sent_request<Call>>& list);
@@ -57,6 +60,8 @@
     bool close(std::deque<sent_request<Call>>& list,
                request_ptr const& request);
 
+    std::chrono::steady_clock::time_point const started_at_ =
+        std::chrono::steady_clock::now();
     mulberry::http_client client_;
     std::mutex mutex_;
     std::set<std::string> leaving_;
