Refuse at once what no worker can load while the table is unreachable

Callers saw: while the table was down and the workers that were left were full, a request for an adapter that none of them held failed as load_failed only after 1 to 2 s: a full worker whose owner cannot evict answered at once, and the request was sent to the next full one after a pause, up to four times.

Change: after load_failed a request is tried again only if the worker that was tried or the next choice has a free slot, can evict, or holds the adapter. A worker that is full of adapters of its previous owner counts as able: that passes without the table.

Figures: the new test fails without the change (no answer after the first load_failed). A second cause for slow runs, tries at workers that nobody serves, is apart.

--- a/src/model_entry.cpp
+++ b/src/model_entry.cpp
@@ -21,6 +21,14 @@
     return resident != nullptr && resident->state != resident_state::evicting;
 }
 
+/// Whether the worker's owner cannot free an adapter slot, which lasts as long
+/// as the table is unreachable. Adapters pinned by a previous owner become
+/// evictable without the table.
+bool stays_full(worker_view const& worker)
+{
+    return !worker.can_evict && !worker.can_accept_adapter();
+}
+
 bool is_misroute(error_kind kind)
 {
     return kind == error_kind::not_owner || kind == error_kind::draining;
@@ -132,6 +140,19 @@
     return chosen ? chosen : first;
 }
 
+bool model_entry::no_worker_can_load(pending_request const& pending,
+                                     time_point now)
+{
+    worker_view const* tried = view_->find(pending.worker);
+    if (tried == nullptr || !stays_full(*tried))
+        return false;
+    auto const chosen = choose_worker(pending, now);
+    worker_view const* next = chosen ? view_->find(*chosen) : nullptr;
+    return next == nullptr ||
+           (stays_full(*next) &&
+            !has_usable_resident(*next, pending.request.adapter));
+}
+
 void model_entry::send(pending_request& pending, worker_view const& worker,
                        time_point now, action_list& actions)
 {
@@ -340,7 +361,10 @@
     {
         pending.excluded.insert(pending.worker);
         attempt_count = ++pending.retries;
-        allowed = attempt_count <= settings_.max_retries && budget_.try_take();
+        bool const retry_is_useless = why.kind() == error_kind::load_failed &&
+                                      no_worker_can_load(pending, now);
+        allowed = !retry_is_useless && attempt_count <= settings_.max_retries &&
+                  budget_.try_take();
     }
     duration const pause = budget_.backoff(attempt_count, settings_.retry_base,
                                            settings_.retry_cap);
--- a/src/model_entry.hpp
+++ b/src/model_entry.hpp
@@ -176,6 +176,9 @@
     void route(pending_request& pending, time_point now, action_list& actions);
     std::optional<worker_id> choose_worker(pending_request const& pending,
                                            time_point now);
+    /// Whether neither the worker that was tried nor the next choice can load
+    /// the request's adapter before the table is reachable again.
+    bool no_worker_can_load(pending_request const& pending, time_point now);
     void send(pending_request& pending, worker_view const& worker,
               time_point now, action_list& actions);
     void relay_event(pending_request& pending, deliver_event event,
--- a/tests/model_entry_test.cpp
+++ b/tests/model_entry_test.cpp
@@ -98,6 +98,17 @@
         request.deadline = now + 30s;
         entry.submit(request, now, actions);
     }
+    /// The owner answers the last forwarded request that the adapter cannot be
+    /// loaded.
+    void fail_load()
+    {
+        error const failed(error_kind::load_failed,
+                           "the adapter cannot be loaded here now", ran::no,
+                           1s);
+        entry.on_failure({actions_of<forward_request>().back().attempt,
+                          failure_stage::refused, 0, "", "", failed},
+                         now, actions);
+    }
     template <class Action>
     std::vector<Action> actions_of() const
     {
@@ -213,3 +224,39 @@
     CHECK(forwarded().back().worker == worker_id("w2"));
     CHECK(misroutes <= 3);
 }
+
+// While the table is unreachable, a full worker stays as it is. Guards against
+// trying one full worker after the other for an adapter that none can load.
+TEST_CASE("a request fails at once if no worker can load its adapter",
+          "[entry]")
+{
+    entry_fixture fixture;
+    fixture.put("w1", "b", false);
+    fixture.put("w2", "c", false);
+    fixture.submit();
+    REQUIRE(fixture.actions_of<forward_request>().size() == 1);
+    fixture.fail_load();
+    auto const failed = fixture.actions_of<deliver_error>();
+    REQUIRE(failed.size() == 1);
+    CHECK(failed.front().what.kind() == error_kind::load_failed);
+    CHECK(failed.front().what.request_ran() == ran::no);
+    CHECK(failed.front().what.retry_after() == 1s);
+}
+
+TEST_CASE("a failed load is retried at a worker that can load the adapter",
+          "[entry]")
+{
+    entry_fixture fixture;
+    bool const first_can_evict = GENERATE(false, true);
+    CAPTURE(first_can_evict);
+    fixture.put("w1", "b", first_can_evict);
+    fixture.put("w2", "c", false);
+    fixture.submit();
+    REQUIRE(fixture.actions_of<forward_request>().size() == 1);
+    fixture.put("w2", "c", !first_can_evict);
+    fixture.fail_load();
+    CHECK(fixture.actions_of<deliver_error>().empty());
+    fixture.now += 1s;
+    fixture.entry.tick(fixture.now, fixture.actions);
+    CHECK(fixture.actions_of<forward_request>().size() == 2);
+}
