Send no requests to a worker whose owner cannot be reached

Callers saw: while the table was down, the workers of a killed VM stayed usable in the view, since no hint of that VM came any more. Each request for an adapter that was resident there was sent to the killed VM first, took a retry from the budget, paused, and went elsewhere or failed only then.

Cause: a failed connection excluded the worker for that request only.

Change: a forward that was not sent makes the worker unusable until the owner's next hint or a change of owner.

Not covered: the owner's other workers are excluded one failed try each. If an owner's hints are lost while forwards to it work, one failed connection keeps the worker out until a hint arrives.

--- a/src/cluster_view.cpp
+++ b/src/cluster_view.cpp
@@ -162,6 +162,16 @@
         workers_.erase(at);
     }
 
+    void set_unusable(worker_id const& id)
+    {
+        auto const at = workers_.find(id);
+        if (at == workers_.end())
+            return;
+        unindex(at->second);
+        at->second.view.usable = false;
+        index(at->second);
+    }
+
     void add_sent(worker_id const& id, sent_request sent)
     {
         auto const at = workers_.find(id);
@@ -289,6 +299,11 @@
     implementation_->remove(id);
 }
 
+void cluster_view::set_unusable(worker_id const& id)
+{
+    implementation_->set_unusable(id);
+}
+
 void cluster_view::add_sent(worker_id const& id, adapter_ref const& adapter,
                             std::uint64_t prefix_key, time_point sent_at)
 {
--- a/src/cluster_view.hpp
+++ b/src/cluster_view.hpp
@@ -95,6 +95,10 @@
     void put(worker_view view);
     /// Removes a worker; does nothing if the worker is unknown.
     void remove(worker_id const& id);
+    /// Excludes the worker from routing until the next put(), for example
+    /// because its owner cannot be reached. Does nothing if the worker is
+    /// unknown. O(residents * log workers).
+    void set_unusable(worker_id const& id);
     /// Records a request that this VM sent to the worker, so that a stale view
     /// still counts the request as queued. With `sent_at` given, the record is
     /// kept until a put() whose as_of is not earlier than `sent_at`; without
--- a/src/model_entry.cpp
+++ b/src/model_entry.cpp
@@ -306,6 +306,10 @@
             on_connection_lost(*pending, now, actions);
         return;
     }
+    // The owner's next hint makes the worker usable again. While the table is
+    // down, a VM that was killed keeps its workers.
+    if (event.stage == failure_stage::not_sent)
+        view_->set_unusable(pending->worker);
     // A peer that was unreachable or refused the request with a status code
     // has not forwarded the request to the worker.
     if (checks_->certainly_not_run(event.stage) && !pending->relay.begun())
--- a/tests/core_proof_test.cpp
+++ b/tests/core_proof_test.cpp
@@ -446,3 +446,42 @@
     }
     CHECK(interrupted > 0);
 }
+
+// A VM is killed while the table is down, so its workers have no other owner
+// until the table is back. Guards against trying requests there first, which
+// delays them and uses up the retry budget.
+TEST_CASE("a killed VM's workers are not tried during an outage", "[story]")
+{
+    safeguards const checks;
+    for (std::uint64_t seed = 1; seed <= 24; ++seed)
+    {
+        core_simulation world(vm_count, seed, checks);
+        auto const retries = [&] {
+            return world.status(0).entry.retries +
+                   world.status(2).entry.retries;
+        };
+        auto const ask = [&](std::size_t rounds)
+        {
+            for (std::size_t round = 0; round < rounds; ++round)
+            {
+                for (std::size_t const vm : {0, 2})
+                    world.submit_model_request(vm, round % 8);
+                world.run_for(150ms);
+            }
+            world.run_for(500ms);
+        };
+        INFO("seed " << seed);
+        world.warm_up();
+        world.run_for(1000ms);
+        ask(8);
+        world.inject({core_fault::table_down, 0, 0, 8000});
+        world.run_for(1000ms);
+        world.inject({core_fault::kill, 0, 1, 8000});
+        std::uint64_t const at_kill = retries();
+        ask(8);
+        std::uint64_t const before = retries();
+        CHECK(before > at_kill);
+        ask(16);
+        CHECK(retries() == before);
+    }
+}
