Retry a failed load at a worker that was only busy before

Callers saw: during a table outage, a request that a busy worker had refused as overloaded and that then went to a full worker was refused as load_failed, although the first worker held its adapter.

Cause: the check whether any worker can load the adapter left out all workers that the request had tried, for whatever reason. Routing tries those again once no other is left.

Change: only the worker that has just failed is left out. Workers of VMs that cannot be reached are not usable in the view and do not count.

--- a/src/model_entry.cpp
+++ b/src/model_entry.cpp
@@ -93,7 +93,7 @@
              actions);
         return;
     }
-    auto const chosen = choose_worker(pending, now);
+    auto const chosen = choose_worker(pending, pending.excluded, now);
     worker_view const* worker = chosen ? view_->find(*chosen) : nullptr;
     if (worker != nullptr && !worker->owner.empty())
     {
@@ -116,18 +116,19 @@
 }
 
 std::optional<worker_id>
-model_entry::choose_worker(pending_request const& pending, time_point now)
+model_entry::choose_worker(pending_request const& pending,
+                           std::set<worker_id> const& excluded, time_point now)
 {
     adapter_ref const& adapter = pending.request.adapter;
     auto const first =
-        policy_->choose_worker(pending.request, *view_, pending.excluded, now);
+        policy_->choose_worker(pending.request, *view_, excluded, now);
     auto chosen = first;
     // While the table is unreachable, a full worker cannot evict. A policy that
     // considers only the load could still send it requests for an adapter that
     // is loaded elsewhere, and they would wait in vain. So the policy chooses
     // again without such workers. If no worker is left, the request goes to
     // the first choice, whose owner reports at once that it cannot load.
-    std::set<worker_id> avoided = pending.excluded;
+    std::set<worker_id> avoided = excluded;
     for (int skipped = 0; chosen && skipped < max_avoided_workers; ++skipped)
     {
         worker_view const* worker = view_->find(*chosen);
@@ -146,11 +147,17 @@
     worker_view const* tried = view_->find(pending.worker);
     if (tried == nullptr || !stays_full(*tried))
         return false;
-    auto const chosen = choose_worker(pending, now);
-    worker_view const* next = chosen ? view_->find(*chosen) : nullptr;
-    return next == nullptr ||
-           (stays_full(*next) &&
-            !has_usable_resident(*next, pending.request.adapter));
+    auto const can_serve = [&](std::set<worker_id> const& excluded)
+    {
+        auto const chosen = choose_worker(pending, excluded, now);
+        worker_view const* next = chosen ? view_->find(*chosen) : nullptr;
+        return next != nullptr &&
+               (!stays_full(*next) ||
+                has_usable_resident(*next, pending.request.adapter));
+    };
+    // Workers that were tried before may have been busy only; they are tried
+    // again once no other is left.
+    return !can_serve(pending.excluded) && !can_serve({pending.worker});
 }
 
 void model_entry::send(pending_request& pending, worker_view const& worker,
--- a/src/model_entry.hpp
+++ b/src/model_entry.hpp
@@ -177,8 +177,9 @@
 
     void route(pending_request& pending, time_point now, action_list& actions);
     std::optional<worker_id> choose_worker(pending_request const& pending,
+                                           std::set<worker_id> const& excluded,
                                            time_point now);
-    /// Whether neither the worker that was tried nor the next choice can load
+    /// Whether neither the worker that was tried last nor another one can serve
     /// the request's adapter before the table is reachable again.
     bool no_worker_can_load(pending_request const& pending, time_point now);
     void send(pending_request& pending, worker_view const& worker,
--- a/tests/model_entry_test.cpp
+++ b/tests/model_entry_test.cpp
@@ -102,9 +102,12 @@
     /// loaded.
     void fail_load()
     {
-        error const failed(error_kind::load_failed,
-                           "the adapter cannot be loaded here now", ran::no,
-                           1s);
+        fail(error(error_kind::load_failed,
+                   "the adapter cannot be loaded here now", ran::no, 1s));
+    }
+    /// The owner answers the last forwarded request with `failed`.
+    void fail(error const& failed)
+    {
         entry.on_failure({actions_of<forward_request>().back().attempt,
                           failure_stage::refused, 0, "", "", failed},
                          now, actions);
@@ -260,3 +263,32 @@
     fixture.entry.tick(fixture.now, fixture.actions);
     CHECK(fixture.actions_of<forward_request>().size() == 2);
 }
+
+// The other worker was only busy, so it can still serve the request. Guards
+// against taking a worker that was tried for one that cannot load.
+TEST_CASE("a failed load is retried at a worker that was overloaded before",
+          "[entry]")
+{
+    entry_fixture fixture;
+    fixture.put("w1", "a", false);
+    fixture.put("w2", "c", false);
+    fixture.submit();
+    REQUIRE(fixture.actions_of<forward_request>().size() == 1);
+    fixture.fail(
+        error(error_kind::overloaded, "the queue is too long", ran::no, 1s));
+    fixture.now += 1s;
+    fixture.entry.tick(fixture.now, fixture.actions);
+    REQUIRE(fixture.actions_of<forward_request>().size() == 2);
+    REQUIRE(fixture.actions_of<forward_request>().back().worker ==
+            worker_id("w2"));
+    fixture.fail_load();
+    CHECK(fixture.actions_of<deliver_error>().empty());
+    for (int tick = 0; tick < 2; ++tick)
+    {
+        fixture.now += 1s;
+        fixture.entry.tick(fixture.now, fixture.actions);
+    }
+    REQUIRE(fixture.actions_of<forward_request>().size() == 3);
+    CHECK(fixture.actions_of<forward_request>().back().worker ==
+          worker_id("w1"));
+}
