Keep a silent worker's send until another answer is complete

Callers of an idempotent call got a 503 of outcome unknown although a sound worker was about to answer: the worker was silent, the call was sent to a second worker, whose 200 arrived and whose connection then broke within the body. The head of the second answer had already ended the first send, and no further worker was allowed.

A plain answer reaches the caller when it is complete, so only then does it take over. Until then the silent worker may go on first; what the other one had sent is dropped. A stream takes over with its head as before.

Ruled out by the same tests, which passed on the unchanged code: errors of the newer worker that are complete (500 to 504, 408, 421, 429), incomplete or broken off, a break before the head, a connection that cannot be opened, and the same for streams.

Not fixed: a newer worker whose stream breaks off between its head and its first event. The silent send has ended at the head, which the test "a worker that takes a stream over ends the silent send" asks for.

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -313,7 +313,7 @@
     }
     send_.last_byte_at = host_.now();
     note_statements();
-    if (takes_over(send_.reply))
+    if (send_.reply.event_stream && takes_over(send_.reply))
         end_kept_sends(send_outcome::silent);
     send_.headers = host_.codec().answer_headers(headers);
     stage_ = stage::buffering;
@@ -482,8 +482,9 @@
         return retry_or_fail(send_outcome::failed,
                              "the worker does not state that it did not run");
     bool const failed = send_.reply.status >= first_server_error;
-    if (!kept_sends_.empty())
+    if (!kept_sends_.empty() && !takes_over(send_.reply))
         return retry_or_fail(send_outcome::failed, "the worker failed");
+    end_kept_sends(send_outcome::silent);
     if (failed && try_reserve_retry())
     {
         end_send(send_outcome::failed);
--- a/src/relay_silence.cpp
+++ b/src/relay_silence.cpp
@@ -1,7 +1,7 @@
 // Sends to workers that have fallen silent. Failure: a sound worker sends
 // nothing for a second; its send is ended, no other worker takes the request,
 // and the caller loses an answer that was about to go on. So such a send is
-// kept until another worker has begun to answer.
+// kept until another worker has begun a stream or completed an answer.
 #include "relay_exchange.hpp"
 
 #include <algorithm>
--- a/tests/relay_silence_test.cpp
+++ b/tests/relay_silence_test.cpp
@@ -224,6 +224,10 @@
     {
         host.calls.at(call)->observer->on_body(bytes);
     }
+    void fail(std::size_t call, call_stage at)
+    {
+        host.calls.at(call)->observer->on_failure(at, "reset");
+    }
     void end(std::size_t call) { host.calls.at(call)->observer->on_end(true); }
     void check_nothing_left(relay_outcome outcome)
     {
@@ -395,3 +399,110 @@
     CHECK(call.answer->status == 200);
     call.check_nothing_left(relay_outcome::served);
 }
+
+// Guards against answering with the error of a worker that was asked again.
+TEST_CASE("no failure of a newer worker costs a silent worker's answer",
+          "[relay_silence]")
+{
+    silent_request call(repeat_rule::idempotent);
+    call.fall_silent();
+    call.place("w2");
+    SECTION("its error is complete")
+    {
+        int const status = GENERATE(500, 502, 503, 504, 408, 421, 429);
+        call.head(1, status);
+        call.body(1, "error");
+        call.end(1);
+    }
+    SECTION("its error is incomplete")
+    {
+        call.head(1, 500);
+        call.body(1, "err");
+    }
+    SECTION("its error breaks off")
+    {
+        call.head(1, 500);
+        call.body(1, "err");
+        call.fail(1, call_stage::answering);
+    }
+    SECTION("its head breaks off")
+    {
+        call.fail(1, GENERATE(call_stage::sent, call_stage::answering));
+    }
+    SECTION("its answer is incomplete")
+    {
+        call.head(1, 200);
+        call.body(1, "ans");
+    }
+    SECTION("its answer breaks off")
+    {
+        call.head(1, 200);
+        call.body(1, "ans");
+        call.fail(1, call_stage::answering);
+    }
+    SECTION("it cannot be reached")
+    {
+        call.fail(1, call_stage::not_sent);
+    }
+    CHECK_FALSE(call.host.outcome);
+    call.head(0, 200);
+    call.body(0, "answer");
+    call.end(0);
+    CHECK(call.answer->status == 200);
+    CHECK(call.answer->body == "answer");
+    call.check_nothing_left(relay_outcome::served);
+}
+
+// Guards against work at a silent worker whose request has been answered.
+TEST_CASE("the complete answer of a newer worker ends the silent send",
+          "[relay_silence]")
+{
+    silent_request call(repeat_rule::idempotent);
+    call.fall_silent();
+    call.place("w2");
+    int const status = GENERATE(200, 404);
+    call.head(1, status);
+    call.body(1, "other");
+    call.end(1);
+    CHECK(call.cancelled(0));
+    call.body(0, "answer");
+    CHECK(call.answer->status == status);
+    CHECK(call.answer->body == "other");
+    call.check_nothing_left(relay_outcome::served);
+}
+
+// Guards against cutting a stream when the worker that took it up fails.
+TEST_CASE("no failure of a newer worker costs a silent worker's stream",
+          "[relay_silence]")
+{
+    silent_stream stream;
+    stream.place("w2");
+    SECTION("its error is complete")
+    {
+        stream.head(1, GENERATE(500, 502, 503, 504, 408, 421, 429));
+        stream.body(1, "error");
+        stream.end(1);
+    }
+    SECTION("its error breaks off")
+    {
+        stream.head(1, 500);
+        stream.body(1, "err");
+        stream.fail(1, call_stage::answering);
+    }
+    SECTION("its head breaks off")
+    {
+        stream.fail(1, GENERATE(call_stage::sent, call_stage::answering));
+    }
+    SECTION("its answer is no stream")
+    {
+        stream.head(1, 200);
+        stream.body(1, "answer");
+        stream.end(1);
+    }
+    CHECK_FALSE(stream.answer->aborted);
+    stream.body(0, "ta: x\n\n" + event(3));
+    stream.end(0);
+    CHECK(stream.answer->body == event(1) + event(2) + event(3));
+    CHECK(stream.answer->finished);
+    stream.check_nothing_left(relay_outcome::served);
+}
