Keep the limit of weight loads when VMs start or are lost

Callers would see loads of weights that each take several times longer: after all VMs were killed and started together, workers that hold no model got more loads within five seconds than the weight store's rate allows.

Cause: each VM orders its share of the rate, and knows only the loads that its own process ordered. A process that starts counts none for its predecessor. The same happens when VMs are lost: the others use their shares at once, while the loads of those VMs are still within the window. Besides, a worker that had to wait for the rate was looked at again only when another event occurred.

weight_load_limiter counts the loads. A process orders none before it has run for a window, by which time those of its predecessor have left it and the other VMs know of its share. The share of a VM that is not known any more stays unused for a window. The scheduler is due when the next load may start.

A VM that starts cannot learn from the others what its predecessor ordered: they see a load only when the worker lists the model. The cost is up to 5 s, from the start of the process, for workers that hold no model; those that hold one serve meanwhile.

Not fixed: a VM may order one load a window however many VMs there are, so that more VMs than loads a window can exceed the rate.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -110,6 +110,7 @@
     scheduler_settings settings;
     settings.vm = options_.vm;
     settings.domain = options_.domain;
+    settings.started_at = started_at_;
     settings.release_grace = options_.release_grace;
     settings.release_begin = options_.release_begin;
     auto const added =
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -27,8 +27,6 @@
 constexpr milliseconds started_answer_timeout{2000};
 constexpr milliseconds min_retry_after{100};
 constexpr milliseconds max_retry_after{1500};
-/// Window in which loads of weights are counted.
-constexpr milliseconds weight_load_window{5000};
 /// Weight of a new sample in the moving average of service times.
 constexpr double service_time_smoothing = 0.05;
 
@@ -37,7 +35,8 @@
 service_scheduler::service_scheduler(scheduler_settings settings,
                                      service_config config)
     : settings_(std::move(settings)), config_(std::move(config)),
-      rejections_(settings_.vm, stable_hash(settings_.vm.str()))
+      rejections_(settings_.vm, stable_hash(settings_.vm.str())),
+      weight_loads_(settings_.started_at)
 {
 }
 
@@ -571,14 +570,13 @@
 {
     if (!config_.engine || config_.engine->models.empty())
         return;
-    std::erase_if(weight_loads_, [now](time_point each)
-                  { return each + weight_load_window <= now; });
-    double const share =
-        config_.engine->weight_loads_per_second *
-        std::chrono::duration<double>(weight_load_window).count() /
-        double(vm_count_);
-    if (double(weight_loads_.size()) >= std::max(1.0, std::floor(share)))
+    time_point const next_start =
+        weight_loads_.next_start(config_.engine->weight_loads_per_second, now);
+    if (next_start > now)
+    {
+        next_weight_load_ = next_start;
         return;
+    }
     std::map<base_model_id, std::size_t> copies;
     for (auto const& [id, each] : workers_)
         for (held_model const& held : each->entry.models)
@@ -590,7 +588,7 @@
             best = &each;
     if (best == nullptr)
         return;
-    weight_loads_.push_back(now);
+    weight_loads_.on_started(now);
     worker.adapters.request_model(best->name);
 }
 
@@ -602,6 +600,7 @@
 /// unused.
 void service_scheduler::run_workers(time_point now)
 {
+    next_weight_load_ = never;
     if (!config_.engine)
         return;
     auto const keep = [this, now](model_target const& target)
@@ -650,7 +649,7 @@
 
 time_point service_scheduler::next_due() const
 {
-    time_point next = next_start_deadline_;
+    time_point next = std::min(next_start_deadline_, next_weight_load_);
     if (!queue_.empty())
         next = std::min({next, notices_.next_pause_end(decided_at_),
                          rejections_.next_change(decided_at_)});
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -18,6 +18,7 @@
 #include "routing_config.hpp"
 #include "start_forecast.hpp"
 #include "wait_breakdown.hpp"
+#include "weight_load_limiter.hpp"
 #include "worker_adapters.hpp"
 #include "worker_health.hpp"
 #include "worker_memory.hpp"
@@ -212,6 +213,8 @@
 {
     vm_id vm;
     domain_id domain;
+    /// When this process started.
+    time_point started_at{};
     /// Maximum number of waiting requests.
     std::size_t max_waiting = 512;
     /// How long requests may be sent to a superseded copy after this VM learned
@@ -320,7 +323,7 @@
     /// Sets the number of VMs that share the limit of weight loads per second.
     void set_members(std::size_t vms)
     {
-        vm_count_ = std::max<std::size_t>(vms, 1);
+        weight_loads_.set_vms(std::max<std::size_t>(vms, 1));
     }
     /// Records a declared version of an adapter, or of a model's weights if
     /// `target` names no adapter. `learned_at`: when this VM learned of the
@@ -814,13 +817,14 @@
     adapter_locations adapter_locations_;
     std::vector<placement_action> actions_;
     std::vector<std::pair<ticket_id, wait_cause>> wait_changes_;
-    std::vector<time_point> weight_loads_;
+    weight_load_limiter weight_loads_;
+    /// When a worker that holds no model may load one; `never` if none waits.
+    time_point next_weight_load_ = never;
     std::uint64_t last_number_ = 0;
     /// Time of the last call of run().
     time_point decided_at_{};
     /// The earliest `start_deadline` of all sent requests.
     time_point next_start_deadline_ = never;
-    std::size_t vm_count_ = 1;
     prefill_rate prefill_rate_;
     start_forecast starts_;
     fair_queue shares_;
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -78,12 +78,14 @@
     used_.clear();
     unloading_.clear();
     model_from_.reset();
+    model_load_started_.reset();
 }
 
 order_outcome scripted_worker::load_model(time_point now)
 {
     if (!std::exchange(model_from_, model_from_.value_or(now + load_time)))
     {
+        model_load_started_ = now;
         ++sequence_;
         return order_outcome::accepted;
     }
@@ -224,7 +226,9 @@
 void scheduler_world::replace_owner(worker_start first_incarnation)
 {
     std::destroy_at(&scheduler);
-    std::construct_at(&scheduler, settings_of(), config);
+    scheduler_settings settings = settings_of();
+    settings.started_at = now;
+    std::construct_at(&scheduler, settings, config);
     unanswered_.clear();
     list_all();
     ++owners_;
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -48,6 +48,12 @@
         auto const found = ordered_.find(adapter);
         return found == ordered_.end() ? adapter_version() : found->second;
     }
+    /// When the load of the model that it holds began; nullopt if it holds none
+    /// or has held it from the start.
+    std::optional<time_point> model_load_started() const
+    {
+        return model_load_started_;
+    }
     std::size_t loads_of(std::string const& adapter) const
     {
         auto const found = loads_.find(adapter);
@@ -61,6 +67,7 @@
     std::uint64_t sequence_ = 0;
     /// When the load of the model is complete; nullopt: not ordered.
     std::optional<time_point> model_from_ = time_point::min();
+    std::optional<time_point> model_load_started_;
     std::set<std::string> resident_;
     std::map<std::string, time_point> loading_;
     std::set<std::string> used_;
