Take over workers whose row is unreadable

Callers: a worker whose row another writer had replaced by an unreadable one had no owner any more, for good after all VMs restarted, so nobody loaded adapters there.

Cause: worker_assignment kept no version of a row that it could not parse. Each takeover and each write of the owner was conditional on an older version, or on no row, and so conflicted for ever.

Fix: the version of an unreadable row is kept and the worker counts as unowned; the owner gives it up. The takeover assumes what the lost row may have said: - the fencing number follows the row's version, as the incarnation of a VM with an unreadable row does. Each number needed a write of the row, so the version is no lower than any of them; - all VMs whose process may still send are suspects. A VM takes the worker only once the VMs' rows were read after the unreadable row was seen; - the open intents are unknown: lost_intents stands for them in the row's intents, is inherited and removed like any other, and until orders of earlier owners have settled it bars every adapter that they loaded.

--- a/src/adapter_slots.cpp
+++ b/src/adapter_slots.cpp
@@ -284,6 +284,9 @@
         item.adapter = parts->adapter;
         item.fence = parts->fence;
     }
+    if (parts && parts->fence < fence_ &&
+        open_intents_.contains(engine_name(lost_intents)))
+        open_intents_.insert(name);
     // An earlier owner that was paused may still send an unload order whose
     // intent it recorded, and a request routed to that name would lose its
     // adapter while it runs. All such names are in the row that this owner
--- a/src/dispatcher_limits.hpp
+++ b/src/dispatcher_limits.hpp
@@ -44,6 +44,10 @@
     duration starvation_timeout = std::chrono::seconds(2);
 };
 
+/// Among the open intents, stands for intents of earlier owners that were lost
+/// with an unreadable row: each adapter that they loaded may still be unloaded.
+inline constexpr char const* lost_intents = "*";
+
 /// What an owner knows about a worker when it acquires ownership. Value.
 struct ownership_grant
 {
--- a/src/ownership_keeper.cpp
+++ b/src/ownership_keeper.cpp
@@ -41,7 +41,7 @@
     void set_initial_rows(std::vector<table_row> const& rows,
                           action_list& actions)
     {
-        store_rows(rows, actions);
+        store_rows(rows, time_point::min(), actions);
         has_initial_rows_ = true;
     }
 
@@ -113,7 +113,8 @@
     bool is_scan(scan const& which, operation_id operation) const;
     void on_scan(scan& which, table_reply const& reply, time_point now,
                  action_list& actions);
-    void store_rows(std::vector<table_row> const& rows, action_list& actions);
+    void store_rows(std::vector<table_row> const& rows, time_point now,
+                    action_list& actions);
     void report_unreadable_row(table_row const& row, action_list& actions);
     void on_registration(table_reply const& reply, time_point now,
                          action_list& actions);
@@ -240,14 +241,14 @@
     }
     which.read_at = std::min(which.asked_at, reply.as_of);
     table_heard_at_ = std::max(table_heard_at_, which.read_at);
-    store_rows(reply.rows, actions);
+    store_rows(reply.rows, now, actions);
     workers_.set_read_at(std::min(vm_scan_.read_at, worker_scan_.read_at));
     if (&which == &vm_scan_)
         lapsed_.on_scan(now);
 }
 
 void ownership_keeper::implementation::store_rows(
-    std::vector<table_row> const& rows, action_list& actions)
+    std::vector<table_row> const& rows, time_point now, action_list& actions)
 {
     for (table_row const& row : rows)
     {
@@ -255,7 +256,7 @@
             continue;
         bool const readable = row.key.starts_with(vm_prefix)
                                   ? members_.store(row)
-                                  : workers_.store(row);
+                                  : workers_.store(row, now);
         if (!readable)
             report_unreadable_row(row, actions);
     }
--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -60,14 +60,14 @@
     return known == workers_.end() ? nullptr : &known->second;
 }
 
-bool worker_assignment::store(table_row const& row)
+bool worker_assignment::store(table_row const& row, time_point now)
 {
     worker_ownership& worker = find_or_add(worker_of_key(row.key));
     if (!context_.rules.is_newer(worker.condition().version, row.version))
         return true;
     auto const parsed = parse_worker_row(row.value);
-    if (parsed)
-        changed_ |= worker.store(row.version, *parsed);
+    changed_ |= parsed ? worker.store(row.version, *parsed)
+                       : worker.store_unreadable(row.version, now);
     return parsed.has_value();
 }
 
@@ -106,7 +106,7 @@
             if (reply.outcome != table_outcome::conflict)
                 find_or_add(id).retry_later(now);
         for (table_row const& row : reply.rows)
-            store_conflict(row);
+            store_conflict(row, now);
         return;
     }
     for (table_row const& row : reply.rows)
@@ -118,12 +118,12 @@
     }
 }
 
-void worker_assignment::store_conflict(table_row const& row)
+void worker_assignment::store_conflict(table_row const& row, time_point now)
 {
     if (row.version.none())
         return;
     if (row.key.starts_with(worker_prefix))
-        store(row);
+        store(row, now);
     else
         members_.store(row);
 }
@@ -336,7 +336,10 @@
 {
     bool const was_ours = worker.row() != nullptr &&
                           worker.row()->owner.vm == context_.settings.vm;
+    // An owner that an unreadable row no longer names is among the members
+    // only if their rows were read after that row.
     return worker.declared() && worker.unowned() && worker.may_write(now) &&
+           read_at_ >= worker.unreadable_since() &&
            worker.assignee() == context_.settings.vm && (settled() || was_ours);
 }
 
--- a/src/worker_assignment.hpp
+++ b/src/worker_assignment.hpp
@@ -35,9 +35,9 @@
     /// Sets the incarnations of workers, as the registry lists them.
     void set_incarnations(std::map<worker_id, worker_start> const& started);
     /// Stores a row that was read, if it is newer than the known one. Returns
-    /// false when the text cannot be parsed. Precondition: the key has
-    /// worker_prefix.
-    bool store(table_row const& row);
+    /// false when the text cannot be parsed; the worker then counts as unowned.
+    /// Precondition: the key has worker_prefix.
+    bool store(table_row const& row, time_point now);
     /// The input of standby_decision, computed from the known rows.
     owner_situation standby_situation(lapsed_members const& lapsed,
                                       time_point now) const;
@@ -85,7 +85,7 @@
     void send_takeover(std::vector<worker_ownership*> const& workers,
                        time_point now, action_list& actions);
     void on_takeover_reply(table_reply const& reply, time_point now);
-    void store_conflict(table_row const& row);
+    void store_conflict(table_row const& row, time_point now);
 
     ownership_context context_;
     membership& members_;
--- a/src/worker_ownership.cpp
+++ b/src/worker_ownership.cpp
@@ -58,12 +58,25 @@
         !row_ || row_->owner != row.owner || row_->fence != row.fence;
     version_ = version;
     row_ = row;
+    unreadable_since_ = time_point::min();
     // Earlier writes were conditional on an older version and cannot be applied
     // any more.
     outcome_unknown_ = false;
     return changed;
 }
 
+bool worker_ownership::store_unreadable(row_version version, time_point now)
+{
+    if (!context_.rules.is_newer(version_, version))
+        return false;
+    bool const changed = row_.has_value();
+    version_ = version;
+    row_.reset();
+    unreadable_since_ = now;
+    outcome_unknown_ = false;
+    return changed;
+}
+
 void worker_ownership::update_ownership(time_point now, action_list& actions)
 {
     bool const own = is_owner();
@@ -219,11 +232,35 @@
     intents_to_forget_.clear();
 }
 
+worker_row worker_ownership::last_row() const
+{
+    if (row_)
+        return *row_;
+    if (!version_.none())
+        return row_after_unreadable();
+    worker_row row;
+    row.first_incarnation = incarnation_;
+    return row;
+}
+
+// Any VM may have owned the worker under the unreadable row or one that it
+// replaced. Each fencing number needed a write of the row, so the version is no
+// lower than any of them.
+worker_row worker_ownership::row_after_unreadable() const
+{
+    worker_row row;
+    row.fence = fencing_number(version_.value());
+    row.suspects = context_.members.possibly_running();
+    if (remove_self_wanted_)
+        std::erase_if(row.suspects, [this](incarnation_id const& who)
+                      { return is_own_process(who); });
+    row.intents = {engine_name(lost_intents)};
+    return row;
+}
+
 worker_row worker_ownership::takeover_row() const
 {
-    worker_row row = row_ ? *row_ : worker_row{};
-    if (!row_)
-        row.first_incarnation = incarnation_;
+    worker_row row = last_row();
     if (!row.owner.vm.empty() && !context_.members.closed_cleanly(row.owner))
         add_suspect(row, row.owner);
     row.token = context_.random.next_token();
@@ -341,7 +378,7 @@
     bool changed = false;
     for (table_row const& row : reply.rows)
         if (row.key == worker_key(worker_))
-            changed |= store_reply(done, reply.outcome, row, actions);
+            changed |= store_reply(done, reply.outcome, row, now, actions);
     if (reply.outcome != table_outcome::done && version_ == before)
         retry_later(now);
     update_ownership(now, actions);
@@ -350,13 +387,13 @@
 
 bool worker_ownership::store_reply(pending_write const& done,
                                    table_outcome outcome, table_row const& row,
-                                   action_list& actions)
+                                   time_point now, action_list& actions)
 {
     bool const applied = outcome == table_outcome::done;
     auto const read =
         applied ? std::optional(done.written) : parse_worker_row(row.value);
     if (!read)
-        return false;
+        return store_unreadable(row.version, now);
     bool const changed = store(row.version, *read);
     if (applied && handover_ && read->fence != handover_->previous_fence)
         log_event(actions, "worker-handed-over", "to " + read->owner.vm.str());
--- a/src/worker_ownership.hpp
+++ b/src/worker_ownership.hpp
@@ -44,7 +44,12 @@
     /// Stores the row if it is newer than the known one. Returns whether the
     /// owner or the fencing number changed.
     bool store(row_version version, worker_row const& row);
-    /// The version of the known row; none when no row is known.
+    /// Stores that the row is unreadable as of this version, if it is newer
+    /// than the known one. The worker then counts as unowned. Returns whether
+    /// an owner was known.
+    bool store_unreadable(row_version version, time_point now);
+    /// The version of the known row, readable or not; none when no row is
+    /// known.
     row_version version() const { return version_; }
     /// Gains or gives up ownership and clears suspects according to the known
     /// rows, and emits the events.
@@ -66,7 +71,10 @@
     bool is_active_owner() const { return owned_fence_.has_value(); }
     /// Whether certainly nobody owns the worker.
     bool unowned() const;
-    /// Null when no row is known.
+    /// When the row that is unreadable was seen first; time_point::min() when
+    /// the row is readable or unknown.
+    time_point unreadable_since() const { return unreadable_since_; }
+    /// Null when no row is known or the row is unreadable.
     worker_row const* row() const { return row_ ? &*row_ : nullptr; }
 
     /// Requests a handover to another owner (to nobody if `to` has no VM), or
@@ -139,7 +147,10 @@
     void drop_intents();
     void report_intent(order_id order, bool recorded);
     bool store_reply(pending_write const& done, table_outcome outcome,
-                     table_row const& row, action_list& actions);
+                     table_row const& row, time_point now,
+                     action_list& actions);
+    worker_row last_row() const;
+    worker_row row_after_unreadable() const;
     void on_unknown_outcome(pending_write const& done, action_list& actions);
     void log_event(action_list& actions, std::string kind,
                    std::string text) const;
@@ -148,6 +159,7 @@
     ownership_context context_;
     row_version version_;
     std::optional<worker_row> row_;
+    time_point unreadable_since_ = time_point::min();
     bool declared_ = false;
     worker_start incarnation_;
     vm_id assignee_;
--- a/tests/fake_table.hpp
+++ b/tests/fake_table.hpp
@@ -47,6 +47,10 @@
     /// All operations are refused as by a rate limit.
     void refuse(bool refuse) { refuse_ = refuse; }
 
+    /// Writes a row as another writer of the table would; the observer is not
+    /// called.
+    void put_foreign(std::string const& key, std::string const& value);
+
     /// The newest state of a row; null if the row does not exist.
     table_row const* row(std::string const& key) const;
     std::vector<table_row> rows(std::string const& prefix) const;
@@ -66,6 +70,7 @@
                         answer const& to);
     table_reply apply(transact const& what);
     void write(table_write const& what, table_reply& reply);
+    void append(table_row const& written, bool exists);
     void on_read(vm_id const& from, operation_id operation,
                  std::string const& prefix, bool exact_key, time_point deadline,
                  answer const& to);
--- a/tests/ownership_keeper_test.cpp
+++ b/tests/ownership_keeper_test.cpp
@@ -1,10 +1,12 @@
 // Ownership of workers under single failures.
+#include "odd_json.hpp"
 #include "ownership_cluster.hpp"
 #include "worker_row.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <string>
 
 using namespace mulberry;
 using namespace mulberry::tests;
@@ -263,3 +265,41 @@
         CHECK(cluster.violations().empty());
     }
 }
+
+// Guards against a worker that nobody owns any more because its row became
+// malformed, and against two owners that both use it.
+TEST_CASE("a worker whose row becomes malformed has one owner again",
+          "[ownership]")
+{
+    settled_cluster cluster;
+    std::string const key = worker_key(worker_id("w3"));
+    for (std::string const& text : mulberry_test::odd_texts())
+    {
+        CAPTURE(text.substr(0, 200));
+        cluster.table().put_foreign(key, text);
+        cluster.run_for(15s);
+        cluster.check_recovery();
+        REQUIRE(cluster.violations().empty());
+    }
+}
+
+// Guards against a worker that nobody owns after all VMs restarted while its
+// row was malformed.
+TEST_CASE("VMs that all restart own a worker whose row is malformed",
+          "[ownership]")
+{
+    settled_cluster cluster;
+    std::string const key = worker_key(worker_id("w3"));
+    for (std::string const& text : mulberry_test::odd_texts())
+    {
+        CAPTURE(text.substr(0, 200));
+        for (std::size_t vm = 0; vm < cluster.vms(); ++vm)
+            cluster.kill(vm);
+        cluster.table().put_foreign(key, text);
+        for (std::size_t vm = 0; vm < cluster.vms(); ++vm)
+            cluster.start(vm);
+        cluster.run_for(20s);
+        cluster.check_recovery();
+        REQUIRE(cluster.violations().empty());
+    }
+}
--- a/tests/ownership_schedule_test.cpp
+++ b/tests/ownership_schedule_test.cpp
@@ -108,6 +108,43 @@
     return cluster.violations();
 }
 
+/// An unreadable row in place of a worker's row. Value.
+struct row_fault
+{
+    std::size_t worker = 0;
+    duration at{};
+};
+
+rc::Gen<std::vector<row_fault>> any_row_faults()
+{
+    constexpr std::size_t count = 4;
+    auto const worker =
+        rc::gen::inRange<std::size_t>(0, cluster_options().workers);
+    auto const at =
+        any_duration(earliest_fault, latest_fault + max_fault_duration);
+    return rc::gen::resize(
+        100, rc::gen::container<std::vector<row_fault>>(
+                 count, rc::gen::build<row_fault>(
+                            rc::gen::set(&row_fault::worker, worker),
+                            rc::gen::set(&row_fault::at, at))));
+}
+
+std::vector<std::string> run_with_odd_rows(schedule const& plan,
+                                           std::vector<row_fault> const& faults)
+{
+    ownership_cluster cluster({}, plan.seed, standard_ownership_rules());
+    for (ownership_fault const& fault : plan.faults)
+        cluster.add(fault);
+    for (row_fault const& fault : faults)
+        cluster.add_foreign_write(
+            worker_key(worker_id("w" + std::to_string(fault.worker))), "odd",
+            fault.at);
+    cluster.run_for(latest_fault + 2 * max_fault_duration +
+                    default_recovery_time);
+    cluster.check_recovery();
+    return cluster.violations();
+}
+
 bool reported(std::vector<std::string> const& violations,
               std::string const& wanted)
 {
@@ -120,6 +157,11 @@
     return any_schedule()(rc::Random(number), 100).value();
 }
 
+std::vector<row_fault> generated_row_faults(std::uint64_t number)
+{
+    return any_row_faults()(rc::Random(number), 100).value();
+}
+
 /// Whether a schedule causes the violation with these rules, and the first such
 /// schedule causes no violation with the standard rules.
 bool detects(ownership_rules const& rules, std::string const& violation,
@@ -163,6 +205,23 @@
                     }));
 }
 
+// Guards against two owners, and against orders that no later owner expects,
+// where another writer replaces rows of workers by unreadable ones.
+TEST_CASE("ownership is safe while rows of workers become unreadable",
+          "[ownership]")
+{
+    constexpr std::uint64_t schedules = 300;
+    for (std::uint64_t each = 0; each < schedules; ++each)
+    {
+        schedule const plan = generated(each);
+        CAPTURE(each, plan);
+        auto const violations =
+            run_with_odd_rows(plan, generated_row_faults(each));
+        CAPTURE(violations);
+        CHECK(violations.empty());
+    }
+}
+
 // Four of six VMs are on standby. They replace failed owners and go back to
 // standby, while any VM may be paused, cut off or replaced.
 TEST_CASE("ownership is safe while VMs on standby replace owners",
--- a/tests/worker_eviction_test.cpp
+++ b/tests/worker_eviction_test.cpp
@@ -52,6 +52,38 @@
     CHECK(test.actions_of<load_adapter>().empty());
 }
 
+// Guards against requests to an adapter that an earlier owner may unload by an
+// intent that was lost with an unreadable row.
+TEST_CASE("lost intents bar all adapters of earlier owners until orders settle",
+          "[dispatcher]")
+{
+    engine_name const lost(lost_intents);
+    engine_name const kept = named("a@1#3");
+    bool const suspects = GENERATE(true, false);
+    fixture test({{}, suspects, {lost}});
+    test.report({{kept, 0}});
+    if (suspects)
+    {
+        test.advance(10s);
+        test.report({{kept, 0}});
+        CHECK(test.forget_count(lost) == 0);
+        test.dispatcher->suspects_stopped(test.now, test.now);
+    }
+    test.submit("r1", "a");
+    REQUIRE(test.actions_of<start_attempt>().empty());
+    CHECK(test.last_action<load_adapter>().name == named("a@1#5"));
+    test.advance(tests::small_limits().order_timeout +
+                 tests::small_limits().settle_time);
+    test.report({{kept, 0}});
+    CHECK(test.forget_count(lost) == 0);
+    test.advance(1ms);
+    test.report({{kept, 0}});
+    CHECK(test.forget_count(lost) == 1);
+    test.submit("r2", "a");
+    REQUIRE_FALSE(test.actions_of<start_attempt>().empty());
+    CHECK(test.last_action<start_attempt>().name == kept);
+}
+
 // Everything that earlier owners sent has arrived, but the name can still be
 // unloaded: this owner evicts the adapter itself, a later owner may do so, or
 // the name was loaded by a later owner or an unknown party.
