Treat numbers in a worker's row that were never assigned as malformed

Callers: after another writer's row with a fencing number or an incarnation near 2^64, the worker had no single owner any more.

Cause: next_fence() wraps, and an owner of an incarnation that never existed never counts as a former member.

Fix: fencing numbers and incarnations each need a write, so none is above the version of the row that names it; a row with a higher one is unreadable and is taken over as such.

--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -65,7 +65,7 @@
     worker_ownership& worker = find_or_add(worker_of_key(row.key));
     if (!context_.rules.is_newer(worker.condition().version, row.version))
         return true;
-    auto const parsed = parse_worker_row(row.value);
+    auto const parsed = read_worker_row(row);
     changed_ |= parsed ? worker.store(row.version, *parsed)
                        : worker.store_unreadable(row.version, now);
     return parsed.has_value();
--- a/src/worker_ownership.cpp
+++ b/src/worker_ownership.cpp
@@ -391,7 +391,7 @@
 {
     bool const applied = outcome == table_outcome::done;
     auto const read =
-        applied ? std::optional(done.written) : parse_worker_row(row.value);
+        applied ? std::optional(done.written) : read_worker_row(row);
     if (!read)
         return store_unreadable(row.version, now);
     bool const changed = store(row.version, *read);
--- a/src/worker_row.cpp
+++ b/src/worker_row.cpp
@@ -110,6 +110,20 @@
                       worker_start(*started)};
 }
 
+std::optional<worker_row> read_worker_row(table_row const& row)
+{
+    auto const parsed = parse_worker_row(row.value);
+    std::uint64_t const highest = row.version.value();
+    auto const assigned = [highest](incarnation_id const& who)
+    { return who.incarnation_number.value() <= highest; };
+    if (!parsed || parsed->fence.value() > highest ||
+        !assigned(parsed->owner) ||
+        !std::all_of(parsed->suspects.begin(), parsed->suspects.end(),
+                     assigned))
+        return std::nullopt;
+    return parsed;
+}
+
 void add_suspect(worker_row& row, incarnation_id const& suspect)
 {
     if (std::find(row.suspects.begin(), row.suspects.end(), suspect) ==
--- a/src/worker_row.hpp
+++ b/src/worker_row.hpp
@@ -4,6 +4,7 @@
 #define MULBERRY_WORKER_ROW_HPP
 
 #include "ids.hpp"
+#include "table.hpp"
 
 #include <optional>
 #include <string>
@@ -47,6 +48,10 @@
 std::string to_text(worker_row const& row);
 /// None when the text is no valid worker row.
 std::optional<worker_row> parse_worker_row(std::string const& text);
+/// None when the value is no valid worker row or has a fencing number or an
+/// incarnation above the row's version. Each of them needed a write, so no such
+/// number was ever assigned.
+std::optional<worker_row> read_worker_row(table_row const& row);
 
 /// Adds the suspect unless the row has it already.
 void add_suspect(worker_row& row, incarnation_id const& suspect);
--- a/tests/ownership_keeper_test.cpp
+++ b/tests/ownership_keeper_test.cpp
@@ -6,7 +6,10 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <string>
+#include <vector>
 
 using namespace mulberry;
 using namespace mulberry::tests;
@@ -39,6 +42,28 @@
     }
 };
 
+/// Rows of a worker whose numbers are too high to have been assigned.
+std::vector<std::string> overflowing_worker_rows(worker_row const& sound)
+{
+    std::vector<std::string> texts;
+    fencing_number const last(std::numeric_limits<std::uint64_t>::max());
+    incarnation const last_incarnation(last.value());
+    for (std::uint64_t const less : {0U, 1U, 2U})
+    {
+        worker_row row = sound;
+        row.fence = fencing_number(last.value() - less);
+        texts.push_back(to_text(row));
+        row = sound;
+        row.owner.incarnation_number =
+            incarnation(last_incarnation.value() - less);
+        texts.push_back(to_text(row));
+    }
+    worker_row row = sound;
+    row.suspects = {{vm_id("vm1"), last_incarnation}};
+    texts.push_back(to_text(row));
+    return texts;
+}
+
 double seconds(duration length)
 {
     return std::chrono::duration<double>(length).count();
@@ -303,3 +328,30 @@
         REQUIRE(cluster.violations().empty());
     }
 }
+
+// Guards against fencing numbers that wrap, and against an owner of an
+// incarnation that never existed and so never ends.
+TEST_CASE("numbers of a worker's row that were never assigned are not followed",
+          "[ownership]")
+{
+    settled_cluster cluster;
+    std::string const key = worker_key(worker_id("w3"));
+    bool const restart = GENERATE(false, true);
+    worker_row const sound =
+        parse_worker_row(cluster.table().row(key)->value).value();
+    for (std::string const& text : overflowing_worker_rows(sound))
+    {
+        CAPTURE(text.substr(0, 200), restart);
+        for (std::size_t vm = 0; restart && vm < cluster.vms(); ++vm)
+            cluster.kill(vm);
+        cluster.table().put_foreign(key, text);
+        for (std::size_t vm = 0; restart && vm < cluster.vms(); ++vm)
+            cluster.start(vm);
+        cluster.run_for(20s);
+        cluster.check_recovery();
+        CHECK(cluster.violations().empty());
+        auto const row = parse_worker_row(cluster.table().row(key)->value);
+        REQUIRE(row);
+        CHECK(row->fence.value() <= cluster.table().row(key)->version.value());
+    }
+}
