Follow a configuration that changes the kind of a service

Callers saw: after a configuration turned a plain service into an engine, the VMs that knew it kept sending its requests to any worker, without their adapters, until they were restarted. After the opposite change all requests for adapters were rejected with 503 "no worker can serve it here", and so were those that waited for a grant or a load. Changed numbers of adapter slots took effect only for workers that were listed later.

Cause: the relay and the state of each worker took the kind and the limits of the service from its first configuration. The scheduler kept deciding on adapters of a service that is no engine, and worth_waiting() read the empty engine limits.

Change: each configuration sets the kind at the relay and the limits of all known workers. In a service that is no engine, requests that wait are placed without their adapter, and other VMs' requests for grants are refused.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -106,7 +106,10 @@
 void relay::add_service(service_config const& config)
 {
     if (service_state* const known = find(config.name))
+    {
+        known->engine = config.engine.has_value();
         return known->scheduler.configure(config);
+    }
     scheduler_settings settings;
     settings.vm = options_.vm;
     settings.domain = options_.domain;
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -359,6 +359,14 @@
                                                       queue_key const& key,
                                                       time_point now)
 {
+    if (!config_.engine && waiting.item.requested_worker)
+        return decision::unservable;
+    if (!config_.engine)
+    {
+        // The service may have been an engine when the request arrived.
+        stop_waiting_for_load(waiting);
+        waiting.item.target.reset();
+    }
     if (waiting.item.requested_worker)
         return decide_peer_request(waiting, now);
     if (auto const pause = all_paused(waiting.item, now))
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -46,6 +46,8 @@
 void service_scheduler::configure(service_config config)
 {
     config_ = std::move(config);
+    for (auto& [id, worker] : workers_)
+        worker->adapters.configure(adapter_settings());
 }
 
 void service_scheduler::admit_by_delay(std::optional<duration> objective)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -285,6 +285,8 @@
     service_scheduler(service_scheduler const&) = delete;
     service_scheduler& operator=(service_scheduler const&) = delete;
 
+    /// Replaces the service's configuration, which may turn an engine into a
+    /// plain service or the other way round. Requests that wait stay.
     void configure(service_config config);
     /// Sets whether requests are scheduled by the objectives of their routes;
     /// see objective_scheduling.hpp.
@@ -538,6 +540,7 @@
     worker_state* find(worker_id const& worker);
     static void record_listed_adapters(worker_state& worker);
     static void forget_previous_incarnation(worker_state& worker);
+    worker_adapters_settings adapter_settings() const;
     /// `earlier`: the orders that the worker's earlier incarnations left
     /// unanswered.
     void add_worker(backend_entry const& entry, unanswered_orders earlier);
--- a/src/service_workers.cpp
+++ b/src/service_workers.cpp
@@ -55,19 +55,23 @@
                 unlisted_orders_.emplace(id, std::move(orders));
 }
 
-void service_scheduler::add_worker(backend_entry const& entry,
-                                   unanswered_orders earlier)
+worker_adapters_settings service_scheduler::adapter_settings() const
 {
-    worker_adapters_settings adapter_settings;
-    adapter_settings.adapter_slots =
-        config_.engine ? config_.engine->adapter_slots : 0;
+    worker_adapters_settings settings;
+    settings.adapter_slots = config_.engine ? config_.engine->adapter_slots : 0;
     if (config_.engine)
     {
-        adapter_settings.weight_memory_mb = config_.engine->weight_memory_mb;
-        adapter_settings.models = config_.engine->models;
+        settings.weight_memory_mb = config_.engine->weight_memory_mb;
+        settings.models = config_.engine->models;
     }
+    return settings;
+}
+
+void service_scheduler::add_worker(backend_entry const& entry,
+                                   unanswered_orders earlier)
+{
     auto const made = workers_.emplace(
-        entry.id, std::make_unique<worker_state>(entry, adapter_settings,
+        entry.id, std::make_unique<worker_state>(entry, adapter_settings(),
                                                  std::move(earlier)));
     worker_state& added = *made.first->second;
     added.entry.draining |= notices_.is_leaving(entry.id, entry.started);
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -77,6 +77,12 @@
     /// unanswered.
     explicit worker_adapters(worker_adapters_settings settings,
                              unanswered_orders earlier = unanswered_orders());
+    /// Replaces the settings. If the worker holds more adapters than it has
+    /// slots from now on, those that no request uses are unloaded.
+    void configure(worker_adapters_settings settings)
+    {
+        settings_ = std::move(settings);
+    }
     /// Returns the unanswered orders, for the next incarnation. This object is
     /// not to be used afterwards.
     unanswered_orders take_unanswered() { return std::move(unanswered_); }
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -765,3 +765,36 @@
         CHECK(model_loads(1s) == 0);
     }
 }
+
+// Guards against orders by the capacity that a worker had in the configuration
+// with which this VM started.
+TEST_CASE("a configuration changes the adapter slots of known workers",
+          "[scheduler]")
+{
+    scheduler_world world(1, 1);
+    service_config config = world.config;
+    config.engine->adapter_slots = 2;
+    world.scheduler.configure(config);
+    for (char const* const adapter : {"a1", "a2"})
+    {
+        world.submit_request(adapter);
+        world.run(300ms);
+    }
+    CHECK(world.workers.at(scheduler_world::name(0)).max_held() == 2);
+}
+
+// Guards against reading the slots of an engine that the service no longer is.
+TEST_CASE("a request that waits for a load is placed when its service becomes "
+          "a plain one",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    ticket_id const waiting = world.submit_request("a1");
+    world.run(50ms);
+    REQUIRE_FALSE(world.placed(waiting));
+    service_config config = world.config;
+    config.engine.reset();
+    world.scheduler.configure(config);
+    world.run(0ms);
+    CHECK(world.placed(waiting));
+}
