Keep versions of software for the timeout that streams began with

Callers could get a stream joined from two versions: after a configuration with a shorter route timeout, all VMs restart, and a stream that began at a version which has left meanwhile is taken up at another one.

Cause: how long a version stays in the record, and when the record counts as complete, follows the longest timeout that a process has seen. A process that starts knows only the current one.

The record now contains the longest time that streams at its versions last. Versions are kept, and the record becomes complete, by the longer of that and the process's own. It falls to the process's own when a version has been removed: by then the process has known only shorter timeouts for that long. Rows without the time are read as before; a huge time is limited.

--- a/src/software_record.cpp
+++ b/src/software_record.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <string_view>
 #include <utility>
 
@@ -23,6 +24,9 @@
 /// again within this time.
 constexpr std::chrono::seconds reread_time{3};
 
+/// A larger number in a row is not taken at its word: times would overflow.
+constexpr std::uint64_t max_longest_stream_ms = 24 * 60 * 60 * 1000;
+
 Json::Value version_list(std::set<software_version> const& versions)
 {
     Json::Value json(Json::arrayValue);
@@ -71,6 +75,8 @@
     Json::Value json;
     json["complete"] = record.complete;
     json["established"] = version_list(record.established);
+    json["longest_stream_ms"] = static_cast<Json::Int64>(
+        std::chrono::ceil<milliseconds>(record.longest_stream).count());
     json["versions"] = version_list(record.versions);
     return to_row_text(json);
 }
@@ -86,7 +92,15 @@
     if (!complete || !established || !versions ||
         !includes(*versions, *established))
         return std::nullopt;
-    return software_record{*versions, *established, *complete};
+    milliseconds longest{};
+    if (json->isMember("longest_stream_ms"))
+    {
+        auto const number = number_member(*json, "longest_stream_ms");
+        if (!number)
+            return std::nullopt;
+        longest = milliseconds(std::min(*number, max_longest_stream_ms));
+    }
+    return software_record{*versions, *established, *complete, longest};
 }
 
 void software_record_writer::on_row(service_id const& service,
@@ -118,6 +132,14 @@
                : &*found->second.record;
 }
 
+duration software_record_writer::retention(service_rows const& rows)
+{
+    duration const known = rows.view->longest_stream;
+    duration const recorded =
+        rows.record ? rows.record->longest_stream : duration();
+    return rows.view->retention + std::max(recorded - known, duration());
+}
+
 /// A version is removed in two steps: at first streams no longer begin at it
 /// without a wait. When it is removed all VMs have read that, so that none
 /// begins streams at it by an older copy of the record.
@@ -131,11 +153,19 @@
         if (merged.versions.count(each) > 0)
             merged.established.insert(each);
     merged.complete = merged.complete || view.complete;
+    merged.longest_stream =
+        std::max(merged.longest_stream, view.longest_stream);
+    duration const kept = retention(rows);
     for (auto const& [version, since] : rows.unlisted_since)
-        if (view.as_of >= since + view.retention &&
+        if (view.as_of >= since + kept &&
             merged.established.count(version) == 0)
+        {
             merged.versions.erase(version);
-        else if (view.as_of >= since + view.retention / 2)
+            // Within that time all streams ended that began under a longer
+            // timeout than this process has known.
+            merged.longest_stream = view.longest_stream;
+        }
+        else if (view.as_of >= since + kept / 2)
             merged.established.erase(version);
     return merged;
 }
@@ -176,6 +206,7 @@
                       return view.listed.count(each.first) > 0 ||
                              recorded.versions.count(each.first) == 0;
                   });
+    duration const kept = retention(rows);
     time_point next = never;
     for (software_version const& each : recorded.versions)
     {
@@ -184,9 +215,8 @@
         time_point const since =
             rows.unlisted_since.try_emplace(each, view.as_of).first->second;
         bool const is_established = recorded.established.count(each) > 0;
-        next = std::min<time_point>(
-            next,
-            since + (is_established ? view.retention / 2 : view.retention));
+        next = std::min<time_point>(next,
+                                    since + (is_established ? kept / 2 : kept));
     }
     return next;
 }
--- a/src/software_record.hpp
+++ b/src/software_record.hpp
@@ -28,6 +28,9 @@
     std::set<software_version> established;
     /// No running stream has begun before the record was kept.
     bool complete = false;
+    /// Streams that began at these versions last at most this long; processes
+    /// that start may know shorter timeouts only.
+    duration longest_stream{};
     friend bool operator==(software_record const&,
                            software_record const&) = default;
 };
@@ -36,7 +39,8 @@
 std::string software_record_key(service_id const& service);
 /// Returns nullopt if `key` is not the key of such a row.
 std::optional<service_id> parse_software_record_key(std::string const& key);
-/// {"complete": BOOLEAN, "established": [TEXT], "versions": [TEXT]}
+/// {"complete": BOOLEAN, "established": [TEXT], "longest_stream_ms": NUMBER,
+/// "versions": [TEXT]}; rows of earlier software lack the time.
 std::string software_record_text(software_record const& record);
 /// Returns nullopt if the text is malformed.
 std::optional<software_record> parse_software_record(std::string const& text);
@@ -56,6 +60,8 @@
     /// After a longer time without a list this VM does not know whether a
     /// version was listed meanwhile.
     duration max_gap{};
+    /// Streams last at most this long, as far as this process knows.
+    duration longest_stream{};
     friend bool operator==(software_view const&,
                            software_view const&) = default;
 };
@@ -106,6 +112,7 @@
     void review(service_rows& rows, time_point now) const;
     static time_point note_unlisted(service_rows& rows);
     static software_record merge(service_rows const& rows);
+    static duration retention(service_rows const& rows);
 
     std::map<service_id, service_rows> services_;
     std::size_t rank_ = 0;
--- a/src/software_versions.cpp
+++ b/src/software_versions.cpp
@@ -11,6 +11,12 @@
     longest_stream_ = std::max(longest_stream_, time);
 }
 
+duration software_versions::longest_stream() const
+{
+    return record_ ? std::max(longest_stream_, record_->longest_stream)
+                   : longest_stream_;
+}
+
 void software_versions::set_listed(std::set<software_version> const& listed,
                                    time_point now)
 {
@@ -81,7 +87,8 @@
                 seen.established.insert(version);
         }
     seen.complete =
-        complete_since_ != never && now >= complete_since_ + longest_stream_;
+        complete_since_ != never && now >= complete_since_ + longest_stream();
+    seen.longest_stream = longest_stream_;
     seen.retention = longest_stream_ + 2 * validity_;
     for (auto const& [version, known] : known_)
         if (is_remembered(known, now))
@@ -95,13 +102,13 @@
                                    time_point now)
 {
     if (complete_since_ != never && remembered(now) == std::set{version})
-        complete_since_ = std::min(complete_since_, now - longest_stream_);
+        complete_since_ = std::min(complete_since_, now - longest_stream());
 }
 
 bool software_versions::is_remembered(state const& known, time_point now) const
 {
     return known.unlisted_at == never ||
-           now <= known.unlisted_at + longest_stream_;
+           now <= known.unlisted_at + longest_stream();
 }
 
 void software_versions::forget_old(time_point now)
@@ -126,7 +133,7 @@
     bool const is_recorded =
         record_ && record_->complete && record_as_of_ >= complete_since_;
     return complete_since_ != never &&
-           (is_recorded || now >= complete_since_ + longest_stream_);
+           (is_recorded || now >= complete_since_ + longest_stream());
 }
 
 std::optional<software_version>
--- a/src/software_versions.hpp
+++ b/src/software_versions.hpp
@@ -82,6 +82,8 @@
         bool is_first = false;
     };
 
+    /// The longest that this process or the record knows of.
+    duration longest_stream() const;
     void forget_old(time_point now);
     bool is_remembered(state const& known, time_point now) const;
     std::set<software_version> remembered(time_point now) const;
--- a/tests/software_history_test.cpp
+++ b/tests/software_history_test.cpp
@@ -34,7 +34,10 @@
 /// A VM with its list of workers and its copy of the record.
 struct recording_vm
 {
-    recording_vm() { versions.set_longest_stream(longest); }
+    explicit recording_vm(duration longest_stream = longest)
+    {
+        versions.set_longest_stream(longest_stream);
+    }
     void list(std::set<software_version> const& listed, time_point now)
     {
         versions.set_listed(listed, now);
@@ -157,6 +160,85 @@
     CHECK_FALSE(started.versions.only_version(now));
 }
 
+// Guards against removing a version whose streams began under a longer route
+// timeout, which no process has known since all VMs restarted.
+TEST_CASE("a record keeps versions for the timeout that streams began with",
+          "[software_history]")
+{
+    constexpr duration longer = 6 * longest;
+    time_point now{1000s};
+    stored_record row;
+    {
+        recording_vm vm(longer);
+        vm.list({v1, v2}, now);
+        for (time_point const end = now + 2 * longer; now < end;
+             now += review_interval)
+        {
+            vm.hear(now);
+            vm.read(row, now);
+            vm.write(row, now);
+        }
+    }
+    REQUIRE(row.value->established == std::set{v1, v2});
+    bool const is_complete = GENERATE(true, false);
+    CAPTURE(is_complete);
+    row.value->complete = is_complete;
+
+    time_point const unlisted_at = now;
+    recording_vm started;
+    started.list({v2}, now);
+    std::optional<time_point> removed_at;
+    std::optional<time_point> only_at;
+    for (time_point const end = now + 2 * longer; now < end;
+         now += review_interval)
+    {
+        started.hear(now);
+        started.read(row, now);
+        started.write(row, now);
+        if (!removed_at && row.value->versions == std::set{v2})
+            removed_at = now;
+        if (!only_at && started.versions.only_version(now))
+            only_at = now;
+    }
+    REQUIRE(removed_at);
+    CHECK(*removed_at >= unlisted_at + longer);
+    REQUIRE(only_at);
+    CHECK(*only_at >= unlisted_at + longer);
+}
+
+// Guards against believing that a record is complete as soon as the shorter
+// timeout of this process is over.
+TEST_CASE("a record becomes complete after the longest timeout it knows of",
+          "[software_history]")
+{
+    constexpr duration longer = 6 * longest;
+    time_point now{1000s};
+    stored_record row;
+    {
+        recording_vm vm(longer);
+        vm.list({v2}, now);
+        vm.hear(now);
+        vm.read(row, now);
+        REQUIRE(vm.write(row, now));
+    }
+    REQUIRE_FALSE(row.value->complete);
+    time_point const started_at = now;
+    recording_vm started;
+    started.list({v2}, now);
+    std::optional<time_point> only_at;
+    for (time_point const end = now + 2 * longer; now < end && !only_at;
+         now += review_interval)
+    {
+        started.hear(now);
+        started.read(row, now);
+        started.write(row, now);
+        if (started.versions.only_version(now))
+            only_at = now;
+    }
+    REQUIRE(only_at);
+    CHECK(*only_at >= started_at + longer);
+}
+
 // Guards against removing a version that has returned while this VM was
 // suspended, or could not read the list.
 TEST_CASE("a VM whose list is old removes no version", "[software_history]")
--- a/tests/software_record_test.cpp
+++ b/tests/software_record_test.cpp
@@ -41,7 +41,8 @@
 TEST_CASE("a record is read as it was written", "[software_record]")
 {
     for (software_record const& each :
-         {software_record{}, software_record{{v1, v2}, {v1}, true}})
+         {software_record{}, software_record{{v1, v2}, {v1}, true},
+          software_record{{v1}, {v1}, true, 20s}})
         CHECK(parse_software_record(software_record_text(each)) == each);
     CHECK(parse_software_record_key(software_record_key(service)) == service);
     CHECK_FALSE(parse_software_record_key("software/"));
@@ -56,13 +57,35 @@
           R"({"complete":1,"established":[],"versions":[]})",
           R"({"complete":true,"established":["v1"],"versions":[]})",
           R"({"complete":true,"established":[],"versions":[1]})",
-          R"({"complete":true,"established":{},"versions":["v1"]})"})
+          R"({"complete":true,"established":{},"versions":["v1"]})",
+          R"({"complete":true,"established":[],"longest_stream_ms":-1,
+              "versions":["v1"]})",
+          R"({"complete":true,"established":[],"longest_stream_ms":"1",
+              "versions":["v1"]})"})
     {
         CAPTURE(text);
         CHECK_FALSE(parse_software_record(text));
     }
 }
 
+// Guards against times that overflow.
+TEST_CASE("a huge time in a record is limited", "[software_record]")
+{
+    auto const record = parse_software_record(
+        R"({"complete":true,"established":[],
+            "longest_stream_ms":18446744073709551615,"versions":["v1"]})");
+    REQUIRE(record);
+    CHECK(record->longest_stream > 1h);
+    CHECK(start + 2 * record->longest_stream > start);
+}
+
+TEST_CASE("a record without a time is read", "[software_record]")
+{
+    CHECK(parse_software_record(
+              R"({"complete":true,"established":["v1"],"versions":["v1"]})") ==
+          software_record{{v1}, {v1}, true});
+}
+
 TEST_CASE("versions are recorded once they are listed", "[software_record]")
 {
     software_record_writer writer;
