--- a/src/worker_row.cpp
+++ b/src/worker_row.cpp
@@ -112,7 +112,7 @@
 
 std::optional<worker_row> read_worker_row(table_row const& row)
 {
-    auto const parsed = parse_worker_row(row.value);
+    auto parsed = parse_worker_row(row.value);
     std::uint64_t const highest = row.version.value();
     auto const assigned = [highest](incarnation_id const& who)
     { return who.incarnation_number.value() <= highest; };
