Let the store of the ownership tests have versions that a store can have

The test writes a row with fencing number 5 to a store whose version is lower, which cannot happen: each number needs a write, and all rows have their versions from one counter. Since such rows count as unreadable the VM that takes over waits.

--- a/tests/memory_row_store.hpp
+++ b/tests/memory_row_store.hpp
@@ -20,6 +20,8 @@
     void put(mulberry::row_set set, mulberry::row_kind kind,
              std::string const& key, std::string const& value);
     void drop(mulberry::row_set set, std::string const& key);
+    /// Raises the version, as transactions of other rows do.
+    void skip_versions(std::uint64_t count) { version_ += count; }
     /// While down, the store refuses every call.
     void set_down(bool down) { down_ = down; }
     /// Answers all waiting watches, also without a change.
--- a/tests/ownership_runner_test.cpp
+++ b/tests/ownership_runner_test.cpp
@@ -31,6 +31,9 @@
     return entry;
 }
 
+/// No test writes a row with a higher fencing number.
+constexpr std::uint64_t highest_fence = 10;
+
 /// A VM's ownership_runner with a store in this process. Each start() simulates
 /// a new process of the VM.
 class runner_simulation
@@ -39,6 +42,8 @@
     explicit runner_simulation(std::string named = "vm-a")
         : name_(std::move(named))
     {
+        // No row has a fencing number above its version.
+        store.skip_versions(highest_fence);
     }
 
     void start()
