--- /dev/null
+++ b/review/1/case.py
@@ -0,0 +1,88 @@
+"""A worker's second answer to one request arrives late, where the answer to
+the next request on that channel is due. Its Request-Id tells whose it is."""
+import asyncio
+import os
+import sys
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
+from site_standins import (  # noqa: E402
+    TROUBLE, Store, Vm, answer, config, entry, read_message, request, route,
+    run, serve)
+
+REQUESTS = 200
+# garble: x (.02), .05 at most in the site file: one answer in twenty.
+EVERY = 20
+# With EMPTY_FIELD=0 the worker leaves out the field without a value.
+EMPTY_FIELD = os.environ.get("EMPTY_FIELD", "1") != "0"
+
+
+async def case(record, scratch):
+    ran = {}
+
+    async def work(reader, writer):
+        late = b""
+        while True:
+            message = await read_message(reader)
+            if message is None:
+                return
+            number = message.get("Request-Id")
+            ran[number] = ran.get(number, 0) + 1
+            record("w-1 runs %s" % number)
+            if late:
+                record("w-1 sends its second answer late, before that")
+                writer.write(late)
+                await writer.drain()
+                await asyncio.sleep(0.005)
+            fields = [("Content-Type", "text/plain")]
+            if EMPTY_FIELD:
+                fields.append(("Cache-Status", ""))
+            fields += [("Request-Id", number), ("Server-Seal", "seal-" + number)]
+            whole = answer(200, fields, b"result of " + number.encode(), "OK")
+            writer.write(whole)
+            await writer.drain()
+            extra = TROUBLE and len(ran) % EVERY == 0
+            late = whole if extra else b""
+
+    store = Store()
+    await store.start()
+    server, port = await serve(work)
+    await store.put("op", "config", config(1, [
+        route("pay", "/pay/", "app", "non_idempotent")]))
+    await store.put("servers", "w-1", entry("app", port))
+    vms = [Vm("vm-%d" % n, store, scratch) for n in (1, 2)]
+    wrong = 0
+    try:
+        for vm in vms:
+            await vm.start()
+        for vm in vms:
+            await vm.ready()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", vms[0].callers)
+        for count in range(REQUESTS):
+            number = "%016x" % (0xa000 + count)
+            writer.write(request("POST", "/pay/x", number, b"amount"))
+            reply = await asyncio.wait_for(read_message(reader), 5)
+            record("client sent %s, got %r, Request-Id %r, seal %r, body %r" % (
+                number, reply.first, reply.get("Request-Id"),
+                reply.get("Server-Seal"), reply.body[:60]))
+            status = int(reply.first.split(" ")[1])
+            if status < 300 and reply.body != b"result of " + number.encode():
+                wrong += 1
+                record("MIXED: the answer belongs to another request")
+            if reply.get("Connection").lower() == "close":
+                writer.close()
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", vms[0].callers)
+            await asyncio.sleep(0.01)
+        writer.close()
+    finally:
+        for vm in vms:
+            if hasattr(vm, "process"):
+                await vm.stop()
+        server.close()
+    print("%d of %d answers belong to another request" % (wrong, REQUESTS))
+    return wrong == 0
+
+
+run(case, FOLDER)
