--- a/review/2/case.py
+++ b/review/2/case.py
@@ -8,13 +8,13 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
 from site_standins import (  # noqa: E402
-    TROUBLE, Store, Vm, answer, config, entry, read_message, request, route,
+    Garble, Store, Vm, answer, config, entry, read_message, request, route,
     run, serve)
 
 REQUESTS = 400
-# garble: share (.5) of the workers, here w-1 of two; x (.02), .05 at most in
-# the site file: one answer in twenty.
-EVERY = 20
+# The site file's "extra late": share 0.6 of the workers (here w-1 of two), x
+# 0.03 of their answers, for 5.0 s; here several times, with a pause between.
+SHARE_X, FOR_S, PAUSE_S = 0.03, 5.0, 1.0
 # With EMPTY_FIELD=0 the worker leaves out the field without a value.
 EMPTY_FIELD = os.environ.get("EMPTY_FIELD", "1") != "0"
 
@@ -22,6 +22,7 @@
 async def case(record, scratch):
     ran = {}
     answered = {"w-1": 0, "w-2": 0}
+    garble = Garble(SHARE_X, FOR_S, PAUSE_S)
 
     async def work(name, reader, writer):
         late = b""
@@ -50,9 +51,10 @@
             whole = answer(200, fields, b"result of " + number.encode(), "OK")
             writer.write(whole)
             await writer.drain()
-            extra = (TROUBLE and name == "w-1" and
-                     answered[name] % EVERY == 0)
-            late = whole if extra else b""
+            late = b""
+            if name == "w-1" and garble.extra():
+                garble.sent_twice()
+                late = whole
 
     store = Store()
     await store.start()
@@ -71,6 +73,7 @@
             await vm.ready()
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", vms[0].callers)
+        garble.start()
         for count in range(REQUESTS):
             number = "%016x" % (0xa000 + count)
             writer.write(request("POST", "/pay/x", number, b"amount"))
