--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,6 @@
-"""A worker's second answer to one request arrives late, where the answer to
-the next request on that channel is due. Its Request-Id tells whose it is."""
+"""A worker rejects a request because it is full, and sends that rejection a
+second time, late, where the answer to the next request on the channel is due.
+That next request may run once; the worker runs it."""
 import asyncio
 import os
 import sys
@@ -10,79 +11,125 @@
     TROUBLE, Store, Vm, answer, config, entry, read_message, request, route,
     run, serve)
 
-REQUESTS = 200
+CLIENTS = 60
+ROUNDS = 40
+SLOTS, QUEUE = 6, 4     # "slots requests concurrently and queues a few more"
+WORK_S = 0.03
 # garble: x (.02), .05 at most in the site file: one answer in twenty.
 EVERY = 20
-# With EMPTY_FIELD=0 the worker leaves out the field without a value.
-EMPTY_FIELD = os.environ.get("EMPTY_FIELD", "1") != "0"
+# wire: a rejection as `fleetbench wire` shows it, without Request-Id; id: with
+# it; field: with it, after a field without a value (case 2).
+REJECTION = os.environ.get("REJECTION", "wire")
 
 
-async def case(record, scratch):
-    ran = {}
+class Worker:
+    def __init__(self, name, record, ran):
+        self.name, self.record, self.ran = name, record, ran
+        self.answers = self.extras = self.inside = 0
+        self.slots = asyncio.Semaphore(SLOTS)
 
-    async def work(reader, writer):
+    async def handle(self, reader, writer):
         late = b""
         while True:
             message = await read_message(reader)
             if message is None:
                 return
             number = message.get("Request-Id")
-            ran[number] = ran.get(number, 0) + 1
-            record("w-1 runs %s" % number)
-            if late:
-                record("w-1 sends its second answer late, before that")
-                writer.write(late)
+            if not number:  # GET /report
+                writer.write(answer(200, [], b"{}", "OK"))
                 await writer.drain()
-                await asyncio.sleep(0.005)
-            fields = [("Content-Type", "text/plain")]
-            if EMPTY_FIELD:
-                fields.append(("Cache-Status", ""))
-            fields += [("Request-Id", number), ("Server-Seal", "seal-" + number)]
-            whole = answer(200, fields, b"result of " + number.encode(), "OK")
-            writer.write(whole)
+                late = b""
+                continue
+            self.answers += 1
+            if self.inside >= SLOTS + QUEUE:
+                fields = [("Not-Executed", "1")]
+                if REJECTION != "wire":
+                    fields.insert(0, ("Request-Id", number))
+                if REJECTION == "field":
+                    fields.insert(0, ("Cache-Status", ""))
+                whole = answer(503, fields, b"", "Service Unavailable")
+                self.record("%s is full, rejects %s" % (self.name, number))
+                writer.write(late + whole)
+                await writer.drain()
+                extra = TROUBLE and (self.extras + 1) * EVERY <= self.answers
+                late = whole if extra and not late else b""
+                self.extras += bool(late)
+                continue
+            self.inside += 1
+            try:
+                async with self.slots:
+                    self.ran.setdefault(number, []).append(self.name)
+                    self.record("%s runs %s" % (self.name, number))
+                    if late:
+                        self.record("%s sends its rejection once more" %
+                                    self.name)
+                        writer.write(late)
+                        await writer.drain()
+                        late = b""
+                    await asyncio.sleep(WORK_S)
+            finally:
+                self.inside -= 1
+            writer.write(answer(200, [("Request-Id", number),
+                                      ("Server-Seal", "seal-" + number)],
+                                b"result of " + number.encode(), "OK"))
             await writer.drain()
-            extra = TROUBLE and len(ran) % EVERY == 0
-            late = whole if extra else b""
 
+
+async def case(record, scratch):
+    ran = {}
     store = Store()
     await store.start()
-    server, port = await serve(work)
+    workers = [Worker("w-%d" % n, record, ran) for n in (1, 2, 3)]
+    servers = [await serve(each.handle) for each in workers]
     await store.put("op", "config", config(1, [
         route("pay", "/pay/", "app", "non_idempotent")]))
-    await store.put("servers", "w-1", entry("app", port))
+    for worker, (_, port) in zip(workers, servers):
+        await store.put("servers", worker.name, entry("app", port))
     vms = [Vm("vm-%d" % n, store, scratch) for n in (1, 2)]
-    wrong = 0
+    answers = {}
+
+    async def client(index):
+        reader = writer = None
+        for turn in range(ROUNDS):
+            number = "%08x%08x" % (0xb0 + index, turn)
+            try:
+                if writer is None:
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", vms[index % 2].callers)
+                writer.write(request("POST", "/pay/x", number, b"amount"))
+                reply = await asyncio.wait_for(read_message(reader), 5)
+                status = reply.first.split(" ")[1] if reply else "closed"
+                if not reply or reply.get("Connection").lower() == "close":
+                    writer.close()
+                    writer = None
+            except (OSError, asyncio.TimeoutError,
+                    asyncio.IncompleteReadError):
+                status, writer = "broken", None
+            answers[status] = answers.get(status, 0) + 1
+            record("client %d sent %s: %s" % (index, number, status))
+            await asyncio.sleep(0.02)
+
     try:
         for vm in vms:
             await vm.start()
         for vm in vms:
             await vm.ready()
-        reader, writer = await asyncio.open_connection(
-            "127.0.0.1", vms[0].callers)
-        for count in range(REQUESTS):
-            number = "%016x" % (0xa000 + count)
-            writer.write(request("POST", "/pay/x", number, b"amount"))
-            reply = await asyncio.wait_for(read_message(reader), 5)
-            record("client sent %s, got %r, Request-Id %r, seal %r, body %r" % (
-                number, reply.first, reply.get("Request-Id"),
-                reply.get("Server-Seal"), reply.body[:60]))
-            status = int(reply.first.split(" ")[1])
-            if status < 300 and reply.body != b"result of " + number.encode():
-                wrong += 1
-                record("MIXED: the answer belongs to another request")
-            if reply.get("Connection").lower() == "close":
-                writer.close()
-                reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", vms[0].callers)
-            await asyncio.sleep(0.01)
-        writer.close()
+        await asyncio.gather(*[client(n) for n in range(CLIENTS)])
+        await asyncio.sleep(0.3)
     finally:
         for vm in vms:
             if hasattr(vm, "process"):
                 await vm.stop()
-        server.close()
-    print("%d of %d answers belong to another request" % (wrong, REQUESTS))
-    return wrong == 0
+        for server, _ in servers:
+            server.close()
+    twice = {each: at for each, at in ran.items() if len(at) > 1}
+    for number, at in sorted(twice.items()):
+        record("TWICE: %s ran at %s" % (number, at))
+    print("%d requests ran more than once; answers %s; %d of %d answers of "
+          "workers sent a second time" % (
+              len(twice), answers, sum(each.extras for each in workers),
+              sum(each.answers for each in workers)))
+    return not twice
 
 
 run(case, FOLDER)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,5 @@
-"""A burst: more clients than usual send one large request each at the same time,
-within the limits of the config. The stand-in of the platform kills a process
-that exceeds its machine's memory."""
+"""A worker's second answer to one request arrives late, where the answer to
+the next request on that channel is due. Its Request-Id tells whose it is."""
 import asyncio
 import os
 import sys
@@ -8,138 +7,82 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
 from site_standins import (  # noqa: E402
-    TROUBLE, Store, Vm, answer, config, entry, now, read_message, request,
-    route, run, serve)
+    TROUBLE, Store, Vm, answer, config, entry, read_message, request, route,
+    run, serve)
 
-USUAL = 26
-CLIENTS = 62 if TROUBLE else USUAL   # burst: x 2.4 at most in the site file
-BODY = 4194304 - 64     # max_body_bytes of the config is 4194304
-MEMORY_MB = 260         # limits.memory_mb of the site's machines
-LINK_BYTES_S = 125e6    # limits.link_mbps 1000
-DEADLINE_MS = 6000      # receipt-read
-RESTART_S = 1.0
-WAVES = 7
-CHUNK = 65536
-
-
-class Machine:
-    """A machine of the platform: one process, restarted when it ends."""
-
-    def __init__(self, vm, record):
-        self.vm, self.record = vm, record
-        self.own_ends, self.peak = [], 0.0
-        self.up = self.closing = False
-
-    async def start(self):
-        await self.vm.start()
-        self.up = True
-        self.watching = asyncio.ensure_future(self.watch())
-
-    async def watch(self):
-        """Kills the process when it exceeds the machine's memory."""
-        while not self.closing:
-            if self.vm.process.returncode is not None:
-                return
-            try:
-                used = self.vm.rss_mb()
-            except (OSError, ValueError):
-                used = 0
-            self.peak = max(self.peak, used)
-            if used > MEMORY_MB:
-                self.record("%s holds %.0f MB of %d: killed by the platform" % (
-                    self.vm.name, used, MEMORY_MB))
-                self.own_ends.append(now())
-                self.up = False
-                self.vm.process.kill()
-                await self.vm.process.wait()
-                await asyncio.sleep(RESTART_S)
-                if not self.closing:
-                    await self.vm.start()
-                    self.up = True
-            await asyncio.sleep(0.01)
-
-    async def stop(self):
-        self.closing = True
-        if hasattr(self.vm, "process"):
-            await self.vm.stop()
+REQUESTS = 200
+# garble: x (.02), .05 at most in the site file: one answer in twenty.
+EVERY = 20
+# With EMPTY_FIELD=0 the worker leaves out the field without a value.
+EMPTY_FIELD = os.environ.get("EMPTY_FIELD", "1") != "0"
 
 
 async def case(record, scratch):
     ran = {}
 
     async def work(reader, writer):
+        late = b""
         while True:
             message = await read_message(reader)
             if message is None:
                 return
             number = message.get("Request-Id")
             ran[number] = ran.get(number, 0) + 1
-            await asyncio.sleep(0.03)
-            writer.write(answer(200, [("Request-Id", number),
-                                      ("Server-Seal", "seal-" + number)],
-                                b"result", "OK"))
-            await writer.drain()
-
-    async def send(port, number, outcomes):
-        """One client; all together use half of each machine's link."""
-        try:
-            if not TROUBLE:  # the usual traffic doesn't come all at once
-                await asyncio.sleep(2 * int(number[-8:], 16) / CLIENTS)
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            whole = request("POST", "/receipt/x", number, b"p" * BODY,
-                            DEADLINE_MS)
-            pause = CHUNK * CLIENTS / LINK_BYTES_S
-            for at in range(0, len(whole), CHUNK):
-                writer.write(whole[at:at + CHUNK])
+            record("w-1 runs %s" % number)
+            if late:
+                record("w-1 sends its second answer late, before that")
+                writer.write(late)
                 await writer.drain()
-                await asyncio.sleep(pause)
-            reply = await asyncio.wait_for(read_message(reader), 7)
-            outcomes.append(reply.first.split(" ")[1] if reply else "closed")
-            writer.close()
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
-            outcomes.append("broken")
+                await asyncio.sleep(0.005)
+            fields = [("Content-Type", "text/plain")]
+            if EMPTY_FIELD:
+                fields.append(("Cache-Status", ""))
+            fields += [("Request-Id", number), ("Server-Seal", "seal-" + number)]
+            whole = answer(200, fields, b"result of " + number.encode(), "OK")
+            writer.write(whole)
+            await writer.drain()
+            extra = TROUBLE and len(ran) % EVERY == 0
+            late = whole if extra else b""
 
     store = Store()
     await store.start()
-    workers = [await serve(work) for _ in range(3)]
+    server, port = await serve(work)
     await store.put("op", "config", config(1, [
-        route("receipt", "/receipt/", "app", "non_idempotent", DEADLINE_MS)]))
-    for count, (_, port) in enumerate(workers):
-        await store.put("servers", "w-%d" % count, entry("app", port))
-    machines = [Machine(Vm("vm-%d" % n, store, scratch), record)
-                for n in (1, 2)]
+        route("pay", "/pay/", "app", "non_idempotent")]))
+    await store.put("servers", "w-1", entry("app", port))
+    vms = [Vm("vm-%d" % n, store, scratch) for n in (1, 2)]
+    wrong = 0
     try:
-        for machine in machines:
-            await machine.start()
-        for machine in machines:
-            await machine.vm.ready()
-        for wave in range(WAVES):
-            takers = [each for each in machines if each.up]
-            outcomes = []
-            await asyncio.gather(*[
-                send(takers[n % len(takers)].vm.callers,
-                     "%08x%08x" % (wave, n), outcomes)
-                for n in range(CLIENTS)])
-            record("wave %d: %d clients at %s: %s" % (
-                wave, CLIENTS, [each.vm.name for each in takers],
-                {each: outcomes.count(each) for each in set(outcomes)}))
-            for machine in machines:
-                while not machine.up:
-                    await asyncio.sleep(0.1)
-                await machine.vm.ready()
-            await asyncio.sleep(1)
+        for vm in vms:
+            await vm.start()
+        for vm in vms:
+            await vm.ready()
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", vms[0].callers)
+        for count in range(REQUESTS):
+            number = "%016x" % (0xa000 + count)
+            writer.write(request("POST", "/pay/x", number, b"amount"))
+            reply = await asyncio.wait_for(read_message(reader), 5)
+            record("client sent %s, got %r, Request-Id %r, seal %r, body %r" % (
+                number, reply.first, reply.get("Request-Id"),
+                reply.get("Server-Seal"), reply.body[:60]))
+            status = int(reply.first.split(" ")[1])
+            if status < 300 and reply.body != b"result of " + number.encode():
+                wrong += 1
+                record("MIXED: the answer belongs to another request")
+            if reply.get("Connection").lower() == "close":
+                writer.close()
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", vms[0].callers)
+            await asyncio.sleep(0.01)
+        writer.close()
     finally:
-        for machine in machines:
-            await machine.stop()
-        for server, _ in workers:
-            server.close()
-    for machine in machines:
-        text = "%s: peak %.0f MB, killed over its memory %d times" % (
-            machine.vm.name, machine.peak, len(machine.own_ends))
-        print(text)
-        record(text)
-    bad = [each for each in machines if len(each.own_ends) >= 3]
-    return len(bad) < 2
+        for vm in vms:
+            if hasattr(vm, "process"):
+                await vm.stop()
+        server.close()
+    print("%d of %d answers belong to another request" % (wrong, REQUESTS))
+    return wrong == 0
 
 
 run(case, FOLDER)
