--- a/review/1/case.py
+++ b/review/1/case.py
@@ -8,25 +8,25 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "common"))
 from site_standins import (  # noqa: E402
-    TROUBLE, Store, Vm, answer, config, entry, read_message, request, route,
+    Garble, Store, Vm, answer, config, entry, read_message, request, route,
     run, serve)
 
 CLIENTS = 60
-ROUNDS = 120
+ROUNDS = 160
 SLOTS, QUEUE = 6, 4     # "slots requests concurrently and queues a few more"
 WORK_S = 0.03
-# garble: share (.5) of the workers, here one of three; x (.02), .05 at most in
-# the site file: one answer in twenty.
-EVERY = 20
-# wire: a rejection as `fleetbench wire` shows it, without Request-Id; id: with
-# it; field: with it, after a field without a value (case 2).
-REJECTION = os.environ.get("REJECTION", "wire")
+# The site file's "extra late": share 0.6 of the workers (here w-1 of three), x
+# 0.03 of their answers, for 5.0 s; here several times, with a pause between.
+SHARE_X, FOR_S, PAUSE_S = 0.03, 5.0, 1.0
+# EMPTY_FIELD=0: rejections without the field that has no value.
+EMPTY_FIELD = os.environ.get("EMPTY_FIELD", "1") != "0"
 
 
 class Worker:
     def __init__(self, name, record, ran):
         self.name, self.record, self.ran = name, record, ran
         self.answers = self.extras = self.inside = 0
+        self.garble = Garble(SHARE_X, FOR_S, PAUSE_S)
         self.slots = asyncio.Semaphore(SLOTS)
 
     async def handle(self, reader, writer):
@@ -42,20 +42,19 @@
                 late = b""
                 continue
             self.answers += 1
+            twice = self.name == "w-1" and self.garble.extra()
             if self.inside >= SLOTS + QUEUE:
-                fields = [("Not-Executed", "1")]
-                if REJECTION != "wire":
-                    fields.insert(0, ("Request-Id", number))
-                if REJECTION == "field":
+                fields = [("Request-Id", number), ("Not-Executed", "1")]
+                if EMPTY_FIELD:
                     fields.insert(0, ("Cache-Status", ""))
                 whole = answer(503, fields, b"", "Service Unavailable")
                 self.record("%s is full, rejects %s" % (self.name, number))
                 writer.write(late + whole)
                 await writer.drain()
-                extra = (TROUBLE and self.name == "w-1" and
-                         (self.extras + 1) * EVERY <= self.answers)
-                late = whole if extra and not late else b""
-                self.extras += bool(late)
+                late = whole if twice and not late else b""
+                if late:
+                    self.garble.sent_twice()
+                    self.extras += 1
                 continue
             self.inside += 1
             try:
@@ -116,6 +115,8 @@
             await vm.start()
         for vm in vms:
             await vm.ready()
+        for worker in workers:
+            worker.garble.start()
         await asyncio.gather(*[client(n) for n in range(CLIENTS)])
         await asyncio.sleep(0.3)
     finally:
