Send nothing without the grant that its owner has refused

Cause: a request that four owners had refused went to any worker that lists its adapter, without a grant. The owner knows nothing of such a request and unloads the adapter under it. The worker accepts the unload, but carries out no other order until the request ends.

Now a worker is not used without a grant while its owner's refusal holds (500 ms). Workers without a reachable owner are used as before.

The test failed before: the request was placed at once.

--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -55,6 +55,8 @@
             continue;
         if (item.target && !has_usable_copy(*worker, *item.target, now))
             continue;
+        if (item.target && owner_refused(id, waiting, now))
+            continue;
         duration score = queueing_delay(*worker, now);
         score += cross_domain_penalty(*worker);
         if (admission_)
--- a/tests/scheduler_world.cpp
+++ b/tests/scheduler_world.cpp
@@ -201,9 +201,12 @@
     if (auto const version = software.find(made.id); version != software.end())
         made.software = version->second;
     auto const held = weights.find(made.id);
+    auto const listed = listed_adapters.find(made.id);
     made.models.push_back(
         {base_model_id(model),
-         {},
+         listed == listed_adapters.end()
+             ? std::map<adapter_id, adapter_version>()
+             : listed->second,
          held == weights.end() ? weights_version(1) : held->second});
     return made;
 }
--- a/tests/scheduler_world.hpp
+++ b/tests/scheduler_world.hpp
@@ -160,6 +160,8 @@
     std::map<worker_id, weights_version> weights;
     /// Versions of their software that workers list.
     std::map<worker_id, software_version> software;
+    /// Adapters that workers list.
+    std::map<worker_id, std::map<adapter_id, adapter_version>> listed_adapters;
     /// All workers list one address.
     bool same_address = false;
     /// Age of the registry data known to the scheduler.
--- a/tests/service_scheduler_test.cpp
+++ b/tests/service_scheduler_test.cpp
@@ -374,6 +374,28 @@
     CHECK(world.refusal(ticket).retry_after <= 100ms);
 }
 
+// Guards against requests that the owner does not know of: it unloads the
+// adapter that they use, and the worker takes no other order until they end.
+TEST_CASE("a worker is not used without a grant that its owner refused",
+          "[scheduler]")
+{
+    scheduler_world world(1);
+    worker_id const worker = scheduler_world::name(0);
+    world.listed_adapters[worker][adapter_id("a1")] = adapter_version(1);
+    world.list_all();
+    world.scheduler.set_owned_workers({});
+    world.scheduler.set_owners({{worker, vm_id("vm-b")}});
+    ticket_id const asked = world.submit_request("a1");
+    world.run(1ms);
+    REQUIRE(world.grant_requests().size() == 1);
+    world.scheduler.on_grant_answer(asked, grant_outcome::refused, {},
+                                    world.now);
+    world.run(100ms);
+    CHECK_FALSE(world.placed(asked));
+    world.run(500ms);
+    CHECK(world.grant_requests().size() == 2);
+}
+
 // Guards against orders after the VM's lease has expired because it is cut off
 // from the store. Resident adapters are still used, since no other VM owns the
 // worker yet.
