Remember an unload in progress when a worker's state is read again

An unload that is accepted under a request stays in progress until that request ends, and all other orders conflict. After two conflicts the worker's report is read, which still lists the adapter, so the owner took it for resident and ordered the unload once more.

Now the stage is kept, and the unload is polled before loads, whose polls conflict meanwhile.

--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -131,8 +131,12 @@
         entry& made = adapters_[target];
         if (auto const before = known.find(target); before != known.end())
             made = before->second;
-        made.stage = stage;
-        made.poll_at = stage == adapter_stage::loading ? now : never;
+        // The report lists an adapter until its unload is complete.
+        bool const unloads = stage == adapter_stage::resident &&
+                             made.stage == adapter_stage::unloading;
+        if (!unloads)
+            made.stage = stage;
+        made.poll_at = unloads || stage == adapter_stage::loading ? now : never;
         made.load_expected_at = stage == adapter_stage::loading ? now : never;
     };
     for (auto const& [model, adapters] : report->models)
@@ -480,15 +484,13 @@
 {
     if (loading_model_ && now >= model_poll_at_)
         return make_order(order_kind::load, {*loading_model_, {}});
+    // Polls of loads conflict until an unload in progress is complete.
     for (auto const& [target, state] : adapters_)
-    {
-        if (now < state.poll_at)
-            continue;
-        if (state.stage == adapter_stage::loading)
-            return make_order(order_kind::load, target);
-        if (state.stage == adapter_stage::unloading)
+        if (state.stage == adapter_stage::unloading && now >= state.poll_at)
             return make_order(order_kind::unload, target);
-    }
+    for (auto const& [target, state] : adapters_)
+        if (state.stage == adapter_stage::loading && now >= state.poll_at)
+            return make_order(order_kind::load, target);
     return std::nullopt;
 }
 
--- a/tests/worker_adapters_test.cpp
+++ b/tests/worker_adapters_test.cpp
@@ -229,6 +229,55 @@
     CHECK(load->expected_sequence == unload->expected_sequence + 1);
 }
 
+// Guards against an unload that is counted twice: each later order conflicts,
+// and the worker loads nothing.
+TEST_CASE("an unload in progress is known after a resync", "[worker_adapters]")
+{
+    worker_adapters_settings settings;
+    settings.adapter_slots = 2;
+    worker_adapters adapters(settings);
+    time_point now{std::chrono::hours(1)};
+    adapters.on_ownership_acquired(vm_id("vm"), fencing_number(1), now);
+    worker_report report;
+    report.sequence = 10;
+    report.models[model] = {{adapter_id("a1"), adapter_version(1)},
+                            {adapter_id("a2"), adapter_version(1)}};
+    adapters.on_report(report, now);
+    adapters.request_load(target("b1"), {}, now);
+    adapters.begin_wait(target("b1"));
+    auto const next = [&]
+    {
+        return adapters.next_order(
+            worker, [](model_target const&) { return 0.0; }, now);
+    };
+    auto const unload = next();
+    REQUIRE(unload);
+    REQUIRE(unload->kind == order_kind::unload);
+    adapters.on_outcome(order_outcome::accepted, now);
+    for (int conflict = 0; conflict < 2; ++conflict)
+    {
+        now += 30ms;
+        REQUIRE(next());
+        adapters.on_outcome(order_outcome::conflict, now);
+    }
+    REQUIRE_FALSE(adapters.synced());
+    now += 500ms;
+    report.sequence = 11;
+    adapters.on_report(report, now);
+    auto const poll = next();
+    REQUIRE(poll);
+    CHECK(poll->kind == order_kind::unload);
+    CHECK(poll->adapter == unload->adapter);
+    adapters.on_outcome(order_outcome::accepted, now);
+    now += 30ms;
+    REQUIRE(next());
+    adapters.on_outcome(order_outcome::already_applied, now);
+    auto const load = next();
+    REQUIRE(load);
+    CHECK(load->kind == order_kind::load);
+    CHECK(load->expected_sequence == 11);
+}
+
 // Guards against a poll that names a version declared after the order.
 TEST_CASE("a load in progress is polled with the version it names",
           "[worker_adapters]")
