Serve streams first that only some workers can go on with

Cause: until the new version is established, three seconds after the start, new streams begin at the few workers of the old version, and requests of any other kind run there, too. A stream that only these workers can go on with waited behind all of them, and an owner without an adapter slot refused it at once, as if others had room: three or four refusals within 10 ms, the next ones 500 ms later, until half of its time was over.

A request that goes on with a stream, while some listed worker has another version, is now bound: it goes before all others in the queues of its VM and of the owner (one field of the grant request, nothing kept), waits for a slot at the owner instead of being refused, keeps a slot that becomes free from requests that can run elsewhere, and may wait for three quarters of its time. Where one version is listed nothing changes.

The three tests of bound streams failed with is_bound() returning false: the new stream was placed, the other requests kept the adapters, the owner refused.

--- a/src/peer_grant_request.cpp
+++ b/src/peer_grant_request.cpp
@@ -62,6 +62,8 @@
         json["team"] = ask.team.str();
     if (ask.answer_tokens > 0)
         json["answer_tokens"] = ask.answer_tokens;
+    if (ask.continues_stream)
+        json["continues"] = true;
     return json;
 }
 
@@ -127,6 +129,8 @@
     ask.team = team_id(text_or(json, "team", ""));
     ask.answer_tokens = static_cast<std::uint32_t>(
         std::min(number_or(json, "answer_tokens", 0), max_prompt_tokens));
+    ask.continues_stream =
+        json["continues"].isBool() && json["continues"].asBool();
     if (ask.service.empty() || ask.target.model.empty() ||
         ask.target.adapter.empty())
         return std::nullopt;
--- a/src/peer_grant_request.hpp
+++ b/src/peer_grant_request.hpp
@@ -6,7 +6,7 @@
 ///                 "left_ms", "request", "excluded": [ID, ...], "tokens": 9190,
 ///                 "prefix": [KEY, TOKENS], "elsewhere_ms": 320,
 ///                 "objective_ms": 540, "software": [VERSION, ...],
-///                 "team": TEAM, "answer_tokens": 70,
+///                 "team": TEAM, "answer_tokens": 70, "continues": true,
 ///                 "done": [[GRANT, OUTCOME], ...],
 ///                 "crashes": [[DIGEST, WORKER, STARTED,
 ///                               SENT_MS_AGO, SEEN_MS_AGO], ...],
@@ -70,6 +70,8 @@
     team_id team;
     /// Maximum number of tokens of the answer; 0 if unknown.
     std::uint32_t answer_tokens = 0;
+    /// The request goes on with a stream that has begun at `software`.
+    bool continues_stream = false;
     friend bool operator==(peer_grant_request const&,
                            peer_grant_request const&) = default;
 };
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -368,6 +368,7 @@
             : terms.arrived_at + terms.matched->latency_objective;
     item.excluded = excluded;
     item.software = allowed_software(exchange);
+    item.continues_stream = exchange.stream_version().has_value();
     scheduler.submit(std::move(item), now());
     schedule_run();
 }
--- a/src/relay_peers.cpp
+++ b/src/relay_peers.cpp
@@ -168,6 +168,7 @@
     item.requested_worker = ask.worker;
     item.excluded = ask.excluded;
     item.software = ask.software;
+    item.continues_stream = ask.continues_stream;
     item.prompt_tokens = ask.prompt_tokens;
     item.answer_tokens = ask.answer_tokens;
     item.team = ask.team;
@@ -275,7 +276,8 @@
                                      std::nullopt,
                                      ask.software,
                                      ask.team,
-                                     ask.answer_tokens};
+                                     ask.answer_tokens,
+                                     ask.continues_stream};
     if (ask.objective_at != never)
         message.ask->objective_left =
             std::max<duration>(ask.objective_at - now(), duration(0));
--- a/src/service_estimate.cpp
+++ b/src/service_estimate.cpp
@@ -158,6 +158,7 @@
                                         time_point now) const
 {
     if (worker.entry.draining || is_excluded(worker, item) ||
+        (worker.reserved && !item.continues_stream) ||
         is_paused_for(worker, item, now) || worker.health.is_full(now) ||
         occupied_slots(worker, item) >= request_limit(worker) ||
         !rejections_.may_send(room_of(worker), now))
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -80,22 +80,54 @@
 /// Homes are chosen by hash, so that a few may have queues of seconds while
 /// other workers are idle. Only a short queue is worth waiting for.
 bool service_scheduler::worth_waiting(worker_state const& worker,
-                                      work_item const& item,
+                                      waiting_item const& waiting,
                                       time_point now) const
 {
+    work_item const& item = waiting.item;
     if (worker.adapters.is_unresponsive() &&
         !has_usable_copy(worker, *item.target, now))
         return false;
+    // The other workers that a bound request may use are about as full.
+    duration const longest_wait =
+        waiting.bound ? (item.give_up_at - now) / 2 : duration(max_slot_wait);
     std::size_t const slots = request_limit(worker);
     std::size_t const with_this =
         occupied_slots(worker, item) + worker.queued + 1;
-    if (with_this > slots &&
-        slot_wait(with_this - slots, slots) > max_slot_wait)
+    if (with_this > slots && slot_wait(with_this - slots, slots) > longest_wait)
         return false;
     return worker.adapters.can_load(*item.target) ||
-           (now < item.arrived_at + max_busy_home_wait &&
+           ((waiting.bound || now < item.arrived_at + max_busy_home_wait) &&
             slot_wait(worker.queued + 1, config_.engine->adapter_slots) <=
-                max_slot_wait);
+                longest_wait);
+}
+
+/// Load it answers: after all VMs were lost in the middle of a release, new
+/// streams begin at the few workers of the old version for seconds, and
+/// requests of any other kind run there, too. Streams that only these workers
+/// can go on with would wait behind all of them.
+bool service_scheduler::is_bound(work_item const& item) const
+{
+    return item.continues_stream && item.software &&
+           std::any_of(workers_.begin(), workers_.end(),
+                       [&item](auto const& each)
+                       {
+                           backend_entry const& entry = each.second->entry;
+                           return !entry.draining &&
+                                  item.software->count(entry.software) == 0;
+                       });
+}
+
+void service_scheduler::wait_at(worker_state& worker,
+                                waiting_item const& waiting, time_point now)
+{
+    work_item const& item = waiting.item;
+    claim_memory(worker, item, now);
+    ++worker.queued;
+    auto const stage = worker.adapters.stage(*item.target);
+    bool const has_adapter_slot =
+        stage == adapter_stage::loading || stage == adapter_stage::resident;
+    bool const is_full = occupied_slots(worker, item) >= request_limit(worker);
+    worker.reserved |= waiting.bound && (is_full || !has_adapter_slot);
 }
 
 bool service_scheduler::may_load_at(worker_state const& worker,
@@ -104,6 +136,7 @@
 {
     worker_id const& id = worker.entry.id;
     if (worker.entry.draining || is_excluded(worker, waiting.item) ||
+        (worker.reserved && !waiting.bound) ||
         owner_refused(id, waiting, now) || is_failure_outlier(worker, now))
         return false;
     // A load needs orders or a request of this VM; a worker in backoff wants
@@ -120,7 +153,7 @@
         return worker.adapters.may_order(now) &&
                worker.adapters.has_model(waiting.item.target->model) &&
                !must_not_fetch(worker, waiting, now) &&
-               worth_waiting(worker, waiting.item, now);
+               worth_waiting(worker, waiting, now);
     return has_reachable_owner(worker, now);
 }
 
@@ -415,8 +448,7 @@
         return place_at_holder(waiting, *best.worker, now);
     if (has_usable_copy(*best.worker, target, now))
     {
-        claim_memory(*best.worker, waiting.item, now);
-        ++best.worker->queued;
+        wait_at(*best.worker, waiting, now);
         return decision::waits;
     }
     return wait_for_load_at(waiting, *best.worker, now);
@@ -443,8 +475,7 @@
         placement_cost(*holder, waiting.item, home, now) <=
             placement_cost(*loading, waiting.item, home, now))
         return place_at_holder(waiting, *holder, now);
-    claim_memory(*loading, waiting.item, now);
-    ++loading->queued;
+    wait_at(*loading, waiting, now);
     return decision::waits;
 }
 
@@ -462,8 +493,7 @@
 service_scheduler::wait_for_load_at(waiting_item& waiting, worker_state& worker,
                                     time_point now)
 {
-    claim_memory(worker, waiting.item, now);
-    ++worker.queued;
+    wait_at(worker, waiting, now);
     if (!worker.adapters.can_load(*waiting.item.target))
         return decision::waits;
     worker.adapters.request_load(*waiting.item.target,
@@ -529,7 +559,7 @@
     return worker.adapters.stage(*waiting.item.target) &&
            !is_excluded(worker, waiting.item) && is_available(worker, now) &&
            !worker.health.is_avoided(now) && !is_failure_outlier(worker, now) &&
-           worth_waiting(worker, waiting.item, now);
+           worth_waiting(worker, waiting, now);
 }
 
 service_scheduler::decision
@@ -648,7 +678,7 @@
         item.ticket, owner, worker, *item.target, item.priority,
         item.give_up_at, excluded, item.prompt_tokens, item.prefix,
         item.objective_at, elsewhere, item.software, item.team,
-        item.answer_tokens});
+        item.answer_tokens, item.continues_stream});
     pending_grants_.insert_or_assign(
         item.ticket, pending_grant{waiting, key, owner, worker, now});
 }
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -81,9 +81,10 @@
     waiting_item waiting;
     waiting.item = std::move(item);
     waiting.admitted = waiting.item.admitted;
+    waiting.bound = is_bound(waiting.item);
     tag_by_share(waiting);
-    queue_key const key{false, waiting.item.priority, waiting.tag,
-                        ++last_number_};
+    queue_key const key{!waiting.bound, false, waiting.item.priority,
+                        waiting.tag, ++last_number_};
     waiting_.emplace(waiting.item.ticket, key);
     queue_.emplace(key, std::move(waiting));
 }
@@ -386,6 +387,14 @@
         double(mean_service_time_.count()) * double(ahead) / double(capacity)));
 }
 
+time_point service_scheduler::latest_wait_end(waiting_item const& waiting)
+{
+    work_item const& item = waiting.item;
+    auto const time = item.give_up_at - item.arrived_at;
+    // Elsewhere a bound request would wait again, behind others.
+    return item.arrived_at + (waiting.bound ? time * 3 / 4 : time / 2);
+}
+
 /// A request past its objective that would begin in the last half of its time
 /// is rejected at once: what begins within its objective goes before it.
 bool service_scheduler::too_late(waiting_item const& waiting, std::size_t ahead,
@@ -398,8 +407,7 @@
         return true;
     return double(expected_wait(ahead, now).count()) >
                max_wait_share * double(left.count()) ||
-           now - waiting.item.arrived_at >
-               (waiting.item.give_up_at - waiting.item.arrived_at) / 2;
+           now >= latest_wait_end(waiting);
 }
 
 /// A request that was sent before has used its place already.
@@ -437,6 +445,8 @@
     std::vector<queue_key> late;
     for (auto const& [key, waiting] : queue_)
     {
+        if (!key.flexible)
+            continue;
         if (key.late)
             break;
         if (now + prefill_rate_.prefill_time(waiting.item.prompt_tokens) >
@@ -468,7 +478,8 @@
     std::map<queue_key, waiting_item> queue;
     for (auto& [key, waiting] : queue_)
     {
-        queue_key const restored{false, key.priority, 0, key.number};
+        queue_key const restored{key.flexible, false, key.priority, 0,
+                                 key.number};
         waiting.late = false;
         waiting_.at(waiting.item.ticket) = restored;
         queue.emplace(restored, std::move(waiting));
@@ -500,18 +511,21 @@
                                                waiting.item.objective_at);
 }
 
-/// Decides on all waiting requests, by priority and then by age; where
-/// objectives count, those past their objectives come last, and the requests of
-/// teams are ordered by their shares instead of their age. When more
-/// requests arrive than the workers can run, requests that cannot be served in
-/// time are rejected at once, with the expected time to drain the current queue
-/// as Retry-After.
+/// Decides on all waiting requests: those first that are bound to the workers
+/// of a version, then by priority and by age; where objectives count, those
+/// past their objectives come last, and the requests of teams are ordered by
+/// their shares instead of their age. When more requests arrive than the
+/// workers can run, requests that cannot be served in time are rejected at
+/// once, with the expected time to drain the current queue as Retry-After.
 void service_scheduler::run_queue(time_point now)
 {
     demote_late_requests(now);
     memory_.clear_claims();
     for (auto& [id, worker] : workers_)
+    {
         worker->queued = 0;
+        worker->reserved = false;
+    }
     std::set<model_target> blocked_targets;
     std::vector<queue_key> done;
     std::size_t ahead = 0;
@@ -674,10 +688,7 @@
         }
     for (auto const& [key, waiting] : queue_)
     {
-        time_point const review =
-            waiting.item.arrived_at +
-            (waiting.item.give_up_at - waiting.item.arrived_at) / 2;
-        next = std::min(next, review);
+        next = std::min(next, latest_wait_end(waiting));
         if (waiting.review_at > decided_at_)
             next = std::min(next, waiting.review_at);
         for (auto const& [owner, until] : waiting.refused_until)
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -61,6 +61,8 @@
     /// Versions of the workers' software that the request may run at; absent:
     /// any.
     std::optional<std::set<software_version>> software = std::nullopt;
+    /// Goes on with a stream that has begun at `software`.
+    bool continues_stream = false;
     /// The answer is a stream, whose first byte shows that the request has
     /// started.
     bool streams = false;
@@ -140,6 +142,8 @@
     std::optional<std::set<software_version>> software = std::nullopt;
     team_id team;
     std::uint32_t answer_tokens = 0;
+    /// As in work_item.
+    bool continues_stream = false;
 };
 
 /// Action: grant another VM's request. That VM may send the request now, to the
@@ -435,6 +439,8 @@
 private:
     struct queue_key
     {
+        /// The request is not bound to the workers of a version.
+        bool flexible = true;
         /// The request cannot begin within its objective any more.
         bool late = false;
         int priority = 0;
@@ -463,6 +469,9 @@
         /// Requests that wait for a batch slot or an adapter slot of this
         /// worker, as decided so far in the current pass over the queue.
         std::size_t queued = 0;
+        /// A request that is bound to workers of its version waits for room
+        /// here, in the current pass over the queue.
+        bool reserved = false;
         prefill_backlog backlog;
         /// Models in the registry's entry of the previous incarnation, and when
         /// that entry expires at the latest. Empty once the registry lists the
@@ -492,6 +501,8 @@
         bool admitted = false;
         /// queue_key::late of its place in the queue.
         bool late = false;
+        /// See is_bound().
+        bool bound = false;
         /// Virtual start and finish time in `shares_`; 0 where shares do not
         /// count.
         double tag = 0;
@@ -661,8 +672,15 @@
                              waiting_item const& waiting, time_point now) const;
     /// Whether the expected wait for batch and adapter slots of the worker is
     /// short enough.
-    bool worth_waiting(worker_state const& worker, work_item const& item,
+    bool worth_waiting(worker_state const& worker, waiting_item const& waiting,
                        time_point now) const;
+    /// Whether the request goes on with a stream that not every listed worker
+    /// may go on with.
+    bool is_bound(work_item const& item) const;
+    /// Counts the request among those that wait at the worker, and keeps room
+    /// for it if it is bound.
+    void wait_at(worker_state& worker, waiting_item const& waiting,
+                 time_point now);
     /// Whether an owner that refused a grant may be asked again soon.
     bool may_retry_owner(waiting_item const& waiting, time_point now) const;
     /// Whether some worker that the request may use has no owner now and may
@@ -764,6 +782,8 @@
     duration expected_wait(std::size_t ahead, time_point now) const;
     /// Whether a new request may be sent to a worker; if not, it is rejected.
     bool admit(waiting_item& waiting, time_point now);
+    /// A request that still waits then is rejected.
+    static time_point latest_wait_end(waiting_item const& waiting);
     bool too_late(waiting_item const& waiting, std::size_t ahead,
                   time_point now) const;
     /// Whether the request must leave fetches to those that can begin within
--- a/tests/peer_grant_request_test.cpp
+++ b/tests/peer_grant_request_test.cpp
@@ -31,7 +31,8 @@
                                   320ms,
                                   std::set{software_version("v1")},
                                   team_id("team1"),
-                                  70};
+                                  70,
+                                  true};
     call.done = {{7, send_outcome::served}, {8, send_outcome::silent}};
     time_point const now{1h};
     call.crashes.seen = {{request_digest("d1"),
--- a/tests/service_software_test.cpp
+++ b/tests/service_software_test.cpp
@@ -33,6 +33,30 @@
     }
 };
 
+/// Worker 0 has v1 and runs requests for as many adapters as it has slots for.
+struct full_version_world : version_world
+{
+    full_version_world()
+    {
+        for (std::string const adapter : {"a1", "a2", "a3", "a4"})
+            running.push_back(submit_for(v1, adapter));
+        run(1s);
+        for (ticket_id const each : running)
+            REQUIRE(placed(each));
+    }
+
+    ticket_id continue_at(software_version const& version,
+                          std::string const& adapter)
+    {
+        work_item item;
+        item.software = std::set{version};
+        item.continues_stream = true;
+        return submit(std::move(item), adapter);
+    }
+
+    std::vector<ticket_id> running;
+};
+
 } // namespace
 
 TEST_CASE("a request runs at a worker of its version", "[scheduler][software]")
@@ -103,4 +127,74 @@
         asked, grant_outcome::granted, {world.name(1), {}}, world.now));
 }
 
+// Guards against streams that only a few workers can go on with, and that wait
+// behind new ones.
+TEST_CASE("a stream that goes on has the next room at its version",
+          "[scheduler][software]")
+{
+    full_version_world world;
+    ticket_id const fresh = world.submit_for(v1, "a5");
+    world.run(10ms);
+    ticket_id const goes_on = world.continue_at(v1, "a6");
+    world.run(10ms);
+    world.end(world.running.front());
+    world.run(400ms);
+    CHECK(world.placed(goes_on));
+    CHECK_FALSE(world.placed(fresh));
+}
+
+// Guards against the same where requests that any worker can run keep the
+// adapters of the few workers in use.
+TEST_CASE("requests that run elsewhere leave the room to a stream that goes on",
+          "[scheduler][software]")
+{
+    full_version_world world;
+    ticket_id const goes_on = world.continue_at(v1, "a6");
+    world.run(10ms);
+    std::vector<ticket_id> elsewhere;
+    for (std::string const adapter : {"a1", "a2", "a3", "a4"})
+        elsewhere.push_back(world.submit_request(adapter));
+    world.run(10ms);
+    for (ticket_id const each : world.running)
+        world.end(each);
+    world.run(600ms);
+    CHECK(world.placed(goes_on));
+    for (ticket_id const each : elsewhere)
+        CHECK(world.placed(each));
+}
+
+// Guards against an owner that refuses what no other owner has room for.
+TEST_CASE("an owner lets another VM's stream wait for room at its version",
+          "[scheduler][software]")
+{
+    full_version_world world;
+    work_item item;
+    item.software = std::set{v1};
+    item.continues_stream = true;
+    item.requested_worker = world.name(0);
+    ticket_id const goes_on = world.submit(std::move(item), "a6");
+    world.run(1s);
+    CHECK_FALSE(world.refused(goes_on));
+    world.end(world.running.front());
+    world.run(400ms);
+    CHECK(world.granted(goes_on));
+}
+
+// Guards against streams that take the place of others although any worker can
+// go on with them.
+TEST_CASE("a stream that any worker can go on with waits its turn",
+          "[scheduler][software]")
+{
+    full_version_world world;
+    for (std::size_t const number : {1, 2})
+        world.software[world.name(number)] = v1;
+    world.list_all();
+    ticket_id const first = world.submit_request("a5", 0);
+    ticket_id const goes_on = world.continue_at(v1, "a6");
+    world.run(400ms);
+    REQUIRE(world.placement_order().size() >= 2);
+    CHECK(world.placed(goes_on));
+    CHECK(world.placed_at(first) <= world.placed_at(goes_on));
+}
+
 } // namespace mulberry::test
