Evict adapters last that unknown requests may still use

Found while tracing streams that were refused after all VMs were lost. A new owner takes every adapter that it finds at a worker for idle, but requests that another VM sent may still use it: those of a VM that lost power run until their deadlines.

For six seconds after it is found such an adapter is now evicted only if no adapter that this VM loaded is idle. The test failed before.

--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds refused_unload_backoff{150};
 /// Conflicting orders in a row after which the known sequence counts as wrong.
 constexpr int conflicts_before_resync = 2;
+/// Requests of a VM that is lost run on until their deadlines.
+constexpr std::chrono::seconds unknown_use_time{6};
 /// Upper bound on the age of a report when it is received; reports are
 /// typically some hundred milliseconds old.
 constexpr std::chrono::milliseconds max_report_lag{1500};
@@ -131,6 +133,8 @@
         entry& made = adapters_[target];
         if (auto const before = known.find(target); before != known.end())
             made = before->second;
+        else
+            made.unknown_use_until = now + unknown_use_time;
         // The report lists an adapter until its unload is complete.
         bool const unloads = stage == adapter_stage::resident &&
                              made.stage == adapter_stage::unloading;
@@ -563,7 +567,9 @@
 }
 
 /// Selects an idle adapter to evict: outdated copies first, then, if the slots
-/// are full, the adapter with the lowest retention priority. Only adapters that
+/// are full, one that no unknown request can use, with the lowest retention
+/// priority. An unload under a request blocks all orders until that request
+/// ends: seconds, if the VM that sent it is lost. Only adapters that
 /// no request uses are unloaded, so that an unload is carried out at once and
 /// never under a request.
 std::optional<worker_order>
@@ -584,7 +590,7 @@
     bool const full = overcommitted || (occupied + reserved_slots_ >= slots &&
                                         occupied < adapters_.size());
     std::pair<model_target const, entry> const* victim = nullptr;
-    double lowest_priority = std::numeric_limits<double>::max();
+    std::pair<bool, double> lowest_priority;
     for (auto const& each : adapters_)
     {
         entry const& state = each.second;
@@ -595,8 +601,9 @@
             return make_order(order_kind::unload, each.first);
         if (!full || (state.requests_waiting > 0 && !overcommitted))
             continue;
-        double const priority = retention_priority(each.first);
-        if (priority >= lowest_priority)
+        std::pair<bool, double> const priority{now < state.unknown_use_until,
+                                               retention_priority(each.first)};
+        if (victim != nullptr && priority >= lowest_priority)
             continue;
         lowest_priority = priority;
         victim = &each;
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -244,6 +244,9 @@
         /// The adapter is not unloaded before this time: the worker may still
         /// be finishing a request, or has just refused an unload.
         time_point unload_not_before{};
+        /// Until then a request that this VM does not know of may use the
+        /// adapter: it was at the worker before this VM owned it.
+        time_point unknown_use_until{};
     };
 
     bool stale(entry const& which) const
--- a/tests/worker_adapters_test.cpp
+++ b/tests/worker_adapters_test.cpp
@@ -278,6 +278,51 @@
     CHECK(load->expected_sequence == 11);
 }
 
+// Guards against an unload under a request of a VM that is lost, which blocks
+// all orders until the request ends.
+TEST_CASE("adapters that unknown requests may use are evicted last",
+          "[worker_adapters]")
+{
+    worker_adapters_settings settings;
+    settings.adapter_slots = 2;
+    worker_adapters adapters(settings);
+    time_point now{std::chrono::hours(1)};
+    adapters.on_ownership_acquired(vm_id("vm"), fencing_number(1), now);
+    worker_report report;
+    report.models[model] = {{adapter_id("found"), adapter_version(1)}};
+    adapters.on_report(report, now);
+    // The adapter that was found is the least wanted.
+    auto const next = [&]
+    {
+        return adapters.next_order(
+            worker,
+            [](model_target const& each)
+            { return each == target("found") ? 0.0 : 1.0; },
+            now);
+    };
+    adapters.request_load(target("own"), {}, now);
+    REQUIRE(next());
+    adapters.on_outcome(order_outcome::accepted, now);
+    now += 300ms;
+    REQUIRE(next());
+    adapters.on_outcome(order_outcome::already_applied, now);
+    REQUIRE(adapters.stage(target("own")) == adapter_stage::resident);
+    adapters.request_load(target("next"), {}, now);
+    SECTION("at first")
+    {
+        auto const unload = next();
+        REQUIRE(unload);
+        CHECK(unload->adapter == adapter_id("own"));
+    }
+    SECTION("once such requests have ended")
+    {
+        now += 10s;
+        auto const unload = next();
+        REQUIRE(unload);
+        CHECK(unload->adapter == adapter_id("found"));
+    }
+}
+
 // Guards against a poll that names a version declared after the order.
 TEST_CASE("a load in progress is polled with the version it names",
           "[worker_adapters]")
