http_transfer: bound the header lines of a whole call

A server that sent trailers without end was read until it closed; libcurl keeps the fields of trailers and interim responses for as long as the call lasts. libcurl's own limits on heads depend on its version. Trailers, heads and interim responses of one call may now have 256 KB together; then the call fails.

Heads, single lines and interim responses ended by libcurl's limits already; the test keeps them.

--- a/src/http_transfer.cpp
+++ b/src/http_transfer.cpp
@@ -16,6 +16,9 @@
 /// Shorter than the idle timeout of servers: a call on a kept connection that
 /// the server is closing has to be sent again.
 constexpr long max_idle_connection_seconds = 4;
+/// Limit on all header lines of a call: interim responses and trailers count,
+/// since libcurl keeps their fields, too.
+constexpr std::size_t max_header_bytes = 256UL * 1024;
 constexpr long keepalive_idle_seconds = 15;
 constexpr long keepalive_interval_seconds = 5;
 
@@ -212,6 +215,9 @@
         return 0;
     transfer.last_byte_ = clock::now();
     transfer.response_begun_ = true;
+    transfer.header_bytes_ += size * count;
+    if (transfer.header_bytes_ > max_header_bytes)
+        return 0;
     // Header lines after the body are trailers.
     if (!transfer.status_reported_)
         transfer.parse_header_line({data, size * count});
@@ -303,6 +309,8 @@
 
 std::string http_transfer::failure_text(CURLcode code) const
 {
+    if (header_bytes_ > max_header_bytes)
+        return "the response has too many header fields";
     if (error_text_.front() != '\0')
         return error_text_.data();
     return curl_easy_strerror(code);
--- a/src/http_transfer.hpp
+++ b/src/http_transfer.hpp
@@ -85,6 +85,7 @@
     std::unique_ptr<curl_slist, list_deleter> header_lines_;
     std::array<char, CURL_ERROR_SIZE> error_text_{};
     http_headers headers_;
+    std::size_t header_bytes_ = 0;
     int status_ = 0;
     curl_off_t uploaded_bytes_ = 0;
     clock::time_point last_byte_;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -14,6 +14,9 @@
 namespace
 {
 
+/// More than the socket buffers of both ends hold.
+constexpr std::size_t endless_bytes = 64UL * 1024 * 1024;
+
 /// A back end that runs the test's script on a thread of its own.
 class scripted_back_end
 {
@@ -255,6 +258,41 @@
     CHECK(result.stage == call_stage::answering);
 }
 
+// Guards against keeping header fields until the memory is used up.
+TEST_CASE("header fields without end fail the call", "[http_client]")
+{
+    std::string const lines = "X-More: 1\r\n";
+    auto const [begin, repeated] =
+        GENERATE_COPY(table<std::string, std::string>(
+            {{"HTTP/1.1 200 OK\r\n", lines},
+             {"HTTP/1.1 200 OK\r\nX-Long: ", "a"},
+             {"HTTP/1.1 200 ", "a"},
+             {"", "HTTP/1.1 102 Processing\r\nX-More: 1\r\n\r\n"},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+              lines}}));
+    std::string block;
+    while (block.size() < 64 * 1024)
+        block += repeated;
+    std::promise<std::size_t> taken;
+    scripted_back_end back_end(
+        [&, first = begin](raw_socket const& listener)
+        {
+            auto const connection = listener.accepted();
+            connection.read_until(end_of_headers);
+            connection.send(first);
+            std::size_t sent = 0;
+            while (sent < endless_bytes && connection.try_send(block))
+                sent += block.size();
+            taken.set_value(sent);
+        });
+    http_client client;
+    auto const result = client.call_and_wait(call_to(back_end.url()));
+    CAPTURE(begin, result.body);
+    CHECK(result.status == 0);
+    CHECK(result.stage != call_stage::not_sent);
+    CHECK(taken.get_future().get() < endless_bytes);
+}
+
 TEST_CASE("a cancelled call closes its connection and calls back no more",
           "[http_client]")
 {
