A version that returns has to be listed for long enough again

Streams could be taken up at another version than the one that began them: a VM that had seen a version for a moment, had stood still and saw it listed again began streams at it at once. A VM that started in between had never read of that version, neither in the list nor in the record, and took the other one for the only one.

A version kept the time at which it was first listed although it had left before it was established, and the time that it was away was counted from when the VM handled the list, not from the last list that named it. Now a version that returns is new unless it was established, is recorded and was last listed less than half of the longest stream ago, by the time as of which the list is known.

--- a/src/software_versions.cpp
+++ b/src/software_versions.cpp
@@ -28,20 +28,34 @@
     bool const is_first = known_.empty() && listed.size() == 1;
     for (auto& [version, known] : known_)
         if (known.unlisted_at == never && listed.count(version) == 0)
+        {
             known.unlisted_at = now;
+            known.last_listed = as_of_;
+        }
     for (software_version const& version : listed)
     {
         auto const [found, added] = known_.try_emplace(version);
         state& known = found->second;
-        // Other VMs may have forgotten a version that was away for long.
-        bool const returned = known.unlisted_at != never &&
-                              now > known.unlisted_at + longest_stream_ / 2;
-        if (added || returned)
-            known = {now, never, false, is_first};
+        if (added || must_begin_anew(version, known, now))
+            known = {now, never, {}, false, is_first};
         known.unlisted_at = never;
     }
 }
 
+/// Other VMs may have forgotten a version that was away for long, and those
+/// that started meanwhile know it from the record only.
+bool software_versions::must_begin_anew(software_version const& version,
+                                        state const& known,
+                                        time_point now) const
+{
+    if (known.unlisted_at == never)
+        return false;
+    bool const is_recorded =
+        !keeps_records_ || (record_ && record_->versions.count(version) > 0);
+    return !known.established || !is_recorded ||
+           now > known.last_listed + longest_stream_ / 2;
+}
+
 void software_versions::set_known_as_of(time_point as_of, std::uint64_t missed,
                                         time_point now)
 {
--- a/src/software_versions.hpp
+++ b/src/software_versions.hpp
@@ -76,6 +76,8 @@
         time_point listed_since{};
         /// `never` while the version is listed.
         time_point unlisted_at = never;
+        /// As of when the last list that named the version was known.
+        time_point last_listed{};
         /// As far as this VM's list tells.
         bool established = false;
         /// The only version of the first list.
@@ -85,6 +87,9 @@
     /// The longest that this process or the record knows of.
     duration longest_stream() const;
     void forget_old(time_point now);
+    /// Whether a version that is listed again counts as new.
+    bool must_begin_anew(software_version const& version, state const& known,
+                         time_point now) const;
     bool is_remembered(state const& known, time_point now) const;
     std::set<software_version> remembered(time_point now) const;
     /// Whether every version at which a running stream can have begun is
--- a/tests/software_versions_test.cpp
+++ b/tests/software_versions_test.cpp
@@ -270,6 +270,44 @@
     CHECK(known.versions.only_version(known.now) == v1);
 }
 
+// Guards against beginning streams at once at a version that was listed for a
+// moment before, of which a VM that started in between does not know.
+TEST_CASE("a version that left before it was established is new again",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1});
+    known.pass(longest);
+    known.list({v1, v2});
+    known.pass(1s);
+    known.list({v1});
+    known.pass(2s);
+    known.list({v1, v2});
+    known.pass(1s);
+    CHECK(known.versions.established() == std::set{v1});
+    known.pass(validity);
+    CHECK(known.versions.established() == std::set{v1, v2});
+}
+
+// Guards against counting the time that a VM stood still as time in which the
+// version was listed.
+TEST_CASE("a version that left during a gap may have been away for long",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1, v2});
+    known.pass(validity);
+    REQUIRE(known.versions.is_established(v2));
+    known.now += longest;
+    known.list({v1});
+    known.hear();
+    known.pass(1s);
+    known.list({v1, v2});
+    CHECK_FALSE(known.versions.is_established(v2));
+    known.pass(validity);
+    CHECK(known.versions.is_established(v2));
+}
+
 // Guards against a record that was read before the list was lost for a while.
 TEST_CASE("a record older than the list proves nothing", "[software_versions]")
 {
