After a gap in its list a VM reads the record before it names one version

A VM that stood still or was cut off from the store took up streams at another version than the one that began them, when a worker had been listed with that version meanwhile and was listed with the old one again, or was removed. Only rows whose keys this VM had never seen counted as missed; a worker that starts again under its id leaves no such trace.

Streams begin only at versions that the record names, and the record keeps them for longer than a stream lasts. So after a gap that is long enough for a version to be established, the only version is known again once the record was read as of the end of the gap. Until then other VMs and the records of streams are asked.

"a record that may lack versions of the past proves nothing" went over a gap of ten seconds without reading the record again. It now checks that this gives no answer, and then reads it.

--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -39,7 +39,7 @@
   SOURCES backend_pool_test.cpp crash_row_test.cpp endless_answer_test.cpp event_log_test.cpp event_splitter_test.cpp forwarded_call_test.cpp
           memory_row_store.cpp version_records_test.cpp ownership_runner_test.cpp peer_allotment_test.cpp
           odd_input_test.cpp peer_grant_request_test.cpp peer_rows_test.cpp
-          registry_watch_test.cpp relay_events_test.cpp relay_objective_test.cpp relay_service_kind_test.cpp relay_settings_test.cpp relay_silence_test.cpp relay_software_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp software_history_test.cpp software_record_test.cpp
+          registry_watch_test.cpp relay_events_test.cpp relay_objective_test.cpp relay_service_kind_test.cpp relay_settings_test.cpp relay_silence_test.cpp relay_software_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp software_fleet_test.cpp software_history_test.cpp software_record_test.cpp
           store_meter_test.cpp stream_records_test.cpp stream_row_size_test.cpp stream_rows_test.cpp team_key_test.cpp
   LINK mulberry_relay
   ENVIRONMENT "RC_PARAMS=seed=1")
--- a/src/software_versions.cpp
+++ b/src/software_versions.cpp
@@ -63,6 +63,8 @@
         return;
     // Within so long a gap a version may have been established and given up.
     bool const is_gap = as_of_ != time_point() && as_of >= as_of_ + validity_;
+    if (is_gap)
+        gap_end_ = as_of;
     if (is_gap && missed != missed_)
         complete_since_ = now;
     missed_ = missed;
@@ -150,10 +152,15 @@
            (is_recorded || now >= complete_since_ + longest_stream());
 }
 
+bool software_versions::is_record_newer_than_gap() const
+{
+    return !keeps_records_ || record_as_of_ >= gap_end_;
+}
+
 std::optional<software_version>
 software_versions::only_version(time_point now) const
 {
-    if (!is_current(now) || !is_complete(now))
+    if (!is_current(now) || !is_complete(now) || !is_record_newer_than_gap())
         return std::nullopt;
     std::set<software_version> const versions = remembered(now);
     return versions.size() == 1 ? std::optional(*versions.begin())
--- a/src/software_versions.hpp
+++ b/src/software_versions.hpp
@@ -95,6 +95,9 @@
     /// Whether every version at which a running stream can have begun is
     /// remembered.
     bool is_complete(time_point now) const;
+    /// Whether the record names the versions that came and went while this VM
+    /// had no list.
+    bool is_record_newer_than_gap() const;
     bool may_begin(software_version const& version, state const& known) const;
 
     duration const validity_;
@@ -108,6 +111,8 @@
     /// first list.
     time_point complete_since_ = never;
     time_point as_of_{};
+    /// As of when the list was known again after it was too old to go by.
+    time_point gap_end_{};
     std::uint64_t missed_ = 0;
 };
 
--- a/tests/software_versions_test.cpp
+++ b/tests/software_versions_test.cpp
@@ -267,6 +267,25 @@
     CHECK_FALSE(known.versions.only_version(known.now));
     known.now += longest;
     known.hear({v1});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.record({{v1}, {v1}, false});
+    CHECK(known.versions.only_version(known.now) == v1);
+}
+
+// Guards against taking up streams of a version that came and went while this
+// VM stood still: a worker restarted with it under an id that is known.
+TEST_CASE("after a gap the record has to be read again", "[software_versions]")
+{
+    recorded_list known;
+    known.hear({v1});
+    known.record({{v1}, {v1}, true});
+    REQUIRE(known.versions.only_version(known.now) == v1);
+    known.now += validity;
+    known.hear({v1});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.record({{v1, v2}, {v1, v2}, true});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.record({{v1}, {v1}, true});
     CHECK(known.versions.only_version(known.now) == v1);
 }
 
