row_mirror: a reader's delayed answer makes rows no newer than proven

A VM that reads its rows from another VM trusted its list of workers for up to a third of worker_interval too long: the time that its query may wait at the reader was taken off the answer's transit time, also when the reader had answered at once and the answer was delayed, as on a disturbed link. So it could name an only version when other VMs had begun streams at a new one.

The rows of workers and the own rows are now as of the time that is proven from when the query was sent. Declarations, for which readers keep a long poll at the store, are dated as before.

--- a/src/row_mirror_peers.cpp
+++ b/src/row_mirror_peers.cpp
@@ -189,10 +189,17 @@
     // Another reader may have missed other rows.
     if (std::exchange(which.reader_missed, changes.missed) != changes.missed)
         which.copy.note_missed();
-    which.as_of = std::max(which.as_of, now - changes.age);
+    time_point as_of = now - changes.age;
     if (changes.proven_before)
-        which.proven_at = std::max(
-            which.proven_at, std::min(now, asked_at - *changes.proven_before));
+    {
+        time_point const proven =
+            std::min(now, asked_at - *changes.proven_before);
+        which.proven_at = std::max(which.proven_at, proven);
+        // Only a long poll shows more than the store's last answer does.
+        if (which.set != row_set::declarations)
+            as_of = std::min(as_of, proven);
+    }
+    which.as_of = std::max(which.as_of, as_of);
     listener_.on_rows(which.set, changed);
     if (which.set == row_set::own)
         complete_refreshes(false);
--- a/tests/row_mirror_test.cpp
+++ b/tests/row_mirror_test.cpp
@@ -494,3 +494,33 @@
         });
     CHECK(follower.mirror.proven_as_of(row_set::declarations) < answered_at);
 }
+
+// Guards against trusting a list for longer than it is known: an answer that
+// was made at once may take as long as one that waited for a change.
+TEST_CASE("a delayed answer of a reader does not make rows newer",
+          "[row_mirror]")
+{
+    mirror_simulation world(4, polling::as_in_production);
+    mirror_vm& reader = *world.reader[0];
+    mirror_vm& follower = *world.followers[0];
+    reader.hangs = true;
+    REQUIRE(world.until([&] { return !reader.unanswered.empty(); }));
+    time_point const made_at = boot_clock::now();
+    rows_answer answer;
+    for (row_set_changes& changes : answer)
+    {
+        changes.read = true;
+        changes.version = row_version(1);
+        changes.proven_before = duration(0);
+    }
+    REQUIRE(world.until([&] { return boot_clock::now() >= made_at + 5ms; }));
+    for (auto const& each : reader.unanswered)
+        each->respond(json_response(200, encode_rows_answer(answer)));
+    time_point const answered_at = boot_clock::now();
+    auto const as_of = [&follower](row_set set)
+    { return follower.mirror.as_of(set, boot_clock::now()); };
+    time_point const before = as_of(row_set::workers);
+    world.until([&] { return as_of(row_set::workers) > before; });
+    CHECK(as_of(row_set::workers) < answered_at);
+    CHECK(as_of(row_set::own) < answered_at);
+}
