--- a/src/software_versions.cpp
+++ b/src/software_versions.cpp
@@ -28,20 +28,34 @@
     bool const is_first = known_.empty() && listed.size() == 1;
     for (auto& [version, known] : known_)
         if (known.unlisted_at == never && listed.count(version) == 0)
+        {
             known.unlisted_at = now;
+            known.last_listed = as_of_;
+        }
     for (software_version const& version : listed)
     {
         auto const [found, added] = known_.try_emplace(version);
         state& known = found->second;
-        // Other VMs may have forgotten a version that was away for long.
-        bool const returned = known.unlisted_at != never &&
-                              now > known.unlisted_at + longest_stream_ / 2;
-        if (added || returned)
-            known = {now, never, false, is_first};
+        if (added || must_begin_anew(version, known, now))
+            known = {now, never, {}, false, is_first};
         known.unlisted_at = never;
     }
 }
 
+/// Other VMs may have forgotten a version that was away for long, and those
+/// that started meanwhile know it from the record only.
+bool software_versions::must_begin_anew(software_version const& version,
+                                        state const& known,
+                                        time_point now) const
+{
+    if (known.unlisted_at == never)
+        return false;
+    bool const is_recorded =
+        !keeps_records_ || (record_ && record_->versions.count(version) > 0);
+    return !known.established || !is_recorded ||
+           now > known.last_listed + longest_stream_ / 2;
+}
+
 void software_versions::set_known_as_of(time_point as_of, std::uint64_t missed,
                                         time_point now)
 {
@@ -49,6 +63,8 @@
         return;
     // Within so long a gap a version may have been established and given up.
     bool const is_gap = as_of_ != time_point() && as_of >= as_of_ + validity_;
+    if (is_gap)
+        gap_end_ = as_of;
     if (is_gap && missed != missed_)
         complete_since_ = now;
     missed_ = missed;
@@ -136,10 +152,15 @@
            (is_recorded || now >= complete_since_ + longest_stream());
 }
 
+bool software_versions::is_record_newer_than_gap() const
+{
+    return !keeps_records_ || record_as_of_ >= gap_end_;
+}
+
 std::optional<software_version>
 software_versions::only_version(time_point now) const
 {
-    if (!is_current(now) || !is_complete(now))
+    if (!is_current(now) || !is_complete(now) || !is_record_newer_than_gap())
         return std::nullopt;
     std::set<software_version> const versions = remembered(now);
     return versions.size() == 1 ? std::optional(*versions.begin())
--- a/tests/software_versions_test.cpp
+++ b/tests/software_versions_test.cpp
@@ -267,9 +267,66 @@
     CHECK_FALSE(known.versions.only_version(known.now));
     known.now += longest;
     known.hear({v1});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.record({{v1}, {v1}, false});
+    CHECK(known.versions.only_version(known.now) == v1);
+}
+
+// Guards against taking up streams of a version that came and went while this
+// VM stood still: a worker restarted with it under an id that is known.
+TEST_CASE("after a gap the record has to be read again", "[software_versions]")
+{
+    recorded_list known;
+    known.hear({v1});
+    known.record({{v1}, {v1}, true});
+    REQUIRE(known.versions.only_version(known.now) == v1);
+    known.now += validity;
+    known.hear({v1});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.record({{v1, v2}, {v1, v2}, true});
+    CHECK_FALSE(known.versions.only_version(known.now));
+    known.record({{v1}, {v1}, true});
     CHECK(known.versions.only_version(known.now) == v1);
 }
 
+// Guards against beginning streams at once at a version that was listed for a
+// moment before, of which a VM that started in between does not know.
+TEST_CASE("a version that left before it was established is new again",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1});
+    known.pass(longest);
+    known.list({v1, v2});
+    known.pass(1s);
+    known.list({v1});
+    known.pass(2s);
+    known.list({v1, v2});
+    known.pass(1s);
+    CHECK(known.versions.established() == std::set{v1});
+    known.pass(validity);
+    CHECK(known.versions.established() == std::set{v1, v2});
+}
+
+// Guards against counting the time that a VM stood still as time in which the
+// version was listed.
+TEST_CASE("a version that left during a gap may have been away for long",
+          "[software_versions]")
+{
+    known_list known;
+    known.list({v1, v2});
+    known.pass(validity);
+    REQUIRE(known.versions.is_established(v2));
+    known.now += longest;
+    known.list({v1});
+    known.hear();
+    known.pass(1s);
+    known.list({v1, v2});
+    CHECK_FALSE(known.versions.is_established(v2));
+    known.pass(validity);
+    CHECK(known.versions.is_established(v2));
+}
+
 // Guards against a record that was read before the list was lost for a while.
 TEST_CASE("a record older than the list proves nothing", "[software_versions]")
 {
