Answer callers that close their sending half

A caller that sent a whole request and then closed its sending half got a close without an answer, also while a worker ran the request. Refusals of the HTTP server itself (400, 413, 414, 431) had no body, and a request that did not arrive in time was closed without its 408.

The cause: the server of the relay's callers had no error_page, without which http_server closes silently or sends a status line only. It is set through the codec now, as other rejections of the relay are. server_error() moves from the error pages to the errors, where the relay can use it.

--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -113,6 +113,20 @@
     return std::nullopt;
 }
 
+error server_error(int status)
+{
+    // The request was received completely and may have run.
+    if (status == 502)
+        return error(error_kind::answer_cut,
+                     "the connection was half closed by the caller before the "
+                     "answer, which ends the request");
+    error_kind const kind = status == 413 || status == 414 || status == 431
+                                ? error_kind::body_too_large
+                            : status == 408 ? error_kind::too_slow
+                                            : error_kind::bad_request;
+    return error(kind, std::string(answer_of(kind).meaning));
+}
+
 std::string_view to_string(ran value)
 {
     switch (value)
--- a/src/error_kind.hpp
+++ b/src/error_kind.hpp
@@ -107,6 +107,10 @@
     std::optional<duration> retry_after_;
 };
 
+/// The error for the HTTP status of a request that the HTTP server itself
+/// refuses or ends, such as one with a body that is too large.
+error server_error(int status);
+
 } // namespace mulberry
 
 #endif
--- a/src/error_page.cpp
+++ b/src/error_page.cpp
@@ -18,20 +18,6 @@
     return std::to_string(std::max<long long>(up, 1));
 }
 
-error server_error(int status)
-{
-    // The request was received completely and may have run.
-    if (status == 502)
-        return error(error_kind::answer_cut,
-                     "the connection was half closed by the caller before the "
-                     "answer, which ends the request");
-    error_kind const kind = status == 413 || status == 414 || status == 431
-                                ? error_kind::body_too_large
-                            : status == 408 ? error_kind::too_slow
-                                            : error_kind::bad_request;
-    return error(kind, std::string(answer_of(kind).meaning));
-}
-
 } // namespace
 
 std::string error_text(error const& what, std::string const& request)
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -652,6 +652,12 @@
     http_server_options caller_options = server_options(settings_.callers);
     caller_options.closes_excess_connections = true;
     caller_options.may_open = [this] { return relay_.may_open_connection(); };
+    caller_options.error_page = [this](int status)
+    {
+        http_response page = codec_.error_response({}, server_error(status));
+        page.status = status;
+        return page;
+    };
     callers_.emplace(
         std::move(caller_options),
         [this](http_request request, std::shared_ptr<http_answer> answer)
