Close no connection as idle on which a request has arrived

A caller whose request had arrived on a kept connection, but was not read yet, saw a reset in place of the 503 that tells it to try another VM.

The cause: close_idle() chose the connections in one turn and closed them in a later one, and looked only at requests that were read. Now each connection is looked at once more on its own strand, right before the close: it stays open if a request was read meanwhile, or if bytes wait in its socket. These are read next, and their answer closes the connection.

The new test closes after 0 to 12 turns of the event loop. Before the change:

CHECK( caller.read_until("GET /late").ends_with("GET /late") ) with expansion: false, turns := 0

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -113,6 +113,13 @@
     return ::poll(&entry, 1, 0) > 0;
 }
 
+/// Also true at the end of the peer's stream, which the next read reports.
+bool has_unread_bytes(int descriptor)
+{
+    pollfd entry{descriptor, POLLIN, 0};
+    return ::poll(&entry, 1, 0) > 0;
+}
+
 } // namespace
 
 class http_server::implementation
@@ -150,6 +157,8 @@
     handle_request(restinio::request_handle_t const& received);
     void refuse(restinio::request_handle_t const& received, int status);
     void close_connections();
+    /// Called on the connection's strand.
+    bool is_idle(server_connection& connection) const;
     void close(restinio::impl::connection_handle_t const& connection);
 
     http_server_options const options_;
@@ -491,10 +500,25 @@
         restinio::write_group_t{restinio::writable_items_container_t{}});
 }
 
+/// Failure: a request arrives while its connection is closed as idle, and its
+/// caller gets no answer. So the connection is looked at again on its strand,
+/// which runs what was read first.
 void http_server::implementation::close_idle()
 {
     for (auto const& connection : table_->idle_connections())
-        close(connection);
+        asio::post(connection->get_executor(),
+                   [this, connection]
+                   {
+                       if (is_idle(*connection))
+                           close(connection);
+                   });
+}
+
+bool http_server::implementation::is_idle(server_connection& connection) const
+{
+    auto const state = table_->state_of(connection.connection_id());
+    return state && table_->is_idle(connection.connection_id()) &&
+           !has_unread_bytes(state->descriptor);
 }
 
 http_server::http_server(http_server_options options, http_handler handler)
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -180,7 +180,7 @@
     std::vector<std::shared_ptr<server_connection>> connections;
     for (auto const& [number, entry] : entries_)
     {
-        if (entry.has_request() || entry.state->unsent_bytes > 0)
+        if (!entry.is_idle())
             continue;
         if (auto connection = entry.connection.lock())
             connections.push_back(std::move(connection));
@@ -188,6 +188,13 @@
     return connections;
 }
 
+bool connection_table::is_idle(connection_number number) const
+{
+    std::lock_guard const lock(mutex_);
+    auto const found = entries_.find(number);
+    return found != entries_.end() && found->second.is_idle();
+}
+
 bool connection_table::has_requests() const
 {
     std::lock_guard const lock(mutex_);
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -78,6 +78,8 @@
     /// Connections without a request in progress or received in part, whose
     /// last answer was sent completely.
     std::vector<std::shared_ptr<server_connection>> idle_connections() const;
+    /// Whether the connection is open and one of idle_connections().
+    bool is_idle(connection_number number) const;
     /// Whether a request is in progress, or received in part, on some
     /// connection.
     bool has_requests() const;
@@ -121,6 +123,10 @@
         std::optional<pending_request> queued;
 
         bool has_request() const { return busy || state->receiving; }
+        bool is_idle() const
+        {
+            return !has_request() && state->unsent_bytes == 0;
+        }
     };
 
     void handle(pending_request pending) const;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -670,3 +670,30 @@
     answer->respond({200, {}, "late"});
     CHECK(busy.read_until("late").ends_with("late"));
 }
+
+// Guards against closing a connection as idle while its request is read: the
+// request would be handled, and its answer would have no connection.
+TEST_CASE("closing idle connections drops no request that has arrived",
+          "[http_server]")
+{
+    constexpr int max_turns = 12;
+    for (int turns = 0; turns <= max_turns; ++turns)
+    {
+        CAPTURE(turns);
+        asio::io_context io;
+        http_server_options options;
+        options.shared_io = &io;
+        http_server server(options, echo());
+        auto const caller = raw_socket::connected(server.port());
+        // The connection is accepted and waits for its first request.
+        io.run_for(5ms);
+        caller.send(get("/late"));
+        for (int turn = 0; turn < turns; ++turn)
+            io.poll_one();
+        server.close_after_answers();
+        server.close_idle();
+        while (!caller.ready(0))
+            io.run_one_for(10ms);
+        CHECK(caller.read_until("GET /late").ends_with("GET /late"));
+    }
+}
