Forward no further calls once a VM is told to stop

A caller of a VM that is cut off from the workers lost its stream though neither that VM nor the worker ended: a VM that had been told to stop two seconds before took the call, and broke the stream off at its stop bound.

A stopping VM took calls of other VMs for as long as it takes requests of callers, whose balancer needs that time to notice the stop. Another VM asks the next forwarder as soon as it is refused, so the time served nobody and left a call less than half of the stop bound.

Calls in progress go on as before.

--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -216,6 +216,9 @@
         answers_.set_unsent(std::move(unsent));
     }
 
+    /// Refuses all further calls of other VMs, since this VM is about to exit.
+    /// Calls in progress continue.
+    void refuse_forwarded_calls() { refuses_forwarded_calls_ = true; }
     /// Rejects all further requests of callers, since this VM is about to exit,
     /// and those held until routes and workers are known. Requests in progress
     /// continue.
@@ -640,6 +643,7 @@
     std::uint64_t last_ticket_ = 0;
     bool run_posted_ = false;
     bool rejects_new_requests_ = false;
+    bool refuses_forwarded_calls_ = false;
     time_point sweep_at_{};
     std::mt19937_64 random_;
     relay_counts counts_;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -566,6 +566,7 @@
     exit_at_ = now + std::max<duration>(settings_.stop_bound - stop_margin,
                                         settings_.stop_bound / 2);
     callers_->close_after_answers();
+    relay_.refuse_forwarded_calls();
     log_.notable(
         "stopping",
         log_fields().add("in_progress", std::uint64_t{relay_.in_progress()}),
--- a/src/relay_forwarding.cpp
+++ b/src/relay_forwarding.cpp
@@ -422,7 +422,9 @@
     backend_entry const* const known = find_backend(call.worker);
     bool const listed = known != nullptr &&
                         backend_address{known->address, known->port} == call.to;
-    if (rejects_new_requests_ || !listed)
+    // Another VM can ask the next one at once, unlike a caller, whose balancer
+    // takes a while to notice that this VM stops.
+    if (refuses_forwarded_calls_ || !listed)
         return forward_refusal::unavailable;
     return std::nullopt;
 }
