Keep asking a VM that does not know one worker to forward other calls

A VM that was asked to call a worker which it had not read of yet refused as it does when it leaves, and was asked for nothing for a second. With the only other VM stopping, no forwarder was left, so the calls went over the cut links: "call not forwarded through=vm-2 reason=unavailable" (stopping) at 35.166, the same of vm-3 at 35.174, for side-7 that was listed some milliseconds before, and then "connection: Connection reset by peer" for each request.

That refusal has a reason of its own now and stops no other call; the call that was refused still goes on to the next VM, or to another worker. VMs that do not know the reason read it as before. With the new reason treated as the old one the test fails:

forwarder_selector_test.cpp: FAILED: CHECK( selector.can_forward(start) ) with expansion: false

--- a/src/forwarder_selector.cpp
+++ b/src/forwarder_selector.cpp
@@ -17,11 +17,12 @@
 constexpr milliseconds busy_pause{100};
 constexpr milliseconds failure_pause{1000};
 
-constexpr std::array<std::pair<forward_refusal, std::string_view>, 4> names{
+constexpr std::array<std::pair<forward_refusal, std::string_view>, 5> names{
     {{forward_refusal::unreachable, "unreachable"},
      {forward_refusal::cut_off, "cut_off"},
      {forward_refusal::busy, "busy"},
-     {forward_refusal::unavailable, "unavailable"}}};
+     {forward_refusal::unavailable, "unavailable"},
+     {forward_refusal::unknown_worker, "unknown_worker"}}};
 
 } // namespace
 
@@ -88,7 +89,7 @@
                                     time_point now)
 {
     auto const found = vms_.find(vm);
-    if (found == vms_.end())
+    if (found == vms_.end() || reason == forward_refusal::unknown_worker)
         return;
     duration const pause =
         reason == forward_refusal::busy ? busy_pause : failure_pause;
--- a/src/forwarder_selector.hpp
+++ b/src/forwarder_selector.hpp
@@ -23,8 +23,10 @@
     cut_off,
     /// The VM has too much to do.
     busy,
-    /// The VM leaves, or does not know the worker.
-    unavailable
+    /// The VM leaves.
+    unavailable,
+    /// The VM does not know the worker; it forwards calls to others.
+    unknown_worker
 };
 
 std::string_view name_of(forward_refusal refusal);
--- a/src/relay_forwarding.cpp
+++ b/src/relay_forwarding.cpp
@@ -424,9 +424,10 @@
                         backend_address{known->address, known->port} == call.to;
     // Another VM can ask the next one at once, unlike a caller, whose balancer
     // takes a while to notice that this VM stops.
-    if (refuses_forwarded_calls_ || !listed)
+    if (refuses_forwarded_calls_)
         return forward_refusal::unavailable;
-    return std::nullopt;
+    return listed ? std::nullopt
+                  : std::optional(forward_refusal::unknown_worker);
 }
 
 void relay::handle_forwarded_call(http_request const& received,
--- a/tests/forwarder_selector_test.cpp
+++ b/tests/forwarder_selector_test.cpp
@@ -65,11 +65,26 @@
     CHECK_FALSE(selector.can_forward(start));
 }
 
+// Guards against a VM that sends over its cut links since the others have not
+// heard of a new worker yet.
+TEST_CASE("a VM that does not know one worker is asked for others",
+          "[forwarder_selector]")
+{
+    auto selector = three_vms();
+    selector.on_refused(two, forward_refusal::unknown_worker, start);
+    CHECK(selector.choose({}, start) == two);
+    CHECK(selector.choose({two}, start) == one);
+    for (vm_id const& each : {one, two, three})
+        selector.on_refused(each, forward_refusal::unknown_worker, start);
+    CHECK(selector.can_forward(start));
+}
+
 TEST_CASE("reasons of refusals are read back", "[forwarder_selector]")
 {
     for (auto const reason :
          {forward_refusal::unreachable, forward_refusal::cut_off,
-          forward_refusal::busy, forward_refusal::unavailable})
+          forward_refusal::busy, forward_refusal::unavailable,
+          forward_refusal::unknown_worker})
         CHECK(parse_forward_refusal(name_of(reason)) == reason);
     CHECK(parse_forward_refusal("") == forward_refusal::unavailable);
 }
