Try a begun stream again later instead of cutting it

Callers lost a resumable stream that they had read half of as soon as no worker took its resumption at once: a worker rejected it and no retry was left, the queue refused it, or a worker answered it plainly. Time was left and other workers could have gone on with it a moment later.

Cause: refuse(), finish_answer() and retry_or_fail() aborted the answer.

Such a stream now waits outside of the queue until a stored time, 100 ms to 1 s later, reserves a retry then and is queued again with all workers of its version. Each send still takes a retry of the service's budget, and sends that may have run are still bounded by the route. It is cut at its deadline, when those are used up, when the VM stops, or when the refusal is about the request itself (quarantine, revoked key). A request whose answer has not begun is not held any longer than before.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -357,7 +357,7 @@
     item.priority = terms.priority;
     item.team = terms.team.value_or(team_id());
     item.team_weight = terms.team_weight;
-    item.admitted = exchange.was_postponed();
+    item.admitted = exchange.was_postponed() || exchange.has_begun();
     item.streams = terms.matched->repeats == repeat_rule::stream;
     item.arrived_at = terms.arrived_at;
     item.give_up_at = terms.give_up_at;
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -12,10 +12,14 @@
 
 constexpr int first_non_success_status = 300;
 constexpr int first_server_error = 500;
-/// A request is sent at most this often: when several workers in turn reject
-/// it, this VM's view of the workers is stale and the caller may do better at
-/// another VM.
+/// A request is sent at most this often without a pause: when several workers
+/// in turn reject it, this VM's view of the workers is stale and the caller may
+/// do better at another VM.
 constexpr int max_sends = 4;
+/// Pause before a begun stream is tried again; it doubles with each try in
+/// vain.
+constexpr milliseconds min_retry_pause{100};
+constexpr milliseconds max_retry_pause{1000};
 /// Limit on a buffered (not streamed) answer; the largest that the services
 /// give are some kilobytes.
 constexpr std::size_t max_buffered_bytes = 8UL * 1024 * 1024;
@@ -46,6 +50,13 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/// Whether a request that is refused with `kind` may find a worker later.
+bool may_pass(error_kind kind)
+{
+    return kind == error_kind::overloaded ||
+           kind == error_kind::back_end_unavailable;
+}
+
 } // namespace
 
 /// Forwards the events of one send; ignores them once the send has ended.
@@ -126,7 +137,8 @@
 
 void relay_exchange::schedule_wake()
 {
-    host_.wake_at(*this, std::min(terms_.give_up_at, silent_at()));
+    host_.wake_at(*this,
+                  std::min({terms_.give_up_at, silent_at(), next_try_at_}));
 }
 
 time_point relay_exchange::silent_at() const
@@ -209,8 +221,10 @@
 
 void relay_exchange::on_refused(error const& why)
 {
-    if (!wait_for_silent_worker(why.text()))
-        refuse(why);
+    if (wait_for_silent_worker(why.text()) ||
+        (may_pass(why.kind()) && try_later(why.text())))
+        return;
+    refuse(why);
 }
 
 void relay_exchange::on_stopped(error const& why)
@@ -249,6 +263,8 @@
     time_point const now = host_.now();
     if (now < terms_.give_up_at)
     {
+        if (now >= next_try_at_)
+            return try_again();
         bool const silent = now >= silent_at();
         if (silent && try_reserve_retry())
         {
@@ -403,7 +419,10 @@
     time_point const at = host_.now();
     host_.on_stream_bytes(at - std::exchange(send_.last_byte_at, at));
     if (std::string complete = events_.feed(bytes); !complete.empty())
+    {
+        retry_pause_ = {};
         answer_->write(std::move(complete));
+    }
     held_bytes_.set(events_.incomplete_bytes());
     if (events_.incomplete_bytes() > host_.answers().limit(max_event_bytes))
         return retry_or_fail(send_outcome::broken, "an event is too large");
@@ -465,7 +484,7 @@
     --runs_;
     excluded_workers_.insert(send_.worker.id);
     end_send(outcome_of_rejection());
-    if (sends_ < max_sends && reserve_retry())
+    if (has_sends_left() && reserve_retry())
         return resubmit("rejected by the worker");
     stage_ = stage::waiting;
     on_refused(error(error_kind::overloaded, "workers rejected it", ran::no,
@@ -482,7 +501,7 @@
         return retry_or_fail(send_outcome::failed,
                              "the worker does not state that it did not run");
     bool const failed = send_.reply.status >= first_server_error;
-    if (!kept_sends_.empty() && !takes_over(send_.reply))
+    if ((stream_begun_ || !kept_sends_.empty()) && !takes_over(send_.reply))
         return retry_or_fail(send_outcome::failed, "the worker failed");
     end_kept_sends(send_outcome::silent);
     if (failed && try_reserve_retry())
@@ -491,12 +510,6 @@
         return resubmit("the worker failed");
     }
     end_send(failed ? send_outcome::failed : send_outcome::served);
-    if (stream_begun_)
-    {
-        // The stream was to be resumed, but the worker sent a plain answer.
-        answer_->abort();
-        return end(relay_outcome::failed);
-    }
     if (failed)
         host_.log_request_event(*this, "worker failed",
                                 "its own answer is passed on");
@@ -524,13 +537,21 @@
     retry_or_fail(send_outcome::broken, reason);
 }
 
-bool relay_exchange::try_reserve_retry()
+bool relay_exchange::may_run_again() const
 {
     bool const can_resume =
         !stream_begun_ || (events_.can_resume() && stream_version_);
-    return is_retryable() && can_resume &&
-           runs_ < terms_.matched->worker_limit && sends_ < max_sends &&
-           reserve_retry();
+    return is_retryable() && can_resume && runs_ < terms_.matched->worker_limit;
+}
+
+bool relay_exchange::has_sends_left() const
+{
+    return sends_ - sends_before_pause_ < max_sends;
+}
+
+bool relay_exchange::try_reserve_retry()
+{
+    return may_run_again() && has_sends_left() && reserve_retry();
 }
 
 bool relay_exchange::reserve_retry()
@@ -545,7 +566,7 @@
     end_send(outcome);
     if (try_reserve_retry())
         return resubmit(reason);
-    if (wait_for_silent_worker(reason))
+    if (wait_for_silent_worker(reason) || try_later(reason))
         return;
     if (stream_begun_)
     {
@@ -570,13 +591,47 @@
 {
     if (send_.sent_at != time_point() && !stream_begun_)
         waits_.add(wait_cause::retry, host_.now() - send_.sent_at);
-    host_.log_request_event(*this, "tries again", reason);
     excluded_workers_.insert(send_.worker.id);
+    queue_again(reason);
+}
+
+void relay_exchange::queue_again(std::string_view reason)
+{
+    host_.log_request_event(*this, "tries again", reason);
     stage_ = stage::waiting;
     schedule_wake();
     host_.wait_for_worker(*this, excluded_workers_);
 }
 
+/// Failure: for a moment all workers are full, or the retries are used up, and
+/// a caller loses the stream that it has read half of.
+bool relay_exchange::try_later(std::string_view reason)
+{
+    if (!stream_begun_ || !may_run_again())
+        return false;
+    time_point const now = host_.now();
+    waits_.end(now);
+    if (std::exchange(retry_reserved_, false))
+        host_.release_retry(*this);
+    excluded_workers_.clear();
+    sends_before_pause_ = sends_;
+    stage_ = stage::waiting;
+    next_try_at_ = now + std::clamp<duration>(retry_pause_, min_retry_pause,
+                                              max_retry_pause);
+    retry_pause_ = 2 * (next_try_at_ - now);
+    host_.log_request_event(*this, "tries later", reason);
+    schedule_wake();
+    return true;
+}
+
+void relay_exchange::try_again()
+{
+    next_try_at_ = never;
+    if (reserve_retry())
+        return queue_again("its pause is over");
+    try_later("the retry budget is used up");
+}
+
 void relay_exchange::respond_with_error(error problem, relay_outcome outcome,
                                         std::string_view reason)
 {
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -149,7 +149,8 @@
 
 /// Relays one request of a caller to a worker and the answer back. A request is
 /// sent again only if it did not run (the worker says so, or nothing reached
-/// the worker) or if running it twice is allowed. Any other failure ends the
+/// the worker) or if running it twice is allowed. A stream that has begun and
+/// may run again is tried until its time is over. Any other failure ends the
 /// request at once with an error that does not claim that the request did not
 /// run. Thread safety: none; used on the relay's thread.
 class relay_exchange : public std::enable_shared_from_this<relay_exchange>
@@ -200,6 +201,8 @@
     int sends() const { return sends_; }
     /// HTTP status of the current worker's answer.
     int status() const { return send_.reply.status; }
+    /// The caller has the beginning of a stream.
+    bool has_begun() const { return stream_begun_; }
     /// True if no worker can have begun to run the request.
     bool never_ran() const { return runs_ == 0; }
     /// True if the worker of the last send ran the request and completed its
@@ -256,6 +259,10 @@
 
     /// True if the route allows running the request twice.
     bool is_retryable() const;
+    /// Whether the request may run at one more worker.
+    bool may_run_again() const;
+    /// Whether it may be sent once more without a pause.
+    bool has_sends_left() const;
     /// Reserves a retry if the request may be sent again after a send that may
     /// have run.
     bool try_reserve_retry();
@@ -272,6 +279,11 @@
     /// error.
     void retry_or_fail(send_outcome outcome, std::string_view reason);
     void resubmit(std::string_view reason);
+    void queue_again(std::string_view reason);
+    /// Schedules another try of a begun stream and returns true if it may run
+    /// again. Precondition: no send is open, and the request is not queued.
+    bool try_later(std::string_view reason);
+    void try_again();
     void respond_with_error(error problem, relay_outcome outcome,
                             std::string_view reason);
     void end(relay_outcome outcome);
@@ -329,6 +341,12 @@
     int sends_ = 0;
     /// Sends that may have run.
     int runs_ = 0;
+    /// `sends_` at the last pause between tries.
+    int sends_before_pause_ = 0;
+    /// The next pause between two tries of a begun stream.
+    duration retry_pause_{};
+    /// When a begun stream that is not queued is tried again.
+    time_point next_try_at_ = never;
     /// The next send is a retry that is reserved in the service's budget.
     bool retry_reserved_ = false;
     bool postponed_ = false;
--- a/tests/relay_silence_test.cpp
+++ b/tests/relay_silence_test.cpp
@@ -130,8 +130,8 @@
     }
     bool try_reserve_retry(relay_exchange const&) override
     {
-        ++reserved;
-        return true;
+        reserved += budget_left;
+        return budget_left;
     }
     void on_retry_sent(relay_exchange const&) override { --reserved; }
     void on_retry_not_sent(relay_exchange const&) override { ++reserved; }
@@ -155,6 +155,7 @@
     bool waits = false;
     /// Retries that are reserved and not sent.
     int reserved = 0;
+    bool budget_left = true;
     std::optional<relay_outcome> outcome;
 
 private:
@@ -172,11 +173,11 @@
 class silent_request
 {
 public:
-    explicit silent_request(repeat_rule repeats)
+    explicit silent_request(repeat_rule repeats, int worker_limit = 2)
     {
         matched_.repeats = repeats;
         matched_.resumable = true;
-        matched_.worker_limit = 2;
+        matched_.worker_limit = worker_limit;
         exchange_terms terms;
         terms.ticket = ticket_id(1);
         terms.matched = &matched_;
@@ -206,6 +207,12 @@
         CHECK(host.sends.insert(placed.ticket).second);
         exchange->on_placed(placed);
     }
+    void refuse(error_kind kind = error_kind::overloaded)
+    {
+        REQUIRE(host.waits);
+        host.waits = false;
+        exchange->on_refused(error(kind, "no worker", ran::no));
+    }
     /// Nothing happens until the exchange's next time is due.
     void fall_silent()
     {
@@ -262,6 +269,40 @@
     }
 };
 
+/// A stream whose worker broke off after its first event, at most one more of
+/// whose sends may run.
+struct broken_stream : silent_request
+{
+    broken_stream() : silent_request(repeat_rule::stream)
+    {
+        head(0, 200, true);
+        body(0, event(1) + "id: 2\nda");
+        fail(0, call_stage::answering);
+        REQUIRE(host.waits);
+    }
+    /// The next try is due and waits for a worker.
+    void await_next_try()
+    {
+        REQUIRE_FALSE(host.outcome);
+        REQUIRE_FALSE(host.waits);
+        REQUIRE(host.due > host.at);
+        REQUIRE(host.due <= host.at + 1s);
+        fall_silent();
+    }
+    void check_goes_on(std::string const& worker)
+    {
+        place(worker);
+        std::size_t const call = host.calls.size() - 1;
+        head(call, 200, true);
+        body(call, event(2));
+        end(call);
+        CHECK(answer->body == event(1) + event(2));
+        CHECK(answer->finished);
+        CHECK_FALSE(answer->aborted);
+        check_nothing_left(relay_outcome::served);
+    }
+};
+
 } // namespace
 
 // Guards against half an event of one worker that goes on with another's.
@@ -506,3 +547,146 @@
     CHECK(stream.answer->finished);
     stream.check_nothing_left(relay_outcome::served);
 }
+
+// Guards against cutting a stream in the moment in which no worker is free.
+TEST_CASE("a begun stream that a queue refuses is queued again",
+          "[relay_silence]")
+{
+    broken_stream stream;
+    auto const kind =
+        GENERATE(error_kind::overloaded, error_kind::back_end_unavailable);
+    for (int refusals = 0; refusals < 3; ++refusals)
+    {
+        stream.refuse(kind);
+        CHECK(stream.host.reserved == 0);
+        stream.await_next_try();
+    }
+    stream.check_goes_on("w2");
+}
+
+// Guards against cutting a stream since its workers are full for a moment.
+TEST_CASE("a begun stream that workers reject is sent again later",
+          "[relay_silence]")
+{
+    broken_stream stream;
+    for (std::size_t call = 1; call <= 8; ++call)
+    {
+        stream.place("w" + std::to_string(call + 1));
+        stream.head(call, 503);
+        stream.end(call);
+        if (!stream.host.waits)
+            stream.await_next_try();
+    }
+    stream.check_goes_on("w2");
+}
+
+// Guards against cutting a stream in a burst that uses up the retries.
+TEST_CASE("a begun stream waits until the retry budget has room",
+          "[relay_silence]")
+{
+    silent_request stream(repeat_rule::stream);
+    stream.head(0, 200, true);
+    stream.body(0, event(1));
+    stream.host.budget_left = false;
+    stream.fail(0, call_stage::answering);
+    for (int tries = 0; tries < 3; ++tries)
+    {
+        REQUIRE_FALSE(stream.answer->aborted);
+        REQUIRE_FALSE(stream.host.waits);
+        stream.fall_silent();
+    }
+    stream.host.budget_left = true;
+    stream.fall_silent();
+    stream.place("w2");
+    stream.head(1, 200, true);
+    stream.body(1, event(2));
+    stream.end(1);
+    CHECK(stream.answer->body == event(1) + event(2));
+    stream.check_nothing_left(relay_outcome::served);
+}
+
+// Guards against cutting a stream since one worker does not resume it.
+TEST_CASE("a begun stream that a worker answers plainly goes on elsewhere",
+          "[relay_silence]")
+{
+    silent_request stream(repeat_rule::stream, 3);
+    stream.head(0, 200, true);
+    stream.body(0, event(1));
+    stream.fail(0, call_stage::answering);
+    stream.place("w2");
+    stream.head(1, GENERATE(200, 400, 404, 500));
+    stream.body(1, "plain");
+    stream.end(1);
+    REQUIRE_FALSE(stream.answer->aborted);
+    stream.place("w3");
+    stream.head(2, 200, true);
+    stream.body(2, event(2));
+    stream.end(2);
+    CHECK(stream.answer->body == event(1) + event(2));
+    stream.check_nothing_left(relay_outcome::served);
+}
+
+// Guards against streams that are tried for ever.
+TEST_CASE("a begun stream is cut once nothing can go on with it",
+          "[relay_silence]")
+{
+    broken_stream stream;
+    SECTION("its time is over")
+    {
+        int tries = 0;
+        while (stream.host.waits && ++tries < 100)
+        {
+            stream.refuse();
+            stream.fall_silent();
+        }
+        CHECK(tries < 20);
+        CHECK(stream.host.at == stream.exchange->terms().give_up_at);
+    }
+    SECTION("its sends that may run are used up")
+    {
+        stream.place("w2");
+        stream.fail(1, call_stage::sent);
+    }
+    SECTION("a refusal is final")
+    {
+        stream.refuse(
+            GENERATE(error_kind::quarantined, error_kind::unauthorized));
+    }
+    SECTION("the VM stops")
+    {
+        stream.refuse();
+        stream.exchange->on_stopped(error(error_kind::draining, "leaving"));
+    }
+    CHECK(stream.answer->aborted);
+    stream.check_nothing_left(relay_outcome::failed);
+}
+
+// Guards against work for a caller that left between two tries.
+TEST_CASE("a begun stream is not tried again for a caller that left",
+          "[relay_silence]")
+{
+    broken_stream stream;
+    stream.refuse();
+    stream.exchange->on_caller_gone();
+    CHECK(stream.host.due == never);
+    stream.check_nothing_left(relay_outcome::caller_gone);
+}
+
+// Guards against holding what can be refused at once.
+TEST_CASE("a request whose answer has not begun is not held for a later try",
+          "[relay_silence]")
+{
+    silent_request call(GENERATE(repeat_rule::once, repeat_rule::idempotent,
+                                 repeat_rule::stream));
+    bool const rejected = GENERATE(true, false);
+    if (rejected)
+    {
+        call.head(0, 503);
+        call.end(0);
+    }
+    else
+        call.fail(0, call_stage::not_sent);
+    call.refuse();
+    CHECK(call.answer->status == 503);
+    call.check_nothing_left(relay_outcome::refused);
+}
