Keep a silent stream until another worker has sent an event

Callers lost a stream whose silent worker was about to go on: the worker that took it over sent its head, which ended the silent worker's send, and broke off before its first event.

Cause: the sends of a request shared one splitter of events, so a head that took the stream over discarded the incomplete event of the silent send, and that send could not go on.

Each send that is kept now has its own splitter, and whichever send completes an event first ends the others. The head that begins the caller's stream still ends silent sends, since the stream is recorded under the version of the worker that sent it.

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -172,7 +172,8 @@
     waits_.end(send_.sent_at);
     send_.placement_reason = placed.reason;
     body_.clear();
-    held_bytes_.set(kept_sends_.empty() ? 0 : events_.incomplete_bytes());
+    events_.begin_answer();
+    update_held_bytes();
     ++sends_;
     ++runs_;
     send_.is_retry = std::exchange(retry_reserved_, false);
@@ -329,7 +330,8 @@
     }
     send_.last_byte_at = host_.now();
     note_statements();
-    if (send_.reply.event_stream && takes_over(send_.reply))
+    // The worker whose head the caller gets determines the stream's version.
+    if (!stream_begun_ && send_.reply.event_stream && takes_over(send_.reply))
         end_kept_sends(send_outcome::silent);
     send_.headers = host_.codec().answer_headers(headers);
     stage_ = stage::buffering;
@@ -401,30 +403,29 @@
 void relay_exchange::on_body(std::string_view bytes)
 {
     if (stage_ == stage::streaming)
-    {
-        end_kept_sends(send_outcome::abandoned);
-        return forward_stream(bytes);
-    }
+        return pass_on(events_.feed(bytes));
     if (body_.size() + bytes.size() > host_.answers().limit(max_buffered_bytes))
     {
         send_.call->cancel();
         return retry_or_fail(send_outcome::broken, "the answer is too large");
     }
     body_.append(bytes);
-    held_bytes_.set(body_.size());
+    update_held_bytes();
 }
 
-void relay_exchange::forward_stream(std::string_view bytes)
+void relay_exchange::pass_on(std::string events)
 {
     time_point const at = host_.now();
     host_.on_stream_bytes(at - std::exchange(send_.last_byte_at, at));
-    if (std::string complete = events_.feed(bytes); !complete.empty())
+    if (!events.empty() && events_.answer_has_events())
     {
+        end_kept_sends(send_outcome::abandoned);
         retry_pause_ = {};
-        answer_->write(std::move(complete));
     }
-    held_bytes_.set(events_.incomplete_bytes());
-    if (events_.incomplete_bytes() > host_.answers().limit(max_event_bytes))
+    if (!events.empty())
+        answer_->write(std::move(events));
+    update_held_bytes();
+    if (events_.incomplete_bytes() > max_incomplete_bytes())
         return retry_or_fail(send_outcome::broken, "an event is too large");
     if (answer_->unsent_bytes() > host_.answers().limit(max_unsent_bytes))
     {
@@ -437,6 +438,19 @@
     }
 }
 
+std::size_t relay_exchange::max_incomplete_bytes() const
+{
+    return host_.answers().limit(max_event_bytes);
+}
+
+void relay_exchange::update_held_bytes()
+{
+    std::size_t bytes = body_.size() + events_.incomplete_bytes();
+    for (worker_send const& each : kept_sends_)
+        bytes += each.events.incomplete_bytes();
+    held_bytes_.set(bytes);
+}
+
 void relay_exchange::on_end(bool framed)
 {
     if (stage_ == stage::streaming)
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -269,7 +269,11 @@
     /// Reserves a retry of the service's budget for the next send.
     bool reserve_retry();
     void begin_stream();
-    void forward_stream(std::string_view bytes);
+    /// Writes the complete events that `events_` has returned to the caller.
+    void pass_on(std::string events);
+    void update_held_bytes();
+    /// Limit on the bytes of an incomplete event.
+    std::size_t max_incomplete_bytes() const;
     void finish_stream(bool framed);
     void finish_rejected();
     void finish_answer();
@@ -330,8 +334,8 @@
     /// The current send, or the last one.
     worker_send send_;
     /// Sends to workers that were silent when the request was sent again or
-    /// queued again. They end when another answer is passed on. At most one has
-    /// begun its answer; its stream is in `events_` until another one begins.
+    /// queued again. They end when another answer or its first event is passed
+    /// on.
     std::vector<worker_send> kept_sends_;
     std::uint64_t last_number_ = 0;
     /// No send counts as silent for what was before.
@@ -352,8 +356,9 @@
     bool postponed_ = false;
     wait_breakdown waits_;
     answer_body body_;
-    /// Of `body_` or, in a stream, of the event that is incomplete.
+    /// Of `body_` and the incomplete events of all sends.
     buffered_bytes held_bytes_;
+    /// The stream of the current send.
     event_splitter events_;
     bool stream_begun_ = false;
     std::optional<software_version> stream_version_;
--- a/src/relay_silence.cpp
+++ b/src/relay_silence.cpp
@@ -14,9 +14,11 @@
 {
     host_.on_worker_silent(*this);
     send_.ticket = host_.keep_send(*this);
+    send_.events = events_;
     kept_sends_.push_back(send_);
     send_.number = 0;
     send_.call.reset();
+    events_.begin_answer();
 }
 
 worker_send& relay_exchange::kept(std::uint64_t number)
@@ -60,14 +62,23 @@
 
 void relay_exchange::on_kept_body(std::uint64_t number, std::string_view bytes)
 {
-    go_on_with(number);
-    on_body(bytes);
+    event_splitter& events = kept(number).events;
+    std::string complete = events.feed(bytes);
+    if (!complete.empty())
+    {
+        go_on_with(number);
+        return pass_on(std::move(complete));
+    }
+    update_held_bytes();
+    if (events.incomplete_bytes() > max_incomplete_bytes())
+        end_kept_send(number, send_outcome::broken);
 }
 
 void relay_exchange::on_kept_end(std::uint64_t number, bool framed)
 {
-    bool const proven = framed || events_.answer_has_events();
-    if (proven && !events_.is_within_event())
+    event_splitter const& events = kept(number).events;
+    bool const proven = framed || events.answer_has_events();
+    if (proven && !events.is_within_event())
     {
         go_on_with(number);
         return on_end(framed);
@@ -122,13 +133,14 @@
 void relay_exchange::restore(std::uint64_t number)
 {
     send_ = kept(number);
+    events_ = send_.events;
     std::erase_if(kept_sends_, [number](worker_send const& each)
                   { return each.number == number; });
     host_.restore_send(*this, send_.ticket);
     send_.ticket = terms_.ticket;
     stage_ = send_.streams ? stage::streaming : stage::sent;
     body_.clear();
-    held_bytes_.set(send_.streams ? events_.incomplete_bytes() : 0);
+    update_held_bytes();
 }
 
 bool relay_exchange::wait_for_silent_worker(std::string_view reason)
--- a/src/worker_send.hpp
+++ b/src/worker_send.hpp
@@ -4,6 +4,7 @@
 
 #include "backend_entry.hpp"
 #include "backend_pool.hpp"
+#include "event_splitter.hpp"
 #include "ids.hpp"
 #include "relay_codec.hpp"
 #include "time_point.hpp"
@@ -38,6 +39,8 @@
     bool is_framed = false;
     /// The answer is a stream that is passed on.
     bool streams = false;
+    /// The stream of a send that is kept while another one is the current send.
+    event_splitter events;
 };
 
 } // namespace mulberry
