Ask for a retry of a silent stream again later

A stream whose worker fell silent while the retry budget was used up stayed with that worker until the caller's deadline, though retries were available a moment later: after the one failed reservation the exchange slept until the deadline.

The stream's silence is counted anew, so that the reservation is tried again after the same gap, as long as the stream may run once more.

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -272,9 +272,12 @@
             keep_silent_send();
             return resubmit("the worker is silent");
         }
+        // The retry budget may have room later.
+        if (silent && stream_begun_ && may_run_again())
+            listens_since_ = now;
         // If the request must not be sent again, wait until the deadline.
-        return silent ? host_.wake_at(*this, terms_.give_up_at)
-                      : schedule_wake();
+        return now >= silent_at() ? host_.wake_at(*this, terms_.give_up_at)
+                                  : schedule_wake();
     }
     if (stage_ == stage::waiting)
     {
--- a/tests/relay_silence_test.cpp
+++ b/tests/relay_silence_test.cpp
@@ -4,8 +4,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -39,6 +41,7 @@
 {
     void respond(http_response response) override
     {
+        ++responses;
         status = response.status;
         body = response.body;
     }
@@ -50,6 +53,7 @@
     std::size_t unsent_bytes() const override { return 0; }
 
     int status = 0;
+    int responses = 0;
     std::string body;
     bool finished = false;
     bool aborted = false;
@@ -243,6 +247,7 @@
         CHECK(host.reserved == 0);
         CHECK_FALSE(host.waits);
     }
+    int worker_limit() const { return matched_.worker_limit; }
     bool cancelled(std::size_t call) const
     {
         return host.calls.at(call)->cancelled;
@@ -764,3 +769,24 @@
     CHECK(call.answer->status == 503);
     call.check_nothing_left(relay_outcome::refused);
 }
+
+// Guards against a stream left with a silent worker until its deadline since
+// the retries were used up when it fell silent.
+TEST_CASE("a silent stream is tried elsewhere once the retry budget has room",
+          "[relay_silence]")
+{
+    silent_request stream(repeat_rule::stream);
+    stream.head(0, 200, true);
+    stream.body(0, event(1));
+    stream.host.budget_left = false;
+    stream.fall_silent();
+    REQUIRE_FALSE(stream.host.waits);
+    stream.host.budget_left = true;
+    stream.fall_silent();
+    stream.place("w2");
+    stream.head(1, 200, true);
+    stream.body(1, event(2));
+    stream.end(1);
+    CHECK(stream.answer->body == event(1) + event(2));
+    stream.check_nothing_left(relay_outcome::served);
+}
