Count a rejection as not run from its head on

A caller of a request that must not run twice got an error (502) though the worker had stated in its head that it did not run it: the connection ended within the rejection's body, or the VM stopped before its end. A stream was cut below its limit of runs when its silent worker went on beside a rejection that was not complete, and broke off.

Cause: the statement was noted at the end of the answer only, and the end of the connection before it counted as a worker that broke off.

The head states it, so the run is taken back there, and a rejection that breaks off is finished like a whole one. The last test plays 6000 seeded sequences of silence, rejections, plain answers and breaks.

--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -332,6 +332,7 @@
                              "an answer to another request");
     }
     send_.last_byte_at = host_.now();
+    runs_ -= send_.reply.not_run;
     note_statements();
     // The worker whose head the caller gets determines the stream's version.
     if (!stream_begun_ && send_.reply.event_stream && takes_over(send_.reply))
@@ -498,7 +499,6 @@
 /// the request.
 void relay_exchange::finish_rejected()
 {
-    --runs_;
     excluded_workers_.insert(send_.worker.id);
     end_send(outcome_of_rejection());
     if (has_sends_left() && reserve_retry())
@@ -550,6 +550,8 @@
         end_send(send_outcome::unreachable);
         return resubmit(reason);
     }
+    if (send_.reply.not_run)
+        return finish_rejected();
     host_.on_connection_lost(*this);
     retry_or_fail(send_outcome::broken, reason);
 }
--- a/tests/relay_silence_test.cpp
+++ b/tests/relay_silence_test.cpp
@@ -247,6 +247,7 @@
         CHECK(host.reserved == 0);
         CHECK_FALSE(host.waits);
     }
+    bool may_repeat() const { return matched_.repeats != repeat_rule::once; }
     int worker_limit() const { return matched_.worker_limit; }
     bool cancelled(std::size_t call) const
     {
@@ -790,3 +791,227 @@
     CHECK(stream.answer->body == event(1) + event(2));
     stream.check_nothing_left(relay_outcome::served);
 }
+
+// Guards against an error for a request that its worker did not run, since the
+// connection ends within the rejection's body.
+TEST_CASE("a rejection that breaks off within its body is a rejection",
+          "[relay_silence]")
+{
+    silent_request call(GENERATE(repeat_rule::once, repeat_rule::idempotent));
+    call.head(0, 503);
+    if (GENERATE(true, false))
+        call.body(0, "rej");
+    call.fail(0, call_stage::answering);
+    call.place("w2");
+    call.head(1, 200);
+    call.body(1, "answer");
+    call.end(1);
+    CHECK(call.answer->status == 200);
+    CHECK(call.exchange->sends() == 2);
+    call.check_nothing_left(relay_outcome::served);
+}
+
+// Guards against counting a run at a worker whose rejection is not complete.
+TEST_CASE("a rejection counts from its head on", "[relay_silence]")
+{
+    SECTION("a stop refuses the request")
+    {
+        silent_request call(repeat_rule::once);
+        call.head(0, 503);
+        call.exchange->on_stopped(
+            error(error_kind::draining, "leaving", ran::no));
+        CHECK(call.answer->body == "leaving");
+        call.check_nothing_left(relay_outcome::refused);
+    }
+    SECTION("the silent worker goes on and breaks off")
+    {
+        silent_stream stream;
+        stream.place("w2");
+        stream.head(1, 503);
+        stream.body(0, "ta: x\n\n");
+        stream.fail(0, call_stage::answering);
+        CHECK_FALSE(stream.answer->aborted);
+        stream.place("w3");
+        stream.head(2, 200, true);
+        stream.body(2, event(3));
+        stream.end(2);
+        CHECK(stream.answer->body == event(1) + event(2) + event(3));
+        stream.check_nothing_left(relay_outcome::served);
+    }
+}
+
+namespace
+{
+
+/// A request whose workers, queue and retry budget behave at random.
+class random_request
+{
+public:
+    random_request(std::uint64_t seed, repeat_rule repeats)
+        : random_(seed), stream_(repeats == repeat_rule::stream),
+          request_(repeats, 2 + int(seed % 3))
+    {
+    }
+    /// Plays until the request is over.
+    void play()
+    {
+        sent_.resize(1);
+        for (steps_ = 0; !request_.host.outcome && steps_ < 2000; ++steps_)
+            step();
+    }
+    void check()
+    {
+        auto const& answer = *request_.answer;
+        REQUIRE(request_.host.outcome);
+        request_.check_nothing_left(*request_.host.outcome);
+        for (std::size_t call = 0; call < sent_.size(); ++call)
+            CHECK((sent_[call].over || request_.cancelled(call)));
+        CHECK(int(answer.finished) + int(answer.aborted) +
+                  int(answer.responses) ==
+              1);
+        if (answer.responses > 0)
+            check_response();
+        else
+            check_stream();
+    }
+
+private:
+    struct worker_view
+    {
+        bool over = false;
+        bool headed = false;
+        bool streams = false;
+        /// The worker may have run the request.
+        bool ran = true;
+        /// Of a stream: bytes of whole_stream() that were sent.
+        std::size_t position = 0;
+    };
+    static std::string whole_stream() { return event(1) + event(2) + event(3); }
+    int draw(int below) { return int(random_() % std::uint64_t(below)); }
+
+    void step()
+    {
+        request_.host.budget_left = draw(4) != 0;
+        if (request_.host.waits && draw(2) == 0)
+            return decide();
+        std::size_t const call = std::size_t(draw(int(sent_.size())));
+        bool const open =
+            !sent_[call].over && !request_.cancelled(call) && draw(3) != 0;
+        if (!open)
+            return request_.fall_silent();
+        answer(call);
+    }
+    void decide()
+    {
+        if (draw(3) == 0)
+            return request_.refuse();
+        request_.place("w" + std::to_string(sent_.size() + 1));
+        worker_view view;
+        // A resumed stream begins behind what the caller has.
+        view.position = request_.answer->body.size();
+        sent_.push_back(view);
+    }
+    void answer(std::size_t call)
+    {
+        worker_view& view = sent_[call];
+        if (!view.headed)
+            return begin(call, view);
+        if (draw(6) == 0)
+            return break_off(call, view, call_stage::answering);
+        if (!view.streams)
+        {
+            if (draw(2) == 0)
+                return request_.body(call, "x");
+            view.over = true;
+            return request_.end(call);
+        }
+        std::string const left = whole_stream().substr(view.position);
+        if (left.empty())
+        {
+            view.over = true;
+            return request_.end(call);
+        }
+        std::string const bytes = left.substr(0, std::size_t(1 + draw(24)));
+        view.position += bytes.size();
+        request_.body(call, bytes);
+    }
+    void begin(std::size_t call, worker_view& view)
+    {
+        int const kind = draw(10);
+        if (kind == 0)
+        {
+            view.ran = false;
+            return break_off(call, view, call_stage::not_sent);
+        }
+        if (kind == 1)
+            return break_off(call, view, call_stage::sent);
+        view.headed = true;
+        if (kind <= 3)
+        {
+            view.ran = false;
+            return request_.head(call, 503);
+        }
+        if (kind == 4)
+            return request_.head(call, draw(2) == 0 ? 500 : 429);
+        if (kind == 5)
+            return request_.head(call, draw(2) == 0 ? 200 : 404);
+        view.streams = stream_;
+        request_.head(call, 200, stream_);
+    }
+    void break_off(std::size_t call, worker_view& view, call_stage at)
+    {
+        view.over = true;
+        request_.fail(call, at);
+    }
+
+    int runs() const
+    {
+        return int(std::count_if(sent_.begin(), sent_.end(),
+                                 [](worker_view const& each)
+                                 { return each.ran; }));
+    }
+    void check_response()
+    {
+        auto const& answer = *request_.answer;
+        CHECK(answer.body.find("id:") == std::string::npos);
+        if (request_.host.outcome == relay_outcome::refused)
+            CHECK(runs() == 0);
+        if (request_.host.outcome == relay_outcome::served)
+            CHECK(answer.status < 500);
+        CHECK((request_.may_repeat() || runs() <= 1));
+    }
+    void check_stream()
+    {
+        auto const& answer = *request_.answer;
+        CHECK(whole_stream().starts_with(answer.body));
+        if (answer.finished)
+            CHECK(answer.body == whole_stream());
+        else
+            CHECK((request_.host.at >= request_.exchange->terms().give_up_at ||
+                   runs() >= request_.worker_limit()));
+    }
+
+    std::mt19937_64 random_;
+    bool stream_;
+    silent_request request_;
+    std::vector<worker_view> sent_;
+    int steps_ = 0;
+};
+
+} // namespace
+
+// Guards against a caller without an answer, with two, or with parts of
+// several, in sequences of failures that no other test lists.
+TEST_CASE("each caller gets one whole answer, a true refusal or an error",
+          "[relay_silence]")
+{
+    auto const repeats = GENERATE(repeat_rule::once, repeat_rule::idempotent,
+                                  repeat_rule::stream);
+    for (std::uint64_t seed = 1; seed <= 2000; ++seed)
+    {
+        CAPTURE(seed);
+        random_request request(seed, repeats);
+        request.play();
+        request.check();
+    }
+}
