--- a/tests/relay_silence_test.cpp
+++ b/tests/relay_silence_test.cpp
@@ -840,6 +840,41 @@
     }
 }
 
+// Guards against sends that go on after a stop, and a stream that looks
+// complete.
+TEST_CASE("a stop ends the sends of a silent stream", "[relay_silence]")
+{
+    silent_stream stream;
+    if (GENERATE(true, false))
+        stream.place("w2");
+    stream.exchange->on_stopped(error(error_kind::draining, "leaving"));
+    for (auto const& each : stream.host.calls)
+        CHECK(each->cancelled);
+    CHECK(stream.answer->aborted);
+    CHECK_FALSE(stream.answer->finished);
+    stream.check_nothing_left(relay_outcome::failed);
+}
+
+// Guards against a caller that loses its other sends with the one at a
+// replaced version.
+TEST_CASE("a silent send at a replaced version ends alone", "[relay_silence]")
+{
+    silent_request stream(repeat_rule::stream);
+    stream.fall_silent();
+    bool const sent_again = GENERATE(true, false);
+    if (sent_again)
+        stream.place("w2");
+    stream.exchange->on_kept_send_withdrawn(ticket_id(101));
+    CHECK(stream.cancelled(0));
+    if (!sent_again)
+        stream.place("w2");
+    stream.head(1, 200, true);
+    stream.body(1, event(1));
+    stream.end(1);
+    CHECK(stream.answer->body == event(1));
+    stream.check_nothing_left(relay_outcome::served);
+}
+
 namespace
 {
 
