Keep header fields without a value apart from the next field

A worker's answer with a field without a value lost the field behind it: "Cache-Status:" before Request-Id became one field of the name "Cache-StatusRequest-Id". So a late second answer to another request did not show whose it was; callers got another request's answer, and a request that may run once was sent to a second worker.

Cause: on_header_field() took a field for complete only once its value was not empty. http_parser reports an empty value by a call of length 0.

Before: "header fields without a value are kept apart" got 5 fields of 8 (CHECK( whole.headers.fields() == expected ) failed).

A field is now complete once its value has begun, be it empty.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -154,6 +154,7 @@
         headers_ = {};
         field_.clear();
         value_.clear();
+        in_value_ = false;
         complete_ = false;
         head_seen_ = false;
         interim_answers_ = 0;
@@ -299,7 +300,7 @@
                                std::size_t size)
     {
         connection& self = of(parser);
-        if (!self.value_.empty())
+        if (self.in_value_)
             self.store_header();
         self.field_.append(at, size);
         return 0;
@@ -308,19 +309,22 @@
     static int on_header_value(http_parser* parser, char const* at,
                                std::size_t size)
     {
-        of(parser).value_.append(at, size);
+        connection& self = of(parser);
+        self.in_value_ = true;
+        self.value_.append(at, size);
         return 0;
     }
 
     void store_header()
     {
         headers_.add(std::exchange(field_, {}), std::exchange(value_, {}));
+        in_value_ = false;
     }
 
     static int on_headers_complete(http_parser* parser)
     {
         connection& self = of(parser);
-        if (!self.field_.empty())
+        if (self.in_value_)
             self.store_header();
         // An interim (1xx) answer; the final answer follows.
         if (parser->status_code < first_final_status)
@@ -392,6 +396,8 @@
     http_headers headers_;
     std::string field_;
     std::string value_;
+    /// The field's value, which may be empty, has begun.
+    bool in_value_ = false;
     bool connected_ = false;
     bool idle_ = false;
     bool sent_ = false;
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -11,7 +11,10 @@
 #include <functional>
 #include <future>
 #include <optional>
+#include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 using namespace mulberry;
 using namespace std::chrono_literals;
@@ -23,6 +26,7 @@
 struct observed_exchange
 {
     int status = 0;
+    http_headers headers;
     std::string body;
     bool ended = false;
     bool framed = false;
@@ -36,7 +40,11 @@
 {
 public:
     explicit exchange_recorder(observed_exchange& into) : into_(into) {}
-    void on_head(int status, http_headers) override { into_.status = status; }
+    void on_head(int status, http_headers headers) override
+    {
+        into_.status = status;
+        into_.headers = std::move(headers);
+    }
     void on_body(std::string_view bytes) override { into_.body += bytes; }
     void on_end(bool framed) override
     {
@@ -262,6 +270,25 @@
     CHECK(only.failed == call_stage::sent);
 }
 
+// Guards against joining the name of a field without a value to the next one.
+TEST_CASE("header fields without a value are kept apart", "[backend_pool]")
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nEmpty:\r\nRequest-Id: 7\r\n"
+                             "Blank: \t\r\nTwice: a\r\nTwice:\r\n"
+                             "Twice: b\r\nContent-Length: 0\r\nLast:\r\n\r\n";
+    std::vector<std::pair<std::string, std::string>> const expected{
+        {"Empty", ""},           {"Request-Id", "7"}, {"Blank", ""},
+        {"Twice", "a"},          {"Twice", ""},       {"Twice", "b"},
+        {"Content-Length", "0"}, {"Last", ""}};
+    pool_fixture world;
+    observed_exchange whole;
+    world.send(whole);
+    raw_socket const worker = world.accept();
+    worker.send(head);
+    whole.wait();
+    CHECK(whole.headers.fields() == expected);
+}
+
 TEST_CASE("a cancelled exchange reports no more events", "[backend_pool]")
 {
     pool_fixture world;
