Parse answers in a class of its own; no bodies of interim answers

A worker's interim answer with a Content-Length, or one that is 204 or 304, was read as one with a body: the final answer's first bytes were skipped, or the exchange waited for bytes that never come, until its deadline.

Cause: http_parser reads a body by the fields alone, whatever the status; on_headers_complete() told it of none to skip.

The parser moves out of the connection, unchanged otherwise, into answer_parser, which a test can feed without sockets. Fields of a trailer no longer stay behind for the next head.

--- /dev/null
+++ b/src/answer_parser.hpp
@@ -0,0 +1,80 @@
+/// Incremental parser of the answers that arrive on one connection.
+#ifndef MULBERRY_ANSWER_PARSER_HPP
+#define MULBERRY_ANSWER_PARSER_HPP
+
+#include "http_message.hpp"
+
+#include <http_parser.h>
+
+#include <string>
+#include <string_view>
+
+namespace mulberry
+{
+
+/// Receives the parts of one final answer; interim answers are skipped.
+class answer_listener
+{
+public:
+    virtual ~answer_listener() = default;
+    /// Returns false if the answer is not accepted; the parser then fails.
+    virtual bool on_head(int status, http_headers headers) = 0;
+    virtual void on_body(std::string_view bytes) = 0;
+};
+
+/// Thread safety: none.
+class answer_parser
+{
+public:
+    /// `listener` outlives this object.
+    explicit answer_parser(answer_listener& listener);
+    answer_parser(answer_parser const&) = delete;
+    answer_parser& operator=(answer_parser const&) = delete;
+
+    /// Expects the first byte of another answer from now on.
+    void begin();
+    /// Parses up to the end of the answer. Returns whether the bytes are a part
+    /// of a valid answer, or of one with more bytes behind it. Precondition:
+    /// the answer is not complete, and no call has returned false.
+    bool feed(std::string_view bytes);
+    /// The connection has ended, which completes an answer without a length.
+    /// Precondition: as of feed().
+    void finish();
+
+    bool has_head() const { return has_head_; }
+    bool is_complete() const { return complete_; }
+    /// Bytes that belong to no answer follow the complete one.
+    bool has_excess() const { return has_excess_; }
+    /// Whether the answer leaves its connection open. Precondition: has_head().
+    bool keeps_alive() const { return keeps_alive_; }
+
+private:
+    static answer_parser& of(http_parser* parser);
+    static int on_header_field(http_parser* parser, char const* at,
+                               std::size_t size);
+    static int on_header_value(http_parser* parser, char const* at,
+                               std::size_t size);
+    static int on_headers_complete(http_parser* parser);
+    static int on_body(http_parser* parser, char const* at, std::size_t size);
+    static int on_message_complete(http_parser* parser);
+    void store_header();
+    void forget_headers();
+
+    answer_listener& listener_;
+    http_parser parser_{};
+    http_parser_settings callbacks_{};
+    http_headers headers_;
+    std::string field_;
+    std::string value_;
+    /// The field's value, which may be empty, has begun.
+    bool in_value_ = false;
+    int interim_answers_ = 0;
+    bool has_head_ = false;
+    bool complete_ = false;
+    bool has_excess_ = false;
+    bool keeps_alive_ = false;
+};
+
+} // namespace mulberry
+
+#endif
--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -1,11 +1,12 @@
 #include "backend_pool.hpp"
 
+#include "answer_parser.hpp"
+
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
-#include <http_parser.h>
 #include <netinet/tcp.h>
 
 #include <array>
@@ -24,8 +25,6 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::size_t read_buffer_bytes = 8UL * 1024;
-/// Workers send one or two; a faulty one may send them without end.
-constexpr int max_interim_answers = 16;
 /// Workers close idle connections after a timeout of their own, which is
 /// unknown without a Keep-Alive header field. So idle connections are kept only
 /// for a short time.
@@ -37,7 +36,6 @@
 /// (TCP_USER_TIMEOUT): a worker behind a network partition does not even send a
 /// reset. Leaves time for several retransmissions.
 constexpr unsigned unacknowledged_timeout_ms = 2000;
-constexpr int first_final_status = 200;
 
 class connection;
 
@@ -51,20 +49,14 @@
 };
 
 /// One TCP connection to a worker, serving one exchange at a time.
-class connection final : public std::enable_shared_from_this<connection>
+class connection final : public answer_listener,
+                         public std::enable_shared_from_this<connection>
 {
 public:
     connection(asio::io_context& io, backend_address to,
                connection_registry* registry)
         : socket_(io), timer_(io), address_(std::move(to)), registry_(registry)
     {
-        http_parser_settings_init(&callbacks_);
-        callbacks_.on_header_field = &connection::on_header_field;
-        callbacks_.on_header_value = &connection::on_header_value;
-        callbacks_.on_headers_complete = &connection::on_headers_complete;
-        callbacks_.on_body = &connection::on_body;
-        callbacks_.on_message_complete = &connection::on_message_complete;
-        parser_.data = this;
     }
 
     backend_address const& address() const { return address_; }
@@ -134,7 +126,7 @@
         idle_ = false;
         sent_ = false;
         written_ = false;
-        reset_parser();
+        parser_.begin();
     }
 
     bool bind_to(std::string const& source)
@@ -148,18 +140,6 @@
         return !failure;
     }
 
-    void reset_parser()
-    {
-        http_parser_init(&parser_, HTTP_RESPONSE);
-        headers_ = {};
-        field_.clear();
-        value_.clear();
-        in_value_ = false;
-        complete_ = false;
-        head_seen_ = false;
-        interim_answers_ = 0;
-    }
-
     void on_connected(asio::error_code const& refused)
     {
         if (!observer_)
@@ -222,37 +202,39 @@
 
     void on_closed(asio::error_code const& failure)
     {
-        if (failure == asio::error::eof && head_seen_)
+        if (failure == asio::error::eof && parser_.has_head())
         {
-            http_parser_execute(&parser_, &callbacks_, nullptr, 0);
+            parser_.finish();
             if (!connected_)
                 return;
-            if (complete_)
+            if (parser_.is_complete())
                 return finish(false);
         }
-        fail(head_seen_ ? call_stage::answering : call_stage::sent,
-             "connection: " + failure.message());
+        fail(stage(), "connection: " + failure.message());
     }
 
     void feed(char const* bytes, std::size_t size)
     {
         std::uint64_t const exchange = exchange_number_;
-        std::size_t const used =
-            http_parser_execute(&parser_, &callbacks_, bytes, size);
+        bool const valid = parser_.feed({bytes, size});
         // The observer may have cancelled the exchange within a callback.
         if (!connected_ || exchange != exchange_number_ || !observer_)
             return;
-        if (complete_)
-            return finish_framed(used < size);
-        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used < size)
-            fail(head_seen_ ? call_stage::answering : call_stage::sent,
-                 "not a valid HTTP answer");
+        if (parser_.is_complete())
+            finish_framed();
+        else if (!valid)
+            fail(stage(), "not a valid HTTP answer");
+    }
+
+    call_stage stage() const
+    {
+        return parser_.has_head() ? call_stage::answering : call_stage::sent;
     }
 
-    /// `dirty`: bytes that belong to no request follow the answer.
-    void finish_framed(bool dirty)
+    void finish_framed()
     {
-        bool const keep = !dirty && written_ && keep_alive_;
+        bool const keep =
+            !parser_.has_excess() && written_ && parser_.keeps_alive();
         auto const observer = std::exchange(observer_, nullptr);
         if (keep)
         {
@@ -291,61 +273,25 @@
                    { self->fail(call_stage::not_sent, reason); });
     }
 
-    static connection& of(http_parser* parser)
-    {
-        return *static_cast<connection*>(parser->data);
-    }
-
-    static int on_header_field(http_parser* parser, char const* at,
-                               std::size_t size)
-    {
-        connection& self = of(parser);
-        if (self.in_value_)
-            self.store_header();
-        self.field_.append(at, size);
-        return 0;
-    }
-
-    static int on_header_value(http_parser* parser, char const* at,
-                               std::size_t size)
-    {
-        connection& self = of(parser);
-        self.in_value_ = true;
-        self.value_.append(at, size);
-        return 0;
-    }
-
-    void store_header()
+    bool on_head(int status, http_headers headers) override
     {
-        headers_.add(std::exchange(field_, {}), std::exchange(value_, {}));
-        in_value_ = false;
+        idle_limit_ = idle_limit(headers);
+        if (auto const observer = observer_)
+            observer->on_head(status, std::move(headers));
+        return true;
     }
 
-    static int on_headers_complete(http_parser* parser)
+    void on_body(std::string_view bytes) override
     {
-        connection& self = of(parser);
-        if (self.in_value_)
-            self.store_header();
-        // An interim (1xx) answer; the final answer follows.
-        if (parser->status_code < first_final_status)
-            return 0;
-        self.head_seen_ = true;
-        self.keep_alive_ = http_should_keep_alive(parser) != 0;
-        self.idle_limit_ = self.idle_limit();
-        if (self.observer_)
-        {
-            auto const observer = self.observer_;
-            observer->on_head(parser->status_code, std::move(self.headers_));
-        }
-        self.headers_ = {};
-        return 0;
+        if (auto const observer = observer_)
+            observer->on_body(bytes);
     }
 
     /// Idle timeout from the header field "Keep-Alive: timeout=SECONDS", minus
     /// the margin.
-    std::chrono::milliseconds idle_limit() const
+    static std::chrono::milliseconds idle_limit(http_headers const& headers)
     {
-        auto const field = headers_.find("Keep-Alive");
+        auto const field = headers.find("Keep-Alive");
         if (!field)
             return max_idle_time;
         constexpr std::string_view key = "timeout=";
@@ -359,53 +305,19 @@
             max_idle_time, std::chrono::seconds(seconds) - keep_alive_margin);
     }
 
-    static int on_body(http_parser* parser, char const* at, std::size_t size)
-    {
-        connection& self = of(parser);
-        if (self.observer_ && self.head_seen_)
-        {
-            auto const observer = self.observer_;
-            observer->on_body({at, size});
-        }
-        return 0;
-    }
-
-    static int on_message_complete(http_parser* parser)
-    {
-        connection& self = of(parser);
-        if (!self.head_seen_)
-        {
-            self.headers_ = {};
-            return ++self.interim_answers_ > max_interim_answers ? 1 : 0;
-        }
-        self.complete_ = true;
-        http_parser_pause(parser, 1);
-        return 0;
-    }
-
     tcp::socket socket_;
     asio::steady_timer timer_;
     backend_address address_;
     connection_registry* registry_;
     std::array<char, read_buffer_bytes> buffer_{};
-    http_parser parser_{};
-    http_parser_settings callbacks_{};
+    answer_parser parser_{*this};
     std::string request_;
     std::shared_ptr<exchange_observer> observer_;
     std::uint64_t exchange_number_ = 0;
-    http_headers headers_;
-    std::string field_;
-    std::string value_;
-    /// The field's value, which may be empty, has begun.
-    bool in_value_ = false;
     bool connected_ = false;
     bool idle_ = false;
     bool sent_ = false;
     bool written_ = false;
-    bool head_seen_ = false;
-    int interim_answers_ = 0;
-    bool complete_ = false;
-    bool keep_alive_ = false;
     std::chrono::milliseconds idle_limit_{0};
     clock::time_point idle_since_;
     clock::time_point usable_until_;
