Take an answer on a used connection only if it can be told from others

A worker's late second answer arrives where the answer to the next request is due. If it named no request, the relay took it for that one's: decode_reply() set worker_reply::correlated, which nothing read. A rejection sent the request to a second worker, a 200 reached another caller. Orders and report requests, whose answers name nothing, had no check at all.

exchange_options now carry the mark that tells an answer from others, and the pool applies it, for forwarded calls at the VM that makes them:

- a connection is kept only behind answers that have their mark;
- on a used connection an answer without a name fails the exchange.
A worker that never names a request is served with a connection for each;
- a connection carries one order or report request at most.
Before it and behind it are named requests only, so that a second answer to either is seen.
Such calls open no connection of their own unless each idle one has carried one.

Calls between VMs have no mark: a VM answers each request once.

Before, with the checks taken out of the pool: "an answer without a name fails on a used connection": 200 == 0, the body was the late answer's; "a connection is closed behind an answer without its name" waited for the close and was ended by its time limit.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -9,9 +9,11 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <utility>
 #include <vector>
@@ -64,18 +66,25 @@
     bool usable_at(clock::time_point now) const { return now < usable_until_; }
     std::uint64_t exchange_number() const { return exchange_number_; }
 
-    void open(std::string request, std::chrono::milliseconds timeout,
+    /// Whether the answer to such a request can be told from those to earlier
+    /// ones. Precondition: the connection is idle.
+    bool can_carry(std::optional<answer_mark> const& mark) const
+    {
+        return !is_nameless(mark) || !carried_nameless_;
+    }
+
+    void open(std::string request, exchange_options const& options,
               std::string const& source,
               std::shared_ptr<exchange_observer> observer)
     {
-        begin(std::move(request), std::move(observer));
+        begin(std::move(request), options.mark, std::move(observer));
         asio::error_code failure;
         auto const ip = asio::ip::make_address(address_.ip, failure);
         if (failure)
             return fail_later("not an IP address: " + address_.ip);
         if (!source.empty() && !bind_to(source))
             return fail_later("cannot connect from " + source);
-        timer_.expires_after(timeout);
+        timer_.expires_after(options.connect_timeout);
         timer_.async_wait(
             [self = shared_from_this()](asio::error_code const& cancelled)
             {
@@ -88,10 +97,12 @@
             { self->on_connected(refused); });
     }
 
-    /// Precondition: the connection is idle.
-    void reuse(std::string request, std::shared_ptr<exchange_observer> observer)
+    /// Preconditions: the connection is idle; can_carry(mark).
+    void reuse(std::string request, std::optional<answer_mark> const& mark,
+               std::shared_ptr<exchange_observer> observer)
     {
-        begin(std::move(request), std::move(observer));
+        reused_ = true;
+        begin(std::move(request), mark, std::move(observer));
         send();
     }
 
@@ -118,8 +129,18 @@
     void detach() { registry_ = nullptr; }
 
 private:
-    void begin(std::string request, std::shared_ptr<exchange_observer> observer)
+    static bool is_nameless(std::optional<answer_mark> const& mark)
     {
+        return mark && mark->value.empty();
+    }
+
+    void begin(std::string request, std::optional<answer_mark> const& mark,
+               std::shared_ptr<exchange_observer> observer)
+    {
+        mark_ = mark;
+        carried_nameless_ = carried_nameless_ || is_nameless(mark);
+        marked_ = false;
+        foreign_ = false;
         request_ = std::move(request);
         observer_ = std::move(observer);
         ++exchange_number_;
@@ -223,7 +244,8 @@
         if (parser_.is_complete())
             finish_framed();
         else if (!valid)
-            fail(stage(), "not a valid HTTP answer");
+            fail(stage(), foreign_ ? "an answer that may be another request's"
+                                   : "not a valid HTTP answer");
     }
 
     call_stage stage() const
@@ -233,8 +255,8 @@
 
     void finish_framed()
     {
-        bool const keep =
-            !parser_.has_excess() && written_ && parser_.keeps_alive();
+        bool const keep = !parser_.has_excess() && written_ &&
+                          parser_.keeps_alive() && marked_;
         auto const observer = std::exchange(observer_, nullptr);
         if (keep)
         {
@@ -275,6 +297,9 @@
 
     bool on_head(int status, http_headers headers) override
     {
+        check_mark(headers);
+        if (foreign_)
+            return false;
         idle_limit_ = idle_limit(headers);
         if (auto const observer = observer_)
             observer->on_head(status, std::move(headers));
@@ -287,6 +312,28 @@
             observer->on_body(bytes);
     }
 
+    void check_mark(http_headers const& headers)
+    {
+        if (!mark_)
+        {
+            marked_ = true;
+            return;
+        }
+        bool named = false;
+        bool matches = true;
+        for (auto const& [field, value] : headers.fields())
+            if (!value.empty() && same_header_name(field, mark_->field))
+            {
+                named = true;
+                matches = matches && value == mark_->value;
+            }
+        bool const nameless = mark_->value.empty();
+        marked_ = matches && named != nameless;
+        // An answer that names another request is left to the observer, which
+        // knows what it means for its request.
+        foreign_ = reused_ && named == nameless;
+    }
+
     /// Idle timeout from the header field "Keep-Alive: timeout=SECONDS", minus
     /// the margin.
     static std::chrono::milliseconds idle_limit(http_headers const& headers)
@@ -312,6 +359,14 @@
     std::array<char, read_buffer_bytes> buffer_{};
     answer_parser parser_{*this};
     std::string request_;
+    std::optional<answer_mark> mark_;
+    /// The answer has the mark of its request.
+    bool marked_ = false;
+    /// The answer may be one to an earlier request.
+    bool foreign_ = false;
+    bool reused_ = false;
+    /// A request without a name was sent on this connection.
+    bool carried_nameless_ = false;
     std::shared_ptr<exchange_observer> observer_;
     std::uint64_t exchange_number_ = 0;
     bool connected_ = false;
@@ -381,16 +436,15 @@
           exchange_options const& options,
           std::shared_ptr<exchange_observer> observer)
     {
-        if (auto const kept = take_idle(to, options.max_idle))
+        if (auto const kept = take_idle(to, options))
         {
-            kept->reuse(std::move(bytes), std::move(observer));
+            kept->reuse(std::move(bytes), options.mark, std::move(observer));
             return std::make_shared<running_exchange>(kept);
         }
         auto const made = std::make_shared<connection>(io_, to, this);
         connections_.emplace(made.get(), made);
         ++opened_;
-        made->open(std::move(bytes), options.connect_timeout, source_,
-                   std::move(observer));
+        made->open(std::move(bytes), options, source_, std::move(observer));
         return std::make_shared<running_exchange>(made);
     }
 
@@ -425,20 +479,26 @@
     }
 
 private:
-    /// Returns the most recently used idle connection. Connections that are not
-    /// needed stay unused, expire and are closed.
+    /// Returns the most recently used idle connection that can carry the
+    /// request. Connections that are not needed stay unused, expire and are
+    /// closed.
     std::shared_ptr<connection> take_idle(backend_address const& to,
-                                          std::chrono::milliseconds max_idle)
+                                          exchange_options const& options)
     {
         auto const list = idle_.find(to);
-        if (list == idle_.end() || list->second.empty())
+        if (list == idle_.end())
             return nullptr;
         auto const now = clock::now();
-        auto newest = list->second.back();
-        if (!newest->usable_at(now) || now - newest->idle_since() > max_idle)
+        auto& kept = list->second;
+        auto const newest = std::find_if(
+            kept.rbegin(), kept.rend(),
+            [&](auto const& each) { return each->can_carry(options.mark); });
+        if (newest == kept.rend() || !(*newest)->usable_at(now) ||
+            now - (*newest)->idle_since() > options.max_idle)
             return nullptr;
-        list->second.pop_back();
-        return newest;
+        auto const taken = *newest;
+        kept.erase(std::prev(newest.base()));
+        return taken;
     }
 
     asio::io_context& io_;
--- a/src/backend_pool.hpp
+++ b/src/backend_pool.hpp
@@ -60,6 +60,18 @@
     virtual void cancel() = 0;
 };
 
+/// Tells an answer from a second one to an earlier request on the connection.
+/// Value.
+struct answer_mark
+{
+    /// Header field by which an answer names its request.
+    std::string field;
+    /// The request's name; empty: the request has none, and its answer has no
+    /// such field.
+    std::string value;
+    friend bool operator==(answer_mark const&, answer_mark const&) = default;
+};
+
 /// How a request is sent.
 struct exchange_options
 {
@@ -68,6 +80,13 @@
     /// An idle connection is reused only if its last answer ended at most this
     /// long ago.
     std::chrono::milliseconds max_idle{1000};
+    /// nullopt: the server is known to send one answer to each request.
+    ///
+    /// Else an answer without its mark is taken only if it is the first on its
+    /// connection, and a connection is kept only behind answers that have
+    /// theirs. A connection carries one request without a name at most, since
+    /// answers to two of them look alike.
+    std::optional<answer_mark> mark = {};
     friend bool operator==(exchange_options const&,
                            exchange_options const&) = default;
 };
--- a/src/forwarded_call.hpp
+++ b/src/forwarded_call.hpp
@@ -34,7 +34,7 @@
 {
     worker_id worker;
     backend_address to;
-    /// For the logs of both VMs.
+    /// The worker's answer names it; also for the logs of both VMs.
     request_id request;
     vm_id from;
     exchange_options options;
--- a/src/relay_codec.hpp
+++ b/src/relay_codec.hpp
@@ -34,6 +34,8 @@
     /// Returns the complete HTTP request, head and body, to send to a worker.
     virtual std::string encode_request(relay_request const& request,
                                        forward_options const& terms) const = 0;
+    /// Header field by which a worker's answer names its request.
+    virtual std::string request_id_field() const = 0;
     virtual worker_reply decode_reply(int status, http_headers const& headers,
                                       relay_request const& request) const = 0;
     /// Reads the limit that an answer to any call of a worker names. Of several
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -184,6 +184,8 @@
     options.connect_timeout = connect_timeout;
     options.max_idle =
         is_retryable() ? max_idle_if_retryable : max_idle_if_not_retryable;
+    options.mark =
+        answer_mark{host_.codec().request_id_field(), request_.id.str()};
     send_.call = host_.start_send(
         *this, host_.codec().encode_request(request_, terms), options,
         std::make_shared<attempt>(shared_from_this(), send_.number));
--- a/src/relay_forwarding.cpp
+++ b/src/relay_forwarding.cpp
@@ -91,6 +91,7 @@
     call.bytes = codec_.encode_report_request();
     call.options.connect_timeout = probe_connect_timeout;
     call.options.max_idle = milliseconds(0);
+    call.options.mark = answer_mark{codec_.request_id_field(), {}};
     call.current_deadline = [ends = std::chrono::steady_clock::now() +
                                     probe_timeout] { return ends; };
     call.on_end = [done = std::move(done)](collected_answer const& answer)
@@ -449,6 +450,8 @@
         return;
     // The head shows the other VM that this one is at work.
     answer->start_stream(status_ok, {});
+    call->options.mark =
+        answer_mark{codec_.request_id_field(), call->request.str()};
     forwarder->set_call(pool_.start(call->to, std::move(call->bytes),
                                     call->options, forwarder));
 }
--- a/src/relay_orders.cpp
+++ b/src/relay_orders.cpp
@@ -43,12 +43,13 @@
 }
 
 collected_call call_to(backend_entry const& worker, std::string bytes,
-                       milliseconds timeout)
+                       milliseconds timeout, relay_codec const& codec)
 {
     collected_call call;
     call.to = {worker.address, worker.port};
     call.bytes = std::move(bytes);
     call.options.connect_timeout = timeout;
+    call.options.mark = answer_mark{codec.request_id_field(), {}};
     call.current_deadline = [deadline = std::chrono::steady_clock::now() +
                                         timeout] { return deadline; };
     return call;
@@ -67,8 +68,8 @@
         return;
     }
     ++counts_.orders;
-    collected_call call =
-        call_to(order.entry, codec_.encode_order(order.order), order_timeout);
+    collected_call call = call_to(order.entry, codec_.encode_order(order.order),
+                                  order_timeout, codec_);
     call.on_end = [this, service, order = order.order,
                    sent_at = now()](collected_answer const& answer)
     {
@@ -82,8 +83,8 @@
 void relay::send_report_request(request_report const& question)
 {
     ++counts_.reports;
-    collected_call call =
-        call_to(question.entry, codec_.encode_report_request(), report_timeout);
+    collected_call call = call_to(
+        question.entry, codec_.encode_report_request(), report_timeout, codec_);
     call.on_end = [this, service = question.entry.service,
                    worker = question.worker,
                    sent_at = now()](collected_answer const& answer)
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -177,8 +177,6 @@
 struct worker_reply
 {
     int status = 0;
-    /// The answer carries the id of the request that was sent.
-    bool correlated = false;
     /// The answer carries the id of another request and must not be used.
     bool mismatched = false;
     /// The worker states that it did not run the request and never will.
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -90,9 +90,11 @@
         done.get_future().get();
     }
 
-    std::shared_ptr<backend_exchange> send(observed_exchange& into)
+    std::shared_ptr<backend_exchange> send(observed_exchange& into,
+                                           std::optional<answer_mark> mark = {})
     {
         exchange_options options;
+        options.mark = std::move(mark);
         options.connect_timeout = 10s;
         options.max_idle = 20s;
         std::shared_ptr<backend_exchange> running;
@@ -188,6 +190,187 @@
     CHECK(world.opened() == 2);
 }
 
+namespace
+{
+
+answer_mark named(std::string value)
+{
+    return {"Request-Id", std::move(value)};
+}
+
+answer_mark nameless()
+{
+    return named("");
+}
+
+/// An answer with these fields, each of which ends with a line break.
+std::string answer_with(std::string const& fields, std::string const& body)
+{
+    return "HTTP/1.1 200 OK\r\n" + fields +
+           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/// Sends a request on a new connection and answers it.
+raw_socket exchange_first(pool_fixture& world, answer_mark const& mark,
+                          std::string const& answer)
+{
+    observed_exchange first;
+    world.send(first, mark);
+    raw_socket worker = world.accept();
+    worker.send(answer);
+    first.wait();
+    CHECK(first.ended);
+    return worker;
+}
+
+} // namespace
+
+// Guards against taking a late answer that names no request for that to the
+// next request.
+TEST_CASE("an answer without a name fails on a used connection",
+          "[backend_pool]")
+{
+    std::string const fields = GENERATE("", "Request-Id:\r\n");
+    pool_fixture world;
+    raw_socket const worker = exchange_first(
+        world, named("1"), answer_with("request-id: 1\r\n", "one"));
+    observed_exchange second;
+    world.send(second, named("2"));
+    worker.read_until(end_of_headers);
+    worker.send(answer_with(fields, "late"));
+    second.wait();
+    CHECK(second.failed);
+    CHECK(second.status == 0);
+    CHECK(second.body.empty());
+    CHECK(world.opened() == 1);
+    CHECK(worker.read_some().empty());
+}
+
+// Guards against not serving at workers whose answers name no request, and
+// against keeping connections on which answers cannot be told apart.
+TEST_CASE("a connection is closed behind an answer without its name",
+          "[backend_pool]")
+{
+    std::string const fields =
+        GENERATE("", "Request-Id: 2\r\n", "Request-Id: 1\r\nRequest-Id: 2\r\n");
+    pool_fixture world;
+    for (std::uint64_t count = 1; count <= 3; ++count)
+    {
+        raw_socket const worker =
+            exchange_first(world, named("1"), answer_with(fields, "one"));
+        CHECK(worker.read_some().empty());
+        CHECK(world.opened() == count);
+    }
+}
+
+TEST_CASE("an answer that names another request shows it to the observer",
+          "[backend_pool]")
+{
+    pool_fixture world;
+    raw_socket const worker = exchange_first(
+        world, named("1"), answer_with("Request-Id: 1\r\n", "one"));
+    observed_exchange second;
+    world.send(second, named("2"));
+    worker.read_until(end_of_headers);
+    worker.send(answer_with("Request-Id: 1\r\n", "late"));
+    second.wait();
+    CHECK(second.headers.find("Request-Id") == "1");
+    CHECK(worker.read_some().empty());
+}
+
+// Guards against taking the second answer to one order for that to the next.
+TEST_CASE("a connection carries one request without a name", "[backend_pool]")
+{
+    pool_fixture world;
+    raw_socket const worker = exchange_first(
+        world, named("1"), answer_with("Request-Id: 1\r\n", "one"));
+    observed_exchange order;
+    world.send(order, nameless());
+    worker.read_until(end_of_headers);
+    worker.send(answer_with("", "order"));
+    order.wait();
+    CHECK(order.body == "order");
+    CHECK(world.opened() == 1);
+    raw_socket const other =
+        exchange_first(world, nameless(), answer_with("", "next"));
+    CHECK(world.opened() == 2);
+    // Answers to orders and to named requests can be told apart.
+    for (raw_socket const* const kept : {&other, &worker})
+    {
+        observed_exchange again;
+        world.send(again, named("2"));
+        kept->read_until(end_of_headers);
+        kept->send("HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n"
+                   "Connection: close\r\nContent-Length: 0\r\n\r\n");
+        again.wait();
+        CHECK(again.ended);
+    }
+    CHECK(world.opened() == 2);
+}
+
+// Guards against taking a late answer to a request for that to an order.
+TEST_CASE("an answer that names a request fails a call without a name",
+          "[backend_pool]")
+{
+    pool_fixture world;
+    raw_socket const worker = exchange_first(
+        world, named("1"), answer_with("Request-Id: 1\r\n", "one"));
+    observed_exchange order;
+    world.send(order, nameless());
+    worker.read_until(end_of_headers);
+    worker.send(answer_with("Request-Id: 1\r\n", "late"));
+    order.wait();
+    CHECK(order.failed);
+    CHECK(order.status == 0);
+    CHECK(worker.read_some().empty());
+}
+
+// Guards against taking a late answer to an order for that to a request.
+TEST_CASE("a late answer to an order fails the next request", "[backend_pool]")
+{
+    pool_fixture world;
+    raw_socket const worker =
+        exchange_first(world, nameless(), answer_with("", "order"));
+    observed_exchange next;
+    world.send(next, named("1"));
+    worker.read_until(end_of_headers);
+    worker.send(answer_with("", "order"));
+    next.wait();
+    CHECK(next.failed);
+    CHECK(next.status == 0);
+    CHECK(world.opened() == 1);
+}
+
+// Guards against keeping a connection on which a worker has yet to read the
+// rest of the request.
+TEST_CASE("an answer before the end of its request closes the connection",
+          "[backend_pool]")
+{
+    pool_fixture world;
+    observed_exchange only;
+    world.on_loop(
+        [&]
+        {
+            exchange_options options;
+            options.connect_timeout = 10s;
+            options.mark = named("1");
+            // More than the buffers of both sockets take.
+            std::string const body(64UL * 1024 * 1024, 'a');
+            world.pool.start(
+                {"127.0.0.1", world.listener.port()},
+                "POST / HTTP/1.1\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n" + body,
+                options, std::make_shared<exchange_recorder>(only));
+        });
+    raw_socket const worker = world.accept();
+    worker.send(answer_with("Request-Id: 1\r\n", "early"));
+    only.wait();
+    CHECK(only.body == "early");
+    observed_exchange second;
+    world.send(second, named("2"));
+    CHECK(world.opened() == 2);
+}
+
 // The worker closes a reused connection after a request was sent. The request
 // may have run, so it is reported as sent and is not retried.
 TEST_CASE("a request on a connection that breaks is not repeated",
--- a/tests/registry_watch_test.cpp
+++ b/tests/registry_watch_test.cpp
@@ -73,6 +73,7 @@
     {
         throw unused;
     }
+    std::string request_id_field() const override { throw unused; }
     worker_reply decode_reply(int, http_headers const&,
                               relay_request const&) const override
     {
--- a/tests/relay_callers.hpp
+++ b/tests/relay_callers.hpp
@@ -34,6 +34,7 @@
     {
         return {};
     }
+    std::string request_id_field() const override { return "Id"; }
     worker_reply decode_reply(int, http_headers const&,
                               relay_request const&) const override
     {
