--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -496,7 +496,7 @@
         if (newest == kept.rend() || !(*newest)->usable_at(now) ||
             now - (*newest)->idle_since() > options.max_idle)
             return nullptr;
-        auto const taken = *newest;
+        auto taken = *newest;
         kept.erase(std::prev(newest.base()));
         return taken;
     }
