--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -1,16 +1,19 @@
 #include "backend_pool.hpp"
 
+#include "answer_parser.hpp"
+
 #include <asio/ip/tcp.hpp>
 #include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 
-#include <http_parser.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <deque>
+#include <iterator>
 #include <map>
 #include <utility>
 #include <vector>
@@ -24,8 +27,6 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::size_t read_buffer_bytes = 8UL * 1024;
-/// Workers send one or two; a faulty one may send them without end.
-constexpr int max_interim_answers = 16;
 /// Workers close idle connections after a timeout of their own, which is
 /// unknown without a Keep-Alive header field. So idle connections are kept only
 /// for a short time.
@@ -37,7 +38,6 @@
 /// (TCP_USER_TIMEOUT): a worker behind a network partition does not even send a
 /// reset. Leaves time for several retransmissions.
 constexpr unsigned unacknowledged_timeout_ms = 2000;
-constexpr int first_final_status = 200;
 
 class connection;
 
@@ -51,20 +51,14 @@
 };
 
 /// One TCP connection to a worker, serving one exchange at a time.
-class connection final : public std::enable_shared_from_this<connection>
+class connection final : public answer_listener,
+                         public std::enable_shared_from_this<connection>
 {
 public:
     connection(asio::io_context& io, backend_address to,
                connection_registry* registry)
         : socket_(io), timer_(io), address_(std::move(to)), registry_(registry)
     {
-        http_parser_settings_init(&callbacks_);
-        callbacks_.on_header_field = &connection::on_header_field;
-        callbacks_.on_header_value = &connection::on_header_value;
-        callbacks_.on_headers_complete = &connection::on_headers_complete;
-        callbacks_.on_body = &connection::on_body;
-        callbacks_.on_message_complete = &connection::on_message_complete;
-        parser_.data = this;
     }
 
     backend_address const& address() const { return address_; }
@@ -72,18 +66,25 @@
     bool usable_at(clock::time_point now) const { return now < usable_until_; }
     std::uint64_t exchange_number() const { return exchange_number_; }
 
-    void open(std::string request, std::chrono::milliseconds timeout,
+    /// Whether the answer to such a request can be told from those to earlier
+    /// ones. Precondition: the connection is idle.
+    bool can_carry(std::optional<answer_mark> const& mark) const
+    {
+        return !is_nameless(mark) || !carried_nameless_;
+    }
+
+    void open(std::string request, exchange_options const& options,
               std::string const& source,
               std::shared_ptr<exchange_observer> observer)
     {
-        begin(std::move(request), std::move(observer));
+        begin(std::move(request), options.mark, std::move(observer));
         asio::error_code failure;
         auto const ip = asio::ip::make_address(address_.ip, failure);
         if (failure)
             return fail_later("not an IP address: " + address_.ip);
         if (!source.empty() && !bind_to(source))
             return fail_later("cannot connect from " + source);
-        timer_.expires_after(timeout);
+        timer_.expires_after(options.connect_timeout);
         timer_.async_wait(
             [self = shared_from_this()](asio::error_code const& cancelled)
             {
@@ -96,10 +97,12 @@
             { self->on_connected(refused); });
     }
 
-    /// Precondition: the connection is idle.
-    void reuse(std::string request, std::shared_ptr<exchange_observer> observer)
+    /// Preconditions: the connection is idle; can_carry(mark).
+    void reuse(std::string request, std::optional<answer_mark> const& mark,
+               std::shared_ptr<exchange_observer> observer)
     {
-        begin(std::move(request), std::move(observer));
+        reused_ = true;
+        begin(std::move(request), mark, std::move(observer));
         send();
     }
 
@@ -126,15 +129,25 @@
     void detach() { registry_ = nullptr; }
 
 private:
-    void begin(std::string request, std::shared_ptr<exchange_observer> observer)
+    static bool is_nameless(std::optional<answer_mark> const& mark)
     {
+        return mark && mark->value.empty();
+    }
+
+    void begin(std::string request, std::optional<answer_mark> const& mark,
+               std::shared_ptr<exchange_observer> observer)
+    {
+        mark_ = mark;
+        carried_nameless_ = carried_nameless_ || is_nameless(mark);
+        marked_ = false;
+        foreign_ = false;
         request_ = std::move(request);
         observer_ = std::move(observer);
         ++exchange_number_;
         idle_ = false;
         sent_ = false;
         written_ = false;
-        reset_parser();
+        parser_.begin();
     }
 
     bool bind_to(std::string const& source)
@@ -148,17 +161,6 @@
         return !failure;
     }
 
-    void reset_parser()
-    {
-        http_parser_init(&parser_, HTTP_RESPONSE);
-        headers_ = {};
-        field_.clear();
-        value_.clear();
-        complete_ = false;
-        head_seen_ = false;
-        interim_answers_ = 0;
-    }
-
     void on_connected(asio::error_code const& refused)
     {
         if (!observer_)
@@ -221,37 +223,40 @@
 
     void on_closed(asio::error_code const& failure)
     {
-        if (failure == asio::error::eof && head_seen_)
+        if (failure == asio::error::eof && parser_.has_head())
         {
-            http_parser_execute(&parser_, &callbacks_, nullptr, 0);
+            parser_.finish();
             if (!connected_)
                 return;
-            if (complete_)
+            if (parser_.is_complete())
                 return finish(false);
         }
-        fail(head_seen_ ? call_stage::answering : call_stage::sent,
-             "connection: " + failure.message());
+        fail(stage(), "connection: " + failure.message());
     }
 
     void feed(char const* bytes, std::size_t size)
     {
         std::uint64_t const exchange = exchange_number_;
-        std::size_t const used =
-            http_parser_execute(&parser_, &callbacks_, bytes, size);
+        bool const valid = parser_.feed({bytes, size});
         // The observer may have cancelled the exchange within a callback.
         if (!connected_ || exchange != exchange_number_ || !observer_)
             return;
-        if (complete_)
-            return finish_framed(used < size);
-        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK || used < size)
-            fail(head_seen_ ? call_stage::answering : call_stage::sent,
-                 "not a valid HTTP answer");
+        if (parser_.is_complete())
+            finish_framed();
+        else if (!valid)
+            fail(stage(), foreign_ ? "an answer that may be another request's"
+                                   : "not a valid HTTP answer");
+    }
+
+    call_stage stage() const
+    {
+        return parser_.has_head() ? call_stage::answering : call_stage::sent;
     }
 
-    /// `dirty`: bytes that belong to no request follow the answer.
-    void finish_framed(bool dirty)
+    void finish_framed()
     {
-        bool const keep = !dirty && written_ && keep_alive_;
+        bool const keep = !parser_.has_excess() && written_ &&
+                          parser_.keeps_alive() && marked_;
         auto const observer = std::exchange(observer_, nullptr);
         if (keep)
         {
@@ -290,58 +295,50 @@
                    { self->fail(call_stage::not_sent, reason); });
     }
 
-    static connection& of(http_parser* parser)
-    {
-        return *static_cast<connection*>(parser->data);
-    }
-
-    static int on_header_field(http_parser* parser, char const* at,
-                               std::size_t size)
+    bool on_head(int status, http_headers headers) override
     {
-        connection& self = of(parser);
-        if (!self.value_.empty())
-            self.store_header();
-        self.field_.append(at, size);
-        return 0;
+        check_mark(headers);
+        if (foreign_)
+            return false;
+        idle_limit_ = idle_limit(headers);
+        if (auto const observer = observer_)
+            observer->on_head(status, std::move(headers));
+        return true;
     }
 
-    static int on_header_value(http_parser* parser, char const* at,
-                               std::size_t size)
+    void on_body(std::string_view bytes) override
     {
-        of(parser).value_.append(at, size);
-        return 0;
+        if (auto const observer = observer_)
+            observer->on_body(bytes);
     }
 
-    void store_header()
+    void check_mark(http_headers const& headers)
     {
-        headers_.add(std::exchange(field_, {}), std::exchange(value_, {}));
-    }
-
-    static int on_headers_complete(http_parser* parser)
-    {
-        connection& self = of(parser);
-        if (!self.field_.empty())
-            self.store_header();
-        // An interim (1xx) answer; the final answer follows.
-        if (parser->status_code < first_final_status)
-            return 0;
-        self.head_seen_ = true;
-        self.keep_alive_ = http_should_keep_alive(parser) != 0;
-        self.idle_limit_ = self.idle_limit();
-        if (self.observer_)
+        if (!mark_)
         {
-            auto const observer = self.observer_;
-            observer->on_head(parser->status_code, std::move(self.headers_));
+            marked_ = true;
+            return;
         }
-        self.headers_ = {};
-        return 0;
+        bool named = false;
+        bool matches = true;
+        for (auto const& [field, value] : headers.fields())
+            if (!value.empty() && same_header_name(field, mark_->field))
+            {
+                named = true;
+                matches = matches && value == mark_->value;
+            }
+        bool const nameless = mark_->value.empty();
+        marked_ = matches && named != nameless;
+        // An answer that names another request is left to the observer, which
+        // knows what it means for its request.
+        foreign_ = reused_ && named == nameless;
     }
 
     /// Idle timeout from the header field "Keep-Alive: timeout=SECONDS", minus
     /// the margin.
-    std::chrono::milliseconds idle_limit() const
+    static std::chrono::milliseconds idle_limit(http_headers const& headers)
     {
-        auto const field = headers_.find("Keep-Alive");
+        auto const field = headers.find("Keep-Alive");
         if (!field)
             return max_idle_time;
         constexpr std::string_view key = "timeout=";
@@ -355,51 +352,27 @@
             max_idle_time, std::chrono::seconds(seconds) - keep_alive_margin);
     }
 
-    static int on_body(http_parser* parser, char const* at, std::size_t size)
-    {
-        connection& self = of(parser);
-        if (self.observer_ && self.head_seen_)
-        {
-            auto const observer = self.observer_;
-            observer->on_body({at, size});
-        }
-        return 0;
-    }
-
-    static int on_message_complete(http_parser* parser)
-    {
-        connection& self = of(parser);
-        if (!self.head_seen_)
-        {
-            self.headers_ = {};
-            return ++self.interim_answers_ > max_interim_answers ? 1 : 0;
-        }
-        self.complete_ = true;
-        http_parser_pause(parser, 1);
-        return 0;
-    }
-
     tcp::socket socket_;
     asio::steady_timer timer_;
     backend_address address_;
     connection_registry* registry_;
     std::array<char, read_buffer_bytes> buffer_{};
-    http_parser parser_{};
-    http_parser_settings callbacks_{};
+    answer_parser parser_{*this};
     std::string request_;
+    std::optional<answer_mark> mark_;
+    /// The answer has the mark of its request.
+    bool marked_ = false;
+    /// The answer may be one to an earlier request.
+    bool foreign_ = false;
+    bool reused_ = false;
+    /// A request without a name was sent on this connection.
+    bool carried_nameless_ = false;
     std::shared_ptr<exchange_observer> observer_;
     std::uint64_t exchange_number_ = 0;
-    http_headers headers_;
-    std::string field_;
-    std::string value_;
     bool connected_ = false;
     bool idle_ = false;
     bool sent_ = false;
     bool written_ = false;
-    bool head_seen_ = false;
-    int interim_answers_ = 0;
-    bool complete_ = false;
-    bool keep_alive_ = false;
     std::chrono::milliseconds idle_limit_{0};
     clock::time_point idle_since_;
     clock::time_point usable_until_;
@@ -463,16 +436,15 @@
           exchange_options const& options,
           std::shared_ptr<exchange_observer> observer)
     {
-        if (auto const kept = take_idle(to, options.max_idle))
+        if (auto const kept = take_idle(to, options))
         {
-            kept->reuse(std::move(bytes), std::move(observer));
+            kept->reuse(std::move(bytes), options.mark, std::move(observer));
             return std::make_shared<running_exchange>(kept);
         }
         auto const made = std::make_shared<connection>(io_, to, this);
         connections_.emplace(made.get(), made);
         ++opened_;
-        made->open(std::move(bytes), options.connect_timeout, source_,
-                   std::move(observer));
+        made->open(std::move(bytes), options, source_, std::move(observer));
         return std::make_shared<running_exchange>(made);
     }
 
@@ -507,20 +479,26 @@
     }
 
 private:
-    /// Returns the most recently used idle connection. Connections that are not
-    /// needed stay unused, expire and are closed.
+    /// Returns the most recently used idle connection that can carry the
+    /// request. Connections that are not needed stay unused, expire and are
+    /// closed.
     std::shared_ptr<connection> take_idle(backend_address const& to,
-                                          std::chrono::milliseconds max_idle)
+                                          exchange_options const& options)
     {
         auto const list = idle_.find(to);
-        if (list == idle_.end() || list->second.empty())
+        if (list == idle_.end())
             return nullptr;
         auto const now = clock::now();
-        auto newest = list->second.back();
-        if (!newest->usable_at(now) || now - newest->idle_since() > max_idle)
+        auto& kept = list->second;
+        auto const newest = std::find_if(
+            kept.rbegin(), kept.rend(),
+            [&](auto const& each) { return each->can_carry(options.mark); });
+        if (newest == kept.rend() || !(*newest)->usable_at(now) ||
+            now - (*newest)->idle_since() > options.max_idle)
             return nullptr;
-        list->second.pop_back();
-        return newest;
+        auto taken = *newest;
+        kept.erase(std::prev(newest.base()));
+        return taken;
     }
 
     asio::io_context& io_;
