Bound waits end before the owner counts as silent; connections for orders

An owner refuses after 1.5 s now. - Requests that any worker can run kept their adapters at a worker whose room was kept for a bound one, so that neither ran there. They look for another worker now.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -9,11 +9,9 @@
 
 #include <netinet/tcp.h>
 
-#include <algorithm>
 #include <array>
 #include <charconv>
 #include <deque>
-#include <iterator>
 #include <map>
 #include <utility>
 #include <vector>
@@ -66,13 +64,6 @@
     bool usable_at(clock::time_point now) const { return now < usable_until_; }
     std::uint64_t exchange_number() const { return exchange_number_; }
 
-    /// Whether the answer to such a request can be told from those to earlier
-    /// ones. Precondition: the connection is idle.
-    bool can_carry(std::optional<answer_mark> const& mark) const
-    {
-        return !is_nameless(mark) || !carried_nameless_;
-    }
-
     void open(std::string request, exchange_options const& options,
               std::string const& source,
               std::shared_ptr<exchange_observer> observer)
@@ -97,7 +88,7 @@
             { self->on_connected(refused); });
     }
 
-    /// Preconditions: the connection is idle; can_carry(mark).
+    /// Precondition: the connection is idle.
     void reuse(std::string request, std::optional<answer_mark> const& mark,
                std::shared_ptr<exchange_observer> observer)
     {
@@ -129,16 +120,10 @@
     void detach() { registry_ = nullptr; }
 
 private:
-    static bool is_nameless(std::optional<answer_mark> const& mark)
-    {
-        return mark && mark->value.empty();
-    }
-
     void begin(std::string request, std::optional<answer_mark> const& mark,
                std::shared_ptr<exchange_observer> observer)
     {
         mark_ = mark;
-        carried_nameless_ = carried_nameless_ || is_nameless(mark);
         marked_ = false;
         foreign_ = false;
         request_ = std::move(request);
@@ -365,8 +350,6 @@
     /// The answer may be one to an earlier request.
     bool foreign_ = false;
     bool reused_ = false;
-    /// A request without a name was sent on this connection.
-    bool carried_nameless_ = false;
     std::shared_ptr<exchange_observer> observer_;
     std::uint64_t exchange_number_ = 0;
     bool connected_ = false;
@@ -436,7 +419,7 @@
           exchange_options const& options,
           std::shared_ptr<exchange_observer> observer)
     {
-        if (auto const kept = take_idle(to, options))
+        if (auto const kept = take_idle(to, options.max_idle))
         {
             kept->reuse(std::move(bytes), options.mark, std::move(observer));
             return std::make_shared<running_exchange>(kept);
@@ -479,26 +462,20 @@
     }
 
 private:
-    /// Returns the most recently used idle connection that can carry the
-    /// request. Connections that are not needed stay unused, expire and are
-    /// closed.
+    /// Returns the most recently used idle connection. Connections that are not
+    /// needed stay unused, expire and are closed.
     std::shared_ptr<connection> take_idle(backend_address const& to,
-                                          exchange_options const& options)
+                                          std::chrono::milliseconds max_idle)
     {
         auto const list = idle_.find(to);
-        if (list == idle_.end())
+        if (list == idle_.end() || list->second.empty())
             return nullptr;
         auto const now = clock::now();
-        auto& kept = list->second;
-        auto const newest = std::find_if(
-            kept.rbegin(), kept.rend(),
-            [&](auto const& each) { return each->can_carry(options.mark); });
-        if (newest == kept.rend() || !(*newest)->usable_at(now) ||
-            now - (*newest)->idle_since() > options.max_idle)
+        auto newest = list->second.back();
+        if (!newest->usable_at(now) || now - newest->idle_since() > max_idle)
             return nullptr;
-        auto taken = *newest;
-        kept.erase(std::prev(newest.base()));
-        return taken;
+        list->second.pop_back();
+        return newest;
     }
 
     asio::io_context& io_;
--- a/src/backend_pool.hpp
+++ b/src/backend_pool.hpp
@@ -84,8 +84,7 @@
     ///
     /// Else an answer without its mark is taken only if it is the first on its
     /// connection, and a connection is kept only behind answers that have
-    /// theirs. A connection carries one request without a name at most, since
-    /// answers to two of them look alike.
+    /// theirs. Answers to two requests without a name look alike.
     std::optional<answer_mark> mark = {};
     friend bool operator==(exchange_options const&,
                            exchange_options const&) = default;
--- a/src/service_placing.cpp
+++ b/src/service_placing.cpp
@@ -127,7 +127,9 @@
     bool const has_adapter_slot =
         stage == adapter_stage::loading || stage == adapter_stage::resident;
     bool const is_full = occupied_slots(worker, item) >= request_limit(worker);
-    worker.reserved |= waiting.bound && (is_full || !has_adapter_slot);
+    bool const may_get_slot =
+        !has_adapter_slot && !worker.adapters.is_blocked();
+    worker.reserved |= waiting.bound && (is_full || may_get_slot);
 }
 
 bool service_scheduler::may_load_at(worker_state const& worker,
@@ -556,9 +558,13 @@
                                             waiting_item const& waiting,
                                             time_point now) const
 {
-    return worker.adapters.stage(*waiting.item.target) &&
-           !is_excluded(worker, waiting.item) && is_available(worker, now) &&
-           !worker.health.is_avoided(now) && !is_failure_outlier(worker, now) &&
+    auto const stage = worker.adapters.stage(*waiting.item.target);
+    // A request that waits keeps its adapter from being evicted.
+    if (worker.reserved && !waiting.bound && stage != adapter_stage::loading)
+        return false;
+    return stage && !is_excluded(worker, waiting.item) &&
+           is_available(worker, now) && !worker.health.is_avoided(now) &&
+           !is_failure_outlier(worker, now) &&
            worth_waiting(worker, waiting, now);
 }
 
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -25,6 +25,9 @@
 /// answer when the adapter is loaded, which takes several times longer than
 /// usual while many adapters are fetched.
 constexpr milliseconds started_answer_timeout{2000};
+/// An owner refuses a bound request before the VM that asks takes the owner for
+/// silent.
+constexpr milliseconds max_bound_grant_wait{1500};
 constexpr milliseconds min_retry_after{100};
 constexpr milliseconds max_retry_after{1500};
 /// Weight of a new sample in the moving average of service times.
@@ -392,7 +395,12 @@
     work_item const& item = waiting.item;
     auto const time = item.give_up_at - item.arrived_at;
     // Elsewhere a bound request would wait again, behind others.
-    return item.arrived_at + (waiting.bound ? time * 3 / 4 : time / 2);
+    time_point const end =
+        item.arrived_at + (waiting.bound ? time * 3 / 4 : time / 2);
+    bool const is_asked_for = waiting.bound && item.requested_worker;
+    return is_asked_for
+               ? std::min(end, item.arrived_at + duration(max_bound_grant_wait))
+               : end;
 }
 
 /// A request past its objective that would begin in the last half of its time
@@ -560,7 +568,8 @@
             continue;
         }
         update_wait_cause(waiting);
-        if (item.target)
+        // Others may run where a bound request may not.
+        if (item.target && !waiting.bound)
             blocked_targets.insert(*item.target);
         ++ahead;
         if (ahead > settings_.max_waiting || too_late(waiting, ahead, now))
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -69,6 +69,10 @@
     fence_ = fence;
     consecutive_unanswered_ = 0;
     orders_from_ = orders_from;
+    // Another owner may have completed an unload, and loaded the adapter again.
+    for (auto& [target, state] : adapters_)
+        if (state.stage == adapter_stage::unloading)
+            state.stage = adapter_stage::resident;
     // Another VM may have sent orders since this VM's last one.
     sequence_.reset();
     lost_sequence_.reset();
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -110,6 +110,9 @@
     void on_report_requested() { report_requested_ = true; }
     void on_report(std::optional<worker_report> const& report, time_point now);
     bool synced() const { return sequence_.has_value(); }
+    /// Whether no load can be ordered before an event at the worker: its state
+    /// is unknown, or an unload waits for requests to end.
+    bool is_blocked() const { return !sequence_ || unload_in_progress(); }
     /// Whether a report was accepted under the current ownership. What the
     /// worker holds may then be used, also while orders wait for another
     /// report.
