--- a/tests/service_software_test.cpp
+++ b/tests/service_software_test.cpp
@@ -180,6 +180,22 @@
     CHECK(world.granted(goes_on));
 }
 
+// Guards against an owner that counts as silent since a stream waits there.
+TEST_CASE("an owner answers for a stream before it counts as silent",
+          "[scheduler][software]")
+{
+    full_version_world world;
+    work_item item;
+    item.software = std::set{v1};
+    item.continues_stream = true;
+    item.requested_worker = world.name(0);
+    ticket_id const goes_on = world.submit(std::move(item), "a6", 20s);
+    world.run(1400ms);
+    CHECK_FALSE(world.refused(goes_on));
+    world.run(400ms);
+    CHECK(world.refused(goes_on));
+}
+
 // Guards against streams that take the place of others although any worker can
 // go on with them.
 TEST_CASE("a stream that any worker can go on with waits its turn",
