Tell an order's answer from a late copy of an earlier one

What callers saw: beside a worker that answers an order twice, requests reached workers without their adapter and came back as 421, 502 or 504, and workers were ordered to load more adapters than they have slots, which crashes them.

A late copy of the answer to a request was told by its id, but failed the next request with 502.

Change: on a used connection a whole answer that belongs to an earlier request is skipped, and the own one awaited: one that names it, or one without a name that has the status of the unnamed answer before it. Orders have an id of the VM's own, for workers that echo it, and go out on a connection whose last unnamed answer had another status than theirs will probably have: a load is accepted, an unload holds, a poll holds. A poll that is told once more that its order is under way learns nothing, so that a copy may say so; its connection is closed, since its own answer is yet to come. A copy that is cut, has no length or comes without end fails the call. A request that is sent again takes another connection.

Why it is enough: copies come where the next answer is due, so what is taken either names its call or has a status that no copy there has. Answers of the store and of other VMs need no name: the store sends nothing behind a lost answer, a VM answers each request once, and a call that is given up closes its connection.

Tests replaced: "requests with and without a name share a connection" and "a late answer to an order fails the next request" asked for what is mended here; connections are shared as far as answers differ, and copies are skipped. Field names in the tests of the parser and the pool are no longer those of the platform.

--- a/src/answer_parser.cpp
+++ b/src/answer_parser.cpp
@@ -39,7 +39,7 @@
     interim_answers_ = 0;
     has_head_ = false;
     complete_ = false;
-    has_excess_ = false;
+    excess_bytes_ = 0;
     keeps_alive_ = false;
 }
 
@@ -50,7 +50,7 @@
         return true;
     std::size_t const used =
         http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
-    has_excess_ = complete_ && used < bytes.size();
+    excess_bytes_ = complete_ ? bytes.size() - used : 0;
     return complete_ ||
            (HTTP_PARSER_ERRNO(&parser_) == HPE_OK && used == bytes.size());
 }
--- a/src/answer_parser.hpp
+++ b/src/answer_parser.hpp
@@ -6,6 +6,7 @@
 
 #include <http_parser.h>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -43,8 +44,8 @@
 
     bool has_head() const { return has_head_; }
     bool is_complete() const { return complete_; }
-    /// Bytes that belong to no answer follow the complete one.
-    bool has_excess() const { return has_excess_; }
+    /// The bytes of the last feed() that follow the complete answer.
+    std::size_t excess_bytes() const { return excess_bytes_; }
     /// Whether the answer leaves its connection open. Precondition: has_head().
     bool keeps_alive() const { return keeps_alive_; }
 
@@ -71,7 +72,7 @@
     int interim_answers_ = 0;
     bool has_head_ = false;
     bool complete_ = false;
-    bool has_excess_ = false;
+    std::size_t excess_bytes_ = 0;
     bool keeps_alive_ = false;
 };
 
--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -9,10 +9,13 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <deque>
+#include <iterator>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -36,6 +39,12 @@
 /// (TCP_USER_TIMEOUT): a worker behind a network partition does not even send a
 /// reset. Leaves time for several retransmissions.
 constexpr unsigned unacknowledged_timeout_ms = 2000;
+/// Names of earlier requests that a connection remembers.
+constexpr std::size_t max_known_names = 16;
+/// An exchange fails behind more copies of earlier answers, or more bytes of
+/// their bodies: a faulty worker may send them without end.
+constexpr int max_skipped_answers = 8;
+constexpr std::size_t max_skipped_bytes = 1024UL * 1024;
 
 class connection;
 
@@ -88,7 +97,20 @@
             { self->on_connected(refused); });
     }
 
-    /// Precondition: the connection is idle.
+    /// Whether the answer to the request can be told from copies of earlier
+    /// ones here.
+    bool can_carry(std::optional<answer_mark> const& mark) const
+    {
+        if (!mark)
+            return true;
+        bool const is_new = std::find(known_names_.begin(), known_names_.end(),
+                                      mark->value) == known_names_.end();
+        return is_new && (!mark->is_optional || !unnamed_status_ ||
+                          (mark->likely_status &&
+                           mark->likely_status != unnamed_status_));
+    }
+
+    /// Preconditions: the connection is idle; can_carry(mark).
     void reuse(std::string request, std::optional<answer_mark> const& mark,
                std::shared_ptr<exchange_observer> observer)
     {
@@ -126,6 +148,9 @@
         mark_ = mark;
         marked_ = false;
         foreign_ = false;
+        skips_ = false;
+        skipped_answers_ = 0;
+        skipped_bytes_ = 0;
         request_ = std::move(request);
         observer_ = std::move(observer);
         ++exchange_number_;
@@ -201,14 +226,14 @@
             return close();
         if (failure)
             return on_closed(failure);
-        feed(buffer_.data(), size);
+        feed({buffer_.data(), size});
         if (connected_)
             read();
     }
 
     void on_closed(asio::error_code const& failure)
     {
-        if (failure == asio::error::eof && parser_.has_head())
+        if (failure == asio::error::eof && parser_.has_head() && !skips_)
         {
             parser_.finish();
             if (!connected_)
@@ -219,14 +244,23 @@
         fail(stage(), "connection: " + failure.message());
     }
 
-    void feed(char const* bytes, std::size_t size)
+    void feed(std::string_view bytes)
     {
         std::uint64_t const exchange = exchange_number_;
-        bool const valid = parser_.feed({bytes, size});
+        bool valid = parser_.feed(bytes);
+        while (valid && skips_ && parser_.is_complete())
+        {
+            bytes = bytes.substr(bytes.size() - parser_.excess_bytes());
+            skips_ = false;
+            parser_.begin();
+            valid = parser_.feed(bytes);
+        }
         // The observer may have cancelled the exchange within a callback.
         if (!connected_ || exchange != exchange_number_ || !observer_)
             return;
-        if (parser_.is_complete())
+        if (skipped_bytes_ > max_skipped_bytes)
+            fail(stage(), "an answer to an earlier request does not end");
+        else if (parser_.is_complete())
             finish_framed();
         else if (!valid)
             fail(stage(), foreign_ ? "an answer that may be another request's"
@@ -235,12 +269,13 @@
 
     call_stage stage() const
     {
-        return parser_.has_head() ? call_stage::answering : call_stage::sent;
+        return parser_.has_head() && !skips_ ? call_stage::answering
+                                             : call_stage::sent;
     }
 
     void finish_framed()
     {
-        bool const keep = !parser_.has_excess() && written_ &&
+        bool const keep = parser_.excess_bytes() == 0 && written_ &&
                           parser_.keeps_alive() && marked_;
         auto const observer = std::exchange(observer_, nullptr);
         if (keep)
@@ -249,6 +284,7 @@
             idle_since_ = clock::now();
             usable_until_ = idle_since_ + idle_limit_;
             request_.clear();
+            remember_answer();
             if (registry_ != nullptr)
                 registry_->keep(shared_from_this());
         }
@@ -282,7 +318,12 @@
 
     bool on_head(int status, http_headers headers) override
     {
-        check_mark(headers);
+        if (mark_ && is_copy(status, headers))
+        {
+            skips_ = true;
+            return ++skipped_answers_ <= max_skipped_answers;
+        }
+        check_mark(status, headers);
         if (foreign_)
             return false;
         idle_limit_ = idle_limit(headers);
@@ -293,30 +334,62 @@
 
     void on_body(std::string_view bytes) override
     {
-        if (auto const observer = observer_)
+        if (skips_)
+            skipped_bytes_ += bytes.size();
+        else if (auto const observer = observer_)
             observer->on_body(bytes);
     }
 
-    void check_mark(http_headers const& headers)
+    /// Whether the answer is one to an earlier request here, which has had its
+    /// whole answer.
+    bool is_copy(int status, http_headers const& headers) const
     {
-        if (!mark_)
-        {
-            marked_ = true;
-            return;
-        }
-        bool named = false;
-        bool matches = true;
+        auto const names = names_in(headers);
+        if (names.empty())
+            return status == unnamed_status_ &&
+                   status != mark_->harmless_status;
+        return names.size() == 1 &&
+               std::find(known_names_.begin(), known_names_.end(),
+                         *names.begin()) != known_names_.end();
+    }
+
+    std::set<std::string> names_in(http_headers const& headers) const
+    {
+        std::set<std::string> names;
         for (auto const& [field, value] : headers.fields())
             if (!value.empty() && same_header_name(field, mark_->field))
-            {
-                named = true;
-                matches = matches && value == mark_->value;
-            }
-        bool const nameless = mark_->value.empty();
-        marked_ = matches && named != nameless;
-        // An answer that names another request is left to the observer, which
-        // knows what it means for its request.
-        foreign_ = reused_ && named == nameless;
+                names.insert(value);
+        return names;
+    }
+
+    void check_mark(int status, http_headers const& headers)
+    {
+        marked_ = true;
+        if (!mark_)
+            return;
+        auto const names = names_in(headers);
+        bool const has_name = !mark_->value.empty();
+        bool const is_named = has_name && names == std::set{mark_->value};
+        bool const lacks_name = names.empty() && mark_->is_optional;
+        // Behind a copy the own answer is yet to come.
+        bool const may_be_copy = lacks_name && status == unnamed_status_;
+        marked_ = is_named || (lacks_name && !may_be_copy);
+        answer_status_ = is_named ? std::nullopt : std::optional(status);
+        // An answer that names another request is left to the observer of a
+        // request that needs its name, which knows what it means for it.
+        foreign_ = mark_->is_optional ? !is_named && !lacks_name
+                                      : reused_ && names.empty() == has_name;
+    }
+
+    void remember_answer()
+    {
+        if (!mark_)
+            return;
+        unnamed_status_ = answer_status_;
+        if (!mark_->value.empty())
+            known_names_.push_back(mark_->value);
+        if (known_names_.size() > max_known_names)
+            known_names_.pop_front();
     }
 
     /// Idle timeout from the header field "Keep-Alive: timeout=SECONDS", minus
@@ -345,10 +418,20 @@
     answer_parser parser_{*this};
     std::string request_;
     std::optional<answer_mark> mark_;
-    /// The answer has the mark of its request.
+    /// The answer has the mark of its request, or needs none.
     bool marked_ = false;
+    /// Status of an answer without a name.
+    std::optional<int> answer_status_;
+    /// The same of the last answer here.
+    std::optional<int> unnamed_status_;
     /// The answer may be one to an earlier request.
     bool foreign_ = false;
+    /// The answer is a copy of one to an earlier request.
+    bool skips_ = false;
+    int skipped_answers_ = 0;
+    std::size_t skipped_bytes_ = 0;
+    /// The requests here that have had their answers, the latest last.
+    std::deque<std::string> known_names_;
     bool reused_ = false;
     std::shared_ptr<exchange_observer> observer_;
     std::uint64_t exchange_number_ = 0;
@@ -419,7 +502,7 @@
           exchange_options const& options,
           std::shared_ptr<exchange_observer> observer)
     {
-        if (auto const kept = take_idle(to, options.max_idle))
+        if (auto const kept = take_idle(to, options))
         {
             kept->reuse(std::move(bytes), options.mark, std::move(observer));
             return std::make_shared<running_exchange>(kept);
@@ -462,20 +545,26 @@
     }
 
 private:
-    /// Returns the most recently used idle connection. Connections that are not
-    /// needed stay unused, expire and are closed.
+    /// Returns the most recently used idle connection that can carry the
+    /// request. Connections that are not needed stay unused, expire and are
+    /// closed.
     std::shared_ptr<connection> take_idle(backend_address const& to,
-                                          std::chrono::milliseconds max_idle)
+                                          exchange_options const& options)
     {
         auto const list = idle_.find(to);
-        if (list == idle_.end() || list->second.empty())
+        if (list == idle_.end())
             return nullptr;
         auto const now = clock::now();
-        auto newest = list->second.back();
-        if (!newest->usable_at(now) || now - newest->idle_since() > max_idle)
+        auto& kept = list->second;
+        auto const newest = std::find_if(
+            kept.rbegin(), kept.rend(),
+            [&](auto const& each) { return each->can_carry(options.mark); });
+        if (newest == kept.rend() || !(*newest)->usable_at(now) ||
+            now - (*newest)->idle_since() > options.max_idle)
             return nullptr;
-        list->second.pop_back();
-        return newest;
+        auto taken = *newest;
+        kept.erase(std::prev(newest.base()));
+        return taken;
     }
 
     asio::io_context& io_;
--- a/src/backend_pool.hpp
+++ b/src/backend_pool.hpp
@@ -66,9 +66,16 @@
 {
     /// Header field by which an answer names its request.
     std::string field;
-    /// The request's name; empty: the request has none, and its answer has no
-    /// such field.
+    /// The request's name, which no other request has; empty: it has none.
     std::string value;
+    /// The answer may lack the name. A second copy of an earlier answer without
+    /// one is then told by its status.
+    bool is_optional = false;
+    /// The status that an answer without a name will probably have; nullopt:
+    /// any. The request goes out where the last answer had another one.
+    std::optional<int> likely_status = {};
+    /// An answer with this status changes nothing, so that it may be a copy.
+    std::optional<int> harmless_status = {};
     friend bool operator==(answer_mark const&, answer_mark const&) = default;
 };
 
@@ -82,9 +89,12 @@
     std::chrono::milliseconds max_idle{1000};
     /// nullopt: the server is known to send one answer to each request.
     ///
-    /// Else an answer without its mark is taken only if it is the first on its
-    /// connection, and a connection is kept only behind answers that have
-    /// theirs. Answers to two requests without a name look alike.
+    /// Else copies of earlier answers on the connection are skipped: those that
+    /// name an earlier request, and those without a name that have the status
+    /// of the answer before, if that had no name either. Another answer without
+    /// a name is taken if it is the first on its connection, or if the mark is
+    /// optional. A connection is kept behind answers that have their names, or
+    /// whose marks are optional.
     std::optional<answer_mark> mark = {};
     friend bool operator==(exchange_options const&,
                            exchange_options const&) = default;
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -544,6 +544,12 @@
     void update_waits(service_state& service);
     void update_registry_moment(service_state& service) const;
     void execute(service_state& service, placement_action const& action);
+    /// A call of this VM's own to the worker, which has no id.
+    collected_call call_worker(backend_entry const& worker, std::string bytes,
+                               duration timeout) const;
+    /// `id`: one that no other call of any VM has, nor a caller's request.
+    answer_mark mark_order(request_id const& id,
+                           order_expectation const& expected) const;
     void send_order(issue_order const& order);
     void send_report_request(request_report const& question);
     /// Asks the worker's owner for a grant.
--- a/src/relay_codec.hpp
+++ b/src/relay_codec.hpp
@@ -53,8 +53,15 @@
     virtual http_response error_response(relay_request const& request,
                                          error const& problem) const = 0;
 
-    virtual std::string encode_order(worker_order const& order) const = 0;
+    /// Returns a complete HTTP request, which bears the id `call`.
+    virtual std::string encode_order(worker_order const& order,
+                                     request_id const& call) const = 0;
     virtual order_outcome decode_order_reply(int status) const = 0;
+    /// The status that decode_order_reply() takes for the outcome.
+    /// Precondition: not order_outcome::unknown.
+    virtual int order_status(order_outcome outcome) const = 0;
+    /// Returns a complete HTTP request. It bears no id: a worker of a plain
+    /// service would run it as a request.
     virtual std::string encode_report_request() const = 0;
     virtual std::optional<worker_report>
     decode_report(std::string const& body) const = 0;
--- a/src/relay_forwarding.cpp
+++ b/src/relay_forwarding.cpp
@@ -86,14 +86,10 @@
             asio::post(io_, [done = std::move(done)] { done(false); });
         return;
     }
-    collected_call call;
-    call.to = to;
-    call.bytes = codec_.encode_report_request();
+    collected_call call =
+        call_worker(*entry, codec_.encode_report_request(), probe_timeout);
     call.options.connect_timeout = probe_connect_timeout;
     call.options.max_idle = milliseconds(0);
-    call.options.mark = answer_mark{codec_.request_id_field(), {}};
-    call.current_deadline = [ends = std::chrono::steady_clock::now() +
-                                    probe_timeout] { return ends; };
     call.on_end = [done = std::move(done)](collected_answer const& answer)
     { done(answer.status != 0); };
     start_collected(io_, pool_, std::move(call));
--- a/src/relay_orders.cpp
+++ b/src/relay_orders.cpp
@@ -3,6 +3,7 @@
 #include "relay.hpp"
 
 #include <asio/post.hpp>
+#include <fmt/format.h>
 
 #include <utility>
 
@@ -42,20 +43,38 @@
     return "unknown";
 }
 
-collected_call call_to(backend_entry const& worker, std::string bytes,
-                       milliseconds timeout, relay_codec const& codec)
+} // namespace
+
+collected_call relay::call_worker(backend_entry const& worker,
+                                  std::string bytes, duration timeout) const
 {
     collected_call call;
     call.to = {worker.address, worker.port};
     call.bytes = std::move(bytes);
-    call.options.connect_timeout = timeout;
-    call.options.mark = answer_mark{codec.request_id_field(), {}};
+    call.options.connect_timeout =
+        std::chrono::duration_cast<milliseconds>(timeout);
+    call.options.mark =
+        answer_mark{codec_.request_id_field(), {}, true, status_ok};
     call.current_deadline = [deadline = std::chrono::steady_clock::now() +
                                         timeout] { return deadline; };
     return call;
 }
 
-} // namespace
+/// Failure: a worker answers one order twice, and the second answer is taken
+/// for that to the next order. So each order has an id, which its answer may
+/// repeat, and goes out where no copy of an answer without one is as likely as
+/// its own answer.
+answer_mark relay::mark_order(request_id const& id,
+                              order_expectation const& expected) const
+{
+    auto const status = [this](std::optional<order_outcome> const& outcome)
+    {
+        return outcome ? std::optional(codec_.order_status(*outcome))
+                       : std::nullopt;
+    };
+    return {codec_.request_id_field(), id.str(), true, status(expected.likely),
+            status(expected.without_news)};
+}
 
 void relay::send_order(issue_order const& order)
 {
@@ -68,8 +87,11 @@
         return;
     }
     ++counts_.orders;
-    collected_call call = call_to(order.entry, codec_.encode_order(order.order),
-                                  order_timeout, codec_);
+    request_id const id(fmt::format("{}-{:x}-{}", options_.vm.str(),
+                                    options_.seed, counts_.orders));
+    collected_call call = call_worker(
+        order.entry, codec_.encode_order(order.order, id), order_timeout);
+    call.options.mark = mark_order(id, order.expected);
     call.on_end = [this, service, order = order.order,
                    sent_at = now()](collected_answer const& answer)
     {
@@ -83,8 +105,8 @@
 void relay::send_report_request(request_report const& question)
 {
     ++counts_.reports;
-    collected_call call = call_to(
-        question.entry, codec_.encode_report_request(), report_timeout, codec_);
+    collected_call call = call_worker(
+        question.entry, codec_.encode_report_request(), report_timeout);
     call.on_end = [this, service = question.entry.service,
                    worker = question.worker,
                    sent_at = now()](collected_answer const& answer)
--- a/src/service_scheduler.cpp
+++ b/src/service_scheduler.cpp
@@ -658,7 +658,8 @@
             !must_wait_for_entry(*worker, now))
             want_model(*worker, now);
         if (auto order = worker->adapters.next_order(id, keep, now))
-            actions_.push_back(issue_order{std::move(*order), worker->entry});
+            actions_.push_back(issue_order{std::move(*order), worker->entry,
+                                           worker->adapters.expectation()});
     }
 }
 
--- a/src/service_scheduler.hpp
+++ b/src/service_scheduler.hpp
@@ -179,6 +179,7 @@
 {
     worker_order order;
     backend_entry entry;
+    order_expectation expected = {};
 };
 
 /// Action: ask the worker for a report of its state.
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -617,6 +617,22 @@
     return make_order(order_kind::unload, victim->first);
 }
 
+order_expectation worker_adapters::expectation() const
+{
+    if (order_repeated_)
+        return {};
+    bool const unloads = order_->kind == order_kind::unload;
+    bool const is_poll =
+        order_->adapter.empty()
+            ? loading_model_ == order_->model
+            : stage({order_->model, order_->adapter}) ==
+                  (unloads ? adapter_stage::unloading : adapter_stage::loading);
+    if (is_poll)
+        return {order_outcome::already_applied, order_outcome::accepted};
+    return {unloads ? order_outcome::already_applied : order_outcome::accepted,
+            std::nullopt};
+}
+
 bool worker_adapters::on_outcome(order_outcome outcome, time_point now)
 {
     if (!order_ || !in_flight_)
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -56,6 +56,17 @@
     unloading
 };
 
+/// What an order's answer will probably say. Value.
+struct order_expectation
+{
+    /// nullopt: it cannot be told.
+    std::optional<order_outcome> likely = {};
+    /// Changes nothing that is known of the worker; nullopt: no outcome.
+    std::optional<order_outcome> without_news = {};
+    friend bool operator==(order_expectation const&,
+                           order_expectation const&) = default;
+};
+
 /// Sends one order at a time. Each order carries the number of orders that the
 /// worker must have accepted before it (the expected sequence). Failure: an
 /// order whose answer is lost is carried out seconds later, when its slot has
@@ -201,6 +212,8 @@
     std::optional<worker_order> next_order(worker_id const& worker,
                                            score const& retention_priority,
                                            time_point now);
+    /// Of the order in flight. Precondition: order_in_flight().
+    order_expectation expectation() const;
     /// Handles the outcome of the order in flight. Returns whether the known
     /// state of the worker changed: false for a poll of an order in progress
     /// and for an order without effect.
--- a/tests/answer_parser_test.cpp
+++ b/tests/answer_parser_test.cpp
@@ -68,7 +68,7 @@
     if (ends && !parser.is_complete())
         parser.finish();
     into.parts.complete = parser.is_complete();
-    into.parts.excess = excess || parser.has_excess();
+    into.parts.excess = excess || parser.excess_bytes() > 0;
     return into.parts;
 }
 
@@ -149,8 +149,8 @@
     /// Appends fields, many of them without a value or repeated.
     void add_fields(std::string& text, header_fields& fields)
     {
-        static constexpr char const* names[] = {
-            "Request-Id", "Server-Seal", "Not-Executed", "x", "Cache-Status"};
+        static constexpr char const* names[] = {"Number", "Proof", "Refused",
+                                                "x", "Cache-Status"};
         for (std::size_t left = below(6); left > 0; --left)
         {
             std::string const name = names[below(std::size(names))];
@@ -259,11 +259,11 @@
 {
     std::string const text =
         "HTTP/1.1 100 Continue\r\nLink:\r\n\r\n"
-        "HTTP/1.1 503 Full\r\nCache-Status:\r\nRequest-Id: 7\r\nEmpty: \r\n"
+        "HTTP/1.1 503 Full\r\nCache-Status:\r\nNumber: 7\r\nEmpty: \r\n"
         "Twice: a\r\nTwice:\r\nContent-Length: 2\r\nLast:\r\n\r\nno";
     answer_parts const expected{503,
                                 {{"Cache-Status", ""},
-                                 {"Request-Id", "7"},
+                                 {"Number", "7"},
                                  {"Empty", ""},
                                  {"Twice", "a"},
                                  {"Twice", ""},
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -195,7 +195,7 @@
 
 answer_mark named(std::string value)
 {
-    return {"Request-Id", std::move(value)};
+    return {"Number", std::move(value)};
 }
 
 answer_mark nameless()
@@ -230,10 +230,10 @@
 TEST_CASE("an answer without a name fails on a used connection",
           "[backend_pool]")
 {
-    std::string const fields = GENERATE("", "Request-Id:\r\n");
+    std::string const fields = GENERATE("", "Number:\r\n");
     pool_fixture world;
-    raw_socket const worker = exchange_first(
-        world, named("1"), answer_with("request-id: 1\r\n", "one"));
+    raw_socket const worker =
+        exchange_first(world, named("1"), answer_with("number: 1\r\n", "one"));
     observed_exchange second;
     world.send(second, named("2"));
     worker.read_until(end_of_headers);
@@ -252,7 +252,7 @@
           "[backend_pool]")
 {
     std::string const fields =
-        GENERATE("", "Request-Id: 2\r\n", "Request-Id: 1\r\nRequest-Id: 2\r\n");
+        GENERATE("", "Number: 2\r\n", "Number: 1\r\nNumber: 2\r\n");
     pool_fixture world;
     for (std::uint64_t count = 1; count <= 3; ++count)
     {
@@ -267,78 +267,310 @@
           "[backend_pool]")
 {
     pool_fixture world;
-    raw_socket const worker = exchange_first(
-        world, named("1"), answer_with("Request-Id: 1\r\n", "one"));
+    raw_socket const worker =
+        exchange_first(world, named("1"), answer_with("Number: 1\r\n", "one"));
     observed_exchange second;
     world.send(second, named("2"));
     worker.read_until(end_of_headers);
-    worker.send(answer_with("Request-Id: 1\r\n", "late"));
+    worker.send(answer_with("Number: 0\r\n", "late"));
     second.wait();
-    CHECK(second.headers.find("Request-Id") == "1");
+    CHECK(second.headers.find("Number") == "0");
     CHECK(worker.read_some().empty());
 }
 
-// Guards against a new connection for each order to a worker.
-TEST_CASE("requests with and without a name share a connection",
+namespace
+{
+
+std::string const copy_of_one = answer_with("Number: 1\r\n", "one");
+std::string const answer_to_two = answer_with("Number: 2\r\n", "two");
+
+/// Sends a second request behind one that was answered.
+raw_socket send_second(pool_fixture& world, observed_exchange& second,
+                       answer_mark const& mark = named("2"))
+{
+    raw_socket worker = exchange_first(world, named("1"), copy_of_one);
+    world.send(second, mark);
+    worker.read_until(end_of_headers);
+    CHECK(world.opened() == 1);
+    return worker;
+}
+
+} // namespace
+
+// Guards against failing a request for a late copy of an earlier answer.
+TEST_CASE("copies of an earlier answer are skipped", "[backend_pool]")
+{
+    std::string const copy = GENERATE(
+        as<std::string>{}, copy_of_one, copy_of_one + copy_of_one + copy_of_one,
+        "HTTP/1.1 100 Continue\r\n\r\n" + copy_of_one,
+        "HTTP/1.1 503 Full\r\nNumber: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n0\r\n\r\n",
+        "HTTP/1.1 204 None\r\nNumber: 1\r\nConnection: close\r\n\r\n");
+    bool const at_once = GENERATE(true, false);
+    pool_fixture world;
+    observed_exchange second;
+    raw_socket const worker = send_second(world, second);
+    if (at_once)
+        worker.send(copy + answer_to_two);
+    else
+        for (char const each : copy + answer_to_two)
+            worker.send(std::string(1, each));
+    second.wait();
+    CHECK(second.ended);
+    CHECK(second.status == 200);
+    CHECK(second.body == "two");
+    observed_exchange third;
+    world.send(third, named("3"));
+    worker.read_until(end_of_headers);
+    worker.send(answer_to_two + answer_with("Number: 3\r\n", "three"));
+    third.wait();
+    CHECK(third.body == "three");
+    CHECK(world.opened() == 1);
+}
+
+// Guards against joining a copy that was cut, or whose end cannot be told, with
+// the answer behind it.
+TEST_CASE("a copy without an end yields no answer", "[backend_pool]")
+{
+    std::string const copy = GENERATE(
+        as<std::string>{}, "HTTP/1.1 200 OK\r\nNumber: 1\r\n\r\none",
+        "HTTP/1.1 200 OK\r\nNumber: 1\r\nContent-Length: 500\r\n\r\none",
+        "HTTP/1.1 200 OK\r\nNumber: 1\r\nContent-Length: 6\r\n\r\none",
+        "HTTP/1.1 200 OK\r\nNumber: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n3\r\none\r\n",
+        "HTTP/1.1 200 OK\r\nNumber: 1\r\nConten");
+    pool_fixture world;
+    observed_exchange second;
+    raw_socket worker = send_second(world, second);
+    worker.send(copy + answer_to_two);
+    worker.close();
+    second.wait();
+    CHECK(second.failed == call_stage::sent);
+    CHECK(second.status == 0);
+    CHECK(second.body.empty());
+}
+
+// Guards against waiting at a worker that sends copies without end.
+TEST_CASE("an exchange fails behind too many copies", "[backend_pool]")
+{
+    pool_fixture world;
+    observed_exchange second;
+    raw_socket const worker = send_second(world, second);
+    bool const many = GENERATE(true, false);
+    if (many)
+        for (int count = 0; count < 9; ++count)
+            worker.send(copy_of_one);
+    else
+        worker.send(
+            answer_with("Number: 1\r\n", std::string(2UL * 1024 * 1024, 'a')));
+    second.wait();
+    CHECK(second.failed == call_stage::sent);
+    CHECK(second.status == 0);
+}
+
+// Guards against taking a copy for the answer to the same request, sent again.
+TEST_CASE("a request that is sent again uses another connection",
           "[backend_pool]")
 {
     pool_fixture world;
-    raw_socket const worker = exchange_first(
-        world, named("1"), answer_with("Request-Id: 1\r\n", "one"));
+    raw_socket const worker = exchange_first(world, named("1"), copy_of_one);
+    observed_exchange again;
+    world.send(again, named("1"));
+    CHECK(world.opened() == 2);
+}
+
+namespace
+{
+
+/// As of an order whose answer is likely to have `status`.
+answer_mark optionally_named(std::string value, std::optional<int> status = 200)
+{
+    return {"Number", std::move(value), true, status};
+}
+
+std::string unnamed(int status)
+{
+    return "HTTP/1.1 " + std::to_string(status) +
+           " Done\r\nContent-Length: 0\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against a new connection for each order to a worker.
+TEST_CASE("orders and requests share a connection", "[backend_pool]")
+{
+    pool_fixture world;
     observed_exchange order;
-    world.send(order, nameless());
-    worker.read_until(end_of_headers);
-    worker.send(answer_with("", "order"));
+    raw_socket const worker = send_second(world, order, optionally_named("2"));
+    worker.send(answer_to_two);
     order.wait();
-    CHECK(order.body == "order");
+    CHECK(order.body == "two");
+    observed_exchange next;
+    world.send(next, optionally_named("3"));
+    worker.read_until(end_of_headers);
+    worker.send(answer_with("Number: 3\r\n", "three"));
+    next.wait();
+    CHECK(next.body == "three");
+    observed_exchange request;
+    world.send(request, named("4"));
+    worker.read_until(end_of_headers);
+    worker.send(answer_with("Number: 4\r\n", "four"));
+    request.wait();
+    CHECK(request.ended);
     CHECK(world.opened() == 1);
+}
+
+// Guards against taking a late second answer to one order for that to the next.
+TEST_CASE("a late copy of the answer to an order is skipped", "[backend_pool]")
+{
+    pool_fixture world;
+    raw_socket const worker =
+        exchange_first(world, optionally_named("1"), copy_of_one);
     observed_exchange next;
-    world.send(next, nameless());
+    world.send(next, optionally_named("2"));
     worker.read_until(end_of_headers);
-    worker.send(answer_with("", "next"));
+    worker.send(copy_of_one + answer_to_two);
     next.wait();
-    CHECK(next.body == "next");
-    observed_exchange again;
-    world.send(again, named("2"));
+    CHECK(next.body == "two");
+    CHECK(world.opened() == 1);
+}
+
+// Guards against a new connection for each order to a worker whose answers to
+// orders name none.
+TEST_CASE("orders whose answers differ share a connection", "[backend_pool]")
+{
+    pool_fixture world;
+    observed_exchange first;
+    raw_socket const worker =
+        send_second(world, first, optionally_named("2", 202));
+    worker.send(unnamed(202));
+    first.wait();
+    CHECK(first.status == 202);
+    observed_exchange second;
+    world.send(second, optionally_named("3", 200));
+    worker.read_until(end_of_headers);
+    worker.send(unnamed(200));
+    second.wait();
+    CHECK(second.status == 200);
+    observed_exchange request;
+    world.send(request, named("4"));
     worker.read_until(end_of_headers);
-    worker.send("HTTP/1.1 200 OK\r\nRequest-Id: 2\r\n"
-                "Connection: close\r\nContent-Length: 0\r\n\r\n");
-    again.wait();
-    CHECK(again.ended);
+    worker.send(answer_with("Number: 4\r\n", "four"));
+    request.wait();
+    CHECK(request.body == "four");
+    // All copies of earlier answers have come before that answer.
+    observed_exchange third;
+    world.send(third, optionally_named("5", 200));
+    worker.read_until(end_of_headers);
+    worker.send(unnamed(200));
+    third.wait();
+    CHECK(third.status == 200);
     CHECK(world.opened() == 1);
 }
 
-// Guards against taking a late answer to a request for that to an order.
-TEST_CASE("an answer that names a request fails a call without a name",
+// Guards against taking a late second answer to one order for that to the next.
+TEST_CASE("an order goes out where copies have another status",
           "[backend_pool]")
 {
+    std::string const fields = GENERATE("", "Number:\r\n");
+    auto const likely = GENERATE(std::optional<int>(200), std::nullopt);
     pool_fixture world;
-    raw_socket const worker = exchange_first(
-        world, named("1"), answer_with("Request-Id: 1\r\n", "one"));
-    observed_exchange order;
-    world.send(order, nameless());
+    observed_exchange first;
+    raw_socket const worker = send_second(world, first, optionally_named("2"));
+    worker.send(answer_with(fields, "first"));
+    first.wait();
+    CHECK(first.body == "first");
+    observed_exchange next;
+    world.send(next, optionally_named("3", likely));
+    CHECK(world.opened() == 2);
+}
+
+// Guards against the same, and against failing requests for such a copy.
+TEST_CASE("a copy of an unnamed answer is skipped", "[backend_pool]")
+{
+    bool const is_order = GENERATE(true, false);
+    pool_fixture world;
+    observed_exchange first;
+    raw_socket const worker =
+        send_second(world, first, optionally_named("2", 202));
+    worker.send(unnamed(202));
+    first.wait();
+    observed_exchange next;
+    world.send(next, is_order ? optionally_named("3", 200) : named("3"));
     worker.read_until(end_of_headers);
-    worker.send(answer_with("Request-Id: 1\r\n", "late"));
+    worker.send(unnamed(202) +
+                (is_order ? unnamed(200) : answer_with("Number: 3\r\n", "")));
+    next.wait();
+    CHECK(next.status == 200);
+    CHECK(world.opened() == 1);
+}
+
+// Guards against waiting in vain for an answer that changes nothing.
+TEST_CASE("an answer without news need not be told from a copy",
+          "[backend_pool]")
+{
+    pool_fixture world;
+    observed_exchange first;
+    raw_socket const worker =
+        send_second(world, first, optionally_named("2", 202));
+    worker.send(unnamed(202));
+    first.wait();
+    observed_exchange poll;
+    answer_mark mark = optionally_named("3", 200);
+    mark.harmless_status = 202;
+    world.send(poll, mark);
+    worker.read_until(end_of_headers);
+    worker.send(unnamed(202));
+    poll.wait();
+    CHECK(poll.status == 202);
+    // The poll's own answer may be yet to come.
+    CHECK(worker.read_some().empty());
+}
+
+TEST_CASE("an answer that names another request fails an order",
+          "[backend_pool]")
+{
+    bool const reused = GENERATE(true, false);
+    pool_fixture world;
+    observed_exchange order;
+    raw_socket const worker = [&]
+    {
+        if (reused)
+            return send_second(world, order, optionally_named("2"));
+        world.send(order, optionally_named("2"));
+        return world.accept();
+    }();
+    worker.send(answer_with("Number: 0\r\n", "late"));
     order.wait();
     CHECK(order.failed);
     CHECK(order.status == 0);
     CHECK(worker.read_some().empty());
 }
 
-// Guards against taking a late answer to an order for that to a request.
-TEST_CASE("a late answer to an order fails the next request", "[backend_pool]")
+// Guards against mixing up the answers to requests that have no names.
+TEST_CASE("a connection is closed behind a request without a name",
+          "[backend_pool]")
 {
     pool_fixture world;
     raw_socket const worker =
-        exchange_first(world, nameless(), answer_with("", "order"));
+        exchange_first(world, nameless(), answer_with("", "first"));
+    CHECK(worker.read_some().empty());
     observed_exchange next;
     world.send(next, named("1"));
-    worker.read_until(end_of_headers);
-    worker.send(answer_with("", "order"));
-    next.wait();
-    CHECK(next.failed);
-    CHECK(next.status == 0);
-    CHECK(world.opened() == 1);
+    CHECK(world.opened() == 2);
+}
+
+// Guards against taking a late answer for that to a request without a name.
+TEST_CASE("an answer with a name fails a request without one", "[backend_pool]")
+{
+    pool_fixture world;
+    observed_exchange second;
+    raw_socket const worker = send_second(world, second, nameless());
+    worker.send(answer_with("Number: 0\r\n", "late"));
+    second.wait();
+    CHECK(second.failed);
+    CHECK(second.status == 0);
+    CHECK(worker.read_some().empty());
 }
 
 // Guards against keeping a connection on which a worker has yet to read the
@@ -363,7 +595,7 @@
                 options, std::make_shared<exchange_recorder>(only));
         });
     raw_socket const worker = world.accept();
-    worker.send(answer_with("Request-Id: 1\r\n", "early"));
+    worker.send(answer_with("Number: 1\r\n", "early"));
     only.wait();
     CHECK(only.body == "early");
     observed_exchange second;
@@ -456,13 +688,12 @@
 // Guards against joining the name of a field without a value to the next one.
 TEST_CASE("header fields without a value are kept apart", "[backend_pool]")
 {
-    std::string const head = "HTTP/1.1 200 OK\r\nEmpty:\r\nRequest-Id: 7\r\n"
+    std::string const head = "HTTP/1.1 200 OK\r\nEmpty:\r\nNumber: 7\r\n"
                              "Blank: \t\r\nTwice: a\r\nTwice:\r\n"
                              "Twice: b\r\nContent-Length: 0\r\nLast:\r\n\r\n";
     std::vector<std::pair<std::string, std::string>> const expected{
-        {"Empty", ""},           {"Request-Id", "7"}, {"Blank", ""},
-        {"Twice", "a"},          {"Twice", ""},       {"Twice", "b"},
-        {"Content-Length", "0"}, {"Last", ""}};
+        {"Empty", ""}, {"Number", "7"}, {"Blank", ""},           {"Twice", "a"},
+        {"Twice", ""}, {"Twice", "b"},  {"Content-Length", "0"}, {"Last", ""}};
     pool_fixture world;
     observed_exchange whole;
     world.send(whole);
@@ -539,16 +770,16 @@
 {
 
 char const* const cut_heads[] = {
-    "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 2\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n\r\n",
-    "HTTP/1.1 204 No Content\r\nServer-Seal: s\r\n\r\n",
-    "HTTP/1.0 200 OK\r\nServer-Seal: s\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nProof: s\r\nContent-Length: 2\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nProof: s\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nProof: s\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nProof: s\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nProof: s\r\n\r\n",
     "HTTP/1.1 200\r\nConnection: close\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: a\r\n\r\n",
-    "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n folded\r\n\tagain\r\n\r\n",
-    "HTTP/1.1 200 OK\nServer-Seal: s\nContent-Length: 0\n\n",
+    "HTTP/1.1 200 OK\r\nProof: s\r\n folded\r\n\tagain\r\n\r\n",
+    "HTTP/1.1 200 OK\nProof: s\nContent-Length: 0\n\n",
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
     "Content-Length: 0\r\n\r\n",
     "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
--- a/tests/registry_watch_test.cpp
+++ b/tests/registry_watch_test.cpp
@@ -96,11 +96,13 @@
     {
         throw unused;
     }
-    std::string encode_order(worker_order const&) const override
+    std::string encode_order(worker_order const&,
+                             request_id const&) const override
     {
         throw unused;
     }
     order_outcome decode_order_reply(int) const override { throw unused; }
+    int order_status(order_outcome) const override { throw unused; }
     std::string encode_report_request() const override { throw unused; }
     std::optional<worker_report>
     decode_report(std::string const&) const override
--- a/tests/relay_callers.hpp
+++ b/tests/relay_callers.hpp
@@ -63,11 +63,16 @@
                                .count()));
         return response;
     }
-    std::string encode_order(worker_order const&) const override { return {}; }
+    std::string encode_order(worker_order const&,
+                             request_id const&) const override
+    {
+        return {};
+    }
     order_outcome decode_order_reply(int) const override
     {
         return order_outcome::unknown;
     }
+    int order_status(order_outcome) const override { return 200; }
     std::string encode_report_request() const override { return {}; }
     std::optional<worker_report>
     decode_report(std::string const&) const override
--- a/tests/worker_adapters_test.cpp
+++ b/tests/worker_adapters_test.cpp
@@ -405,3 +405,52 @@
     CHECK_FALSE(adapters.fits_model(base_model_id("other")));
     CHECK(adapters.slot_count() == 8);
 }
+
+// Guards against sending orders where a copy of an earlier answer passes for
+// theirs.
+TEST_CASE("the likely answers to orders are known", "[worker_adapters]")
+{
+    order_expectation const load{order_outcome::accepted, std::nullopt};
+    order_expectation const poll{order_outcome::already_applied,
+                                 order_outcome::accepted};
+    test_worker worker;
+    worker.request_load("a");
+    REQUIRE(worker.next());
+    CHECK(worker.adapters.expectation() == load);
+    worker.adapters.on_outcome(order_outcome::unknown, worker.now);
+    worker.now += 1s;
+    REQUIRE(worker.next());
+    CHECK(worker.adapters.expectation() == order_expectation());
+    worker.adapters.on_outcome(order_outcome::accepted, worker.now);
+    worker.now += 1s;
+    REQUIRE(worker.next());
+    CHECK(worker.adapters.expectation() == poll);
+    worker.adapters.on_outcome(order_outcome::accepted, worker.now);
+    worker.now += 1s;
+    REQUIRE(worker.next());
+    CHECK(worker.adapters.expectation() == poll);
+}
+
+TEST_CASE("an unload is expected to be done at once", "[worker_adapters]")
+{
+    test_worker worker;
+    worker.request_load("a");
+    REQUIRE(worker.next());
+    worker.adapters.on_outcome(order_outcome::accepted, worker.now);
+    worker.now += 1s;
+    worker.finish_loads(1);
+    worker.adapters.end_wait(target("a"));
+    worker.adapters.mark_outdated(target("a"), adapter_version(2));
+    worker.now += 1s;
+    auto const unload = worker.next();
+    REQUIRE(unload);
+    REQUIRE(unload->kind == order_kind::unload);
+    CHECK(worker.adapters.expectation() ==
+          order_expectation{order_outcome::already_applied, std::nullopt});
+    worker.adapters.on_outcome(order_outcome::accepted, worker.now);
+    worker.now += 1s;
+    REQUIRE(worker.next());
+    CHECK(worker.adapters.expectation() ==
+          order_expectation{order_outcome::already_applied,
+                            order_outcome::accepted});
+}
