Put a stream on record before its caller sees its first event

Cause: while several versions serve, the record of what began a stream went to the store up to 100 ms, and a hop to another VM, after its first event had been passed on.

Change: the record is queued when the head of the answer arrives, and the events wait (answer_gate) until the store has it, for 150 ms at most. Up to 16 VMs write their own records, beyond that the first keepers of the streams, who now answer when the row is written. Together the VMs still make no more than 160 calls a second unless they fill them: 16 x 100 ms, so six VMs wait 37 ms at most between two calls and make them at once when they are idle. Nothing waits where one version is listed, or while the last write failed.

Ruled out: a shorter interval (a window remains); a record at the send, which names a version that need not begin the stream when the request is sent again, and a late write of which would bring it back.

"a first event waits until the store has the record of its stream" and two more play the store by hand.

While the store is away streams begin without a record, as before, and go on at other VMs from the records in memory.

--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -596,6 +596,7 @@
     run_limits();
     run_probes();
     stream_rows_.run(at);
+    release_held_events();
     review_software_records();
     if (at >= send_ended_grants_at_)
         send_ended_grants();
@@ -732,6 +733,8 @@
                   reachability_.next_due(), stream_rows_.next_due()});
     if (auto const due = due_.next())
         next = std::min(next, *due);
+    if (!held_events_.empty())
+        next = std::min(next, held_events_.front().until);
     for (auto const& [name, service] : services_)
         next = std::min(next, service.scheduler.next_due());
     for (early_request const& each : early_requests_)
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -4,6 +4,7 @@
 #define MULBERRY_RELAY_HPP
 
 #include "allotment_limiter.hpp"
+#include "answer_gate.hpp"
 #include "collected_exchange.hpp"
 #include "connect_check.hpp"
 #include "connection_gate.hpp"
@@ -33,6 +34,7 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -197,7 +199,8 @@
         stream_rows_.set_sweeps(rank == 0);
     }
     /// Handles another VM's message about streams; see peer_streams.hpp.
-    void handle_streams(http_request const& received, http_answer& answer);
+    void handle_streams(http_request const& received,
+                        std::shared_ptr<http_answer> const& answer);
 
     /// Makes a call to a worker for another VM; see forwarded_call.hpp.
     void handle_forwarded_call(http_request const& received,
@@ -261,7 +264,7 @@
     void stop_waiting(relay_exchange& exchange) override;
     void on_first_byte(relay_exchange& exchange) override;
     std::optional<software_version>
-    on_stream_begun(relay_exchange const& exchange) override;
+    on_stream_begun(relay_exchange& exchange) override;
     void on_stream_bytes(duration gap) override { stream_gaps_.add(gap); }
     answer_memory& answers() override { return answers_; }
     void on_slow_caller() override { ++counts_.slow_callers_closed; }
@@ -421,13 +424,20 @@
     void find_stream_row(std::shared_ptr<relay_exchange> const& exchange,
                          time_point asked_at);
     void reject_unknown_stream(relay_exchange& exchange, time_point asked_at);
-    /// Keeps the records here, at a few VMs each, and in the store.
+    /// Keeps the records here, at a few VMs each, and in the store. Calls
+    /// `on_recorded`, if it is set, when the store has the last one, or does
+    /// not take records now. Precondition: it is set for one record only.
     void keep_records(service_id const& service,
-                      std::vector<stream_record> const& records);
+                      std::vector<stream_record> const& records,
+                      std::function<void()> const& on_recorded = {});
     void record_running_streams(service_id const& service);
-    void send_records(vm_id const& keeper, stream_message const& message);
-    /// Writes the records to the store soon.
-    void store_records(std::vector<stream_record> const& records);
+    void send_records(vm_id const& keeper, stream_message const& message,
+                      std::function<void()> const& on_recorded);
+    /// Writes the records to the store soon; `on_recorded` as above.
+    void store_records(std::vector<stream_record> const& records,
+                       std::function<void()> const& on_recorded);
+    /// Passes on events that have waited too long for their records.
+    void release_held_events();
     void send_stream_message(
         backend_address const& to, stream_message const& message,
         duration timeout,
@@ -635,6 +645,13 @@
     std::vector<vm_id> sending_vms_;
     stream_records streams_;
     stream_row_keeper stream_rows_;
+    struct held_events
+    {
+        time_point until{};
+        std::shared_ptr<answer_gate> gate;
+    };
+    /// Ascending.
+    std::deque<held_events> held_events_;
     software_record_writer software_records_;
     time_point review_software_at_{};
     std::unordered_map<ticket_id, peer_request> peer_requests_;
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -676,7 +676,7 @@
             if (request.path == worker_limits_path)
                 return relay_.handle_worker_limits(request, *answer);
             if (request.path == streams_path)
-                return relay_.handle_streams(request, *answer);
+                return relay_.handle_streams(request, answer);
             if (request.path == forwarded_call_path)
                 return relay_.handle_forwarded_call(request, std::move(answer));
             relay_.handle_peer(request, std::move(answer));
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -406,6 +406,13 @@
     schedule_wake();
 }
 
+std::shared_ptr<answer_gate> relay_exchange::hold_events()
+{
+    auto gate = std::make_shared<answer_gate>(answer_);
+    answer_ = gate;
+    return gate;
+}
+
 void relay_exchange::on_body(std::string_view bytes)
 {
     if (stage_ == stage::streaming)
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -3,6 +3,7 @@
 #define MULBERRY_RELAY_EXCHANGE_HPP
 
 #include "answer_body.hpp"
+#include "answer_gate.hpp"
 #include "answer_memory.hpp"
 #include "backend_pool.hpp"
 #include "event_splitter.hpp"
@@ -57,9 +58,10 @@
     virtual void on_first_byte(relay_exchange& exchange) = 0;
     /// The head of a stream's answer arrived. Returns the version of the
     /// software that runs the stream; nullopt if it is not certain, as the
-    /// worker may have started again since it was listed.
+    /// worker may have started again since it was listed. May hold the events
+    /// back.
     virtual std::optional<software_version>
-    on_stream_begun(relay_exchange const& exchange) = 0;
+    on_stream_begun(relay_exchange& exchange) = 0;
     /// More bytes of a stream arrived; `gap` is the time since the previous
     /// bytes.
     virtual void on_stream_bytes(duration gap) = 0;
@@ -188,6 +190,10 @@
         stream_version_ = software;
     }
 
+    /// Passes no event on to the caller before the returned gate is open.
+    /// Precondition: the stream has begun, and none was passed on.
+    std::shared_ptr<answer_gate> hold_events();
+
     exchange_terms const& terms() const { return terms_; }
     relay_request const& request() const { return request_; }
     /// Computed on the first call.
--- a/src/relay_streams.cpp
+++ b/src/relay_streams.cpp
@@ -32,6 +32,12 @@
 /// A stream may outlast its route's timeout by what its caller's clock and the
 /// network take.
 constexpr milliseconds stream_end_margin{1000};
+/// How long a caller waits for its first event while the record of its stream
+/// is written. A write takes some ten milliseconds.
+constexpr milliseconds max_record_wait{150};
+/// Up to this number of VMs, each one writes its own records to the store.
+/// Beyond it the first keepers of the streams do, which are no more.
+constexpr std::size_t max_row_writers = 16;
 
 bool takes_up_stream(relay_exchange const& exchange)
 {
@@ -190,8 +196,10 @@
     return listed->software;
 }
 
-std::optional<software_version>
-relay::on_stream_begun(relay_exchange const& exchange)
+/// Failure: all VMs are lost right after a caller got the first event of a
+/// stream, and nobody knows at which version the stream goes on. So events wait
+/// until the store has the record.
+std::optional<software_version> relay::on_stream_begun(relay_exchange& exchange)
 {
     if (!exchange.begins_resumable_stream())
         return std::nullopt;
@@ -206,13 +214,31 @@
                      .add("worker", exchange.worker().str())
                      .add("software", version->str()),
                  now());
-    keep_records(exchange.terms().service, {record_of(exchange, *version)});
+    stream_record const record = record_of(exchange, *version);
+    std::function<void()> on_recorded;
+    if (stream_rows_.is_writing())
+    {
+        auto const gate = exchange.hold_events();
+        on_recorded = [gate] { gate->open(); };
+        held_events_.push_back({now() + max_record_wait, gate});
+    }
+    keep_records(exchange.terms().service, {record}, on_recorded);
     return version;
 }
 
+void relay::release_held_events()
+{
+    time_point const at = now();
+    for (; !held_events_.empty() && held_events_.front().until <= at;
+         held_events_.pop_front())
+        held_events_.front().gate->open();
+}
+
 void relay::keep_records(service_id const& service,
-                         std::vector<stream_record> const& records)
+                         std::vector<stream_record> const& records,
+                         std::function<void()> const& on_recorded)
 {
+    bool const writes_all = live_vms_.size() <= max_row_writers;
     std::vector<stream_record> written_here;
     std::map<std::pair<vm_id, bool>, std::vector<stream_record>> by_keeper;
     for (stream_record const& each : records)
@@ -220,21 +246,26 @@
         streams_.add(each, now());
         std::vector<vm_id> const keepers =
             record_keepers(each.stream, live_vms_);
-        if (keepers.empty() || peers_.count(keepers.front()) == 0)
+        bool const writes =
+            writes_all || keepers.empty() || peers_.count(keepers.front()) == 0;
+        if (writes)
             written_here.push_back(each);
         for (vm_id const& keeper : keepers)
             if (peers_.count(keeper) > 0)
-                by_keeper[{keeper, keeper == keepers.front()}].push_back(each);
+                by_keeper[{keeper, !writes && keeper == keepers.front()}]
+                    .push_back(each);
     }
-    store_records(written_here);
+    store_records(written_here, on_recorded);
     for (auto& [keeper, kept] : by_keeper)
         send_records(keeper.first,
-                     {service, std::move(kept), std::nullopt, keeper.second});
+                     {service, std::move(kept), std::nullopt, keeper.second},
+                     on_recorded);
 }
 
 /// If the VM that is to write the records cannot be reached, this one writes
 /// them.
-void relay::send_records(vm_id const& keeper, stream_message const& message)
+void relay::send_records(vm_id const& keeper, stream_message const& message,
+                         std::function<void()> const& on_recorded)
 {
     counts_.stream_records_sent += message.began.size();
     std::vector<stream_record> to_store;
@@ -242,19 +273,26 @@
         to_store = message.began;
     send_stream_message(
         peers_.at(keeper).address, message, record_timeout,
-        [this, to_store](std::optional<stream_reply> const& reply)
+        [this, to_store, on_recorded](std::optional<stream_reply> const& reply)
         {
+            if (to_store.empty())
+                return;
             if (!reply)
-                store_records(to_store);
+                store_records(to_store, on_recorded);
+            else if (on_recorded)
+                on_recorded();
         });
 }
 
-void relay::store_records(std::vector<stream_record> const& records)
+void relay::store_records(std::vector<stream_record> const& records,
+                          std::function<void()> const& on_recorded)
 {
     if (records.empty())
         return;
+    stream_rows_.set_writers(live_vms_.size());
     for (stream_record const& each : records)
-        stream_rows_.add(each, now());
+        stream_rows_.add(each, now(),
+                         &each == &records.back() ? on_recorded : nullptr);
     schedule_run();
 }
 
@@ -278,16 +316,16 @@
     start_collected(io_, pool_, std::move(call));
 }
 
-void relay::handle_streams(http_request const& received, http_answer& answer)
+/// A VM that has records written is answered when the store has them.
+void relay::handle_streams(http_request const& received,
+                           std::shared_ptr<http_answer> const& answer)
 {
     time_point const at = now();
     auto const message = decode_stream_message(received.body, at);
     if (!message)
-        return answer.respond({status_bad_request, {}, {}});
+        return answer->respond({status_bad_request, {}, {}});
     for (stream_record const& each : message->began)
         streams_.add(each, at);
-    if (message->to_store)
-        store_records(message->began);
     stream_reply reply;
     if (message->asks_for)
         reply.software =
@@ -298,7 +336,11 @@
         reply.only = service->software.only_version(at);
         reply.established = service->software.established();
     }
-    answer.respond(json_response(status_ok, encode_stream_reply(reply)));
+    auto const respond = [answer, reply]
+    { answer->respond(json_response(status_ok, encode_stream_reply(reply))); };
+    if (!message->to_store || message->began.empty())
+        return respond();
+    store_records(message->began, respond);
 }
 
 /// A VM that has just started does not know for how long versions were listed,
--- a/src/stream_row_keeper.cpp
+++ b/src/stream_row_keeper.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
 #include <utility>
 
 namespace mulberry
@@ -68,10 +69,15 @@
 {
 }
 
-void stream_row_keeper::add(stream_record const& record, time_point now)
+void stream_row_keeper::add(stream_record const& record, time_point now,
+                            std::function<void()> done)
 {
-    if (is_enabled())
-        writer_.add(record, now);
+    std::uint64_t const number = is_enabled() ? writer_.add(record, now) : 0;
+    if (!done)
+        return;
+    if (number == 0 || is_failing_)
+        return done();
+    awaiting_.emplace_back(number, std::move(done));
 }
 
 void stream_row_keeper::find(
@@ -124,22 +130,35 @@
     auto const transaction = writer_.take_write(now);
     if (!transaction)
         return;
-    access_.write(
-        *transaction,
-        [this, rows = transaction->writes.size()](bool done)
-        {
-            time_point const at = boot_clock::now();
-            writer_.on_written(done, at);
-            written_ += done ? rows : 0;
-            failed_writes_ += !done;
-            if (!done)
-                log_.notable(
-                    "stream rows not written",
-                    log_fields()
-                        .add("rows", std::uint64_t{rows})
-                        .add("waiting", std::uint64_t{writer_.unwritten()}),
-                    at);
-        });
+    access_.write(*transaction, [this, rows = transaction->writes.size()](
+                                    bool done) { on_written(done, rows); });
+}
+
+void stream_row_keeper::on_written(bool done, std::size_t rows)
+{
+    time_point const at = boot_clock::now();
+    writer_.on_written(done, at);
+    is_failing_ = !done;
+    written_ += done ? rows : 0;
+    failed_writes_ += !done;
+    if (!done)
+        log_.notable("stream rows not written",
+                     log_fields()
+                         .add("rows", std::uint64_t{rows})
+                         .add("waiting", std::uint64_t{writer_.unwritten()}),
+                     at);
+    report_written(done ? writer_.first_unwritten()
+                        : std::numeric_limits<std::uint64_t>::max());
+}
+
+void stream_row_keeper::report_written(std::uint64_t first_unwritten)
+{
+    while (!awaiting_.empty() && awaiting_.front().first < first_unwritten)
+    {
+        auto const done = std::move(awaiting_.front().second);
+        awaiting_.pop_front();
+        done();
+    }
 }
 
 void stream_row_keeper::read_page(std::string const& after)
--- a/src/stream_row_keeper.hpp
+++ b/src/stream_row_keeper.hpp
@@ -6,12 +6,15 @@
 #include "row_store.hpp"
 #include "stream_row_writer.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace mulberry
@@ -63,8 +66,15 @@
 
     /// Whether there is a store to keep records in.
     bool is_enabled() const { return access_.read != nullptr; }
-    /// Queues a record to be written.
-    void add(stream_record const& record, time_point now);
+    /// Queues a record to be written. Calls `done`, if it is set, when the
+    /// store has the record or is known not to take records now; within this
+    /// call if the record will not be written.
+    void add(stream_record const& record, time_point now,
+             std::function<void()> done = {});
+    /// Whether the store took the last records, as far as is known.
+    bool is_writing() const { return is_enabled() && !is_failing_; }
+    /// See stream_row_writer.
+    void set_writers(std::size_t vms) { writer_.set_writers(vms); }
     /// Whether find() may be called: the number of lookups in progress is
     /// bounded, so that they leave the store's reads to others.
     bool may_find() const { return is_enabled() && finding_ < max_lookups; }
@@ -84,6 +94,9 @@
 
 private:
     void write_due(time_point now);
+    void on_written(bool done, std::size_t rows);
+    /// Makes the calls of add() for records up to this number.
+    void report_written(std::uint64_t first_unwritten);
     void read_page(std::string const& after);
     void on_page(store_reply const& reply);
     void delete_obsolete();
@@ -93,6 +106,9 @@
     stream_row_access const access_;
     event_log& log_;
     stream_row_writer writer_;
+    /// By the number of the record, ascending.
+    std::deque<std::pair<std::uint64_t, std::function<void()>>> awaiting_;
+    bool is_failing_ = false;
     stream_row_sweep sweep_;
     bool sweeps_ = false;
     bool sweep_in_progress_ = false;
--- a/src/stream_row_writer.cpp
+++ b/src/stream_row_writer.cpp
@@ -14,10 +14,11 @@
 
 using std::chrono::milliseconds;
 
-/// Of a stream that began within this time before all VMs were lost nobody
-/// knows the version. Each VM that has records makes this many calls of the
-/// store at most, unless it fills them.
-constexpr milliseconds write_interval{100};
+/// Interval between two transactions if a single VM writes. The rows lie in one
+/// part of the store, which takes 200 transactions a second.
+constexpr std::chrono::microseconds interval_per_writer{6250};
+/// No more VMs write.
+constexpr std::size_t max_writers = 16;
 constexpr milliseconds retry_interval{500};
 /// Obsolete rows wait this long for a transaction that writes.
 constexpr std::chrono::seconds max_delete_delay{5};
@@ -38,19 +39,38 @@
 
 } // namespace
 
-void stream_row_writer::add(stream_record record, time_point now)
+stream_row_writer::stream_row_writer()
+    : write_interval_(interval_per_writer * max_writers)
+{
+}
+
+void stream_row_writer::set_writers(std::size_t vms)
+{
+    write_interval_ =
+        interval_per_writer * std::clamp<std::size_t>(vms, 1, max_writers);
+}
+
+std::uint64_t stream_row_writer::add(stream_record record, time_point now)
 {
     if (record.stream.empty() || record.until <= now || !fits_in_row(record))
-        return;
+        return 0;
     if (waiting_.size() >= max_waiting)
         waiting_.pop_front();
-    waiting_.push_back(std::move(record));
+    waiting_.push_back({++last_number_, std::move(record)});
+    return last_number_;
+}
+
+std::uint64_t stream_row_writer::first_unwritten() const
+{
+    return !writing_.empty()   ? writing_.front().number
+           : !waiting_.empty() ? waiting_.front().number
+                               : last_number_ + 1;
 }
 
 void stream_row_writer::forget_ended(time_point now)
 {
-    std::erase_if(waiting_, [now](stream_record const& each)
-                  { return each.until <= now; });
+    std::erase_if(waiting_, [now](numbered_record const& each)
+                  { return each.record.until <= now; });
 }
 
 std::optional<table_transaction> stream_row_writer::take_write(time_point now)
@@ -63,13 +83,14 @@
     std::set<std::string> named;
     while (!waiting_.empty() && writing_.size() < max_row_changes)
     {
-        stream_record const record = std::move(waiting_.front());
+        numbered_record const next = std::move(waiting_.front());
         waiting_.pop_front();
+        stream_record const& record = next.record;
         std::string const key = stream_row_key(record.stream, record.service);
         if (!named.insert(key).second)
             continue;
         transaction.writes.push_back({key, stream_row_text(record, now)});
-        writing_.push_back(record);
+        writing_.push_back(next);
     }
     while (!written_.empty() && written_.begin()->first <= now &&
            deleting_.size() < max_row_changes)
@@ -83,7 +104,7 @@
     if (transaction.writes.empty())
         return std::nullopt;
     in_progress_ = true;
-    write_at_ = now + duration(write_interval);
+    write_at_ = now + write_interval_;
     return transaction;
 }
 
@@ -92,12 +113,14 @@
     in_progress_ = false;
     if (!done)
         write_at_ = now + duration(retry_interval);
-    for (stream_record& each : writing_)
+    for (auto each = writing_.rbegin(); each != writing_.rend(); ++each)
     {
+        stream_record const& record = each->record;
         // A write without an answer may have been carried out, too.
-        written_.emplace(each.until, stream_row_key(each.stream, each.service));
+        written_.emplace(record.until,
+                         stream_row_key(record.stream, record.service));
         if (!done)
-            waiting_.push_front(std::move(each));
+            waiting_.push_front(std::move(*each));
     }
     for (std::string& each : deleting_)
         if (!done)
--- a/src/stream_row_writer.hpp
+++ b/src/stream_row_writer.hpp
@@ -6,7 +6,9 @@
 #include "table.hpp"
 #include "time_point.hpp"
 
+#include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -17,16 +19,25 @@
 namespace mulberry
 {
 
-/// Writes each record once, and deletes its row after the stream has ended, in
-/// the same transactions where possible. One transaction is in progress at a
-/// time. Records that cannot be written for long give way to newer ones.
-/// Thread safety: none. No I/O, no clock.
+/// Writes each record once, in the order of the calls, and deletes its row
+/// after the stream has ended, in the same transactions where possible. One
+/// transaction is in progress at a time. Records that cannot be written for
+/// long give way to newer ones. Thread safety: none. No I/O, no clock.
 class stream_row_writer
 {
 public:
-    /// Queues a record. Records of streams that have ended, that name none or
-    /// that are too long for a row are ignored.
-    void add(stream_record record, time_point now);
+    stream_row_writer();
+
+    /// How many VMs write, this one included, in place of as many as may:
+    /// together they make no more than 160 calls a second, unless they fill
+    /// them.
+    void set_writers(std::size_t vms);
+    /// Queues a record and returns its number, counted from 1. Records of
+    /// streams that have ended, that name none or that are too long for a row
+    /// are ignored and return 0.
+    std::uint64_t add(stream_record record, time_point now);
+    /// The number of the first record that is neither written nor given up.
+    std::uint64_t first_unwritten() const;
     /// The transaction that is due; nullopt if there is none, or one is in
     /// progress. The caller reports its outcome to on_written().
     std::optional<table_transaction> take_write(time_point now);
@@ -41,14 +52,21 @@
 
 private:
     using row_ends = std::multimap<time_point, std::string>;
+    struct numbered_record
+    {
+        std::uint64_t number = 0;
+        stream_record record;
+    };
 
     void forget_ended(time_point now);
 
-    std::deque<stream_record> waiting_;
+    duration write_interval_;
+    std::uint64_t last_number_ = 0;
+    std::deque<numbered_record> waiting_;
     /// Rows of this VM in the store, by the time at which they are obsolete.
     row_ends written_;
     /// What the transaction in progress writes and deletes.
-    std::vector<stream_record> writing_;
+    std::vector<numbered_record> writing_;
     std::vector<std::string> deleting_;
     bool in_progress_ = false;
     time_point write_at_{};
--- a/tests/relay_silence_test.cpp
+++ b/tests/relay_silence_test.cpp
@@ -86,8 +86,7 @@
     }
     void stop_waiting(relay_exchange&) override { waits = false; }
     void on_first_byte(relay_exchange&) override {}
-    std::optional<software_version>
-    on_stream_begun(relay_exchange const&) override
+    std::optional<software_version> on_stream_begun(relay_exchange&) override
     {
         return software_version("v1");
     }
--- a/tests/relay_software_test.cpp
+++ b/tests/relay_software_test.cpp
@@ -30,8 +30,9 @@
 public:
     relay_request decode_request(http_request received) const override
     {
+        std::string const path = received.path;
         relay_request request = plain_codec::decode_request(received);
-        request.id = request_id("stream");
+        request.id = request_id(path);
         return request;
     }
     std::string encode_request(relay_request const&,
@@ -54,13 +55,14 @@
 {
     void respond(http_response) override {}
     void start_stream(int, http_headers) override { begun = true; }
-    void write(std::string) override {}
+    void write(std::string chunk) override { text += chunk; }
     void finish() override {}
     void abort() override {}
     void on_closed(std::function<void()>) override {}
     std::size_t unsent_bytes() const override { return 0; }
 
     bool begun = false;
+    std::string text;
 };
 
 /// A relay that keeps records, whose only stream has begun at v1.
@@ -94,12 +96,26 @@
         list({v1});
         record({{v1}, {v1}, true}, 1);
         io.run_for(200ms);
+        begin("/a/1");
+    }
+    /// Returns once the head of the stream has arrived.
+    std::shared_ptr<streamed_answer> begin(std::string const& path)
+    {
         auto const answer = std::make_shared<streamed_answer>();
         http_request request;
-        request.path = "/a/1";
+        request.path = path;
         vm.handle(std::move(request), answer);
         run_until([&answer] { return answer->begun; });
         REQUIRE(answer->begun);
+        return answer;
+    }
+    /// Lists and records a second version; streams may begin at both.
+    void add_version()
+    {
+        record({{v1, v2}, {v1, v2}, true}, 2);
+        list({v1, v2});
+        io.run_for(300ms);
+        REQUIRE(rows_written == 1);
     }
     static http_server_options worker_options(asio::io_context& io)
     {
@@ -119,7 +135,10 @@
                    std::function<void(bool)> const& done)
         {
             rows_written += written.writes.size();
-            asio::post(io, [done] { done(true); });
+            if (acknowledges)
+                asio::post(io, [done] { done(true); });
+            else
+                open_writes.push_back(done);
         };
         return options;
     }
@@ -134,7 +153,7 @@
             entry.software = each;
             entry.address = "127.0.0.1";
             entry.port = worker.port();
-            entry.slots = 1;
+            entry.slots = 4;
             entries.push_back(entry);
         }
         vm.set_backends(entries);
@@ -161,6 +180,9 @@
                   [](log_level, std::string_view, std::string_view,
                      std::string const&) {}};
     std::size_t rows_written = 0;
+    /// Whether the store answers writes at once.
+    bool acknowledges = true;
+    std::vector<std::function<void(bool)>> open_writes;
     std::shared_ptr<http_answer> running;
     http_server worker;
     relay vm;
@@ -193,3 +215,49 @@
     relay.io.run_for(1s);
     CHECK(relay.rows_written == 1);
 }
+
+// Guards against streams that nobody knows: all VMs are lost right after a
+// caller got its first event.
+TEST_CASE("a first event waits until the store has the record of its stream",
+          "[relay_software]")
+{
+    recording_relay relay;
+    relay.add_version();
+    relay.acknowledges = false;
+    auto const answer = relay.begin("/a/2");
+    relay.run_until([&relay] { return !relay.open_writes.empty(); });
+    REQUIRE(relay.rows_written == 2);
+    relay.io.run_for(20ms);
+    CHECK(answer->text.empty());
+    relay.open_writes.front()(true);
+    CHECK(answer->text == "id: 1\ndata: x\n\n");
+}
+
+// Guards against streams that do not begin while the store is slow.
+TEST_CASE("a first event waits for its record for a limited time",
+          "[relay_software]")
+{
+    recording_relay relay;
+    relay.add_version();
+    relay.acknowledges = false;
+    auto const answer = relay.begin("/a/2");
+    relay.run_until([&answer] { return !answer->text.empty(); });
+    CHECK(answer->text == "id: 1\ndata: x\n\n");
+    CHECK(relay.open_writes.size() == 1);
+}
+
+// Guards against delaying each stream while the store is away.
+TEST_CASE("events do not wait while the store takes no records",
+          "[relay_software]")
+{
+    recording_relay relay;
+    relay.add_version();
+    relay.acknowledges = false;
+    auto const first = relay.begin("/a/2");
+    relay.run_until([&relay] { return !relay.open_writes.empty(); });
+    CHECK(first->text.empty());
+    relay.open_writes.front()(false);
+    CHECK_FALSE(first->text.empty());
+    auto const second = relay.begin("/a/3");
+    CHECK_FALSE(second->text.empty());
+}
--- a/tests/stream_rows_test.cpp
+++ b/tests/stream_rows_test.cpp
@@ -137,6 +137,54 @@
     CHECK(writer.unwritten() == 0);
 }
 
+// Guards against taking a record for written before it is.
+TEST_CASE("records are numbered in the order in which they are written",
+          "[stream_rows]")
+{
+    stream_row_writer writer;
+    CHECK(writer.first_unwritten() == 1);
+    CHECK(writer.add(record("ended", duration(0)), start) == 0);
+    for (std::uint64_t number = 1; number <= 60; ++number)
+        CHECK(writer.add(record(fmt::format("s{}", number)), start) == number);
+    CHECK(writer.first_unwritten() == 1);
+    auto const first = writer.take_write(start);
+    REQUIRE(first);
+    std::size_t const rows = puts(*first);
+    CHECK(writer.first_unwritten() == 1);
+    writer.on_written(false, start);
+    CHECK(writer.first_unwritten() == 1);
+    auto const again = writer.take_write(writer.next_due());
+    REQUIRE(again);
+    CHECK(std::equal(again->writes.begin(), again->writes.end(),
+                     first->writes.begin(), first->writes.end(),
+                     [](table_write const& a, table_write const& b)
+                     { return a.key == b.key; }));
+    writer.on_written(true, start + 1s);
+    CHECK(writer.first_unwritten() == rows + 1);
+    REQUIRE(writer.take_write(start + 2s));
+    writer.on_written(true, start + 2s);
+    CHECK(writer.first_unwritten() == 61);
+}
+
+// Guards against a delay that few VMs need not have.
+TEST_CASE("few writers write more often", "[stream_rows]")
+{
+    auto const interval = [](std::size_t writers)
+    {
+        stream_row_writer writer;
+        writer.set_writers(writers);
+        writer.add(record("a"), start);
+        REQUIRE(writer.take_write(start));
+        writer.on_written(true, start);
+        writer.add(record("b"), start);
+        return writer.next_due() - start;
+    };
+    CHECK(interval(0) == interval(1));
+    CHECK(interval(1) * 6 == interval(6));
+    CHECK(interval(16) == 100ms);
+    CHECK(interval(320) == 100ms);
+}
+
 // Guards against rows that stay for ever.
 TEST_CASE("rows are deleted after their streams have ended", "[stream_rows]")
 {
