Let restarted VMs keep the workers that they owned

A release changes the list of workers, and so the assignment; a restarted VM took back only those of its workers that are still assigned to it. The assigned VM waits until all have registered, and then for the gap between two owners' orders.

Change: a VM takes back every worker that its earlier process owned, at once and without a gap, as the last owner. It hands those that are assigned to others over after 10 s, one at a time as before.

--- a/src/worker_assignment.cpp
+++ b/src/worker_assignment.cpp
@@ -6,6 +6,7 @@
 #include "vm_row.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <set>
 #include <utility>
 
@@ -15,6 +16,10 @@
 {
 
 constexpr std::size_t max_workers_per_takeover = 32;
+/// A worker that this VM owned before it restarted stays with it for at least
+/// this long, whichever VM it is assigned to: a new owner would give it no
+/// orders for some seconds, while callers return after the restart.
+constexpr std::chrono::seconds retention_after_restart{10};
 
 } // namespace
 
@@ -307,9 +312,11 @@
 bool worker_assignment::may_rebalance(worker_ownership const& worker,
                                       time_point now) const
 {
+    auto const retained = retained_until_.find(worker.id());
     return worker.is_active_owner() && !worker.assignee().empty() &&
            worker.assignee() != context_.settings.vm &&
            worker.assignee_stable(now) && now >= next_handover_at_ &&
+           (retained == retained_until_.end() || now >= retained->second) &&
            context_.registration.lease_holds(now);
 }
 
@@ -340,7 +347,8 @@
     // only if their rows were read after that row.
     return worker.declared() && worker.unowned() && worker.may_write(now) &&
            read_at_ >= worker.unreadable_since() &&
-           worker.assignee() == context_.settings.vm && (settled() || was_ours);
+           (was_ours ||
+            (worker.assignee() == context_.settings.vm && settled()));
 }
 
 void worker_assignment::take_unowned(time_point now, action_list& actions)
@@ -378,6 +386,9 @@
         transaction.conditions.push_back(condition);
         transaction.writes.push_back({condition.key, to_text(row)});
         made.written.emplace(worker->id(), row);
+        if (worker->assignee() != context_.settings.vm)
+            retained_until_[worker->id()] =
+                now + duration(retention_after_restart);
         if (worker->row() != nullptr && !worker->row()->owner.vm.empty())
             vms.insert(worker->row()->owner.vm);
     }
--- a/src/worker_assignment.hpp
+++ b/src/worker_assignment.hpp
@@ -101,6 +101,8 @@
     std::optional<pending_takeover> pending_takeover_;
     time_point read_at_ = time_point::min();
     time_point next_handover_at_ = time_point::min();
+    /// Of workers that were taken although they are assigned to another VM.
+    std::map<worker_id, time_point> retained_until_;
     bool changed_ = false;
 };
 
--- a/tests/ownership_keeper_test.cpp
+++ b/tests/ownership_keeper_test.cpp
@@ -308,6 +308,30 @@
     }
 }
 
+// Guards against workers that get no orders for seconds after all VMs have
+// restarted, since they are assigned to other VMs than before.
+TEST_CASE("VMs that all restart keep the workers that they owned",
+          "[ownership]")
+{
+    cluster_options options = six_vms();
+    options.settle = 2s;
+    options.load_rows_first = true;
+    ownership_cluster cluster(options, 1, standard_ownership_rules());
+    cluster.run_for(20s);
+    for (std::size_t vm = 0; vm < cluster.vms(); ++vm)
+        cluster.kill(vm);
+    for (char const* const gone : {"w1", "w2", "w3", "w4", "w5"})
+        cluster.undeclare(worker_id(gone));
+    cluster.take_longest_gap();
+    for (std::size_t vm = 0; vm < cluster.vms(); ++vm)
+        cluster.start(vm);
+    cluster.run_for(10s);
+    CHECK(cluster.take_longest_gap() < 1s);
+    cluster.run_for(30s);
+    cluster.check_recovery();
+    CHECK(cluster.violations().empty());
+}
+
 // Guards against a worker that nobody owns after all VMs restarted while its
 // row was malformed.
 TEST_CASE("VMs that all restart own a worker whose row is malformed",
