Hold streams until a version is recorded at which they may begin

Cause: resumable streams begin only at versions of the workers' software that the record names. A VM was ready as soon as it knew routes and workers; for the milliseconds until the first record was written, no worker counted as suitable, and the request was refused as one that nobody can serve.

Change: such a request is held like one that arrives before the configuration is known, until a version may begin streams, for the first 500 ms of the process and a quarter of the caller's time at most. It is then decided on as before, so that a store that takes no record delays it and no more.

Evidence: "a stream waits until a version is recorded" fails without the change (503 at once) and "a stream waits for a recorded version for a limited time" guards the bound.

--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -390,6 +390,8 @@
     /// Admits held requests once routes and workers are known; rejects those
     /// held for too long.
     void process_early_requests();
+    /// Whether the request begins a stream that could begin at no version yet.
+    bool awaits_versions(relay_request const& request);
     void reject_immediately(relay_request const& request, http_answer& answer,
                             error const& problem);
     /// Returns the team that the request's key belongs to, or why the request
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -75,11 +75,35 @@
     relay_request request = codec_.decode_request(std::move(received));
     if (rejects_new_requests_)
         return reject_immediately(request, *answer, leaving_error());
-    if (!is_initialized())
+    bool const awaits =
+        awaits_versions(request) &&
+        start_hold_.hold_until(now(), request.time_left) > now();
+    if (!is_initialized() || awaits)
         return hold_early_request(std::move(request), std::move(answer));
     admit(std::move(request), std::move(answer), now());
 }
 
+/// Failure: a VM is ready, but has yet to record the versions of the workers'
+/// software; a stream that arrives in these milliseconds is rejected, since it
+/// may begin at none.
+bool relay::awaits_versions(relay_request const& request)
+{
+    route const* const matched =
+        is_initialized() ? routes_->find(request.host, request.path) : nullptr;
+    if (matched == nullptr || !matched->resumable || request.last_event ||
+        request.resumes)
+        return false;
+    return std::any_of(matched->services.begin(), matched->services.end(),
+                       [this](weighted_service const& target)
+                       {
+                           service_state const* const service =
+                               find(target.service);
+                           return service != nullptr &&
+                                  service->scheduler.has_backends() &&
+                                  service->software.established().empty();
+                       });
+}
+
 /// See startup_hold.hpp.
 void relay::hold_early_request(relay_request request,
                                std::shared_ptr<http_answer> answer)
@@ -127,7 +151,8 @@
     {
         if (*each.disconnected)
             ++counts_.caller_gone;
-        else if (is_initialized())
+        else if (is_initialized() &&
+                 (at >= each.keep_until || !awaits_versions(each.request)))
             admit(std::move(each.request), std::move(each.answer),
                   each.arrived_at);
         else if (at >= each.keep_until || rejects_new_requests_)
--- a/tests/relay_software_test.cpp
+++ b/tests/relay_software_test.cpp
@@ -53,7 +53,7 @@
 
 struct streamed_answer final : http_answer
 {
-    void respond(http_response) override {}
+    void respond(http_response response) override { status = response.status; }
     void start_stream(int, http_headers) override { begun = true; }
     void write(std::string chunk) override { text += chunk; }
     void finish() override {}
@@ -62,13 +62,16 @@
     std::size_t unsent_bytes() const override { return 0; }
 
     bool begun = false;
+    /// Of an answer that is no stream.
+    int status = 0;
     std::string text;
 };
 
-/// A relay that keeps records, whose only stream has begun at v1.
+/// A relay that keeps records. `recorded`: the store names v1 from the start,
+/// and a stream has begun at it.
 struct recording_relay
 {
-    recording_relay()
+    explicit recording_relay(bool recorded = true)
         : worker(
               worker_options(io),
               [this](http_request const&, std::shared_ptr<http_answer> answer)
@@ -94,17 +97,24 @@
         config.services.emplace(service, settings);
         vm.set_config(std::make_shared<routing_config const>(config));
         list({v1});
+        if (!recorded)
+            return;
         record({{v1}, {v1}, true}, 1);
         io.run_for(200ms);
         begin("/a/1");
     }
-    /// Returns once the head of the stream has arrived.
-    std::shared_ptr<streamed_answer> begin(std::string const& path)
+    std::shared_ptr<streamed_answer> send(std::string const& path)
     {
         auto const answer = std::make_shared<streamed_answer>();
         http_request request;
         request.path = path;
         vm.handle(std::move(request), answer);
+        return answer;
+    }
+    /// Returns once the head of the stream has arrived.
+    std::shared_ptr<streamed_answer> begin(std::string const& path)
+    {
+        auto const answer = send(path);
         run_until([&answer] { return answer->begun; });
         REQUIRE(answer->begun);
         return answer;
@@ -261,3 +271,27 @@
     auto const second = relay.begin("/a/3");
     CHECK_FALSE(second->text.empty());
 }
+
+// Guards against rejecting streams that arrive before a VM that has just
+// started has recorded the first version.
+TEST_CASE("a stream waits until a version is recorded", "[relay_software]")
+{
+    recording_relay relay(false);
+    auto const answer = relay.send("/a/1");
+    relay.io.run_for(50ms);
+    CHECK(answer->status == 0);
+    CHECK_FALSE(answer->begun);
+    relay.record({{v1}, {v1}, true}, 1);
+    relay.run_until([&answer] { return answer->begun; });
+    CHECK(answer->begun);
+}
+
+// Guards against holding streams while the store takes no record.
+TEST_CASE("a stream waits for a recorded version for a limited time",
+          "[relay_software]")
+{
+    recording_relay relay(false);
+    auto const answer = relay.send("/a/1");
+    relay.run_until([&answer] { return answer->status != 0; });
+    CHECK(answer->status == 503);
+}
