Log the connection of a request, count answers skipped as copies

The logs told neither which connection a request took nor what that had carried, so that a connection that forgets a request, a copy on another connection and a true refusal beside a running try looked alike. Lines of a request now have connection and carried, and answers_skipped_total counts copies.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -55,6 +55,7 @@
     virtual ~connection_registry() = default;
     virtual void keep(std::shared_ptr<connection> idle) = 0;
     virtual void remove(connection const* gone) = 0;
+    virtual void on_answer_skipped() = 0;
 };
 
 /// One TCP connection to a worker, serving one exchange at a time.
@@ -62,15 +63,17 @@
                          public std::enable_shared_from_this<connection>
 {
 public:
-    connection(asio::io_context& io, backend_address to,
+    connection(asio::io_context& io, std::uint64_t number, backend_address to,
                connection_registry* registry)
-        : socket_(io), timer_(io), address_(std::move(to)), registry_(registry)
+        : socket_(io), timer_(io), number_(number), address_(std::move(to)),
+          registry_(registry)
     {
     }
 
     backend_address const& address() const { return address_; }
     clock::time_point idle_since() const { return idle_since_; }
     bool usable_at(clock::time_point now) const { return now < usable_until_; }
+    std::uint64_t number() const { return number_; }
     std::uint64_t exchange_number() const { return exchange_number_; }
 
     void open(std::string request, exchange_options const& options,
@@ -321,6 +324,8 @@
         if (mark_ && is_copy(status, headers))
         {
             skips_ = true;
+            if (registry_ != nullptr)
+                registry_->on_answer_skipped();
             return ++skipped_answers_ <= max_skipped_answers;
         }
         check_mark(status, headers);
@@ -412,6 +417,7 @@
 
     tcp::socket socket_;
     asio::steady_timer timer_;
+    std::uint64_t const number_;
     backend_address address_;
     connection_registry* registry_;
     std::array<char, read_buffer_bytes> buffer_{};
@@ -448,9 +454,11 @@
 {
 public:
     running_exchange(std::shared_ptr<connection> const& on)
-        : connection_(on), number_(on->exchange_number())
+        : connection_(on),
+          number_(on->exchange_number()), place_{on->number(), number_ - 1}
     {
     }
+    connection_place place() const override { return place_; }
     void cancel() override
     {
         if (auto const open = connection_.lock())
@@ -460,6 +468,7 @@
 private:
     std::weak_ptr<connection> connection_;
     std::uint64_t number_;
+    connection_place place_;
 };
 
 } // namespace
@@ -507,9 +516,9 @@
             kept->reuse(std::move(bytes), options.mark, std::move(observer));
             return std::make_shared<running_exchange>(kept);
         }
-        auto const made = std::make_shared<connection>(io_, to, this);
+        auto const made =
+            std::make_shared<connection>(io_, ++opened_, to, this);
         connections_.emplace(made.get(), made);
-        ++opened_;
         made->open(std::move(bytes), options, source_, std::move(observer));
         return std::make_shared<running_exchange>(made);
     }
@@ -527,6 +536,7 @@
     }
 
     std::uint64_t opened() const { return opened_; }
+    std::uint64_t skipped() const { return skipped_; }
 
     void keep(std::shared_ptr<connection> idle) override
     {
@@ -544,6 +554,8 @@
         connections_.erase(gone);
     }
 
+    void on_answer_skipped() override { ++skipped_; }
+
 private:
     /// Returns the most recently used idle connection that can carry the
     /// request. Connections that are not needed stay unused, expire and are
@@ -572,6 +584,7 @@
     std::map<backend_address, std::vector<std::shared_ptr<connection>>> idle_;
     std::map<connection const*, std::shared_ptr<connection>> connections_;
     std::uint64_t opened_ = 0;
+    std::uint64_t skipped_ = 0;
 };
 
 backend_pool::backend_pool(asio::io_context& io, std::string source)
@@ -600,4 +613,9 @@
     return implementation_->opened();
 }
 
+std::uint64_t backend_pool::answers_skipped() const
+{
+    return implementation_->skipped();
+}
+
 } // namespace mulberry
--- a/src/backend_pool.hpp
+++ b/src/backend_pool.hpp
@@ -49,12 +49,24 @@
     virtual void on_failure(call_stage stage, std::string const& reason) = 0;
 };
 
+/// Which connection of a pool carries an exchange. Value.
+struct connection_place
+{
+    /// Counts the connections of the pool from 1; 0: not known.
+    std::uint64_t connection = 0;
+    /// The exchanges that the connection carried before.
+    std::uint64_t position = 0;
+    friend bool operator==(connection_place const&,
+                           connection_place const&) = default;
+};
+
 /// Handle of a request in progress. Destroying the handle does not cancel the
 /// request.
 class backend_exchange
 {
 public:
     virtual ~backend_exchange() = default;
+    virtual connection_place place() const { return {}; }
     /// Closes the connection at once; the observer is not called again. No
     /// effect after the exchange has ended.
     virtual void cancel() = 0;
@@ -122,6 +134,8 @@
     /// Number of connections opened since construction, failed attempts
     /// included.
     std::uint64_t connections_opened() const;
+    /// Number of answers skipped as copies of earlier ones.
+    std::uint64_t answers_skipped() const;
 
 private:
     class implementation;
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -520,6 +520,8 @@
             .add("status", exchange.status())
             .add("reason", reason)
             .add("sends", exchange.sends())
+            .add("connection", exchange.place().connection)
+            .add("carried", exchange.place().position)
             .add("waited_ms", exchange.queueing_delay())
             .add("waits", exchange.waits().text(at))
             .add("adapter", exchange.request().model
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -202,6 +202,7 @@
     send_.call = host_.start_send(
         *this, host_.codec().encode_request(request_, terms), options,
         std::make_shared<attempt>(shared_from_this(), send_.number));
+    send_.place = send_.call->place();
     if (sends_ > 1)
         host_.log_request_event(*this, "sent again", placed.reason);
     schedule_wake();
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -205,6 +205,8 @@
     backend_entry const& worker_entry() const { return send_.worker; }
     /// Sends that reached a worker, rejected ones included.
     int sends() const { return sends_; }
+    /// Where the last send went out.
+    connection_place place() const { return send_.place; }
     /// HTTP status of the current worker's answer.
     int status() const { return send_.reply.status; }
     /// The caller has the beginning of a stream.
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -71,6 +71,7 @@
     add("orders_conflict_total", "", counts_.orders_conflict);
     add("worker_reports_total", "", counts_.reports);
     add("connections_opened_total", "", pool_.connections_opened());
+    add("answers_skipped_total", "", pool_.answers_skipped());
     add("log_lines_left_out_total", "", log_.lines_left_out());
     add("config_version", "", version().value());
     add("members", "", members_);
--- a/src/worker_send.hpp
+++ b/src/worker_send.hpp
@@ -26,6 +26,8 @@
     /// The registry entry as of the send.
     backend_entry worker;
     std::shared_ptr<backend_exchange> call;
+    /// Not known if another VM makes the call.
+    connection_place place;
     time_point sent_at{};
     /// The send is a retry that the service's budget was charged for.
     bool is_retry = false;
