Remember all requests that a connection carries, as long as it lives

What callers saw: a request that may run once ran twice, or its caller was told that it had not run.

Cause: a worker refuses a request, and the request comes back. A connection knew the last 16 requests that it had carried; behind 16 others the request went out on it again, and a late copy of the refusal, which bears the id that is awaited, was taken for the answer while the request ran. The class: what must be remembered as long as it matters was remembered by a count.

Change: which answer belongs to which call is decided by answer_matcher, without sockets. A connection carries no name twice as long as it lives.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -12,10 +12,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <deque>
 #include <iterator>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -39,8 +37,6 @@
 /// (TCP_USER_TIMEOUT): a worker behind a network partition does not even send a
 /// reset. Leaves time for several retransmissions.
 constexpr unsigned unacknowledged_timeout_ms = 2000;
-/// Names of earlier requests that a connection remembers.
-constexpr std::size_t max_known_names = 16;
 /// An exchange fails behind more copies of earlier answers, or more bytes of
 /// their bodies: a faulty worker may send them without end.
 constexpr int max_skipped_answers = 8;
@@ -104,20 +100,13 @@
     /// ones here.
     bool can_carry(std::optional<answer_mark> const& mark) const
     {
-        if (!mark)
-            return true;
-        bool const is_new = std::find(known_names_.begin(), known_names_.end(),
-                                      mark->value) == known_names_.end();
-        return is_new && (!mark->is_optional || !unnamed_status_ ||
-                          (mark->likely_status &&
-                           mark->likely_status != unnamed_status_));
+        return matcher_.can_carry(mark);
     }
 
     /// Preconditions: the connection is idle; can_carry(mark).
     void reuse(std::string request, std::optional<answer_mark> const& mark,
                std::shared_ptr<exchange_observer> observer)
     {
-        reused_ = true;
         begin(std::move(request), mark, std::move(observer));
         send();
     }
@@ -148,8 +137,7 @@
     void begin(std::string request, std::optional<answer_mark> const& mark,
                std::shared_ptr<exchange_observer> observer)
     {
-        mark_ = mark;
-        marked_ = false;
+        matcher_.begin(mark);
         foreign_ = false;
         skips_ = false;
         skipped_answers_ = 0;
@@ -278,8 +266,8 @@
 
     void finish_framed()
     {
-        bool const keep = parser_.excess_bytes() == 0 && written_ &&
-                          parser_.keeps_alive() && marked_;
+        bool const keep = matcher_.end() && parser_.excess_bytes() == 0 &&
+                          written_ && parser_.keeps_alive();
         auto const observer = std::exchange(observer_, nullptr);
         if (keep)
         {
@@ -287,7 +275,6 @@
             idle_since_ = clock::now();
             usable_until_ = idle_since_ + idle_limit_;
             request_.clear();
-            remember_answer();
             if (registry_ != nullptr)
                 registry_->keep(shared_from_this());
         }
@@ -321,14 +308,15 @@
 
     bool on_head(int status, http_headers headers) override
     {
-        if (mark_ && is_copy(status, headers))
+        auto const owner = matcher_.match(status, headers);
+        if (owner == answer_owner::earlier_call)
         {
             skips_ = true;
             if (registry_ != nullptr)
                 registry_->on_answer_skipped();
             return ++skipped_answers_ <= max_skipped_answers;
         }
-        check_mark(status, headers);
+        foreign_ = owner == answer_owner::unknown;
         if (foreign_)
             return false;
         idle_limit_ = idle_limit(headers);
@@ -345,58 +333,6 @@
             observer->on_body(bytes);
     }
 
-    /// Whether the answer is one to an earlier request here, which has had its
-    /// whole answer.
-    bool is_copy(int status, http_headers const& headers) const
-    {
-        auto const names = names_in(headers);
-        if (names.empty())
-            return status == unnamed_status_ &&
-                   status != mark_->harmless_status;
-        return names.size() == 1 &&
-               std::find(known_names_.begin(), known_names_.end(),
-                         *names.begin()) != known_names_.end();
-    }
-
-    std::set<std::string> names_in(http_headers const& headers) const
-    {
-        std::set<std::string> names;
-        for (auto const& [field, value] : headers.fields())
-            if (!value.empty() && same_header_name(field, mark_->field))
-                names.insert(value);
-        return names;
-    }
-
-    void check_mark(int status, http_headers const& headers)
-    {
-        marked_ = true;
-        if (!mark_)
-            return;
-        auto const names = names_in(headers);
-        bool const has_name = !mark_->value.empty();
-        bool const is_named = has_name && names == std::set{mark_->value};
-        bool const lacks_name = names.empty() && mark_->is_optional;
-        // Behind a copy the own answer is yet to come.
-        bool const may_be_copy = lacks_name && status == unnamed_status_;
-        marked_ = is_named || (lacks_name && !may_be_copy);
-        answer_status_ = is_named ? std::nullopt : std::optional(status);
-        // An answer that names another request is left to the observer of a
-        // request that needs its name, which knows what it means for it.
-        foreign_ = mark_->is_optional ? !is_named && !lacks_name
-                                      : reused_ && names.empty() == has_name;
-    }
-
-    void remember_answer()
-    {
-        if (!mark_)
-            return;
-        unnamed_status_ = answer_status_;
-        if (!mark_->value.empty())
-            known_names_.push_back(mark_->value);
-        if (known_names_.size() > max_known_names)
-            known_names_.pop_front();
-    }
-
     /// Idle timeout from the header field "Keep-Alive: timeout=SECONDS", minus
     /// the margin.
     static std::chrono::milliseconds idle_limit(http_headers const& headers)
@@ -423,22 +359,13 @@
     std::array<char, read_buffer_bytes> buffer_{};
     answer_parser parser_{*this};
     std::string request_;
-    std::optional<answer_mark> mark_;
-    /// The answer has the mark of its request, or needs none.
-    bool marked_ = false;
-    /// Status of an answer without a name.
-    std::optional<int> answer_status_;
-    /// The same of the last answer here.
-    std::optional<int> unnamed_status_;
+    answer_matcher matcher_;
     /// The answer may be one to an earlier request.
     bool foreign_ = false;
     /// The answer is a copy of one to an earlier request.
     bool skips_ = false;
     int skipped_answers_ = 0;
     std::size_t skipped_bytes_ = 0;
-    /// The requests here that have had their answers, the latest last.
-    std::deque<std::string> known_names_;
-    bool reused_ = false;
     std::shared_ptr<exchange_observer> observer_;
     std::uint64_t exchange_number_ = 0;
     bool connected_ = false;
--- a/src/backend_pool.hpp
+++ b/src/backend_pool.hpp
@@ -7,6 +7,7 @@
 #ifndef MULBERRY_BACKEND_POOL_HPP
 #define MULBERRY_BACKEND_POOL_HPP
 
+#include "answer_matcher.hpp"
 #include "http_client.hpp"
 #include "http_message.hpp"
 
@@ -72,25 +73,6 @@
     virtual void cancel() = 0;
 };
 
-/// Tells an answer from a second one to an earlier request on the connection.
-/// Value.
-struct answer_mark
-{
-    /// Header field by which an answer names its request.
-    std::string field;
-    /// The request's name, which no other request has; empty: it has none.
-    std::string value;
-    /// The answer may lack the name. A second copy of an earlier answer without
-    /// one is then told by its status.
-    bool is_optional = false;
-    /// The status that an answer without a name will probably have; nullopt:
-    /// any. The request goes out where the last answer had another one.
-    std::optional<int> likely_status = {};
-    /// An answer with this status changes nothing, so that it may be a copy.
-    std::optional<int> harmless_status = {};
-    friend bool operator==(answer_mark const&, answer_mark const&) = default;
-};
-
 /// How a request is sent.
 struct exchange_options
 {
@@ -106,7 +88,7 @@
     /// of the answer before, if that had no name either. Another answer without
     /// a name is taken if it is the first on its connection, or if the mark is
     /// optional. A connection is kept behind answers that have their names, or
-    /// whose marks are optional.
+    /// whose marks are optional, and never carries two requests with one name.
     std::optional<answer_mark> mark = {};
     friend bool operator==(exchange_options const&,
                            exchange_options const&) = default;
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -26,7 +26,7 @@
 endif()
 # The relay: callers' requests in, workers' answers out.
 mulberry_library(mulberry_relay
-  SOURCES answer_gate.cpp answer_parser.cpp backend_pool.cpp collected_exchange.cpp connect_check.cpp crash_row.cpp crash_detector.cpp event_log.cpp event_splitter.cpp forwarded_call.cpp
+  SOURCES answer_gate.cpp answer_matcher.cpp answer_parser.cpp backend_pool.cpp collected_exchange.cpp connect_check.cpp crash_row.cpp crash_detector.cpp event_log.cpp event_splitter.cpp forwarded_call.cpp
           ownership_runner.cpp peer_allotment.cpp peer_grant_request.cpp peer_rows.cpp peer_streams.cpp registry_watch.cpp relay.cpp relay_admission.cpp
           version_records.cpp relay_daemon.cpp software_record.cpp stream_row.cpp stream_row_keeper.cpp stream_row_writer.cpp
           relay_exchange.cpp relay_forwarding.cpp relay_limits.cpp relay_metrics.cpp relay_orders.cpp
@@ -36,7 +36,7 @@
   LINK mulberry_scheduling mulberry_ownership mulberry_net mulberry_shell)
 target_compile_definitions(mulberry_relay PUBLIC ASIO_STANDALONE)
 mulberry_test(relay_test
-  SOURCES answer_gate_test.cpp answer_parser_test.cpp backend_pool_test.cpp crash_row_test.cpp endless_answer_test.cpp event_log_test.cpp event_splitter_test.cpp forwarded_call_test.cpp
+  SOURCES answer_gate_test.cpp answer_matcher_test.cpp answer_parser_test.cpp backend_pool_test.cpp crash_row_test.cpp endless_answer_test.cpp event_log_test.cpp event_splitter_test.cpp forwarded_call_test.cpp
           memory_row_store.cpp version_records_test.cpp ownership_runner_test.cpp peer_allotment_test.cpp
           odd_input_test.cpp peer_grant_request_test.cpp peer_rows_test.cpp
           registry_watch_test.cpp relay_events_test.cpp relay_objective_test.cpp relay_service_kind_test.cpp relay_settings_test.cpp relay_silence_test.cpp relay_software_test.cpp relay_start_test.cpp relay_teams_test.cpp row_mirror_test.cpp software_fleet_test.cpp software_history_test.cpp software_record_test.cpp
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -379,6 +379,28 @@
     CHECK(world.opened() == 2);
 }
 
+// Guards against the same behind more requests than a connection remembers.
+TEST_CASE("a request that is sent again behind many uses another connection",
+          "[backend_pool]")
+{
+    constexpr int others = 40;
+    pool_fixture world;
+    raw_socket const worker = exchange_first(world, named("1"), copy_of_one);
+    for (int number = 2; number < 2 + others; ++number)
+    {
+        std::string const name = std::to_string(number);
+        observed_exchange other;
+        world.send(other, named(name));
+        worker.read_until(end_of_headers);
+        worker.send(answer_with("Number: " + name + "\r\n", ""));
+        other.wait();
+    }
+    CHECK(world.opened() == 1);
+    observed_exchange again;
+    world.send(again, named("1"));
+    CHECK(world.opened() == 2);
+}
+
 namespace
 {
 
