Show that a cut head of a copy takes the name of the answer behind it

What callers could see: a request that may run once runs twice, or is told that it has not run; a worker's failure is told as a success.

Cause: a copy whose head breaks off within the reason phrase ("HTTP/1.1 421 Mis"), or within a value before its name ("Not-Executed: 1"), is joined by the parser with the head of the own answer: the status and the fields of the copy, the name of the answer. Nothing compares more than the name.

--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -350,6 +350,29 @@
     CHECK(second.body.empty());
 }
 
+// Guards against joining the cut head of a copy with the answer behind it: the
+// status of one with the name of the other.
+TEST_CASE("a cut head of a copy takes no name from the answer behind it",
+          "[.][cut_copies]")
+{
+    std::string const head =
+        GENERATE(as<std::string>{}, "HTTP/1.1 421 Misdirected\r\nNumber: 1\r\n",
+                 "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nNumber: 1\r\n");
+    for (std::size_t size = 1; size < head.size(); ++size)
+    {
+        std::string const cut = head.substr(0, size);
+        CAPTURE(cut);
+        pool_fixture world;
+        observed_exchange second;
+        raw_socket worker = send_second(world, second);
+        worker.send(cut + answer_to_two);
+        worker.close();
+        second.wait();
+        CHECK_FALSE((second.status != 0 && second.status != 200 &&
+                     second.headers.find("Number") == "2"));
+    }
+}
+
 // Guards against waiting at a worker that sends copies without end.
 TEST_CASE("an exchange fails behind too many copies", "[backend_pool]")
 {
