--- a/src/answer_parser.cpp
+++ b/src/answer_parser.cpp
@@ -13,6 +13,7 @@
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 constexpr std::string_view start_of_status_line = "HTTP/1.";
+constexpr std::string_view optional_white_space = " \t";
 
 /// Results of on_headers_complete().
 constexpr int go_on = 0;
@@ -97,6 +98,7 @@
 void answer_parser::store_header()
 {
     look_for_status_line(value_);
+    value_.resize(value_.find_last_not_of(optional_white_space) + 1);
     headers_.add(std::exchange(field_, {}), std::exchange(value_, {}));
     in_value_ = false;
 }
--- a/tests/answer_parser_test.cpp
+++ b/tests/answer_parser_test.cpp
@@ -155,7 +155,7 @@
         {
             std::string const name = names[below(std::size(names))];
             std::string const value = below(2) == 0 ? "" : letters(12);
-            text += field(name, value);
+            text += field(name, value + blanks());
             fields.emplace_back(name, value);
         }
     }
@@ -289,6 +289,16 @@
         }
 }
 
+// Guards against taking an answer whose name is padded for another request's.
+TEST_CASE("white space round a field's value is no part of it",
+          "[answer_parser]")
+{
+    std::string const value = GENERATE("7 ", "7\t", " 7 \t ", "7");
+    answer_parts const read =
+        parse({"HTTP/1.1 204 None\r\nNumber: " + value + "\r\n\r\n"});
+    CHECK(read.fields == header_fields{{"Number", "7"}});
+}
+
 // Guards against taking the final answer for the body of an interim one.
 TEST_CASE("an interim answer has no body", "[answer_parser]")
 {
