Keep deleted rows deleted, however many deletions follow

What callers could see: a worker, a VM or an ownership record that was deleted is taken for present again and stays so until its row is put again or all rows are read anew. Requests go to a worker that is gone (421, or DRAIN where it still runs). Seen in a unit test, not on a deployment.

Cause: a replica remembers the last 1,000 deletions and forgets all of them behind one more.

A tombstone isn't needed at all for a row that is no newer than the forgotten deletions: the replica has had all rows of that version, and those that it doesn't know were deleted.

Deletions beyond version_ (from answers without large rows) stay until version_ has passed them. complete_since_ takes the version of the deletion itself, no longer that of the last change that readers act on, which may be older. A forgotten deletion that is told again no longer counts as a missed row.

Enough, because it doesn't depend on how many deletions there are: each row is either known, newer than complete_since_, or deleted.

--- a/src/row_replica.cpp
+++ b/src/row_replica.cpp
@@ -31,18 +31,31 @@
             rows.push_back({known.row.kind, key, version, {}, true});
     if (is_loaded_)
         ++missed_;
-    else
-        complete_since_ = version;
+    // Such a snapshot reflects every deletion that is no longer remembered.
+    bool const reflects_deletions = version >= complete_since_;
+    std::vector<stored_row> newer =
+        apply_rows(std::move(rows), version, reflects_deletions);
+    if (!is_loaded_)
+        complete_since_ = std::max(complete_since_, version);
     is_loaded_ = true;
-    return apply(std::move(rows), version);
+    return newer;
 }
 
 std::vector<stored_row> row_replica::apply(std::vector<stored_row> rows,
                                            row_version version)
+{
+    return apply_rows(std::move(rows), version, false);
+}
+
+std::vector<stored_row> row_replica::apply_rows(std::vector<stored_row> rows,
+                                                row_version version,
+                                                bool reflects_deletions)
 {
     std::vector<stored_row> newer;
     for (stored_row& row : rows)
     {
+        if (!reflects_deletions && is_obsolete(row))
+            continue;
         stored_row copy = row;
         if (apply_row(std::move(row)))
             newer.push_back(std::move(copy));
@@ -52,6 +65,14 @@
     return newer;
 }
 
+/// Failure: a row is deleted, so are many others, and an answer that was
+/// overtaken brings it back. The replica has had all rows of complete_since_,
+/// so that a row that is no newer and unknown was deleted.
+bool row_replica::is_obsolete(stored_row const& row) const
+{
+    return row.version <= complete_since_ && !entries_.contains(row.key);
+}
+
 /// Failure: answers overtake each other, and a row read earlier replaces the
 /// one read later; a draining worker looks healthy again. A row is therefore
 /// never replaced by an older version of itself.
@@ -89,6 +110,7 @@
     return true;
 }
 
+/// Deletions after version_ stay, since rows that old may still be new here.
 void row_replica::prune_tombstones()
 {
     if (tombstones_ <= max_tombstones)
@@ -96,12 +118,17 @@
     std::erase_if(entries_,
                   [this](auto const& each)
                   {
-                      if (each.second.row.deleted)
+                      stored_row const& row = each.second.row;
+                      bool const forgets =
+                          row.deleted && row.version <= version_;
+                      if (forgets)
+                      {
                           complete_since_ =
-                              std::max(complete_since_, each.second.changed_at);
-                      return each.second.row.deleted;
+                              std::max(complete_since_, row.version);
+                          --tombstones_;
+                      }
+                      return forgets;
                   });
-    tombstones_ = 0;
 }
 
 std::optional<std::vector<stored_row>>
--- a/src/row_replica.hpp
+++ b/src/row_replica.hpp
@@ -38,7 +38,8 @@
     std::vector<stored_row> apply_snapshot(std::vector<stored_row> rows,
                                            row_version version);
     /// Applies changes up to `version`. Returns the rows that were newer than
-    /// the replica's.
+    /// the replica's. A deleted row does not return with an older version, even
+    /// after its deletion is no longer remembered.
     std::vector<stored_row> apply(std::vector<stored_row> rows,
                                   row_version version);
 
@@ -65,6 +66,10 @@
         row_version changed_at;
     };
 
+    std::vector<stored_row> apply_rows(std::vector<stored_row> rows,
+                                       row_version version,
+                                       bool reflects_deletions);
+    bool is_obsolete(stored_row const& row) const;
     bool apply_row(stored_row row);
     void prune_tombstones();
 
@@ -72,7 +77,8 @@
     bool is_loaded_ = false;
     row_version version_;
     row_version changed_at_;
-    /// All changes after this version are stored here.
+    /// All changes after this version are stored here, and of the rows that are
+    /// no newer, those that were not deleted. Never exceeds version_.
     row_version complete_since_;
     std::map<std::string, entry> entries_;
     std::size_t tombstones_ = 0;
--- a/tests/row_replica_test.cpp
+++ b/tests/row_replica_test.cpp
@@ -145,3 +145,71 @@
     CHECK(replica.missed() == 2);
     CHECK(replica.rows().empty());
 }
+
+// Guards against a deleted row that comes back with an answer that was
+// overtaken, after so many deletions that its own is no longer remembered.
+TEST_CASE("a deleted row stays deleted behind many other deletions",
+          "[row_copy]")
+{
+    row_replica replica;
+    replica.apply_snapshot({row("a", 3, "1"), row("b", 4, "1")},
+                           row_version(6));
+    replica.apply({row("a", 8, "2")}, row_version(8));
+    replica.apply({deleted_row("a", 10)}, row_version(10));
+    std::uint64_t version = 10;
+    for (int number = 0; number < 5000; ++number)
+    {
+        std::string const key = "w" + std::to_string(number);
+        replica.apply({row(key, ++version, "1")}, row_version(version));
+        replica.apply({deleted_row(key, ++version)}, row_version(version));
+    }
+    std::vector<stored_row> const left{row("b", 4, "1")};
+    REQUIRE(replica.rows() == left);
+    std::uint64_t const missed = replica.missed();
+    SECTION("changes that were overtaken")
+    {
+        CHECK(replica.apply({row("a", 8, "2")}, row_version(9)).empty());
+    }
+    SECTION("a snapshot that was overtaken")
+    {
+        CHECK(replica
+                  .apply_snapshot({row("a", 8, "2"), row("b", 4, "1")},
+                                  row_version(9))
+                  .empty());
+    }
+    SECTION("its deletion again")
+    {
+        CHECK(replica.apply({deleted_row("a", 10)}, row_version(10)).empty());
+        CHECK(replica.missed() == missed);
+    }
+    CHECK(replica.rows() == left);
+    SECTION("a row that is put again is there")
+    {
+        replica.apply({row("a", version + 1, "3")}, row_version(version + 1));
+        CHECK(replica.rows().size() == 2);
+    }
+    SECTION("a newer snapshot holds whatever it names")
+    {
+        replica.apply_snapshot({row("b", 4, "1"), row("c", 5, "1")},
+                               row_version(version + 1));
+        CHECK(replica.rows().size() == 2);
+    }
+}
+
+// Guards against taking large rows that have yet to be read for deleted ones.
+TEST_CASE("rows beyond the replica's version are new behind many deletions",
+          "[row_copy]")
+{
+    row_replica replica;
+    replica.apply_snapshot({}, row_version(1));
+    std::uint64_t version = 10;
+    std::vector<stored_row> small;
+    for (int number = 0; number < 5000; ++number)
+        small.push_back(deleted_row("w" + std::to_string(number), ++version));
+    replica.apply(small, replica.version());
+    CHECK(replica.version() == row_version(1));
+    small.push_back(row("large", 5, "1"));
+    replica.apply(small, row_version(version));
+    CHECK(replica.rows() == std::vector<stored_row>{row("large", 5, "1")});
+    CHECK(replica.version() == row_version(version));
+}
