Keep the records of streams that run before those of ended ones

What callers could see: a stream that is taken up while several versions of the workers' software serve is looked up in the store, or, with the store away, refused as unknown (503, and late), although records of it were sent to three VMs. No stream was taken for another: an unknown one isn't run. Seen in unit tests, not on a deployment.

Cause: a VM keeps 8,192 records and dropped the oldest behind them, whether or not it needed a place: - a record of a stream that is known adds nothing, but dropped one. VMs tell each other of all running streams when a second version is listed; - the ended records were dropped only from the oldest on, so that the record of one long stream kept those of ended ones behind it, and went first.

Change: records are found by their end as well as by their age. Ended ones go first, a known one displaces none, and only where all belong to streams that may run does the oldest go.

What stays bounded: 8,192 streams that may run at once. The store has the row of each, which is read then.

--- a/src/stream_records.cpp
+++ b/src/stream_records.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <iterator>
 #include <string>
 #include <utility>
 
@@ -26,17 +27,24 @@
 {
     if (record.stream.empty() || record.until <= now)
         return;
-    while (!order_.empty() && (records_.size() >= capacity_ ||
-                               records_.at(order_.front()).until <= now))
-    {
-        records_.erase(order_.front());
-        order_.pop_front();
-    }
-    auto const [found, added] = records_.try_emplace(record.stream, record);
-    if (added)
-        order_.push_back(record.stream);
-    else if (found->second.until <= now)
-        found->second = std::move(record);
+    while (!ends_.empty() && ends_.begin()->first <= now)
+        forget(ends_.begin()->second);
+    if (records_.contains(record.stream))
+        return;
+    if (records_.size() >= capacity_)
+        forget(order_.front().stream);
+    ends_.emplace(record.until, record.stream);
+    order_.push_back(std::move(record));
+    records_.emplace(order_.back().stream, std::prev(order_.end()));
+}
+
+void stream_records::forget(request_id const& stream)
+{
+    auto const found = records_.find(stream);
+    auto const record = found->second;
+    records_.erase(found);
+    ends_.erase(ends_.find({record->until, record->stream}));
+    order_.erase(record);
 }
 
 std::optional<software_version> stream_records::find(request_id const& stream,
@@ -44,10 +52,10 @@
                                                      time_point now) const
 {
     auto const found = records_.find(stream);
-    if (found == records_.end() || found->second.service != service ||
-        found->second.until <= now)
+    if (found == records_.end() || found->second->service != service ||
+        found->second->until <= now)
         return std::nullopt;
-    return found->second.software;
+    return found->second->software;
 }
 
 std::vector<vm_id> record_keepers(request_id const& stream,
--- a/src/stream_records.hpp
+++ b/src/stream_records.hpp
@@ -6,9 +6,11 @@
 #include "time_point.hpp"
 
 #include <cstddef>
-#include <deque>
+#include <list>
 #include <optional>
+#include <set>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace mulberry
@@ -26,11 +28,15 @@
                            stream_record const&) = default;
 };
 
-/// A bounded set of records; the oldest give way. Thread safety: none.
+/// A bounded set of records. Those of streams that have ended give way first,
+/// then the oldest. Thread safety: none.
 class stream_records
 {
 public:
+    /// Precondition: `capacity` is positive.
     explicit stream_records(std::size_t capacity) : capacity_(capacity) {}
+    stream_records(stream_records const&) = delete;
+    stream_records& operator=(stream_records const&) = delete;
 
     /// Adds a record. A record of the same stream that is still valid stays as
     /// it is: the first one tells what began the stream.
@@ -41,10 +47,14 @@
     std::size_t size() const { return records_.size(); }
 
 private:
+    /// Precondition: there is a record of the stream.
+    void forget(request_id const& stream);
+
     std::size_t const capacity_;
-    std::unordered_map<request_id, stream_record> records_;
-    /// Streams in the order in which their records were added.
-    std::deque<request_id> order_;
+    /// In the order in which they were added.
+    std::list<stream_record> order_;
+    std::unordered_map<request_id, std::list<stream_record>::iterator> records_;
+    std::set<std::pair<time_point, request_id>> ends_;
 };
 
 /// The VMs that keep the record of a stream, by rendezvous hashing: the same
--- a/tests/stream_records_test.cpp
+++ b/tests/stream_records_test.cpp
@@ -50,6 +50,51 @@
     CHECK(records.size() == 4);
 }
 
+// Guards against losing records of running streams when the VMs tell each other
+// again of streams that they know.
+TEST_CASE("a record that is known already displaces no other",
+          "[stream_records]")
+{
+    stream_records records(4);
+    for (int number = 0; number < 4; ++number)
+        records.add(record(fmt::format("s{}", number), v1), now);
+    for (int number = 1; number < 4; ++number)
+        records.add(record(fmt::format("s{}", number), v2), now);
+    for (int number = 0; number < 4; ++number)
+        CHECK(records.find(request_id(fmt::format("s{}", number)), service,
+                           now) == v1);
+}
+
+// Guards against losing the record of a long stream behind many short ones that
+// have ended.
+TEST_CASE("records of ended streams give way before others", "[stream_records]")
+{
+    stream_records records(4);
+    records.add(record("long", v1, 60s), now);
+    for (int number = 0; number < 1000; ++number)
+    {
+        time_point const at = now + number * 20ms;
+        records.add(
+            {request_id(fmt::format("s{}", number)), service, v2, at + 50ms},
+            at);
+        CHECK(records.size() <= 4);
+    }
+    CHECK(records.find(request_id("long"), service, now + 20s) == v1);
+}
+
+// Guards against a record that is dropped when the one before it of the same
+// stream would have ended.
+TEST_CASE("a record of a stream that begins again counts until its own end",
+          "[stream_records]")
+{
+    stream_records records(4);
+    records.add(record("a", v1, 1s), now);
+    records.add({request_id("a"), service, v2, now + 9s}, now + 1s);
+    records.add({request_id("b"), service, v1, now + 9s}, now + 2s);
+    CHECK(records.find(request_id("a"), service, now + 2s) == v2);
+    CHECK(records.size() == 2);
+}
+
 // Guards against asking other VMs than those that were told.
 TEST_CASE("all VMs name the same keepers of a stream", "[stream_records]")
 {
