Give up rows of ended streams before those of streams that run

What callers could see: after the store was away and all VMs were lost behind it, a stream that could go on is refused as unknown (503). Seen in a unit test, not on a deployment.

Cause: records that wait for the store are bounded by 8,192, and the first one gave way, though streams behind it had ended. Ended records were forgotten only when a transaction was taken, which doesn't happen while one is in progress.

Change: ended records are forgotten before a record gives way. The oldest still gives way where 8,192 streams may run; three VMs keep its record in memory.

--- a/src/stream_row_writer.cpp
+++ b/src/stream_row_writer.cpp
@@ -54,6 +54,8 @@
 {
     if (record.stream.empty() || record.until <= now || !fits_in_row(record))
         return 0;
+    if (waiting_.size() >= max_waiting)
+        forget_ended(now);
     if (waiting_.size() >= max_waiting)
         waiting_.pop_front();
     waiting_.push_back({++last_number_, std::move(record)});
--- a/src/stream_row_writer.hpp
+++ b/src/stream_row_writer.hpp
@@ -21,8 +21,9 @@
 
 /// Writes each record once, in the order of the calls, and deletes its row
 /// after the stream has ended, in the same transactions where possible. One
-/// transaction is in progress at a time. Records that cannot be written for
-/// long give way to newer ones. Thread safety: none. No I/O, no clock.
+/// transaction is in progress at a time. Of records that cannot be written for
+/// long, those of streams that have ended give way first, then the oldest.
+/// Thread safety: none. No I/O, no clock.
 class stream_row_writer
 {
 public:
--- a/tests/stream_rows_test.cpp
+++ b/tests/stream_rows_test.cpp
@@ -137,6 +137,27 @@
     CHECK(writer.unwritten() == 0);
 }
 
+// Guards against losing the record of a running stream, while the store is
+// away, to records of streams that have ended.
+TEST_CASE("records of ended streams give way before those that wait longest",
+          "[stream_rows]")
+{
+    stream_row_writer writer;
+    writer.add(record("long", 600s), start);
+    time_point now = start;
+    for (int number = 0; number < 20'000; ++number)
+    {
+        now += 10ms;
+        writer.add(
+            {request_id(fmt::format("s{}", number)), service, v1, now + 100ms},
+            now);
+    }
+    auto const transaction = writer.take_write(now);
+    REQUIRE(transaction);
+    CHECK(transaction->writes.front().key ==
+          stream_row_key(request_id("long"), service));
+}
+
 // Guards against taking a record for written before it is.
 TEST_CASE("records are numbered in the order in which they are written",
           "[stream_rows]")
