Keep the crashes that count when a request has crashed many workers

Seen by callers: a request that many callers send at a time could crash workers without end. Each wave of crashes within 200 ms counts once, and a request kept its newest 24 crashes only; a wave of 24 or more displaced all earlier ones, so that the count fell back to 1 with each wave and the request was never quarantined. All requests beside it failed with it.

Cause: crashes were kept by a count of observations, while the decision counts causes. Ruled out: the limit of all crashes (1,000 in the test, at most 300 used) and the retention time (10 min, waves 5 s apart).

Change: beyond 24, the oldest crash that does not count is dropped, and one that counts only if all 24 do, which is several times each threshold. A crash that does not count changes no decision, so that what is dropped changes none either, in whatever order observations arrive.

Evidence: the new test plays waves of 1, 8, 24, 25 and 100 workers, in ascending and descending order of the crashes.

--- a/src/crash_record.cpp
+++ b/src/crash_record.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::milliseconds common_cause_window{200};
 /// Accuracy of times reported by other VMs.
 constexpr std::chrono::milliseconds clock_tolerance{20};
-/// Per request, only the newest crashes are kept, at most this many times the
-/// quarantine threshold.
+/// Per request, at most this many times the quarantine threshold of crashes are
+/// kept, first of all those that count.
 constexpr std::size_t kept_threshold_multiple = 8;
 
 } // namespace
@@ -38,13 +38,26 @@
         known.crashes.emplace(seen.crashed, seen.sent_at);
     observed->second = std::max(observed->second, seen.sent_at);
     if (known.crashes.size() > limits_.crashes * kept_threshold_multiple)
-        known.crashes.erase(std::min_element(
-            known.crashes.begin(), known.crashes.end(),
-            [this](auto const& a, auto const& b)
-            { return crashes_.at(a.first) < crashes_.at(b.first); }));
+        drop_crash(seen.request, known, now);
     return is_new;
 }
 
+/// Failure: many callers send a poison request at a time, and the crashes that
+/// they cause count once. If these displaced the earlier ones that count, the
+/// request would never be quarantined.
+void crash_record::drop_crash(request_digest const& request, suspect& of,
+                              time_point now)
+{
+    std::set<worker_incarnation> counted;
+    for (crash const& each : counted_crashes(request, of, now))
+        counted.insert(each.crashed);
+    auto const rank = [&](auto const& each)
+    { return std::pair(counted.count(each.first), crashes_.at(each.first)); };
+    of.crashes.erase(std::min_element(of.crashes.begin(), of.crashes.end(),
+                                      [&rank](auto const& a, auto const& b)
+                                      { return rank(a) < rank(b); }));
+}
+
 bool crash_record::clear(request_digest const& request, time_point at)
 {
     auto const known = suspects_.find(request);
@@ -69,7 +82,7 @@
 {
     auto const known = suspects_.find(part);
     return known != suspects_.end() &&
-           counted_crash_times(part, known->second, now).size() >=
+           counted_crashes(part, known->second, now).size() >=
                threshold(part, known->second, now);
 }
 
@@ -185,37 +198,33 @@
            known->second.cleared_at != time_point::min();
 }
 
-std::vector<time_point>
-crash_record::counted_crash_times(request_digest const& request,
-                                  suspect const& of, time_point now) const
+std::vector<crash_record::crash>
+crash_record::counted_crashes(request_digest const& request, suspect const& of,
+                              time_point now) const
 {
-    struct crash
-    {
-        time_point at;
-        time_point sent_at;
-    };
     std::vector<crash> all;
     for (auto const& [crashed_worker, sent_at] : of.crashes)
         if (time_point const at = crashes_.at(crashed_worker);
             at + retention_of(request) > now)
-            all.push_back({at, sent_at});
+            all.push_back({crashed_worker, at, sent_at});
     std::sort(all.begin(), all.end(),
               [](crash const& a, crash const& b) { return a.at < b.at; });
-    std::vector<time_point> times;
+    std::vector<crash> counted;
     for (crash const& each : all)
     {
         bool const counts_separately = std::all_of(
-            times.begin(), times.end(),
-            [&each](time_point before)
+            counted.begin(), counted.end(),
+            [&each](crash const& before)
             {
-                bool const outlived = each.at > before + clock_tolerance &&
-                                      each.sent_at + clock_tolerance >= before;
-                return outlived || each.at > before + common_cause_window;
+                bool const outlived =
+                    each.at > before.at + clock_tolerance &&
+                    each.sent_at + clock_tolerance >= before.at;
+                return outlived || each.at > before.at + common_cause_window;
             });
         if (counts_separately)
-            times.push_back(each.at);
+            counted.push_back(each);
     }
-    return times;
+    return counted;
 }
 
 std::size_t crash_record::crashes(request_digest const& request,
@@ -224,7 +233,7 @@
     auto const known = suspects_.find(request);
     return known == suspects_.end()
                ? 0
-               : counted_crash_times(request, known->second, now).size();
+               : counted_crashes(request, known->second, now).size();
 }
 
 std::optional<time_point>
@@ -235,11 +244,11 @@
     if (known == suspects_.end() ||
         (is_part(request) && !known->second.confirmed))
         return std::nullopt;
-    std::vector<time_point> const moments =
-        counted_crash_times(request, known->second, now);
-    if (moments.size() < limits_.crashes)
+    std::vector<crash> const counted =
+        counted_crashes(request, known->second, now);
+    if (counted.size() < limits_.crashes)
         return std::nullopt;
-    return moments[moments.size() - limits_.crashes] + retention_of(request);
+    return counted[counted.size() - limits_.crashes].at + retention_of(request);
 }
 
 std::optional<crash_observation>
--- a/src/crash_record.hpp
+++ b/src/crash_record.hpp
@@ -144,10 +144,20 @@
         bool confirmed = false;
     };
 
-    /// Times of the crashes that count, in ascending order.
-    std::vector<time_point> counted_crash_times(request_digest const& request,
-                                                suspect const& of,
-                                                time_point now) const;
+    /// A crash under a request.
+    struct crash
+    {
+        worker_incarnation crashed;
+        time_point at{};
+        time_point sent_at{};
+    };
+
+    /// The crashes that count, in ascending order of their times.
+    std::vector<crash> counted_crashes(request_digest const& request,
+                                       suspect const& of, time_point now) const;
+    /// Drops a crash of the request: the oldest that does not count, or the
+    /// oldest if all count. Precondition: there is one.
+    void drop_crash(request_digest const& request, suspect& of, time_point now);
     /// Number of crashes after which the request is quarantined.
     std::size_t threshold(request_digest const& request, suspect const& of,
                           time_point now) const;
--- a/tests/crash_record_test.cpp
+++ b/tests/crash_record_test.cpp
@@ -143,6 +143,34 @@
     CHECK(record.quarantined_until(bad, start + 500s) == start + 497s + 10min);
 }
 
+// Guards against forgetting earlier crashes of a poison request that many
+// callers send at a time: crashes that count once displace those that count.
+TEST_CASE("a request that crashes many workers at a time is quarantined",
+          "[crash_record]")
+{
+    int const workers = GENERATE(1, 8, 24, 25, 100);
+    bool const oldest_first = GENERATE(true, false);
+    crash_record record({3, 10min, 1000});
+    auto const crash_wave = [&](int wave)
+    {
+        for (int number = 0; number < workers; ++number)
+        {
+            int const part = oldest_first ? number : workers - 1 - number;
+            record.add(seen(bad, wave * workers + number,
+                            start + wave * 5s + part * 100us),
+                       start + wave * 5s + 200ms);
+        }
+    };
+    crash_wave(0);
+    crash_wave(1);
+    CHECK(record.crashes(bad, start + 6s) == 2);
+    CHECK_FALSE(record.quarantined_until(bad, start + 6s));
+    crash_wave(2);
+    CHECK(record.crashes(bad, start + 11s) == 3);
+    CHECK(record.quarantined_until(bad, start + 11s) == start + 10min);
+    CHECK(record.observations(bad).size() <= 24);
+}
+
 TEST_CASE("the record is bounded and keeps the requests with the most crashes",
           "[crash_record]")
 {
