Keep a quarantine when many workers crash under other requests

Seen by callers: a quarantined request runs again, and crashes workers again, once as many other workers have crashed as the record holds (4,096 within ten minutes; 320 VMs face 5,800 workers, so that a lost region and restarts are enough).

Cause: beyond the limit the oldest crash was forgotten, whatever it counted against; only confirmed parts of prompts were spared. Ruled out: the limit of requests, which ranks by crashes and kept the request.

Change: a crash is as important as the most important request that it counts against; crashes that count against none go first. Requests are ranked by the crashes that count, since a lost failure domain gives many crashes of one cause to requests that are sound. An eighth is evicted at a time: each eviction ranks all entries, and took a pass for each crash.

Evidence: the new test plays 1,000 crashes beside one quarantined request, under one other request and under 1,000, with room for 50. Both failed before (not quarantined); both pass now.

Remains: a request with a single crash is forgotten when more requests than the record holds crash after it and before it crashes again. Each such round costs one more worker.

--- a/src/crash_record.cpp
+++ b/src/crash_record.cpp
@@ -21,6 +21,15 @@
 /// kept, first of all those that count.
 constexpr std::size_t kept_threshold_multiple = 8;
 
+/// This part of the entries is evicted at a time, since each eviction ranks all
+/// of them.
+constexpr std::size_t eviction_divisor = 8;
+
+std::size_t evicted_at_once(std::size_t entries)
+{
+    return entries / eviction_divisor + 1;
+}
+
 } // namespace
 
 bool crash_record::add(crash_observation const& seen, time_point now)
@@ -126,9 +135,7 @@
 {
     std::erase_if(crashes_, [&](auto const& each)
                   { return each.second + limits_.retention <= now; });
-    for (auto& [request, suspect] : suspects_)
-        std::erase_if(suspect.crashes, [&](auto const& each)
-                      { return crashes_.count(each.first) == 0; });
+    drop_unknown_crashes();
     std::erase_if(suspects_,
                   [&](auto const& each)
                   {
@@ -139,50 +146,79 @@
                   });
 }
 
+void crash_record::drop_unknown_crashes()
+{
+    for (auto& [request, suspect] : suspects_)
+        std::erase_if(suspect.crashes, [&](auto const& each)
+                      { return crashes_.count(each.first) == 0; });
+}
+
 /// Bounds the memory used when workers crash continually under ever new
-/// requests. Requests with the fewest crashes are evicted first, and among
-/// these the one whose last crash is oldest.
+/// requests.
 void crash_record::evict_if_full(time_point now)
 {
     if (suspects_.size() < limits_.max_entries &&
         crashes_.size() < limits_.max_entries)
         return;
     expire(now);
+    if (suspects_.size() >= limits_.max_entries)
+        evict_requests(now);
     if (crashes_.size() >= limits_.max_entries)
+        evict_crashes(now);
+}
+
+/// Requests with the fewest crashes that count are evicted first, and among
+/// these the one whose last crash is oldest.
+void crash_record::evict_requests(time_point now)
+{
+    using rank = std::tuple<bool, std::size_t, time_point>;
+    std::vector<std::pair<rank, request_digest>> by_rank;
+    for (auto const& [request, suspect] : suspects_)
     {
-        std::set<worker_incarnation> confirmed;
-        for (auto const& [request, suspect] : suspects_)
-            if (suspect.confirmed)
-                for (auto const& [crashed_worker, sent_at] : suspect.crashes)
-                    confirmed.insert(crashed_worker);
-        auto const rank = [&confirmed](auto const& each)
-        { return std::pair(confirmed.count(each.first), each.second); };
-        auto const oldest = std::min_element(crashes_.begin(), crashes_.end(),
-                                             [&](auto const& a, auto const& b)
-                                             { return rank(a) < rank(b); });
-        for (auto& [request, suspect] : suspects_)
-            suspect.crashes.erase(oldest->first);
-        crashes_.erase(oldest);
+        time_point newest = suspect.cleared_at;
+        for (auto const& [crashed_worker, sent_at] : suspect.crashes)
+            newest = std::max(newest, crashes_.at(crashed_worker));
+        by_rank.push_back(
+            {rank(suspect.confirmed,
+                  counted_crashes(request, suspect, now).size(), newest),
+             request});
     }
-    if (suspects_.size() < limits_.max_entries)
-        return;
-    auto const newest_crash = [this](suspect const& each)
+    std::size_t const count = evicted_at_once(by_rank.size());
+    std::partial_sort(by_rank.begin(), by_rank.begin() + std::ptrdiff_t(count),
+                      by_rank.end());
+    for (std::size_t each = 0; each < count; ++each)
+        suspects_.erase(by_rank[each].second);
+}
+
+/// Failure: many workers crash, such as at the loss of a region, and the
+/// crashes under a quarantined request are the oldest. A crash is as important
+/// as the most important request that it counts against.
+void crash_record::evict_crashes(time_point now)
+{
+    using importance = std::pair<bool, std::size_t>;
+    std::map<worker_incarnation, importance> importances;
+    for (auto const& [request, suspect] : suspects_)
     {
-        time_point newest = each.cleared_at;
-        for (auto const& [crashed_worker, sent_at] : each.crashes)
-            newest = std::max(newest, crashes_.at(crashed_worker));
-        return newest;
-    };
-    suspects_.erase(std::min_element(
-        suspects_.begin(), suspects_.end(),
-        [&](auto const& a, auto const& b)
+        std::vector<crash> const counted =
+            counted_crashes(request, suspect, now);
+        for (crash const& each : counted)
         {
-            auto const rank = [&](suspect const& each) {
-                return std::tuple(each.confirmed, each.crashes.size(),
-                                  newest_crash(each));
-            };
-            return rank(a.second) < rank(b.second);
-        }));
+            importance& known = importances[each.crashed];
+            known =
+                std::max(known, importance(suspect.confirmed, counted.size()));
+        }
+    }
+    using rank = std::pair<importance, time_point>;
+    std::vector<std::pair<rank, worker_incarnation>> by_rank;
+    for (auto const& [crashed_worker, at] : crashes_)
+        by_rank.push_back(
+            {rank(importances[crashed_worker], at), crashed_worker});
+    std::size_t const count = evicted_at_once(by_rank.size());
+    std::partial_sort(by_rank.begin(), by_rank.begin() + std::ptrdiff_t(count),
+                      by_rank.end());
+    for (std::size_t each = 0; each < count; ++each)
+        crashes_.erase(by_rank[each].second);
+    drop_unknown_crashes();
 }
 
 bool crash_record::is_suspect(request_digest const& request) const
--- a/src/crash_record.hpp
+++ b/src/crash_record.hpp
@@ -44,7 +44,8 @@
     std::size_t crashes = 3;
     /// How long a crash counts against a request.
     duration retention = std::chrono::minutes(10);
-    /// Maximum number of requests kept, and of crashes kept.
+    /// Maximum number of requests kept, and of crashes kept. Beyond it,
+    /// requests with the fewest crashes that count are forgotten first.
     std::size_t max_entries = 4096;
     /// How long a crash counts against a part of prompts: shorter, since no
     /// answer can clear a sound part once all requests with it are refused.
@@ -163,6 +164,10 @@
                           time_point now) const;
     /// If a limit is reached, evicts the least important entries.
     void evict_if_full(time_point now);
+    void evict_requests(time_point now);
+    void evict_crashes(time_point now);
+    /// Drops crashes that are no longer recorded from all requests.
+    void drop_unknown_crashes();
 
     crash_limits limits_;
     std::map<request_digest, suspect> suspects_;
--- a/tests/crash_record_test.cpp
+++ b/tests/crash_record_test.cpp
@@ -171,6 +171,22 @@
     CHECK(record.observations(bad).size() <= 24);
 }
 
+// Guards against ending a quarantine when many workers crash under other
+// requests, such as at the loss of a region.
+TEST_CASE("crashes of other workers do not end a quarantine", "[crash_record]")
+{
+    crash_record record({3, 10min, 50});
+    crash_three(record, bad);
+    bool const beside_one_request = GENERATE(true, false);
+    for (int number = 0; number < 1000; ++number)
+        record.add(seen(beside_one_request
+                            ? other
+                            : request_digest("r" + std::to_string(number)),
+                        100 + number, start + 5s + number * 100us),
+                   start + 6s);
+    CHECK(record.quarantined_until(bad, start + 6s) == start + 10min);
+}
+
 TEST_CASE("the record is bounded and keeps the requests with the most crashes",
           "[crash_record]")
 {
