Evict nothing for a further crash of a known request

Seen by callers: while the record of crashes is full, a request that crashes a worker for the second time counts one crash, and again at the third: it is never quarantined.

Cause: entries were evicted before each crash was added, also when it needed no new entry. The request with the oldest single crash, the one that had just crashed again, was first in line, and so was its crash.

Change: room is made only for a request or a crash that is new, and the earlier crashes of the request at hand rank as if the new one counted.

Evidence: the new test lets a request crash three times with 49 other requests between, with room for 50.

--- a/src/crash_record.cpp
+++ b/src/crash_record.cpp
@@ -36,7 +36,7 @@
 {
     if (seen.at + retention_of(seen.request) <= now)
         return false;
-    evict_if_full(now);
+    make_room(seen, now);
     suspect& known = suspects_[seen.request];
     if (seen.at <= known.cleared_at)
         return false;
@@ -155,16 +155,25 @@
 
 /// Bounds the memory used when workers crash continually under ever new
 /// requests.
-void crash_record::evict_if_full(time_point now)
+void crash_record::make_room(crash_observation const& seen, time_point now)
 {
-    if (suspects_.size() < limits_.max_entries &&
-        crashes_.size() < limits_.max_entries)
+    auto const lacks_request_room = [&]
+    {
+        return suspects_.size() >= limits_.max_entries &&
+               suspects_.count(seen.request) == 0;
+    };
+    auto const lacks_crash_room = [&]
+    {
+        return crashes_.size() >= limits_.max_entries &&
+               crashes_.count(seen.crashed) == 0;
+    };
+    if (!lacks_request_room() && !lacks_crash_room())
         return;
     expire(now);
-    if (suspects_.size() >= limits_.max_entries)
+    if (lacks_request_room())
         evict_requests(now);
-    if (crashes_.size() >= limits_.max_entries)
-        evict_crashes(now);
+    if (lacks_crash_room())
+        evict_crashes(seen.request, now);
 }
 
 /// Requests with the fewest crashes that count are evicted first, and among
@@ -192,8 +201,10 @@
 
 /// Failure: many workers crash, such as at the loss of a region, and the
 /// crashes under a quarantined request are the oldest. A crash is as important
-/// as the most important request that it counts against.
-void crash_record::evict_crashes(time_point now)
+/// as the most important request that it counts against; `crashed_again` is
+/// about to have one more.
+void crash_record::evict_crashes(request_digest const& crashed_again,
+                                 time_point now)
 {
     using importance = std::pair<bool, std::size_t>;
     std::map<worker_incarnation, importance> importances;
@@ -201,11 +212,13 @@
     {
         std::vector<crash> const counted =
             counted_crashes(request, suspect, now);
+        importance const own(suspect.confirmed,
+                             counted.size() +
+                                 (request == crashed_again ? 1 : 0));
         for (crash const& each : counted)
         {
             importance& known = importances[each.crashed];
-            known =
-                std::max(known, importance(suspect.confirmed, counted.size()));
+            known = std::max(known, own);
         }
     }
     using rank = std::pair<importance, time_point>;
--- a/src/crash_record.hpp
+++ b/src/crash_record.hpp
@@ -162,10 +162,11 @@
     /// Number of crashes after which the request is quarantined.
     std::size_t threshold(request_digest const& request, suspect const& of,
                           time_point now) const;
-    /// If a limit is reached, evicts the least important entries.
-    void evict_if_full(time_point now);
+    /// Evicts the least important entries if a limit is reached and `seen`
+    /// needs a new one.
+    void make_room(crash_observation const& seen, time_point now);
     void evict_requests(time_point now);
-    void evict_crashes(time_point now);
+    void evict_crashes(request_digest const& crashed_again, time_point now);
     /// Drops crashes that are no longer recorded from all requests.
     void drop_unknown_crashes();
 
--- a/tests/crash_record_test.cpp
+++ b/tests/crash_record_test.cpp
@@ -171,6 +171,28 @@
     CHECK(record.observations(bad).size() <= 24);
 }
 
+// Guards against forgetting the earlier crashes of a request when the next one
+// is added to a full record.
+TEST_CASE("a further crash of a request counts in a full record",
+          "[crash_record]")
+{
+    crash_record record({3, 10min, 50});
+    time_point now = start;
+    record.add(seen(bad, 0, now), now);
+    int others = 0;
+    for (std::size_t crashes = 2; crashes <= 3; ++crashes)
+    {
+        for (int until = others + 49; others < until; ++others)
+            record.add(seen(request_digest("r" + std::to_string(others)),
+                            100 + others, now + 1s),
+                       now + 1s);
+        now += 2s;
+        record.add(seen(bad, static_cast<int>(crashes), now), now);
+        CHECK(record.crashes(bad, now) == crashes);
+    }
+    CHECK(record.quarantined_until(bad, now) == start + 10min);
+}
+
 // Guards against ending a quarantine when many workers crash under other
 // requests, such as at the loss of a region.
 TEST_CASE("crashes of other workers do not end a quarantine", "[crash_record]")
