Forget unanswered orders by their age only

Could be seen by callers: a worker that restarts under its id carries out a late load of its earlier incarnation while all its slots are taken, and crashes with all its requests.

Cause: the orders to a worker that may be carried out late were kept by a count, 256, the oldest dropped first. An order that is answered behind its timeout of 80 ms is sent again and stays listed for its first send, so that a worker under load reaches 256 within the ten minutes for which orders are to be kept. The oldest have the lowest numbers, which come up first after a restart. Ruled out: expiry, which is by time.

Change: no count. Expired orders are dropped whenever twice as many are listed as remained the last time, so that the list is bounded by the orders of about 20 minutes and costs no pass for each order.

Evidence: the new test sends 10, 256, 257 and 2,000 loads twice each within the retention time, each answered once.

--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -17,7 +17,7 @@
           row_replica_test.cpp scheduler_world.cpp
           service_leaving_test.cpp service_silence_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_software_test.cpp service_version_test.cpp software_versions_test.cpp start_forecast_test.cpp startup_hold_test.cpp team_directory_test.cpp team_shares_test.cpp token_bucket_test.cpp unit_forecast_test.cpp usual_deadline_test.cpp
           wait_breakdown_test.cpp worker_adapters_test.cpp worker_health_test.cpp worker_limiter_test.cpp worker_limits_test.cpp worker_memory_test.cpp worker_notices_test.cpp worker_reachability_test.cpp late_order_test.cpp late_request_test.cpp forwarder_selector_test.cpp objective_owner_test.cpp objective_queue_test.cpp objective_scheduling_test.cpp delay_admission_test.cpp fair_queue_test.cpp fair_shares_test.cpp
-          prefill_backlog_test.cpp weight_load_test.cpp
+          prefill_backlog_test.cpp unanswered_orders_test.cpp weight_load_test.cpp
   LINK mulberry_scheduling)
 if(BUILD_TESTING)
   # Apart, since it may be listed in KNOWN-RED.txt alone.
--- a/src/unanswered_orders.cpp
+++ b/src/unanswered_orders.cpp
@@ -19,8 +19,10 @@
     }
     ++found->unanswered;
     found->sent_at = now;
-    if (count_ > limits_.max_orders)
-        drop_oldest();
+    if (count_ < expire_at_count_)
+        return;
+    expire(now);
+    expire_at_count_ = std::max(min_expired_count, 2 * count_);
 }
 
 void unanswered_orders::on_answered(worker_order const& order)
@@ -49,24 +51,6 @@
                   [](auto const& each) { return each.second.empty(); });
 }
 
-void unanswered_orders::drop_oldest()
-{
-    auto const age_of = [](auto const& each)
-    {
-        return std::min_element(each.second.begin(), each.second.end(),
-                                [](entry const& a, entry const& b)
-                                { return a.sent_at < b.sent_at; });
-    };
-    auto const oldest =
-        std::min_element(orders_.begin(), orders_.end(),
-                         [&](auto const& a, auto const& b)
-                         { return age_of(a)->sent_at < age_of(b)->sent_at; });
-    --count_;
-    oldest->second.erase(age_of(*oldest));
-    if (oldest->second.empty())
-        orders_.erase(oldest);
-}
-
 std::size_t unanswered_orders::reserved_slots(std::uint64_t sequence,
                                               time_point now) const
 {
--- a/src/unanswered_orders.hpp
+++ b/src/unanswered_orders.hpp
@@ -21,8 +21,6 @@
     duration burst_window = std::chrono::seconds(15);
     /// An older order may still be carried out, by itself.
     duration retention = std::chrono::minutes(10);
-    /// Maximum number of orders kept; the oldest are dropped first.
-    std::size_t max_orders = 256;
 };
 
 /// The orders to one worker that got no answer, in all of its incarnations.
@@ -31,7 +29,9 @@
 /// accepted before it, but not the worker's incarnation. A worker that restarts
 /// under its id counts from zero, and carries out an unanswered load of its
 /// earlier incarnation when that number comes up again. If all its slots are
-/// taken by then, it crashes. So slots are kept free for such loads.
+/// taken by then, it crashes. So slots are kept free for such loads. Orders are
+/// forgotten by their age only: the oldest have the lowest numbers, which come
+/// up first after a restart.
 ///
 /// Thread safety: none. Pure: no I/O, no clock.
 class unanswered_orders
@@ -56,6 +56,8 @@
     /// so may have been carried out in this order's place.
     bool may_be_displaced(worker_order const& order) const;
     bool empty() const { return orders_.empty(); }
+    /// Number of orders kept.
+    std::size_t size() const { return count_; }
 
 private:
     struct entry
@@ -70,12 +72,16 @@
     {
         return now <= each.sent_at + limits_.burst_window;
     }
-    void drop_oldest();
+
+    static constexpr std::size_t min_expired_count = 256;
 
     late_order_limits limits_;
     /// By expected sequence number.
     std::map<std::uint64_t, std::vector<entry>> orders_;
     std::size_t count_ = 0;
+    /// Expired orders are forgotten when this number is reached, which is twice
+    /// the number that remained the last time.
+    std::size_t expire_at_count_ = min_expired_count;
 };
 
 } // namespace mulberry
