Test that a copy of a refusal reaches no call that runs once

The relay believed late copies of refusals on connections that it used again. The other HTTP client makes every call that may run once on a connection of its own, which is closed behind its answer, so that a copy has no call to reach, and certainly_not_run() holds; no test said so.

The back end keeps the connection of a report, refuses a call, and sends copies of the refusal on the refused and on the kept connection before it answers the same call, made again. net_test [http_client] passes, three runs.

Not covered: reports and reads of the table are repeatable and use kept connections; a copy that comes between the request and its answer there is taken for the answer. See docs/design/bounded-memories.md.

--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -237,6 +237,41 @@
           "own");
 }
 
+// Guards against telling a caller that a request did not run: a copy of an
+// earlier refusal of it is taken for the answer to the try that runs.
+TEST_CASE("a copy of a refusal never reaches a call that must run at most once",
+          "[http_client]")
+{
+    std::string const refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                                "X-Request-Id: r\r\n"
+                                "Content-Length: 4\r\n\r\nfull";
+    scripted_back_end back_end(
+        [&refusal](raw_socket const& listener)
+        {
+            auto const kept = listener.accepted();
+            answer_request(kept, "report");
+            auto refused = listener.accepted();
+            refused.read_until(end_of_headers);
+            refused.send(refusal);
+            bool const reused = raw_socket::first_ready(refused, listener) &&
+                                !refused.read_until(end_of_headers).empty();
+            refused.send(refusal);
+            kept.send(refusal);
+            auto const again =
+                reused ? std::move(refused) : listener.accepted();
+            if (!reused)
+                again.read_until(end_of_headers);
+            again.send(answer("own"));
+        });
+    http_client client;
+    REQUIRE(client.call_and_wait(repeatable_call_to(back_end.url())).body ==
+            "report");
+    http_call call = call_to(back_end.url());
+    call.headers.add("X-Request-Id", "r");
+    CHECK(client.call_and_wait(call).status == 503);
+    CHECK(client.call_and_wait(call).body == "own");
+}
+
 TEST_CASE("a truncated response or one without framing is a failure",
           "[http_client]")
 {
