Learn of all crashes in the store, however many rows there are

Could be seen by callers: a restarted VM sends a quarantined request, and one more worker crashes.

Cause: a VM that reads the store ignored rows beyond the 4,096th, not only for their deletion but also the crashes that they tell. Rows of all suspects are written while a VM cannot be reached, so that some dozen crashes within ten minutes are enough, and which rows come last is a matter of their keys.

Change: no bound of its own. The rows are held anyway, by the replica of the table, and are in the store for the retention time only; the record of crashes has its bound and keeps the most important requests.

Evidence: the new test reads 60 rows of other requests and then three of one request, with room for 50.

Not measured: processor time with many more rows than 4,096.

--- a/src/crash_replicator.cpp
+++ b/src/crash_replicator.cpp
@@ -230,8 +230,7 @@
 {
     crash_key const key{seen.request, seen.crashed};
     pending_rows_.erase(key);
-    if (stored_rows_.count(key) > 0 ||
-        stored_rows_.size() >= limits_.max_entries)
+    if (stored_rows_.count(key) > 0)
         return;
     add_observation(seen, now);
     if (is_part(seen.request))
--- a/src/crash_replicator.hpp
+++ b/src/crash_replicator.hpp
@@ -176,7 +176,9 @@
     std::map<request_digest, crash_observation> kept_answers_;
     /// Rows to be written, each with the earliest time of the write.
     std::map<crash_key, time_point> pending_rows_;
-    /// Rows in the store, each with the time at which this VM deletes it.
+    /// Rows in the store, each with the time at which this VM deletes it. All
+    /// of them, however many there are: a row that is ignored may be one of a
+    /// quarantined request.
     std::map<crash_key, time_point> stored_rows_;
     /// Not after the first deletion of a row.
     time_point next_drop_at_ = never;
--- a/tests/crash_replicator_test.cpp
+++ b/tests/crash_replicator_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+
 using namespace mulberry;
 using namespace mulberry_test;
 using namespace std::chrono_literals;
@@ -60,6 +62,33 @@
     CHECK(world.is_refused_by_all("bad"));
 }
 
+// Guards against a restarted VM sending a quarantined request again because the
+// rows of other requests come first in the store.
+TEST_CASE("a restarted VM learns of a quarantine behind many other rows",
+          "[crash_keeper]")
+{
+    constexpr time_point start{1h};
+    crash_limits limits;
+    limits.max_entries = 50;
+    crash_replicator restarted(limits, 1);
+    auto const read_row = [&](std::string const& request, int worker)
+    {
+        time_point const at = start + worker * 300ms;
+        restarted.on_row(
+            {request_digest(request),
+             {worker_id("w" + std::to_string(worker)), worker_start(1)},
+             at - 1s,
+             at},
+            start + 1min);
+    };
+    for (int number = 0; number < 60; ++number)
+        read_row("r" + std::to_string(number), 10 + number);
+    for (int number = 0; number < 3; ++number)
+        read_row("the last in the store", number);
+    CHECK(restarted.record().quarantined_until(
+        request_digest("the last in the store"), start + 1min));
+}
+
 // Guards against losing crashes when the VMs that saw them restart: both VMs
 // that saw the first two crashes restart before the third.
 TEST_CASE("crashes outlive the VMs that saw them", "[crash_keeper]")
