Ignore a load report that answers an earlier request

Could be seen by callers: adapter slots of an engine are settled by a report that is older than the last orders, so that an order is made in vain or a request waits for an adapter that is gone.

Cause: reports are asked for on kept connections and were not compared with their requests. A second answer to an earlier request that arrives in place of the next report counted as of now. On an idle connection libcurl notices it and closes the connection; between a request and its answer it can't.

Change: each request for a report has a name in X-Request-Id, which engines repeat, and a report that names another one is ignored. One without a name counts as before, since an engine that did not repeat it would be taken for silent. Weighed: a connection of its own costs a connect for each report; not measured.

Evidence: the new test sends a copy before the second report.

--- a/src/http_engine_port.cpp
+++ b/src/http_engine_port.cpp
@@ -174,6 +174,10 @@
           what.fence, what.deadline);
 }
 
+/// Failure: an engine's second answer to an earlier request arrives on a kept
+/// connection in place of the newer report. Adapter slots would be settled by
+/// the engine's state before the last orders. A report that names another
+/// request is ignored.
 void http_engine_port::request_load_reports(
     std::vector<worker_id> const& workers)
 {
@@ -185,19 +189,23 @@
         time_point const asked_at = shell_clock::now();
         http_call call;
         call.url = *base + "/load";
+        std::string const name = "load-" + std::to_string(++last_report_);
+        call.headers.add("X-Request-Id", name);
         call.deadline = std::chrono::steady_clock::now() + report_timeout;
         call.repeatable = true;
-        calls_.client().start(std::move(call),
-                              std::make_shared<response_observer>(
-                                  [worker, asked_at, sink = sink_](
-                                      collected_response const& response)
-                                  {
-                                      if (response.status != 200)
-                                          return;
-                                      if (auto report = parse_engine_report(
-                                              worker, response.body, asked_at))
-                                          sink->post(std::move(*report));
-                                  }));
+        calls_.client().start(
+            std::move(call),
+            std::make_shared<response_observer>(
+                [worker, asked_at, name,
+                 sink = sink_](collected_response const& response)
+                {
+                    auto const named = response.headers.find("X-Request-Id");
+                    if (response.status != 200 || (named && *named != name))
+                        return;
+                    if (auto report = parse_engine_report(worker, response.body,
+                                                          asked_at))
+                        sink->post(std::move(*report));
+                }));
     }
 }
 
--- a/src/http_engine_port.hpp
+++ b/src/http_engine_port.hpp
@@ -8,6 +8,7 @@
 #include "http_client.hpp"
 #include "ports.hpp"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -38,6 +39,8 @@
     event_sink* sink_;
     std::shared_ptr<declaration const> configuration_;
     call_registry calls_;
+    /// Names the requests for load reports.
+    std::uint64_t last_report_ = 0;
 };
 
 /// Parses a worker's answer to GET /load. `asked_at` is when the call was sent;
--- a/src/shell.cmake
+++ b/src/shell.cmake
@@ -14,6 +14,6 @@
 add_executable(mulberryd ${CMAKE_SOURCE_DIR}/src/mulberryd.cpp)
 target_link_libraries(mulberryd PRIVATE mulberry_platform Boost::program_options)
 mulberry_test(shell_test
-  SOURCES completion_request_test.cpp kernel_test.cpp log_test.cpp peer_codec_test.cpp
+  SOURCES completion_request_test.cpp http_engine_port_test.cpp kernel_test.cpp log_test.cpp peer_codec_test.cpp
           stream_observer_test.cpp timeline_test.cpp
   LINK mulberry_shell)
