--- a/src/crash_record.cpp
+++ b/src/crash_record.cpp
@@ -17,17 +17,26 @@
 constexpr std::chrono::milliseconds common_cause_window{200};
 /// Accuracy of times reported by other VMs.
 constexpr std::chrono::milliseconds clock_tolerance{20};
-/// Per request, only the newest crashes are kept, at most this many times the
-/// quarantine threshold.
+/// Per request, at most this many times the quarantine threshold of crashes are
+/// kept, first of all those that count.
 constexpr std::size_t kept_threshold_multiple = 8;
 
+/// This part of the entries is evicted at a time, since each eviction ranks all
+/// of them.
+constexpr std::size_t eviction_divisor = 8;
+
+std::size_t evicted_at_once(std::size_t entries)
+{
+    return entries / eviction_divisor + 1;
+}
+
 } // namespace
 
 bool crash_record::add(crash_observation const& seen, time_point now)
 {
     if (seen.at + retention_of(seen.request) <= now)
         return false;
-    evict_if_full(now);
+    make_room(seen, now);
     suspect& known = suspects_[seen.request];
     if (seen.at <= known.cleared_at)
         return false;
@@ -38,13 +47,26 @@
         known.crashes.emplace(seen.crashed, seen.sent_at);
     observed->second = std::max(observed->second, seen.sent_at);
     if (known.crashes.size() > limits_.crashes * kept_threshold_multiple)
-        known.crashes.erase(std::min_element(
-            known.crashes.begin(), known.crashes.end(),
-            [this](auto const& a, auto const& b)
-            { return crashes_.at(a.first) < crashes_.at(b.first); }));
+        drop_crash(seen.request, known, now);
     return is_new;
 }
 
+/// Failure: many callers send a poison request at a time, and the crashes that
+/// they cause count once. If these displaced the earlier ones that count, the
+/// request would never be quarantined.
+void crash_record::drop_crash(request_digest const& request, suspect& of,
+                              time_point now)
+{
+    std::set<worker_incarnation> counted;
+    for (crash const& each : counted_crashes(request, of, now))
+        counted.insert(each.crashed);
+    auto const rank = [&](auto const& each)
+    { return std::pair(counted.count(each.first), crashes_.at(each.first)); };
+    of.crashes.erase(std::min_element(of.crashes.begin(), of.crashes.end(),
+                                      [&rank](auto const& a, auto const& b)
+                                      { return rank(a) < rank(b); }));
+}
+
 bool crash_record::clear(request_digest const& request, time_point at)
 {
     auto const known = suspects_.find(request);
@@ -69,7 +91,7 @@
 {
     auto const known = suspects_.find(part);
     return known != suspects_.end() &&
-           counted_crash_times(part, known->second, now).size() >=
+           counted_crashes(part, known->second, now).size() >=
                threshold(part, known->second, now);
 }
 
@@ -113,9 +135,7 @@
 {
     std::erase_if(crashes_, [&](auto const& each)
                   { return each.second + limits_.retention <= now; });
-    for (auto& [request, suspect] : suspects_)
-        std::erase_if(suspect.crashes, [&](auto const& each)
-                      { return crashes_.count(each.first) == 0; });
+    drop_unknown_crashes();
     std::erase_if(suspects_,
                   [&](auto const& each)
                   {
@@ -126,50 +146,92 @@
                   });
 }
 
+void crash_record::drop_unknown_crashes()
+{
+    for (auto& [request, suspect] : suspects_)
+        std::erase_if(suspect.crashes, [&](auto const& each)
+                      { return crashes_.count(each.first) == 0; });
+}
+
 /// Bounds the memory used when workers crash continually under ever new
-/// requests. Requests with the fewest crashes are evicted first, and among
-/// these the one whose last crash is oldest.
-void crash_record::evict_if_full(time_point now)
+/// requests.
+void crash_record::make_room(crash_observation const& seen, time_point now)
 {
-    if (suspects_.size() < limits_.max_entries &&
-        crashes_.size() < limits_.max_entries)
+    auto const lacks_request_room = [&]
+    {
+        return suspects_.size() >= limits_.max_entries &&
+               suspects_.count(seen.request) == 0;
+    };
+    auto const lacks_crash_room = [&]
+    {
+        return crashes_.size() >= limits_.max_entries &&
+               crashes_.count(seen.crashed) == 0;
+    };
+    if (!lacks_request_room() && !lacks_crash_room())
         return;
     expire(now);
-    if (crashes_.size() >= limits_.max_entries)
+    if (lacks_request_room())
+        evict_requests(now);
+    if (lacks_crash_room())
+        evict_crashes(seen.request, now);
+}
+
+/// Requests with the fewest crashes that count are evicted first, and among
+/// these the one whose last crash is oldest.
+void crash_record::evict_requests(time_point now)
+{
+    using rank = std::tuple<bool, std::size_t, time_point>;
+    std::vector<std::pair<rank, request_digest>> by_rank;
+    for (auto const& [request, suspect] : suspects_)
     {
-        std::set<worker_incarnation> confirmed;
-        for (auto const& [request, suspect] : suspects_)
-            if (suspect.confirmed)
-                for (auto const& [crashed_worker, sent_at] : suspect.crashes)
-                    confirmed.insert(crashed_worker);
-        auto const rank = [&confirmed](auto const& each)
-        { return std::pair(confirmed.count(each.first), each.second); };
-        auto const oldest = std::min_element(crashes_.begin(), crashes_.end(),
-                                             [&](auto const& a, auto const& b)
-                                             { return rank(a) < rank(b); });
-        for (auto& [request, suspect] : suspects_)
-            suspect.crashes.erase(oldest->first);
-        crashes_.erase(oldest);
+        time_point newest = suspect.cleared_at;
+        for (auto const& [crashed_worker, sent_at] : suspect.crashes)
+            newest = std::max(newest, crashes_.at(crashed_worker));
+        by_rank.push_back(
+            {rank(suspect.confirmed,
+                  counted_crashes(request, suspect, now).size(), newest),
+             request});
     }
-    if (suspects_.size() < limits_.max_entries)
-        return;
-    auto const newest_crash = [this](suspect const& each)
+    std::size_t const count = evicted_at_once(by_rank.size());
+    std::partial_sort(by_rank.begin(), by_rank.begin() + std::ptrdiff_t(count),
+                      by_rank.end());
+    for (std::size_t each = 0; each < count; ++each)
+        suspects_.erase(by_rank[each].second);
+}
+
+/// Failure: many workers crash, such as at the loss of a region, and the
+/// crashes under a quarantined request are the oldest. A crash is as important
+/// as the most important request that it counts against; `crashed_again` is
+/// about to have one more.
+void crash_record::evict_crashes(request_digest const& crashed_again,
+                                 time_point now)
+{
+    using importance = std::pair<bool, std::size_t>;
+    std::map<worker_incarnation, importance> importances;
+    for (auto const& [request, suspect] : suspects_)
     {
-        time_point newest = each.cleared_at;
-        for (auto const& [crashed_worker, sent_at] : each.crashes)
-            newest = std::max(newest, crashes_.at(crashed_worker));
-        return newest;
-    };
-    suspects_.erase(std::min_element(
-        suspects_.begin(), suspects_.end(),
-        [&](auto const& a, auto const& b)
+        std::vector<crash> const counted =
+            counted_crashes(request, suspect, now);
+        importance const own(suspect.confirmed,
+                             counted.size() +
+                                 (request == crashed_again ? 1 : 0));
+        for (crash const& each : counted)
         {
-            auto const rank = [&](suspect const& each) {
-                return std::tuple(each.confirmed, each.crashes.size(),
-                                  newest_crash(each));
-            };
-            return rank(a.second) < rank(b.second);
-        }));
+            importance& known = importances[each.crashed];
+            known = std::max(known, own);
+        }
+    }
+    using rank = std::pair<importance, time_point>;
+    std::vector<std::pair<rank, worker_incarnation>> by_rank;
+    for (auto const& [crashed_worker, at] : crashes_)
+        by_rank.push_back(
+            {rank(importances[crashed_worker], at), crashed_worker});
+    std::size_t const count = evicted_at_once(by_rank.size());
+    std::partial_sort(by_rank.begin(), by_rank.begin() + std::ptrdiff_t(count),
+                      by_rank.end());
+    for (std::size_t each = 0; each < count; ++each)
+        crashes_.erase(by_rank[each].second);
+    drop_unknown_crashes();
 }
 
 bool crash_record::is_suspect(request_digest const& request) const
@@ -185,37 +247,33 @@
            known->second.cleared_at != time_point::min();
 }
 
-std::vector<time_point>
-crash_record::counted_crash_times(request_digest const& request,
-                                  suspect const& of, time_point now) const
+std::vector<crash_record::crash>
+crash_record::counted_crashes(request_digest const& request, suspect const& of,
+                              time_point now) const
 {
-    struct crash
-    {
-        time_point at;
-        time_point sent_at;
-    };
     std::vector<crash> all;
     for (auto const& [crashed_worker, sent_at] : of.crashes)
         if (time_point const at = crashes_.at(crashed_worker);
             at + retention_of(request) > now)
-            all.push_back({at, sent_at});
+            all.push_back({crashed_worker, at, sent_at});
     std::sort(all.begin(), all.end(),
               [](crash const& a, crash const& b) { return a.at < b.at; });
-    std::vector<time_point> times;
+    std::vector<crash> counted;
     for (crash const& each : all)
     {
         bool const counts_separately = std::all_of(
-            times.begin(), times.end(),
-            [&each](time_point before)
+            counted.begin(), counted.end(),
+            [&each](crash const& before)
             {
-                bool const outlived = each.at > before + clock_tolerance &&
-                                      each.sent_at + clock_tolerance >= before;
-                return outlived || each.at > before + common_cause_window;
+                bool const outlived =
+                    each.at > before.at + clock_tolerance &&
+                    each.sent_at + clock_tolerance >= before.at;
+                return outlived || each.at > before.at + common_cause_window;
             });
         if (counts_separately)
-            times.push_back(each.at);
+            counted.push_back(each);
     }
-    return times;
+    return counted;
 }
 
 std::size_t crash_record::crashes(request_digest const& request,
@@ -224,7 +282,7 @@
     auto const known = suspects_.find(request);
     return known == suspects_.end()
                ? 0
-               : counted_crash_times(request, known->second, now).size();
+               : counted_crashes(request, known->second, now).size();
 }
 
 std::optional<time_point>
@@ -235,11 +293,11 @@
     if (known == suspects_.end() ||
         (is_part(request) && !known->second.confirmed))
         return std::nullopt;
-    std::vector<time_point> const moments =
-        counted_crash_times(request, known->second, now);
-    if (moments.size() < limits_.crashes)
+    std::vector<crash> const counted =
+        counted_crashes(request, known->second, now);
+    if (counted.size() < limits_.crashes)
         return std::nullopt;
-    return moments[moments.size() - limits_.crashes] + retention_of(request);
+    return counted[counted.size() - limits_.crashes].at + retention_of(request);
 }
 
 std::optional<crash_observation>
--- a/src/crash_record.hpp
+++ b/src/crash_record.hpp
@@ -44,7 +44,8 @@
     std::size_t crashes = 3;
     /// How long a crash counts against a request.
     duration retention = std::chrono::minutes(10);
-    /// Maximum number of requests kept, and of crashes kept.
+    /// Maximum number of requests kept, and of crashes kept. Beyond it,
+    /// requests with the fewest crashes that count are forgotten first.
     std::size_t max_entries = 4096;
     /// How long a crash counts against a part of prompts: shorter, since no
     /// answer can clear a sound part once all requests with it are refused.
@@ -144,15 +145,30 @@
         bool confirmed = false;
     };
 
-    /// Times of the crashes that count, in ascending order.
-    std::vector<time_point> counted_crash_times(request_digest const& request,
-                                                suspect const& of,
-                                                time_point now) const;
+    /// A crash under a request.
+    struct crash
+    {
+        worker_incarnation crashed;
+        time_point at{};
+        time_point sent_at{};
+    };
+
+    /// The crashes that count, in ascending order of their times.
+    std::vector<crash> counted_crashes(request_digest const& request,
+                                       suspect const& of, time_point now) const;
+    /// Drops a crash of the request: the oldest that does not count, or the
+    /// oldest if all count. Precondition: there is one.
+    void drop_crash(request_digest const& request, suspect& of, time_point now);
     /// Number of crashes after which the request is quarantined.
     std::size_t threshold(request_digest const& request, suspect const& of,
                           time_point now) const;
-    /// If a limit is reached, evicts the least important entries.
-    void evict_if_full(time_point now);
+    /// Evicts the least important entries if a limit is reached and `seen`
+    /// needs a new one.
+    void make_room(crash_observation const& seen, time_point now);
+    void evict_requests(time_point now);
+    void evict_crashes(request_digest const& crashed_again, time_point now);
+    /// Drops crashes that are no longer recorded from all requests.
+    void drop_unknown_crashes();
 
     crash_limits limits_;
     std::map<request_digest, suspect> suspects_;
--- a/tests/crash_record_test.cpp
+++ b/tests/crash_record_test.cpp
@@ -143,6 +143,72 @@
     CHECK(record.quarantined_until(bad, start + 500s) == start + 497s + 10min);
 }
 
+// Guards against forgetting earlier crashes of a poison request that many
+// callers send at a time: crashes that count once displace those that count.
+TEST_CASE("a request that crashes many workers at a time is quarantined",
+          "[crash_record]")
+{
+    int const workers = GENERATE(1, 8, 24, 25, 100);
+    bool const oldest_first = GENERATE(true, false);
+    crash_record record({3, 10min, 1000});
+    auto const crash_wave = [&](int wave)
+    {
+        for (int number = 0; number < workers; ++number)
+        {
+            int const part = oldest_first ? number : workers - 1 - number;
+            record.add(seen(bad, wave * workers + number,
+                            start + wave * 5s + part * 100us),
+                       start + wave * 5s + 200ms);
+        }
+    };
+    crash_wave(0);
+    crash_wave(1);
+    CHECK(record.crashes(bad, start + 6s) == 2);
+    CHECK_FALSE(record.quarantined_until(bad, start + 6s));
+    crash_wave(2);
+    CHECK(record.crashes(bad, start + 11s) == 3);
+    CHECK(record.quarantined_until(bad, start + 11s) == start + 10min);
+    CHECK(record.observations(bad).size() <= 24);
+}
+
+// Guards against forgetting the earlier crashes of a request when the next one
+// is added to a full record.
+TEST_CASE("a further crash of a request counts in a full record",
+          "[crash_record]")
+{
+    crash_record record({3, 10min, 50});
+    time_point now = start;
+    record.add(seen(bad, 0, now), now);
+    int others = 0;
+    for (std::size_t crashes = 2; crashes <= 3; ++crashes)
+    {
+        for (int until = others + 49; others < until; ++others)
+            record.add(seen(request_digest("r" + std::to_string(others)),
+                            100 + others, now + 1s),
+                       now + 1s);
+        now += 2s;
+        record.add(seen(bad, static_cast<int>(crashes), now), now);
+        CHECK(record.crashes(bad, now) == crashes);
+    }
+    CHECK(record.quarantined_until(bad, now) == start + 10min);
+}
+
+// Guards against ending a quarantine when many workers crash under other
+// requests, such as at the loss of a region.
+TEST_CASE("crashes of other workers do not end a quarantine", "[crash_record]")
+{
+    crash_record record({3, 10min, 50});
+    crash_three(record, bad);
+    bool const beside_one_request = GENERATE(true, false);
+    for (int number = 0; number < 1000; ++number)
+        record.add(seen(beside_one_request
+                            ? other
+                            : request_digest("r" + std::to_string(number)),
+                        100 + number, start + 5s + number * 100us),
+                   start + 6s);
+    CHECK(record.quarantined_until(bad, start + 6s) == start + 10min);
+}
+
 TEST_CASE("the record is bounded and keeps the requests with the most crashes",
           "[crash_record]")
 {
