Drop leaving workers in time after a VM's own queries failed

Callers could see a request reach a worker up to 3.2 s after the store had acknowledged that it leaves; the bound is 2 s.

Cause: a worker whose entry is deleted within two seconds of the store's return is kept, since the entry may have lapsed in the outage.

store_contact now tells outages from failed queries: an outage lasts from when the store was last known to be up, by rows and not by when an answer came, to the first answer; failures within two seconds of a return belong to the same one. Under one and a half heartbeats of the workers no entry can lapse (it takes three without one), and a missing entry is believed at once. The heartbeat comes from the deployment's settings (worker_heartbeat_ms); without it each failure counts as before. The grace ends by a timer, and delays begin with the query.

Tests: *a worker that left at the store's return is dropped in time* only added constants and held while the fault was there; it is replaced by a play in virtual time of the same bound over phases, spans of failure and moments of leaving.

Calls to the store: in an outage in which queries hang, one each 0.6 s and VM where it was one each 1.2 s; as many as a store that refuses gets. Otherwise none more.

--- a/src/registry_watch.cpp
+++ b/src/registry_watch.cpp
@@ -1,5 +1,6 @@
 #include "registry_watch.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace mulberry
@@ -139,6 +140,14 @@
            "\n";
 }
 
+time_point registry_watch::next_lapse() const
+{
+    time_point next = never;
+    for (auto const& [key, worker] : listed_)
+        next = std::min(next, worker.lapses_at);
+    return next;
+}
+
 void registry_watch::publish_workers(time_point now)
 {
     workers_changed_ |=
--- a/src/registry_watch.hpp
+++ b/src/registry_watch.hpp
@@ -6,6 +6,7 @@
 #include "event_log.hpp"
 #include "relay_codec.hpp"
 #include "row_store.hpp"
+#include "store_contact.hpp"
 
 #include <chrono>
 #include <functional>
@@ -28,10 +29,6 @@
     std::function<void(std::vector<backend_entry>)> on_backends;
 };
 
-/// A worker's entry can lapse during a store outage. After the store's return,
-/// the worker has this long to write the entry again.
-inline constexpr std::chrono::milliseconds lapse_grace{2000};
-
 /// Thread safety: none; used on the thread of the mirror.
 class registry_watch
 {
@@ -52,6 +49,10 @@
     /// store outage.
     void on_rows(row_set set, std::vector<stored_row> const& rows,
                  time_point now, time_point trusted_at);
+    /// When the next worker whose entry is missing counts as gone.
+    time_point next_lapse() const;
+    /// Drops the workers whose entries are missing and that count as gone.
+    void drop_lapsed(time_point now) { publish_workers(now); }
 
 private:
     struct listed_worker
--- a/src/relay.cmake
+++ b/src/relay.cmake
@@ -4,7 +4,7 @@
   SOURCES adapter_version_history.cpp adapter_locations.cpp allotment_pool.cpp answer_memory.cpp answered_parts.cpp connection_gate.cpp crash_replicator.cpp crash_record.cpp equal_share_limiter.cpp forwarder_selector.cpp objective_scheduling.cpp
           pooled_limiter.cpp prompt_copy.cpp reader_selector.cpp rejection_guard.cpp
           prefill_rate.cpp relay_request.cpp remote_clock.cpp
-          retry_allowance.cpp route_table.cpp row_replica.cpp
+          retry_allowance.cpp route_table.cpp row_replica.cpp store_contact.cpp
           service_estimate.cpp service_notices.cpp service_placing.cpp
           service_scheduler.cpp service_shares.cpp service_versions.cpp service_workers.cpp software_versions.cpp start_forecast.cpp startup_hold.cpp stream_records.cpp
           team_directory.cpp token_bucket.cpp unit_forecast.cpp usual_deadline.cpp delay_admission.cpp fair_queue.cpp fair_shares.cpp
@@ -14,7 +14,7 @@
   SOURCES adapter_version_history_test.cpp adapter_locations_test.cpp allotment_pool_test.cpp answer_memory_test.cpp answered_parts_test.cpp connection_gate_test.cpp crash_replicator_test.cpp crash_record_test.cpp crash_world.cpp reader_selector_test.cpp prefill_rate_test.cpp
           pooled_limiter_test.cpp prompt_copy_test.cpp relay_request_test.cpp
           rejection_guard_test.cpp remote_clock_test.cpp retry_allowance_test.cpp route_table_test.cpp
-          row_replica_test.cpp scheduler_world.cpp
+          row_replica_test.cpp store_contact_test.cpp scheduler_world.cpp
           service_leaving_test.cpp service_silence_test.cpp service_load_test.cpp service_backoff_test.cpp service_scheduler_test.cpp service_software_test.cpp service_version_test.cpp software_versions_test.cpp start_forecast_test.cpp startup_hold_test.cpp team_directory_test.cpp team_shares_test.cpp token_bucket_test.cpp unit_forecast_test.cpp usual_deadline_test.cpp
           wait_breakdown_test.cpp worker_adapters_test.cpp worker_health_test.cpp worker_limiter_test.cpp worker_limits_test.cpp worker_memory_test.cpp worker_notices_test.cpp worker_reachability_test.cpp late_order_test.cpp late_request_test.cpp forwarder_selector_test.cpp objective_owner_test.cpp objective_queue_test.cpp objective_scheduling_test.cpp delay_admission_test.cpp fair_queue_test.cpp fair_shares_test.cpp
           prefill_backlog_test.cpp weight_load_test.cpp
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -89,6 +89,10 @@
 /// Callers keep connections open as long as the operator's limits allow;
 /// closing them sooner has no benefit.
 constexpr std::chrono::seconds idle_timeout{60};
+/// A worker's entry lapses after this many heartbeats without one. An outage
+/// that is shorter than half of that lapses no entry, even if the last
+/// heartbeat before it was late by half an interval.
+constexpr int lapse_heartbeats = 3;
 /// What a VM does for another one ends this long after the link between them
 /// was cut.
 constexpr milliseconds dead_peer_timeout{2000};
@@ -151,6 +155,7 @@
     options.answer_timeout = value.configuration_bound * 3 / 10;
     options.worker_interval = value.drain_bound / 2;
     options.own_interval = heartbeat_interval(value);
+    options.min_lapse_outage = value.worker_heartbeat * lapse_heartbeats / 2;
     options.project_worker_row = [&codec](stored_row const& row)
     { return project_worker_row(codec, row); };
     return options;
@@ -197,6 +202,7 @@
     void read_stream_rows(std::string const& prefix, std::string const& after,
                           store_callback const& done);
     void on_rows(row_set set, std::vector<stored_row> const& rows);
+    void schedule_lapses();
     void on_declared(adapter_release const& release);
     void on_version_records(std::vector<stored_row> const& rows);
     /// Passes on versions that are newly in force, and records them.
@@ -215,6 +221,8 @@
     asio::signal_set signals_;
     asio::steady_timer stop_timer_;
     asio::steady_timer versions_timer_;
+    /// Until the next worker whose entry is missing counts as gone.
+    asio::steady_timer lapse_timer_;
     event_log log_;
     relay relay_;
     version_records versions_;
@@ -280,7 +288,7 @@
     : settings_(value), codec_(codec), store_(store),
       reload_settings_(reload_settings), seed_(random_seed()),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), stop_timer_(io_),
-      versions_timer_(io_),
+      versions_timer_(io_), lapse_timer_(io_),
       log_("relay", value.log_lines_per_second,
            [](log_level level, std::string_view part, std::string_view event,
               std::string const& fields)
@@ -355,7 +363,8 @@
     // Right after the store has returned, entries may be of worker incarnations
     // that ended during the outage and whose rows could not be updated.
     bool const entries_renewed =
-        !mirror_.is_store_lost() && now >= mirror_.returned_at() + lapse_grace;
+        !mirror_.contact().is_lost() &&
+        now >= mirror_.contact().returned_at() + lapse_grace;
     return {mirror_.as_of(row_set::declarations, now),
             entries_renewed ? mirror_.as_of(row_set::workers, now)
                             : time_point()};
@@ -398,12 +407,31 @@
         on_version_records(rows);
     }
     time_point const now = boot_clock::now();
-    bool const store_lost = mirror_.is_store_lost();
-    registry_.on_rows(set, rows, now,
-                      (store_lost ? now : mirror_.returned_at()) + lapse_grace);
+    registry_.on_rows(set, rows, now, mirror_.contact().trusted_at(now));
+    if (set == row_set::workers)
+        schedule_lapses();
     update_versions();
 }
 
+/// Failure: a worker that left is dropped only with the next answer about
+/// workers after its entry counts as gone, and is used beyond the bound.
+void relay_process::schedule_lapses()
+{
+    time_point const next = registry_.next_lapse();
+    if (next == never)
+        return;
+    lapse_timer_.expires_after(
+        std::max<duration>(duration(0), next - boot_clock::now()));
+    lapse_timer_.async_wait(
+        [this](asio::error_code const& cancelled)
+        {
+            if (cancelled)
+                return;
+            registry_.drop_lapsed(boot_clock::now());
+            schedule_lapses();
+        });
+}
+
 void relay_process::on_declared(adapter_release const& release)
 {
     time_point const now = boot_clock::now();
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -45,6 +45,7 @@
     read("order_gap_ms", value.order_gap);
     read("release_bound_ms", value.release_bound);
     read("drain_bound_ms", value.drain_bound);
+    read("worker_heartbeat_ms", value.worker_heartbeat);
     read("configuration_bound_ms", value.configuration_bound);
     read("software_validity_ms", value.software_validity);
     value.keys.unknown_key_max_age = value.configuration_bound / 2;
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -42,6 +42,8 @@
     duration release_bound = std::chrono::milliseconds(5000);
     /// Within this time, a worker that leaves gets no more requests.
     duration drain_bound = std::chrono::milliseconds(2000);
+    /// How often workers renew their entries in the registry; 0 if unknown.
+    duration worker_heartbeat{};
     /// How long a VM goes by the versions of their software that workers were
     /// listed with; the same at all VMs.
     duration software_validity = std::chrono::milliseconds(3000);
--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -16,11 +16,6 @@
 
 using std::chrono::milliseconds;
 
-/// Delay after a failed query, doubled with each consecutive failure up to
-/// max_store_retry_delay. Failure: during a store outage, two hundred VMs each
-/// send three queries twice a second, and the store meets this load when it
-/// returns. So only one set is retried on behalf of all.
-constexpr milliseconds initial_retry_delay{100};
 constexpr int max_doublings = 4;
 /// Timeout for a page of a complete read, doubled with each consecutive failure
 /// up to max_read_timeout. Failure: a VM starts while the store does not
@@ -49,7 +44,8 @@
       sets_{mirrored_set(io, row_set::declarations, {}),
             mirrored_set(io, row_set::workers, options_.project_worker_row),
             mirrored_set(io, row_set::own, {})},
-      choice_(options_.vm), reader_timer_(io), pending_timer_(io)
+      choice_(options_.vm), reader_timer_(io), pending_timer_(io),
+      contact_(options_.min_lapse_outage)
 {
 }
 
@@ -237,10 +233,8 @@
     {
         which.failures = 0;
         which.probes = false;
-        last_contact_at_ = now;
-        if (std::exchange(store_lost_, false))
+        if (contact_.on_answer(made_at(which, reply), now))
         {
-            returned_at_ = now;
             log_.notable("store regained", log_fields(), now);
             // The readers failed because their rows were stale during the
             // outage, as this VM's rows were.
@@ -259,12 +253,12 @@
         query_store(which);
         return false;
     }
-    if (!std::exchange(store_lost_, true))
+    if (contact_.on_failure(now))
         log_.notable("store lost",
                      log_fields()
                          .add("reason", far_ahead ? "its version is far ahead"
                                                   : reply.failure)
-                         .add("heard_ms_ago", now - last_contact_at_),
+                         .add("heard_ms_ago", now - contact_.known_at()),
                      now);
     probe_later(which);
     if (which.set == row_set::own)
@@ -273,17 +267,19 @@
 }
 
 /// After a failure only one set is retried; the other sets wait until the store
-/// has answered.
+/// has answered. Failure: during a store outage, two hundred VMs each send
+/// three queries twice a second, and the store meets this load when it returns.
 void row_mirror::probe_later(mirrored_set& which)
 {
-    int const doublings = std::min(which.failures++, max_doublings);
+    ++which.failures;
     which.probes = std::none_of(sets_.begin(), sets_.end(),
                                 [&which](mirrored_set const& each)
                                 { return &each != &which && each.probes; });
     if (which.probes)
-        read_later(which,
-                   std::min<duration>(initial_retry_delay * (1 << doublings),
-                                      max_store_retry_delay));
+        read_later(which, std::max<duration>(
+                              duration(0), store_contact::retry_at(
+                                               which.failures, which.asked_at) -
+                                               boot_clock::now()));
 }
 
 /// Resumes the sets that waited for the store to answer another set's query.
--- a/src/row_mirror.hpp
+++ b/src/row_mirror.hpp
@@ -12,6 +12,7 @@
 #include "remote_clock.hpp"
 #include "row_replica.hpp"
 #include "row_store.hpp"
+#include "store_contact.hpp"
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -25,13 +26,6 @@
 namespace mulberry
 {
 
-/// Maximum delay between attempts to reach a store that does not answer, so
-/// that its return is noticed within this time. Failure: a worker's entry is
-/// deleted at the moment of the return. For some seconds after the return is
-/// noticed, the entry is treated as if it had merely lapsed during the outage,
-/// and the worker stays in use that long.
-inline constexpr std::chrono::milliseconds max_store_retry_delay{600};
-
 struct row_mirror_options
 {
     vm_id vm;
@@ -55,6 +49,9 @@
     duration max_declaration_age{};
     /// Polling interval of the product's own rows.
     duration own_interval = std::chrono::milliseconds(2000);
+    /// The shortest outage of the store in which the entry of a live worker can
+    /// lapse.
+    duration min_lapse_outage{};
     /// Projection of a worker's row to what other VMs act on; see row_replica.
     row_replica::projection project_worker_row;
 };
@@ -116,10 +113,8 @@
     time_point proven_as_of(row_set set) const { return at(set).proven_at; }
     /// How often rows of the set may have come and gone unseen.
     std::uint64_t missed(row_set set) const { return at(set).copy.missed(); }
-    /// Whether the store answers neither this VM nor its reader.
-    bool is_store_lost() const { return store_lost_; }
-    /// When the store last answered again after an outage.
-    time_point returned_at() const { return returned_at_; }
+    /// Outages of the store, seen by this VM and its reader.
+    store_contact const& contact() const { return contact_; }
     /// Prometheus lines: the age of each set of rows, whether another VM reads
     /// the store for this one, and the number of other VMs' queries that wait
     /// here.
@@ -260,9 +255,7 @@
     bool answers_scheduled_ = false;
     std::vector<pending_refresh> refreshes_;
     remote_clock store_clock_;
-    bool store_lost_ = false;
-    time_point last_contact_at_{};
-    time_point returned_at_{};
+    store_contact contact_;
 };
 
 } // namespace mulberry
--- a/src/row_mirror_peers.cpp
+++ b/src/row_mirror_peers.cpp
@@ -128,13 +128,13 @@
     if (current)
     {
         choice_.answered(reader);
-        last_contact_at_ = now;
-        if (std::exchange(store_lost_, false))
-        {
-            returned_at_ = now;
+        // A long poll of the reader may show declarations as current though
+        // the store has not answered since.
+        if (contact_.on_answer(
+                std::max(at(row_set::workers).as_of, at(row_set::own).as_of),
+                now))
             log_.notable("store regained",
                          log_fields().add("reader", reader.str()), now);
-        }
     }
     else
     {
@@ -161,7 +161,7 @@
 /// retried already.
 void row_mirror::query_store_instead()
 {
-    if (store_lost_)
+    if (contact_.is_lost())
         return;
     for (mirrored_set& each : sets_)
         query_store(each);
--- a/tests/memory_row_store.cpp
+++ b/tests/memory_row_store.cpp
@@ -32,6 +32,13 @@
         each.done(changes(each.set, each.after));
 }
 
+void memory_row_store::fail_watches()
+{
+    std::list<waiting_watch> waiting = std::exchange(waiting_, {});
+    for (waiting_watch const& each : waiting)
+        each.done({});
+}
+
 store_reply memory_row_store::changes(row_set set, row_version after) const
 {
     store_reply reply;
--- a/tests/memory_row_store.hpp
+++ b/tests/memory_row_store.hpp
@@ -26,6 +26,8 @@
     void set_down(bool down) { down_ = down; }
     /// Answers all waiting watches, also without a change.
     void answer_watches();
+    /// Fails all waiting watches, as if their answers had been lost.
+    void fail_watches();
     std::size_t calls() const { return calls_; }
     std::size_t transactions() const { return transactions_; }
     /// Number of calls of read() and watch() for a set.
--- a/tests/registry_watch_test.cpp
+++ b/tests/registry_watch_test.cpp
@@ -319,14 +319,163 @@
     CHECK(essence("?") != essence("llm/1/7"));
 }
 
-// The store refuses a VM for a while, and a worker leaves at the moment of the
-// store's return. The worker's entry may merely have lapsed, so the worker
-// stays in use until that is ruled out. Three seconds after the return,
-// requests must work reliably again.
+namespace
+{
+
+constexpr std::chrono::milliseconds drain_bound{2000};
+/// A VM is bound by drain_bound again this long after its last failure ended.
+constexpr std::chrono::milliseconds settled{3000};
+constexpr std::chrono::milliseconds poll_interval{1000};
+constexpr std::chrono::milliseconds query_timeout{600};
+constexpr std::chrono::milliseconds answer_delay{100};
+
+/// One VM that reads the store itself, in virtual time. It polls the workers'
+/// rows, and another query probes the store after a failure. The store fails
+/// for it in a span of time; queries in that span hang until they time out.
+class polling_vm
+{
+public:
+    polling_vm(time_point fails_from, time_point fails_until)
+        : fails_from_(fails_from), fails_until_(fails_until)
+    {
+        world_.worker("w", "llm", start, start);
+        contact_.on_answer(start, start);
+    }
+
+    /// Polls from `first_poll` on; the worker's entry is deleted at
+    /// `deleted_at`. `lost_query` is when a query turns out to be lost though
+    /// the store does not fail. Returns when the worker is dropped.
+    time_point dropped_at(time_point first_poll, time_point deleted_at,
+                          time_point lost_query = never)
+    {
+        time_point next_poll = first_poll;
+        for (time_point now = start; now < start + 60s; now += 1ms)
+        {
+            if (now == lost_query)
+                on_failure(now, now);
+            if (now >= next_probe_)
+                probe(now);
+            if (now >= next_poll)
+                next_poll = poll(now, deleted_at) + poll_interval;
+            if (now >= world_.registry.next_lapse())
+                world_.registry.drop_lapsed(now);
+            if (world_.workers->empty())
+                return now + answer_delay;
+        }
+        return never;
+    }
+
+private:
+    bool fails(time_point at) const
+    {
+        return at >= fails_from_ && at < fails_until_;
+    }
+
+    void on_failure(time_point asked_at, time_point now)
+    {
+        contact_.on_failure(now);
+        next_probe_ =
+            std::max(now, store_contact::retry_at(++failures_, asked_at));
+    }
+
+    void probe(time_point now)
+    {
+        if (fails(now))
+            return on_failure(now, now + query_timeout);
+        contact_.on_answer(now, now + answer_delay);
+        next_probe_ = never;
+        failures_ = 0;
+    }
+
+    /// Returns when the poll ends.
+    time_point poll(time_point now, time_point deleted_at)
+    {
+        if (fails(now))
+        {
+            if (next_probe_ == never)
+                on_failure(now, now + query_timeout);
+            return now + query_timeout;
+        }
+        time_point const ends = now + answer_delay;
+        if (next_probe_ == never)
+            contact_.on_answer(now, ends);
+        if (now >= deleted_at)
+            world_.worker("w", std::nullopt, ends, contact_.trusted_at(ends));
+        else
+            world_.registry.on_rows(row_set::workers, {}, ends,
+                                    contact_.trusted_at(ends));
+        return ends;
+    }
+
+    time_point const fails_from_;
+    time_point const fails_until_;
+    registry_fixture world_;
+    store_contact contact_{1800ms};
+    time_point next_probe_ = never;
+    int failures_ = 0;
+};
+
+} // namespace
+
+// One query of a VM is lost while its other queries are answered. A worker that
+// leaves just then is not kept as if its entry had lapsed in an outage.
+TEST_CASE("a worker that leaves beside a lost query is dropped in time",
+          "[registry_watch]")
+{
+    for (duration phase = 0ms; phase < poll_interval; phase += 50ms)
+        for (duration leaves = -2s; leaves < 3s; leaves += 100ms)
+        {
+            time_point const lost = start + 10s;
+            polling_vm vm(never, never);
+            time_point const dropped =
+                vm.dropped_at(start + phase, lost + leaves, lost);
+            CAPTURE(phase.count(), leaves.count());
+            REQUIRE(dropped <= lost + leaves + drain_bound);
+        }
+}
+
+// The store fails for a VM for a while, and a worker leaves meanwhile or at the
+// moment of the return. The worker's entry may merely have lapsed, so the
+// worker stays in use until that is ruled out. Three seconds after the return,
+// no leaving worker is in use any more.
 TEST_CASE("a worker that left at the store's return is dropped in time",
           "[registry_watch]")
 {
-    constexpr std::chrono::milliseconds settled{3000};
-    constexpr std::chrono::milliseconds answer{300};
-    CHECK(max_store_retry_delay + answer + lapse_grace < settled);
+    for (duration phase = 0ms; phase < poll_interval; phase += 50ms)
+        for (duration span : {300ms, 1100ms, 2700ms, 7000ms})
+            for (duration leaves = -span; leaves < 4s; leaves += 100ms)
+            {
+                time_point const back = start + 10s + span;
+                polling_vm vm(start + 10s, back);
+                time_point const dropped =
+                    vm.dropped_at(start + phase, back + leaves);
+                CAPTURE(phase.count(), span.count(), leaves.count());
+                REQUIRE(dropped <=
+                        std::max<time_point>(back + settled,
+                                             back + leaves + drain_bound));
+            }
+}
+
+// Entries of live workers lapsed during a store outage that began after a
+// single failure; the workers are kept all the same.
+TEST_CASE("entries that lapsed in an unsteady outage are kept",
+          "[registry_watch]")
+{
+    store_contact contact(1800ms);
+    registry_fixture world;
+    world.worker("w", "llm", start, start);
+    contact.on_answer(start, start);
+    for (int number = 1; number < 5; ++number)
+    {
+        time_point const at = start + number * 500ms;
+        contact.on_failure(at);
+        contact.on_answer(at + 10ms, at + 10ms);
+    }
+    time_point const back = start + 2010ms;
+    world.worker("w", std::nullopt, back, contact.trusted_at(back));
+    CHECK(world.workers->size() == 1);
+    CHECK(world.registry.next_lapse() == back + lapse_grace);
+    world.registry.drop_lapsed(back + lapse_grace);
+    CHECK(world.workers->empty());
+    CHECK(world.registry.next_lapse() == never);
 }
--- a/tests/row_mirror_test.cpp
+++ b/tests/row_mirror_test.cpp
@@ -80,6 +80,7 @@
             options.worker_interval = 60ms;
             options.own_interval = 100ms;
         }
+        options.min_lapse_outage = generous_wait;
         options.project_worker_row = [](stored_row const& row)
         { return row.value.substr(0, row.value.find('/')); };
         return options;
@@ -305,8 +306,8 @@
                 all = all && vm->saw("drains/9");
             return all;
         }));
-    CHECK_FALSE(world.followers[0]->mirror.is_store_lost());
-    CHECK(world.reader[0]->mirror.is_store_lost());
+    CHECK_FALSE(world.followers[0]->mirror.contact().is_lost());
+    CHECK(world.reader[0]->mirror.contact().is_lost());
     CHECK(world.reader[0]->mirror.metrics().find(
               "mulberry_rows_age_seconds{set=\"workers\"}") !=
           std::string::npos);
@@ -352,13 +353,29 @@
         vm->store.set_down(true);
         vm->store.answer_watches();
     }
-    CHECK(all([](mirror_vm const& vm) { return vm.mirror.is_store_lost(); }));
+    CHECK(
+        all([](mirror_vm const& vm) { return vm.mirror.contact().is_lost(); }));
     time_point const back = boot_clock::now();
     for (auto const& vm : world.vms)
         vm->store.set_down(false);
-    CHECK(all([](mirror_vm const& vm) { return !vm.mirror.is_store_lost(); }));
+    CHECK(all([](mirror_vm const& vm)
+              { return !vm.mirror.contact().is_lost(); }));
     for (auto const& vm : world.vms)
-        CHECK(vm->mirror.returned_at() >= back);
+        CHECK(vm->mirror.contact().returned_at() >= back);
+}
+
+// One long poll of a VM is lost while the store answers its other queries. No
+// entry of a worker lapsed meanwhile, so a worker whose entry is missing is
+// gone.
+TEST_CASE("a lost long poll is no outage of the store", "[row_mirror]")
+{
+    mirror_simulation world(1);
+    mirror_vm& vm = *world.vms[0];
+    vm.store.fail_watches();
+    REQUIRE(world.until([&] { return vm.mirror.contact().is_lost(); }));
+    REQUIRE(world.until([&] { return !vm.mirror.contact().is_lost(); }));
+    time_point const now = boot_clock::now();
+    CHECK(vm.mirror.contact().trusted_at(now) <= now);
 }
 
 // During a long outage every VM keeps retrying. One query suffices to show that
