Ask a failed reader again while the store refuses a VM

A VM that the store refuses heard of nothing (workers that leave, configurations, its members) until the store answered it again, once its reader had failed a single time.

Cause: row_mirror chooses a reader after an answer of the store, after an answer of a reader and when the members change. With no reader and the store refusing, none of these comes.

Change: a failed query chooses a reader too; readers that failed stay skipped for their backoff of 1 to 8 s, so that a VM asks no more often.

--- a/src/row_mirror.cpp
+++ b/src/row_mirror.cpp
@@ -263,6 +263,9 @@
     probe_later(which);
     if (which.set == row_set::own)
         complete_refreshes(true);
+    // Failure: the store refuses this VM, its reader fails once, and the VM
+    // hears of nothing until the store answers again.
+    choose_reader();
     return false;
 }
 
--- a/tests/row_mirror_test.cpp
+++ b/tests/row_mirror_test.cpp
@@ -289,6 +289,25 @@
                                 { return vm.saw(large); }));
 }
 
+// The store refuses a VM, and its reader fails for a moment. The VM must ask
+// the reader again, or it hears of nothing until the store answers it.
+TEST_CASE("a VM that the store refuses asks a reader that failed again",
+          "[row_mirror]")
+{
+    mirror_simulation world;
+    mirror_vm& vm = *world.followers[0];
+    vm.store.set_down(true);
+    vm.store.answer_watches();
+    world.reader[0]->answers = false;
+    REQUIRE(world.until([&] { return vm.mirror.reader().empty(); }));
+    REQUIRE(world.until([&] { return vm.mirror.contact().is_lost(); }));
+    world.reader[0]->answers = true;
+    world.reader[0]->store.put(row_set::workers, row_kind::worker, "w",
+                               "drains/9");
+    CHECK(world.until([&] { return vm.saw("drains/9"); }));
+    CHECK_FALSE(vm.mirror.contact().is_lost());
+}
+
 // The reader is partitioned from the store and answers promptly with stale
 // rows. Its followers detect this by the reported age and query the store.
 TEST_CASE("stale rows of a reader are not used", "[row_mirror]")
