Hear each answer to an order that has no id

Cause: takes a status for a name. An order went out where its likeliest answer differed from the last one, but was refused, or an unload accepted, like the order before.

Change: an order states all answers that it may well get, refusals among them, and goes out where the last unnamed answer had none of these statuses. An unnamed answer that may be a copy is awaited for 10 ms only, ends as undecided, is counted (orders_undecided_total), and the order is asked again at once. A conflict behind it no longer counts as carried out, since the worker may have refused the order twice. Requests skip copies as before.

--- a/src/answer_matcher.cpp
+++ b/src/answer_matcher.cpp
@@ -20,7 +20,8 @@
         return true;
     bool const tells_statuses_apart =
         !unnamed_status_ ||
-        (mark->likely_status && mark->likely_status != unnamed_status_);
+        (!mark->possible_statuses.empty() &&
+         !mark->possible_statuses.contains(*unnamed_status_));
     return !is_known(mark->value) &&
            (!mark->is_optional || tells_statuses_apart);
 }
@@ -39,14 +40,17 @@
         return answer_owner::this_call;
     }
     auto const names = names_in(headers);
-    if (is_copy(status, names))
+    if (names_earlier_call(names))
         return answer_owner::earlier_call;
+    bool const is_like_earlier = names.empty() && status == unnamed_status_;
+    if (is_like_earlier && status != mark_->harmless_status)
+        return mark_->is_optional ? answer_owner::undecided
+                                  : answer_owner::earlier_call;
     bool const has_name = !mark_->value.empty();
     bool const is_named = has_name && names == std::set{mark_->value};
     bool const lacks_name = names.empty() && mark_->is_optional;
     // Behind a copy the own answer is yet to come.
-    bool const may_be_copy = lacks_name && status == unnamed_status_;
-    is_marked_ = is_named || (lacks_name && !may_be_copy);
+    is_marked_ = is_named || (lacks_name && !is_like_earlier);
     answer_status_ = is_named ? std::nullopt : std::optional(status);
     // An answer that names another request is left to the observer of a request
     // that needs its name, which knows what it means for it.
@@ -82,11 +86,9 @@
     return known_names_.contains(std::hash<std::string>()(name));
 }
 
-bool answer_matcher::is_copy(int status,
-                             std::set<std::string> const& names) const
+bool answer_matcher::names_earlier_call(
+    std::set<std::string> const& names) const
 {
-    if (names.empty())
-        return status == unnamed_status_ && status != mark_->harmless_status;
     return names.size() == 1 && is_known(*names.begin());
 }
 
--- a/src/answer_matcher.hpp
+++ b/src/answer_matcher.hpp
@@ -26,9 +26,9 @@
     /// The answer may lack the name. A second copy of an earlier answer without
     /// one is then told by its status.
     bool is_optional = false;
-    /// The status that an answer without a name will probably have; nullopt:
-    /// any. The request goes out where the last answer had another one.
-    std::optional<int> likely_status = {};
+    /// The statuses that an answer without a name may well have; empty: any.
+    /// The request goes out where no copy has one of them.
+    std::set<int> possible_statuses = {};
     /// An answer with this status changes nothing, so that it may be a copy.
     std::optional<int> harmless_status = {};
     friend bool operator==(answer_mark const&, answer_mark const&) = default;
@@ -41,6 +41,8 @@
     this_call,
     /// An earlier call, which has had its whole answer.
     earlier_call,
+    /// An earlier call, or the one that is under way: nothing tells.
+    undecided,
     unknown
 };
 
@@ -69,7 +71,7 @@
 private:
     std::set<std::string> names_in(http_headers const& headers) const;
     bool is_known(std::string const& name) const;
-    bool is_copy(int status, std::set<std::string> const& names) const;
+    bool names_earlier_call(std::set<std::string> const& names) const;
 
     /// The call that is under way.
     std::optional<answer_mark> mark_;
--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -41,6 +41,8 @@
 /// their bodies: a faulty worker may send them without end.
 constexpr int max_skipped_answers = 8;
 constexpr std::size_t max_skipped_bytes = 1024UL * 1024;
+/// Behind a copy of an earlier answer the own one usually follows at once.
+constexpr std::chrono::milliseconds undecided_timeout{10};
 
 class connection;
 
@@ -299,6 +301,14 @@
             observer->on_failure(stage, reason);
     }
 
+    void end_undecided()
+    {
+        auto const observer = std::exchange(observer_, nullptr);
+        close();
+        if (observer)
+            observer->on_undecided();
+    }
+
     void fail_later(std::string reason)
     {
         asio::post(socket_.get_executor(),
@@ -309,7 +319,10 @@
     bool on_head(int status, http_headers headers) override
     {
         auto const owner = matcher_.match(status, headers);
-        if (owner == answer_owner::earlier_call)
+        if (owner == answer_owner::undecided)
+            start_undecided_timer();
+        if (owner == answer_owner::earlier_call ||
+            owner == answer_owner::undecided)
         {
             skips_ = true;
             if (registry_ != nullptr)
@@ -319,12 +332,26 @@
         foreign_ = owner == answer_owner::unknown;
         if (foreign_)
             return false;
+        timer_.cancel();
         idle_limit_ = idle_limit(headers);
         if (auto const observer = observer_)
             observer->on_head(status, std::move(headers));
         return true;
     }
 
+    /// Ends the exchange if no other answer follows.
+    void start_undecided_timer()
+    {
+        timer_.expires_after(undecided_timeout);
+        timer_.async_wait(
+            [self = shared_from_this(),
+             exchange = exchange_number_](asio::error_code const& cancelled)
+            {
+                if (!cancelled && exchange == self->exchange_number_)
+                    self->end_undecided();
+            });
+    }
+
     void on_body(std::string_view bytes) override
     {
         if (skips_)
--- a/src/backend_pool.hpp
+++ b/src/backend_pool.hpp
@@ -35,9 +35,9 @@
 /// the colon or no valid port; the IP itself is not checked.
 std::optional<backend_address> parse_address(std::string const& text);
 
-/// Receives the events of one exchange. Exactly one of on_end and on_failure is
-/// called, as the last event, unless the exchange is cancelled. The methods may
-/// start and cancel exchanges.
+/// Receives the events of one exchange. Exactly one of on_end, on_failure and
+/// on_undecided is called, as the last event, unless the exchange is cancelled.
+/// The methods may start and cancel exchanges.
 class exchange_observer
 {
 public:
@@ -48,6 +48,12 @@
     /// only by the end of the connection.
     virtual void on_end(bool framed) = 0;
     virtual void on_failure(call_stage stage, std::string const& reason) = 0;
+    /// In place of on_failure: an answer came that may be the request's own or
+    /// a copy of an earlier one.
+    virtual void on_undecided()
+    {
+        on_failure(call_stage::sent, "an answer that may be another request's");
+    }
 };
 
 /// Which connection of a pool carries an exchange. Value.
@@ -87,8 +93,11 @@
     /// name an earlier request, and those without a name that have the status
     /// of the answer before, if that had no name either. Another answer without
     /// a name is taken if it is the first on its connection, or if the mark is
-    /// optional. A connection is kept behind answers that have their names, or
-    /// whose marks are optional, and never carries two requests with one name.
+    /// optional. If the mark is optional, an answer without a name that may be
+    /// a copy may also be the own one: the exchange ends as undecided unless
+    /// another answer follows at once. A connection is kept behind answers that
+    /// have their names, or whose marks are optional, and never carries two
+    /// requests with one name.
     std::optional<answer_mark> mark = {};
     friend bool operator==(exchange_options const&,
                            exchange_options const&) = default;
--- a/src/collected_exchange.cpp
+++ b/src/collected_exchange.cpp
@@ -58,6 +58,7 @@
                                               : collected_answer());
     }
     void on_failure(call_stage, std::string const&) override { complete({}); }
+    void on_undecided() override { complete({0, {}, {}, false, true}); }
 
 private:
     void start_deadline_timer()
--- a/src/collected_exchange.hpp
+++ b/src/collected_exchange.hpp
@@ -25,6 +25,8 @@
     http_headers headers = {};
     /// The call was given up at its deadline.
     bool timed_out = false;
+    /// There was an answer, which may be one to an earlier call.
+    bool undecided = false;
 };
 
 struct collected_call
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -133,6 +133,7 @@
 
     std::uint64_t orders = 0;
     std::uint64_t orders_unknown = 0;
+    std::uint64_t orders_undecided = 0;
     std::uint64_t orders_conflict = 0;
     std::uint64_t reports = 0;
     std::uint64_t key_missing = 0;
--- a/src/relay_codec.hpp
+++ b/src/relay_codec.hpp
@@ -58,7 +58,7 @@
                                      request_id const& call) const = 0;
     virtual order_outcome decode_order_reply(int status) const = 0;
     /// The status that decode_order_reply() takes for the outcome.
-    /// Precondition: not order_outcome::unknown.
+    /// Precondition: the outcome is one that a worker states.
     virtual int order_status(order_outcome outcome) const = 0;
     /// Returns a complete HTTP request. It bears no id: a worker of a plain
     /// service would run it as a request.
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -68,6 +68,7 @@
     add("calls_forwarded_now", "", std::uint64_t{calls_forwarded_now_});
     add("orders_total", "", counts_.orders);
     add("orders_unknown_total", "", counts_.orders_unknown);
+    add("orders_undecided_total", "", counts_.orders_undecided);
     add("orders_conflict_total", "", counts_.orders_conflict);
     add("worker_reports_total", "", counts_.reports);
     add("connections_opened_total", "", pool_.connections_opened());
--- a/src/relay_orders.cpp
+++ b/src/relay_orders.cpp
@@ -39,6 +39,8 @@
         return "other worker";
     case order_outcome::unknown:
         return "unknown";
+    case order_outcome::undecided:
+        return "undecided";
     }
     return "unknown";
 }
@@ -54,7 +56,7 @@
     call.options.connect_timeout =
         std::chrono::duration_cast<milliseconds>(timeout);
     call.options.mark =
-        answer_mark{codec_.request_id_field(), {}, true, status_ok};
+        answer_mark{codec_.request_id_field(), {}, true, {status_ok}};
     call.current_deadline = [deadline = std::chrono::steady_clock::now() +
                                         timeout] { return deadline; };
     return call;
@@ -62,18 +64,17 @@
 
 /// Failure: a worker answers one order twice, and the second answer is taken
 /// for that to the next order. So each order has an id, which its answer may
-/// repeat, and goes out where no copy of an answer without one is as likely as
-/// its own answer.
+/// repeat, and goes out where no copy of an answer without one has a status
+/// that its own answer may well have.
 answer_mark relay::mark_order(request_id const& id,
                               order_expectation const& expected) const
 {
-    auto const status = [this](std::optional<order_outcome> const& outcome)
-    {
-        return outcome ? std::optional(codec_.order_status(*outcome))
-                       : std::nullopt;
-    };
-    return {codec_.request_id_field(), id.str(), true, status(expected.likely),
-            status(expected.without_news)};
+    answer_mark mark{codec_.request_id_field(), id.str(), true};
+    for (order_outcome const each : expected.possible)
+        mark.possible_statuses.insert(codec_.order_status(each));
+    if (expected.without_news)
+        mark.harmless_status = codec_.order_status(*expected.without_news);
+    return mark;
 }
 
 void relay::send_order(issue_order const& order)
@@ -97,7 +98,9 @@
     {
         on_limit_stated(order.worker, sent_at, answer);
         on_tolerance_stated(service, order.worker, sent_at, answer);
-        on_order(service, order, codec_.decode_order_reply(answer.status));
+        on_order(service, order,
+                 answer.undecided ? order_outcome::undecided
+                                  : codec_.decode_order_reply(answer.status));
     };
     start_collected(io_, pool_, std::move(call));
 }
@@ -124,6 +127,7 @@
                      order_outcome outcome)
 {
     counts_.orders_unknown += outcome == order_outcome::unknown;
+    counts_.orders_undecided += outcome == order_outcome::undecided;
     counts_.orders_conflict += outcome == order_outcome::conflict;
     bool const is_failure = outcome != order_outcome::accepted &&
                             outcome != order_outcome::already_applied;
--- a/src/relay_request.hpp
+++ b/src/relay_request.hpp
@@ -240,7 +240,9 @@
     other_worker,
     /// No answer arrived; the worker may still carry out the order at any later
     /// time.
-    unknown
+    unknown,
+    /// The answer may be one to an earlier order; else like unknown.
+    undecided
 };
 
 /// A worker's state as reported by the worker; up to some hundred milliseconds
--- a/src/worker_adapters.cpp
+++ b/src/worker_adapters.cpp
@@ -459,6 +459,7 @@
     if (!next)
         next = evict_order(retention_priority, now);
     order_repeated_ = false;
+    order_undecided_ = false;
     if (!next)
         return std::nullopt;
     return send(*next, now);
@@ -627,10 +628,15 @@
             ? loading_model_ == order_->model
             : stage({order_->model, order_->adapter}) ==
                   (unloads ? adapter_stage::unloading : adapter_stage::loading);
-    if (is_poll)
-        return {order_outcome::already_applied, order_outcome::accepted};
-    return {unloads ? order_outcome::already_applied : order_outcome::accepted,
-            std::nullopt};
+    std::set<order_outcome> possible{
+        order_outcome::conflict, order_outcome::fenced, order_outcome::refused,
+        order_outcome::other_worker};
+    if (is_poll || unloads)
+        possible.insert(order_outcome::already_applied);
+    if (!is_poll)
+        possible.insert(order_outcome::accepted);
+    return {std::move(possible),
+            is_poll ? std::optional(order_outcome::accepted) : std::nullopt};
 }
 
 bool worker_adapters::on_outcome(order_outcome outcome, time_point now)
@@ -639,6 +645,13 @@
         return false;
     in_flight_ = false;
     worker_order const order = *order_;
+    if (outcome == order_outcome::undecided)
+    {
+        order_repeated_ = true;
+        order_undecided_ = true;
+        retry_at_ = now;
+        return false;
+    }
     if (outcome != order_outcome::unknown)
         unanswered_.on_answered(order);
     else
@@ -672,10 +685,11 @@
         return true;
     case order_outcome::conflict:
         // A repeated order whose sequence number the worker is past was carried
-        // out the first time, unless another one was in its place.
+        // out the first time, unless another one was in its place, or the
+        // worker refused it the first time, too.
         if (order_repeated_ && order.expected_sequence == *sequence_)
         {
-            if (!unanswered_.may_be_displaced(order) &&
+            if (!order_undecided_ && !unanswered_.may_be_displaced(order) &&
                 now >= unknown_orders_until_)
                 return on_accepted(order, now);
             mark_out_of_sync(now);
@@ -692,6 +706,7 @@
     case order_outcome::fenced:
     case order_outcome::other_worker:
     case order_outcome::unknown:
+    case order_outcome::undecided:
         break;
     }
     mark_out_of_sync(now);
@@ -787,7 +802,8 @@
         return;
     }
     entry& state = adapters_[target];
-    if (state.stage == adapter_stage::requested && order_repeated_)
+    if (state.stage == adapter_stage::requested && order_repeated_ &&
+        !order_undecided_)
         ++*sequence_;
     if (state.stage == adapter_stage::loading && state.cold)
         record_fetch_time(state, now);
--- a/src/worker_adapters.hpp
+++ b/src/worker_adapters.hpp
@@ -16,6 +16,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -56,11 +57,11 @@
     unloading
 };
 
-/// What an order's answer will probably say. Value.
+/// What an order's answer may well say. Value.
 struct order_expectation
 {
-    /// nullopt: it cannot be told.
-    std::optional<order_outcome> likely = {};
+    /// Empty: it cannot be told.
+    std::set<order_outcome> possible = {};
     /// Changes nothing that is known of the worker; nullopt: no outcome.
     std::optional<order_outcome> without_news = {};
     friend bool operator==(order_expectation const&,
@@ -338,6 +339,8 @@
     /// The order was sent and has no outcome yet.
     bool in_flight_ = false;
     bool order_repeated_ = false;
+    /// An answer to the order may have been one to an earlier order.
+    bool order_undecided_ = false;
     /// Orders in a row without an answer.
     int consecutive_unanswered_ = 0;
     int consecutive_conflicts_ = 0;
