--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -14,6 +14,7 @@
 import shutil
 import signal
 import socket
+import sys
 import tempfile
 import time
 
@@ -21,6 +22,18 @@
 MAX_BODY = 4194304
 
 
+def run_case(main):
+    """Exits with the result of main(); a time-out still ends what it started."""
+    async def guarded():
+        task = asyncio.ensure_future(main())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        try:
+            return await task
+        except asyncio.CancelledError:
+            return 2
+    sys.exit(asyncio.run(guarded()))
+
+
 def free_port():
     """A free port below those that the kernel gives to outgoing connections."""
     while True:
