--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -220,8 +220,6 @@
         self.port = free_port()
         self.runs = []
         self.work_s = 0.03
-        # Bytes a second that the worker reads of each body; None: all at once.
-        self.read_rate = None
         # Whether each run gets a line in the record.
         self.logs = True
         self.sequence = 0
@@ -249,8 +247,6 @@
             if not piece:
                 return None
             left -= len(piece)
-            if self.read_rate and left > 0:
-                await asyncio.sleep(len(piece) / self.read_rate)
         return size
 
     async def serve(self, reader, writer):
@@ -292,9 +288,6 @@
         self.ports = {name: free_port() for name in
                       ("front", "ready", "control", "low", "high")}
         self.process = None
-        self.starts = 0
-        self.ends = []
-        self.peak_mb = 0
 
     def settings(self):
         fields = {
@@ -330,24 +323,12 @@
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG")
                        if name in os.environ}
         environment["MULBERRYFORD_NODE_FILE"] = path
-        self.starts += 1
         self.process = await asyncio.create_subprocess_exec(
             *run, cwd=ROOT, env=environment, stdout=log, stderr=log,
             stdin=asyncio.subprocess.DEVNULL)
         log.close()
         self.site.record.line(f"{self.name} starts")
 
-    def rss_mb(self):
-        """Resident memory, as the kernel accounts it."""
-        try:
-            with open(f"/proc/{self.process.pid}/status", encoding="utf-8") as file:
-                for line in file:
-                    if line.startswith("VmRSS:"):
-                        return int(line.split()[1]) / 1024
-        except OSError:
-            pass
-        return 0
-
     async def is_ready(self):
         try:
             reader, writer = await asyncio.open_connection(
@@ -443,7 +424,6 @@
     def __init__(self, site, name, service, model="m0", slots=64):
         super().__init__(site, name, service, slots)
         self.model = model
-        self.begun = set()
 
     def list(self, state="ready"):
         self.sequence += 1
@@ -454,12 +434,6 @@
             "stage": "prefill_decode",
             "models": [{"name": self.model, "version": 1, "adapters": []}]})
 
-    async def read_request(self, reader, fields):
-        # The request has reached the worker, whether its body is in or not.
-        if "request-id" in fields:
-            self.begun.add(fields["request-id"])
-        return await super().read_request(reader, fields)
-
     async def answer(self, first, fields, size, writer):
         if first.startswith("GET /report"):
             report = {"stage": "prefill_decode", "busy": False, "sequence": 0,
