--- a/tests/process_child.hpp
+++ b/tests/process_child.hpp
@@ -37,6 +37,7 @@
     /// process does not end within generous_wait.
     int wait_for_end();
     bool running();
+    int pid() const { return pid_; }
     /// Sends SIGTERM.
     void terminate() const;
     /// Sends SIGHUP.
