--- a/src/answer_memory.hpp
+++ b/src/answer_memory.hpp
@@ -38,6 +38,13 @@
     {
         unsent_ = std::move(unsent);
     }
+    /// Sets what returns how much is left of a capacity that is shared with
+    /// others; nullopt: any number. Empty: none is shared.
+    void
+    set_shared_left(std::function<std::optional<std::size_t>()> shared_left)
+    {
+        shared_left_ = std::move(shared_left);
+    }
     /// Bytes held of all answers.
     std::size_t held() const { return buffered_ + unsent(); }
     /// Bytes of answers and events that are passed on when they are complete.
@@ -51,6 +58,7 @@
 
     std::optional<std::size_t> capacity_;
     std::function<std::size_t()> unsent_;
+    std::function<std::optional<std::size_t>()> shared_left_;
     std::size_t buffered_ = 0;
 };
 
--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -26,6 +26,16 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::size_t read_buffer_bytes = 8UL * 1024;
+/// SO_RCVBUF and SO_SNDBUF of each connection where memory is bounded; the
+/// kernel doubles them. With a send buffer that is smaller than a segment, as
+/// on the loopback interface, each part would wait for a delayed
+/// acknowledgement.
+constexpr int receive_buffer_bytes = 16 * 1024;
+constexpr int send_buffer_bytes = 64 * 1024;
+/// What a connection takes: its buffers for reading here and in the kernel, and
+/// its state.
+constexpr std::size_t connection_bytes =
+    read_buffer_bytes + 2UL * receive_buffer_bytes + 4UL * 1024;
 /// Workers close idle connections after a timeout of their own, which is
 /// unknown without a Keep-Alive header field. So idle connections are kept only
 /// for a short time.
@@ -61,11 +71,14 @@
                          public std::enable_shared_from_this<connection>
 {
 public:
+    /// `memory` may be null.
     connection(asio::io_context& io, std::uint64_t number, backend_address to,
-               connection_registry* registry)
+               connection_registry* registry, caller_memory* memory)
         : socket_(io), timer_(io), number_(number), address_(std::move(to)),
-          registry_(registry)
+          registry_(registry), memory_(memory)
     {
+        if (memory_ != nullptr)
+            charge_.hold_for_worker(*memory_, connection_bytes);
     }
 
     backend_address const& address() const { return address_; }
@@ -74,7 +87,7 @@
     std::uint64_t number() const { return number_; }
     std::uint64_t exchange_number() const { return exchange_number_; }
 
-    void open(std::string request, exchange_options const& options,
+    void open(outgoing_request request, exchange_options const& options,
               std::string const& source,
               std::shared_ptr<exchange_observer> observer)
     {
@@ -85,6 +98,8 @@
             return fail_later("not an IP address: " + address_.ip);
         if (!source.empty() && !bind_to(source))
             return fail_later("cannot connect from " + source);
+        if (memory_ != nullptr)
+            limit_buffers(tcp::endpoint(ip, address_.port).protocol());
         timer_.expires_after(options.connect_timeout);
         timer_.async_wait(
             [self = shared_from_this()](asio::error_code const& cancelled)
@@ -106,7 +121,7 @@
     }
 
     /// Preconditions: the connection is idle; can_carry(mark).
-    void reuse(std::string request, std::optional<answer_mark> const& mark,
+    void reuse(outgoing_request request, std::optional<answer_mark> const& mark,
                std::shared_ptr<exchange_observer> observer)
     {
         begin(std::move(request), mark, std::move(observer));
@@ -129,6 +144,8 @@
         asio::error_code ignored;
         timer_.cancel();
         socket_.close(ignored);
+        charge_.release();
+        sent_charge_.release();
         if (registry_ != nullptr)
             registry_->remove(this);
     }
@@ -136,7 +153,7 @@
     void detach() { registry_ = nullptr; }
 
 private:
-    void begin(std::string request, std::optional<answer_mark> const& mark,
+    void begin(outgoing_request request, std::optional<answer_mark> const& mark,
                std::shared_ptr<exchange_observer> observer)
     {
         matcher_.begin(mark);
@@ -145,6 +162,10 @@
         skipped_answers_ = 0;
         skipped_bytes_ = 0;
         request_ = std::move(request);
+        if (memory_ != nullptr)
+            sent_charge_.hold_for_worker(
+                *memory_, std::min<std::size_t>(request_.size(),
+                                                2UL * send_buffer_bytes));
         observer_ = std::move(observer);
         ++exchange_number_;
         idle_ = false;
@@ -164,6 +185,19 @@
         return !failure;
     }
 
+    /// Buffers must be limited before the connection is established.
+    void limit_buffers(tcp const& protocol)
+    {
+        asio::error_code ignored;
+        if (!socket_.is_open())
+            socket_.open(protocol, ignored);
+        socket_.set_option(
+            asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
+        socket_.set_option(
+            asio::socket_base::receive_buffer_size(receive_buffer_bytes),
+            ignored);
+    }
+
     void on_connected(asio::error_code const& refused)
     {
         if (!observer_)
@@ -184,8 +218,12 @@
     void send()
     {
         sent_ = true;
+        std::array<asio::const_buffer, 2> const parts{
+            asio::buffer(request_.head), request_.body
+                                             ? asio::buffer(*request_.body)
+                                             : asio::const_buffer()};
         asio::async_write(
-            socket_, asio::buffer(request_),
+            socket_, parts,
             [self = shared_from_this(), exchange = exchange_number_](
                 asio::error_code const& failure, std::size_t)
             {
@@ -276,7 +314,8 @@
             idle_ = true;
             idle_since_ = clock::now();
             usable_until_ = idle_since_ + idle_limit_;
-            request_.clear();
+            request_ = {};
+            sent_charge_.release();
             if (registry_ != nullptr)
                 registry_->keep(shared_from_this());
         }
@@ -388,9 +427,14 @@
     std::uint64_t const number_;
     backend_address address_;
     connection_registry* registry_;
+    /// Null if nothing is charged.
+    caller_memory* const memory_;
+    connection_memory charge_;
+    /// For the part of the request that the kernel may hold.
+    connection_memory sent_charge_;
     std::array<char, read_buffer_bytes> buffer_{};
     answer_parser parser_{*this};
-    std::string request_;
+    outgoing_request request_;
     answer_matcher matcher_;
     /// The answer may be one to an earlier request.
     bool foreign_ = false;
@@ -449,8 +493,9 @@
 class backend_pool::implementation final : public connection_registry
 {
 public:
-    implementation(asio::io_context& io, std::string source)
-        : io_(io), source_(std::move(source))
+    implementation(asio::io_context& io, std::string source,
+                   caller_memory* memory)
+        : io_(io), source_(std::move(source)), memory_(memory)
     {
     }
     ~implementation() override
@@ -466,19 +511,19 @@
     implementation& operator=(implementation const&) = delete;
 
     std::shared_ptr<backend_exchange>
-    start(backend_address const& to, std::string bytes,
+    start(backend_address const& to, outgoing_request request,
           exchange_options const& options,
           std::shared_ptr<exchange_observer> observer)
     {
         if (auto const kept = take_idle(to, options))
         {
-            kept->reuse(std::move(bytes), options.mark, std::move(observer));
+            kept->reuse(std::move(request), options.mark, std::move(observer));
             return std::make_shared<running_exchange>(kept);
         }
         auto const made =
-            std::make_shared<connection>(io_, ++opened_, to, this);
+            std::make_shared<connection>(io_, ++opened_, to, this, memory_);
         connections_.emplace(made.get(), made);
-        made->open(std::move(bytes), options, source_, std::move(observer));
+        made->open(std::move(request), options, source_, std::move(observer));
         return std::make_shared<running_exchange>(made);
     }
 
@@ -540,25 +585,28 @@
 
     asio::io_context& io_;
     std::string const source_;
+    caller_memory* const memory_;
     std::map<backend_address, std::vector<std::shared_ptr<connection>>> idle_;
     std::map<connection const*, std::shared_ptr<connection>> connections_;
     std::uint64_t opened_ = 0;
     std::uint64_t skipped_ = 0;
 };
 
-backend_pool::backend_pool(asio::io_context& io, std::string source)
-    : implementation_(std::make_unique<implementation>(io, std::move(source)))
+backend_pool::backend_pool(asio::io_context& io, std::string source,
+                           caller_memory* memory)
+    : implementation_(
+          std::make_unique<implementation>(io, std::move(source), memory))
 {
 }
 
 backend_pool::~backend_pool() = default;
 
 std::shared_ptr<backend_exchange>
-backend_pool::start(backend_address const& to, std::string bytes,
+backend_pool::start(backend_address const& to, outgoing_request request,
                     exchange_options const& options,
                     std::shared_ptr<exchange_observer> observer)
 {
-    return implementation_->start(to, std::move(bytes), options,
+    return implementation_->start(to, std::move(request), options,
                                   std::move(observer));
 }
 
--- a/src/backend_pool.hpp
+++ b/src/backend_pool.hpp
@@ -8,8 +8,10 @@
 #define MULBERRY_BACKEND_POOL_HPP
 
 #include "answer_matcher.hpp"
+#include "caller_memory.hpp"
 #include "http_client.hpp"
 #include "http_message.hpp"
+#include "outgoing_request.hpp"
 
 #include <asio/io_context.hpp>
 
@@ -108,16 +110,18 @@
 {
 public:
     /// `io` outlives this object. `source` is the local IP address of all
-    /// connections; empty: any.
-    explicit backend_pool(asio::io_context& io, std::string source = {});
+    /// connections; empty: any. `memory`, which connections are charged to,
+    /// outlives the io_context; null: none.
+    explicit backend_pool(asio::io_context& io, std::string source = {},
+                          caller_memory* memory = nullptr);
     ~backend_pool();
     backend_pool(backend_pool const&) = delete;
     backend_pool& operator=(backend_pool const&) = delete;
 
-    /// Sends `bytes`, a complete HTTP request, over an idle connection or a new
-    /// one. The observer is never called within this call.
+    /// Sends the request over an idle connection or a new one. The observer is
+    /// never called within this call.
     std::shared_ptr<backend_exchange>
-    start(backend_address const& to, std::string bytes,
+    start(backend_address const& to, outgoing_request request,
           exchange_options const& options,
           std::shared_ptr<exchange_observer> observer);
     /// Closes idle connections that are past their idle timeout.
--- a/src/error_kind.cpp
+++ b/src/error_kind.cpp
@@ -31,6 +31,8 @@
                  "the body or the headers are over the limit"},
     error_answer{too_slow, "too_slow", 408, ran::no, true,
                  "the request did not arrive in time"},
+    error_answer{out_of_memory, "out_of_memory", 503, ran::no, true,
+                 "this VM has no memory left for the request"},
     error_answer{overloaded, "overloaded", 429, ran::no, true,
                  "no capacity is free before the deadline"},
     error_answer{over_allotment, "over_allotment", 429, ran::no, true,
@@ -123,6 +125,7 @@
     error_kind const kind = status == 413 || status == 414 || status == 431
                                 ? error_kind::body_too_large
                             : status == 408 ? error_kind::too_slow
+                            : status == 503 ? error_kind::out_of_memory
                                             : error_kind::bad_request;
     return error(kind, std::string(answer_of(kind).meaning));
 }
--- a/src/error_kind.hpp
+++ b/src/error_kind.hpp
@@ -34,6 +34,7 @@
     key_conflict,
     body_too_large,
     too_slow,
+    out_of_memory,
     overloaded,
     over_allotment,
     allotment_unknown,
--- a/src/forwarded_call.cpp
+++ b/src/forwarded_call.cpp
@@ -97,22 +97,22 @@
 
 } // namespace
 
-std::string encode_forwarded_call(forwarded_call const& call,
-                                  std::string const& host)
-{
-    return fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\nWorker: {}\r\n"
-                       "Worker-Address: {}:{}\r\nRequest: {}\r\nFrom: {}\r\n"
-                       "Connect-Timeout-Ms: {}\r\nMax-Idle-Ms: {}\r\n"
-                       "Content-Length: {}\r\n\r\n{}",
-                       forwarded_call_path, host, call.worker.str(), call.to.ip,
-                       call.to.port, call.request.str(), call.from.str(),
-                       call.options.connect_timeout.count(),
-                       call.options.max_idle.count(), call.bytes.size(),
-                       call.bytes);
+outgoing_request encode_forwarded_call(forwarded_call const& call,
+                                       std::string const& host)
+{
+    return {fmt::format("POST {} HTTP/1.1\r\nHost: {}\r\nWorker: {}\r\n"
+                        "Worker-Address: {}:{}\r\nRequest: {}\r\nFrom: {}\r\n"
+                        "Connect-Timeout-Ms: {}\r\nMax-Idle-Ms: {}\r\n"
+                        "Content-Length: {}\r\n\r\n{}",
+                        forwarded_call_path, host, call.worker.str(),
+                        call.to.ip, call.to.port, call.request.str(),
+                        call.from.str(), call.options.connect_timeout.count(),
+                        call.options.max_idle.count(), call.outgoing.size(),
+                        call.outgoing.head),
+            call.outgoing.body};
 }
 
-std::optional<forwarded_call>
-decode_forwarded_call(http_request const& received)
+std::optional<forwarded_call> decode_forwarded_call(http_request received)
 {
     auto const text = [&received](char const* name)
     { return received.headers.find(name).value_or(""); };
@@ -127,7 +127,7 @@
                           request_id(text("Request")),
                           vm_id(text("From")),
                           {bounded(*connect_timeout), bounded(*max_idle)},
-                          received.body};
+                          std::move(received.body)};
 }
 
 std::string encode_head_frame(int status, http_headers const& headers)
--- a/src/forwarded_call.hpp
+++ b/src/forwarded_call.hpp
@@ -38,18 +38,17 @@
     request_id request;
     vm_id from;
     exchange_options options;
-    /// The complete HTTP request for the worker.
-    std::string bytes;
+    /// The request for the worker.
+    outgoing_request outgoing;
     friend bool operator==(forwarded_call const&,
                            forwarded_call const&) = default;
 };
 
-/// Returns a complete HTTP request to the VM at `host`.
-std::string encode_forwarded_call(forwarded_call const& call,
-                                  std::string const& host);
+/// Returns the request to the VM at `host`.
+outgoing_request encode_forwarded_call(forwarded_call const& call,
+                                       std::string const& host);
 /// Returns nullopt if a field is missing or malformed.
-std::optional<forwarded_call>
-decode_forwarded_call(http_request const& received);
+std::optional<forwarded_call> decode_forwarded_call(http_request received);
 
 std::string encode_head_frame(int status, http_headers const& headers);
 std::string encode_body_frame(std::string_view bytes);
--- a/src/http_request_limits.cpp
+++ b/src/http_request_limits.cpp
@@ -1,5 +1,7 @@
 #include "http_request_limits.hpp"
 
+#include "http_caller_socket.hpp"
+
 #include <restinio/http_server.hpp>
 
 #include <charconv>
@@ -21,6 +23,8 @@
 /// A body whose announced length exceeds the limit by more than this factor is
 /// not read.
 constexpr std::uint64_t max_discarded_body_factor = 16;
+/// Of a field that is parsed, beside its text.
+constexpr std::size_t field_overhead_bytes = 32;
 
 /// Marks a refused request. The mark is a header field, because the header is
 /// the only part of the parser's state that reaches the handler. No caller can
@@ -40,11 +44,44 @@
     return *static_cast<http_parser_ctx_t*>(parser->data);
 }
 
+caller_state& state()
+{
+    return *caller_state::parsing();
+}
+
+/// The parser fails with this result, and RESTinio closes the connection.
+constexpr int no_memory = 1;
+
+/// `charge` returns false if the bytes do not fit into the memory.
+template <class Charge>
+int enforce_memory(Charge charge)
+{
+    caller_state& receiving = state();
+    if (!receiving.refused &&
+        !charge(receiving.receipt, !receiving.has_open_answer()))
+        receiving.refuse();
+    return receiving.refused ? no_memory : 0;
+}
+
+int on_message_begin(http_parser* /*parser*/)
+{
+    return enforce_memory([](request_receipt& receipt, bool may_refuse)
+                          { return receipt.begin(may_refuse); });
+}
+
 bool is_refused(http_parser* parser)
 {
     return context_of(parser).m_header.has_field(refusal_field);
 }
 
+int charge_head(http_parser* parser, std::size_t bytes)
+{
+    if (is_refused(parser))
+        return 0;
+    return enforce_memory([bytes](request_receipt& receipt, bool may_refuse)
+                          { return receipt.add_head(bytes, may_refuse); });
+}
+
 void drop_fields(http_parser_ctx_t& context)
 {
     std::string target = context.m_header.request_target();
@@ -57,7 +94,7 @@
     http_parser_ctx_t& context = context_of(parser);
     drop_fields(context);
     context.m_header.add_field(refusal_field, std::to_string(status));
-    std::string().swap(context.m_body);
+    state().receipt.drop_body();
 }
 
 /// Runs one of RESTinio's callbacks, which fail only at a limit, or another
@@ -82,6 +119,8 @@
 
 int on_url(http_parser* parser, char const* at, std::size_t length)
 {
+    if (int const failed = charge_head(parser, length))
+        return failed;
     return enforce_limit(
         parser, target_too_long,
         [&] { return default_callbacks().on_url(parser, at, length); });
@@ -89,6 +128,8 @@
 
 int on_header_field(http_parser* parser, char const* at, std::size_t length)
 {
+    if (int const failed = charge_head(parser, length + field_overhead_bytes))
+        return failed;
     return enforce_limit(
         parser, headers_too_large,
         [&]
@@ -97,6 +138,8 @@
 
 int on_header_value(http_parser* parser, char const* at, std::size_t length)
 {
+    if (int const failed = charge_head(parser, length))
+        return failed;
     return enforce_limit(
         parser, headers_too_large,
         [&]
@@ -116,11 +159,16 @@
         parser, headers_too_large,
         [&context]
         { return header_bytes(context) > context.m_limits.max_url_size(); });
+    bool const announced = parser->content_length != UINT64_MAX;
     enforce_limit(parser, body_too_large,
                   [&]
-                  { return default_callbacks().on_headers_complete(parser); });
+                  {
+                      return announced && parser->content_length >
+                                              context.m_limits.max_body_size();
+                  });
     context.m_leading_headers_completed = true;
-    bool const announced = parser->content_length != UINT64_MAX;
+    state().body_length =
+        announced ? std::optional(parser->content_length) : std::nullopt;
     std::uint64_t const readable =
         context.m_limits.max_body_size() * max_discarded_body_factor;
     if (announced && parser->content_length > readable)
@@ -130,9 +178,18 @@
 
 int on_body(http_parser* parser, char const* at, std::size_t length)
 {
-    return enforce_limit(
-        parser, body_too_large,
-        [&] { return default_callbacks().on_body(parser, at, length); });
+    std::size_t const largest = context_of(parser).m_limits.max_body_size();
+    enforce_limit(parser, body_too_large,
+                  [&]
+                  { return state().receipt.body_size() + length > largest; });
+    if (is_refused(parser))
+        return 0;
+    return enforce_memory(
+        [&](request_receipt& receipt, bool may_refuse)
+        {
+            return receipt.add_body({at, length}, state().body_length, largest,
+                                    may_refuse);
+        });
 }
 
 } // namespace
@@ -141,6 +198,7 @@
 {
     http_parser_settings callbacks;
     http_parser_settings_init(&callbacks);
+    callbacks.on_message_begin = on_message_begin;
     callbacks.on_url = on_url;
     callbacks.on_header_field = on_header_field;
     callbacks.on_header_value = on_header_value;
--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -1,13 +1,16 @@
 #include "http_server.hpp"
 
+#include "boot_clock.hpp"
 #include "http_request_limits.hpp"
 #include "http_server_answer.hpp"
+#include "lingering_close.hpp"
 
 #include <netinet/tcp.h>
 #include <poll.h>
 
 #include <algorithm>
 #include <limits>
+#include <list>
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -25,7 +28,10 @@
 constexpr int bad_request = 400;
 constexpr int request_timeout = 408;
 constexpr int bad_gateway = 502;
-constexpr std::size_t read_buffer_bytes = 16UL * 1024;
+constexpr int service_unavailable = 503;
+constexpr std::size_t read_buffer_bytes = 8UL * 1024;
+/// State of a connection beside its buffers.
+constexpr std::size_t connection_state_bytes = 4UL * 1024;
 constexpr std::size_t max_header_count = 100;
 constexpr std::size_t max_header_name_bytes = 256;
 /// The request in progress and one more, which keeps a read pending: without a
@@ -67,7 +73,7 @@
     return std::clamp(timeout / 4, milliseconds(10), milliseconds(1000));
 }
 
-http_request to_request(restinio::request_t const& received)
+http_request to_request(restinio::request_t const& received, std::string body)
 {
     auto const& header = received.header();
     http_request request;
@@ -77,7 +83,7 @@
     header.for_each_field(
         [&request](auto const& field)
         { request.headers.add(field.name(), field.value()); });
-    request.body = received.body();
+    request.body = std::move(body);
     request.caller = received.remote_endpoint().address().to_string();
     return request;
 }
@@ -135,6 +141,7 @@
     void close_idle();
     bool has_requests() const { return table_->has_requests(); }
     std::size_t unsent_bytes() const { return table_->unsent_bytes(); }
+    std::uint64_t evicted_connections() const { return evicted_; }
     void stop_accepting();
 
 private:
@@ -145,14 +152,26 @@
     void on_accept(asio::error_code const& failure, tcp::socket socket);
     void retry_accept();
     bool is_full() const;
+    /// Charges a new connection; others may be closed in its favor. Returns
+    /// false if it does not fit.
+    bool charge_connection(connection_memory& charge);
+    /// What a connection takes, its buffers in the kernel included.
+    std::size_t connection_bytes() const;
+    /// Closes a connection in favor of a new one. Returns false if there is
+    /// none to close.
+    bool evict_connection();
+    bool cut_lingering();
+    void linger(tcp::socket socket, connection_memory charge);
     static void reset(tcp::socket& socket);
     void on_connection_removed();
     /// Starts the checks of connections on which a request waits.
     void check_queued_later();
     void check_queued();
-    void open_connection(tcp::socket socket);
+    void open_connection(tcp::socket socket, connection_memory charge);
     std::string closing_error_response(int status) const;
     void set_closing_responses(caller_state& state, connection_number number);
+    void set_refusal(std::shared_ptr<caller_state> const& state,
+                     std::shared_ptr<server_connection> const& connection);
     restinio::request_handling_status_t
     handle_request(restinio::request_handle_t const& received);
     void refuse(restinio::request_handle_t const& received, int status);
@@ -172,6 +191,9 @@
     std::atomic<bool> close_check_pending_{false};
     std::atomic<bool> accept_paused_{false};
     std::uint16_t port_ = 0;
+    std::uint64_t evicted_ = 0;
+    /// In order of their closes.
+    std::list<std::weak_ptr<lingering_close>> lingering_;
     std::shared_ptr<connection_table> table_;
     std::shared_ptr<connection_factory> factory_;
     std::vector<std::thread> threads_;
@@ -230,6 +252,14 @@
         // A restarted process can bind its port while connections of its
         // predecessor are still in TIME_WAIT.
         acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        // Accepted sockets inherit the size of the buffers.
+        if (options_.socket_buffer_bytes > 0)
+        {
+            acceptor_.set_option(asio::socket_base::receive_buffer_size(
+                options_.socket_buffer_bytes));
+            acceptor_.set_option(asio::socket_base::send_buffer_size(
+                options_.socket_buffer_bytes));
+        }
         acceptor_.bind(endpoint);
         acceptor_.listen();
         port_ = acceptor_.local_endpoint().port();
@@ -315,14 +345,78 @@
     }
     // A socket that is not opened is closed with its request unread, and the
     // caller may try another server at once.
+    connection_memory charge;
     if (!(options_.closes_excess_connections && is_full()) &&
-        (!options_.may_open || options_.may_open()))
-        open_connection(std::move(socket));
+        (!options_.may_open || options_.may_open()) &&
+        charge_connection(charge))
+        open_connection(std::move(socket), std::move(charge));
     else
         reset(socket);
     accept_next();
 }
 
+std::size_t http_server::implementation::connection_bytes() const
+{
+    // Two buffers in the kernel, each of twice the size that was set.
+    return read_buffer_bytes + connection_state_bytes +
+           4 * static_cast<std::size_t>(options_.socket_buffer_bytes);
+}
+
+bool http_server::implementation::charge_connection(connection_memory& charge)
+{
+    if (options_.memory == nullptr || !options_.charges_connections)
+        return true;
+    while (!charge.reserve(*options_.memory, connection_bytes(),
+                           boot_clock::now()))
+        if (!evict_connection())
+            return false;
+    return true;
+}
+
+bool http_server::implementation::evict_connection()
+{
+    if (cut_lingering())
+        return true;
+    // Bytes of a younger one may have been received and not yet handled.
+    time_point const before = boot_clock::now() - caller_memory::stall_time;
+    auto connection = table_->longest_idle(before);
+    if (!connection)
+        connection = table_->longest_stalled(before);
+    if (!connection)
+        return false;
+    auto const state = table_->state_of(connection->connection_id());
+    state->evicted = true;
+    if (state->receipt.is_open())
+        state->refuse();
+    ++evicted_;
+    close(connection);
+    return true;
+}
+
+bool http_server::implementation::cut_lingering()
+{
+    while (!lingering_.empty())
+    {
+        auto const oldest = lingering_.front().lock();
+        lingering_.pop_front();
+        if (!oldest || oldest->is_closed())
+            continue;
+        oldest->cut();
+        return true;
+    }
+    return false;
+}
+
+void http_server::implementation::linger(tcp::socket socket,
+                                         connection_memory charge)
+{
+    std::erase_if(lingering_, [](auto const& each) { return each.expired(); });
+    auto const closing =
+        std::make_shared<lingering_close>(std::move(socket), std::move(charge));
+    lingering_.push_back(closing);
+    closing->start();
+}
+
 bool http_server::implementation::is_full() const
 {
     return table_->size() >= options_.max_connections;
@@ -385,18 +479,22 @@
         check_queued_later();
 }
 
-void http_server::implementation::open_connection(tcp::socket socket)
+void http_server::implementation::open_connection(tcp::socket socket,
+                                                  connection_memory charge)
 {
     asio::error_code failure;
     auto const remote = socket.remote_endpoint(failure);
     if (failure)
         return;
-    auto const state = std::make_shared<caller_state>();
+    auto const state = std::make_shared<caller_state>(options_.memory);
     state->descriptor = socket.native_handle();
+    state->charge = std::move(charge);
+    state->active_at = boot_clock::now();
     auto const connection = factory_->create_new_connection(
         caller_socket(std::move(socket), state), remote,
         server_connection::lifetime_monitor_t{nullptr});
     set_closing_responses(*state, connection->connection_id());
+    set_refusal(state, connection);
     table_->add(connection, state);
     asio::post(connection->get_executor(),
                [connection] { connection->init(); });
@@ -426,6 +524,25 @@
     };
 }
 
+/// The callbacks hold no reference to the connection, which holds the state.
+void http_server::implementation::set_refusal(
+    std::shared_ptr<caller_state> const& state,
+    std::shared_ptr<server_connection> const& connection)
+{
+    state->refusal_response = [this]
+    { return closing_error_response(service_unavailable); };
+    state->on_read_deferred = [this] { check_queued_later(); };
+    state->close_soon = [this, weak = std::weak_ptr(connection)]
+    {
+        if (auto const open = weak.lock())
+            asio::post(open->get_executor(), [this, open] { close(open); });
+    };
+    // With threads of the server's own, nothing is charged or refused.
+    if (!own_io_)
+        state->linger = [this, state = state.get()](tcp::socket socket)
+        { linger(std::move(socket), std::move(state->charge)); };
+}
+
 restinio::request_handling_status_t http_server::implementation::handle_request(
     restinio::request_handle_t const& received)
 {
@@ -433,9 +550,12 @@
     if (!state)
         return restinio::request_accepted();
     state->receiving = false;
+    std::string body = state->receipt.take_body();
+    auto charge = state->receipt.take_charge();
     if (int const status = rejection_status(received->header()))
     {
         state->closing = true;
+        state->lingers = true;
         refuse(received, status);
         return restinio::request_accepted();
     }
@@ -443,10 +563,11 @@
         restinio::impl::access_req_connection(*received));
     ++state->unanswered_requests;
     auto answer = std::make_shared<server_answer>(
-        table_, connection, state, received->request_id(),
+        table_, connection, state, std::move(charge), received->request_id(),
         format_of(received->header()));
-    table_->handle_in_order(*connection,
-                            {to_request(*received), std::move(answer)});
+    table_->handle_in_order(
+        *connection,
+        {to_request(*received, std::move(body)), std::move(answer)});
     return restinio::request_accepted();
 }
 
@@ -549,6 +670,11 @@
     return implementation_->unsent_bytes();
 }
 
+std::uint64_t http_server::evicted_connections() const
+{
+    return implementation_->evicted_connections();
+}
+
 void http_server::close_idle()
 {
     implementation_->close_idle();
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -2,6 +2,7 @@
 #ifndef MULBERRY_HTTP_SERVER_HPP
 #define MULBERRY_HTTP_SERVER_HPP
 
+#include "caller_memory.hpp"
 #include "http_message.hpp"
 
 #include <chrono>
@@ -72,6 +73,17 @@
     /// What happens to connections beyond max_connections: they are closed at
     /// once, unread; or they wait until another one closes.
     bool closes_excess_connections = false;
+    /// What requests are charged to; null: each request is bounded, their sum
+    /// is not. Preconditions: outlives the shared io_context, which is set.
+    caller_memory* memory = nullptr;
+    /// Whether connections are charged, too. If one does not fit, the
+    /// connection that has been idle for longest is closed in its favor, or
+    /// else the one whose request has made no progress for longest; both for
+    /// caller_memory::stall_time at least.
+    bool charges_connections = false;
+    /// SO_RCVBUF and SO_SNDBUF of connections, which the kernel doubles; 0: the
+    /// kernel's choice.
+    int socket_buffer_bytes = 0;
     /// Whether to take a new connection; one that is not taken is closed
     /// unread. Empty: all are taken.
     std::function<bool()> may_open;
@@ -86,9 +98,10 @@
     std::chrono::milliseconds dead_peer_timeout{0};
     /// Makes the server's own error responses. For 400, 413, 414 and 431, the
     /// response has no body if this function is not set. For 408 (a request
-    /// that does not arrive in time) and 502 (the caller closed its sending
-    /// half before the answer began), the connection is closed without a
-    /// response if this function is not set. Input that is not HTTP closes the
+    /// that does not arrive in time), 502 (the caller closed its sending half
+    /// before the answer began) and 503 (a request that does not fit into
+    /// `memory`), the connection is closed without a response if this function
+    /// is not set. Input that is not HTTP closes the
     /// connection without a response in any case.
     std::function<http_response(int status)> error_page;
 };
@@ -120,6 +133,8 @@
     bool has_unsent() const { return unsent_bytes() > 0; }
     /// Bytes of all answers that are not yet written to a socket.
     std::size_t unsent_bytes() const;
+    /// Connections that were closed in favor of new ones.
+    std::uint64_t evicted_connections() const;
     /// Stops accepting connections. Each open connection is closed by its next
     /// answer, which carries `Connection: close`.
     void stop_accepting();
--- a/src/http_server_answer.cpp
+++ b/src/http_server_answer.cpp
@@ -147,6 +147,8 @@
         entries_.erase(found);
     }
     changed_.notify_all();
+    removed.state->receipt.drop();
+    removed.state->charge.release();
     if (auto const answer = removed.current.lock())
         answer->connection_closed();
     if (removed.queued)
@@ -209,12 +211,44 @@
     std::lock_guard const lock(mutex_);
     std::vector<std::shared_ptr<server_connection>> connections;
     for (auto const& [number, entry] : entries_)
-        if (entry.queued)
+        if (entry.queued || entry.state->defers_read)
             if (auto connection = entry.connection.lock())
                 connections.push_back(std::move(connection));
     return connections;
 }
 
+template <class Condition>
+std::shared_ptr<server_connection>
+connection_table::least_active(time_point before,
+                               Condition const& matches) const
+{
+    std::lock_guard const lock(mutex_);
+    entry const* chosen = nullptr;
+    for (auto const& [number, entry] : entries_)
+        if (entry.state->active_at <= before && matches(entry) &&
+            (chosen == nullptr ||
+             entry.state->active_at < chosen->state->active_at))
+            chosen = &entry;
+    return chosen == nullptr ? nullptr : chosen->connection.lock();
+}
+
+std::shared_ptr<server_connection>
+connection_table::longest_idle(time_point before) const
+{
+    return least_active(before,
+                        [](entry const& each) { return each.is_idle(); });
+}
+
+std::shared_ptr<server_connection>
+connection_table::longest_stalled(time_point before) const
+{
+    return least_active(before,
+                        [](entry const& each) {
+                            return each.state->receipt.is_open() &&
+                                   !each.state->has_open_answer();
+                        });
+}
+
 void connection_table::handle_in_order(server_connection& connection,
                                        pending_request pending)
 {
@@ -329,12 +363,13 @@
 server_answer::server_answer(std::shared_ptr<connection_table> table,
                              std::shared_ptr<server_connection> connection,
                              std::shared_ptr<caller_state> state,
+                             std::unique_ptr<request_memory> charge,
                              restinio::request_id_t request,
                              response_format format)
     : table_(std::move(table)), state_(std::move(state)), request_(request),
       format_(format),
       unsent_bytes_(std::make_shared<std::atomic<std::size_t>>(0)),
-      connection_(std::move(connection))
+      connection_(std::move(connection)), charge_(std::move(charge))
 {
 }
 
@@ -448,6 +483,7 @@
             return false;
         unsent = stage_ == stage::waiting;
         stage_ = stage::closed;
+        charge_.reset();
         callback = std::exchange(on_closed_, nullptr);
         connection = std::exchange(connection_, nullptr);
     }
@@ -460,6 +496,7 @@
 {
     send(which, std::move(bytes), std::move(body));
     stage_ = stage::complete;
+    charge_.reset();
     on_closed_ = nullptr;
     auto const connection = std::exchange(connection_, nullptr);
     table_->on_answer_complete(*connection, which == part::last_then_close);
@@ -487,6 +524,7 @@
             *unsent -= size;
             state->unsent_bytes -= size;
             table->remove_unsent(size);
+            state->read_on_if_answered();
         });
     // Always posted, never dispatched: a dispatch from the strand would run at
     // once, overtake what another thread had written before, and call back
@@ -497,9 +535,15 @@
          state = state_, which, request = request_, flags,
          group = std::move(group)]() mutable
         {
-            state->unanswered_requests -= which == part::more ? 0 : 1;
+            if (which != part::more)
+            {
+                --state->unanswered_requests;
+                state->active_at = boot_clock::now();
+            }
             state->closing |= which == part::last_then_close;
+            parsing_scope const scope(*state);
             handle->write_response_parts(request, flags, std::move(group));
+            state->read_on_if_answered();
         });
 }
 
--- a/src/http_server_answer.hpp
+++ b/src/http_server_answer.hpp
@@ -84,9 +84,16 @@
     /// connection.
     bool has_requests() const;
 
-    /// Connections on which a request waits for the one before it. RESTinio
-    /// reads nothing from them.
+    /// Connections on which a request, or a part of one, waits for the one
+    /// before it. Nothing is read from them.
     std::vector<std::shared_ptr<server_connection>> queued_connections() const;
+    /// The connection that has been idle for longest, since `before` at least;
+    /// null if there is none. What follows requires that the server has one
+    /// thread.
+    std::shared_ptr<server_connection> longest_idle(time_point before) const;
+    /// The connection whose request was received in part and has made no
+    /// progress for longest, since `before` at least; null if there is none.
+    std::shared_ptr<server_connection> longest_stalled(time_point before) const;
 
     /// Handles a request, or queues it until the previous request on the same
     /// connection is answered.
@@ -129,6 +136,9 @@
         }
     };
 
+    template <class Condition>
+    std::shared_ptr<server_connection>
+    least_active(time_point before, Condition const& matches) const;
     void handle(pending_request pending) const;
     /// Handles the request once a close that was received with it is known.
     void handle_after_close(server_connection& connection,
@@ -164,6 +174,7 @@
     server_answer(std::shared_ptr<connection_table> table,
                   std::shared_ptr<server_connection> connection,
                   std::shared_ptr<caller_state> state,
+                  std::unique_ptr<request_memory> charge,
                   restinio::request_id_t request, response_format format);
     server_answer(server_answer const&) = delete;
     server_answer& operator=(server_answer const&) = delete;
@@ -208,6 +219,8 @@
     std::shared_ptr<std::atomic<std::size_t>> const unsent_bytes_;
     std::mutex mutex_;
     std::shared_ptr<server_connection> connection_;
+    /// Of the request; null if nothing is charged.
+    std::unique_ptr<request_memory> charge_;
     std::function<void()> on_closed_;
     stage stage_ = stage::waiting;
     bool closing_ = false;
--- a/src/net.cmake
+++ b/src/net.cmake
@@ -20,7 +20,8 @@
 target_compile_options(mulberry_rpc_glue PRIVATE -Wno-deprecated)
 
 mulberry_library(mulberry_net
-  SOURCES http_message.cpp http_request_limits.cpp http_server_answer.cpp
+  SOURCES caller_memory.cpp http_message.cpp http_request_limits.cpp
+          http_request_receipt.cpp http_server_answer.cpp lingering_close.cpp
           http_server.cpp http_transfer.cpp http_client.cpp json_rpc.cpp
           sse_parser.cpp
   LINK mulberry_base mulberry_rpc_glue CURL::libcurl fmt::fmt
@@ -31,7 +32,7 @@
 
 # A fixed seed: the properties reach the same verdict in each run.
 mulberry_test(net_test
-  SOURCES http_server_test.cpp http_client_test.cpp json_rpc_test.cpp
+  SOURCES caller_memory_test.cpp http_server_memory_test.cpp http_server_test.cpp http_client_test.cpp json_rpc_test.cpp
           sse_parser_test.cpp bounded_ring_test.cpp
   LINK mulberry_net
   ENVIRONMENT "RC_PARAMS=seed=1")
--- a/src/relay.cpp
+++ b/src/relay.cpp
@@ -65,7 +65,8 @@
 relay::relay(asio::io_context& io, relay_codec const& codec,
              relay_options options, event_log& log)
     : io_(io), codec_(codec), options_(std::move(options)), log_(log),
-      started_at_(boot_clock::now()), pool_(io, options_.source_address),
+      started_at_(boot_clock::now()),
+      pool_(io, options_.source_address, options_.memory),
       answers_(options_.answer_bytes), timer_(io),
       crashes_(io, *this, options_.crashes, log), forwarders_(options_.domain),
       start_hold_(options_.start, started_at_),
@@ -83,9 +84,17 @@
     allotments_ =
         std::make_unique<pooled_limiter>(options_.vm, options_.allotments);
     sending_vms_ = {options_.vm};
+    if (options_.memory == nullptr)
+        return;
+    options_.memory->set_answers([this] { return answers_.held(); });
+    answers_.set_shared_left([this] { return options_.memory->left(); });
 }
 
-relay::~relay() = default;
+relay::~relay()
+{
+    if (options_.memory != nullptr)
+        options_.memory->set_answers({});
+}
 
 time_point relay::now() const
 {
--- a/src/relay.hpp
+++ b/src/relay.hpp
@@ -5,6 +5,7 @@
 
 #include "allotment_limiter.hpp"
 #include "answer_gate.hpp"
+#include "caller_memory.hpp"
 #include "collected_exchange.hpp"
 #include "connect_check.hpp"
 #include "connection_gate.hpp"
@@ -86,6 +87,9 @@
     std::string source_address;
     /// Bytes of answers that this VM may hold; nullopt: any number.
     std::optional<std::size_t> answer_bytes;
+    /// What this VM holds for its callers, answers included; null: not
+    /// bounded. Outlives the io_context.
+    caller_memory* memory = nullptr;
     /// Empty: records of streams are kept in memory only.
     stream_row_access stream_rows;
     /// Changes the product's own rows. Empty: the versions of the workers'
@@ -204,13 +208,19 @@
                         std::shared_ptr<http_answer> const& answer);
 
     /// Makes a call to a worker for another VM; see forwarded_call.hpp.
-    void handle_forwarded_call(http_request const& received,
+    void handle_forwarded_call(http_request received,
                                std::shared_ptr<http_answer> answer);
 
     /// This process is the first of its VM: the store has no row of an earlier
     /// one.
     void set_first_process();
 
+    /// The error with a Retry-After of `min_delay` at least, with jitter.
+    error with_retry_after(error const& problem, duration min_delay)
+    {
+        return {problem.kind(), problem.text(), problem.request_ran(),
+                add_jitter(min_delay)};
+    }
     /// Whether to take a new connection of a caller.
     bool may_open_connection() { return gate_.may_open(now()); }
     /// Sets what returns the bytes that connections of callers and other VMs
@@ -256,7 +266,7 @@
     time_point now() const override;
     relay_codec const& codec() const override { return codec_; }
     std::shared_ptr<backend_exchange>
-    start_send(relay_exchange const& exchange, std::string bytes,
+    start_send(relay_exchange const& exchange, outgoing_request request,
                exchange_options const& options,
                std::shared_ptr<exchange_observer> observer) override;
     backend_pool& pool() { return pool_; }
--- a/src/relay_admission.cpp
+++ b/src/relay_admission.cpp
@@ -114,8 +114,13 @@
                         std::make_shared<bool>(false)};
     if (early.keep_until <= at || early_requests_.size() >= max_early_requests)
         return reject_early_request(early);
-    early.answer->on_closed([disconnected = early.disconnected]
-                            { *disconnected = true; });
+    // Dropped soon: its memory is not charged any more.
+    early.answer->on_closed(
+        [this, disconnected = early.disconnected]
+        {
+            *disconnected = true;
+            schedule_run();
+        });
     early_requests_.push_back(std::move(early));
     schedule_run();
 }
--- a/src/relay_codec.hpp
+++ b/src/relay_codec.hpp
@@ -31,9 +31,10 @@
     virtual ~relay_codec() = default;
 
     virtual relay_request decode_request(http_request received) const = 0;
-    /// Returns the complete HTTP request, head and body, to send to a worker.
-    virtual std::string encode_request(relay_request const& request,
-                                       forward_options const& terms) const = 0;
+    /// Returns the head of the HTTP request to send to a worker. The request's
+    /// body follows it.
+    virtual std::string encode_head(relay_request const& request,
+                                    forward_options const& terms) const = 0;
     /// Header field by which a worker's answer names its request.
     virtual std::string request_id_field() const = 0;
     virtual worker_reply decode_reply(int status, http_headers const& headers,
--- a/src/relay_daemon.cpp
+++ b/src/relay_daemon.cpp
@@ -22,6 +22,8 @@
 
 #include <fmt/format.h>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <cmath>
 #include <csignal>
@@ -68,6 +70,23 @@
 /// The part of a VM's memory that may hold answers. Bytes that were received
 /// and not yet read count as well as its tables and connections.
 constexpr double answer_memory_part = 0.25;
+/// The part of it that may be held for callers: their connections, requests and
+/// answers.
+constexpr double caller_memory_part = 0.375;
+/// SO_RCVBUF and SO_SNDBUF of callers' connections where memory is bounded.
+constexpr int caller_buffer_bytes = 16 * 1024;
+/// Requests to the listeners for readiness and metrics have no bodies.
+constexpr std::size_t max_probe_body_bytes = 4UL * 1024;
+/// Connections to each of these listeners.
+constexpr std::size_t max_probe_connections = 64;
+/// A forwarded call is as large as the largest request of a caller with its
+/// head.
+constexpr std::size_t max_peer_body_bytes = 4UL * 1024 * 1024 + 64UL * 1024;
+constexpr int status_unavailable = 503;
+constexpr int body_block_bytes = 128 * 1024;
+/// Retry-After for a request that does not fit into the memory: the requests
+/// that are handled end within seconds, those that stall yield sooner.
+constexpr milliseconds memory_retry_delay{500};
 constexpr double bytes_per_megabyte = 1024.0 * 1024;
 /// Until its workers have an owner, a VM retries this many times per heartbeat,
 /// that is every one or two tenths of a second.
@@ -103,6 +122,17 @@
     return (std::uint64_t{source()} << 32) ^ source();
 }
 
+/// nullopt: not bounded.
+std::optional<std::size_t> caller_memory_bytes(relay_settings const& value)
+{
+    double const megabytes = value.caller_memory_mb > 0
+                                 ? value.caller_memory_mb
+                                 : value.memory_mb * caller_memory_part;
+    if (megabytes <= 0)
+        return std::nullopt;
+    return static_cast<std::size_t>(megabytes * bytes_per_megabyte);
+}
+
 std::string bound_address(listen_address const& at, http_server const& server)
 {
     return at.address + ":" + std::to_string(server.port());
@@ -187,6 +217,10 @@
 
 private:
     http_server_options server_options(listen_address const& at);
+    http_server_options caller_options();
+    http_server_options peer_options();
+    http_server_options probe_options(listen_address const& at);
+    http_response caller_error_page(int status);
     void answer_readiness(http_request const& request, http_answer& answer);
     void answer_metrics(http_request const& request, http_answer& answer);
     void await_signal();
@@ -217,6 +251,8 @@
     store_meter store_;
     settings_reader const& reload_settings_;
     std::uint64_t const seed_;
+    /// Outlives io_context, whose handlers keep charges.
+    caller_memory memory_;
     asio::io_context io_{1};
     asio::signal_set signals_;
     asio::steady_timer stop_timer_;
@@ -243,16 +279,19 @@
     time_point exit_at_ = never;
 };
 
-relay_options make_relay_options(
-    relay_settings const& value, std::uint64_t seed,
-    std::function<bool(worker_id const&)> may_order,
-    std::function<registry_timestamps()> registry_as_of,
-    std::function<std::uint64_t()> missed_worker_rows,
-    std::function<declarations_known()> declarations_as_of,
-    crash_row_writer write_rows, std::function<time_point()> own_rows_as_of,
-    stream_row_access stream_rows, std::function<void(bool)> on_cut_off)
+relay_options
+make_relay_options(relay_settings const& value, std::uint64_t seed,
+                   std::function<bool(worker_id const&)> may_order,
+                   std::function<registry_timestamps()> registry_as_of,
+                   std::function<std::uint64_t()> missed_worker_rows,
+                   std::function<declarations_known()> declarations_as_of,
+                   crash_row_writer write_rows,
+                   std::function<time_point()> own_rows_as_of,
+                   stream_row_access stream_rows,
+                   std::function<void(bool)> on_cut_off, caller_memory& memory)
 {
     relay_options options;
+    options.memory = &memory;
     options.stream_rows = std::move(stream_rows);
     options.own_rows_as_of = std::move(own_rows_as_of);
     options.write_own_rows = write_rows;
@@ -287,6 +326,7 @@
                              settings_reader const& reload_settings)
     : settings_(value), codec_(codec), store_(store),
       reload_settings_(reload_settings), seed_(random_seed()),
+      memory_(caller_memory_bytes(value)),
       signals_(io_, SIGTERM, SIGINT, SIGHUP), stop_timer_(io_),
       versions_timer_(io_), lapse_timer_(io_),
       log_("relay", value.log_lines_per_second,
@@ -326,7 +366,8 @@
               {
                   if (ownership_)
                       ownership_->set_cut_off(cut_off);
-              }),
+              },
+              memory_),
           log_),
       registry_(codec, log_,
                 {[this](std::shared_ptr<routing_config const> config)
@@ -512,6 +553,65 @@
     options.max_connections = settings_.max_connections;
     options.read_timeout = idle_timeout;
     options.shared_io = &io_;
+    options.memory = &memory_;
+    return options;
+}
+
+http_server_options relay_process::caller_options()
+{
+    http_server_options options = server_options(settings_.callers);
+    options.closes_excess_connections = true;
+    options.charges_connections = true;
+    if (memory_.capacity())
+        options.socket_buffer_bytes = caller_buffer_bytes;
+    options.may_open = [this] { return relay_.may_open_connection(); };
+    options.error_page = [this](int status)
+    { return caller_error_page(status); };
+    return options;
+}
+
+http_response relay_process::caller_error_page(int status)
+{
+    error problem = server_error(status);
+    if (status == status_unavailable)
+    {
+        problem = relay_.with_retry_after(problem, memory_retry_delay);
+        log_.notable(
+            "request refused",
+            log_fields()
+                .add("reason", "no memory is left for it")
+                .add("held", std::uint64_t{memory_.held()})
+                .add("for_requests", std::uint64_t{memory_.requests()}),
+            boot_clock::now());
+    }
+    http_response page = codec_.error_response({}, problem);
+    page.status = status;
+    return page;
+}
+
+http_server_options relay_process::peer_options()
+{
+    http_server_options options = server_options(settings_.peers);
+    options.dead_peer_timeout = dead_peer_timeout;
+    options.max_body_bytes = max_peer_body_bytes;
+    // The other VM asks the next one.
+    options.error_page = [](int status)
+    {
+        return http_response{status,
+                             {},
+                             status == status_unavailable
+                                 ? std::string(name_of(forward_refusal::busy))
+                                 : std::string()};
+    };
+    return options;
+}
+
+http_server_options relay_process::probe_options(listen_address const& at)
+{
+    http_server_options options = server_options(at);
+    options.max_body_bytes = max_probe_body_bytes;
+    options.max_connections = max_probe_connections;
+    options.closes_excess_connections = true;
     return options;
 }
 
@@ -543,8 +643,10 @@
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
     response.body = relay_.metrics() + registry_.metrics() + mirror_.metrics() +
                     store_.metrics();
-    response.body +=
-        fmt::format("mulberry_stands_by {}\n", ownership_->stands_by() ? 1 : 0);
+    response.body += fmt::format(
+        "mulberry_stands_by {}\n"
+        "mulberry_caller_connections_evicted_total {}\n",
+        ownership_->stands_by() ? 1 : 0, callers_->evicted_connections());
     answer.respond(std::move(response));
 }
 
@@ -675,27 +777,16 @@
 {
     await_signal();
     readiness_.emplace(
-        server_options(settings_.readiness),
+        probe_options(settings_.readiness),
         [this](http_request request, std::shared_ptr<http_answer> answer)
         { answer_readiness(request, *answer); });
-    http_server_options caller_options = server_options(settings_.callers);
-    caller_options.closes_excess_connections = true;
-    caller_options.may_open = [this] { return relay_.may_open_connection(); };
-    caller_options.error_page = [this](int status)
-    {
-        http_response page = codec_.error_response({}, server_error(status));
-        page.status = status;
-        return page;
-    };
     callers_.emplace(
-        std::move(caller_options),
+        caller_options(),
         [this](http_request request, std::shared_ptr<http_answer> answer)
         { relay_.handle(std::move(request), std::move(answer)); });
-    http_server_options peer_options = server_options(settings_.peers);
-    peer_options.dead_peer_timeout = dead_peer_timeout;
     peers_.emplace(
-        std::move(peer_options),
-        [this](http_request const& request, std::shared_ptr<http_answer> answer)
+        peer_options(),
+        [this](http_request request, std::shared_ptr<http_answer> answer)
         {
             if (request.path == rows_path)
                 return mirror_.serve(request, std::move(answer));
@@ -706,14 +797,15 @@
             if (request.path == streams_path)
                 return relay_.handle_streams(request, answer);
             if (request.path == forwarded_call_path)
-                return relay_.handle_forwarded_call(request, std::move(answer));
+                return relay_.handle_forwarded_call(std::move(request),
+                                                    std::move(answer));
             relay_.handle_peer(request, std::move(answer));
         });
     relay_.set_unsent(
         [this] { return callers_->unsent_bytes() + peers_->unsent_bytes(); });
     if (settings_.serves_metrics)
         metrics_.emplace(
-            server_options(settings_.metrics),
+            probe_options(settings_.metrics),
             [this](http_request request, std::shared_ptr<http_answer> answer)
             { answer_metrics(request, *answer); });
     print_addresses();
@@ -730,6 +822,10 @@
 int run_relay(relay_settings const& value, relay_codec const& codec,
               row_store& store, settings_reader const& reload_settings)
 {
+    // Large bodies get blocks of their own, which return to the system when
+    // they are freed. By default the threshold grows to the size of blocks that
+    // were freed, and bodies would fragment the heap.
+    mallopt(M_MMAP_THRESHOLD, body_block_bytes);
     start_logging(value.vm.str(), value.log_level, value.log_format);
     relay_process process(value, codec, store, reload_settings);
     int const status = process.run();
--- a/src/relay_exchange.cpp
+++ b/src/relay_exchange.cpp
@@ -200,7 +200,7 @@
     options.mark =
         answer_mark{host_.codec().request_id_field(), request_.id.str()};
     send_.call = host_.start_send(
-        *this, host_.codec().encode_request(request_, terms), options,
+        *this, {host_.codec().encode_head(request_, terms), body()}, options,
         std::make_shared<attempt>(shared_from_this(), send_.number));
     send_.place = send_.call->place();
     if (sends_ > 1)
@@ -208,6 +208,14 @@
     schedule_wake();
 }
 
+/// The body is as old as the exchange, which the returned pointer keeps.
+std::shared_ptr<std::string const> relay_exchange::body()
+{
+    if (request_.body.empty())
+        return nullptr;
+    return {shared_from_this(), &request_.body};
+}
+
 void relay_exchange::on_postponed()
 {
     postponed_ = true;
--- a/src/relay_exchange.hpp
+++ b/src/relay_exchange.hpp
@@ -43,10 +43,10 @@
     virtual ~exchange_host() = default;
     virtual time_point now() const = 0;
     virtual relay_codec const& codec() const = 0;
-    /// Sends `bytes`, the encoded request, to the exchange's worker, directly
-    /// or by way of another VM. The observer is never called within this call.
+    /// Sends the request to the exchange's worker, directly or by way of
+    /// another VM. The observer is never called within this call.
     virtual std::shared_ptr<backend_exchange>
-    start_send(relay_exchange const& exchange, std::string bytes,
+    start_send(relay_exchange const& exchange, outgoing_request request,
                exchange_options const& options,
                std::shared_ptr<exchange_observer> observer) = 0;
     /// Queues the request until a worker that is not excluded accepts it.
@@ -265,6 +265,7 @@
     void on_end(bool framed);
     void on_failure(call_stage at, std::string const& reason);
 
+    std::shared_ptr<std::string const> body();
     /// True if the route allows running the request twice.
     bool is_retryable() const;
     /// Whether the request may run at one more worker.
--- a/src/relay_forwarding.cpp
+++ b/src/relay_forwarding.cpp
@@ -324,20 +324,21 @@
 }
 
 std::shared_ptr<backend_exchange>
-relay::start_send(relay_exchange const& exchange, std::string bytes,
+relay::start_send(relay_exchange const& exchange, outgoing_request request,
                   exchange_options const& options,
                   std::shared_ptr<exchange_observer> observer)
 {
     backend_entry const& worker = exchange.worker_entry();
     backend_address const to{worker.address, worker.port};
     if (!reachability_.is_cut_off() || !forwarders_.can_forward(now()))
-        return pool_.start(to, std::move(bytes), options, std::move(observer));
+        return pool_.start(to, std::move(request), options,
+                           std::move(observer));
     ++counts_.sent_through;
     sent_through_.insert(exchange.terms().ticket);
     auto const send = std::make_shared<forwarded_send>(
         *this,
         forwarded_call{worker.id, to, exchange.request().id, options_.vm,
-                       options, std::move(bytes)},
+                       options, std::move(request)},
         std::move(observer));
     send->start();
     return send;
@@ -427,10 +428,10 @@
                   : std::optional(forward_refusal::unknown_worker);
 }
 
-void relay::handle_forwarded_call(http_request const& received,
+void relay::handle_forwarded_call(http_request received,
                                   std::shared_ptr<http_answer> answer)
 {
-    auto call = decode_forwarded_call(received);
+    auto call = decode_forwarded_call(std::move(received));
     if (!call)
         return answer->respond({status_bad_request, {}, {}});
     if (auto const refusal = refuse_forwarding(*call))
@@ -451,7 +452,7 @@
     answer->start_stream(status_ok, {});
     call->options.mark =
         answer_mark{codec_.request_id_field(), call->request.str()};
-    forwarder->set_call(pool_.start(call->to, std::move(call->bytes),
+    forwarder->set_call(pool_.start(call->to, std::move(call->outgoing),
                                     call->options, forwarder));
 }
 
--- a/src/relay_metrics.cpp
+++ b/src/relay_metrics.cpp
@@ -58,6 +58,22 @@
     add("slow_callers_closed_total", "", counts_.slow_callers_closed);
     add("unsent_bytes", "", std::uint64_t{answers_.unsent()});
     add("buffered_answer_bytes", "", std::uint64_t{answers_.buffered()});
+    if (caller_memory const* const memory = options_.memory)
+    {
+        auto const held = [&](std::string_view what, std::size_t bytes)
+        {
+            add("caller_memory_bytes", fmt::format("{{for=\"{}\"}}", what),
+                std::uint64_t{bytes});
+        };
+        held("connections", memory->connections());
+        held("worker_connections", memory->worker_connections());
+        held("requests", memory->requests());
+        held("answers", answers_.held());
+        add("caller_memory_capacity_bytes", "",
+            std::uint64_t{memory->capacity().value_or(0)});
+        add("requests_refused_for_memory_total", "", memory->counts().refused);
+        add("requests_yielded_for_memory_total", "", memory->counts().yielded);
+    }
     add("cut_off_from_workers", "", std::uint64_t{reachability_.is_cut_off()});
     add("stream_records_sent_total", "", counts_.stream_records_sent);
     add("stream_questions_total", "", counts_.stream_questions);
--- a/src/relay_settings.cpp
+++ b/src/relay_settings.cpp
@@ -129,6 +129,8 @@
     root.read_number("processor_share", value.processor_share, {0.001, 1000.0},
                      optional);
     root.read_number("memory_mb", value.memory_mb, {1.0, 1e7}, optional);
+    root.read_number("caller_memory_mb", value.caller_memory_mb, {1.0, 1e7},
+                     optional);
     root.read_count("max_connections", value.max_connections, {1, 1'000'000},
                     optional);
     root.read_choice("log_level", value.log_level,
--- a/src/relay_settings.hpp
+++ b/src/relay_settings.hpp
@@ -65,8 +65,11 @@
     /// most own workers and read the store for the others.
     double processor_share = 1;
     /// Memory of this VM in megabytes; a process that uses more is killed.
-    /// 0: not known, and what is held of answers has no total bound.
+    /// 0: not known, and what is held for callers has no total bound.
     double memory_mb = 0;
+    /// The part of it that may be held for callers, in megabytes; 0: three
+    /// eighths.
+    double caller_memory_mb = 0;
     std::size_t max_connections = 4096;
     std::string log_level = "info";
     std::string log_format = "json";
--- a/tests/forwarded_call_test.cpp
+++ b/tests/forwarded_call_test.cpp
@@ -50,7 +50,7 @@
     request.headers.add("From", call.from.str());
     request.headers.add("Connect-Timeout-Ms", "300");
     request.headers.add("Max-Idle-Ms", "1000");
-    request.body = call.bytes;
+    request.body = call.outgoing.head;
     return request;
 }
 
@@ -59,9 +59,21 @@
 TEST_CASE("a forwarded call is read as it was written", "[forwarded_call]")
 {
     CHECK(decode_forwarded_call(received(example())) == example());
-    std::string const text = encode_forwarded_call(example(), "vm-2");
+    std::string const text = encode_forwarded_call(example(), "vm-2").head;
     CHECK(text.find("Worker-Address: 10.0.0.7:8001\r\n") != std::string::npos);
-    CHECK(text.ends_with("\r\n\r\n" + example().bytes));
+    CHECK(text.ends_with("\r\n\r\n" + example().outgoing.head));
+}
+
+TEST_CASE("the body of a forwarded call is not copied", "[forwarded_call]")
+{
+    forwarded_call call = example();
+    call.outgoing.body = std::make_shared<std::string const>("a body");
+    outgoing_request const sent = encode_forwarded_call(call, "vm-2");
+    CHECK(sent.body == call.outgoing.body);
+    std::string const length =
+        std::to_string(call.outgoing.head.size() + 6) + "\r\n\r\n";
+    CHECK(
+        sent.head.ends_with("Content-Length: " + length + call.outgoing.head));
 }
 
 TEST_CASE("a forwarded call with a bad field is refused", "[forwarded_call]")
--- a/tests/registry_watch_test.cpp
+++ b/tests/registry_watch_test.cpp
@@ -68,8 +68,8 @@
     }
 
     relay_request decode_request(http_request) const override { throw unused; }
-    std::string encode_request(relay_request const&,
-                               forward_options const&) const override
+    std::string encode_head(relay_request const&,
+                            forward_options const&) const override
     {
         throw unused;
     }
--- a/tests/relay_callers.hpp
+++ b/tests/relay_callers.hpp
@@ -29,8 +29,8 @@
         request.time_left = std::chrono::seconds(40);
         return request;
     }
-    std::string encode_request(relay_request const&,
-                               forward_options const&) const override
+    std::string encode_head(relay_request const&,
+                            forward_options const&) const override
     {
         return {};
     }
--- a/tests/relay_events_test.cpp
+++ b/tests/relay_events_test.cpp
@@ -25,8 +25,8 @@
 class event_codec final : public plain_codec
 {
 public:
-    std::string encode_request(relay_request const&,
-                               forward_options const&) const override
+    std::string encode_head(relay_request const&,
+                            forward_options const&) const override
     {
         return "GET /a/1 HTTP/1.1\r\nHost: worker\r\n\r\n";
     }
--- a/tests/relay_service_kind_test.cpp
+++ b/tests/relay_service_kind_test.cpp
@@ -30,8 +30,8 @@
         request.model = model_target{model, adapter_id("a")};
         return request;
     }
-    std::string encode_request(relay_request const& request,
-                               forward_options const&) const override
+    std::string encode_head(relay_request const& request,
+                            forward_options const&) const override
     {
         return "GET " + request.path + " HTTP/1.1\r\nHost: worker\r\n\r\n";
     }
--- a/tests/relay_silence_test.cpp
+++ b/tests/relay_silence_test.cpp
@@ -73,7 +73,7 @@
     time_point now() const override { return at; }
     relay_codec const& codec() const override { return codec_; }
     std::shared_ptr<backend_exchange>
-    start_send(relay_exchange const&, std::string, exchange_options const&,
+    start_send(relay_exchange const&, outgoing_request, exchange_options const&,
                std::shared_ptr<exchange_observer> observer) override
     {
         calls.push_back(std::make_shared<fake_call>());
--- a/tests/relay_software_test.cpp
+++ b/tests/relay_software_test.cpp
@@ -35,8 +35,8 @@
         request.id = request_id(path);
         return request;
     }
-    std::string encode_request(relay_request const&,
-                               forward_options const&) const override
+    std::string encode_head(relay_request const&,
+                            forward_options const&) const override
     {
         return "GET /a/1 HTTP/1.1\r\nHost: worker\r\n\r\n";
     }
--- a/tests/relay_teams_test.cpp
+++ b/tests/relay_teams_test.cpp
@@ -30,8 +30,8 @@
         request.key = key;
         return request;
     }
-    std::string encode_request(relay_request const& request,
-                               forward_options const& terms) const override
+    std::string encode_head(relay_request const& request,
+                            forward_options const& terms) const override
     {
         return "GET " + request.path + "/" + terms.team.value().str() +
                " HTTP/1.1\r\nHost: worker\r\n\r\n";
