Tell an answer that was reset during its upload as incomplete

What callers saw: a worker answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still written; the caller got that part as a complete answer.

Cause: the socket hands its error (ECONNRESET, or ETIMEDOUT behind a cut link) to the call that comes first. With a write in progress that is the write, whose failure was ignored "as the read reports it"; the next read returns the end of the stream, as after a close in order, and that completes an answer without a length.

The new test makes the order certain: a write that is blocked, since the worker reads nothing, when the reset comes.

Change: a failed write makes the end of its connection a failure. The write's handler runs before that of the read that sees the end: both are queued in that order by the one thread of the event loop.

--- a/src/backend_pool.cpp
+++ b/src/backend_pool.cpp
@@ -171,6 +171,7 @@
         idle_ = false;
         sent_ = false;
         written_ = false;
+        write_failed_ = false;
         parser_.begin();
     }
 
@@ -229,11 +230,11 @@
             {
                 if (exchange != self->exchange_number_)
                     return;
-                if (!failure)
-                    self->written_ = true;
-                // A write failure is not reported here: an answer that the
-                // worker sent before it closed the connection is read first,
-                // and the read reports the failure.
+                self->written_ = !failure;
+                // An answer that the worker sent before it closed the
+                // connection is read first; the end of the connection is
+                // reported by the read.
+                self->write_failed_ = failure.operator bool();
             });
     }
 
@@ -262,9 +263,14 @@
             read();
     }
 
+    /// Failure: the kernel reports a reset once, to the write of the request if
+    /// that is in progress, and the read then sees the end of the stream, as
+    /// if the worker had closed the connection in order. A part of an answer
+    /// without a length would pass for a whole one.
     void on_closed(asio::error_code const& failure)
     {
-        if (failure == asio::error::eof && parser_.has_head() && !skips_)
+        bool const in_order = failure == asio::error::eof && !write_failed_;
+        if (in_order && parser_.has_head() && !skips_)
         {
             parser_.finish();
             if (!connected_)
@@ -448,6 +454,7 @@
     bool idle_ = false;
     bool sent_ = false;
     bool written_ = false;
+    bool write_failed_ = false;
     std::chrono::milliseconds idle_limit_{0};
     clock::time_point idle_since_;
     clock::time_point usable_until_;
--- a/tests/backend_pool_test.cpp
+++ b/tests/backend_pool_test.cpp
@@ -888,3 +888,54 @@
                 CHECK_FALSE(exchange.ended);
             }
 }
+
+// Guards against telling a part of an answer as a whole one: the write of the
+// request takes the connection's error, and the read sees the end only.
+TEST_CASE("an answer without a length that is reset while its request is "
+          "written is incomplete",
+          "[backend_pool]")
+{
+    constexpr std::size_t more_than_buffers = 64UL * 1024 * 1024;
+    asio::io_context io{1};
+    backend_pool pool(io);
+    raw_socket const listener = raw_socket::listening();
+    observed_exchange upload;
+    bool const in_order = GENERATE(true, false);
+    pool.start({"127.0.0.1", listener.port()},
+               {"POST / HTTP/1.1\r\nHost: w\r\n\r\n",
+                std::make_shared<std::string const>(more_than_buffers, 'u')},
+               {}, std::make_shared<exchange_recorder>(upload));
+    io.run_for(200ms);
+    raw_socket worker = listener.accepted();
+    worker.send("HTTP/1.1 200 OK\r\n\r\n");
+    if (in_order)
+        while (upload.status == 0)
+            io.run_one_for(1s);
+    worker.send("half");
+    if (in_order)
+        while (upload.body.empty())
+            io.run_one_for(1s);
+    // The write waits for the worker, which has read nothing.
+    worker.reset();
+    while (!upload.ended && !upload.failed)
+        io.run_one_for(1s);
+    CHECK_FALSE(upload.ended);
+    CHECK(upload.failed == call_stage::answering);
+}
+
+// Guards against failing answers of workers that read the whole request after
+// they have answered.
+TEST_CASE("an answer without a length that closes in order is complete",
+          "[backend_pool]")
+{
+    pool_fixture world;
+    observed_exchange only;
+    world.send(only);
+    raw_socket worker = world.accept();
+    worker.send("HTTP/1.1 200 OK\r\n\r\nwhole");
+    worker.close();
+    only.wait();
+    CHECK(only.ended);
+    CHECK_FALSE(only.framed);
+    CHECK(only.body == "whole");
+}
--- a/tests/raw_socket.hpp
+++ b/tests/raw_socket.hpp
@@ -182,6 +182,15 @@
 
     void shutdown_send() const { ::shutdown(descriptor_, SHUT_WR); }
 
+    /// Closes the connection so that the peer sees a reset.
+    void reset()
+    {
+        linger const at_once{1, 0};
+        ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &at_once,
+                     sizeof at_once);
+        close();
+    }
+
     void close()
     {
         if (descriptor_ >= 0)
