Refuse answers whose status line is malformed

What callers saw, on other systems: a worker in trouble sent an answer with the status 000, and the client got it as an answer. Here 000 was taken for an interim answer and its body for the next head; 0200, two blanks before the status, HTTP/1.2 and HTTP/2.0 were passed on as 200.

Cause: the HTTP parser guesses at status lines, and everything below 200 counted as interim. It also joins an indented field to the one before it, so that a worker's " Transfer-Encoding: chunked" was no framing here.

Change: answer_head_check looks at the beginning of each status line, also behind interim answers, for which the parser now pauses, and refuses indented fields. A 101 is refused: no request asks for another protocol.

--- a/src/answer_parser.cpp
+++ b/src/answer_parser.cpp
@@ -10,11 +10,31 @@
 /// Workers send one or two; a faulty one may send them without end.
 constexpr int max_interim_answers = 16;
 constexpr int first_final_status = 200;
+constexpr int status_switching_protocols = 101;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 constexpr std::string_view start_of_status_line = "HTTP/1.";
 constexpr std::string_view optional_white_space = " \t";
 
+constexpr std::string_view versions = "01";
+constexpr std::size_t version_at = start_of_status_line.size();
+constexpr std::size_t status_at = version_at + 2;
+constexpr std::size_t status_end = status_at + 3;
+
+/// Whether the byte may stand there in a status line.
+bool is_in_place(char byte, std::size_t at)
+{
+    if (at < version_at)
+        return byte == start_of_status_line[at];
+    if (at == version_at)
+        return versions.find(byte) != std::string_view::npos;
+    if (at < status_at)
+        return byte == ' ';
+    if (at < status_end)
+        return byte >= (at == status_at ? '1' : '0') && byte <= '9';
+    return byte == ' ' || byte == '\r' || byte == '\n';
+}
+
 /// Results of on_headers_complete().
 constexpr int go_on = 0;
 constexpr int skip_body = 1;
@@ -22,6 +42,32 @@
 
 } // namespace
 
+void answer_head_check::begin()
+{
+    checked_ = 0;
+    at_line_start_ = false;
+    is_complete_ = false;
+}
+
+bool answer_head_check::feed(std::string_view bytes)
+{
+    for (; !bytes.empty() && !is_complete_; bytes.remove_prefix(1))
+        if (!feed(bytes.front()))
+            return false;
+    return true;
+}
+
+bool answer_head_check::feed(char byte)
+{
+    if (checked_ <= status_end && !is_in_place(byte, checked_++))
+        return false;
+    // A line is ended by a line feed, with or without a carriage return.
+    is_complete_ = at_line_start_ && byte == '\n';
+    bool const folds = at_line_start_ && (byte == ' ' || byte == '\t');
+    at_line_start_ = byte == '\n' || (at_line_start_ && byte == '\r');
+    return !folds;
+}
+
 answer_parser::answer_parser(answer_listener& listener) : listener_(listener)
 {
     http_parser_settings_init(&callbacks_);
@@ -38,6 +84,7 @@
 {
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
+    head_check_.begin();
     forget_headers();
     interim_answers_ = 0;
     has_head_ = false;
@@ -50,13 +97,22 @@
 bool answer_parser::feed(std::string_view bytes)
 {
     // http_parser takes an execution without bytes for the end.
-    if (bytes.empty())
-        return true;
-    std::size_t const used =
-        http_parser_execute(&parser_, &callbacks_, bytes.data(), bytes.size());
-    excess_bytes_ = complete_ ? bytes.size() - used : 0;
-    return complete_ ||
-           (HTTP_PARSER_ERRNO(&parser_) == HPE_OK && used == bytes.size());
+    while (!bytes.empty() && !complete_)
+    {
+        if (!head_check_.feed(bytes))
+            return false;
+        bytes.remove_prefix(http_parser_execute(&parser_, &callbacks_,
+                                                bytes.data(), bytes.size()));
+        if (complete_)
+            break;
+        // It pauses behind an interim answer.
+        if (HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED)
+            http_parser_pause(&parser_, 0);
+        if (HTTP_PARSER_ERRNO(&parser_) != HPE_OK)
+            return false;
+    }
+    excess_bytes_ = bytes.size();
+    return true;
 }
 
 void answer_parser::finish()
@@ -125,6 +181,9 @@
         self.store_header();
     self.look_for_status_line(self.reason_);
     int const status = static_cast<int>(parser->status_code);
+    // No request asks for another protocol.
+    if (status == status_switching_protocols)
+        return reject;
     // Interim answers have no body, whatever their fields say.
     if (status < first_final_status)
         return skip_body;
@@ -151,9 +210,10 @@
     answer_parser& self = of(parser);
     // Those of a trailer, too.
     self.forget_headers();
-    if (!self.has_head_)
-        return ++self.interim_answers_ > max_interim_answers ? 1 : 0;
-    self.complete_ = true;
+    if (!self.has_head_ && ++self.interim_answers_ > max_interim_answers)
+        return 1;
+    self.complete_ = self.has_head_;
+    self.head_check_.begin();
     http_parser_pause(parser, 1);
     return 0;
 }
--- a/src/answer_parser.hpp
+++ b/src/answer_parser.hpp
@@ -13,6 +13,30 @@
 namespace mulberry
 {
 
+/// Checks what the HTTP parser is lenient about: the status line must begin
+/// with "HTTP/1.0 " or "HTTP/1.1 ", three digits, the first of them not 0, and
+/// a blank or the end of the line; and no field may go on in another line.
+/// Failure: the parser guesses the status of other lines, and a field that a
+/// worker in trouble has indented becomes part of the one before it. Thread
+/// safety: none.
+class answer_head_check
+{
+public:
+    /// Expects the first byte of another head from now on.
+    void begin();
+    /// Checks the bytes up to the end of the head, and ignores what follows.
+    /// Returns false if one is wrong; no call follows then, but begin().
+    bool feed(std::string_view bytes);
+
+private:
+    bool feed(char byte);
+
+    /// Bytes of the status line that were checked.
+    std::size_t checked_ = 0;
+    bool at_line_start_ = false;
+    bool is_complete_ = false;
+};
+
 /// Receives the parts of one final answer; interim answers are skipped.
 class answer_listener
 {
@@ -69,6 +93,7 @@
     answer_listener& listener_;
     http_parser parser_{};
     http_parser_settings callbacks_{};
+    answer_head_check head_check_;
     http_headers headers_;
     /// Of the status line.
     std::string reason_;
--- a/tests/answer_parser_test.cpp
+++ b/tests/answer_parser_test.cpp
@@ -333,3 +333,85 @@
     CHECK(into.parts.body.empty());
     CHECK_FALSE(parser.is_complete());
 }
+
+namespace
+{
+
+/// Whether the answer is refused, whichever way it is split.
+bool is_refused(std::string const& text)
+{
+    std::vector<std::string> bytes;
+    for (char const each : text)
+        bytes.emplace_back(1, each);
+    answer_parts const at_once = parse({text}, true);
+    answer_parts const in_bytes = parse(bytes, true);
+    return !at_once.complete && at_once.status == 0 && !in_bytes.complete &&
+           in_bytes.status == 0;
+}
+
+} // namespace
+
+// Guards against passing an answer on whose status line is not one: a worker in
+// trouble sends it, and its status is guessed.
+TEST_CASE("an answer with a malformed status line is refused",
+          "[answer_parser]")
+{
+    std::string const line =
+        GENERATE("HTTP/1.1 000 OK", "HTTP/1.1 000 ", "HTTP/1.1 099 x",
+                 "HTTP/1.1 00 OK", "HTTP/1.1 20 OK", "HTTP/1.1 2000 OK",
+                 "HTTP/1.1 0200 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 -200 OK",
+                 "HTTP/1.1 20x OK", "HTTP/1.1  200 OK", "HTTP/1.1\t200 OK",
+                 "HTTP/1.1 OK", "HTTP/2.0 200 OK", "HTTP/1.2 200 OK",
+                 "HTTP/1.10 200 OK", "HTTP/01.1 200 OK", "XTTP/1.1 200 OK",
+                 "http/1.1 200 OK", " HTTP/1.1 200 OK", "\r\nHTTP/1.1 200 OK");
+    std::string const before =
+        GENERATE("", "HTTP/1.1 100 Continue\r\nLink: a\r\n\r\n");
+    CAPTURE(before, line);
+    CHECK(is_refused(before + line + "\r\nContent-Length: 2\r\n\r\nok"));
+}
+
+// Guards against taking the body of an answer for the next head.
+TEST_CASE("a status below 100 is not that of an interim answer",
+          "[answer_parser]")
+{
+    std::string const status = GENERATE("000", "099", "20", "0");
+    std::string const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    CHECK(
+        is_refused(fmt::format("HTTP/1.1 {} x\r\nContent-Length: {}\r\n\r\n{}",
+                               status, whole.size(), whole)));
+}
+
+TEST_CASE("a change of the protocol is refused", "[answer_parser]")
+{
+    CHECK(is_refused("HTTP/1.1 101 x\r\nConnection: Upgrade\r\n"
+                     "Upgrade: a\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"));
+}
+
+TEST_CASE("an answer with a short status line is read", "[answer_parser]")
+{
+    std::string const line =
+        GENERATE("HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK");
+    answer_parts const read = parse({line + "\r\nContent-Length: 2\r\n\r\nok"});
+    CHECK(read.status == 200);
+    CHECK(read.complete);
+}
+
+// Guards against reading a field that is indented as a part of the one before
+// it: its body would be read without the framing that the field names.
+TEST_CASE("an answer with an indented field is refused", "[answer_parser]")
+{
+    std::string const blank = GENERATE(" ", "\t");
+    std::string const before = GENERATE("", "Number: 7\r\n", "Number: 7\n");
+    CHECK(is_refused("HTTP/1.1 200 OK\r\n" + before + blank +
+                     "Transfer-Encoding: chunked\r\n"
+                     "Content-Length: 2\r\n\r\nok"));
+}
+
+TEST_CASE("a body may begin with a blank", "[answer_parser]")
+{
+    answer_parts const read =
+        parse({"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n a\n b"});
+    CHECK(read.body == " a\n b");
+    CHECK(read.complete);
+}
