Refuse answers with malformed names of fields or unknown encodings

What callers saw: an answer in whose head the name of a field holds a blank was passed on with that line. "Content-Length : 5" gave 5 of 12 bytes as a complete answer with two lengths, "Transfer-Encoding : chunked" and "Transfer-Encoding: chunked, chunked" the framing of the chunks as the body, and "Content-Encoding : gzip" went through where "Content-Encoding: gzip" may not.

Cause: the HTTP parser takes blanks in names, and knows a length by such a name, while this program compares names exactly; and it leaves a body with another encoding than chunked as it is.

Change: names must be tokens, a Transfer-Encoding must be "chunked", once. The same for names in answers that libcurl reads (the store, the product's own protocol) and in forwarded answers.

--- a/src/answer_parser.cpp
+++ b/src/answer_parser.cpp
@@ -139,7 +139,8 @@
     if (self.in_value_)
         self.store_header();
     self.field_.append(at, size);
-    return go_on;
+    // Empty where a read ended at the name's end.
+    return size == 0 || is_token({at, size}) ? go_on : reject;
 }
 
 int answer_parser::on_header_value(http_parser* parser, char const* at,
@@ -159,6 +160,16 @@
     in_value_ = false;
 }
 
+bool answer_parser::has_known_framing() const
+{
+    int encodings = 0;
+    for (auto const& [name, value] : headers_.fields())
+        if (same_header_name(name, "Transfer-Encoding") &&
+            (!is_chunked_only(value) || ++encodings > 1))
+            return false;
+    return true;
+}
+
 void answer_parser::look_for_status_line(std::string_view text)
 {
     if (text.find(start_of_status_line) != std::string_view::npos)
@@ -180,6 +191,8 @@
     if (self.in_value_)
         self.store_header();
     self.look_for_status_line(self.reason_);
+    if (!self.has_known_framing())
+        return reject;
     int const status = static_cast<int>(parser->status_code);
     // No request asks for another protocol.
     if (status == status_switching_protocols)
--- a/src/answer_parser.hpp
+++ b/src/answer_parser.hpp
@@ -87,6 +87,8 @@
     static int on_body(http_parser* parser, char const* at, std::size_t size);
     static int on_message_complete(http_parser* parser);
     void store_header();
+    /// Whether the body's framing is one that this parser reads.
+    bool has_known_framing() const;
     void look_for_status_line(std::string_view text);
     void forget_headers();
 
--- a/src/forwarded_call.cpp
+++ b/src/forwarded_call.cpp
@@ -79,7 +79,7 @@
     {
         std::string_view const line = take_line(text);
         auto const colon = line.find(':');
-        if (colon == std::string_view::npos)
+        if (colon == std::string_view::npos || !is_token(line.substr(0, colon)))
             return std::nullopt;
         headers.add(std::string(line.substr(0, colon)),
                     std::string(line.substr(colon + 1)));
--- a/src/http_message.cpp
+++ b/src/http_message.cpp
@@ -59,6 +59,24 @@
                        { return same_header_name(name, known); });
 }
 
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() &&
+           std::all_of(text.begin(), text.end(),
+                       [marks](unsigned char c)
+                       {
+                           return c < 0x80 &&
+                                  (std::isalnum(c) != 0 ||
+                                   marks.find(char(c)) != marks.npos);
+                       });
+}
+
+bool is_chunked_only(std::string_view value)
+{
+    return same_header_name(value, "chunked");
+}
+
 bool is_safe_header(std::string_view name, std::string_view value)
 {
     constexpr std::string_view forbidden_bytes("\r\n\0", 3);
--- a/src/http_message.hpp
+++ b/src/http_message.hpp
@@ -20,6 +20,15 @@
 /// the headers of a received message can be forwarded unchanged.
 bool is_connection_header(std::string_view name);
 
+/// Whether the text is a token, as names of fields must be: visible ASCII
+/// characters without separators. A name with a blank, also before its colon,
+/// is read differently by different programs.
+bool is_token(std::string_view text);
+
+/// Whether a message with this value of Transfer-Encoding can be read: only the
+/// chunked encoding, once.
+bool is_chunked_only(std::string_view value);
+
 /// Whether a field can be written without header injection: no line breaks or
 /// NUL, no colon in the name, and a name that is not empty.
 bool is_safe_header(std::string_view name, std::string_view value);
--- a/src/http_transfer.cpp
+++ b/src/http_transfer.cpp
@@ -252,6 +252,7 @@
     std::size_t const colon = line.find(':');
     if (colon == std::string_view::npos)
         return;
+    malformed_head_ |= !is_token(line.substr(0, colon));
     std::string_view value = line.substr(colon + 1);
     value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
     headers_.add(std::string(line.substr(0, colon)), std::string(value));
@@ -259,7 +260,8 @@
 
 void http_transfer::headers_complete()
 {
-    if (status_ < first_final_status)
+    // done() reports the failure.
+    if (status_ < first_final_status || malformed_head_)
         return;
     status_reported_ = true;
     observer_->on_status(status_, headers_);
--- a/src/http_transfer.hpp
+++ b/src/http_transfer.hpp
@@ -90,6 +90,8 @@
     curl_off_t uploaded_bytes_ = 0;
     clock::time_point last_byte_;
     bool bad_header_ = false;
+    /// Of the response.
+    bool malformed_head_ = false;
     bool request_begun_ = false;
     bool response_begun_ = false;
     bool status_reported_ = false;
--- a/tests/answer_parser_test.cpp
+++ b/tests/answer_parser_test.cpp
@@ -397,6 +397,24 @@
     CHECK(read.complete);
 }
 
+// Guards against fields that the caller reads otherwise than this VM does, such
+// as a length with a blank before its colon.
+TEST_CASE("an answer with a malformed field name is refused", "[answer_parser]")
+{
+    std::string const field =
+        GENERATE(as<std::string>{}, "X-Pad : y", "X-Pad\t: y", "X Pad: y",
+                 "Content-Length : 2", "Content -Length: 2",
+                 "Transfer-Encoding : chunked", "Content-Encoding : gzip",
+                 ": y", "X(Pad): y", "X-\x01Pad: y", "X-\x0bPad: y",
+                 "X-\x7fPad: y", "X-\xe9Pad: y", std::string("X-\0Pad: y", 9));
+    CAPTURE(field);
+    bool const first = GENERATE(true, false);
+    std::string const head =
+        first ? field + "\r\nNumber: 7\r\n" : "Number: 7\r\n" + field + "\r\n";
+    CHECK(is_refused("HTTP/1.1 200 OK\r\n" + head +
+                     "Content-Length: 2\r\n\r\nok"));
+}
+
 // Guards against reading a field that is indented as a part of the one before
 // it: its body would be read without the framing that the field names.
 TEST_CASE("an answer with an indented field is refused", "[answer_parser]")
@@ -415,3 +433,27 @@
     CHECK(read.body == " a\n b");
     CHECK(read.complete);
 }
+
+// Guards against passing the framing of a body on as the body.
+TEST_CASE("an answer with a transfer encoding other than chunked is refused",
+          "[answer_parser]")
+{
+    std::string const fields = GENERATE(
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n", "Transfer-Encoding: gzip\r\n",
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n");
+    CAPTURE(fields);
+    CHECK(is_refused("HTTP/1.1 200 OK\r\n" + fields +
+                     "\r\n2\r\nok\r\n0\r\n\r\n"));
+}
+
+TEST_CASE("the name of the chunked encoding has no case", "[answer_parser]")
+{
+    answer_parts const read =
+        parse({"HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n"
+               "2\r\nok\r\n0\r\n\r\n"});
+    CHECK(read.complete);
+    CHECK(read.body == "ok");
+}
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -384,3 +384,25 @@
     CHECK_FALSE(result.headers.find("A"));
     CHECK_FALSE(result.headers.find("E"));
 }
+
+// Guards against believing a head whose fields others read otherwise.
+TEST_CASE("a response with a malformed head is a failure", "[http_client]")
+{
+    std::string const head =
+        GENERATE("HTTP/1.1 200 OK\r\nX-Pad : y\r\n",
+                 "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n",
+                 "HTTP/1.1 200 OK\r\nX Pad: y\r\n", "HTTP/1.1 000 OK\r\n",
+                 "HTTP/1.1 0200 OK\r\n", "HTTP/1.1  200 OK\r\n",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked, chunked\r\n");
+    CAPTURE(head);
+    scripted_back_end back_end(
+        [&](raw_socket const& listener)
+        {
+            auto const caller = listener.accepted();
+            caller.read_until(end_of_headers);
+            caller.send(head + "Content-Length: 2\r\n\r\nok");
+        });
+    http_client client;
+    auto const result = client.call_and_wait(call_to(back_end.url()));
+    CHECK(result.status == 0);
+}
