Refuse requests whose heads others read differently

What could be sent: "Content-Length : 2", "Tenant : a", "Authorization : Bearer k" or "Transfer-Encoding : chunked", with a blank before the colon, also behind a blank, were passed on to the worker as they came, since they are not known by those names here. A worker that reads them leniently runs a request with another body, for another team, or with a key (UNASKED). "gzip, chunked" and HTTP/2.0 were taken, too.

Cause: the same lenient parser as for answers.

Change: names must be tokens, Transfer-Encoding must be "chunked", once, and the version 1.0 or 1.1; 400 otherwise, before the handler sees the request.

A field that goes on in an indented line is still joined by a blank, as the standard allows: nothing else reads it differently.

--- a/src/http_request_limits.cpp
+++ b/src/http_request_limits.cpp
@@ -1,6 +1,7 @@
 #include "http_request_limits.hpp"
 
 #include "http_caller_socket.hpp"
+#include "http_message.hpp"
 
 #include <restinio/http_server.hpp>
 
@@ -16,6 +17,7 @@
 
 using restinio::impl::http_parser_ctx_t;
 
+constexpr int malformed = 400;
 constexpr int body_too_large = 413;
 constexpr int target_too_long = 414;
 constexpr int headers_too_large = 431;
@@ -117,6 +119,25 @@
     return total;
 }
 
+/// Failure: this server and a worker read the same head differently, and the
+/// worker runs a request that nobody sent.
+bool is_well_formed(http_parser* parser)
+{
+    constexpr unsigned known_major = 1;
+    constexpr unsigned last_minor = 1;
+    if (parser->http_major != known_major || parser->http_minor > last_minor)
+        return false;
+    int encodings = 0;
+    bool known = true;
+    context_of(parser).m_header.for_each_field(
+        [&](auto const& field)
+        {
+            if (same_header_name(field.name(), "Transfer-Encoding"))
+                known &= is_chunked_only(field.value()) && ++encodings == 1;
+        });
+    return known;
+}
+
 int on_url(http_parser* parser, char const* at, std::size_t length)
 {
     if (int const failed = charge_head(parser, length))
@@ -130,6 +151,10 @@
 {
     if (int const failed = charge_head(parser, length + field_overhead_bytes))
         return failed;
+    enforce_limit(parser, malformed,
+                  [&] {
+                      return length > 0 && !is_token({at, length});
+                  });
     return enforce_limit(
         parser, headers_too_large,
         [&]
@@ -159,6 +184,7 @@
         parser, headers_too_large,
         [&context]
         { return header_bytes(context) > context.m_limits.max_url_size(); });
+    enforce_limit(parser, malformed, [&] { return !is_well_formed(parser); });
     bool const announced = parser->content_length != UINT64_MAX;
     enforce_limit(parser, body_too_large,
                   [&]
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -697,3 +697,37 @@
         CHECK(caller.read_until("GET /late").ends_with("GET /late"));
     }
 }
+
+// Guards against a request whose head a worker reads otherwise than this
+// server: the worker would run a request that nobody sent.
+TEST_CASE("a request with a malformed head is refused and not handled",
+          "[http_server]")
+{
+    std::string const head = GENERATE(
+        as<std::string>{}, "POST / HTTP/1.1\r\nX-Pad : y\r\n",
+        "POST / HTTP/1.1\r\nX Pad: y\r\n",
+        "POST / HTTP/1.1\r\nContent-Length : 2\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n",
+        "POST / HTTP/1.1\r\n Tenant: a\r\n",
+        "POST / HTTP/1.1\r\nAuthorization : Bearer a\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked, chunked\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+        "Transfer-Encoding: chunked\r\n",
+        "POST / HTTP/2.0\r\n", "POST / HTTP/1.2\r\n", "POST / HTTP/0.9\r\n");
+    CAPTURE(head);
+    std::atomic<int> handled{0};
+    http_server_options options = with_error_page();
+    http_server const server(
+        options,
+        [&](http_request const&, std::shared_ptr<http_answer> const& answer)
+        {
+            ++handled;
+            answer->respond({200, {}, {}});
+        });
+    raw_socket const caller = raw_socket::connected(server.port());
+    caller.send(head + "Host: a\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    std::string const answer = caller.read_until(end_of_headers);
+    CHECK((answer.empty() || answer.starts_with("HTTP/1.1 400 ")));
+    CHECK(handled == 0);
+}
