Let no exception leave the parser's callbacks

bad_alloc of a body's block would have passed through the HTTP parser, which is written in C; RESTinio's own callbacks, which this project's replaced for bodies, caught it. The request is refused as one for which there is no memory. By reading; no test: an allocation of at most 4 MB does not fail on these machines.

Also, a close posts the deferred read only if there is one.

--- a/src/http_caller_socket.hpp
+++ b/src/http_caller_socket.hpp
@@ -217,10 +217,11 @@
     /// RESTinio calls this right after shutdown().
     void close()
     {
-        // Destroys a handler that keeps the connection.
-        restinio::asio_ns::post(
-            plain::get_executor(),
-            [dropped = std::exchange(state_->read_on, {})] {});
+        // The handler keeps the connection, which is using this socket.
+        if (state_->read_on)
+            restinio::asio_ns::post(
+                plain::get_executor(),
+                [dropped = std::exchange(state_->read_on, {})] {});
         error_code ignored;
         if (!plain::is_open() || !state_->lingers || !state_->linger)
         {
--- a/src/http_request_limits.cpp
+++ b/src/http_request_limits.cpp
@@ -7,6 +7,7 @@
 
 #include <charconv>
 #include <cstdint>
+#include <new>
 #include <string>
 
 namespace mulberry
@@ -54,14 +55,22 @@
 /// The parser fails with this result, and RESTinio closes the connection.
 constexpr int no_memory = 1;
 
-/// `charge` returns false if the bytes do not fit into the memory.
+/// `charge` returns false if the bytes do not fit into the memory. The parser
+/// is written in C, so no exception may leave its callbacks.
 template <class Charge>
 int enforce_memory(Charge charge)
 {
     caller_state& receiving = state();
-    if (!receiving.refused &&
-        !charge(receiving.receipt, !receiving.has_open_answer()))
+    try
+    {
+        if (!receiving.refused &&
+            !charge(receiving.receipt, !receiving.has_open_answer()))
+            receiving.refuse();
+    }
+    catch (std::bad_alloc const&)
+    {
         receiving.refuse();
+    }
     return receiving.refused ? no_memory : 0;
 }
 
