Close an idle connection in favor of one over the maximum

What could be seen: the listener for readiness takes 64 connections since its memory is bounded; 64 that are opened and left idle would keep the load balancer's probes out for the idle time of 60 s, and the VM out of rotation. At the callers' listener the same held for max_connections (4,096).

Change: with one thread, a connection beyond the maximum closes one that has been idle, or whose request has stalled, for a second, as where memory is short.

Test: an idle connection is closed in favor of one over the maximum (the server reset new ones until the idle time ended before).

--- a/src/http_server.cpp
+++ b/src/http_server.cpp
@@ -152,6 +152,9 @@
     void on_accept(asio::error_code const& failure, tcp::socket socket);
     void retry_accept();
     bool is_full() const;
+    /// Whether there is a place for a new connection; another one may be closed
+    /// in its favor.
+    bool has_place();
     /// Charges a new connection; others may be closed in its favor. Returns
     /// false if it does not fit.
     bool charge_connection(connection_memory& charge);
@@ -346,8 +349,7 @@
     // A socket that is not opened is closed with its request unread, and the
     // caller may try another server at once.
     connection_memory charge;
-    if (!(options_.closes_excess_connections && is_full()) &&
-        (!options_.may_open || options_.may_open()) &&
+    if (has_place() && (!options_.may_open || options_.may_open()) &&
         charge_connection(charge))
         open_connection(std::move(socket), std::move(charge));
     else
@@ -355,6 +357,13 @@
     accept_next();
 }
 
+bool http_server::implementation::has_place()
+{
+    if (!options_.closes_excess_connections || !is_full())
+        return true;
+    return !own_io_ && evict_connection();
+}
+
 std::size_t http_server::implementation::connection_bytes() const
 {
     // Two buffers in the kernel, each of twice the size that was set.
--- a/src/http_server.hpp
+++ b/src/http_server.hpp
@@ -71,7 +71,9 @@
     std::size_t max_header_bytes = 32UL * 1024;
     std::size_t max_connections = 4096;
     /// What happens to connections beyond max_connections: they are closed at
-    /// once, unread; or they wait until another one closes.
+    /// once, unread; or they wait until another one closes. With shared_io, one
+    /// that is idle or stalls is closed in favor of them, as for
+    /// charges_connections.
     bool closes_excess_connections = false;
     /// What requests are charged to; null: each request is bounded, their sum
     /// is not. Preconditions: outlives the shared io_context, which is set.
--- a/tests/http_server_memory_test.cpp
+++ b/tests/http_server_memory_test.cpp
@@ -32,7 +32,8 @@
 {
 public:
     explicit bounded_server(std::size_t bytes = capacity,
-                            bool charges_connections = false)
+                            bool charges_connections = false,
+                            std::size_t max_connections = 4096)
         : memory_(bytes), work_(io_.get_executor())
     {
         http_server_options options;
@@ -40,6 +41,7 @@
         options.memory = &memory_;
         options.charges_connections = charges_connections;
         options.closes_excess_connections = true;
+        options.max_connections = max_connections;
         options.socket_buffer_bytes = charges_connections ? 8 * 1024 : 0;
         options.error_page = [](int status)
         { return json_response(status, "page " + std::to_string(status)); };
@@ -287,3 +289,21 @@
         [&] { return is_served(raw_socket::connected(server.port())); }));
     CHECK(status_line(callers.front()).starts_with("HTTP/1.1 503 "));
 }
+
+// Guards against idle connections that keep the load balancer's probes out.
+TEST_CASE("an idle connection is closed in favor of one over the maximum",
+          "[http_server_memory]")
+{
+    bounded_server server(capacity, false, 2);
+    std::vector<raw_socket> callers;
+    for (int number = 0; number < 2; ++number)
+    {
+        callers.push_back(raw_socket::connected(server.port()));
+        CHECK(is_served(callers.back()));
+    }
+    CHECK(eventually(
+        [&] { return is_served(raw_socket::connected(server.port())); }));
+    CHECK(server.evicted() == 1);
+    CHECK(callers[0].read_some().empty());
+    CHECK(is_served(callers[1]));
+}
--- a/tests/relay_settings_test.cpp
+++ b/tests/relay_settings_test.cpp
@@ -46,6 +46,10 @@
     auto const sized =
         parse_relay_settings(settings_with(R"(, "memory_mb": 260)"), "file");
     CHECK(std::get<relay_settings>(sized).memory_mb == 260);
+    CHECK(value.caller_memory_mb == 0);
+    auto const shared = parse_relay_settings(
+        settings_with(R"(, "caller_memory_mb": 50)"), "file");
+    CHECK(std::get<relay_settings>(shared).caller_memory_mb == 50);
     CHECK(value.worker_heartbeat == 0ms);
     auto const renewed = parse_relay_settings(
         settings_with(R"(, "worker_heartbeat_ms": 1200)"), "file");
@@ -59,6 +63,7 @@
     CHECK(fault_count(settings_with(R"(, "colour": 1)")) == 1);
     CHECK(fault_count(settings_with(R"(, "metrics": "here")")) == 1);
     CHECK(fault_count(settings_with(R"(, "memory_mb": 0)")) == 1);
+    CHECK(fault_count(settings_with(R"(, "caller_memory_mb": 0)")) == 1);
     CHECK(fault_count(settings_with(R"(, "metrics": "10.0.0.1:99999")")) == 1);
     CHECK(fault_count(settings_with(R"(, "worker_heartbeat_ms": 0)")) == 1);
     CHECK(fault_count(settings_with(
