--- a/src/http_caller_socket.hpp
+++ b/src/http_caller_socket.hpp
@@ -149,8 +149,10 @@
     {
         if (state_->receipt.is_open() && state_->has_open_answer())
         {
-            state_->read_on = [this, buffers, handler]() mutable
-            { async_read_some(buffers, std::move(handler)); };
+            state_->read_on =
+                [this, buffers,
+                 deferred = std::forward<Handler>(handler)]() mutable
+            { async_read_some(buffers, std::move(deferred)); };
             state_->defers_read = true;
             if (state_->on_read_deferred)
                 state_->on_read_deferred();
